Lay out the workspace and the interfaces between its packages

Cause: the project is empty, and several parts are to be built side by side. Ruled out: the four packages of the starting design, since the command line checks configurations without a daemon and the scheduling logic has to be measured without sockets; docs/internals/architecture.md gives the reasons.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+UV := $(BIN)/uv
+
+.PHONY: demo test lint format typecheck unit clean
+
+$(VENV)/.synced: pyproject.toml $(wildcard packages/*/pyproject.toml)
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	test -x $(UV) || $(BIN)/python -m pip install --quiet uv==0.13.9
+	UV_PROJECT_ENVIRONMENT=$(VENV) $(UV) sync --quiet --inexact --python $(BIN)/python
+	touch $@
+
+demo: $(VENV)/.synced
+	$(BIN)/python examples/demo.py $(if $(KEEP),--keep)
+
+test: lint typecheck unit
+
+lint: $(VENV)/.synced
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+typecheck: $(VENV)/.synced
+	$(BIN)/mypy
+
+unit: $(VENV)/.synced
+	$(BIN)/python -m pytest
+
+format: $(VENV)/.synced
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+clean:
+	rm -rf $(VENV)
--- /dev/null
+++ b/packages/gooseberrydeck-configuration/src/gooseberrydeck_configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' named objects and the checks over the whole set."""
--- /dev/null
+++ b/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Coordination parts for clusters without a consensus group."""
--- /dev/null
+++ b/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/resources.py
@@ -0,0 +1,40 @@
+"""Amounts of a host's resources."""
+
+import msgspec
+
+__all__ = ["NOTHING", "Resources"]
+
+
+class Resources(msgspec.Struct, frozen=True, order=False):
+    """Processors in thousandths of a core, memory in MiB, whole accelerators."""
+
+    cpu_millis: int = 0
+    memory_mib: int = 0
+    accelerators: int = 0
+
+    def __add__(self, other: "Resources") -> "Resources":
+        """Return the sum, resource by resource."""
+        return Resources(
+            self.cpu_millis + other.cpu_millis,
+            self.memory_mib + other.memory_mib,
+            self.accelerators + other.accelerators,
+        )
+
+    def __sub__(self, other: "Resources") -> "Resources":
+        """Return the difference, resource by resource; it may be negative."""
+        return Resources(
+            self.cpu_millis - other.cpu_millis,
+            self.memory_mib - other.memory_mib,
+            self.accelerators - other.accelerators,
+        )
+
+    def fits_in(self, capacity: "Resources") -> bool:
+        """Tell whether no resource exceeds that of ``capacity``."""
+        return (
+            self.cpu_millis <= capacity.cpu_millis
+            and self.memory_mib <= capacity.memory_mib
+            and self.accelerators <= capacity.accelerators
+        )
+
+
+NOTHING = Resources()
--- /dev/null
+++ b/packages/gooseberrydeck-ctl/src/gooseberrydeck_ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The gooseberryctl command for operators."""
--- /dev/null
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The gooseberryd process of every entry host."""
--- /dev/null
+++ b/packages/gooseberrydeck-platform/src/gooseberrydeck_platform/__init__.py
@@ -0,0 +1,1 @@
+"""Interfaces to the platform and the adapters that speak its protocols."""
--- /dev/null
+++ b/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform, used by tests, benches and the demo."""
