--- a/packages/gooseberrydeck-platform/src/gooseberrydeck_platform/hosts.py
+++ b/packages/gooseberrydeck-platform/src/gooseberrydeck_platform/hosts.py
@@ -26,7 +26,11 @@
 
 
 class Host(msgspec.Struct, frozen=True):
-    """A worker or an endpoint, its address and what it offers."""
+    """A worker or an endpoint, its address and what it offers.
+
+    ``path`` comes before the paths of its interface, so that several hosts can
+    answer on one port.
+    """
 
     name: HostName
     kind: HostKind
@@ -35,6 +39,7 @@
     port: int
     data_centre: DataCentre
     rack: Rack
+    path: str = ""
     capacity: Resources = NOTHING
     service: ServiceName = ServiceName("")
     slots: int = 0
