--- /dev/null
+++ b/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/rules.py
@@ -0,0 +1,49 @@
+"""The rules of queues and the settings of one scheduler."""
+
+from enum import Enum
+
+import msgspec
+
+from gooseberrydeck_coordination.ids import QueueName
+
+__all__ = ["OrderPolicy", "QueueRules", "SchedulerSettings"]
+
+
+class OrderPolicy(Enum):
+    """How a queue orders its jobs; the values are those of the configuration."""
+
+    DEADLINE = "deadline"
+    BATCH = "batch"
+    GANG = "gang"
+    STANDING = "standing"
+
+
+class QueueRules(msgspec.Struct, frozen=True):
+    """What the scheduler has to know of a queue."""
+
+    name: QueueName
+    policy: OrderPolicy
+    priority: int = 0
+    max_attempts: int = 3
+    max_run_s: float = 86_400.0
+
+
+class SchedulerSettings(msgspec.Struct, frozen=True):
+    """Bounds and times of one scheduler."""
+
+    decisions_per_tick: int = 512
+    scan_per_team: int = 64
+    grace_s: float = 0.8
+    reserve_after_s: float = 2.0
+    reservation_s: float = 120.0
+    reservation_backoff_s: float = 10.0
+    max_reservations: int = 4
+    max_victims: int = 4
+    max_gang_tasks: int = 512
+    suspect_jobs: int = 3
+    set_aside_s: float = 30.0
+    max_set_aside_s: float = 3_600.0
+    retry_delay_s: float = 1.0
+    max_retry_delay_s: float = 60.0
+    team_retry_share: float = 0.2
+    team_retry_burst: float = 50.0
