Decide what starts where for one shard

Cause: the owner of a shard needs decisions that are tested and measured without sockets, threads or a clock.

--- a/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/__init__.py
+++ b/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/__init__.py
@@ -1,5 +1,20 @@
 """Placement and ordering decisions as pure functions of state and time."""
 
+from gooseberrydeck_scheduling.adoption import AdoptedTask
+from gooseberrydeck_scheduling.cell import Cell, Placer
+from gooseberrydeck_scheduling.decisions import (
+    Decision,
+    End,
+    EndKind,
+    Preempt,
+    Refuse,
+    Start,
+    Stop,
+    TaskEnd,
+    WaitReason,
+    WaitReport,
+)
+from gooseberrydeck_scheduling.engine import Scheduler
 from gooseberrydeck_scheduling.exceptions import (
     DuplicateJobError,
     InvalidJobError,
@@ -24,14 +39,29 @@
     task_id,
     task_index,
 )
+from gooseberrydeck_scheduling.placement import BestFit
 from gooseberrydeck_scheduling.rules import (
     OrderPolicy,
     QueueRules,
     SchedulerSettings,
 )
+from gooseberrydeck_scheduling.workers import (
+    Ending,
+    RunningTask,
+    WorkerInfo,
+    WorkerState,
+    WorkerStatus,
+)
 
 __all__ = [
+    "AdoptedTask",
+    "BestFit",
+    "Cell",
+    "Decision",
     "DuplicateJobError",
+    "End",
+    "EndKind",
+    "Ending",
     "InvalidJobError",
     "JobRecord",
     "JobRefusedError",
@@ -39,15 +69,28 @@
     "JobState",
     "OrderPolicy",
     "OvercommitError",
+    "Placer",
+    "Preempt",
     "QueueRules",
     "RefusalReason",
+    "Refuse",
+    "RunningTask",
+    "Scheduler",
     "SchedulerSettings",
     "SchedulingError",
+    "Start",
+    "Stop",
+    "TaskEnd",
     "TaskRecord",
     "TaskState",
     "UnknownJobError",
     "UnknownTaskError",
     "UnknownWorkerError",
+    "WaitReason",
+    "WaitReport",
+    "WorkerInfo",
+    "WorkerState",
+    "WorkerStatus",
     "decode_record",
     "encode_record",
     "job_of",
--- /dev/null
+++ b/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/checks.py
@@ -0,0 +1,85 @@
+"""Reasons for which a job can never run."""
+
+from collections.abc import Mapping
+
+from gooseberrydeck_coordination.ids import QueueName, TeamName
+from gooseberrydeck_coordination.resources import Resources
+from gooseberrydeck_scheduling.cell import Cell
+from gooseberrydeck_scheduling.decisions import Refuse
+from gooseberrydeck_scheduling.exceptions import RefusalReason
+from gooseberrydeck_scheduling.gangs import rooms_in
+from gooseberrydeck_scheduling.jobs import JobSpec
+from gooseberrydeck_scheduling.rules import QueueRules, SchedulerSettings
+
+__all__ = ["find_refusal", "find_refusal_by_size"]
+
+
+def find_refusal(
+    spec: JobSpec,
+    rules: Mapping[QueueName, QueueRules],
+    settings: SchedulerSettings,
+    team_limits: Mapping[TeamName, int],
+) -> Refuse | None:
+    """Return why a job can never run in any cell with these rules, or None."""
+    wanted = spec.resources
+    queue = rules.get(spec.queue)
+    if spec.tasks < 1:
+        return Refuse(spec.id, RefusalReason.NO_TASKS, "a job needs a task")
+    if min(wanted.cpu_millis, wanted.memory_mib, wanted.accelerators) < 0:
+        return Refuse(
+            spec.id, RefusalReason.NEGATIVE_RESOURCES, "a resource is negative"
+        )
+    if queue is None:
+        return Refuse(
+            spec.id, RefusalReason.UNKNOWN_QUEUE, f"there is no queue {spec.queue}"
+        )
+    if not spec.is_standing and spec.max_run_s > queue.max_run_s:
+        return Refuse(
+            spec.id,
+            RefusalReason.RUN_TIME_OVER_QUEUE_LIMIT,
+            f"queue {queue.name} runs tasks for at most {queue.max_run_s:g} s",
+        )
+    if not spec.is_gang:
+        return None
+    if spec.tasks > settings.max_gang_tasks:
+        return Refuse(
+            spec.id,
+            RefusalReason.GANG_TOO_LARGE,
+            f"a gang has at most {settings.max_gang_tasks} tasks",
+        )
+    limit = team_limits.get(spec.team)
+    if limit is not None and spec.tasks > limit:
+        return Refuse(
+            spec.id,
+            RefusalReason.GANG_OVER_TEAM_LIMIT,
+            f"team {spec.team} runs at most {limit} tasks at once",
+        )
+    return None
+
+
+def find_refusal_by_size(spec: JobSpec, cell: Cell) -> Refuse | None:
+    """Return why a job would not fit in the cell even if it were empty, or None.
+
+    A cell without workers refuses nothing, since they may only not be known yet.
+    """
+    if not cell.workers:
+        return None
+    rooms = 0
+    wanted = spec.tasks if spec.is_gang else 1
+    for worker in cell:
+        rooms += rooms_in(worker.info.capacity, spec.resources)
+        if rooms >= wanted:
+            return None
+    if not rooms:
+        detail = f"no host holds {describe(spec.resources)}"
+        return Refuse(spec.id, RefusalReason.LARGER_THAN_ANY_HOST, detail)
+    detail = f"the hosts hold {rooms} of its {spec.tasks} tasks at once"
+    return Refuse(spec.id, RefusalReason.GANG_LARGER_THAN_CELL, detail)
+
+
+def describe(wanted: Resources) -> str:
+    """Return amounts as a submitter writes them."""
+    return (
+        f"{wanted.cpu_millis / 1000:g} processors, {wanted.memory_mib} MiB and "
+        f"{wanted.accelerators} accelerators"
+    )
--- /dev/null
+++ b/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/gangs.py
@@ -0,0 +1,203 @@
+"""Reservations: rooms kept for a gang, a large task or an urgent one."""
+
+from collections.abc import Iterable
+
+from gooseberrydeck_coordination.ids import HostName, JobId
+from gooseberrydeck_coordination.resources import Resources
+from gooseberrydeck_scheduling.cell import Cell
+from gooseberrydeck_scheduling.workers import RunningTask, WorkerState, WorkerStatus
+
+__all__ = ["Reservation", "ReservationBook", "ReservationPlan", "plan_reservation"]
+
+
+class ReservationPlan:
+    """How many tasks each host is to hold, and when the last room is likely free."""
+
+    __slots__ = ("hosts", "start_s")
+
+    def __init__(self, hosts: dict[HostName, int], start_s: float) -> None:
+        """Keep the number of tasks by host and the expected start."""
+        self.hosts = hosts
+        self.start_s = start_s
+
+
+class Reservation:
+    """Rooms for ``count`` tasks of a job, held as they become free."""
+
+    __slots__ = (
+        "count",
+        "deadline_s",
+        "held",
+        "hosts",
+        "is_whole",
+        "job",
+        "start_s",
+        "wanted",
+    )
+
+    def __init__(
+        self,
+        job: JobId,
+        wanted: Resources,
+        plan: ReservationPlan,
+        deadline_s: float,
+        is_whole: bool,
+    ) -> None:
+        """Reserve by a plan; a whole reservation is used in one piece or not at all."""
+        self.job = job
+        self.wanted = wanted
+        self.hosts = plan.hosts
+        self.count = sum(plan.hosts.values())
+        self.start_s = plan.start_s
+        self.deadline_s = deadline_s
+        self.is_whole = is_whole
+        self.held: dict[HostName, int] = {}
+
+    @property
+    def held_count(self) -> int:
+        """Return how many rooms are held."""
+        return sum(self.held.values())
+
+    @property
+    def is_complete(self) -> bool:
+        """Tell whether every room is held."""
+        return self.held_count >= self.count
+
+
+class ReservationBook:
+    """The reservations of a cell, oldest first."""
+
+    def __init__(self, cell: Cell) -> None:
+        """Begin without reservations."""
+        self.cell = cell
+        self.by_job: dict[JobId, Reservation] = {}
+        self.by_host: dict[HostName, list[Reservation]] = {}
+
+    @property
+    def whole_count(self) -> int:
+        """Return the number of reservations for gangs and large tasks."""
+        return sum(reservation.is_whole for reservation in self.by_job.values())
+
+    def add(self, reservation: Reservation) -> None:
+        """Begin to hold rooms for a reservation."""
+        self.by_job[reservation.job] = reservation
+        for host in reservation.hosts:
+            self.by_host.setdefault(host, []).append(reservation)
+            self.regain(host)
+
+    def extend(self, reservation: Reservation, host: HostName) -> None:
+        """Let a reservation want one more room."""
+        reservation.count += 1
+        reservation.hosts[host] = reservation.hosts.get(host, 0) + 1
+        book = self.by_host.setdefault(host, [])
+        if reservation not in book:
+            book.append(reservation)
+        self.regain(host)
+
+    def regain(self, host: HostName) -> None:
+        """Hold what has become free on a host, for the oldest reservation first."""
+        for reservation in self.by_host.get(host, ()):
+            wanted = reservation.hosts[host]
+            while reservation.held.get(host, 0) < wanted:
+                if not self.cell.hold(host, reservation.job, reservation.wanted):
+                    break
+                reservation.held[host] = reservation.held.get(host, 0) + 1
+
+    def drop_hold(self, reservation: Reservation, host: HostName) -> None:
+        """Give back one held room; the reservation still wants it."""
+        reservation.held[host] -= 1
+        if not reservation.held[host]:
+            del reservation.held[host]
+        self.cell.drop_hold(host, reservation.job, reservation.wanted)
+
+    def use(self, reservation: Reservation, host: HostName) -> None:
+        """Give back one held room and want it no more."""
+        self.drop_hold(reservation, host)
+        reservation.hosts[host] -= 1
+        reservation.count -= 1
+        if not reservation.count:
+            self.release(reservation.job)
+
+    def release(self, job: JobId) -> None:
+        """Give back everything that is held for a job."""
+        reservation = self.by_job.pop(job, None)
+        if reservation is None:
+            return
+        for host, count in reservation.held.items():
+            for _ in range(count):
+                self.cell.drop_hold(host, job, reservation.wanted)
+        for host in reservation.hosts:
+            self.by_host[host].remove(reservation)
+            if not self.by_host[host]:
+                del self.by_host[host]
+
+    def forget_worker(self, host: HostName) -> None:
+        """Release every reservation that counts on a worker."""
+        for reservation in tuple(self.by_host.get(host, ())):
+            self.release(reservation.job)
+
+    def expired(self, now_s: float) -> tuple[Reservation, ...]:
+        """Return the reservations whose deadline has passed."""
+        return tuple(
+            reservation
+            for reservation in self.by_job.values()
+            if reservation.deadline_s <= now_s
+        )
+
+
+def plan_reservation(
+    cell: Cell, wanted: Resources, count: int, now_s: float
+) -> ReservationPlan | None:
+    """Choose the rooms that are likely free first, or None if there are too few."""
+    offers: list[tuple[float, HostName]] = []
+    for worker in cell:
+        if worker.status is not WorkerStatus.AVAILABLE:
+            continue
+        if wanted.fits_in(worker.info.capacity):
+            offers.extend(room_times(worker, wanted, now_s))
+    if len(offers) < count:
+        return None
+    offers.sort()
+    hosts: dict[HostName, int] = {}
+    for _, host in offers[:count]:
+        hosts[host] = hosts.get(host, 0) + 1
+    return ReservationPlan(hosts, offers[count - 1][0])
+
+
+def room_times(
+    worker: WorkerState, wanted: Resources, now_s: float
+) -> list[tuple[float, HostName]]:
+    """Return when each further room on a worker is likely free."""
+    free = worker.free
+    times: list[tuple[float, HostName]] = []
+    for at_s, amount in releases(worker.tasks.values(), now_s):
+        free = free + amount
+        rooms = rooms_in(free, wanted)
+        times.extend((at_s, worker.host) for _ in range(rooms - len(times)))
+    return times
+
+
+def releases(
+    tasks: Iterable[RunningTask], now_s: float
+) -> list[tuple[float, Resources]]:
+    """Return what running tasks are likely to give back, in order of time.
+
+    A task that has outrun its estimate is taken to go on for half as long again.
+    """
+    events = [(now_s, Resources())]
+    for running in tasks:
+        end_s = running.expected_end_s
+        if end_s <= now_s:
+            end_s = now_s + 0.5 * (now_s - running.started_s)
+        events.append((end_s, running.resources))
+    events.sort(key=lambda event: event[0])
+    return events
+
+
+def rooms_in(free: Resources, wanted: Resources) -> int:
+    """Return how many tasks of one size fit in what is free."""
+    rooms = free.cpu_millis // max(1, wanted.cpu_millis)
+    rooms = min(rooms, free.memory_mib // max(1, wanted.memory_mib))
+    if wanted.accelerators:
+        rooms = min(rooms, free.accelerators // wanted.accelerators)
+    return max(0, rooms)
--- /dev/null
+++ b/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/reserving.py
@@ -0,0 +1,142 @@
+"""Hold rooms for gangs and large tasks, and lend them meanwhile."""
+
+from gooseberrydeck_coordination.ids import HostName, JobId
+from gooseberrydeck_coordination.resources import Resources
+from gooseberrydeck_scheduling.gangs import Reservation, plan_reservation
+from gooseberrydeck_scheduling.ordering import TrackedJob
+from gooseberrydeck_scheduling.state import SchedulerState
+from gooseberrydeck_scheduling.workers import WorkerState
+
+__all__ = ["Reserver"]
+
+LARGE_SHARE = 0.25
+"""A task that asks for this share of the largest host may get a reservation."""
+
+
+class Reserver:
+    """Begin, use and end the reservations of one scheduler."""
+
+    def __init__(self, state: SchedulerState) -> None:
+        """Work on the state that the scheduler's parts share."""
+        self.state = state
+        self.not_before_s: dict[JobId, float] = {}
+
+    def reserve(self, job: TrackedJob, now_s: float) -> None:
+        """Begin to hold rooms for a gang or a large task."""
+        state = self.state
+        settings = state.settings
+        if not job.spec.is_gang and not self.is_large(job.spec.resources):
+            return
+        if state.reservations.whole_count >= settings.max_reservations:
+            return
+        if self.not_before_s.get(job.id, now_s) > now_s:
+            return
+        count = len(job.pending) if job.spec.is_gang else 1
+        plan = plan_reservation(state.cell, job.spec.resources, count, now_s)
+        if plan is None:
+            return
+        deadline_s = now_s + settings.reservation_s
+        state.reservations.add(
+            Reservation(job.id, job.spec.resources, plan, deadline_s, is_whole=True)
+        )
+
+    def is_large(self, wanted: Resources) -> bool:
+        """Tell whether small tasks could keep a task of this size waiting."""
+        largest = self.largest_capacity()
+        return (
+            wanted.cpu_millis >= LARGE_SHARE * largest.cpu_millis
+            or wanted.memory_mib >= LARGE_SHARE * largest.memory_mib
+            or wanted.accelerators > 0
+        )
+
+    def largest_capacity(self) -> Resources:
+        """Return the most that any one worker has of each resource."""
+        capacities = [worker.info.capacity for worker in self.state.cell]
+        return Resources(
+            max((capacity.cpu_millis for capacity in capacities), default=0),
+            max((capacity.memory_mib for capacity in capacities), default=0),
+        )
+
+    def end_expired(self, now_s: float) -> None:
+        """Release whole what has not come together by its deadline."""
+        state = self.state
+        for reservation in state.reservations.expired(now_s):
+            state.reservations.release(reservation.job)
+            backoff_s = state.settings.reservation_backoff_s
+            self.not_before_s[reservation.job] = now_s + backoff_s
+        for job in [job for job in self.not_before_s if job not in state.jobs]:
+            del self.not_before_s[job]
+
+    def use(self, now_s: float) -> None:
+        """Start the jobs whose reserved rooms are there."""
+        for reservation in tuple(self.state.reservations.by_job.values()):
+            job = self.state.jobs[reservation.job]
+            if reservation.is_whole:
+                self.use_whole(job, reservation, now_s)
+            else:
+                self.use_each(job, reservation, now_s)
+
+    def use_whole(
+        self, job: TrackedJob, reservation: Reservation, now_s: float
+    ) -> None:
+        """Start a gang or a large task if every room is held."""
+        state = self.state
+        if not reservation.is_complete:
+            return
+        if state.slices.room(job.spec.team) < reservation.count:
+            return
+        hosts = [host for host, count in reservation.held.items() for _ in range(count)]
+        state.reservations.release(job.id)
+        indexes = tuple(job.pending)[: len(hosts)]
+        for index, host in zip(indexes, hosts, strict=True):
+            state.start(job, index, host, now_s)
+        if not job.pending:
+            state.waiting.discard(job)
+
+    def use_each(self, job: TrackedJob, reservation: Reservation, now_s: float) -> None:
+        """Start an urgent task on each room that is held."""
+        state = self.state
+        for host in tuple(reservation.held):
+            while reservation.held.get(host, 0) and job.pending:
+                if not state.slices.room(job.spec.team):
+                    return
+                state.reservations.use(reservation, host)
+                state.start(job, job.pending[0], host, now_s)
+        if not job.pending:
+            state.reservations.release(job.id)
+            state.waiting.discard(job)
+
+    def find_backfill(
+        self, job: TrackedJob, excluded: frozenset[HostName], now_s: float
+    ) -> WorkerState | None:
+        """Lend held room to a task that likely ends before the room is needed."""
+        state = self.state
+        book = state.reservations
+        if not book.by_job:
+            return None
+        end_s = now_s + state.learner.long_run_s(job.spec)
+        for reservation in book.by_job.values():
+            if not reservation.is_whole or reservation.start_s < end_s:
+                continue
+            for host in tuple(reservation.held):
+                worker = state.cell.workers[host]
+                if host not in excluded and self.lend(reservation, worker, job):
+                    return worker
+        return None
+
+    def lend(
+        self, reservation: Reservation, worker: WorkerState, job: TrackedJob
+    ) -> bool:
+        """Give back as many held rooms of a worker as a task needs."""
+        wanted = job.spec.resources
+        held = reservation.held[worker.host]
+        free = worker.free
+        needed = 0
+        while not wanted.fits_in(free) and needed < held:
+            free = free + reservation.wanted
+            needed += 1
+        if not wanted.fits_in(free):
+            return False
+        for _ in range(needed):
+            self.state.reservations.drop_hold(reservation, worker.host)
+        return True
--- a/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/rules.py
+++ b/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/rules.py
@@ -39,6 +39,7 @@
     reservation_backoff_s: float = 10.0
     max_reservations: int = 4
     max_victims: int = 4
+    size_check_s: float = 60.0
     max_gang_tasks: int = 512
     suspect_jobs: int = 3
     set_aside_s: float = 30.0
--- /dev/null
+++ b/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/starting.py
@@ -0,0 +1,241 @@
+"""Choose which waiting tasks start, and where."""
+
+import heapq
+
+from gooseberrydeck_coordination.ids import HostName
+from gooseberrydeck_coordination.resources import Resources
+from gooseberrydeck_scheduling.checks import find_refusal_by_size
+from gooseberrydeck_scheduling.decisions import Preempt, Refuse
+from gooseberrydeck_scheduling.gangs import Reservation, ReservationPlan
+from gooseberrydeck_scheduling.jobs import JobState
+from gooseberrydeck_scheduling.ordering import Band, TeamOrder, TrackedJob
+from gooseberrydeck_scheduling.preemption import Victims, find_victims
+from gooseberrydeck_scheduling.reserving import Reserver
+from gooseberrydeck_scheduling.spreading import find_spread
+from gooseberrydeck_scheduling.state import URGENT_PRIORITY, SchedulerState
+from gooseberrydeck_scheduling.workers import Ending, WorkerState
+
+__all__ = ["Starter"]
+
+NO_HOSTS: frozenset[HostName] = frozenset()
+
+EXCLUSION_S = 10.0
+"""How long a task that failed waits for a host on which it has not failed."""
+
+URGENT_MARGIN_S = 5.0
+"""How long rooms are kept for an urgent task after the grace of its victims."""
+
+
+class Starter:
+    """Start waiting tasks in the order of fairness, each where it fits best."""
+
+    def __init__(self, state: SchedulerState) -> None:
+        """Work on the state that the scheduler's parts share."""
+        self.state = state
+        self.blocked: list[Resources] = []
+        self.blocked_at = -1
+        self.reserver = Reserver(state)
+        self.hopeless: list[tuple[TrackedJob, Refuse]] = []
+
+    def run(self, now_s: float) -> None:
+        """Start what can start now, within the bound of decisions per tick."""
+        self.reserver.end_expired(now_s)
+        self.reserver.use(now_s)
+        left = self.state.settings.decisions_per_tick
+        for band in Band:
+            left = self.run_band(band, left, now_s)
+        self.refuse_hopeless(now_s)
+
+    def run_band(self, band: Band, left: int, now_s: float) -> int:
+        """Start the tasks of one band and return how many more may start."""
+        state = self.state
+        if not state.waiting.bands[band]:
+            return left
+        order = TeamOrder(
+            state.shares, state.waiting, band, state.settings.scan_per_team
+        )
+        emptied: list[TrackedJob] = []
+        while left > 0 and (job := order.next()) is not None:
+            if not state.slices.room(job.spec.team):
+                order.drop(job.spec.team)
+                continue
+            started = self.try_job(job, now_s)
+            if not started:
+                order.missed(job)
+                continue
+            left -= started
+            if not job.pending:
+                emptied.append(job)
+            order.started(job)
+        for job in emptied:
+            state.waiting.discard(job)
+        return left
+
+    def try_job(self, job: TrackedJob, now_s: float) -> int:
+        """Start the next task of a job, or its whole gang; return how many started."""
+        if not job.pending:
+            return 0
+        if job.spec.is_gang:
+            return self.try_gang(job, now_s)
+        reservation = self.state.reservations.by_job.get(job.id)
+        if reservation is not None and reservation.is_whole:
+            return 0
+        index = job.pending[0]
+        worker = self.find_worker(job, index, now_s)
+        if worker is None:
+            self.make_room(job, now_s)
+            return 0
+        self.state.start(job, index, worker.host, now_s)
+        return 1
+
+    def find_worker(
+        self, job: TrackedJob, index: int, now_s: float
+    ) -> WorkerState | None:
+        """Return the worker for one task, or None."""
+        state = self.state
+        excluded = job.excluded.get(index, NO_HOSTS)
+        if now_s - job.since_s > EXCLUSION_S:
+            excluded = NO_HOSTS
+        wanted = job.spec.resources
+        if job.spec.is_standing:
+            hosts = [state.cell.tasks[task].host for task in job.running.values()]
+            return find_spread(state.cell, wanted, hosts, excluded)
+        worker = self.find_probe(job, excluded)
+        if worker is None and not self.is_blocked(wanted):
+            worker = state.cell.placer.find(wanted, excluded)
+            if worker is None and not excluded:
+                self.block(wanted)
+        return worker or self.reserver.find_backfill(job, excluded, now_s)
+
+    def is_blocked(self, wanted: Resources) -> bool:
+        """Tell whether no more than this failed to fit since room last grew."""
+        if self.blocked_at != self.state.cell.releases:
+            self.blocked_at = self.state.cell.releases
+            self.blocked.clear()
+        return any(smaller.fits_in(wanted) for smaller in self.blocked)
+
+    def block(self, wanted: Resources) -> None:
+        """Note that no worker has room for a task."""
+        self.blocked = [larger for larger in self.blocked if not wanted.fits_in(larger)]
+        self.blocked.append(wanted)
+
+    def find_probe(
+        self, job: TrackedJob, excluded: frozenset[HostName]
+    ) -> WorkerState | None:
+        """Return a worker that is to show whether it works again, or None."""
+        state = self.state
+        if not state.probing or job.band is Band.URGENT:
+            return None
+        for host in state.probing:
+            worker = state.cell.workers[host]
+            if worker.has_room(job.spec.resources) and host not in excluded:
+                state.probing.discard(host)
+                return worker
+        return None
+
+    def try_gang(self, job: TrackedJob, now_s: float) -> int:
+        """Start every task of a gang, or none."""
+        state = self.state
+        count = len(job.pending)
+        if job.running or job.id in state.reservations.by_job:
+            return 0
+        if state.slices.room(job.spec.team) < count:
+            return 0
+        hosts = self.find_gang_hosts(job, count)
+        if hosts is None:
+            self.make_room(job, now_s)
+            return 0
+        self.start_gang(job, hosts, now_s)
+        return count
+
+    def find_gang_hosts(self, job: TrackedJob, count: int) -> list[HostName] | None:
+        """Return a host for each of ``count`` tasks, or None if they do not fit."""
+        cell = self.state.cell
+        wanted = job.spec.resources
+        if self.is_blocked(wanted) or not cell.placer.may_fit(wanted, count):
+            return None
+        excluded = frozenset().union(*job.excluded.values())
+        hosts: list[HostName] = []
+        while len(hosts) < count:
+            worker = cell.placer.find(wanted, excluded)
+            if worker is None or not cell.hold(worker.host, job.id, wanted):
+                break
+            hosts.append(worker.host)
+        releases = cell.releases
+        for host in hosts:
+            cell.drop_hold(host, job.id, wanted)
+        # Giving back what was only tried leaves no more room than before.
+        cell.releases = releases
+        return hosts if len(hosts) == count else None
+
+    def start_gang(self, job: TrackedJob, hosts: list[HostName], now_s: float) -> None:
+        """Start the pending tasks of a gang on these hosts."""
+        for index, host in zip(tuple(job.pending), hosts, strict=True):
+            self.state.start(job, index, host, now_s)
+
+    def make_room(self, job: TrackedJob, now_s: float) -> None:
+        """Preempt for an urgent task; reserve for a gang or a large task."""
+        if job.unfit_since_s is None:
+            job.unfit_since_s = now_s
+        if now_s - job.size_checked_s >= self.state.settings.size_check_s:
+            self.check_size(job, now_s)
+        if job.band is Band.URGENT and not job.spec.is_gang:
+            self.preempt(job, now_s)
+        elif now_s - job.unfit_since_s >= self.state.settings.reserve_after_s:
+            self.reserver.reserve(job, now_s)
+
+    def check_size(self, job: TrackedJob, now_s: float) -> None:
+        """Note a job that would not fit even if nothing else ran."""
+        job.size_checked_s = now_s
+        refusal = find_refusal_by_size(job.spec, self.state.cell)
+        if refusal is not None and not job.running:
+            self.hopeless.append((job, refusal))
+
+    def refuse_hopeless(self, now_s: float) -> None:
+        """End the jobs that can never run with the workers there are."""
+        for job, refusal in self.hopeless:
+            job.record.state = JobState.REFUSED
+            job.record.reason = refusal.detail
+            job.record.ended_s = now_s
+            self.state.forget(job)
+            self.state.decisions.append(refusal)
+        self.hopeless.clear()
+
+    def preempt(self, job: TrackedJob, now_s: float) -> None:
+        """Ask lower tasks to make room for one urgent task."""
+        state = self.state
+        reservation = state.reservations.by_job.get(job.id)
+        reserved = reservation.count if reservation else 0
+        if reserved >= min(len(job.pending), state.slices.room(job.spec.team)):
+            return
+        victims = find_victims(
+            state.cell,
+            job.spec.resources,
+            URGENT_PRIORITY,
+            state.settings.max_victims,
+            state.shares.rank,
+            state.next_sequence(),
+        )
+        if victims is None:
+            return
+        self.end_victims(victims, now_s)
+        host = victims.worker.host
+        if reservation is not None:
+            state.reservations.extend(reservation, host)
+            return
+        grace_s = state.settings.grace_s
+        plan = ReservationPlan({host: 1}, now_s + grace_s)
+        deadline_s = now_s + grace_s + URGENT_MARGIN_S
+        state.reservations.add(
+            Reservation(job.id, job.spec.resources, plan, deadline_s, is_whole=False)
+        )
+
+    def end_victims(self, victims: Victims, now_s: float) -> None:
+        """Ask tasks to checkpoint; they are stopped after the grace."""
+        state = self.state
+        grace_s = state.settings.grace_s
+        for running in victims.tasks:
+            running.ending = Ending.PREEMPTION
+            running.stop_s = now_s + grace_s
+            heapq.heappush(state.stops, (running.stop_s, running.task))
+            state.decisions.append(Preempt(running.task, running.host, grace_s))
--- /dev/null
+++ b/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/workers.py
@@ -0,0 +1,150 @@
+"""Workers and the tasks that are committed on them."""
+
+from enum import Enum
+
+import msgspec
+
+from gooseberrydeck_coordination.ids import (
+    DataCentre,
+    HostName,
+    JobId,
+    Rack,
+    ShardId,
+    TaskId,
+    TeamName,
+)
+from gooseberrydeck_coordination.resources import Resources
+
+__all__ = ["Ending", "RunningTask", "WorkerInfo", "WorkerState", "WorkerStatus"]
+
+
+class WorkerInfo(msgspec.Struct, frozen=True):
+    """A worker as its owner knows it."""
+
+    host: HostName
+    capacity: Resources
+    rack: Rack
+    data_centre: DataCentre
+    shard: ShardId = ShardId(0)
+
+
+class WorkerStatus(Enum):
+    """Whether a worker gets new tasks."""
+
+    AVAILABLE = "available"
+    PROBING = "probing"
+    SET_ASIDE = "set_aside"
+    QUARANTINED = "quarantined"
+    LEAVING = "leaving"
+
+
+class Ending(Enum):
+    """Why a running task has been told to end."""
+
+    PREEMPTION = "preemption"
+    CANCELLATION = "cancellation"
+    OVERTIME = "overtime"
+    DRAIN = "drain"
+    GANG = "gang"
+    ORPHAN = "orphan"
+
+
+class RunningTask:
+    """A task that is committed on a worker."""
+
+    __slots__ = (
+        "attempt",
+        "ending",
+        "expected_end_s",
+        "host",
+        "index",
+        "is_preemptible",
+        "job",
+        "priority",
+        "resources",
+        "started_s",
+        "stop_s",
+        "task",
+        "team",
+    )
+
+    def __init__(
+        self,
+        task: TaskId,
+        job: JobId,
+        index: int,
+        attempt: int,
+        team: TeamName,
+        resources: Resources,
+        started_s: float,
+        expected_end_s: float,
+        priority: int = 0,
+        is_preemptible: bool = True,
+    ) -> None:
+        """Describe a task; its host is set when it is committed."""
+        self.task = task
+        self.job = job
+        self.index = index
+        self.attempt = attempt
+        self.team = team
+        self.resources = resources
+        self.started_s = started_s
+        self.expected_end_s = expected_end_s
+        self.priority = priority
+        self.is_preemptible = is_preemptible
+        self.host = HostName("")
+        self.ending: Ending | None = None
+        self.stop_s = 0.0
+
+
+class WorkerState:
+    """A worker's free amounts, running tasks and rooms held for reservations."""
+
+    __slots__ = (
+        "free_accelerators",
+        "free_cpu",
+        "free_memory",
+        "holds",
+        "host",
+        "info",
+        "position",
+        "status",
+        "tasks",
+    )
+
+    def __init__(self, info: WorkerInfo) -> None:
+        """Begin with everything free."""
+        self.info = info
+        self.host = info.host
+        self.free_cpu = info.capacity.cpu_millis
+        self.free_memory = info.capacity.memory_mib
+        self.free_accelerators = info.capacity.accelerators
+        self.status = WorkerStatus.AVAILABLE
+        self.tasks: dict[TaskId, RunningTask] = {}
+        self.holds: dict[JobId, int] = {}
+        self.position: tuple[int, int, int, int] | None = None
+
+    @property
+    def free(self) -> Resources:
+        """Return what is not committed."""
+        return Resources(self.free_cpu, self.free_memory, self.free_accelerators)
+
+    def has_room(self, wanted: Resources) -> bool:
+        """Tell whether ``wanted`` fits in what is free."""
+        return (
+            wanted.cpu_millis <= self.free_cpu
+            and wanted.memory_mib <= self.free_memory
+            and wanted.accelerators <= self.free_accelerators
+        )
+
+    def take(self, wanted: Resources) -> None:
+        """Reduce what is free."""
+        self.free_cpu -= wanted.cpu_millis
+        self.free_memory -= wanted.memory_mib
+        self.free_accelerators -= wanted.accelerators
+
+    def give_back(self, returned: Resources) -> None:
+        """Raise what is free."""
+        self.free_cpu += returned.cpu_millis
+        self.free_memory += returned.memory_mib
+        self.free_accelerators += returned.accelerators
