Hold the rooms of a reservation piece by piece

Cause: a reservation held only whole rooms, so small tasks took each piece that a reserved host gave back and a large task was never reached; the team with the largest share stayed at a tenth of it. bench/placement.py, new with this commit, shows it. The state machine also found that an attempt's number written into the record while it ran made a successor run the task twice; it is now raised when the attempt ends. Ruled out: closing whole hosts for a reservation, which idles what the large task does not need.

--- /dev/null
+++ b/bench/placement.py
@@ -0,0 +1,136 @@
+"""Measure waits, packing, shares and speed of placement against baselines.
+
+``python bench/placement.py`` runs every input with every policy, each in a process
+of its own, and prints tables in Markdown.
+"""
+
+import argparse
+import json
+import resource
+import statistics
+import subprocess
+import sys
+
+from gooseberrydeck_scheduling import BestFit, Scheduler, SchedulerSettings
+from placement_baselines import (
+    EVERYONE,
+    FIFO_QUEUE,
+    PLAIN_SETTINGS,
+    FirstFit,
+    WorstFit,
+    as_fifo,
+)
+from placement_inputs import QUEUES, SHAPES, Desk, JobClass, make_desk
+from placement_run import Measures, Run
+
+POLICIES = ("ours", "first-fit", "worst-fit", "fifo")
+SEEDS = (7, 8, 9)
+
+
+def make_scheduler(desk: Desk, policy: str) -> Scheduler:
+    """Return the scheduler of a policy, with the desk's shares and limits."""
+    if policy == "fifo":
+        desk.arrivals = [as_fifo(arrival) for arrival in desk.arrivals]
+        scheduler = Scheduler([FIFO_QUEUE], PLAIN_SETTINGS, FirstFit())
+        scheduler.set_slices({EVERYONE: 1_000_000})
+        return scheduler
+    placers = {"ours": BestFit, "first-fit": FirstFit, "worst-fit": WorstFit}
+    settings = SchedulerSettings() if policy == "ours" else PLAIN_SETTINGS
+    scheduler = Scheduler(QUEUES, settings, placers[policy]())
+    scheduler.set_shares(desk.weights)
+    scheduler.set_slices(desk.limits)
+    return scheduler
+
+
+def quantile(values: list[float], share: float) -> float:
+    """Return a quantile, or zero of no values."""
+    if not values:
+        return 0.0
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+def summarize(measures: Measures) -> dict[str, float]:
+    """Return the figures of one run by name."""
+    figures: dict[str, float] = {}
+    for job_class in JobClass:
+        waits = measures.waits[job_class]
+        figures[f"{job_class.value} wait p50 s"] = quantile(waits, 0.5)
+        figures[f"{job_class.value} wait p99 s"] = quantile(waits, 0.99)
+        figures[f"{job_class.value} not started"] = measures.still_waiting[job_class]
+    for position, name in enumerate(("processors", "memory", "accelerators")):
+        used = [sample[position] for sample in measures.used]
+        figures[f"{name} used %"] = 100 * statistics.fmean(used or [0.0])
+    figures["4-core gang rooms, mean"] = statistics.fmean(measures.gang_rooms or [0])
+    by_team = [
+        statistics.fmean(values)
+        for values in measures.shortfalls.values()
+        if len(values) >= 10
+    ]
+    figures["largest shortfall of a team %"] = 100 * max(by_team, default=0.0)
+    figures["preemptions"] = measures.preemptions
+    figures["starts"] = measures.starts
+    figures["starts on bad workers"] = measures.bad_starts
+    figures["tasks succeeded"] = measures.ends["succeeded"]
+    figures["most running"] = measures.peak_running
+    figures["decisions a second"] = measures.decisions / measures.engine_s
+    figures["decision p99 ms"] = 1_000 * quantile(measures.decision_s, 0.99)
+    figures["tick p99 ms"] = 1_000 * quantile(measures.tick_s, 0.99)
+    figures["tick max ms"] = 1_000 * max(measures.tick_s)
+    peak_kib = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+    figures["process peak MiB"] = peak_kib / 1_024
+    return figures
+
+
+def run_one(shape: str, policy: str, seed: int) -> dict[str, float]:
+    """Run one input with one policy in this process."""
+    desk = make_desk(SHAPES[shape], seed)
+    scheduler = make_scheduler(desk, policy)
+    return summarize(Run(desk, scheduler, seed).run())
+
+
+def run_seeds(shape: str, policy: str, seeds: list[int]) -> dict[str, float]:
+    """Return the mean of each figure over the seeds."""
+    runs = [run_apart(shape, policy, seed) for seed in seeds]
+    return {name: statistics.fmean(run[name] for run in runs) for name in runs[0]}
+
+
+def run_apart(shape: str, policy: str, seed: int) -> dict[str, float]:
+    """Run one input with one policy in a process of its own."""
+    command = [sys.executable, __file__, "--one", shape, policy, "--seeds", str(seed)]
+    done = subprocess.run(command, check=True, capture_output=True, text=True)
+    figures: dict[str, float] = json.loads(done.stdout)
+    return figures
+
+
+def print_table(shape: str, columns: dict[str, dict[str, float]]) -> None:
+    """Print one input's figures, a column for each policy."""
+    print(f"\n### {shape}\n")
+    print("| | " + " | ".join(columns) + " |")
+    print("|---|" + "---:|" * len(columns))
+    for name in next(iter(columns.values())):
+        cells = (f"{column[name]:,.2f}" for column in columns.values())
+        print(f"| {name} | " + " | ".join(cells) + " |", flush=True)
+
+
+def main() -> None:
+    """Run what the command line asks for."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--one", nargs=2, metavar=("INPUT", "POLICY"))
+    parser.add_argument("--inputs", nargs="+", default=list(SHAPES))
+    parser.add_argument("--policies", nargs="+", default=list(POLICIES))
+    parser.add_argument("--seeds", type=int, nargs="+", default=list(SEEDS))
+    options = parser.parse_args()
+    if options.one:
+        print(json.dumps(run_one(*options.one, options.seeds[0])))
+        return
+    for shape in options.inputs:
+        columns = {
+            policy: run_seeds(shape, policy, options.seeds)
+            for policy in options.policies
+        }
+        print_table(shape, columns)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/placement_baselines.py
@@ -0,0 +1,94 @@
+"""Baselines for placement; they stay here and are not part of the product."""
+
+from dataclasses import replace
+
+import msgspec
+
+from gooseberrydeck_coordination.ids import HostName, QueueName, TeamName
+from gooseberrydeck_coordination.resources import Resources
+from gooseberrydeck_scheduling import (
+    OrderPolicy,
+    Placer,
+    QueueRules,
+    SchedulerSettings,
+    WorkerState,
+)
+from placement_inputs import Arrival
+
+__all__ = ["FIFO_QUEUE", "FirstFit", "LinearPlacer", "WorstFit", "as_fifo"]
+
+EVERYONE = TeamName("everyone")
+FIFO_QUEUE = QueueRules(QueueName("fifo"), OrderPolicy.GANG)
+
+PLAIN_SETTINGS = SchedulerSettings(max_reservations=0)
+
+
+class LinearPlacer:
+    """Look at every worker."""
+
+    def __init__(self) -> None:
+        """Begin without workers."""
+        self.workers: dict[HostName, WorkerState] = {}
+
+    def update(self, worker: WorkerState) -> None:
+        """Take notice of a new worker."""
+        self.workers[worker.host] = worker
+
+    def remove(self, worker: WorkerState) -> None:
+        """Forget a worker."""
+        self.workers.pop(worker.host, None)
+
+    def may_fit(self, wanted: Resources, count: int) -> bool:
+        """Return whether to try."""
+        return bool(self.workers)
+
+
+class FirstFit(LinearPlacer):
+    """Take the first worker with room."""
+
+    def find(
+        self, wanted: Resources, excluded: frozenset[HostName]
+    ) -> WorkerState | None:
+        """Return the first worker with room, or None."""
+        for worker in self.workers.values():
+            if worker.has_room(wanted) and worker.host not in excluded:
+                return worker
+        return None
+
+
+class WorstFit(LinearPlacer):
+    """Take the worker with the most free processors."""
+
+    def find(
+        self, wanted: Resources, excluded: frozenset[HostName]
+    ) -> WorkerState | None:
+        """Return the emptiest worker with room, or None."""
+        fitting = [
+            worker
+            for worker in self.workers.values()
+            if worker.has_room(wanted) and worker.host not in excluded
+        ]
+        return max(fitting, key=lambda worker: worker.free_cpu, default=None)
+
+
+def as_fifo(arrival: Arrival) -> Arrival:
+    """Return a job of the one team and queue that FIFO knows."""
+    spec = arrival.spec
+    labels = {**spec.labels, "team": spec.team}
+    plain = msgspec.structs.replace(
+        spec,
+        team=EVERYONE,
+        queue=FIFO_QUEUE.name,
+        labels=labels,
+        is_preemptible=False,
+    )
+    return replace(arrival, spec=plain)
+
+
+def check_placer(placer: Placer) -> Placer:
+    """Return the placer; the type checker sees that it is one."""
+    return placer
+
+
+check_placer(FirstFit())
+check_placer(WorstFit())
--- /dev/null
+++ b/bench/placement_run.py
@@ -0,0 +1,256 @@
+"""Feed a seeded input to a scheduler and take its measures."""
+
+import heapq
+import random
+import time
+from collections import Counter, defaultdict
+from dataclasses import dataclass, field
+
+from gooseberrydeck_coordination.ids import HostName, JobId, TaskId, TeamName
+from gooseberrydeck_coordination.resources import Resources
+from gooseberrydeck_scheduling import (
+    EndKind,
+    JobRefusedError,
+    Preempt,
+    Scheduler,
+    Start,
+    Stop,
+    TaskEnd,
+    new_record,
+)
+from gooseberrydeck_scheduling.gangs import rooms_in
+from placement_inputs import Arrival, Desk, JobClass
+
+__all__ = ["Measures", "Run"]
+
+TICK_S = 0.05
+SAMPLE_S = 2.0
+WARM_UP_S = 60.0
+BAD_WORKER_RUN_S = 0.5
+GANG_TASK = Resources(4_000, 8_192, 0)
+
+
+@dataclass
+class Measures:
+    """What one run showed."""
+
+    waits: dict[JobClass, list[float]] = field(
+        default_factory=lambda: defaultdict(list)
+    )
+    still_waiting: Counter[JobClass] = field(default_factory=Counter)
+    used: list[tuple[float, float, float]] = field(default_factory=list)
+    gang_rooms: list[int] = field(default_factory=list)
+    shortfalls: dict[TeamName, list[float]] = field(
+        default_factory=lambda: defaultdict(list)
+    )
+    ends: Counter[str] = field(default_factory=Counter)
+    tick_s: list[float] = field(default_factory=list)
+    decision_s: list[float] = field(default_factory=list)
+    engine_s: float = 0.0
+    decisions: int = 0
+    starts: int = 0
+    preemptions: int = 0
+    bad_starts: int = 0
+    peak_running: int = 0
+
+
+class Run:
+    """One scheduler under one input."""
+
+    def __init__(self, desk: Desk, scheduler: Scheduler, seed: int) -> None:
+        """Add the workers; nothing has arrived yet."""
+        self.desk = desk
+        self.scheduler = scheduler
+        self.rng = random.Random(seed)
+        self.now_s = 0.0
+        self.measures = Measures()
+        self.jobs: dict[JobId, Arrival] = {}
+        self.first_start: set[JobId] = set()
+        self.waiting_tasks: Counter[JobId] = Counter()
+        self.ends: list[tuple[float, int, TaskEnd]] = []
+        self.host_of: dict[TaskId, HostName] = {}
+        self.sequence = 0
+        for worker in desk.workers:
+            scheduler.worker_added(worker, 0.0)
+
+    def run(self) -> Measures:
+        """Run to the end of the input and return the measures."""
+        arrivals = iter(self.desk.arrivals)
+        arrival = next(arrivals, None)
+        next_sample_s = WARM_UP_S
+        while self.now_s < self.desk.shape.seconds:
+            self.now_s += TICK_S
+            self.end_tasks()
+            while arrival is not None and arrival.at_s <= self.now_s:
+                self.submit(arrival)
+                arrival = next(arrivals, None)
+            self.tick()
+            if self.now_s >= next_sample_s:
+                next_sample_s += SAMPLE_S
+                self.sample()
+        self.count_waiting()
+        return self.measures
+
+    def submit(self, arrival: Arrival) -> None:
+        """Submit one job."""
+        record = new_record(arrival.spec, arrival.at_s)
+        self.jobs[arrival.spec.id] = arrival
+        started = time.perf_counter()
+        try:
+            self.scheduler.submit(record, self.now_s)
+        except JobRefusedError:
+            self.measures.ends["refused"] += 1
+            del self.jobs[arrival.spec.id]
+        self.measures.engine_s += time.perf_counter() - started
+
+    def end_tasks(self) -> None:
+        """Report the tasks that end by now."""
+        while self.ends and self.ends[0][0] <= self.now_s:
+            _, _, end = heapq.heappop(self.ends)
+            if end.task not in self.host_of:
+                continue
+            del self.host_of[end.task]
+            self.measures.ends[end.kind.value] += 1
+            started = time.perf_counter()
+            self.scheduler.task_ended(end, self.now_s)
+            self.measures.engine_s += time.perf_counter() - started
+
+    def tick(self) -> None:
+        """Carry out what the scheduler decides."""
+        started = time.perf_counter()
+        decisions = self.scheduler.tick(self.now_s)
+        spent_s = time.perf_counter() - started
+        measures = self.measures
+        measures.engine_s += spent_s
+        measures.tick_s.append(spent_s)
+        measures.decisions += len(decisions)
+        if decisions:
+            each_s = spent_s / len(decisions)
+            measures.decision_s.extend([each_s] * len(decisions))
+        for decision in decisions:
+            if isinstance(decision, Start):
+                self.start(decision)
+            elif isinstance(decision, Preempt):
+                measures.preemptions += 1
+                delay_s = self.rng.uniform(0.1, 0.6)
+                self.end_later(decision.task, EndKind.CHECKPOINTED, delay_s, 0.0)
+            elif isinstance(decision, Stop):
+                self.end_later(decision.task, EndKind.STOPPED, 0.05, 0.0)
+        measures.peak_running = max(measures.peak_running, len(self.host_of))
+
+    def start(self, start: Start) -> None:
+        """Let a task run for its true time, or fail."""
+        arrival = self.jobs[start.job]
+        self.measures.starts += 1
+        self.host_of[start.task] = start.host
+        if start.job not in self.first_start:
+            self.first_start.add(start.job)
+            wait_s = self.now_s - arrival.at_s
+            self.measures.waits[arrival.job_class].append(wait_s)
+        if start.host in self.desk.bad:
+            self.measures.bad_starts += 1
+            self.end_later(start.task, EndKind.FAILED, BAD_WORKER_RUN_S, 0.5)
+        elif arrival.fails_everywhere:
+            self.end_later(start.task, EndKind.FAILED, 1.0, 1.0)
+        elif arrival.job_class is not JobClass.STANDING:
+            run_s = arrival.true_run_s * self.rng.uniform(0.8, 1.2)
+            self.end_later(start.task, EndKind.SUCCEEDED, run_s, run_s)
+        self.scheduler.usage_reported(start.task, arrival.true_resources)
+
+    def end_later(
+        self, task: TaskId, kind: EndKind, delay_s: float, run_s: float
+    ) -> None:
+        """Report an end after a delay, unless the task has ended before."""
+        self.sequence += 1
+        end = TaskEnd(task, kind, run_s)
+        heapq.heappush(self.ends, (self.now_s + delay_s, self.sequence, end))
+
+    def sample(self) -> None:
+        """Take packing and shares, if work waits."""
+        state = self.scheduler.state
+        if not self.scheduler.has_waiting:
+            return
+        good = [w for w in state.cell if w.host not in self.desk.bad]
+        capacity = sum((worker.info.capacity for worker in good), Resources())
+        tasks = (task for worker in good for task in worker.tasks.values())
+        used = sum((task.resources for task in tasks), Resources())
+        self.measures.used.append(
+            (
+                used.cpu_millis / capacity.cpu_millis,
+                used.memory_mib / capacity.memory_mib,
+                used.accelerators / max(1, capacity.accelerators),
+            )
+        )
+        self.measures.gang_rooms.append(
+            sum(rooms_in(worker.free, GANG_TASK) for worker in state.cell)
+        )
+        self.sample_shares(capacity)
+
+    def sample_shares(self, capacity: Resources) -> None:
+        """Compare each team's dominant share with its weighted max-min share."""
+        has: dict[TeamName, Resources] = defaultdict(Resources)
+        wants: dict[TeamName, Resources] = defaultdict(Resources)
+        state = self.scheduler.state
+        for running in state.cell.tasks.values():
+            team = self.jobs[running.job].spec.labels.get("team", running.team)
+            has[TeamName(team)] += running.resources
+        for job in state.jobs.values():
+            spec = job.spec
+            team = TeamName(spec.labels.get("team", spec.team))
+            size = spec.resources
+            count = len(job.pending)
+            wants[team] += Resources(
+                size.cpu_millis * count, size.memory_mib * count,
+                size.accelerators * count,
+            )  # fmt: skip
+        shares = {team: dominant(has[team], capacity) for team in self.desk.weights}
+        demands = {
+            team: dominant(has[team] + wants[team], capacity)
+            for team in self.desk.weights
+        }
+        fair = water_fill(demands, self.desk.weights, sum(shares.values()))
+        for team, share in fair.items():
+            if demands[team] > share * 1.05 and share > 0:
+                self.measures.shortfalls[team].append((share - shares[team]) / share)
+
+    def count_waiting(self) -> None:
+        """Count the jobs that never started; their waits so far are taken in."""
+        for job_id, arrival in self.jobs.items():
+            if job_id not in self.first_start:
+                wait_s = self.now_s - arrival.at_s
+                self.measures.still_waiting[arrival.job_class] += 1
+                self.measures.waits[arrival.job_class].append(wait_s)
+
+
+def dominant(used: Resources, capacity: Resources) -> float:
+    """Return the largest share of any resource."""
+    return max(
+        used.cpu_millis / capacity.cpu_millis,
+        used.memory_mib / capacity.memory_mib,
+        used.accelerators / max(1, capacity.accelerators),
+    )
+
+
+def water_fill(
+    demands: dict[TeamName, float], weights: dict[TeamName, float], total: float
+) -> dict[TeamName, float]:
+    """Return the weighted max-min fair split of ``total``."""
+    fair = dict.fromkeys(demands, 0.0)
+    open_teams = {team for team, demand in demands.items() if demand > 0}
+    left = total
+    while open_teams and left > 1e-9:
+        level = left / sum(weights[team] for team in open_teams)
+        full = {
+            team
+            for team in open_teams
+            if demands[team] - fair[team] <= level * weights[team]
+        }
+        if not full:
+            for team in open_teams:
+                fair[team] += level * weights[team]
+            return fair
+        for team in full:
+            left -= demands[team] - fair[team]
+            fair[team] = demands[team]
+        open_teams -= full
+    return fair
--- a/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/adoption.py
+++ b/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/adoption.py
@@ -92,7 +92,6 @@
         attempt = int(held.task.rsplit("/", 1)[1])
         running = state.describe_task(job, index, attempt, started_s)
         state.cell.adopt(host, running)
-        job.record.tasks[index].attempt = attempt + 1
         if index in job.doubtful:
             job.doubtful.remove(index)
             state.slices.doubt(held.team, -1)
--- a/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/cell.py
+++ b/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/cell.py
@@ -4,7 +4,7 @@
 from typing import Protocol
 
 from gooseberrydeck_coordination.ids import DataCentre, HostName, JobId, Rack, TaskId
-from gooseberrydeck_coordination.resources import Resources
+from gooseberrydeck_coordination.resources import NOTHING, Resources
 from gooseberrydeck_scheduling.exceptions import (
     OvercommitError,
     UnknownTaskError,
@@ -145,23 +145,23 @@
         self.changed(worker)
         return running
 
-    def hold(self, host: HostName, job: JobId, wanted: Resources) -> bool:
-        """Keep room for one task of a reservation; return False if there is none."""
+    def hold(self, host: HostName, job: JobId, amount: Resources) -> bool:
+        """Keep an amount for a reservation; return False if it is not free."""
         worker = self.worker(host)
-        if worker.status is not WorkerStatus.AVAILABLE or not worker.has_room(wanted):
+        if worker.status is not WorkerStatus.AVAILABLE or not worker.has_room(amount):
             return False
-        worker.take(wanted)
-        worker.holds[job] = worker.holds.get(job, 0) + 1
+        worker.take(amount)
+        worker.holds[job] = worker.holds.get(job, NOTHING) + amount
         self.changed(worker)
         return True
 
-    def drop_hold(self, host: HostName, job: JobId, wanted: Resources) -> None:
-        """Give back the room of one held task."""
+    def drop_hold(self, host: HostName, job: JobId, amount: Resources) -> None:
+        """Give back an amount that was held."""
         worker = self.worker(host)
-        left = worker.holds.pop(job) - 1
-        if left:
+        left = worker.holds.pop(job) - amount
+        if left != NOTHING:
             worker.holds[job] = left
-        worker.give_back(wanted)
+        worker.give_back(amount)
         self.releases += 1
         self.changed(worker)
 
--- a/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/engine.py
+++ b/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/engine.py
@@ -172,6 +172,7 @@
         job = state.jobs.get(running.job)
         if job is None or job.running.pop(running.index, None) is None:
             return
+        job.record.tasks[running.index].attempt = running.attempt + 1
         if is_broken:
             state.health.failed(running.host, job.id, job.family, now_s)
             state.apply_verdicts()
--- a/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/gangs.py
+++ b/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/gangs.py
@@ -3,11 +3,18 @@
 from collections.abc import Iterable
 
 from gooseberrydeck_coordination.ids import HostName, JobId
-from gooseberrydeck_coordination.resources import Resources
+from gooseberrydeck_coordination.resources import NOTHING, Resources
 from gooseberrydeck_scheduling.cell import Cell
 from gooseberrydeck_scheduling.workers import RunningTask, WorkerState, WorkerStatus
 
-__all__ = ["Reservation", "ReservationBook", "ReservationPlan", "plan_reservation"]
+__all__ = [
+    "Reservation",
+    "ReservationBook",
+    "ReservationPlan",
+    "plan_reservation",
+    "rooms_in",
+    "smaller",
+]
 
 
 class ReservationPlan:
@@ -22,13 +29,14 @@
 
 
 class Reservation:
-    """Rooms for ``count`` tasks of a job, held as they become free."""
+    """Rooms for ``count`` tasks of a job, held piece by piece as hosts free up."""
 
     __slots__ = (
         "count",
         "deadline_s",
         "held",
         "hosts",
+        "is_urgent",
         "is_whole",
         "job",
         "start_s",
@@ -41,9 +49,13 @@
         wanted: Resources,
         plan: ReservationPlan,
         deadline_s: float,
-        is_whole: bool,
+        is_whole: bool = False,
+        is_urgent: bool = False,
     ) -> None:
-        """Reserve by a plan; a whole reservation is used in one piece or not at all."""
+        """Reserve by a plan; a whole reservation is used in one piece or not at all.
+
+        What is held for an urgent job is not lent.
+        """
         self.job = job
         self.wanted = wanted
         self.hosts = plan.hosts
@@ -51,12 +63,18 @@
         self.start_s = plan.start_s
         self.deadline_s = deadline_s
         self.is_whole = is_whole
-        self.held: dict[HostName, int] = {}
+        self.is_urgent = is_urgent
+        self.held: dict[HostName, Resources] = {}
+
+    def rooms_held(self, host: HostName) -> int:
+        """Return how many tasks what is held on a host suffices for."""
+        held = self.held.get(host, NOTHING)
+        return min(self.hosts.get(host, 0), rooms_in(held, self.wanted))
 
     @property
     def held_count(self) -> int:
         """Return how many rooms are held."""
-        return sum(self.held.values())
+        return sum(self.rooms_held(host) for host in self.held)
 
     @property
     def is_complete(self) -> bool:
@@ -74,9 +92,9 @@
         self.by_host: dict[HostName, list[Reservation]] = {}
 
     @property
-    def whole_count(self) -> int:
-        """Return the number of reservations for gangs and large tasks."""
-        return sum(reservation.is_whole for reservation in self.by_job.values())
+    def lasting_count(self) -> int:
+        """Return the number of reservations that are not urgent."""
+        return sum(not reservation.is_urgent for reservation in self.by_job.values())
 
     def add(self, reservation: Reservation) -> None:
         """Begin to hold rooms for a reservation."""
@@ -97,22 +115,28 @@
     def regain(self, host: HostName) -> None:
         """Hold what has become free on a host, for the oldest reservation first."""
         for reservation in self.by_host.get(host, ()):
-            wanted = reservation.hosts[host]
-            while reservation.held.get(host, 0) < wanted:
-                if not self.cell.hold(host, reservation.job, reservation.wanted):
-                    break
-                reservation.held[host] = reservation.held.get(host, 0) + 1
-
-    def drop_hold(self, reservation: Reservation, host: HostName) -> None:
-        """Give back one held room; the reservation still wants it."""
-        reservation.held[host] -= 1
-        if not reservation.held[host]:
-            del reservation.held[host]
-        self.cell.drop_hold(host, reservation.job, reservation.wanted)
+            held = reservation.held.get(host, NOTHING)
+            target = times(reservation.wanted, reservation.hosts[host])
+            amount = smaller(target - held, self.cell.worker(host).free)
+            if amount == NOTHING:
+                continue
+            if self.cell.hold(host, reservation.job, amount):
+                reservation.held[host] = held + amount
+
+    def give_back(
+        self, reservation: Reservation, host: HostName, amount: Resources
+    ) -> None:
+        """Give back an amount that is held; the reservation still wants it."""
+        if amount == NOTHING:
+            return
+        left = reservation.held.pop(host) - amount
+        if left != NOTHING:
+            reservation.held[host] = left
+        self.cell.drop_hold(host, reservation.job, amount)
 
     def use(self, reservation: Reservation, host: HostName) -> None:
         """Give back one held room and want it no more."""
-        self.drop_hold(reservation, host)
+        self.give_back(reservation, host, reservation.wanted)
         reservation.hosts[host] -= 1
         reservation.count -= 1
         if not reservation.count:
@@ -123,9 +147,8 @@
         reservation = self.by_job.pop(job, None)
         if reservation is None:
             return
-        for host, count in reservation.held.items():
-            for _ in range(count):
-                self.cell.drop_hold(host, job, reservation.wanted)
+        for host, amount in reservation.held.items():
+            self.cell.drop_hold(host, job, amount)
         for host in reservation.hosts:
             self.by_host[host].remove(reservation)
             if not self.by_host[host]:
@@ -146,13 +169,18 @@
 
 
 def plan_reservation(
-    cell: Cell, wanted: Resources, count: int, now_s: float
+    book: ReservationBook, wanted: Resources, count: int, now_s: float
 ) -> ReservationPlan | None:
-    """Choose the rooms that are likely free first, or None if there are too few."""
+    """Choose the rooms that are likely free first, or None if there are too few.
+
+    Hosts that another reservation counts on are left out.
+    """
     offers: list[tuple[float, HostName]] = []
-    for worker in cell:
+    for worker in book.cell:
         if worker.status is not WorkerStatus.AVAILABLE:
             continue
+        if worker.host in book.by_host:
+            continue
         if wanted.fits_in(worker.info.capacity):
             offers.extend(room_times(worker, wanted, now_s))
     if len(offers) < count:
@@ -184,7 +212,7 @@
 
     A task that has outrun its estimate is taken to go on for half as long again.
     """
-    events = [(now_s, Resources())]
+    events = [(now_s, NOTHING)]
     for running in tasks:
         end_s = running.expected_end_s
         if end_s <= now_s:
@@ -194,6 +222,24 @@
     return events
 
 
+def times(amount: Resources, count: int) -> Resources:
+    """Return an amount ``count`` times."""
+    return Resources(
+        amount.cpu_millis * count,
+        amount.memory_mib * count,
+        amount.accelerators * count,
+    )
+
+
+def smaller(one: Resources, other: Resources) -> Resources:
+    """Return the smaller amount of each resource, but not less than zero."""
+    return Resources(
+        max(0, min(one.cpu_millis, other.cpu_millis)),
+        max(0, min(one.memory_mib, other.memory_mib)),
+        max(0, min(one.accelerators, other.accelerators)),
+    )
+
+
 def rooms_in(free: Resources, wanted: Resources) -> int:
     """Return how many tasks of one size fit in what is free."""
     rooms = free.cpu_millis // max(1, wanted.cpu_millis)
--- a/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/jobs.py
+++ b/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/jobs.py
@@ -87,7 +87,9 @@
 class TaskRecord(msgspec.Struct, omit_defaults=True):
     """What is kept of one task of a job.
 
-    ``attempt`` is the number that the next start will get or exceed.
+    ``attempt`` is the lowest number of an attempt that has not ended. It changes when
+    one ends, not when one starts: a record written meanwhile must not make a successor
+    take a running attempt for an old one.
     """
 
     state: TaskState = TaskState.PENDING
--- a/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/outcomes.py
+++ b/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/outcomes.py
@@ -52,6 +52,7 @@
         """Record an end and learn from it."""
         state = self.state
         task = job.record.tasks[running.index]
+        task.attempt = running.attempt + 1
         task.host = running.host
         task.run_s += end.run_s
         task.exit_code = end.exit_code
--- a/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/reserving.py
+++ b/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/reserving.py
@@ -3,7 +3,7 @@
 from gooseberrydeck_coordination.ids import HostName, JobId
 from gooseberrydeck_coordination.resources import Resources
 from gooseberrydeck_scheduling.gangs import Reservation, plan_reservation
-from gooseberrydeck_scheduling.ordering import TrackedJob
+from gooseberrydeck_scheduling.ordering import Band, TrackedJob
 from gooseberrydeck_scheduling.state import SchedulerState
 from gooseberrydeck_scheduling.workers import WorkerState
 
@@ -25,38 +25,32 @@
         """Begin to hold rooms for a gang or a large task."""
         state = self.state
         settings = state.settings
-        if not job.spec.is_gang and not self.is_large(job.spec.resources):
+        if job.id in state.reservations.by_job:
+            return
+        if state.reservations.lasting_count >= settings.max_reservations:
             return
-        if state.reservations.whole_count >= settings.max_reservations:
+        if not job.spec.is_gang and not self.is_large(job.spec.resources):
             return
         if self.not_before_s.get(job.id, now_s) > now_s:
             return
         count = len(job.pending) if job.spec.is_gang else 1
-        plan = plan_reservation(state.cell, job.spec.resources, count, now_s)
+        plan = plan_reservation(state.reservations, job.spec.resources, count, now_s)
         if plan is None:
             return
         deadline_s = now_s + settings.reservation_s
         state.reservations.add(
-            Reservation(job.id, job.spec.resources, plan, deadline_s, is_whole=True)
+            Reservation(job.id, job.spec.resources, plan, deadline_s, job.spec.is_gang)
         )
 
     def is_large(self, wanted: Resources) -> bool:
         """Tell whether small tasks could keep a task of this size waiting."""
-        largest = self.largest_capacity()
+        largest = self.state.largest
         return (
             wanted.cpu_millis >= LARGE_SHARE * largest.cpu_millis
             or wanted.memory_mib >= LARGE_SHARE * largest.memory_mib
             or wanted.accelerators > 0
         )
 
-    def largest_capacity(self) -> Resources:
-        """Return the most that any one worker has of each resource."""
-        capacities = [worker.info.capacity for worker in self.state.cell]
-        return Resources(
-            max((capacity.cpu_millis for capacity in capacities), default=0),
-            max((capacity.memory_mib for capacity in capacities), default=0),
-        )
-
     def end_expired(self, now_s: float) -> None:
         """Release whole what has not come together by its deadline."""
         state = self.state
@@ -85,7 +79,9 @@
             return
         if state.slices.room(job.spec.team) < reservation.count:
             return
-        hosts = [host for host, count in reservation.held.items() for _ in range(count)]
+        hosts = [
+            host for host, count in reservation.hosts.items() for _ in range(count)
+        ]
         state.reservations.release(job.id)
         indexes = tuple(job.pending)[: len(hosts)]
         for index, host in zip(indexes, hosts, strict=True):
@@ -94,10 +90,10 @@
             state.waiting.discard(job)
 
     def use_each(self, job: TrackedJob, reservation: Reservation, now_s: float) -> None:
-        """Start an urgent task on each room that is held."""
+        """Start a task on each room that is held."""
         state = self.state
         for host in tuple(reservation.held):
-            while reservation.held.get(host, 0) and job.pending:
+            while reservation.rooms_held(host) and job.pending:
                 if not state.slices.room(job.spec.team):
                     return
                 state.reservations.use(reservation, host)
@@ -109,14 +105,19 @@
     def find_backfill(
         self, job: TrackedJob, excluded: frozenset[HostName], now_s: float
     ) -> WorkerState | None:
-        """Lend held room to a task that likely ends before the room is needed."""
+        """Lend what is held to a task that likely ends before it is needed.
+
+        Urgent work is lent what it needs at once.
+        """
         state = self.state
         book = state.reservations
         if not book.by_job:
             return None
-        end_s = now_s + state.learner.long_run_s(job.spec)
+        end_s = now_s
+        if job.band is not Band.URGENT:
+            end_s += state.learner.long_run_s(job.spec)
         for reservation in book.by_job.values():
-            if not reservation.is_whole or reservation.start_s < end_s:
+            if reservation.is_urgent or reservation.start_s < end_s:
                 continue
             for host in tuple(reservation.held):
                 worker = state.cell.workers[host]
@@ -127,16 +128,18 @@
     def lend(
         self, reservation: Reservation, worker: WorkerState, job: TrackedJob
     ) -> bool:
-        """Give back as many held rooms of a worker as a task needs."""
-        wanted = job.spec.resources
-        held = reservation.held[worker.host]
-        free = worker.free
-        needed = 0
-        while not wanted.fits_in(free) and needed < held:
-            free = free + reservation.wanted
-            needed += 1
-        if not wanted.fits_in(free):
+        """Give back what a task lacks on a worker, if that much is held."""
+        lacking = larger_than_zero(job.spec.resources - worker.free)
+        if not lacking.fits_in(reservation.held[worker.host]):
             return False
-        for _ in range(needed):
-            self.state.reservations.drop_hold(reservation, worker.host)
+        self.state.reservations.give_back(reservation, worker.host, lacking)
         return True
+
+
+def larger_than_zero(amount: Resources) -> Resources:
+    """Return an amount with zero in place of what is negative."""
+    return Resources(
+        max(0, amount.cpu_millis),
+        max(0, amount.memory_mib),
+        max(0, amount.accelerators),
+    )
--- a/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/starting.py
+++ b/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/starting.py
@@ -77,9 +77,6 @@
             return 0
         if job.spec.is_gang:
             return self.try_gang(job, now_s)
-        reservation = self.state.reservations.by_job.get(job.id)
-        if reservation is not None and reservation.is_whole:
-            return 0
         index = job.pending[0]
         worker = self.find_worker(job, index, now_s)
         if worker is None:
@@ -227,7 +224,7 @@
         plan = ReservationPlan({host: 1}, now_s + grace_s)
         deadline_s = now_s + grace_s + URGENT_MARGIN_S
         state.reservations.add(
-            Reservation(job.id, job.spec.resources, plan, deadline_s, is_whole=False)
+            Reservation(job.id, job.spec.resources, plan, deadline_s, is_urgent=True)
         )
 
     def end_victims(self, victims: Victims, now_s: float) -> None:
--- a/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/state.py
+++ b/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/state.py
@@ -4,6 +4,7 @@
 from collections.abc import Mapping
 
 from gooseberrydeck_coordination.ids import HostName, JobId, QueueName, TaskId, TeamName
+from gooseberrydeck_coordination.resources import NOTHING, Resources
 from gooseberrydeck_scheduling.cell import Cell, Placer
 from gooseberrydeck_scheduling.decisions import Decision, End, Start, Stop
 from gooseberrydeck_scheduling.exceptions import UnknownJobError
@@ -60,6 +61,7 @@
         self.stops: list[tuple[float, TaskId]] = []
         self.overtime: list[tuple[float, TaskId]] = []
         self.team_limits: dict[TeamName, int] = {}
+        self.largest = NOTHING
         self.probing: set[HostName] = set()
         self.first_attempt = first_attempt
         self.sequence = 0
@@ -79,6 +81,11 @@
     def capacity_changed(self) -> None:
         """Take over the workers' number and total into the other books."""
         self.health.workers = len(self.cell.workers)
+        capacities = [worker.info.capacity for worker in self.cell]
+        self.largest = Resources(
+            max((capacity.cpu_millis for capacity in capacities), default=0),
+            max((capacity.memory_mib for capacity in capacities), default=0),
+        )
         self.shares.total = self.cell.capacity + self.shares.capacity_elsewhere
 
     def start(self, job: TrackedJob, index: int, host: HostName, now_s: float) -> None:
@@ -87,7 +94,6 @@
         attempt = max(task.attempt, self.first_attempt)
         running = self.describe_task(job, index, attempt, now_s)
         self.cell.commit(host, running)
-        task.attempt = attempt + 1
         job.pending.remove(index)
         self.count_running(job, running)
         if not task.failures:
--- a/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/workers.py
+++ b/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/workers.py
@@ -121,7 +121,7 @@
         self.free_accelerators = info.capacity.accelerators
         self.status = WorkerStatus.AVAILABLE
         self.tasks: dict[TaskId, RunningTask] = {}
-        self.holds: dict[JobId, int] = {}
+        self.holds: dict[JobId, Resources] = {}
         self.position: tuple[int, int, int, int] | None = None
 
     @property
