Skip the jobs for whose size nothing has opened

Cause: each tick searched again for every waiting job that it looked at. Now a size that fits nowhere blocks itself and larger ones until a worker with new room fits it; a blocked job is looked at again after a quarter of a second, for preemption and reservations. Ruled out: one number for "room has grown somewhere", which rises with each end of a task and so saves little in a busy cell.

--- a/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/cell.py
+++ b/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/cell.py
@@ -48,8 +48,8 @@
         self.tasks: dict[TaskId, RunningTask] = {}
         self.by_rack: dict[tuple[DataCentre, Rack], dict[HostName, WorkerState]] = {}
         self.capacity = Resources()
-        self.releases = 0
-        """Rises whenever room may have become free."""
+        self.fresh: dict[HostName, WorkerState] = {}
+        """The workers on which room may have become free since last asked."""
 
     def __iter__(self) -> Iterator[WorkerState]:
         """Iterate over the workers."""
@@ -78,7 +78,7 @@
         rack = self.by_rack.setdefault((info.data_centre, info.rack), {})
         rack[info.host] = worker
         self.capacity = self.capacity + info.capacity
-        self.releases += 1
+        self.fresh[info.host] = worker
         self.placer.update(worker)
         return worker
 
@@ -89,6 +89,7 @@
         for running in tasks:
             del self.tasks[running.task]
         self.placer.remove(worker)
+        self.fresh.pop(host, None)
         info = worker.info
         del self.workers[host]
         del self.by_rack[(info.data_centre, info.rack)][host]
@@ -109,7 +110,7 @@
         worker = self.worker(host)
         worker.status = status
         if status is WorkerStatus.AVAILABLE:
-            self.releases += 1
+            self.fresh[host] = worker
             self.placer.update(worker)
         else:
             self.placer.remove(worker)
@@ -141,7 +142,7 @@
         worker = self.workers[running.host]
         del worker.tasks[task]
         worker.give_back(running.resources)
-        self.releases += 1
+        self.fresh[worker.host] = worker
         self.changed(worker)
         return running
 
@@ -162,9 +163,19 @@
         if left != NOTHING:
             worker.holds[job] = left
         worker.give_back(amount)
-        self.releases += 1
+        self.fresh[worker.host] = worker
         self.changed(worker)
 
+    def take_fresh(self) -> list[WorkerState]:
+        """Return the open workers with new room since the last call."""
+        fresh = [
+            worker
+            for worker in self.fresh.values()
+            if worker.status is WorkerStatus.AVAILABLE
+        ]
+        self.fresh = {}
+        return fresh
+
     def changed(self, worker: WorkerState) -> None:
         """Tell the placer of a worker's new free amounts."""
         if worker.status is WorkerStatus.AVAILABLE:
--- a/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/ordering.py
+++ b/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/ordering.py
@@ -9,6 +9,7 @@
 
 from gooseberrydeck_coordination.ids import HostName, JobId, QueueName, TaskId, TeamName
 from gooseberrydeck_coordination.resources import Resources
+from gooseberrydeck_scheduling.blocking import Blocker
 from gooseberrydeck_scheduling.jobs import JobRecord
 from gooseberrydeck_scheduling.learning import Family, family_of
 from gooseberrydeck_scheduling.rules import OrderPolicy, QueueRules
@@ -33,6 +34,7 @@
 
     __slots__ = (
         "band",
+        "blocker",
         "doubtful",
         "excluded",
         "family",
@@ -40,6 +42,7 @@
         "is_ending",
         "key",
         "left",
+        "look_s",
         "lost",
         "pending",
         "priority",
@@ -73,11 +76,19 @@
         self.lost: dict[int, int] = {}
         self.is_cancelled = False
         self.is_ending = False
+        self.blocker: Blocker | None = None
+        self.look_s = 0.0
         self.since_s = now_s
         self.size_checked_s = now_s
         self.unfit_since_s: float | None = None
         self.key = order_key(record, rules, self.priority, sequence)
 
+    def is_blocked(self, now_s: float) -> bool:
+        """Tell whether nothing has changed that could let a task start."""
+        if now_s >= self.look_s:
+            return False
+        return self.blocker is None or self.blocker.is_live
+
     @property
     def id(self) -> JobId:
         """Return the job's id."""
--- a/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/starting.py
+++ b/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/starting.py
@@ -4,6 +4,7 @@
 
 from gooseberrydeck_coordination.ids import HostName
 from gooseberrydeck_coordination.resources import Resources
+from gooseberrydeck_scheduling.blocking import BlockedSizes
 from gooseberrydeck_scheduling.checks import find_refusal_by_size
 from gooseberrydeck_scheduling.decisions import Preempt, Refuse
 from gooseberrydeck_scheduling.gangs import Reservation, ReservationPlan
@@ -19,6 +20,9 @@
 
 NO_HOSTS: frozenset[HostName] = frozenset()
 
+LOOK_AGAIN_S = 0.25
+"""How often a job is tried again while nothing has opened for its size."""
+
 EXCLUSION_S = 10.0
 """How long a task that failed waits for a host on which it has not failed."""
 
@@ -32,14 +36,15 @@
     def __init__(self, state: SchedulerState) -> None:
         """Work on the state that the scheduler's parts share."""
         self.state = state
-        self.blocked: list[Resources] = []
-        self.blocked_at = -1
+        self.blocked = BlockedSizes()
         self.reserver = Reserver(state)
         self.hopeless: list[tuple[TrackedJob, Refuse]] = []
 
     def run(self, now_s: float) -> None:
         """Start what can start now, within the bound of decisions per tick."""
         self.reserver.end_expired(now_s)
+        for worker in self.state.cell.take_fresh():
+            self.blocked.open(worker)
         self.reserver.use(now_s)
         left = self.state.settings.decisions_per_tick
         for band in Band:
@@ -56,11 +61,15 @@
         )
         emptied: list[TrackedJob] = []
         while left > 0 and (job := order.next()) is not None:
+            if job.is_blocked(now_s):
+                order.missed(job)
+                continue
             if not state.slices.room(job.spec.team):
                 order.drop(job.spec.team)
                 continue
             started = self.try_job(job, now_s)
             if not started:
+                job.look_s = now_s + LOOK_AGAIN_S
                 order.missed(job)
                 continue
             left -= started
@@ -98,23 +107,21 @@
             hosts = [state.cell.tasks[task].host for task in job.running.values()]
             return find_spread(state.cell, wanted, hosts, excluded)
         worker = self.find_probe(job, excluded)
-        if worker is None and not self.is_blocked(wanted):
-            worker = state.cell.placer.find(wanted, excluded)
-            if worker is None and not excluded:
-                self.block(wanted)
+        if worker is None:
+            worker = self.find_open(job, wanted, excluded)
         return worker or self.reserver.find_backfill(job, excluded, now_s)
 
-    def is_blocked(self, wanted: Resources) -> bool:
-        """Tell whether no more than this failed to fit since room last grew."""
-        if self.blocked_at != self.state.cell.releases:
-            self.blocked_at = self.state.cell.releases
-            self.blocked.clear()
-        return any(smaller.fits_in(wanted) for smaller in self.blocked)
-
-    def block(self, wanted: Resources) -> None:
-        """Note that no worker has room for a task."""
-        self.blocked = [larger for larger in self.blocked if not wanted.fits_in(larger)]
-        self.blocked.append(wanted)
+    def find_open(
+        self, job: TrackedJob, wanted: Resources, excluded: frozenset[HostName]
+    ) -> WorkerState | None:
+        """Return the best open worker, unless the size is known to fit nowhere."""
+        job.blocker = self.blocked.find(wanted)
+        if job.blocker is not None:
+            return None
+        worker = self.state.cell.placer.find(wanted, excluded)
+        if worker is None and not excluded:
+            job.blocker = self.blocked.add(wanted)
+        return worker
 
     def find_probe(
         self, job: TrackedJob, excluded: frozenset[HostName]
@@ -149,7 +156,8 @@
         """Return a host for each of ``count`` tasks, or None if they do not fit."""
         cell = self.state.cell
         wanted = job.spec.resources
-        if self.is_blocked(wanted) or not cell.placer.may_fit(wanted, count):
+        job.blocker = self.blocked.find(wanted)
+        if job.blocker is not None or not cell.placer.may_fit(wanted, count):
             return None
         excluded = frozenset().union(*job.excluded.values())
         hosts: list[HostName] = []
@@ -158,11 +166,8 @@
             if worker is None or not cell.hold(worker.host, job.id, wanted):
                 break
             hosts.append(worker.host)
-        releases = cell.releases
         for host in hosts:
             cell.drop_hold(host, job.id, wanted)
-        # Giving back what was only tried leaves no more room than before.
-        cell.releases = releases
         return hosts if len(hosts) == count else None
 
     def start_gang(self, job: TrackedJob, hosts: list[HostName], now_s: float) -> None:
