Count a team as short only if a whole task would fit within its share

Cause: the bench counted a team as short of its share although its next task, or gang, would have taken it above: with four-accelerator tasks on four hosts that no policy can mend.

--- a/bench/placement_run.py
+++ b/bench/placement_run.py
@@ -18,7 +18,7 @@
     TaskEnd,
     new_record,
 )
-from gooseberrydeck_scheduling.gangs import rooms_in
+from gooseberrydeck_scheduling.gangs import rooms_in, times
 from placement_inputs import Arrival, Desk, JobClass
 
 __all__ = ["Measures", "Run"]
@@ -195,7 +195,11 @@
         self.sample_shares(capacity)
 
     def sample_shares(self, capacity: Resources) -> None:
-        """Compare each team's dominant share with its weighted max-min share."""
+        """Compare each team's dominant share with its weighted max-min share.
+
+        A team is short if its smallest waiting unit would still be within its share;
+        a unit is a task, or a whole gang.
+        """
         has: dict[TeamName, Resources] = defaultdict(Resources)
         wants: dict[TeamName, Resources] = defaultdict(Resources)
         state = self.scheduler.state
@@ -205,21 +209,31 @@
         for job in state.jobs.values():
             spec = job.spec
             team = TeamName(spec.labels.get("team", spec.team))
-            size = spec.resources
-            count = len(job.pending)
-            wants[team] += Resources(
-                size.cpu_millis * count, size.memory_mib * count,
-                size.accelerators * count,
-            )  # fmt: skip
+            wants[team] += times(spec.resources, len(job.pending))
         shares = {team: dominant(has[team], capacity) for team in self.desk.weights}
         demands = {
             team: dominant(has[team] + wants[team], capacity)
             for team in self.desk.weights
         }
         fair = water_fill(demands, self.desk.weights, sum(shares.values()))
-        for team, share in fair.items():
-            if demands[team] > share * 1.05 and share > 0:
-                self.measures.shortfalls[team].append((share - shares[team]) / share)
+        for team, unit in self.smallest_units().items():
+            with_next = dominant(has[team] + unit, capacity)
+            short = (fair[team] - shares[team]) / max(fair[team], 1e-9)
+            is_short = demands[team] > fair[team] * 1.05 and with_next <= fair[team]
+            self.measures.shortfalls[team].append(short if is_short else 0.0)
+
+    def smallest_units(self) -> dict[TeamName, Resources]:
+        """Return for each team with waiting jobs the least that it could start."""
+        units: dict[TeamName, Resources] = {}
+        for job in self.scheduler.state.jobs.values():
+            if not job.pending:
+                continue
+            spec = job.spec
+            team = TeamName(spec.labels.get("team", spec.team))
+            unit = times(spec.resources, len(job.pending) if spec.is_gang else 1)
+            if team not in units or unit.cpu_millis < units[team].cpu_millis:
+                units[team] = unit
+        return units
 
     def count_waiting(self) -> None:
         """Count the jobs that never started; their waits so far are taken in."""
