Reclaim room for teams below their share

Cause: shares came about only as fast as tasks ended, and a team whose next task was large waited for a reservation.

--- a/bench/placement_baselines.py
+++ b/bench/placement_baselines.py
@@ -20,7 +20,7 @@
 EVERYONE = TeamName("everyone")
 FIFO_QUEUE = QueueRules(QueueName("fifo"), OrderPolicy.GANG)
 
-PLAIN_SETTINGS = SchedulerSettings(max_reservations=0)
+PLAIN_SETTINGS = SchedulerSettings(max_reservations=0, reclaims_per_tick=0)
 
 
 class LinearPlacer:
--- a/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/ordering.py
+++ b/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/ordering.py
@@ -8,7 +8,7 @@
 from sortedcontainers import SortedDict
 
 from gooseberrydeck_coordination.ids import HostName, JobId, QueueName, TaskId, TeamName
-from gooseberrydeck_coordination.resources import Resources
+from gooseberrydeck_coordination.resources import NOTHING, Resources
 from gooseberrydeck_scheduling.blocking import Blocker
 from gooseberrydeck_scheduling.jobs import JobRecord
 from gooseberrydeck_scheduling.learning import Family, family_of
@@ -142,6 +142,10 @@
         """Return the teams with waiting jobs in a band."""
         return tuple(self.bands[band])
 
+    def all_teams(self) -> set[TeamName]:
+        """Return the teams with waiting jobs in any band."""
+        return {team for teams in self.bands.values() for team in teams}
+
     def candidates(self, band: Band, team: TeamName) -> Iterator[TrackedJob]:
         """Iterate over a team's jobs in order; nothing may be added meanwhile."""
         queues = self.bands[band].get(team, {})
@@ -184,11 +188,12 @@
         """Count a task that ended."""
         self.used[team] = self.used[team] - amount
 
-    def dominant(self, team: TeamName) -> float:
-        """Return a team's largest share of any resource, from 0 to 1."""
-        used = self.used.get(team)
-        if used is None:
-            used = Resources()
+    def dominant(self, team: TeamName, extra: Resources = NOTHING) -> float:
+        """Return a team's largest share of any resource, from 0 to 1.
+
+        What is ``extra`` is counted as if the team used it.
+        """
+        used = self.used.get(team, NOTHING) + extra
         elsewhere = self.elsewhere.get(team)
         if elsewhere is not None:
             used = used + elsewhere
@@ -199,6 +204,10 @@
             used.accelerators / (total.accelerators or 1),
         )
 
+    def rank_with(self, team: TeamName, extra: Resources) -> float:
+        """Return the rank that a team would have if it used ``extra`` more."""
+        return self.dominant(team, extra) / self.weights.get(team, 1.0)
+
     def rank(self, team: TeamName) -> float:
         """Return the dominant share by weight; the lowest goes first."""
         return self.dominant(team) / self.weights.get(team, 1.0)
--- /dev/null
+++ b/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/preempting.py
@@ -0,0 +1,129 @@
+"""End running tasks for those with a better claim to their room."""
+
+import heapq
+from collections.abc import Callable
+
+from gooseberrydeck_coordination.ids import HostName
+from gooseberrydeck_coordination.resources import NOTHING
+from gooseberrydeck_scheduling.decisions import Preempt
+from gooseberrydeck_scheduling.gangs import Reservation, ReservationPlan
+from gooseberrydeck_scheduling.ordering import TrackedJob
+from gooseberrydeck_scheduling.preemption import Victims, find_victims
+from gooseberrydeck_scheduling.state import URGENT_PRIORITY, SchedulerState
+from gooseberrydeck_scheduling.workers import Ending, RunningTask
+
+__all__ = ["Preemptor"]
+
+ROOM_MARGIN_S = 5.0
+"""How long rooms are kept for a task after the grace of its victims."""
+
+
+class Preemptor:
+    """Preempt for urgent work, and for teams that are below their share."""
+
+    def __init__(self, state: SchedulerState) -> None:
+        """Work on the state that the scheduler's parts share."""
+        self.state = state
+        self.fair_rank = 0.0
+        self.reclaims_left = 0
+
+    def refresh(self) -> None:
+        """Work out the rank that teams with waiting work would have if all were even.
+
+        Teams without waiting work have what they want and are left out.
+        """
+        state = self.state
+        self.reclaims_left = state.settings.reclaims_per_tick
+        teams = state.waiting.all_teams()
+        if not teams:
+            return
+        weight = sum(state.shares.weights.get(team, 1.0) for team in teams)
+        used = sum(state.shares.dominant(team) for team in teams)
+        self.fair_rank = used / weight
+
+    def preempt_for_urgent(self, job: TrackedJob, now_s: float) -> None:
+        """Ask lower tasks to make room for one urgent task."""
+        self.preempt(job, now_s, is_lower)
+
+    def reclaim(self, job: TrackedJob, now_s: float) -> bool:
+        """Ask tasks of teams above their share to make room for a team below its own.
+
+        Return whether the job waits for room that was asked for.
+        """
+        state = self.state
+        if job.id in state.reservations.by_job:
+            return True
+        if not self.reclaims_left or not self.is_below_share(job):
+            return False
+        if now_s - (job.unfit_since_s or now_s) < state.settings.reclaim_after_s:
+            return False
+        self.reclaims_left -= 1
+        return self.preempt(job, now_s, self.is_above_share)
+
+    def is_below_share(self, job: TrackedJob) -> bool:
+        """Tell whether one more task leaves the job's team within its share."""
+        shares = self.state.shares
+        team = job.spec.team
+        return shares.rank_with(team, job.spec.resources) <= self.fair_rank
+
+    def is_above_share(self, running: RunningTask) -> bool:
+        """Tell whether a task's team stays at its share without the task."""
+        if running.priority >= URGENT_PRIORITY:
+            return False
+        return self.rank_without(running) >= self.fair_rank
+
+    def rank_without(self, running: RunningTask) -> float:
+        """Return the rank that a task's team would have without the task."""
+        return self.state.shares.rank_with(running.team, NOTHING - running.resources)
+
+    def preempt(
+        self, job: TrackedJob, now_s: float, may_end: Callable[[RunningTask], bool]
+    ) -> bool:
+        """Make room for one task of a job; return whether there were victims."""
+        state = self.state
+        reservation = state.reservations.by_job.get(job.id)
+        reserved = reservation.count if reservation else 0
+        if reserved >= min(len(job.pending), state.slices.room(job.spec.team)):
+            return False
+        victims = find_victims(
+            state.cell,
+            job.spec.resources,
+            may_end,
+            state.settings.max_victims,
+            state.shares.rank,
+            state.next_sequence(),
+        )
+        if victims is None:
+            return False
+        self.end_victims(victims, now_s)
+        self.reserve(job, victims.worker.host, now_s)
+        return True
+
+    def reserve(self, job: TrackedJob, host: HostName, now_s: float) -> None:
+        """Keep the room of the victims for the job."""
+        state = self.state
+        reservation = state.reservations.by_job.get(job.id)
+        if reservation is not None:
+            state.reservations.extend(reservation, host)
+            return
+        grace_s = state.settings.grace_s
+        plan = ReservationPlan({host: 1}, now_s + grace_s)
+        deadline_s = now_s + grace_s + ROOM_MARGIN_S
+        state.reservations.add(
+            Reservation(job.id, job.spec.resources, plan, deadline_s, is_urgent=True)
+        )
+
+    def end_victims(self, victims: Victims, now_s: float) -> None:
+        """Ask tasks to checkpoint; they are stopped after the grace."""
+        state = self.state
+        grace_s = state.settings.grace_s
+        for running in victims.tasks:
+            running.ending = Ending.PREEMPTION
+            running.stop_s = now_s + grace_s
+            heapq.heappush(state.stops, (running.stop_s, running.task))
+            state.decisions.append(Preempt(running.task, running.host, grace_s))
+
+
+def is_lower(running: RunningTask) -> bool:
+    """Tell whether a task is not urgent."""
+    return running.priority < URGENT_PRIORITY
--- a/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/preemption.py
+++ b/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/preemption.py
@@ -1,4 +1,4 @@
-"""Choose the running tasks that make room for an urgent one."""
+"""Choose the running tasks that make room for one with a better claim."""
 
 from collections.abc import Callable
 from itertools import islice
@@ -36,22 +36,23 @@
 def find_victims(
     cell: Cell,
     wanted: Resources,
-    priority: int,
+    may_end: Callable[[RunningTask], bool],
     max_victims: int,
     rank: Callable[[TeamName], float],
     offset: int = 0,
 ) -> Victims | None:
     """Return the cheapest choice found, or None.
 
-    Only preemptible tasks of lower priority are chosen. ``offset`` says with which
-    worker to begin, so that searches in a large cell do not fall on the same ones.
+    Only preemptible tasks for which ``may_end`` holds are chosen, those of teams of a
+    high ``rank`` first. ``offset`` says with which worker to begin, so that searches
+    in a large cell do not fall on the same ones.
     """
     best: Victims | None = None
     plans = 0
     hosts = list(cell.workers)
     start = offset % len(hosts) if hosts else 0
     for host in islice(hosts[start:] + hosts[:start], MAX_WORKERS):
-        victims = victims_on(cell.workers[host], wanted, priority, max_victims, rank)
+        victims = victims_on(cell.workers[host], wanted, may_end, max_victims, rank)
         if victims is None:
             continue
         if best is None or victims.cost < best.cost:
@@ -65,7 +66,7 @@
 def victims_on(
     worker: WorkerState,
     wanted: Resources,
-    priority: int,
+    may_end: Callable[[RunningTask], bool],
     max_victims: int,
     rank: Callable[[TeamName], float],
 ) -> Victims | None:
@@ -77,9 +78,7 @@
     eligible = [
         running
         for running in worker.tasks.values()
-        if running.is_preemptible
-        and running.priority < priority
-        and running.ending is None
+        if running.is_preemptible and running.ending is None and may_end(running)
     ]
     eligible.sort(
         key=lambda running: (
--- a/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/starting.py
+++ b/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/starting.py
@@ -1,20 +1,17 @@
 """Choose which waiting tasks start, and where."""
 
-import heapq
-
 from gooseberrydeck_coordination.ids import HostName
 from gooseberrydeck_coordination.resources import Resources
 from gooseberrydeck_scheduling.blocking import BlockedSizes
 from gooseberrydeck_scheduling.checks import find_refusal_by_size
-from gooseberrydeck_scheduling.decisions import Preempt, Refuse
-from gooseberrydeck_scheduling.gangs import Reservation, ReservationPlan
+from gooseberrydeck_scheduling.decisions import Refuse
 from gooseberrydeck_scheduling.jobs import JobState
 from gooseberrydeck_scheduling.ordering import Band, TeamOrder, TrackedJob
-from gooseberrydeck_scheduling.preemption import Victims, find_victims
+from gooseberrydeck_scheduling.preempting import Preemptor
 from gooseberrydeck_scheduling.reserving import Reserver
 from gooseberrydeck_scheduling.spreading import find_spread
-from gooseberrydeck_scheduling.state import URGENT_PRIORITY, SchedulerState
-from gooseberrydeck_scheduling.workers import Ending, WorkerState
+from gooseberrydeck_scheduling.state import SchedulerState
+from gooseberrydeck_scheduling.workers import WorkerState
 
 __all__ = ["Starter"]
 
@@ -38,11 +35,13 @@
         self.state = state
         self.blocked = BlockedSizes()
         self.reserver = Reserver(state)
+        self.preemptor = Preemptor(state)
         self.hopeless: list[tuple[TrackedJob, Refuse]] = []
 
     def run(self, now_s: float) -> None:
         """Start what can start now, within the bound of decisions per tick."""
         self.reserver.end_expired(now_s)
+        self.preemptor.refresh()
         for worker in self.state.cell.take_fresh():
             self.blocked.open(worker)
         self.reserver.use(now_s)
@@ -181,9 +180,14 @@
             job.unfit_since_s = now_s
         if now_s - job.size_checked_s >= self.state.settings.size_check_s:
             self.check_size(job, now_s)
-        if job.band is Band.URGENT and not job.spec.is_gang:
-            self.preempt(job, now_s)
-        elif now_s - job.unfit_since_s >= self.state.settings.reserve_after_s:
+        if job.spec.is_gang:
+            pass
+        elif job.band is Band.URGENT:
+            self.preemptor.preempt_for_urgent(job, now_s)
+            return
+        elif self.preemptor.reclaim(job, now_s):
+            return
+        if now_s - job.unfit_since_s >= self.state.settings.reserve_after_s:
             self.reserver.reserve(job, now_s)
 
     def check_size(self, job: TrackedJob, now_s: float) -> None:
@@ -202,42 +206,3 @@
             self.state.forget(job)
             self.state.decisions.append(refusal)
         self.hopeless.clear()
-
-    def preempt(self, job: TrackedJob, now_s: float) -> None:
-        """Ask lower tasks to make room for one urgent task."""
-        state = self.state
-        reservation = state.reservations.by_job.get(job.id)
-        reserved = reservation.count if reservation else 0
-        if reserved >= min(len(job.pending), state.slices.room(job.spec.team)):
-            return
-        victims = find_victims(
-            state.cell,
-            job.spec.resources,
-            URGENT_PRIORITY,
-            state.settings.max_victims,
-            state.shares.rank,
-            state.next_sequence(),
-        )
-        if victims is None:
-            return
-        self.end_victims(victims, now_s)
-        host = victims.worker.host
-        if reservation is not None:
-            state.reservations.extend(reservation, host)
-            return
-        grace_s = state.settings.grace_s
-        plan = ReservationPlan({host: 1}, now_s + grace_s)
-        deadline_s = now_s + grace_s + URGENT_MARGIN_S
-        state.reservations.add(
-            Reservation(job.id, job.spec.resources, plan, deadline_s, is_urgent=True)
-        )
-
-    def end_victims(self, victims: Victims, now_s: float) -> None:
-        """Ask tasks to checkpoint; they are stopped after the grace."""
-        state = self.state
-        grace_s = state.settings.grace_s
-        for running in victims.tasks:
-            running.ending = Ending.PREEMPTION
-            running.stop_s = now_s + grace_s
-            heapq.heappush(state.stops, (running.stop_s, running.task))
-            state.decisions.append(Preempt(running.task, running.host, grace_s))
