--- a/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/gangs.py
+++ b/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/gangs.py
@@ -14,7 +14,6 @@
     "plan_reservation",
     "rooms_in",
     "smaller",
-    "times",
 ]
 
 
