--- a/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/gangs.py
+++ b/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/gangs.py
@@ -14,6 +14,7 @@
     "plan_reservation",
     "rooms_in",
     "smaller",
+    "times",
 ]
 
 
--- a/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/preempting.py
+++ b/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/preempting.py
@@ -3,7 +3,8 @@
 import heapq
 from collections.abc import Callable
 
-from gooseberrydeck_coordination.ids import HostName, TeamName
+from gooseberrydeck_coordination.ids import HostName
+from gooseberrydeck_coordination.resources import NOTHING
 from gooseberrydeck_scheduling.decisions import Preempt
 from gooseberrydeck_scheduling.gangs import Reservation, ReservationPlan
 from gooseberrydeck_scheduling.ordering import TrackedJob
@@ -45,32 +46,35 @@
         self.preempt(job, now_s, is_lower)
 
     def reclaim(self, job: TrackedJob, now_s: float) -> bool:
-        """Ask tasks of other teams to make room for a team below its share.
+        """Ask tasks of teams above their share to make room for a team below its own.
 
-        Only a team that ranks above what the job's own will be is asked, so that each
-        exchange brings the two nearer. Return whether room was asked for.
+        Return whether the job waits for room that was asked for.
         """
         state = self.state
-        reservation = state.reservations.by_job.get(job.id)
-        if reservation is not None and reservation.is_urgent:
+        if job.id in state.reservations.by_job:
             return True
-        if now_s - (job.unfit_since_s or now_s) < state.settings.reclaim_after_s:
+        if not self.reclaims_left or not self.is_below_share(job):
             return False
-        if not self.reclaims_left or self.is_at_share(job.spec.team):
+        if now_s - (job.unfit_since_s or now_s) < state.settings.reclaim_after_s:
             return False
         self.reclaims_left -= 1
-        state.reservations.release(job.id)
-        shares = state.shares
-        rank_after = shares.rank_with(job.spec.team, job.spec.resources)
+        return self.preempt(job, now_s, self.is_above_share)
 
-        def may_end(running: RunningTask) -> bool:
-            return is_lower(running) and shares.rank(running.team) > rank_after
+    def is_below_share(self, job: TrackedJob) -> bool:
+        """Tell whether one more task leaves the job's team within its share."""
+        shares = self.state.shares
+        team = job.spec.team
+        return shares.rank_with(team, job.spec.resources) <= self.fair_rank
 
-        return self.preempt(job, now_s, may_end)
+    def is_above_share(self, running: RunningTask) -> bool:
+        """Tell whether a task's team stays at its share without the task."""
+        if running.priority >= URGENT_PRIORITY:
+            return False
+        return self.rank_without(running) >= self.fair_rank
 
-    def is_at_share(self, team: TeamName) -> bool:
-        """Tell whether a team has no less than its share."""
-        return self.state.shares.rank(team) >= self.fair_rank
+    def rank_without(self, running: RunningTask) -> float:
+        """Return the rank that a task's team would have without the task."""
+        return self.state.shares.rank_with(running.team, NOTHING - running.resources)
 
     def preempt(
         self, job: TrackedJob, now_s: float, may_end: Callable[[RunningTask], bool]
