Reclaim room for whole gangs

Cause: what was left of the shortfall were teams whose next work was a gang; its reservation waited for tasks to end by themselves. A gang of a team below its share now picks the hosts where tasks of teams above theirs can be checkpointed, and holds all of it or nothing. A reservation that waits gives way to this.

--- a/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/gangs.py
+++ b/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/gangs.py
@@ -1,6 +1,6 @@
 """Reservations: rooms kept for a gang, a large task or an urgent one."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from gooseberrydeck_coordination.ids import HostName, JobId
 from gooseberrydeck_coordination.resources import NOTHING, Resources
@@ -14,7 +14,6 @@
     "plan_reservation",
     "rooms_in",
     "smaller",
-    "times",
 ]
 
 
@@ -169,12 +168,22 @@
         )
 
 
+def expected_end(running: RunningTask) -> float:
+    """Return when a task is likely to end."""
+    return running.expected_end_s
+
+
 def plan_reservation(
-    book: ReservationBook, wanted: Resources, count: int, now_s: float
+    book: ReservationBook,
+    wanted: Resources,
+    count: int,
+    now_s: float,
+    end_of: Callable[[RunningTask], float] = expected_end,
 ) -> ReservationPlan | None:
     """Choose the rooms that are likely free first, or None if there are too few.
 
-    Hosts that another reservation counts on are left out.
+    ``end_of`` tells when a running task is taken to end. Hosts that another reservation
+    counts on are left out.
     """
     offers: list[tuple[float, HostName]] = []
     for worker in book.cell:
@@ -183,7 +192,7 @@
         if worker.host in book.by_host:
             continue
         if wanted.fits_in(worker.info.capacity):
-            offers.extend(room_times(worker, wanted, now_s))
+            offers.extend(room_times(worker, wanted, now_s, end_of))
     if len(offers) < count:
         return None
     offers.sort()
@@ -194,12 +203,15 @@
 
 
 def room_times(
-    worker: WorkerState, wanted: Resources, now_s: float
+    worker: WorkerState,
+    wanted: Resources,
+    now_s: float,
+    end_of: Callable[[RunningTask], float],
 ) -> list[tuple[float, HostName]]:
     """Return when each further room on a worker is likely free."""
     free = worker.free
     times: list[tuple[float, HostName]] = []
-    for at_s, amount in releases(worker.tasks.values(), now_s):
+    for at_s, amount in releases(worker.tasks.values(), now_s, end_of):
         free = free + amount
         rooms = rooms_in(free, wanted)
         times.extend((at_s, worker.host) for _ in range(rooms - len(times)))
@@ -207,7 +219,9 @@
 
 
 def releases(
-    tasks: Iterable[RunningTask], now_s: float
+    tasks: Iterable[RunningTask],
+    now_s: float,
+    end_of: Callable[[RunningTask], float],
 ) -> list[tuple[float, Resources]]:
     """Return what running tasks are likely to give back, in order of time.
 
@@ -215,7 +229,7 @@
     """
     events = [(now_s, NOTHING)]
     for running in tasks:
-        end_s = running.expected_end_s
+        end_s = end_of(running)
         if end_s <= now_s:
             end_s = now_s + 0.5 * (now_s - running.started_s)
         events.append((end_s, running.resources))
--- a/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/preempting.py
+++ b/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/preempting.py
@@ -3,12 +3,17 @@
 import heapq
 from collections.abc import Callable
 
-from gooseberrydeck_coordination.ids import HostName
-from gooseberrydeck_coordination.resources import NOTHING
+from gooseberrydeck_coordination.ids import HostName, TeamName
+from gooseberrydeck_coordination.resources import NOTHING, Resources
 from gooseberrydeck_scheduling.decisions import Preempt
-from gooseberrydeck_scheduling.gangs import Reservation, ReservationPlan
+from gooseberrydeck_scheduling.gangs import (
+    Reservation,
+    ReservationPlan,
+    plan_reservation,
+    times,
+)
 from gooseberrydeck_scheduling.ordering import TrackedJob
-from gooseberrydeck_scheduling.preemption import Victims, find_victims
+from gooseberrydeck_scheduling.preemption import Victims, find_victims, victims_on
 from gooseberrydeck_scheduling.state import URGENT_PRIORITY, SchedulerState
 from gooseberrydeck_scheduling.workers import Ending, RunningTask
 
@@ -48,33 +53,66 @@
     def reclaim(self, job: TrackedJob, now_s: float) -> bool:
         """Ask tasks of teams above their share to make room for a team below its own.
 
-        Return whether the job waits for room that was asked for.
+        Return whether room was asked for.
         """
         state = self.state
-        if job.id in state.reservations.by_job:
+        reservation = state.reservations.by_job.get(job.id)
+        if reservation is not None and reservation.is_urgent:
             return True
-        if not self.reclaims_left or not self.is_below_share(job):
-            return False
         if now_s - (job.unfit_since_s or now_s) < state.settings.reclaim_after_s:
             return False
+        count = len(job.pending) if job.spec.is_gang else 1
+        size = times(job.spec.resources, count)
+        if not self.reclaims_left or not self.is_within_share(job.spec.team, size):
+            return False
         self.reclaims_left -= 1
+        state.reservations.release(job.id)
+        if job.spec.is_gang:
+            return self.preempt_for_gang(job, now_s)
         return self.preempt(job, now_s, self.is_above_share)
 
-    def is_below_share(self, job: TrackedJob) -> bool:
-        """Tell whether one more task leaves the job's team within its share."""
-        shares = self.state.shares
-        team = job.spec.team
-        return shares.rank_with(team, job.spec.resources) <= self.fair_rank
+    def is_within_share(self, team: TeamName, extra: Resources) -> bool:
+        """Tell whether a team that uses ``extra`` more has no more than its share."""
+        return self.state.shares.rank_with(team, extra) <= self.fair_rank
 
     def is_above_share(self, running: RunningTask) -> bool:
-        """Tell whether a task's team stays at its share without the task."""
+        """Tell whether a task's team has at least its share without the task."""
         if running.priority >= URGENT_PRIORITY:
             return False
-        return self.rank_without(running) >= self.fair_rank
+        less = NOTHING - running.resources
+        return self.state.shares.rank_with(running.team, less) >= self.fair_rank
+
+    def preempt_for_gang(self, job: TrackedJob, now_s: float) -> bool:
+        """Make room for every task of a gang, or for none; return whether it was."""
+        state = self.state
+        count = len(job.pending)
+        if state.slices.room(job.spec.team) < count:
+            return False
+        ready_s = now_s + state.settings.grace_s
 
-    def rank_without(self, running: RunningTask) -> float:
-        """Return the rank that a task's team would have without the task."""
-        return self.state.shares.rank_with(running.team, NOTHING - running.resources)
+        def end_of(running: RunningTask) -> float:
+            may_end = running.is_preemptible and self.is_above_share(running)
+            return ready_s if may_end else running.expected_end_s
+
+        wanted = job.spec.resources
+        plan = plan_reservation(state.reservations, wanted, count, now_s, end_of)
+        if plan is None or plan.start_s > ready_s:
+            return False
+        for host, rooms in plan.hosts.items():
+            victims = victims_on(
+                state.cell.workers[host],
+                times(wanted, rooms),
+                self.is_above_share,
+                state.settings.max_gang_tasks,
+                state.shares.rank,
+            )
+            if victims is not None:
+                self.end_victims(victims, now_s)
+        deadline_s = ready_s + ROOM_MARGIN_S
+        state.reservations.add(
+            Reservation(job.id, wanted, plan, deadline_s, True, is_urgent=True)
+        )
+        return True
 
     def preempt(
         self, job: TrackedJob, now_s: float, may_end: Callable[[RunningTask], bool]
--- a/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/starting.py
+++ b/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/starting.py
@@ -140,9 +140,10 @@
         """Start every task of a gang, or none."""
         state = self.state
         count = len(job.pending)
-        if job.running or job.id in state.reservations.by_job:
+        if job.running or state.slices.room(job.spec.team) < count:
             return 0
-        if state.slices.room(job.spec.team) < count:
+        if job.id in state.reservations.by_job:
+            self.make_room(job, now_s)
             return 0
         hosts = self.find_gang_hosts(job, count)
         if hosts is None:
@@ -180,12 +181,10 @@
             job.unfit_since_s = now_s
         if now_s - job.size_checked_s >= self.state.settings.size_check_s:
             self.check_size(job, now_s)
-        if job.spec.is_gang:
-            pass
-        elif job.band is Band.URGENT:
+        if job.band is Band.URGENT and not job.spec.is_gang:
             self.preemptor.preempt_for_urgent(job, now_s)
             return
-        elif self.preemptor.reclaim(job, now_s):
+        if self.preemptor.reclaim(job, now_s):
             return
         if now_s - job.unfit_since_s >= self.state.settings.reserve_after_s:
             self.reserver.reserve(job, now_s)
