--- a/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/gangs.py
+++ b/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/gangs.py
@@ -11,7 +11,6 @@
     "Reservation",
     "ReservationBook",
     "ReservationPlan",
-    "expected_start",
     "plan_reservation",
     "rooms_in",
     "smaller",
@@ -203,22 +202,6 @@
     return ReservationPlan(hosts, offers[count - 1][0])
 
 
-def expected_start(cell: Cell, reservation: Reservation, now_s: float) -> float:
-    """Return when the last room of a reservation is likely to be held."""
-    start_s = now_s
-    for host, rooms in reservation.hosts.items():
-        missing = times(reservation.wanted, rooms)
-        missing = missing - reservation.held.get(host, NOTHING)
-        events = releases(cell.workers[host].tasks.values(), now_s, expected_end)
-        free = NOTHING
-        for at_s, amount in events:
-            free = free + amount
-            if missing.fits_in(free):
-                start_s = max(start_s, at_s)
-                break
-    return start_s
-
-
 def room_times(
     worker: WorkerState,
     wanted: Resources,
--- a/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/reserving.py
+++ b/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/reserving.py
@@ -2,11 +2,7 @@
 
 from gooseberrydeck_coordination.ids import HostName, JobId
 from gooseberrydeck_coordination.resources import Resources
-from gooseberrydeck_scheduling.gangs import (
-    Reservation,
-    expected_start,
-    plan_reservation,
-)
+from gooseberrydeck_scheduling.gangs import Reservation, plan_reservation
 from gooseberrydeck_scheduling.ordering import Band, TrackedJob
 from gooseberrydeck_scheduling.state import SchedulerState
 from gooseberrydeck_scheduling.workers import WorkerState
@@ -67,11 +63,8 @@
 
     def use(self, now_s: float) -> None:
         """Start the jobs whose reserved rooms are there."""
-        state = self.state
-        for reservation in tuple(state.reservations.by_job.values()):
-            job = state.jobs[reservation.job]
-            if reservation.start_s <= now_s and not reservation.is_urgent:
-                reservation.start_s = expected_start(state.cell, reservation, now_s)
+        for reservation in tuple(self.state.reservations.by_job.values()):
+            job = self.state.jobs[reservation.job]
             if reservation.is_whole:
                 self.use_whole(job, reservation, now_s)
             else:
