Ask any team above the claimant, if the exchange brings the two nearer

Cause: a team that had to keep at least its share could not be asked for a task as large as a quarter of the cell's accelerators, whatever the other team lacked. It is now asked if it ranks above what the claimant will rank and stays above where the claimant is.

--- a/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/preempting.py
+++ b/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/preempting.py
@@ -67,22 +67,41 @@
             return False
         self.reclaims_left -= 1
         state.reservations.release(job.id)
+        may_end = self.victim_test(job.spec.team, size)
         if job.spec.is_gang:
-            return self.preempt_for_gang(job, now_s)
-        return self.preempt(job, now_s, self.is_above_share)
+            return self.preempt_for_gang(job, now_s, may_end)
+        return self.preempt(job, now_s, may_end)
 
     def is_within_share(self, team: TeamName, extra: Resources) -> bool:
         """Tell whether a team that uses ``extra`` more has no more than its share."""
         return self.state.shares.rank_with(team, extra) <= self.fair_rank
 
-    def is_above_share(self, running: RunningTask) -> bool:
-        """Tell whether a task's team has at least its share without the task."""
-        if running.priority >= URGENT_PRIORITY:
-            return False
-        less = NOTHING - running.resources
-        return self.state.shares.rank_with(running.team, less) >= self.fair_rank
+    def victim_test(
+        self, team: TeamName, extra: Resources
+    ) -> Callable[[RunningTask], bool]:
+        """Return a test of whether a task may make room for ``extra`` of a team.
+
+        Its own team must rank above what the claimant will rank, and must not end up
+        where the claimant is now, so that each exchange brings the two nearer.
+        """
+        shares = self.state.shares
+        rank_before = shares.rank(team)
+        rank_after = shares.rank_with(team, extra)
+
+        def may_end(running: RunningTask) -> bool:
+            if running.priority >= URGENT_PRIORITY:
+                return False
+            less = NOTHING - running.resources
+            return (
+                shares.rank(running.team) > rank_after
+                and shares.rank_with(running.team, less) > rank_before
+            )
 
-    def preempt_for_gang(self, job: TrackedJob, now_s: float) -> bool:
+        return may_end
+
+    def preempt_for_gang(
+        self, job: TrackedJob, now_s: float, may_end: Callable[[RunningTask], bool]
+    ) -> bool:
         """Make room for every task of a gang, or for none; return whether it was."""
         state = self.state
         count = len(job.pending)
@@ -91,8 +110,9 @@
         ready_s = now_s + state.settings.grace_s
 
         def end_of(running: RunningTask) -> float:
-            may_end = running.is_preemptible and self.is_above_share(running)
-            return ready_s if may_end else running.expected_end_s
+            if running.is_preemptible and may_end(running):
+                return ready_s
+            return running.expected_end_s
 
         wanted = job.spec.resources
         plan = plan_reservation(state.reservations, wanted, count, now_s, end_of)
@@ -102,7 +122,7 @@
             victims = victims_on(
                 state.cell.workers[host],
                 times(wanted, rooms),
-                self.is_above_share,
+                may_end,
                 state.settings.max_gang_tasks,
                 state.shares.rank,
             )
