--- a/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/preempting.py
+++ b/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/preempting.py
@@ -57,24 +57,20 @@
         """
         state = self.state
         reservation = state.reservations.by_job.get(job.id)
-        reserved = 0
         if reservation is not None and reservation.is_urgent:
-            if job.spec.is_gang:
-                return True
-            reserved = reservation.count
+            return True
         if now_s - (job.unfit_since_s or now_s) < state.settings.reclaim_after_s:
             return False
-        count = len(job.pending) if job.spec.is_gang else reserved + 1
+        count = len(job.pending) if job.spec.is_gang else 1
         size = times(job.spec.resources, count)
         if not self.reclaims_left or not self.is_within_share(job.spec.team, size):
-            return reserved > 0
+            return False
         self.reclaims_left -= 1
-        if not reserved:
-            state.reservations.release(job.id)
+        state.reservations.release(job.id)
         may_end = self.victim_test(job.spec.team, size)
         if job.spec.is_gang:
             return self.preempt_for_gang(job, now_s, may_end)
-        return self.preempt(job, now_s, may_end) or reserved > 0
+        return self.preempt(job, now_s, may_end)
 
     def is_within_share(self, team: TeamName, extra: Resources) -> bool:
         """Tell whether a team that uses ``extra`` more has no more than its share."""
