Keep the teams' dominant shares and seek room for a job less often

Cause: a profile of the large cell showed a third of the time in working out shares again and in looking for victims for jobs that had just been refused some.

--- a/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/engine.py
+++ b/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/engine.py
@@ -77,8 +77,8 @@
         self, capacity: Resources, used: Mapping[TeamName, Resources]
     ) -> None:
         """Take in the capacity of the other shards and what teams use there."""
-        self.state.shares.capacity_elsewhere = capacity
-        self.state.shares.elsewhere = dict(used)
+        self.state.capacity_elsewhere = capacity
+        self.state.shares.set_elsewhere(used)
         self.state.capacity_changed()
 
     def check(self, spec: JobSpec) -> None:
--- a/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/ordering.py
+++ b/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/ordering.py
@@ -46,6 +46,7 @@
         "lost",
         "pending",
         "priority",
+        "reclaim_s",
         "record",
         "rules",
         "running",
@@ -78,6 +79,7 @@
         self.is_ending = False
         self.blocker: Blocker | None = None
         self.look_s = 0.0
+        self.reclaim_s = 0.0
         self.since_s = now_s
         self.size_checked_s = now_s
         self.unfit_since_s: float | None = None
@@ -173,26 +175,43 @@
         self.weights: dict[TeamName, float] = {}
         self.used: dict[TeamName, Resources] = {}
         self.elsewhere: dict[TeamName, Resources] = {}
-        self.capacity_elsewhere = Resources()
-        self.total = Resources()
+        self.total = NOTHING
+        self.known: dict[TeamName, float] = {}
+        """The dominant shares that have been worked out and still hold."""
 
     def set_weights(self, weights: Mapping[TeamName, float]) -> None:
         """Replace every weight; a team without one counts one."""
         self.weights = dict(weights)
 
+    def set_total(self, total: Resources) -> None:
+        """Replace the capacity of the whole cell."""
+        self.total = total
+        self.known.clear()
+
+    def set_elsewhere(self, used: Mapping[TeamName, Resources]) -> None:
+        """Replace what teams use in other shards."""
+        self.elsewhere = dict(used)
+        self.known.clear()
+
     def add(self, team: TeamName, amount: Resources) -> None:
         """Count a task that starts."""
-        self.used[team] = self.used.get(team, Resources()) + amount
+        self.used[team] = self.used.get(team, NOTHING) + amount
+        self.known.pop(team, None)
 
     def subtract(self, team: TeamName, amount: Resources) -> None:
         """Count a task that ended."""
         self.used[team] = self.used[team] - amount
+        self.known.pop(team, None)
 
-    def dominant(self, team: TeamName, extra: Resources = NOTHING) -> float:
-        """Return a team's largest share of any resource, from 0 to 1.
+    def dominant(self, team: TeamName) -> float:
+        """Return a team's largest share of any resource, from 0 to 1."""
+        known = self.known.get(team)
+        if known is None:
+            known = self.known[team] = self.share_with(team, NOTHING)
+        return known
 
-        What is ``extra`` is counted as if the team used it.
-        """
+    def share_with(self, team: TeamName, extra: Resources) -> float:
+        """Return the dominant share of a team that uses ``extra`` more."""
         used = self.used.get(team, NOTHING) + extra
         elsewhere = self.elsewhere.get(team)
         if elsewhere is not None:
@@ -206,7 +225,7 @@
 
     def rank_with(self, team: TeamName, extra: Resources) -> float:
         """Return the rank that a team would have if it used ``extra`` more."""
-        return self.dominant(team, extra) / self.weights.get(team, 1.0)
+        return self.share_with(team, extra) / self.weights.get(team, 1.0)
 
     def rank(self, team: TeamName) -> float:
         """Return the dominant share by weight; the lowest goes first."""
--- a/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/preempting.py
+++ b/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/preempting.py
@@ -23,6 +23,10 @@
 """How long rooms are kept for a task after the grace of its victims."""
 
 
+RECLAIM_AGAIN_S = 0.5
+"""How long a job waits before room is sought for it again."""
+
+
 class Preemptor:
     """Preempt for urgent work, and for teams that are below their share."""
 
@@ -59,13 +63,15 @@
         reservation = state.reservations.by_job.get(job.id)
         if reservation is not None and reservation.is_urgent:
             return True
-        if now_s - (job.unfit_since_s or now_s) < state.settings.reclaim_after_s:
+        waited_s = now_s - (job.unfit_since_s or now_s)
+        if waited_s < state.settings.reclaim_after_s or now_s < job.reclaim_s:
             return False
         count = len(job.pending) if job.spec.is_gang else 1
         size = times(job.spec.resources, count)
         if not self.reclaims_left or not self.is_within_share(job.spec.team, size):
             return False
         self.reclaims_left -= 1
+        job.reclaim_s = now_s + RECLAIM_AGAIN_S
         state.reservations.release(job.id)
         may_end = self.victim_test(job.spec.team, size)
         if job.spec.is_gang:
--- a/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/state.py
+++ b/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/state.py
@@ -62,6 +62,7 @@
         self.overtime: list[tuple[float, TaskId]] = []
         self.team_limits: dict[TeamName, int] = {}
         self.largest = NOTHING
+        self.capacity_elsewhere = NOTHING
         self.probing: set[HostName] = set()
         self.first_attempt = first_attempt
         self.sequence = 0
@@ -86,7 +87,7 @@
             max((capacity.cpu_millis for capacity in capacities), default=0),
             max((capacity.memory_mib for capacity in capacities), default=0),
         )
-        self.shares.total = self.cell.capacity + self.shares.capacity_elsewhere
+        self.shares.set_total(self.cell.capacity + self.capacity_elsewhere)
 
     def start(self, job: TrackedJob, index: int, host: HostName, now_s: float) -> None:
         """Commit a pending task and decide its start."""
