Give a worker one task at a time after three failures in a row

Cause: a worker that fails everything is always free and so attracts tasks; it was set aside only once three jobs had succeeded elsewhere, which takes as long as a task runs.

--- a/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/state.py
+++ b/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/state.py
@@ -189,8 +189,9 @@
                 self.reopen(host)
                 continue
             self.close(host, WorkerStatus.SET_ASIDE)
-            for job in self.health.refunds(host):
-                self.refund(job, host)
+            if verdict is Verdict.SET_ASIDE:
+                for job in self.health.refunds(host):
+                    self.refund(job, host)
 
     def reopen(self, host: HostName) -> None:
         """Let a worker that was set aside take tasks again."""
