--- a/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/reserving.py
+++ b/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/reserving.py
@@ -12,6 +12,9 @@
 LARGE_SHARE = 0.25
 """A task that asks for this share of the largest host may get a reservation."""
 
+LATENESS_FACTOR = 2.0
+"""How much longer than expected the rooms of a reservation may take."""
+
 
 class Reserver:
     """Begin, use and end the reservations of one scheduler."""
@@ -37,7 +40,10 @@
         plan = plan_reservation(state.reservations, job.spec.resources, count, now_s)
         if plan is None:
             return
-        deadline_s = now_s + settings.reservation_s
+        deadline_s = now_s + max(
+            settings.reservation_s, LATENESS_FACTOR * (plan.start_s - now_s)
+        )
+        plan.start_s = min(plan.start_s, now_s + settings.lend_s)
         state.reservations.add(
             Reservation(job.id, job.spec.resources, plan, deadline_s, job.spec.is_gang)
         )
--- a/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/rules.py
+++ b/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/rules.py
@@ -36,6 +36,7 @@
     grace_s: float = 0.8
     reserve_after_s: float = 60.0
     reservation_s: float = 120.0
+    lend_s: float = 30.0
     reservation_backoff_s: float = 10.0
     max_reservations: int = 1
     max_victims: int = 4
--- a/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/starting.py
+++ b/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/starting.py
@@ -145,21 +145,25 @@
         if job.id in state.reservations.by_job:
             self.make_room(job, now_s)
             return 0
-        hosts = self.find_gang_hosts(job, count)
+        hosts = self.find_gang_hosts(job, count, now_s)
         if hosts is None:
             self.make_room(job, now_s)
             return 0
         self.start_gang(job, hosts, now_s)
         return count
 
-    def find_gang_hosts(self, job: TrackedJob, count: int) -> list[HostName] | None:
+    def find_gang_hosts(
+        self, job: TrackedJob, count: int, now_s: float
+    ) -> list[HostName] | None:
         """Return a host for each of ``count`` tasks, or None if they do not fit."""
         cell = self.state.cell
         wanted = job.spec.resources
         job.blocker = self.blocked.find(wanted)
         if job.blocker is not None or not cell.placer.may_fit(wanted, count):
             return None
-        excluded = frozenset().union(*job.excluded.values())
+        excluded = NO_HOSTS
+        if now_s - job.since_s <= EXCLUSION_S:
+            excluded = NO_HOSTS.union(*job.excluded.values())
         hosts: list[HostName] = []
         while len(hosts) < count:
             worker = cell.placer.find(wanted, excluded)
--- /dev/null
+++ b/tests/scheduling/test_failures.py
@@ -0,0 +1,123 @@
+"""Tests of bad workers, bad jobs, retries and takeovers."""
+
+from gooseberrydeck_coordination.ids import HostName, TaskId, TeamName
+from gooseberrydeck_scheduling import (
+    AdoptedTask,
+    EndKind,
+    JobState,
+    Scheduler,
+    Stop,
+    WaitReason,
+    WorkerStatus,
+)
+from gooseberrydeck_scheduling.limits import TeamSlices
+from gooseberrydeck_scheduling.retries import TeamRetryBudgets
+from gooseberrydeck_scheduling.rules import SchedulerSettings
+from scheduling_support import CORE, end, make_scheduler, record, starts, worker
+
+
+def run_until(
+    scheduler: Scheduler, bad: set[str], until_s: float, now_s: float = 0.0
+) -> int:
+    """Fail what starts on bad hosts, let the rest succeed; count bad starts."""
+    failed = 0
+    while now_s < until_s:
+        now_s += 0.5
+        for start in starts(scheduler, now_s):
+            is_bad = start.host in bad or start.job.startswith("bad")
+            failed += start.host in bad
+            kind = EndKind.FAILED if is_bad else EndKind.SUCCEEDED
+            end(scheduler, start.task, now_s + 0.1, kind)
+    return failed
+
+
+class TestHealth:
+    def test_worker_that_fails_what_others_run_is_set_aside(self) -> None:
+        scheduler = make_scheduler(*(worker(f"w{n}", 2) for n in range(4)))
+        jobs = [record(f"job-{number}") for number in range(200)]
+        for job in jobs:
+            scheduler.submit(job, 0.0)
+        failed = run_until(scheduler, {"w0"}, 25.0)
+        assert scheduler.state.cell.workers[HostName("w0")].status is (
+            WorkerStatus.SET_ASIDE
+        )
+        assert failed < 10
+        assert {job.state for job in jobs} == {JobState.SUCCEEDED}
+
+    def test_job_that_fails_everywhere_ends_and_workers_stay(self) -> None:
+        scheduler = make_scheduler(*(worker(f"w{n}", 2) for n in range(4)))
+        jobs = [record(f"bad-{number}") for number in range(8)]
+        jobs += [record(f"good-{number}", "radio") for number in range(8)]
+        for job in jobs:
+            scheduler.submit(job, 0.0)
+        run_until(scheduler, set(), 60.0)
+        assert {job.state for job in jobs[:8]} == {JobState.FAILED}
+        assert {job.state for job in jobs[8:]} == {JobState.SUCCEEDED}
+        assert "failed 3 times" in jobs[0].reason
+        assert not [
+            host
+            for host, suspicion in scheduler.state.health.set_aside.items()
+            if suspicion.is_convicted
+        ]
+
+    def test_worker_is_probed_and_comes_back(self) -> None:
+        scheduler = make_scheduler(*(worker(f"w{n}", 2) for n in range(4)))
+        for number in range(200):
+            scheduler.submit(record(f"job-{number}"), 0.0)
+        run_until(scheduler, {"w0"}, 25.0)
+        for number in range(800):
+            scheduler.submit(record(f"later-{number}"), 25.0)
+        run_until(scheduler, set(), 120.0, 25.0)
+        assert scheduler.state.cell.workers[HostName("w0")].status is (
+            WorkerStatus.AVAILABLE
+        )
+
+
+class TestRetryBudget:
+    def test_team_retries_a_share_of_its_fresh_starts(self) -> None:
+        settings = SchedulerSettings(team_retry_share=0.5, team_retry_burst=1.0)
+        budgets = TeamRetryBudgets(settings)
+        team = TeamName("press")
+        assert [budgets.take(team) for _ in range(2)] == [True, False]
+        budgets.started(team)
+        assert not budgets.take(team)
+        budgets.started(team)
+        assert budgets.take(team)
+
+
+class TestTakeover:
+    def test_task_that_may_run_unseen_is_not_started(self) -> None:
+        scheduler = make_scheduler(worker("a", 4))
+        job = record("job")
+        scheduler.recover(job, 0.0)
+        assert starts(scheduler, 0.1) == []
+        assert scheduler.why_waiting(job.spec.id).reason is WaitReason.MAY_STILL_RUN
+        scheduler.resolve_doubts(1.0)
+        assert len(starts(scheduler, 1.1)) == 1
+
+    def test_adopted_task_goes_on(self) -> None:
+        scheduler = make_scheduler()
+        job = record("job")
+        scheduler.recover(job, 0.0)
+        task = TaskId("job/0/7")
+        held = AdoptedTask(task, job.spec.team, CORE)
+        scheduler.worker_added(worker("a"), 0.0, [held])
+        scheduler.resolve_doubts(0.0)
+        assert starts(scheduler, 1.0) == []
+        end(scheduler, task, 2.0)
+        assert job.state is JobState.SUCCEEDED
+
+    def test_task_of_no_job_is_stopped(self) -> None:
+        scheduler = make_scheduler()
+        held = AdoptedTask(TaskId("gone/0/1"), TeamName("press"), CORE)
+        scheduler.worker_added(worker("a"), 0.0, [held])
+        (stop,) = scheduler.tick(0.1)
+        assert isinstance(stop, Stop)
+
+    def test_doubtful_tasks_count_against_the_slice(self) -> None:
+        slices = TeamSlices()
+        team = TeamName("press")
+        slices.set_units({team: 2})
+        slices.doubt(team, 1)
+        slices.started(team)
+        assert slices.room(team) == 0
