Plan the room of a gang from what can be preempted, without sorting ends

Cause: planning a gang's room looked at the end of every task in the cell, 95 ms at growth. What is free or can be preempted now is enough. Jobs behind the first four of a team are looked at once a second.

--- a/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/gangs.py
+++ b/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/gangs.py
@@ -11,6 +11,7 @@
     "Reservation",
     "ReservationBook",
     "ReservationPlan",
+    "plan_preemption",
     "plan_reservation",
     "rooms_in",
     "smaller",
@@ -168,22 +169,15 @@
         )
 
 
-def expected_end(running: RunningTask) -> float:
-    """Return when a task is likely to end."""
-    return running.expected_end_s
-
-
 def plan_reservation(
     book: ReservationBook,
     wanted: Resources,
     count: int,
     now_s: float,
-    end_of: Callable[[RunningTask], float] = expected_end,
 ) -> ReservationPlan | None:
     """Choose the rooms that are likely free first, or None if there are too few.
 
-    ``end_of`` tells when a running task is taken to end. Hosts that another reservation
-    counts on are left out.
+    Hosts that another reservation counts on are left out.
     """
     offers: list[tuple[float, HostName]] = []
     for worker in book.cell:
@@ -192,7 +186,7 @@
         if worker.host in book.by_host:
             continue
         if wanted.fits_in(worker.info.capacity):
-            offers.extend(room_times(worker, wanted, now_s, end_of))
+            offers.extend(room_times(worker, wanted, now_s))
     if len(offers) < count:
         return None
     offers.sort()
@@ -202,16 +196,52 @@
     return ReservationPlan(hosts, offers[count - 1][0])
 
 
-def room_times(
-    worker: WorkerState,
+def plan_preemption(
+    book: ReservationBook,
     wanted: Resources,
-    now_s: float,
-    end_of: Callable[[RunningTask], float],
+    count: int,
+    may_end: Callable[[RunningTask], bool],
+    ready_s: float,
+    offset: int,
+) -> ReservationPlan | None:
+    """Choose rooms that are free or can be made so by preemption, or return None.
+
+    ``offset`` says with which worker to begin.
+    """
+    names = list(book.cell.workers)
+    start = offset % len(names) if names else 0
+    hosts: dict[HostName, int] = {}
+    for host in names[start:] + names[:start]:
+        worker = book.cell.workers[host]
+        if worker.status is not WorkerStatus.AVAILABLE or host in book.by_host:
+            continue
+        rooms = min(count, rooms_in(reclaimable(worker, may_end), wanted))
+        if rooms:
+            hosts[host] = rooms
+            count -= rooms
+        if not count:
+            return ReservationPlan(hosts, ready_s)
+    return None
+
+
+def reclaimable(
+    worker: WorkerState, may_end: Callable[[RunningTask], bool]
+) -> Resources:
+    """Return what would be free on a worker if all that may end did."""
+    free = worker.free
+    for running in worker.tasks.values():
+        if running.is_preemptible and running.ending is None and may_end(running):
+            free = free + running.resources
+    return free
+
+
+def room_times(
+    worker: WorkerState, wanted: Resources, now_s: float
 ) -> list[tuple[float, HostName]]:
     """Return when each further room on a worker is likely free."""
     free = worker.free
     times: list[tuple[float, HostName]] = []
-    for at_s, amount in releases(worker.tasks.values(), now_s, end_of):
+    for at_s, amount in releases(worker.tasks.values(), now_s):
         free = free + amount
         rooms = rooms_in(free, wanted)
         times.extend((at_s, worker.host) for _ in range(rooms - len(times)))
@@ -219,9 +249,7 @@
 
 
 def releases(
-    tasks: Iterable[RunningTask],
-    now_s: float,
-    end_of: Callable[[RunningTask], float],
+    tasks: Iterable[RunningTask], now_s: float
 ) -> list[tuple[float, Resources]]:
     """Return what running tasks are likely to give back, in order of time.
 
@@ -229,7 +257,7 @@
     """
     events = [(now_s, NOTHING)]
     for running in tasks:
-        end_s = end_of(running)
+        end_s = running.expected_end_s
         if end_s <= now_s:
             end_s = now_s + 0.5 * (now_s - running.started_s)
         events.append((end_s, running.resources))
--- a/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/preempting.py
+++ b/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/preempting.py
@@ -9,7 +9,7 @@
 from gooseberrydeck_scheduling.gangs import (
     Reservation,
     ReservationPlan,
-    plan_reservation,
+    plan_preemption,
     times,
 )
 from gooseberrydeck_scheduling.ordering import TrackedJob
@@ -115,14 +115,11 @@
             return False
         ready_s = now_s + state.settings.grace_s
 
-        def end_of(running: RunningTask) -> float:
-            if running.is_preemptible and may_end(running):
-                return ready_s
-            return running.expected_end_s
-
         wanted = job.spec.resources
-        plan = plan_reservation(state.reservations, wanted, count, now_s, end_of)
-        if plan is None or plan.start_s > ready_s:
+        plan = plan_preemption(
+            state.reservations, wanted, count, may_end, ready_s, state.next_sequence()
+        )
+        if plan is None:
             return False
         for host, rooms in plan.hosts.items():
             victims = victims_on(
--- a/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/starting.py
+++ b/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/starting.py
@@ -20,6 +20,12 @@
 LOOK_AGAIN_S = 0.25
 """How often a job is tried again while nothing has opened for its size."""
 
+LOOK_LATER_S = 1.0
+"""The same for jobs behind the first few of their team."""
+
+JOBS_AHEAD = 4
+"""For how many jobs of a team room is sought actively."""
+
 EXCLUSION_S = 10.0
 """How long a task that failed waits for a host on which it has not failed."""
 
@@ -68,8 +74,9 @@
                 continue
             started = self.try_job(job, now_s)
             if not started:
-                job.look_s = now_s + LOOK_AGAIN_S
                 order.missed(job)
+                is_ahead = order.misses[job.spec.team] <= JOBS_AHEAD
+                job.look_s = now_s + (LOOK_AGAIN_S if is_ahead else LOOK_LATER_S)
                 continue
             left -= started
             if not job.pending:
