--- /dev/null
+++ b/packages/gooseberrydeck-platform/src/gooseberrydeck_platform/endpoint_http.py
@@ -0,0 +1,59 @@
+"""The adapter of endpoints that answer plain HTTP."""
+
+from urllib.parse import quote
+
+from gooseberrydeck_platform.endpoints import EndpointAnswer, EndpointRequest
+from gooseberrydeck_platform.exceptions import (
+    EndpointRefusedError,
+    EndpointUnavailableError,
+    OutcomeUnknownError,
+)
+from gooseberrydeck_platform.hosts import Host
+from gooseberrydeck_platform.http import (
+    HttpAddress,
+    HttpConnection,
+    HttpNotSentError,
+    HttpOutcomeUnknownError,
+)
+
+__all__ = ["NOT_RUN_HEADER", "HttpEndpoint"]
+
+NOT_RUN_HEADER = "Gooseberry-Not-Run"
+DEFAULT_CONTENT_TYPE = "application/octet-stream"
+
+
+class HttpEndpoint:
+    """One kept-alive connection to an endpoint, used by one thread at a time."""
+
+    def __init__(self, host: Host) -> None:
+        """Connect at the first call."""
+        self.host = host
+        self.connection = HttpConnection(HttpAddress(host.address, host.port))
+
+    def call(self, request: EndpointRequest, timeout_s: float) -> EndpointAnswer:
+        """Send a request and return the whole answer."""
+        path = f"{self.host.path}/{quote(request.service, safe='')}"
+        headers = {
+            "Content-Type": request.content_type or DEFAULT_CONTENT_TYPE,
+            "X-Request-Id": request.request,
+        }
+        try:
+            response = self.connection.request(
+                "POST", path, request.body, headers, timeout_s
+            )
+        except HttpNotSentError as error:
+            raise EndpointUnavailableError(str(error)) from error
+        except HttpOutcomeUnknownError as error:
+            raise OutcomeUnknownError(str(error)) from error
+        if response.status == 503 and self.was_not_run(response.headers):
+            raise EndpointRefusedError(f"{self.host.name} did not run the request")
+        content_type = response.headers.get("content-type", DEFAULT_CONTENT_TYPE)
+        return EndpointAnswer(response.status, content_type, response.body)
+
+    def was_not_run(self, headers: dict[str, str]) -> bool:
+        """Tell whether the endpoint says that it did not run the request."""
+        return headers.get(NOT_RUN_HEADER.lower(), "").lower() == "true"
+
+    def close(self) -> None:
+        """Close the connection."""
+        self.connection.close()
--- /dev/null
+++ b/packages/gooseberrydeck-platform/src/gooseberrydeck_platform/etcd_messages.py
@@ -0,0 +1,203 @@
+"""The JSON of etcd's v3 gateway.
+
+Keys and values are base64, 64-bit integers are strings, and fields with a zero value
+are left out.
+"""
+
+import msgspec
+
+__all__ = [
+    "Int64",
+    "Header",
+    "KeyAnswer",
+    "RangeCall",
+    "RangeAnswer",
+    "CompareBody",
+    "PutBody",
+    "DeleteBody",
+    "OperationBody",
+    "TransactionCall",
+    "TransactionAnswer",
+    "GrantCall",
+    "GrantAnswer",
+    "LeaseCall",
+    "KeepAliveAnswer",
+    "KeepAliveResult",
+    "WatchCall",
+    "WatchCreate",
+    "WatchAnswer",
+    "WatchResult",
+    "EventAnswer",
+    "FailureAnswer",
+    "StreamFailure",
+]
+
+Int64 = int | str
+"""A 64-bit integer, which the gateway writes as a string."""
+
+
+class Header(msgspec.Struct, frozen=True):
+    """What every answer begins with."""
+
+    revision: Int64 = 0
+
+
+class KeyAnswer(msgspec.Struct, frozen=True):
+    """A key as stored."""
+
+    key: bytes = b""
+    value: bytes = b""
+    create_revision: Int64 = 0
+    mod_revision: Int64 = 0
+    version: Int64 = 0
+    lease: Int64 = 0
+
+
+class RangeCall(msgspec.Struct, frozen=True, omit_defaults=True):
+    """The body of ``/v3/kv/range``."""
+
+    key: bytes
+    range_end: bytes = b""
+
+
+class RangeAnswer(msgspec.Struct, frozen=True):
+    """The answer to ``/v3/kv/range``."""
+
+    header: Header = Header()
+    kvs: tuple[KeyAnswer, ...] = ()
+
+
+class CompareBody(msgspec.Struct, frozen=True, omit_defaults=True):
+    """A compare; one of the last three fields is set, by ``target``."""
+
+    key: bytes
+    target: str
+    result: str = "EQUAL"
+    version: Int64 | None = None
+    mod_revision: Int64 | None = None
+    value: bytes | None = None
+
+
+class PutBody(msgspec.Struct, frozen=True, omit_defaults=True):
+    """A put, by itself or in a transaction."""
+
+    key: bytes
+    value: bytes = b""
+    lease: Int64 = 0
+
+
+class DeleteBody(msgspec.Struct, frozen=True, omit_defaults=True):
+    """A deletion of a key or of a range."""
+
+    key: bytes
+    range_end: bytes = b""
+
+
+class OperationBody(msgspec.Struct, frozen=True, omit_defaults=True):
+    """An operation of a transaction; one of the fields is set."""
+
+    request_put: PutBody | None = None
+    request_delete_range: DeleteBody | None = None
+    request_range: RangeCall | None = None
+
+
+class TransactionCall(msgspec.Struct, frozen=True, omit_defaults=True):
+    """The body of ``/v3/kv/txn``."""
+
+    compare: tuple[CompareBody, ...] = ()
+    success: tuple[OperationBody, ...] = ()
+    failure: tuple[OperationBody, ...] = ()
+
+
+class TransactionAnswer(msgspec.Struct, frozen=True):
+    """The answer to ``/v3/kv/txn``."""
+
+    header: Header = Header()
+    succeeded: bool = False
+
+
+class GrantCall(msgspec.Struct, frozen=True):
+    """The body of ``/v3/lease/grant``."""
+
+    TTL: Int64
+    ID: Int64 = 0
+
+
+class GrantAnswer(msgspec.Struct, frozen=True):
+    """The answer to ``/v3/lease/grant``."""
+
+    ID: Int64 = 0
+    TTL: Int64 = 0
+
+
+class LeaseCall(msgspec.Struct, frozen=True):
+    """The body of ``/v3/lease/keepalive`` and of ``/v3/lease/revoke``."""
+
+    ID: Int64
+
+
+class KeepAliveResult(msgspec.Struct, frozen=True):
+    """The lease as kept alive; a TTL of 0 tells that it is gone."""
+
+    ID: Int64 = 0
+    TTL: Int64 = 0
+
+
+class KeepAliveAnswer(msgspec.Struct, frozen=True):
+    """One message of the stream that ``/v3/lease/keepalive`` answers."""
+
+    result: KeepAliveResult
+
+
+class WatchCreate(msgspec.Struct, frozen=True, omit_defaults=True):
+    """What to watch, and from which revision on."""
+
+    key: bytes
+    range_end: bytes = b""
+    start_revision: Int64 = 0
+    progress_notify: bool = False
+
+
+class WatchCall(msgspec.Struct, frozen=True):
+    """The body of ``/v3/watch``."""
+
+    create_request: WatchCreate
+
+
+class EventAnswer(msgspec.Struct, frozen=True):
+    """One change; the type is left out for a put."""
+
+    kv: KeyAnswer
+    type: str = "PUT"
+
+
+class WatchResult(msgspec.Struct, frozen=True):
+    """Changes, or that the watch was created or cancelled."""
+
+    header: Header = Header()
+    created: bool = False
+    canceled: bool = False
+    compact_revision: Int64 = 0
+    cancel_reason: str = ""
+    events: tuple[EventAnswer, ...] = ()
+
+
+class StreamFailure(msgspec.Struct, frozen=True):
+    """The error that ends a stream."""
+
+    message: str = ""
+    grpc_code: int = 0
+
+
+class WatchAnswer(msgspec.Struct, frozen=True):
+    """One line of the stream that ``/v3/watch`` answers."""
+
+    result: WatchResult | None = None
+    error: StreamFailure | None = None
+
+
+class FailureAnswer(msgspec.Struct, frozen=True):
+    """The body of an answer with another status than 200."""
+
+    code: int = 0
+    message: str = ""
--- /dev/null
+++ b/packages/gooseberrydeck-platform/src/gooseberrydeck_platform/host_list_http.py
@@ -0,0 +1,44 @@
+"""The adapter of a host list that answers JSON over HTTP."""
+
+from collections.abc import Sequence
+
+import msgspec
+
+from gooseberrydeck_platform.exceptions import HostListUnavailableError
+from gooseberrydeck_platform.hosts import Host
+from gooseberrydeck_platform.http import HttpAddress, HttpError
+from gooseberrydeck_platform.http_pool import HttpPool
+
+__all__ = ["HostsAnswer", "HttpHostList"]
+
+
+class HostsAnswer(msgspec.Struct, frozen=True):
+    """The answer to ``GET /hosts``."""
+
+    hosts: tuple[Host, ...]
+
+
+class HttpHostList:
+    """The host list at one or several addresses; several threads may call it."""
+
+    def __init__(self, addresses: Sequence[HttpAddress], path: str = "/hosts") -> None:
+        """Begin without connections."""
+        self.path = path
+        self.pool = HttpPool(addresses)
+
+    def read(self, timeout_s: float) -> tuple[Host, ...]:
+        """Return the hosts as last known, or raise ``HostListUnavailableError``."""
+        try:
+            response = self.pool.request("GET", self.path, timeout_s=timeout_s)
+        except HttpError as error:
+            raise HostListUnavailableError(str(error)) from error
+        if response.status != 200:
+            raise HostListUnavailableError(f"status {response.status}")
+        try:
+            return msgspec.json.decode(response.body, type=HostsAnswer).hosts
+        except msgspec.DecodeError as error:
+            raise HostListUnavailableError(str(error)) from error
+
+    def close(self) -> None:
+        """Close the connections."""
+        self.pool.close()
