--- a/packages/gooseberrydeck-platform/src/gooseberrydeck_platform/etcd_messages.py
+++ b/packages/gooseberrydeck-platform/src/gooseberrydeck_platform/etcd_messages.py
@@ -36,13 +36,13 @@
 """A 64-bit integer, which the gateway writes as a string."""
 
 
-class Header(msgspec.Struct, frozen=True):
+class Header(msgspec.Struct, frozen=True, omit_defaults=True):
     """What every answer begins with."""
 
     revision: Int64 = 0
 
 
-class KeyAnswer(msgspec.Struct, frozen=True):
+class KeyAnswer(msgspec.Struct, frozen=True, omit_defaults=True):
     """A key as stored."""
 
     key: bytes = b""
@@ -60,7 +60,7 @@
     range_end: bytes = b""
 
 
-class RangeAnswer(msgspec.Struct, frozen=True):
+class RangeAnswer(msgspec.Struct, frozen=True, omit_defaults=True):
     """The answer to ``/v3/kv/range``."""
 
     header: Header = Header()
@@ -68,13 +68,15 @@
 
 
 class CompareBody(msgspec.Struct, frozen=True, omit_defaults=True):
-    """A compare; one of the last three fields is set, by ``target``."""
+    """A compare; one of the last five fields is set, by ``target``."""
 
     key: bytes
     target: str
     result: str = "EQUAL"
     version: Int64 | None = None
+    create_revision: Int64 | None = None
     mod_revision: Int64 | None = None
+    lease: Int64 | None = None
     value: bytes | None = None
 
 
@@ -109,7 +111,7 @@
     failure: tuple[OperationBody, ...] = ()
 
 
-class TransactionAnswer(msgspec.Struct, frozen=True):
+class TransactionAnswer(msgspec.Struct, frozen=True, omit_defaults=True):
     """The answer to ``/v3/kv/txn``."""
 
     header: Header = Header()
@@ -123,7 +125,7 @@
     ID: Int64 = 0
 
 
-class GrantAnswer(msgspec.Struct, frozen=True):
+class GrantAnswer(msgspec.Struct, frozen=True, omit_defaults=True):
     """The answer to ``/v3/lease/grant``."""
 
     ID: Int64 = 0
@@ -136,7 +138,7 @@
     ID: Int64
 
 
-class KeepAliveResult(msgspec.Struct, frozen=True):
+class KeepAliveResult(msgspec.Struct, frozen=True, omit_defaults=True):
     """The lease as kept alive; a TTL of 0 tells that it is gone."""
 
     ID: Int64 = 0
@@ -164,14 +166,14 @@
     create_request: WatchCreate
 
 
-class EventAnswer(msgspec.Struct, frozen=True):
+class EventAnswer(msgspec.Struct, frozen=True, omit_defaults=True):
     """One change; the type is left out for a put."""
 
     kv: KeyAnswer
     type: str = "PUT"
 
 
-class WatchResult(msgspec.Struct, frozen=True):
+class WatchResult(msgspec.Struct, frozen=True, omit_defaults=True):
     """Changes, or that the watch was created or cancelled."""
 
     header: Header = Header()
@@ -182,14 +184,14 @@
     events: tuple[EventAnswer, ...] = ()
 
 
-class StreamFailure(msgspec.Struct, frozen=True):
+class StreamFailure(msgspec.Struct, frozen=True, omit_defaults=True):
     """The error that ends a stream."""
 
     message: str = ""
     grpc_code: int = 0
 
 
-class WatchAnswer(msgspec.Struct, frozen=True):
+class WatchAnswer(msgspec.Struct, frozen=True, omit_defaults=True):
     """One line of the stream that ``/v3/watch`` answers."""
 
     result: WatchResult | None = None
--- a/packages/gooseberrydeck-platform/src/gooseberrydeck_platform/worker_http.py
+++ b/packages/gooseberrydeck-platform/src/gooseberrydeck_platform/worker_http.py
@@ -88,7 +88,7 @@
         self.call("/throttle", call, Done, timeout_s)
 
     def stop(self, fence: Fence, tasks: Sequence[TaskId], timeout_s: float) -> None:
-        """Stop tasks; one that is not known is not an error."""
+        """Stop tasks; one that is not known is never started afterwards."""
         self.call("/stop", TasksCall(fence, tuple(tasks)), Done, timeout_s)
 
     def acknowledge(
--- a/packages/gooseberrydeck-platform/src/gooseberrydeck_platform/workers.py
+++ b/packages/gooseberrydeck-platform/src/gooseberrydeck_platform/workers.py
@@ -88,6 +88,8 @@
     CAPACITY = "capacity"
     DRAINING = "draining"
     BROKEN = "broken"
+    STOPPED = "stopped"
+    """The task was stopped before its start arrived."""
 
 
 class StartResult(msgspec.Struct, frozen=True):
@@ -127,7 +129,7 @@
         """Bound the processor use of a task."""
 
     def stop(self, fence: Fence, tasks: Sequence[TaskId], timeout_s: float) -> None:
-        """Stop tasks; one that is not known is not an error."""
+        """Stop tasks; one that is not known is never started afterwards."""
 
     def acknowledge(
         self, fence: Fence, tasks: Sequence[TaskId], timeout_s: float
--- a/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/engine_store.py
+++ b/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/engine_store.py
@@ -3,7 +3,6 @@
 from collections import deque
 from collections.abc import Iterator
 from contextlib import contextmanager
-from enum import Enum
 
 from gooseberrydeck_coordination.exceptions import (
     StoreCompactedError,
@@ -27,6 +26,7 @@
     WatchBatch,
     WatchEvent,
 )
+from gooseberrydeck_standins.faults import CallFault
 from gooseberrydeck_standins.store_engine import (
     CompactedError,
     Condition,
@@ -41,7 +41,7 @@
     prefix_end,
 )
 
-__all__ = ["EngineStore", "StoreFault"]
+__all__ = ["EngineStore"]
 
 MAX_WAIT_STEP_S = 0.05
 
@@ -52,20 +52,6 @@
 }
 
 
-class StoreFault(Enum):
-    """What goes wrong with a call."""
-
-    NONE = "none"
-    DOWN = "down"
-    """The call has no effect, and the caller knows."""
-
-    REQUEST_LOST = "request_lost"
-    """The call has no effect, and the caller doesn't know."""
-
-    ANSWER_LOST = "answer_lost"
-    """The call has its effect, and the caller doesn't know."""
-
-
 class EngineStore:
     """The ``Store`` of one caller, over an engine that callers share.
 
@@ -78,8 +64,8 @@
         """Begin without faults."""
         self.engine = engine
         self.waits = waits
-        self.fault = StoreFault.NONE
-        self.next_faults: deque[StoreFault] = deque()
+        self.fault = CallFault.NONE
+        self.next_faults: deque[CallFault] = deque()
 
     def read(self, key: str, timeout_s: float) -> Entry | None:
         """Return the entry of a key, or None if there is none."""
@@ -138,7 +124,7 @@
 
     def read_batch(self, begin: bytes, next_revision: int) -> WatchBatch:
         """Return the changes that there are by now."""
-        if self.fault is not StoreFault.NONE:
+        if self.fault is not CallFault.NONE:
             raise StoreUnavailableError("the watch has ended")
         with self.engine.changed:
             try:
@@ -169,9 +155,9 @@
     def call(self, name: str) -> Iterator[None]:
         """Make one call under this caller's faults, with the errors of a store."""
         fault = self.next_faults.popleft() if self.next_faults else self.fault
-        if fault is StoreFault.DOWN:
+        if fault is CallFault.DOWN:
             raise StoreUnavailableError("the store is down")
-        if fault is StoreFault.REQUEST_LOST:
+        if fault is CallFault.REQUEST_LOST:
             raise StoreOutcomeUnknownError("no answer came")
         with self.engine.changed:
             self.engine.calls[name] += 1
@@ -182,7 +168,7 @@
             except InvalidRequestError as error:
                 raise StoreRequestRefusedError(str(error)) from error
             finally:
-                if fault is StoreFault.ANSWER_LOST:
+                if fault is CallFault.ANSWER_LOST:
                     raise StoreOutcomeUnknownError("no answer came")
 
 
--- /dev/null
+++ b/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/http_service.py
@@ -0,0 +1,160 @@
+"""An HTTP server for stand-ins, in a thread of this process or as its main job."""
+
+import json
+import logging
+import signal
+import sys
+import threading
+from collections.abc import Callable, Iterable, Mapping
+from types import FrameType, TracebackType
+from typing import Any, Protocol, Self
+
+import msgspec
+import waitress
+from waitress import wasyncore
+
+from gooseberrydeck_platform.http import HttpAddress
+from gooseberrydeck_standins.faults import Faults, FaultSettings
+
+__all__ = ["Application", "Call", "Reply", "StandinServer", "fault_reply", "serve"]
+
+LOOPBACK = "127.0.0.1"
+DEFAULT_THREADS = 64
+POLL_S = 0.2
+CUT_OFF_BYTES = 1_000_000
+"""The length that a cut-off answer announces and never delivers."""
+
+REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 409: "Conflict"}
+
+
+class Call(msgspec.Struct, frozen=True):
+    """A call that has arrived."""
+
+    method: str
+    path: str
+    body: bytes
+
+
+class Reply(msgspec.Struct, frozen=True):
+    """An answer: a whole body, or a stream of lines if ``stream`` is set."""
+
+    status: int = 200
+    body: bytes = b"{}"
+    stream: Iterable[bytes] | None = None
+    is_cut_off: bool = False
+
+
+class Application(Protocol):
+    """What answers the calls of a server."""
+
+    def handle(self, call: Call) -> Reply:
+        """Answer one call."""
+
+
+def fault_reply(faults: Faults, call: Call) -> Reply:
+    """Show the switches, or turn them with ``PUT``."""
+    if call.method == "PUT":
+        try:
+            faults.apply(msgspec.json.decode(call.body, type=FaultSettings))
+        except msgspec.DecodeError as error:
+            return Reply(400, msgspec.json.encode({"message": str(error)}))
+    return Reply(body=msgspec.json.encode(faults.settings))
+
+
+def wsgi(application: Application) -> Callable[..., Iterable[bytes]]:
+    """Return an application as WSGI wants it."""
+
+    def answer(
+        environ: Mapping[str, Any], start_response: Callable[..., object]
+    ) -> Iterable[bytes]:
+        call = Call(
+            environ["REQUEST_METHOD"],
+            environ["PATH_INFO"],
+            environ["wsgi.input"].read(),
+        )
+        reply = application.handle(call)
+        status = f"{reply.status} {REASONS.get(reply.status, 'Other')}"
+        headers = [("Content-Type", "application/json")]
+        if reply.stream is not None:
+            start_response(status, headers)
+            return reply.stream
+        length = CUT_OFF_BYTES if reply.is_cut_off else len(reply.body)
+        headers.append(("Content-Length", str(length)))
+        start_response(status, headers)
+        return [b" " if reply.is_cut_off else reply.body]
+
+    return answer
+
+
+class StandinServer:
+    """An application on a port of its own, for the time of a ``with`` block."""
+
+    def __init__(
+        self,
+        application: Application,
+        host: str = LOOPBACK,
+        port: int = 0,
+        threads: int = DEFAULT_THREADS,
+    ) -> None:
+        """Listen, without answering yet."""
+        for name in ("waitress", "waitress.queue"):
+            logging.getLogger(name).setLevel(logging.CRITICAL)
+        self.sockets: dict[int, object] = {}
+        self.server = waitress.create_server(
+            wsgi(application),
+            host=host,
+            port=port,
+            threads=threads,
+            map=self.sockets,
+            connection_limit=2_000,
+            asyncore_use_poll=True,
+        )
+        self.address = HttpAddress(host, self.server.effective_port)
+        self.stopped = threading.Event()
+        self.thread = threading.Thread(target=self.run, daemon=True)
+
+    def run(self) -> None:
+        """Answer calls until the server is stopped."""
+        while not self.stopped.is_set():
+            wasyncore.loop(POLL_S, True, self.sockets, 1)
+
+    def start(self) -> None:
+        """Answer calls in a thread."""
+        self.thread.start()
+
+    def stop(self) -> None:
+        """Close the port and every connection."""
+        self.stopped.set()
+        self.thread.join()
+        self.server.task_dispatcher.shutdown(cancel_pending=True, timeout=0)
+        wasyncore.close_all(self.sockets, ignore_all=True)
+
+    def __enter__(self) -> Self:
+        """Start the server."""
+        self.start()
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """Stop the server."""
+        self.stop()
+
+
+def serve(start: Callable[[], object], announcement: Mapping[str, object]) -> None:
+    """Announce a process by a line of JSON, and keep it up until SIGTERM."""
+    ended = threading.Event()
+
+    def end(number: int, frame: FrameType | None) -> None:
+        ended.set()
+
+    signal.signal(signal.SIGTERM, end)
+    signal.signal(signal.SIGINT, end)
+    start()
+    sys.stdout.write(json.dumps(announcement) + "\n")
+    sys.stdout.flush()
+    while not ended.wait(1.0):
+        pass
--- /dev/null
+++ b/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/store_server.py
@@ -0,0 +1,313 @@
+"""The store as a process that speaks etcd's JSON gateway.
+
+Run it by ``python -m gooseberrydeck_standins.store_server``.
+"""
+
+from collections.abc import Callable, Iterator
+
+import msgspec
+import typer
+
+from gooseberrydeck_coordination.clock import Clock, SystemClock
+from gooseberrydeck_platform.etcd_messages import (
+    CompareBody,
+    EventAnswer,
+    FailureAnswer,
+    GrantAnswer,
+    GrantCall,
+    Header,
+    KeepAliveAnswer,
+    KeepAliveResult,
+    KeyAnswer,
+    LeaseCall,
+    OperationBody,
+    PutBody,
+    RangeAnswer,
+    RangeCall,
+    TransactionAnswer,
+    TransactionCall,
+    WatchAnswer,
+    WatchCall,
+    WatchResult,
+)
+from gooseberrydeck_standins.faults import FaultKind, Faults
+from gooseberrydeck_standins.http_service import (
+    LOOPBACK,
+    Call,
+    Reply,
+    StandinServer,
+    fault_reply,
+    serve,
+)
+from gooseberrydeck_standins.store_engine import (
+    CompactedError,
+    Condition,
+    ConditionTarget,
+    DeleteRange,
+    Event,
+    InvalidRequestError,
+    KeyValue,
+    LeaseNotFoundError,
+    PutKey,
+    StoreEngine,
+)
+
+__all__ = ["StoreApplication", "StoreServer"]
+
+DEFAULT_PROGRESS_S = 1.0
+MAX_WAIT_STEP_S = 0.05
+DEFAULT_THREADS = 128
+
+DOWN = FailureAnswer(14, "etcdserver: no leader")
+REFUSED = FailureAnswer(8, "etcdserver: too many requests")
+FAILED = FailureAnswer(2, "etcdserver: unknown error")
+STATUSES = {2: 500, 3: 400, 5: 404, 8: 429, 14: 503}
+
+
+class StoreApplication:
+    """The calls of the gateway over a store engine.
+
+    ``GET /calls`` tells how often each call was made, ``PUT /faults`` turns switches.
+    """
+
+    def __init__(
+        self, engine: StoreEngine, progress_s: float = DEFAULT_PROGRESS_S
+    ) -> None:
+        """Answer from ``engine``; a silent watch tells progress now and then."""
+        self.engine = engine
+        self.progress_s = progress_s
+        self.faults = Faults()
+        self.routes: dict[str, Callable[[bytes], Reply]] = {
+            "/v3/kv/range": self.range,
+            "/v3/kv/put": self.put,
+            "/v3/kv/txn": self.transact,
+            "/v3/lease/grant": self.grant,
+            "/v3/lease/keepalive": self.keep_alive,
+            "/v3/lease/revoke": self.revoke,
+        }
+
+    def handle(self, call: Call) -> Reply:
+        """Answer one call under the faults that are switched on."""
+        if call.path == "/faults":
+            return fault_reply(self.faults, call)
+        if call.path == "/calls":
+            return self.count_calls()
+        fault = self.faults.begin_call()
+        refusal = {
+            FaultKind.DOWN: DOWN,
+            FaultKind.REFUSE: REFUSED,
+            FaultKind.FAIL_EVERYTHING: FAILED,
+        }.get(fault)
+        if refusal is not None:
+            return failed(refusal)
+        reply = self.answer(call)
+        return Reply(is_cut_off=True) if fault is FaultKind.ANSWER_LOST else reply
+
+    def answer(self, call: Call) -> Reply:
+        """Answer one call, telling refusals as the gateway does."""
+        try:
+            with self.engine.changed:
+                self.engine.calls[call.path.removeprefix("/v3/")] += 1
+                if call.path == "/v3/watch":
+                    return self.watch(call.body)
+                route = self.routes.get(call.path)
+                if route is None:
+                    return failed(FailureAnswer(5, "Not Found"))
+                return route(call.body)
+        except (InvalidRequestError, msgspec.DecodeError, ValueError) as error:
+            return failed(FailureAnswer(3, str(error)))
+        except LeaseNotFoundError as error:
+            return failed(FailureAnswer(5, str(error)))
+
+    def count_calls(self) -> Reply:
+        """Tell how often each call was made."""
+        with self.engine.changed:
+            return Reply(body=msgspec.json.encode(dict(self.engine.calls)))
+
+    def header(self) -> Header:
+        """Return the head of an answer."""
+        return Header(str(self.engine.revision))
+
+    def range(self, body: bytes) -> Reply:
+        """Read a key or a range of keys."""
+        call = msgspec.json.decode(body, type=RangeCall)
+        found = self.engine.range(call.key, call.range_end)
+        return told(
+            RangeAnswer(self.header(), tuple(key_answer(each) for each in found))
+        )
+
+    def put(self, body: bytes) -> Reply:
+        """Write one key."""
+        call = msgspec.json.decode(body, type=PutBody)
+        self.engine.transact([], [put_of(call)])
+        return told(RangeAnswer(self.header()))
+
+    def transact(self, body: bytes) -> Reply:
+        """Apply a transaction without branches for failure."""
+        call = msgspec.json.decode(body, type=TransactionCall)
+        if call.failure:
+            raise InvalidRequestError("this stand-in takes no failure branch")
+        succeeded = self.engine.transact(
+            [condition_of(each) for each in call.compare],
+            [operation_of(each) for each in call.success],
+        )
+        return told(TransactionAnswer(self.header(), succeeded))
+
+    def grant(self, body: bytes) -> Reply:
+        """Grant a lease."""
+        call = msgspec.json.decode(body, type=GrantCall)
+        lease = self.engine.grant_lease(int(call.TTL))
+        return told(GrantAnswer(str(lease), str(call.TTL)))
+
+    def keep_alive(self, body: bytes) -> Reply:
+        """Renew a lease; one that is gone has no TTL."""
+        lease = msgspec.json.decode(body, type=LeaseCall).ID
+        try:
+            ttl = str(self.engine.keep_alive(int(lease)))
+        except LeaseNotFoundError:
+            ttl = ""
+        result = KeepAliveResult(str(lease), ttl or 0)
+        return told(KeepAliveAnswer(result))
+
+    def revoke(self, body: bytes) -> Reply:
+        """End a lease."""
+        self.engine.revoke_lease(int(msgspec.json.decode(body, type=LeaseCall).ID))
+        return told(RangeAnswer(self.header()))
+
+    def watch(self, body: bytes) -> Reply:
+        """Begin a watch."""
+        create = msgspec.json.decode(body, type=WatchCall).create_request
+        start = int(create.start_revision) or self.engine.revision + 1
+        return Reply(stream=self.watch_lines(start, create.key, create.range_end))
+
+    def watch_lines(self, start: int, key: bytes, range_end: bytes) -> Iterator[bytes]:
+        """Yield the lines of a watch until the store is down."""
+        yield line(WatchResult(self.header(), created=True))
+        next_revision = start
+        while True:
+            try:
+                events, revision = self.wait(next_revision, key, range_end)
+            except CompactedError as error:
+                oldest = str(error.compact_revision)
+                yield line(WatchResult(canceled=True, compact_revision=oldest))
+                return
+            if self.faults.settings.kind is FaultKind.DOWN:
+                return
+            if self.faults.settings.kind is FaultKind.FROZEN:
+                self.faults.begin_call()
+            next_revision = max(next_revision, revision + 1)
+            answers = tuple(event_answer(each) for each in events)
+            yield line(WatchResult(Header(str(revision)), events=answers))
+
+    def wait(self, start: int, key: bytes, range_end: bytes) -> tuple[list[Event], int]:
+        """Return changes as soon as there are any, or none after a while."""
+        deadline = self.engine.clock.monotonic() + self.progress_s
+        with self.engine.changed:
+            while True:
+                events = self.engine.events_since(start, key, range_end)
+                left = deadline - self.engine.clock.monotonic()
+                is_down = self.faults.settings.kind is FaultKind.DOWN
+                if events or left <= 0 or is_down:
+                    return events, self.engine.revision
+                self.engine.changed.wait(min(left, MAX_WAIT_STEP_S))
+
+
+class StoreServer(StandinServer):
+    """The store on a port of this process."""
+
+    def __init__(
+        self,
+        clock: Clock | None = None,
+        host: str = LOOPBACK,
+        port: int = 0,
+        threads: int = DEFAULT_THREADS,
+        progress_s: float = DEFAULT_PROGRESS_S,
+    ) -> None:
+        """Begin with an empty store."""
+        self.engine = StoreEngine(clock or SystemClock())
+        self.application = StoreApplication(self.engine, progress_s)
+        self.faults = self.application.faults
+        super().__init__(self.application, host, port, threads)
+
+
+def told(answer: msgspec.Struct) -> Reply:
+    """Return a successful answer."""
+    return Reply(body=msgspec.json.encode(answer))
+
+
+def failed(failure: FailureAnswer) -> Reply:
+    """Return a refusal with the status that belongs to its code."""
+    return Reply(STATUSES[failure.code], msgspec.json.encode(failure))
+
+
+def line(result: WatchResult) -> bytes:
+    """Return one line of a watch."""
+    return msgspec.json.encode(WatchAnswer(result)) + b"\n"
+
+
+def key_answer(stored: KeyValue) -> KeyAnswer:
+    """Return a key as the gateway tells it."""
+    return KeyAnswer(
+        stored.key,
+        stored.value,
+        text(stored.create_revision),
+        text(stored.mod_revision),
+        text(stored.version),
+        text(stored.lease),
+    )
+
+
+def text(number: int) -> int | str:
+    """Return a number as the gateway writes it; zero is left out."""
+    return str(number) if number else 0
+
+
+def event_answer(event: Event) -> EventAnswer:
+    """Return a change as the gateway tells it."""
+    return EventAnswer(key_answer(event.kv), "DELETE" if event.is_delete else "PUT")
+
+
+def condition_of(compare: CompareBody) -> Condition:
+    """Return a compare as the engine's condition."""
+    if compare.result != "EQUAL":
+        raise InvalidRequestError("this stand-in compares for equality only")
+    target = ConditionTarget(compare.target)
+    if target is ConditionTarget.VALUE:
+        return Condition(compare.key, target, compare.value or b"")
+    expected = {
+        ConditionTarget.VERSION: compare.version,
+        ConditionTarget.CREATE: compare.create_revision,
+        ConditionTarget.MOD: compare.mod_revision,
+        ConditionTarget.LEASE: compare.lease,
+    }[target]
+    return Condition(compare.key, target, int(expected or 0))
+
+
+def operation_of(operation: OperationBody) -> PutKey | DeleteRange:
+    """Return an operation as the engine's."""
+    if operation.request_put is not None:
+        return put_of(operation.request_put)
+    if operation.request_delete_range is not None:
+        delete = operation.request_delete_range
+        return DeleteRange(delete.key, delete.range_end)
+    raise InvalidRequestError("this stand-in takes puts and deletions only")
+
+
+def put_of(body: PutBody) -> PutKey:
+    """Return a put as the engine's."""
+    return PutKey(body.key, body.value, int(body.lease))
+
+
+def main(
+    host: str = LOOPBACK,
+    port: int = 0,
+    threads: int = DEFAULT_THREADS,
+    progress_s: float = DEFAULT_PROGRESS_S,
+) -> None:
+    """Serve an empty store until SIGTERM."""
+    server = StoreServer(None, host, port, threads, progress_s)
+    serve(server.start, {"address": str(server.address)})
+
+
+if __name__ == "__main__":
+    typer.run(main)
