Add the parts of ownership: sessions, roster, epochs, authority, quarantine

The interfaces come first, so that the daemon and the scheduling can be written against them: Coordinator (a member's picture, no input or output), StoreRounds (the calls to the store, in one thread), OwnershipView (may_act, require), WorkerAdoption and Quarantine (what a new owner may do with a worker).

The starting design lets a successor count acknowledgements over the members recorded in the store. Those records lapse with their sessions, so that an owner and a peer that are cut off together would lean on a majority that the successor no longer counts. Hence the roster: seats that outlast sessions, changed by compare-and-swap, where a change is settled only when no majority of the former seats is left that does not know of it.

--- /dev/null
+++ b/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/adoption.py
@@ -0,0 +1,110 @@
+"""Adoption of one worker by the owner of its shard."""
+
+from enum import Enum
+
+from gooseberrydeck_coordination.clock import Clock
+from gooseberrydeck_coordination.ids import HostName
+from gooseberrydeck_coordination.quarantine import Quarantine, lease_lapse_s
+
+__all__ = ["AdoptionState", "WorkerAdoption"]
+
+
+class AdoptionState(Enum):
+    """What the owner knows of a worker.
+
+    Tasks are started only on an ``ADOPTED`` worker: the list of what runs there is
+    then exact. ``LAPSED`` is an unreachable worker on which nothing runs any more.
+    ``SUPERSEDED`` is a worker that has seen a newer epoch.
+    """
+
+    UNADOPTED = "unadopted"
+    ADOPTING = "adopting"
+    QUARANTINED = "quarantined"
+    ADOPTED = "adopted"
+    LAPSED = "lapsed"
+    SUPERSEDED = "superseded"
+
+
+class WorkerAdoption:
+    """Follow one worker through one epoch of its shard.
+
+    Call ``begin`` before each adopting call and one of ``answered``, ``unreachable``
+    or ``refused`` after it. ``quarantine`` is replaced when the shard's changes.
+    """
+
+    def __init__(self, host: HostName, quarantine: Quarantine, clock: Clock) -> None:
+        """Begin with a worker of which nothing is known."""
+        self.host = host
+        self.quarantine = quarantine
+        self.clock = clock
+        self.phase = AdoptionState.UNADOPTED
+        self.granted_sent_s = float("-inf")
+        self.fenced_s: float | None = None
+
+    @property
+    def state(self) -> AdoptionState:
+        """Return the state now; a quarantine ends by itself."""
+        if self.phase is not AdoptionState.QUARANTINED:
+            return self.phase
+        if self.clock.monotonic() >= self.lapsed_s:
+            return AdoptionState.LAPSED
+        return AdoptionState.QUARANTINED
+
+    @property
+    def lapsed_s(self) -> float:
+        """Return from when on every lease granted on this worker has lapsed."""
+        timing = self.quarantine.timing
+        former_s = self.quarantine.leases_lapsed_s
+        if self.fenced_s is not None:
+            lease_s = timing.lengthen(self.quarantine.task_lease_s)
+            former_s = min(former_s, self.fenced_s + lease_s)
+        return max(former_s, lease_lapse_s(timing, self.granted_sent_s))
+
+    @property
+    def may_start(self) -> bool:
+        """Tell whether tasks may be placed on the worker."""
+        return self.state is AdoptionState.ADOPTED
+
+    @property
+    def may_replace_tasks(self) -> bool:
+        """Tell whether tasks that may have run here may be placed elsewhere."""
+        return self.state is AdoptionState.LAPSED
+
+    @property
+    def needs_adopting(self) -> bool:
+        """Tell whether an adopting call should be made, now or again."""
+        return self.state in (
+            AdoptionState.UNADOPTED,
+            AdoptionState.QUARANTINED,
+            AdoptionState.LAPSED,
+        )
+
+    def begin(self) -> None:
+        """Note that an adopting call is about to be sent."""
+        self.phase = AdoptionState.ADOPTING
+
+    def answered(self, sent_s: float, has_fencing: bool) -> bool:
+        """Take in the worker's list; return whether it is exact.
+
+        Without a fence the old owner may start tasks after the list was made, unless
+        the call was sent when that owner was certainly silent.
+        """
+        if has_fencing or sent_s >= self.quarantine.silent_s:
+            self.phase = AdoptionState.ADOPTED
+            if self.fenced_s is None:
+                self.fenced_s = self.clock.monotonic()
+            return True
+        self.phase = AdoptionState.QUARANTINED
+        return False
+
+    def unreachable(self) -> None:
+        """Note a call without an answer; the worker has to be adopted again."""
+        self.phase = AdoptionState.QUARANTINED
+
+    def refused(self) -> None:
+        """Note that the worker has seen a newer epoch."""
+        self.phase = AdoptionState.SUPERSEDED
+
+    def granting(self) -> None:
+        """Note that a call that starts or renews tasks is about to be sent."""
+        self.granted_sent_s = self.clock.monotonic()
--- /dev/null
+++ b/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/coordinator.py
@@ -0,0 +1,278 @@
+"""A member's part in the coordination of its cell, without any input or output."""
+
+from collections.abc import Iterable
+
+import msgspec
+
+from gooseberrydeck_coordination.assignments import HostSpecification
+from gooseberrydeck_coordination.attestation import (
+    AttestationAnswer,
+    AttestationRequest,
+    Attestor,
+    EpochMark,
+)
+from gooseberrydeck_coordination.authority import Authority, PeerContact
+from gooseberrydeck_coordination.clock import Clock
+from gooseberrydeck_coordination.holdings import Holding, begin_holding, is_superseded
+from gooseberrydeck_coordination.ids import (
+    ConfigurationNumber,
+    Epoch,
+    HostName,
+    MemberId,
+    ShardId,
+    StoreLeaseId,
+)
+from gooseberrydeck_coordination.members import MemberRecord
+from gooseberrydeck_coordination.ownership import OwnedShard, OwnershipView
+from gooseberrydeck_coordination.roster import Seat
+from gooseberrydeck_coordination.rounds import RoundPlan, RoundResult, ShardRelease
+from gooseberrydeck_coordination.snapshots import CellSnapshot
+from gooseberrydeck_coordination.timing import Timing
+
+__all__ = ["Coordinator", "OutgoingRequest"]
+
+MAX_INFORMED_SEATS = 1_024
+
+
+class OutgoingRequest(msgspec.Struct, frozen=True):
+    """A request to send to a member."""
+
+    member: MemberId
+    request: AttestationRequest
+
+
+class SentRequest(msgspec.Struct, frozen=True):
+    """What has to be known of a request when its answer comes."""
+
+    member: MemberId
+    sent_s: float
+    held: tuple[EpochMark, ...]
+
+
+class Coordinator:
+    """Hold a member's picture of the cell, and derive what it may do.
+
+    Its caller runs each ``RoundPlan`` in ``StoreRounds`` and gives back the result,
+    carries requests and answers between members, and acts on ``view``. Whatever is
+    lost, late, doubled or out of order costs authority, never safety.
+    """
+
+    def __init__(self, record: MemberRecord, clock: Clock, timing: Timing) -> None:
+        """Begin without any contact."""
+        self.record = record
+        self.clock = clock
+        self.timing = timing
+        self.attestor = Attestor(record.seat)
+        self.authority = Authority(self.attestor, clock, timing)
+        self.holdings: dict[ShardId, Holding] = {}
+        self.members: dict[MemberId, MemberRecord] = {}
+        self.owners: dict[ShardId, MemberId] = {}
+        self.shard_of_host: dict[HostName, ShardId] = {}
+        self.hosts: tuple[HostSpecification, ...] = ()
+        self.informed: dict[Seat, int] = {}
+        self.sent: dict[int, SentRequest] = {}
+        self.last_number = 0
+        self.rounds_planned = 0
+        self.roster_round = 0
+        self.verified_lease: StoreLeaseId | None = None
+        self.is_leaving = False
+
+    # The store.
+
+    def plan_round(self) -> RoundPlan:
+        """Return what the next round should do."""
+        self.rounds_planned += 1
+        version = self.attestor.roster_version
+        return RoundPlan(
+            releases=self._due_releases(),
+            roster_version=version,
+            informed=frozenset(
+                {seat for seat, known in self.informed.items() if known >= version}
+                | {self.record.seat}
+            ),
+            hosts=self.hosts,
+            is_leaving=self.is_leaving,
+        )
+
+    def apply_round(self, result: RoundResult) -> None:
+        """Take in the result of the round that was planned last."""
+        snapshot = result.snapshot
+        if snapshot is not None:
+            self.verified_lease = result.lease
+            self.authority.note_read(result.session_sent_s)
+            self._apply_snapshot(snapshot)
+        # A session that was opened anew counts only once its shards have been read.
+        if result.lease is not None and result.lease == self.verified_lease:
+            self.authority.note_session(result.session_sent_s)
+        if result.handover is not None:
+            self.begin_release(result.handover)
+        self._check_holdings()
+
+    def observe_hosts(self, hosts: Iterable[HostSpecification]) -> None:
+        """Take in the platform's list of hosts."""
+        self.hosts = tuple(hosts)
+
+    # The other members.
+
+    def attestation_requests(self) -> list[OutgoingRequest]:
+        """Return a request for every other member; send them at once."""
+        now_s = self.clock.monotonic()
+        oldest_s = now_s - self.timing.session_ttl_s
+        self.sent = {
+            number: sent for number, sent in self.sent.items() if sent.sent_s > oldest_s
+        }
+        held = tuple(
+            EpochMark(shard, holding.epoch)
+            for shard, holding in sorted(self.holdings.items())
+        )
+        seats = self.attestor.roster.seats if self.attestor.roster else ()
+        names = {seat.member for seat in seats} | set(self.members)
+        return [
+            self._request(member, held, now_s)
+            for member in sorted(names - {self.record.member})
+        ]
+
+    def on_request(self, request: AttestationRequest) -> AttestationAnswer:
+        """Answer another member."""
+        answer = self.attestor.answer(request)
+        self._note_informed(request.asker, request.roster_version)
+        self._check_holdings()
+        return answer
+
+    def on_answer(self, answer: AttestationAnswer) -> None:
+        """Take in an answer; one that nothing waits for is dropped."""
+        sent = self.sent.get(answer.number)
+        if answer.asker != self.record.seat or sent is None:
+            return
+        if sent.member != answer.answerer.member:
+            return
+        del self.sent[answer.number]
+        self.attestor.learn(answer)
+        self.authority.note_peer(PeerContact(sent.sent_s, sent.held, answer))
+        self._note_informed(answer.answerer, answer.roster_version)
+        for mark in sent.held:
+            holding = self.holdings.get(mark.shard)
+            if holding is not None and holding.epoch == mark.epoch:
+                holding.acknowledged.add(answer.answerer)
+        self._check_holdings()
+
+    # The rest of the process.
+
+    def view(self) -> OwnershipView:
+        """Return the present picture."""
+        return OwnershipView(
+            clock=self.clock,
+            member=self.record.member,
+            owned={
+                shard: OwnedShard(
+                    shard,
+                    holding.epoch,
+                    self.authority.shard_deadline_s(shard, holding.epoch),
+                    holding.quarantine,
+                    holding.release_s is not None,
+                )
+                for shard, holding in self.holdings.items()
+            },
+            owners=dict(self.owners),
+            members=dict(self.members),
+            shard_of_host=dict(self.shard_of_host),
+        )
+
+    def observe_configuration(self, number: ConfigurationNumber) -> None:
+        """Note the newest configuration that this member holds."""
+        self.attestor.observe_configuration(number)
+
+    def mark_settled(self, shard: ShardId, epoch: Epoch, is_settled: bool) -> None:
+        """Note whether every worker of an owned shard has been adopted."""
+        holding = self.holdings.get(shard)
+        if holding is not None and holding.epoch == epoch:
+            holding.is_settled = is_settled
+
+    def begin_release(self, shard: ShardId) -> None:
+        """Stop acting for a shard; it is released once no call can have effect."""
+        holding = self.holdings.get(shard)
+        if holding is not None and holding.release_s is None:
+            effect_s = self.timing.lengthen(self.timing.call_effect_limit_s)
+            holding.release_s = self.clock.monotonic() + effect_s
+
+    def begin_leaving(self) -> None:
+        """Release every shard and leave the roster; claim nothing any more."""
+        self.is_leaving = True
+        for shard in self.holdings:
+            self.begin_release(shard)
+
+    @property
+    def has_left(self) -> bool:
+        """Tell whether nothing is owned any more and the roster is left."""
+        roster = self.attestor.roster
+        is_seated = roster is not None and self.record.seat in roster.seats
+        return self.is_leaving and not self.holdings and not is_seated
+
+    def _request(
+        self, member: MemberId, held: tuple[EpochMark, ...], now_s: float
+    ) -> OutgoingRequest:
+        """Return a request to one member and remember when it was sent."""
+        self.last_number += 1
+        self.sent[self.last_number] = SentRequest(member, now_s, held)
+        request = AttestationRequest(
+            self.record.seat,
+            self.last_number,
+            self.attestor.roster_version,
+            held,
+            self.attestor.configuration,
+        )
+        return OutgoingRequest(member, request)
+
+    def _apply_snapshot(self, snapshot: CellSnapshot) -> None:
+        """Take in a picture of the cell and find the own claims in it."""
+        self.attestor.observe_store(snapshot.roster, snapshot.epochs())
+        self.roster_round = self.rounds_planned
+        self.members = snapshot.members
+        self.owners = {
+            shard: record.owner.member
+            for shard, record in snapshot.shards.items()
+            if not record.is_released
+        }
+        self.shard_of_host = snapshot.assignments.shards()
+        own = {
+            shard: record
+            for shard, record in snapshot.shards.items()
+            if record.owner == self.record.seat and not record.is_released
+        }
+        for shard in set(self.holdings) - set(own):
+            del self.holdings[shard]
+        for shard, record in own.items():
+            known = self.holdings.get(shard)
+            if known is None or known.epoch != record.epoch:
+                self.holdings[shard] = begin_holding(
+                    record, self.timing, self.clock.monotonic(), self.rounds_planned
+                )
+                if self.is_leaving:
+                    self.begin_release(shard)
+
+    def _check_holdings(self) -> None:
+        """Drop superseded holdings; note those whose predecessor is blocked."""
+        now_s = self.clock.monotonic()
+        roster = self.attestor.roster
+        for shard, holding in list(self.holdings.items()):
+            if is_superseded(holding, shard, self.attestor.epochs):
+                del self.holdings[shard]
+            elif roster is not None and self.roster_round > holding.claim_round:
+                holding.acknowledged.add(self.record.seat)
+                holding.check_blocked(roster, now_s)
+
+    def _due_releases(self) -> tuple[ShardRelease, ...]:
+        """Return the shards that may be released, one by one."""
+        now_s = self.clock.monotonic()
+        due = [
+            ShardRelease(shard, holding.epoch, holding.is_settled)
+            for shard, holding in sorted(self.holdings.items())
+            if holding.release_s is not None and now_s >= holding.release_s
+        ]
+        return tuple(due)
+
+    def _note_informed(self, seat: Seat, version: int) -> None:
+        """Note the newest roster that a seat is known to know."""
+        self.informed[seat] = max(version, self.informed.get(seat, 0))
+        if len(self.informed) > MAX_INFORMED_SEATS:
+            del self.informed[next(iter(self.informed))]
--- a/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/exceptions.py
+++ b/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/exceptions.py
@@ -3,6 +3,7 @@
 __all__ = [
     "AuthorityLostError",
     "CoordinationError",
+    "MemberNameTakenError",
     "StoreCompactedError",
     "StoreError",
     "StoreLeaseLostError",
@@ -20,6 +21,10 @@
     """The process may no longer act as the owner of a shard."""
 
 
+class MemberNameTakenError(CoordinationError):
+    """Another run of this member has a session that has not lapsed."""
+
+
 class StoreError(CoordinationError):
     """The base of every failure of a call to the store."""
 
--- /dev/null
+++ b/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/sessions.py
@@ -0,0 +1,117 @@
+"""A member's session: its record in the store, kept by a store lease."""
+
+import msgspec
+
+from gooseberrydeck_coordination.clock import Clock
+from gooseberrydeck_coordination.exceptions import (
+    MemberNameTakenError,
+    StoreLeaseLostError,
+)
+from gooseberrydeck_coordination.ids import StoreLeaseId
+from gooseberrydeck_coordination.keys import StoreKeys
+from gooseberrydeck_coordination.members import MemberRecord
+from gooseberrydeck_coordination.store import (
+    Compare,
+    CompareTarget,
+    Put,
+    Store,
+    Transaction,
+    compare_absent,
+)
+from gooseberrydeck_coordination.timing import Timing
+
+__all__ = ["Session"]
+
+
+class Session:
+    """Keep a member's record in the store alive.
+
+    The session lives until a time to live after the *send* time of the last
+    keep-alive that succeeded, by the local monotonic clock and shortened by the drift:
+    the store's lease, counted from the receipt, lapses no earlier.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        keys: StoreKeys,
+        record: MemberRecord,
+        clock: Clock,
+        timing: Timing,
+    ) -> None:
+        """Prepare a session; the first ``step`` opens it."""
+        self.store = store
+        self.key = keys.member(record.member)
+        self.record = record
+        self.clock = clock
+        self.timing = timing
+        self.lease: StoreLeaseId | None = None
+        self.sent_s = float("-inf")
+
+    @property
+    def is_live(self) -> bool:
+        """Tell whether the session's store lease certainly has not lapsed."""
+        ttl_s = self.timing.shorten(self.timing.session_ttl_s)
+        return self.clock.monotonic() < self.sent_s + ttl_s
+
+    def step(self) -> None:
+        """Keep the session alive, or open it if there is none.
+
+        Raise ``MemberNameTakenError`` while another run of the member has a session.
+        """
+        if self.lease is not None:
+            try:
+                self._keep_alive(self.lease)
+                return
+            except StoreLeaseLostError:
+                self.lease = None
+        self._open()
+
+    def announce_leaving(self) -> None:
+        """Let the others see that this member is going to leave."""
+        if self.lease is None or self.record.is_leaving:
+            return
+        record = msgspec.structs.replace(self.record, is_leaving=True)
+        unchanged = Compare(
+            self.key, CompareTarget.VALUE, msgspec.json.encode(self.record)
+        )
+        put = Put(self.key, msgspec.json.encode(record), self.lease)
+        change = Transaction((unchanged,), (put,))
+        if self.store.commit(change, self.timing.store_timeout_s).succeeded:
+            self.record = record
+
+    def close(self) -> None:
+        """End the session and delete the member's record."""
+        if self.lease is not None:
+            self.store.revoke_lease(self.lease, self.timing.store_timeout_s)
+            self.lease = None
+        self.sent_s = float("-inf")
+
+    def _open(self) -> None:
+        """Write the record under a new lease, or find the one that was written."""
+        timeout_s = self.timing.store_timeout_s
+        entry = self.store.read(self.key, timeout_s)
+        if entry is not None:
+            # An earlier opening whose answer was lost is settled here.
+            found = msgspec.json.decode(entry.value, type=MemberRecord)
+            if found.seat != self.record.seat:
+                raise MemberNameTakenError(self.record.member)
+            self._keep_alive(entry.lease)
+            self.lease = entry.lease
+            self.record = found
+            return
+        sent_s = self.clock.monotonic()
+        lease = self.store.grant_lease(self.timing.session_ttl_s, timeout_s)
+        put = Put(self.key, msgspec.json.encode(self.record), lease)
+        opening = Transaction((compare_absent(self.key),), (put,))
+        if not self.store.commit(opening, timeout_s).succeeded:
+            raise MemberNameTakenError(self.record.member)
+        self.lease = lease
+        self.sent_s = sent_s
+
+    def _keep_alive(self, lease: StoreLeaseId) -> None:
+        """Renew the lease; an answer that does not come changes nothing."""
+        sent_s = self.clock.monotonic()
+        ttl_s = self.store.keep_lease_alive(lease, self.timing.store_timeout_s)
+        # A store that granted less than was asked for moves the send time back.
+        self.sent_s = sent_s - max(0, self.timing.session_ttl_s - ttl_s)
--- /dev/null
+++ b/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/shards.py
@@ -0,0 +1,238 @@
+"""Ownership of shards as the store records it, and its balance."""
+
+import hashlib
+from collections import Counter
+from collections.abc import Iterable, Mapping
+
+import msgspec
+
+from gooseberrydeck_coordination.clock import Clock
+from gooseberrydeck_coordination.ids import Epoch, MemberId, ShardId
+from gooseberrydeck_coordination.members import MemberRecord
+from gooseberrydeck_coordination.roster import Seat
+from gooseberrydeck_coordination.store import Entry
+from gooseberrydeck_coordination.timing import Timing
+
+__all__ = [
+    "ShardBalance",
+    "ShardRecord",
+    "claimed_record",
+    "decode_shards",
+    "free_shards",
+    "released_record",
+]
+
+
+class ShardRecord(msgspec.Struct, frozen=True):
+    """Who owns a shard, and what a successor has to wait for.
+
+    ``is_settled`` is told with a release: no worker was in quarantine.
+    ``follows_clean`` tells that the claim found the shard released and settled. The
+    waits are the longest session and task lease that any owner before the claim can
+    have used.
+    """
+
+    owner: Seat
+    epoch: Epoch
+    session_ttl_s: float
+    task_lease_s: float
+    is_released: bool = False
+    is_settled: bool = False
+    has_predecessor: bool = False
+    follows_clean: bool = False
+    wait_session_ttl_s: float = 0.0
+    wait_task_lease_s: float = 0.0
+
+
+def claimed_record(
+    former: ShardRecord | None, owner: Seat, timing: Timing
+) -> ShardRecord:
+    """Return the record of a claim by ``owner`` after ``former``."""
+    if former is None:
+        return ShardRecord(
+            owner, Epoch(1), float(timing.session_ttl_s), timing.task_lease_s
+        )
+    wait_ttl_s, wait_lease_s = former.session_ttl_s, former.task_lease_s
+    if not former.is_settled:
+        wait_ttl_s = max(wait_ttl_s, former.wait_session_ttl_s)
+        wait_lease_s = max(wait_lease_s, former.wait_task_lease_s)
+    return ShardRecord(
+        owner,
+        Epoch(former.epoch + 1),
+        float(timing.session_ttl_s),
+        timing.task_lease_s,
+        has_predecessor=True,
+        follows_clean=former.is_released and former.is_settled,
+        wait_session_ttl_s=wait_ttl_s,
+        wait_task_lease_s=wait_lease_s,
+    )
+
+
+def released_record(record: ShardRecord, is_settled: bool) -> ShardRecord:
+    """Return the record of a release by its owner, which has stopped acting."""
+    return msgspec.structs.replace(record, is_released=True, is_settled=is_settled)
+
+
+def decode_shards(entries: Iterable[Entry]) -> dict[ShardId, ShardRecord]:
+    """Return the shards recorded under the shards' prefix."""
+    return {
+        ShardId(int(entry.key.rsplit("/", 1)[-1])): msgspec.json.decode(
+            entry.value, type=ShardRecord
+        )
+        for entry in entries
+    }
+
+
+def free_shards(
+    shard_count: int,
+    shards: Mapping[ShardId, ShardRecord],
+    members: Mapping[MemberId, MemberRecord],
+) -> list[ShardId]:
+    """Return the shards without an owner that has a session."""
+    seats = {member.seat for member in members.values()}
+    return [
+        shard
+        for shard in map(ShardId, range(shard_count))
+        if (record := shards.get(shard)) is None
+        or record.is_released
+        or record.owner not in seats
+    ]
+
+
+class ShardBalance:
+    """Decide which shards a member claims and which it hands over.
+
+    Every member plans the same from the same picture, so claims seldom collide; the
+    store settles those that do. A shard that its planned member leaves alone is taken
+    by any other. Surplus shards move slowly, one at a time in the whole cell.
+    """
+
+    def __init__(
+        self, member: MemberId, shard_count: int, clock: Clock, timing: Timing
+    ) -> None:
+        """Begin without history."""
+        self.member = member
+        self.shard_count = shard_count
+        self.clock = clock
+        self.timing = timing
+        self.free_since_s: dict[ShardId, float] = {}
+        self.surplus_since_s: float | None = None
+        self.last_read_s = float("-inf")
+        self.claims_from_s = float("-inf")
+
+    def observe(
+        self,
+        shards: Mapping[ShardId, ShardRecord],
+        members: Mapping[MemberId, MemberRecord],
+    ) -> None:
+        """Take in a new picture; call it before ``claims`` and ``handover``."""
+        now_s = self.clock.monotonic()
+        if now_s - self.last_read_s > self.timing.session_ttl_s:
+            # After an outage of the store every session may have lapsed; the owners
+            # get the time to open theirs again.
+            pause_s = self.timing.session_ttl_s + self.timing.round_interval_s
+            self.claims_from_s = now_s + self.timing.lengthen(pause_s)
+        self.last_read_s = now_s
+        free = free_shards(self.shard_count, shards, members)
+        self.free_since_s = {
+            shard: self.free_since_s.get(shard, now_s) for shard in free
+        }
+        if free or not self._has_surplus(shards, members):
+            self.surplus_since_s = None
+        elif self.surplus_since_s is None:
+            self.surplus_since_s = now_s
+
+    def claims(
+        self,
+        shards: Mapping[ShardId, ShardRecord],
+        members: Mapping[MemberId, MemberRecord],
+    ) -> list[ShardId]:
+        """Return the shards to claim now."""
+        me = members.get(self.member)
+        if me is None or me.is_leaving:
+            return []
+        now_s = self.clock.monotonic()
+        plan = planned_owners(list(self.free_since_s), shards, members)
+        return [
+            shard
+            for shard, owner in plan.items()
+            if self._may_claim(shards.get(shard), now_s)
+            and (
+                owner == self.member
+                or now_s - self.free_since_s[shard] >= self.timing.fallback_claim_s
+            )
+        ]
+
+    def handover(
+        self,
+        shards: Mapping[ShardId, ShardRecord],
+        members: Mapping[MemberId, MemberRecord],
+    ) -> ShardId | None:
+        """Return a shard to release to a member with fewer, if one is due."""
+        now_s = self.clock.monotonic()
+        if self.surplus_since_s is None:
+            return None
+        if now_s - self.surplus_since_s < self.timing.imbalance_hold_s:
+            return None
+        # The next shard follows after a shorter time than the first.
+        waited_s = self.timing.imbalance_hold_s - self.timing.move_interval_s
+        self.surplus_since_s = now_s - max(0.0, waited_s)
+        own = [
+            shard
+            for shard, record in shards.items()
+            if record.owner.member == self.member and not record.is_released
+        ]
+        return max(own, default=None)
+
+    def _may_claim(self, record: ShardRecord | None, now_s: float) -> bool:
+        """Tell whether a free shard may be claimed so soon after an outage."""
+        if record is None or record.is_released:
+            return True
+        return now_s >= self.claims_from_s
+
+    def _has_surplus(
+        self,
+        shards: Mapping[ShardId, ShardRecord],
+        members: Mapping[MemberId, MemberRecord],
+    ) -> bool:
+        """Tell whether this member is the one to hand a shard over."""
+        loads = shard_loads(shards, members)
+        if not loads or self.member not in loads:
+            return False
+        giver = max(loads, key=lambda member: (loads[member], member))
+        return giver == self.member and loads[giver] - min(loads.values()) > 1
+
+
+def shard_loads(
+    shards: Mapping[ShardId, ShardRecord], members: Mapping[MemberId, MemberRecord]
+) -> Counter[MemberId]:
+    """Count the shards of each member that is not leaving."""
+    loads = Counter({name: 0 for name, each in members.items() if not each.is_leaving})
+    for record in shards.values():
+        owner = members.get(record.owner.member)
+        is_owned = owner is not None and owner.seat == record.owner
+        if is_owned and not record.is_released and record.owner.member in loads:
+            loads[record.owner.member] += 1
+    return loads
+
+
+def planned_owners(
+    free: Iterable[ShardId],
+    shards: Mapping[ShardId, ShardRecord],
+    members: Mapping[MemberId, MemberRecord],
+) -> dict[ShardId, MemberId]:
+    """Give each free shard to the member with the fewest, the same everywhere."""
+    loads = shard_loads(shards, members)
+    plan: dict[ShardId, MemberId] = {}
+    if not loads:
+        return plan
+    for shard in sorted(free):
+        owner = min(loads, key=lambda name: (loads[name], rendezvous(name, shard)))
+        loads[owner] += 1
+        plan[shard] = owner
+    return plan
+
+
+def rendezvous(member: MemberId, shard: ShardId) -> bytes:
+    """Return a rank of a member for a shard that is the same in every process."""
+    return hashlib.blake2b(f"{member}/{shard}".encode(), digest_size=8).digest()
--- /dev/null
+++ b/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/snapshots.py
@@ -0,0 +1,51 @@
+"""What one read of the store shows of the cell."""
+
+import msgspec
+
+from gooseberrydeck_coordination.assignments import AssignmentTable
+from gooseberrydeck_coordination.ids import Epoch, MemberId, ShardId
+from gooseberrydeck_coordination.keys import StoreKeys
+from gooseberrydeck_coordination.members import MemberRecord, decode_members
+from gooseberrydeck_coordination.roster import RosterRecord
+from gooseberrydeck_coordination.shards import ShardRecord, decode_shards
+from gooseberrydeck_coordination.store import Entry, Store
+
+__all__ = ["CellSnapshot", "read_snapshot"]
+
+
+class CellSnapshot(msgspec.Struct, frozen=True):
+    """Roster, members, assignments and shards, read in that order.
+
+    The shards come last, so that they hold every epoch claimed before the roster and
+    the members were written. ``entries`` has all of them by key, for compares.
+    """
+
+    roster: RosterRecord | None
+    members: dict[MemberId, MemberRecord]
+    assignments: AssignmentTable
+    shards: dict[ShardId, ShardRecord]
+    entries: dict[str, Entry]
+
+    def epochs(self) -> dict[ShardId, Epoch]:
+        """Return the epoch of each shard."""
+        return {shard: record.epoch for shard, record in self.shards.items()}
+
+
+def read_snapshot(store: Store, keys: StoreKeys, timeout_s: float) -> CellSnapshot:
+    """Read the cell; each of the four calls has ``timeout_s`` seconds."""
+    roster = store.read(keys.roster, timeout_s)
+    members = store.read_prefix(keys.members_prefix, timeout_s).entries
+    assignments = store.read(keys.assignments, timeout_s)
+    shards = store.read_prefix(keys.shards_prefix, timeout_s).entries
+    singles = [entry for entry in (roster, assignments) if entry is not None]
+    return CellSnapshot(
+        roster=msgspec.json.decode(roster.value, type=RosterRecord) if roster else None,
+        members=decode_members(members),
+        assignments=(
+            msgspec.json.decode(assignments.value, type=AssignmentTable)
+            if assignments
+            else AssignmentTable()
+        ),
+        shards=decode_shards(shards),
+        entries={entry.key: entry for entry in (*members, *shards, *singles)},
+    )
--- /dev/null
+++ b/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/timing.py
@@ -0,0 +1,36 @@
+"""The time bounds on which ownership rests."""
+
+import msgspec
+
+__all__ = ["Timing"]
+
+
+class Timing(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Bounds in seconds that every member of a cell shares.
+
+    ``clock_drift`` bounds how much faster one clock may run than another.
+    ``call_effect_limit_s`` bounds the time from the sending of a call to a worker
+    until its last possible effect. ``peer_authority_limit_s`` bounds how long an
+    owner acts without any contact with the store.
+    """
+
+    session_ttl_s: int = 5
+    store_timeout_s: float = 1.0
+    round_interval_s: float = 1.0
+    attestation_interval_s: float = 1.5
+    task_lease_s: float = 10.0
+    call_effect_limit_s: float = 5.0
+    peer_authority_limit_s: float = 43_200.0
+    clock_drift: float = 0.01
+    fallback_claim_s: float = 3.0
+    move_interval_s: float = 5.0
+    imbalance_hold_s: float = 30.0
+    forget_member_s: float = 60.0
+
+    def shorten(self, seconds: float) -> float:
+        """Return how long the holder of a promise may rely on it."""
+        return seconds / (1.0 + self.clock_drift)
+
+    def lengthen(self, seconds: float) -> float:
+        """Return how long others wait until a promise has certainly lapsed."""
+        return seconds * (1.0 + self.clock_drift)
