Add the daemon's thin path from a caller's key to an endpoint's answer

Ownership, membership and configuration stand behind Protocols; static views serve until the controllers land.

Waiting requests stay in one queue per service, not per endpoint, so that a free slot never idles while a request waits elsewhere. A queue per endpoint was ruled out for that reason.

--- /dev/null
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/composition.py
@@ -0,0 +1,199 @@
+"""The composition root: build every part of a member and wire them together."""
+
+import sys
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+import structlog
+
+from gooseberrydeck_coordination.clock import SystemClock
+from gooseberrydeck_daemon.dispatch import Dispatcher
+from gooseberrydeck_daemon.dispatch.directory import (
+    EndpointDirectory,
+    HostListTask,
+    QueueExpiryTask,
+)
+from gooseberrydeck_daemon.dispatch.gossip import GossipTask
+from gooseberrydeck_daemon.dispatch.loads import LoadTable
+from gooseberrydeck_daemon.dispatch.messages import (
+    ForwardAnswer,
+    ForwardFailure,
+    ForwardRequest,
+    LoadSummary,
+)
+from gooseberrydeck_daemon.dispatch.slots import EndpointFactory
+from gooseberrydeck_daemon.http import (
+    Application,
+    CallersServer,
+    Router,
+    build_chain,
+)
+from gooseberrydeck_daemon.http.access import AccessIndex
+from gooseberrydeck_daemon.http.health import Health
+from gooseberrydeck_daemon.http.services import ServiceHandler
+from gooseberrydeck_daemon.metrics import CounterMetrics, StatsdTask
+from gooseberrydeck_daemon.peers import MessageRegistry, PeerNetwork
+from gooseberrydeck_daemon.peers.security import CurveKeys
+from gooseberrydeck_daemon.settings import Settings
+from gooseberrydeck_daemon.tasks import Runnable, Supervisor
+from gooseberrydeck_daemon.views import (
+    ConfigurationHolder,
+    StaticMembership,
+    StaticOwnership,
+)
+from gooseberrydeck_platform.endpoint_http import HttpEndpoint
+from gooseberrydeck_platform.host_list_http import HttpHostList
+from gooseberrydeck_platform.hosts import HostList
+from gooseberrydeck_platform.http import HttpAddress
+
+__all__ = ["Member", "Platform", "compose"]
+
+SWITCH_INTERVAL_S = 0.0005
+CALL_THREADS = 512
+MAX_TASKS = 32
+DRAIN_GRACE_S = 1.0
+DRAIN_TIMEOUT_S = 60.0
+
+log = structlog.get_logger(__name__)
+
+
+class Platform:
+    """The adapters to the platform that a member works through."""
+
+    def __init__(self, hosts: HostList, connect: EndpointFactory) -> None:
+        """Use ``hosts``, and ``connect`` for connections to endpoints."""
+        self.hosts = hosts
+        self.connect = connect
+
+
+class Member:
+    """A whole member of the cell, ready to run."""
+
+    def __init__(self, settings: Settings, platform: Platform) -> None:
+        """Build every part; nothing runs yet, but the listeners are bound."""
+        self.settings = settings
+        self.metrics = CounterMetrics()
+        self.supervisor = Supervisor(MAX_TASKS)
+        self.health = Health()
+        self.configuration = ConfigurationHolder()
+        initial = settings.peers.initial
+        self.membership = StaticMembership(initial, settings.member)
+        self.ownership = StaticOwnership(
+            settings.member, [peer.member for peer in initial], settings.shards
+        )
+        self.registry = MessageRegistry()
+        self.network = self.build_network()
+        self.executor = ThreadPoolExecutor(CALL_THREADS, thread_name_prefix="call")
+        self.loads = LoadTable()
+        self.directory = EndpointDirectory(
+            settings.member,
+            self.ownership,
+            self.configuration,
+            platform.connect,
+            self.executor,
+            self.metrics,
+        )
+        self.dispatcher = self.build_dispatcher()
+        self.router = Router()
+        self.access = AccessIndex(self.configuration)
+        self.router.add(ServiceHandler(self.access, self.dispatcher).route())
+        self.callers = self.build_callers()
+        self.tasks = self.build_tasks(platform)
+
+    def build_network(self) -> PeerNetwork:
+        """Bind the peers' listener."""
+        peers = self.settings.peers
+        keys = CurveKeys(
+            peers.public_key, peers.read_secret_key(), peers.accepted_public_keys
+        )
+        return PeerNetwork(
+            self.settings.member,
+            self.settings.address,
+            self.settings.listeners.peers.port,
+            keys,
+            self.membership,
+            self.registry,
+            self.metrics,
+        )
+
+    def build_dispatcher(self) -> Dispatcher:
+        """Build the dispatcher and register what members say about requests."""
+        dispatcher = Dispatcher(
+            self.directory.pools,
+            self.network,
+            self.loads,
+            self.directory.owners_of,
+            lambda _service: True,
+            self.metrics,
+        )
+        self.registry.register(ForwardRequest, dispatcher.receive_forward)
+        self.registry.register(ForwardAnswer)
+        self.registry.register(ForwardFailure)
+        self.registry.register(LoadSummary, self.loads.receive)
+        return dispatcher
+
+    def build_callers(self) -> CallersServer:
+        """Build the filter chain and bind the callers' listener."""
+        listener = self.settings.listeners.callers
+        chain = build_chain(
+            self.router,
+            self.access,
+            self.metrics,
+            listener.max_body_bytes,
+            listener.threads - listener.refusing_threads,
+        )
+        self.admit = chain.admit
+        application = Application(chain.get_response, self.health, self.metrics)
+        return CallersServer(application, self.settings.address, listener)
+
+    def build_tasks(self, platform: Platform) -> list[Runnable]:
+        """Return the tasks in the order in which they start."""
+        poll_s = self.settings.host_list.poll_ms / 1000
+        tasks: list[Runnable] = [
+            self.network,
+            HostListTask(platform.hosts, self.directory.update, poll_s, self.metrics),
+            QueueExpiryTask(self.directory),
+            GossipTask(
+                self.directory.loads, self.network, self.membership, SystemClock()
+            ),
+        ]
+        if self.settings.statsd is not None:
+            statsd = self.settings.statsd
+            tasks.append(
+                StatsdTask(self.metrics, statsd.address, statsd.port, statsd.prefix)
+            )
+        tasks.append(self.callers)
+        return tasks
+
+    def start(self) -> None:
+        """Start every task and become ready."""
+        for task in self.tasks:
+            self.supervisor.start(task)
+        self.health.ready.set()
+        log.info("member started", callers_port=self.callers.port)
+
+    def run(self) -> None:
+        """Run until asked to end or a task crashes, then drain."""
+        # Threads that wait for the interpreter get it within this time.
+        sys.setswitchinterval(SWITCH_INTERVAL_S)
+        self.start()
+        self.supervisor.wait()
+        self.close()
+
+    def close(self) -> None:
+        """Become unready, finish the work in flight, and stop every task."""
+        self.health.ready.clear()
+        log.info("member drains")
+        if self.supervisor.crash is None:
+            # Requests that the balancer sent before it noticed are still served.
+            time.sleep(DRAIN_GRACE_S)
+            self.admit.drain(DRAIN_TIMEOUT_S)
+        self.supervisor.close()
+        self.executor.shutdown(wait=False)
+        log.info("member stopped")
+
+
+def compose(settings: Settings) -> Member:
+    """Build a member over the platform that its settings name."""
+    host_list = HttpHostList([HttpAddress.parse(settings.host_list.address)])
+    return Member(settings, Platform(host_list, HttpEndpoint))
--- /dev/null
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/dispatch/__init__.py
@@ -0,0 +1,21 @@
+"""Requests on their way to an endpoint: slots, queues, hops and retries."""
+
+from gooseberrydeck_daemon.dispatch.dispatcher import Dispatcher
+from gooseberrydeck_daemon.dispatch.exceptions import (
+    DispatchError,
+    NotRunError,
+    Outcome,
+    OutcomeUnknownError,
+    Reason,
+)
+from gooseberrydeck_daemon.dispatch.requests import ServiceRequest
+
+__all__ = [
+    "DispatchError",
+    "Dispatcher",
+    "NotRunError",
+    "Outcome",
+    "OutcomeUnknownError",
+    "Reason",
+    "ServiceRequest",
+]
--- /dev/null
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/dispatch/directory.py
@@ -0,0 +1,172 @@
+"""Follow the host list and ownership, and give each pool its endpoints."""
+
+import threading
+import time
+from collections import defaultdict
+from collections.abc import Callable
+from concurrent.futures import Executor
+
+from gooseberrydeck_coordination.ids import HostName, MemberId, ServiceName
+from gooseberrydeck_daemon.dispatch.pools import PoolLoad, ServicePool
+from gooseberrydeck_daemon.dispatch.slots import EndpointFactory, EndpointSlots
+from gooseberrydeck_daemon.metrics import Metrics
+from gooseberrydeck_daemon.tasks import Task
+from gooseberrydeck_daemon.views import ConfigurationView, OwnershipView
+from gooseberrydeck_platform.exceptions import HostListUnavailableError
+from gooseberrydeck_platform.hosts import Host, HostKind, HostList, HostState
+
+__all__ = ["EndpointDirectory", "HostListTask", "QueueExpiryTask"]
+
+HOST_LIST_TIMEOUT_S = 2.0
+EXPIRY_PERIOD_S = 0.02
+DEFAULT_MAX_WAITING = 256
+
+
+class EndpointDirectory:
+    """Know every endpoint and its owner, and keep the pools of our own."""
+
+    def __init__(
+        self,
+        own: MemberId,
+        ownership: OwnershipView,
+        configuration: ConfigurationView,
+        connect: EndpointFactory,
+        executor: Executor,
+        metrics: Metrics,
+    ) -> None:
+        """Begin without endpoints."""
+        self.own = own
+        self.ownership = ownership
+        self.configuration = configuration
+        self.connect = connect
+        self.executor = executor
+        self.metrics = metrics
+        self.lock = threading.Lock()
+        self.pools: dict[ServiceName, ServicePool] = {}
+        self.owners: dict[ServiceName, tuple[MemberId, ...]] = {}
+        self.slots: dict[HostName, EndpointSlots] = {}
+        self.hosts: tuple[Host, ...] = ()
+
+    def owners_of(self, service: ServiceName) -> tuple[MemberId, ...]:
+        """Return the peers that own live endpoints of a service."""
+        return self.owners.get(service, ())
+
+    def loads(self) -> dict[ServiceName, PoolLoad]:
+        """Return the load of every pool that has endpoints."""
+        loads = {name: pool.load() for name, pool in list(self.pools.items())}
+        return {name: load for name, load in loads.items() if load.slots}
+
+    def update(self, hosts: tuple[Host, ...]) -> None:
+        """Take in the newest host list, and ownership as it is now."""
+        with self.lock:
+            self.hosts = hosts
+            self.refresh()
+
+    def refresh(self) -> None:
+        """Work out owners and pools again; the lock is held."""
+        owners: dict[ServiceName, set[MemberId]] = defaultdict(set)
+        mine: dict[ServiceName, list[EndpointSlots]] = defaultdict(list)
+        kept: dict[HostName, EndpointSlots] = {}
+        for host in self.hosts:
+            shard = self.ownership.shard_of(host.name)
+            if host.kind is not HostKind.ENDPOINT or shard is None:
+                continue
+            owner = self.ownership.owner_of(shard)
+            if owner == self.own:
+                kept[host.name] = self.slots_of(host)
+                mine[host.service].append(kept[host.name])
+            elif owner is not None and host.state is HostState.LIVE:
+                owners[host.service].add(owner)
+        self.slots = kept
+        for service in {*mine, *self.pools}:
+            self.pool_of(service).set_endpoints(mine.get(service, ()))
+        self.owners = {name: tuple(sorted(found)) for name, found in owners.items()}
+
+    def slots_of(self, host: Host) -> EndpointSlots:
+        """Return the slots of a host of ours; a host that moved is a new one."""
+        shard = self.ownership.shard_of(host.name)
+        known = self.slots.get(host.name)
+        if known is None or shard != known.shard or is_moved(known.host, host):
+            assert shard is not None
+            return EndpointSlots(host, shard, self.connect)
+        known.host = host
+        return known
+
+    def pool_of(self, service: ServiceName) -> ServicePool:
+        """Return the pool of a service, a new one at first."""
+        pool = self.pools.get(service)
+        if pool is None:
+            pool = ServicePool(
+                service,
+                self.max_waiting(service),
+                self.executor,
+                self.ownership.may_act,
+                self.metrics,
+            )
+            self.pools[service] = pool
+        pool.queue.max_waiting = self.max_waiting(service)
+        weights = {item.team: item.weight for item in self.configuration.current.shares}
+        pool.queue.weights = weights
+        return pool
+
+    def max_waiting(self, service: ServiceName) -> int:
+        """Return how many requests of a service may wait here."""
+        for item in self.configuration.current.services:
+            if item.name == service:
+                return item.max_waiting
+        return DEFAULT_MAX_WAITING
+
+
+def is_moved(before: Host, after: Host) -> bool:
+    """Tell whether a host answers somewhere else now."""
+    return (before.address, before.port, before.path, before.service) != (
+        after.address,
+        after.port,
+        after.path,
+        after.service,
+    )
+
+
+class HostListTask(Task[None]):
+    """Read the host list again and again."""
+
+    def __init__(
+        self,
+        hosts: HostList,
+        on_hosts: Callable[[tuple[Host, ...]], None],
+        poll_s: float,
+        metrics: Metrics,
+    ) -> None:
+        """Call ``on_hosts`` with each list that was read."""
+        super().__init__("hosts", tick_s=poll_s)
+        self.hosts = hosts
+        self.on_hosts = on_hosts
+        self.metrics = metrics
+
+    def begin(self) -> None:
+        """Read the list at once."""
+        self.tick()
+
+    def tick(self) -> None:
+        """Read the list; keep the last one if it can't be had."""
+        try:
+            hosts = self.hosts.read(HOST_LIST_TIMEOUT_S)
+        except HostListUnavailableError:
+            self.metrics.count("hosts.reads.failed")
+            return
+        self.on_hosts(hosts)
+
+
+class QueueExpiryTask(Task[None]):
+    """Answer waiting requests at the moment their time is up."""
+
+    def __init__(self, directory: EndpointDirectory) -> None:
+        """Look through the directory's pools."""
+        super().__init__("queue-expiry", tick_s=EXPIRY_PERIOD_S)
+        self.directory = directory
+
+    def tick(self) -> None:
+        """Expire what waited too long."""
+        for pool in list(self.directory.pools.values()):
+            if pool.queue.size:
+                pool.expire(time.monotonic())
--- /dev/null
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/dispatch/dispatcher.py
@@ -0,0 +1,232 @@
+"""Find a slot for each request, here or one hop away, and bring its answer back."""
+
+import time
+from collections.abc import Callable, Collection, Mapping
+from concurrent.futures import Future, TimeoutError
+from typing import Any
+
+from gooseberrydeck_coordination.ids import MemberId, ServiceName
+from gooseberrydeck_daemon.dispatch.exceptions import (
+    DispatchError,
+    NotRunError,
+    Outcome,
+    OutcomeUnknownError,
+    Reason,
+)
+from gooseberrydeck_daemon.dispatch.loads import LoadTable
+from gooseberrydeck_daemon.dispatch.messages import (
+    ForwardAnswer,
+    ForwardFailure,
+    ForwardRequest,
+)
+from gooseberrydeck_daemon.dispatch.pools import PoolLoad, ServicePool
+from gooseberrydeck_daemon.dispatch.requests import ServiceRequest, Ticket
+from gooseberrydeck_daemon.metrics import Metrics
+from gooseberrydeck_daemon.peers import (
+    Inbound,
+    PeerNotReachedError,
+    Peers,
+    PeerSilentError,
+)
+from gooseberrydeck_platform.endpoints import EndpointAnswer
+
+__all__ = ["Dispatcher"]
+
+CALLER_CHECK_S = 0.1
+HOP_MARGIN_S = 0.01
+MAX_ATTEMPTS = 3
+
+RETRIED_REASONS = frozenset(
+    {
+        Reason.OWNERSHIP_MOVED,
+        Reason.PEER_NOT_REACHED,
+        Reason.PEER_SILENT,
+        Reason.ENDPOINT_NOT_REACHED,
+        Reason.ENDPOINT_REFUSED,
+        Reason.ENDPOINT_FAILED,
+    }
+)
+
+OwnersOf = Callable[[ServiceName], Collection[MemberId]]
+MayRetry = Callable[[ServiceName], bool]
+
+
+class Dispatcher:
+    """Run requests on endpoints of this member or of a peer, at most one hop away."""
+
+    def __init__(
+        self,
+        pools: Mapping[ServiceName, ServicePool],
+        peers: Peers,
+        loads: LoadTable,
+        owners_of: OwnersOf,
+        may_retry: MayRetry,
+        metrics: Metrics,
+    ) -> None:
+        """Wire the parts; ``owners_of`` names the peers that own endpoints."""
+        self.pools = pools
+        self.peers = peers
+        self.loads = loads
+        self.owners_of = owners_of
+        self.take_retry = may_retry
+        self.metrics = metrics
+
+    def run(self, request: ServiceRequest) -> EndpointAnswer:
+        """Return the whole answer, or raise ``DispatchError``; blocks the caller."""
+        attempt = 1
+        while True:
+            try:
+                return self.run_once(request)
+            except DispatchError as error:
+                if not self.may_try_again(request, error, attempt):
+                    raise
+            attempt += 1
+            request.is_retry = True
+            self.metrics.count("dispatch.retries")
+
+    def may_try_again(
+        self, request: ServiceRequest, error: DispatchError, attempt: int
+    ) -> bool:
+        """Tell whether a failed request is safe and worth to be sent again."""
+        if error.outcome is Outcome.UNKNOWN and not request.is_idempotent:
+            return False
+        if error.reason not in RETRIED_REASONS or attempt >= MAX_ATTEMPTS:
+            return False
+        if request.deadline_s <= time.monotonic() or request.is_caller_gone():
+            return False
+        return self.take_retry(request.service)
+
+    def run_once(self, request: ServiceRequest) -> EndpointAnswer:
+        """Send a request once, to the place that has room soonest."""
+        pool = self.pools.get(request.service)
+        local = pool.load() if pool else PoolLoad()
+        if pool and local.free and not local.waiting:
+            return self.run_here(pool, request)
+        owners = self.owners_of(request.service)
+        peer = self.loads.choose(owners, request.service, must_be_free=True)
+        if peer is not None:
+            return self.run_there(peer, request)
+        peer = self.loads.choose(owners, request.service, must_be_free=False)
+        if pool and local.slots and not self.is_sooner(peer, request, local):
+            return self.run_here(pool, request)
+        if peer is not None:
+            return self.run_there(peer, request)
+        raise NotRunError(Reason.NO_ENDPOINT, retry_after_s=1.0)
+
+    def is_sooner(
+        self, peer: MemberId | None, request: ServiceRequest, local: PoolLoad
+    ) -> bool:
+        """Tell whether a request would start sooner at a peer than here."""
+        if peer is None:
+            return False
+        there = self.loads.load_of(peer, request.service)
+        if not there.slots:
+            return False
+        return there.waiting / there.slots < local.waiting / local.slots
+
+    def run_here(self, pool: ServicePool, request: ServiceRequest) -> EndpointAnswer:
+        """Run a request on one of our own endpoints."""
+        ticket = pool.submit(request)
+        while True:
+            left_s = request.deadline_s - time.monotonic()
+            try:
+                return ticket.future.result(max(0.0, min(left_s, CALLER_CHECK_S)))
+            except TimeoutError:
+                if left_s <= CALLER_CHECK_S:
+                    ticket.give_up(Reason.WAITED_TOO_LONG)
+                elif request.is_caller_gone():
+                    self.metrics.count("dispatch.callers.gone")
+                    ticket.give_up(Reason.CALLER_GONE)
+
+    def run_there(self, peer: MemberId, request: ServiceRequest) -> EndpointAnswer:
+        """Run a request on an endpoint of a peer."""
+        left_s = request.deadline_s - time.monotonic()
+        message = ForwardRequest(
+            request.id,
+            request.service,
+            request.team,
+            request.content_type,
+            request.body,
+            max(1, int((left_s - HOP_MARGIN_S) * 1000)),
+            request.is_retry,
+        )
+        self.loads.note_sent(peer, request.service)
+        self.metrics.count("dispatch.forwards")
+        future = self.peers.ask(peer, message, left_s)
+        return self.take_answer(peer, request, self.wait_for(future, peer, left_s))
+
+    def wait_for(self, future: Future[Any], peer: MemberId, left_s: float) -> Any:
+        """Return a peer's reply, or raise the typed failure."""
+        try:
+            return future.result(max(0.0, left_s))
+        except PeerNotReachedError as error:
+            self.loads.note_unreached(peer)
+            raise NotRunError(Reason.PEER_NOT_REACHED) from error
+        except (PeerSilentError, TimeoutError) as error:
+            raise OutcomeUnknownError(Reason.PEER_SILENT) from error
+
+    def take_answer(
+        self, peer: MemberId, request: ServiceRequest, reply: object
+    ) -> EndpointAnswer:
+        """Return the answer in a peer's reply, or raise the failure in it."""
+        if not isinstance(reply, ForwardAnswer | ForwardFailure) or (
+            reply.id != request.id
+        ):
+            self.metrics.count("dispatch.answers.crossed")
+            raise OutcomeUnknownError(Reason.PEER_SILENT)
+        self.loads.note(peer, request.service, reply.load)
+        if isinstance(reply, ForwardAnswer):
+            return EndpointAnswer(reply.status, reply.content_type, reply.body)
+        after_ms = reply.retry_after_ms
+        after_s = None if after_ms is None else after_ms / 1000
+        if reply.outcome is Outcome.NOT_RUN:
+            raise NotRunError(reply.reason, after_s)
+        raise OutcomeUnknownError(reply.reason, after_s)
+
+    def receive_forward(self, inbound: Inbound) -> None:
+        """Run a peer's request on our endpoints; answer when it ends."""
+        message: ForwardRequest = inbound.message
+        pool = self.pools.get(message.service)
+        if pool is None or not pool.load().slots:
+            failure = NotRunError(Reason.OWNERSHIP_MOVED)
+            inbound.answer(failure_message(message, failure, PoolLoad()))
+            return
+        request = ServiceRequest(
+            message.id,
+            message.service,
+            message.team,
+            message.content_type,
+            message.body,
+            time.monotonic() + message.timeout_ms / 1000,
+            is_retry=message.is_retry,
+        )
+        ticket: Ticket = pool.submit(request)
+
+        def answer(future: Future[EndpointAnswer]) -> None:
+            inbound.answer(reply_message(message, future, pool.load()))
+
+        ticket.future.add_done_callback(answer)
+
+
+def reply_message(
+    message: ForwardRequest, future: Future[EndpointAnswer], load: PoolLoad
+) -> ForwardAnswer | ForwardFailure:
+    """Return what the asking member is told of an ended ticket."""
+    error = future.exception()
+    if error is None:
+        answer = future.result()
+        return ForwardAnswer(
+            message.id, answer.status, answer.content_type, answer.body, load
+        )
+    if not isinstance(error, DispatchError):
+        error = OutcomeUnknownError(Reason.MEMBER_FAILED)
+    return failure_message(message, error, load)
+
+
+def failure_message(
+    message: ForwardRequest, error: DispatchError, load: PoolLoad
+) -> ForwardFailure:
+    """Return the failure of a forwarded request as a message."""
+    after_s = error.retry_after_s
+    after_ms = None if after_s is None else int(after_s * 1000)
+    return ForwardFailure(message.id, error.outcome, error.reason, load, after_ms)
--- /dev/null
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/dispatch/gossip.py
@@ -0,0 +1,61 @@
+"""Tell peers the load of our pools, within a budget of bytes."""
+
+import random
+from collections.abc import Callable, Mapping
+
+import msgspec
+
+from gooseberrydeck_coordination.clock import Clock
+from gooseberrydeck_coordination.ids import ServiceName
+from gooseberrydeck_daemon.dispatch.messages import LoadSummary
+from gooseberrydeck_daemon.dispatch.pools import PoolLoad
+from gooseberrydeck_daemon.peers import Peers
+from gooseberrydeck_daemon.tasks import Task
+from gooseberrydeck_daemon.views import MembershipView
+
+__all__ = ["GossipTask"]
+
+GOSSIP_PERIOD_S = 0.1
+BUDGET_BYTES_PER_S = 3_000
+FRAME_BYTES = 80
+BURST_S = 0.5
+
+
+class GossipTask(Task[None]):
+    """Send load summaries to peers in turn, as fast as the budget allows."""
+
+    def __init__(
+        self,
+        loads: Callable[[], Mapping[ServiceName, PoolLoad]],
+        peers: Peers,
+        membership: MembershipView,
+        clock: Clock,
+    ) -> None:
+        """Tell what ``loads`` returns to the members of ``membership``."""
+        super().__init__("gossip", tick_s=GOSSIP_PERIOD_S)
+        self.loads = loads
+        self.peers = peers
+        self.membership = membership
+        self.clock = clock
+        self.allowance_bytes = 0.0
+        self.last_s = clock.monotonic()
+        self.turn = random.randrange(1024)
+
+    def tick(self) -> None:
+        """Send to as many peers as the allowance pays for."""
+        now_s = self.clock.monotonic()
+        earned = (now_s - self.last_s) * BUDGET_BYTES_PER_S
+        limit = BUDGET_BYTES_PER_S * BURST_S
+        self.allowance_bytes = min(limit, self.allowance_bytes + earned)
+        self.last_s = now_s
+        targets = self.membership.peers()
+        if not targets:
+            return
+        summary = LoadSummary(dict(self.loads()))
+        cost = len(msgspec.msgpack.encode(summary)) + FRAME_BYTES
+        for _ in targets:
+            if self.allowance_bytes < cost:
+                return
+            self.turn += 1
+            self.allowance_bytes -= cost
+            self.peers.send(targets[self.turn % len(targets)].member, summary)
--- /dev/null
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/dispatch/loads.py
@@ -0,0 +1,85 @@
+"""What is known of the load of peers, and the choice between them."""
+
+import random
+import threading
+import time
+from collections.abc import Collection
+
+from gooseberrydeck_coordination.ids import MemberId, ServiceName
+from gooseberrydeck_daemon.dispatch.messages import LoadSummary
+from gooseberrydeck_daemon.dispatch.pools import PoolLoad
+from gooseberrydeck_daemon.peers import Inbound
+
+__all__ = ["LoadTable"]
+
+SUMMARY_LIFETIME_S = 5.0
+UNREACHED_REST_S = 1.0
+
+
+class LoadTable:
+    """The newest load summary of each peer, by service; safe for threads."""
+
+    def __init__(self, rng: random.Random | None = None) -> None:
+        """Begin without any summary."""
+        self.rng = rng or random.Random()
+        self.lock = threading.Lock()
+        self.loads: dict[tuple[MemberId, ServiceName], tuple[float, PoolLoad]] = {}
+        self.resting: dict[MemberId, float] = {}
+
+    def receive(self, inbound: Inbound) -> None:
+        """Take in a peer's summary."""
+        summary: LoadSummary = inbound.message
+        for service, load in summary.services.items():
+            self.note(inbound.sender, service, load)
+
+    def note(self, member: MemberId, service: ServiceName, load: PoolLoad) -> None:
+        """Remember a peer's load as of now."""
+        with self.lock:
+            self.loads[member, service] = (time.monotonic(), load)
+
+    def note_sent(self, member: MemberId, service: ServiceName) -> None:
+        """Count a request that was just sent to a peer against its room."""
+        with self.lock:
+            known = self.loads.get((member, service))
+            if known is None:
+                return
+            load = known[1]
+            taken = PoolLoad(
+                max(0, load.free - 1), load.waiting + (load.free == 0), load.slots
+            )
+            self.loads[member, service] = (known[0], taken)
+
+    def note_unreached(self, member: MemberId) -> None:
+        """Leave a peer alone for a while that could not be reached."""
+        with self.lock:
+            self.resting[member] = time.monotonic() + UNREACHED_REST_S
+
+    def load_of(self, member: MemberId, service: ServiceName) -> PoolLoad:
+        """Return a peer's load; one that is not known counts as without room."""
+        known = self.loads.get((member, service))
+        if known is None or known[0] < time.monotonic() - SUMMARY_LIFETIME_S:
+            return PoolLoad()
+        return known[1]
+
+    def choose(
+        self, members: Collection[MemberId], service: ServiceName, must_be_free: bool
+    ) -> MemberId | None:
+        """Return the better of two random peers, or None if none will do."""
+        now_s = time.monotonic()
+        candidates = [
+            member
+            for member in members
+            if self.resting.get(member, 0.0) <= now_s
+            and not (must_be_free and not self.load_of(member, service).free)
+        ]
+        if not candidates:
+            return None
+        pair = self.rng.sample(candidates, min(2, len(candidates)))
+        return min(pair, key=lambda member: self.badness(member, service))
+
+    def badness(self, member: MemberId, service: ServiceName) -> float:
+        """Return a number that is lower the sooner a request would start."""
+        load = self.load_of(member, service)
+        if load.free:
+            return -float(load.free)
+        return (load.waiting + 1) / max(1, load.slots)
--- /dev/null
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/dispatch/queues.py
@@ -0,0 +1,121 @@
+"""A bounded queue that is fair between teams and puts fresh work first."""
+
+from collections import deque
+from collections.abc import Callable, Mapping
+
+from gooseberrydeck_coordination.ids import TeamName
+from gooseberrydeck_daemon.dispatch.requests import Ticket, TicketState
+
+__all__ = ["FairQueue"]
+
+DEFAULT_WEIGHT = 1.0
+
+
+class FairQueue:
+    """Hold waiting tickets; the team that was served least by its weight is next.
+
+    Fresh tickets of all teams go before retries of all teams. When the queue is full,
+    the team with the most waiting loses its newest ticket, so that one team's flood
+    can't shut out the others. Not safe for threads: the pool's lock guards it.
+    """
+
+    def __init__(self, max_waiting: int) -> None:
+        """Bound the tickets that wait."""
+        self.max_waiting = max_waiting
+        self.weights: Mapping[TeamName, float] = {}
+        self.classes: tuple[dict[TeamName, deque[Ticket]], ...] = ({}, {})
+        self.served: dict[TeamName, float] = {}
+        self.virtual_time = 0.0
+        self.size = 0
+
+    def push(self, ticket: Ticket) -> Ticket | None:
+        """Add a ticket; return the one that found no room, maybe this one."""
+        displaced = None
+        if self.size >= self.max_waiting:
+            displaced = self.displace(ticket)
+            if displaced is ticket:
+                return ticket
+        team = ticket.request.team
+        by_team = self.classes[ticket.request.is_retry]
+        if team not in by_team:
+            by_team[team] = deque()
+        if not self.is_waiting(team):
+            # A team that comes back does not catch up on what it did not ask for.
+            self.served[team] = max(self.served.get(team, 0.0), self.virtual_time)
+        by_team[team].append(ticket)
+        self.size += 1
+        return displaced
+
+    def is_waiting(self, team: TeamName) -> bool:
+        """Tell whether a team has tickets in the queue."""
+        return any(by_team.get(team) for by_team in self.classes)
+
+    def displace(self, newcomer: Ticket) -> Ticket:
+        """Take out the ticket that gives way to ``newcomer``, or return that."""
+        for by_team in reversed(self.classes):
+            longest = max(by_team, key=lambda team: len(by_team[team]), default=None)
+            if longest is None or not by_team[longest]:
+                continue
+            is_retry_class = by_team is self.classes[True]
+            if is_retry_class and not newcomer.request.is_retry:
+                return self.take_newest(by_team, longest)
+            if is_retry_class or not newcomer.request.is_retry:
+                own = len(by_team.get(newcomer.request.team, ()))
+                if len(by_team[longest]) > own + 1:
+                    return self.take_newest(by_team, longest)
+            return newcomer
+        return newcomer
+
+    def take_newest(
+        self, by_team: dict[TeamName, deque[Ticket]], team: TeamName
+    ) -> Ticket:
+        """Remove and return a team's newest ticket."""
+        self.size -= 1
+        return by_team[team].pop()
+
+    def pop(self, may_start: Callable[[Ticket], bool]) -> Ticket | None:
+        """Remove and return the next ticket that may start and was not given up."""
+        for by_team in self.classes:
+            waiting = [team for team, tickets in by_team.items() if tickets]
+            for team in sorted(waiting, key=lambda team: self.served[team]):
+                ticket = self.pop_of(by_team[team], may_start)
+                if ticket is not None:
+                    self.charge(team)
+                    return ticket
+        return None
+
+    def pop_of(
+        self, tickets: deque[Ticket], may_start: Callable[[Ticket], bool]
+    ) -> Ticket | None:
+        """Remove and return a team's first live ticket, if it may start."""
+        while tickets:
+            if tickets[0].state is TicketState.ENDED:
+                tickets.popleft()
+                self.size -= 1
+                continue
+            if not may_start(tickets[0]):
+                return None
+            self.size -= 1
+            return tickets.popleft()
+        return None
+
+    def charge(self, team: TeamName) -> None:
+        """Count one served ticket against a team, by its weight."""
+        self.virtual_time = self.served[team]
+        weight = self.weights.get(team, DEFAULT_WEIGHT) or DEFAULT_WEIGHT
+        self.served[team] += 1.0 / weight
+
+    def remove_where(self, is_over: Callable[[Ticket], bool]) -> list[Ticket]:
+        """Remove and return every ticket for which ``is_over`` holds."""
+        removed: list[Ticket] = []
+        for by_team in self.classes:
+            for team in list(by_team):
+                kept: deque[Ticket] = deque()
+                for ticket in by_team[team]:
+                    (removed if is_over(ticket) else kept).append(ticket)
+                if kept:
+                    by_team[team] = kept
+                else:
+                    del by_team[team]
+        self.size -= len(removed)
+        return removed
--- /dev/null
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/http/__init__.py
@@ -0,0 +1,20 @@
+"""The callers' HTTP interface."""
+
+from gooseberrydeck_daemon.http.application import Application, build_chain
+from gooseberrydeck_daemon.http.problems import ProblemError, ProblemType
+from gooseberrydeck_daemon.http.requests import Request
+from gooseberrydeck_daemon.http.responses import Response
+from gooseberrydeck_daemon.http.router import Route, Router
+from gooseberrydeck_daemon.http.server import CallersServer
+
+__all__ = [
+    "Application",
+    "CallersServer",
+    "ProblemError",
+    "ProblemType",
+    "Request",
+    "Response",
+    "Route",
+    "Router",
+    "build_chain",
+]
--- /dev/null
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/http/services.py
@@ -0,0 +1,74 @@
+"""POST /v1/services/SERVICE: run a request while the caller waits."""
+
+from gooseberrydeck_configuration.objects import Queue, Service
+from gooseberrydeck_coordination.ids import TeamName
+from gooseberrydeck_daemon.dispatch import Dispatcher, ServiceRequest
+from gooseberrydeck_daemon.http.access import AccessIndex
+from gooseberrydeck_daemon.http.problems import ProblemError, ProblemType
+from gooseberrydeck_daemon.http.requests import Request
+from gooseberrydeck_daemon.http.responses import Response
+from gooseberrydeck_daemon.http.router import Route
+
+__all__ = ["ServiceHandler", "team_allowed"]
+
+
+def team_allowed(request: Request, target: Service | Queue) -> TeamName:
+    """Return the team that the work is taken for, or raise ``ProblemError``."""
+    if request.team is not None:
+        if request.team in target.teams or request.team == target.open_team:
+            return request.team
+        if target.open_team is None:
+            detail = f"team {request.team} may not use {target.name}"
+            raise ProblemError(ProblemType.NOT_PERMITTED, detail)
+    if target.open_team is None:
+        headers = (("WWW-Authenticate", "Bearer"),)
+        raise ProblemError(ProblemType.KEY_MISSING, headers=headers)
+    return target.open_team
+
+
+class ServiceHandler:
+    """Serve requests to services."""
+
+    def __init__(self, access: AccessIndex, dispatcher: Dispatcher) -> None:
+        """Find services in ``access`` and run requests by ``dispatcher``."""
+        self.access = access
+        self.dispatcher = dispatcher
+
+    def route(self) -> Route:
+        """Return the route to add to the router."""
+        return Route("POST", "/v1/services/{service}", self.handle, self.prepare)
+
+    def find(self, request: Request) -> Service:
+        """Return the service that a request names."""
+        service = self.access.service(request.parameters["service"])
+        if service is None:
+            raise ProblemError(ProblemType.SERVICE_UNKNOWN)
+        return service
+
+    def prepare(self, request: Request) -> None:
+        """Check permission and size, and set the deadline."""
+        service = self.find(request)
+        request.team = team_allowed(request, service)
+        if int(request.environ["CONTENT_LENGTH"]) > service.max_body_bytes:
+            detail = f"at most {service.max_body_bytes} bytes for {service.name}"
+            raise ProblemError(ProblemType.BODY_TOO_LARGE, detail)
+        timeout_ms = min(request.timeout_ms or service.timeout_ms, service.timeout_ms)
+        request.deadline_s = request.received_s + timeout_ms / 1000
+
+    def handle(self, request: Request) -> Response:
+        """Run the request and return the endpoint's answer, whole."""
+        service = self.find(request)
+        assert request.team is not None
+        answer = self.dispatcher.run(
+            ServiceRequest(
+                request.id,
+                service.name,
+                request.team,
+                request.content_type,
+                request.read_body(),
+                request.deadline_s,
+                is_idempotent=service.is_idempotent,
+                is_caller_gone=request.is_caller_gone,
+            )
+        )
+        return Response(answer.status, answer.content_type, answer.body)
--- /dev/null
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/metrics.py
@@ -0,0 +1,76 @@
+"""Counters and gauges, kept in the process and sent to statsd."""
+
+import threading
+from collections import Counter
+from typing import Protocol
+
+import statsd
+
+from gooseberrydeck_daemon.tasks import Task
+
+__all__ = ["CounterMetrics", "Metrics", "StatsdTask"]
+
+FLUSH_PERIOD_S = 1.0
+
+
+class Metrics(Protocol):
+    """Where the parts of the daemon count what they do."""
+
+    def count(self, name: str, amount: int = 1) -> None:
+        """Add to a counter."""
+
+    def gauge(self, name: str, value: float) -> None:
+        """Set a gauge."""
+
+
+class CounterMetrics:
+    """Keep counters and gauges in memory."""
+
+    def __init__(self) -> None:
+        """Begin with nothing counted."""
+        self.lock = threading.Lock()
+        self.counts: Counter[str] = Counter()
+        self.gauges: dict[str, float] = {}
+
+    def count(self, name: str, amount: int = 1) -> None:
+        """Add to a counter."""
+        with self.lock:
+            self.counts[name] += amount
+
+    def gauge(self, name: str, value: float) -> None:
+        """Set a gauge."""
+        self.gauges[name] = value
+
+    def snapshot(self) -> dict[str, int]:
+        """Return a copy of the counters."""
+        with self.lock:
+            return dict(self.counts)
+
+
+class StatsdTask(Task[None]):
+    """Send what changed since the last second to statsd, in few datagrams."""
+
+    def __init__(
+        self, metrics: CounterMetrics, address: str, port: int, prefix: str
+    ) -> None:
+        """Send to ``address:port`` under ``prefix``."""
+        super().__init__("statsd", tick_s=FLUSH_PERIOD_S)
+        self.metrics = metrics
+        self.client = statsd.StatsClient(address, port, prefix=prefix)
+        self.sent: dict[str, int] = {}
+
+    def tick(self) -> None:
+        """Send the increases of counters and the gauges."""
+        counts = self.metrics.snapshot()
+        with self.client.pipeline() as pipeline:
+            for name, value in counts.items():
+                increase = value - self.sent.get(name, 0)
+                if increase:
+                    pipeline.incr(name, increase)
+            for name, level in dict(self.metrics.gauges).items():
+                pipeline.gauge(name, level)
+        self.sent = counts
+
+    def end(self) -> None:
+        """Send the last increases."""
+        self.tick()
--- /dev/null
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/peers/security.py
@@ -0,0 +1,82 @@
+"""CURVE keys of members, and the ZAP handler that admits only known keys."""
+
+from collections.abc import Collection
+
+import msgspec
+import zmq
+from zmq.utils import z85
+
+from gooseberrydeck_daemon.metrics import Metrics
+
+__all__ = ["CurveKeys", "ZapHandler"]
+
+ZAP_ENDPOINT = "inproc://zeromq.zap.01"
+ZAP_VERSION = b"1.0"
+CURVE_MECHANISM = b"CURVE"
+REQUEST_FRAMES = 7
+
+
+class CurveKeys(msgspec.Struct, frozen=True):
+    """A member's key pair, and the public keys that peers may come with."""
+
+    public_key: str
+    secret_key: str
+    accepted_public_keys: tuple[str, ...] = ()
+
+    def accepted(self) -> frozenset[bytes]:
+        """Return the public keys that are let in, as 32 raw bytes each."""
+        keys = {self.public_key, *self.accepted_public_keys}
+        return frozenset(z85.decode(key.encode()) for key in keys)
+
+    def protect_server(self, socket: zmq.Socket[bytes]) -> None:
+        """Make a socket refuse peers without CURVE."""
+        socket.curve_server = True
+        socket.curve_secretkey = self.secret_key.encode()
+        socket.curve_publickey = self.public_key.encode()
+        socket.zap_domain = b"peers"
+
+    def protect_client(self, socket: zmq.Socket[bytes], server_key: str) -> None:
+        """Make a socket prove this member's key, and check the server's."""
+        socket.curve_secretkey = self.secret_key.encode()
+        socket.curve_publickey = self.public_key.encode()
+        socket.curve_serverkey = (server_key or self.public_key).encode()
+
+
+class ZapHandler:
+    """Answer the ZeroMQ library's questions about who may connect."""
+
+    def __init__(
+        self,
+        context: zmq.Context[zmq.Socket[bytes]],
+        accepted: Collection[bytes],
+        metrics: Metrics,
+    ) -> None:
+        """Bind the handler's socket; do so before any server socket is bound."""
+        self.accepted = accepted
+        self.metrics = metrics
+        self.socket: zmq.Socket[bytes] = context.socket(zmq.REP)
+        self.socket.linger = 0
+        self.socket.bind(ZAP_ENDPOINT)
+
+    def answer_one(self) -> None:
+        """Answer the request that waits on the socket."""
+        frames = self.socket.recv_multipart()
+        version, sequence = (*frames[:2], b"", b"")[:2]
+        is_accepted = version == ZAP_VERSION and self.is_accepted(frames)
+        if not is_accepted:
+            self.metrics.count("peers.connections.refused")
+        code, text = (b"200", b"OK") if is_accepted else (b"400", b"unknown key")
+        user = frames[6].hex().encode() if is_accepted else b""
+        self.socket.send_multipart([ZAP_VERSION, sequence, code, text, user, b""])
+
+    def is_accepted(self, frames: list[bytes]) -> bool:
+        """Tell whether the request shows CURVE with an accepted key."""
+        return (
+            len(frames) == REQUEST_FRAMES
+            and frames[5] == CURVE_MECHANISM
+            and frames[6] in self.accepted
+        )
+
+    def close(self) -> None:
+        """Close the socket."""
+        self.socket.close()
--- /dev/null
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/signals.py
@@ -0,0 +1,17 @@
+"""Turn SIGTERM and SIGINT into a request to drain."""
+
+import signal
+from collections.abc import Callable
+from types import FrameType
+
+__all__ = ["handle_termination"]
+
+
+def handle_termination(request_end: Callable[[], None]) -> None:
+    """Call ``request_end`` on each SIGTERM or SIGINT."""
+
+    def handle(_number: int, _frame: FrameType | None) -> None:
+        request_end()
+
+    signal.signal(signal.SIGTERM, handle)
+    signal.signal(signal.SIGINT, handle)
--- /dev/null
+++ b/tests/daemon_support.py
@@ -0,0 +1,256 @@
+"""Members in one process over fake endpoints, for tests of the daemon."""
+
+import hashlib
+import http.client
+import json
+import socket
+import threading
+import time
+from collections.abc import Callable, Iterator, Sequence
+from contextlib import contextmanager
+
+import msgspec
+import zmq
+
+from gooseberrydeck_configuration.objects import Configuration, Key, Service, Team
+from gooseberrydeck_coordination.ids import (
+    ConfigurationNumber,
+    DataCentre,
+    HostName,
+    KeyId,
+    MemberId,
+    Rack,
+    ServiceName,
+    TeamName,
+)
+from gooseberrydeck_daemon.composition import Member, Platform
+from gooseberrydeck_daemon.settings import Settings
+from gooseberrydeck_platform.endpoints import EndpointAnswer, EndpointRequest
+from gooseberrydeck_platform.hosts import Host, HostKind, HostState
+
+SECRET = "editors-secret"
+LOOKUP = ServiceName("lookup")
+SEAT_HOLD = ServiceName("seat-hold")
+EDITORS = TeamName("editors")
+PUBLIC_KEY, SECRET_KEY = (key.decode() for key in zmq.curve_keypair())
+
+CONFIGURATION = Configuration(
+    number=ConfigurationNumber(1),
+    teams=(Team(EDITORS), Team(TeamName("others"))),
+    keys=(Key(KeyId("k1"), EDITORS, hashlib.sha256(SECRET.encode()).hexdigest()),),
+    services=(
+        Service(LOOKUP, teams=(EDITORS,), is_idempotent=True, timeout_ms=5_000),
+        Service(SEAT_HOLD, teams=(EDITORS,), timeout_ms=5_000, max_body_bytes=1_000),
+        Service(ServiceName("open"), open_team=EDITORS),
+        Service(ServiceName("closed"), teams=(TeamName("others"),)),
+    ),
+)
+
+Behaviour = Callable[[EndpointRequest, float], EndpointAnswer]
+
+
+def echo(request: EndpointRequest, _timeout_s: float) -> EndpointAnswer:
+    """Answer with the body that came."""
+    return EndpointAnswer(200, request.content_type, request.body)
+
+
+class FakeEndpoints:
+    """Endpoints that run a Python function, and record every request they ran."""
+
+    def __init__(self, behaviour: Behaviour = echo) -> None:
+        self.behaviour = behaviour
+        self.behaviours: dict[HostName, Behaviour] = {}
+        self.lock = threading.Lock()
+        self.runs: list[tuple[HostName, str]] = []
+        self.at_once: dict[HostName, int] = {}
+        self.most_at_once: dict[HostName, int] = {}
+
+    def connect(self, host: Host) -> "FakeConnection":
+        return FakeConnection(self, host)
+
+
+class FakeConnection:
+    def __init__(self, endpoints: FakeEndpoints, host: Host) -> None:
+        self.endpoints = endpoints
+        self.host = host
+
+    def call(self, request: EndpointRequest, timeout_s: float) -> EndpointAnswer:
+        endpoints, name = self.endpoints, self.host.name
+        with endpoints.lock:
+            endpoints.runs.append((name, request.body.decode("latin-1")))
+            endpoints.at_once[name] = endpoints.at_once.get(name, 0) + 1
+            most = max(endpoints.most_at_once.get(name, 0), endpoints.at_once[name])
+            endpoints.most_at_once[name] = most
+        try:
+            behaviour = endpoints.behaviours.get(name, endpoints.behaviour)
+            return behaviour(request, timeout_s)
+        finally:
+            with endpoints.lock:
+                endpoints.at_once[name] -= 1
+
+    def close(self) -> None:
+        pass
+
+
+class FakeHostList:
+    def __init__(self, hosts: Sequence[Host]) -> None:
+        self.hosts = tuple(hosts)
+
+    def read(self, timeout_s: float) -> tuple[Host, ...]:
+        return self.hosts
+
+
+def endpoint_host(
+    name: str,
+    service: ServiceName = LOOKUP,
+    slots: int = 8,
+    port: int = 1,
+    state: HostState = HostState.LIVE,
+) -> Host:
+    return Host(
+        HostName(name),
+        HostKind.ENDPOINT,
+        state,
+        "127.0.0.1",
+        port,
+        DataCentre("lima-1"),
+        Rack("r1"),
+        service=service,
+        slots=slots,
+        connections=64,
+    )
+
+
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+def make_settings(
+    member: str, peer_ports: dict[str, int] | None = None, **callers: int
+) -> Settings:
+    """Return settings of a member that knows its peers from the start."""
+    ports = peer_ports or {member: 0}
+    raw = {
+        "cell": "test",
+        "member": member,
+        "data_centre": "lima-1",
+        "address": "127.0.0.1",
+        "listeners": {
+            "callers": {"port": 0, "threads": 16, **callers},
+            "operators": {"port": 0},
+            "peers": {"port": ports[member]},
+        },
+        "store": {"addresses": ["127.0.0.1:1"]},
+        "host_list": {"address": "127.0.0.1:1", "poll_ms": 50},
+        "peers": {
+            "public_key": PUBLIC_KEY,
+            "secret_key": SECRET_KEY,
+            "initial": [
+                {"member": name, "address": "127.0.0.1", "port": port}
+                for name, port in ports.items()
+                if port
+            ],
+        },
+    }
+    return msgspec.convert(raw, Settings)
+
+
+@contextmanager
+def running_cell(
+    hosts: Sequence[Host],
+    endpoints: FakeEndpoints,
+    members: Sequence[str] = ("m1",),
+    configuration: Configuration = CONFIGURATION,
+    **callers: int,
+) -> Iterator[dict[str, Member]]:
+    """Run members that know each other, until the block ends."""
+    ports = {name: free_port() if len(members) > 1 else 0 for name in members}
+    cell: dict[str, Member] = {}
+    for name in members:
+        platform = Platform(FakeHostList(hosts), endpoints.connect)
+        settings = make_settings(name, ports, **callers)
+        cell[name] = Member(settings, platform)
+        cell[name].configuration.offer(configuration)
+    for member in cell.values():
+        member.start()
+    try:
+        wait_until(
+            lambda: all(knows_cell(member, len(cell)) for member in cell.values())
+        )
+        yield cell
+    finally:
+        for member in cell.values():
+            member.supervisor.close()
+            member.executor.shutdown(wait=False)
+
+
+def knows_cell(member: Member, size: int) -> bool:
+    """Tell whether a member has its hosts and has heard of every peer's load."""
+    if not member.directory.hosts:
+        return False
+    wanted = {
+        (peer, name)
+        for name in member.directory.owners
+        for peer in member.directory.owners[name]
+    }
+    return wanted <= set(member.loads.loads)
+
+
+def wait_until(condition: Callable[[], bool], timeout_s: float = 10.0) -> None:
+    """Wait for a condition; fail the test if it never holds."""
+    end = time.monotonic() + timeout_s
+    while not condition():
+        assert time.monotonic() < end, "the condition never held"
+        time.sleep(0.005)
+
+
+def call(
+    member: Member,
+    service: str = "lookup",
+    body: bytes = b"hello",
+    method: str = "POST",
+    path: str | None = None,
+    key: str | None = SECRET,
+    **headers: str,
+) -> tuple[int, dict[str, str], bytes]:
+    """Send one request to a member and return status, headers and body."""
+    connection = http.client.HTTPConnection(
+        "127.0.0.1", member.callers.port, timeout=20
+    )
+    sent = {name.replace("_", "-"): value for name, value in headers.items()}
+    if key is not None:
+        sent["Authorization"] = f"Bearer {key}"
+    try:
+        connection.request(method, path or f"/v1/services/{service}", body, sent)
+        response = connection.getresponse()
+        names = {name.lower(): value for name, value in response.getheaders()}
+        return response.status, names, response.read()
+    finally:
+        connection.close()
+
+
+def problem(answer: tuple[int, dict[str, str], bytes]) -> tuple[int, str, str]:
+    """Return status, type and outcome of an answer that must be a problem."""
+    status, headers, body = answer
+    assert headers["content-type"] == "application/problem+json"
+    members = json.loads(body)
+    assert members["status"] == status
+    kind = members["type"].removeprefix("urn:gooseberrydeck:problem:")
+    return status, kind, members["outcome"]
+
+
+def owned_by(member: str, members: Sequence[str], shards: int = 16) -> Iterator[str]:
+    """Yield names of hosts that ``member`` owns."""
+    from gooseberrydeck_daemon.views import StaticOwnership
+
+    names = [MemberId(name) for name in members]
+    view = StaticOwnership(MemberId(member), names, shards)
+    index = 0
+    while True:
+        name = HostName(f"e{index}")
+        shard = view.shard_of(name)
+        if shard is not None and view.owner_of(shard) == member:
+            yield name
+        index += 1
