--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/checks/structure.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/checks/structure.py
@@ -47,7 +47,7 @@
         hint = f"Write an object with the fields of {expected.__name__}."
         yield CheckMessage(path, WRONG_VALUE, "expected a JSON object", hint)
         return
-    hints = get_type_hints(expected)
+    hints = get_type_hints(expected, include_extras=True)
     fields = {field.encode_name: field for field in msgspec.structs.fields(expected)}
     for name in value:
         if name not in fields:
