Add versioned values that never go back

The configuration needs one number that every member agrees on, and publishers that cannot overwrite one another, without a consensus group. A publication that follows base gets the number base + 1 or none: so a lost answer is settled by reading that number back, and a repeat under the same id has no effect. The stored form gains number, publication id, author, comment and time around the content; the newest number also stands in a key of its own, so that members can confirm it every second at a few bytes. History is bounded to 256 entries.

--- /dev/null
+++ b/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/versioned/publisher.py
@@ -0,0 +1,172 @@
+"""Publishing the next version by comparing the head."""
+
+import time
+from collections.abc import Callable
+
+import msgspec
+
+from gooseberrydeck_coordination.clock import Clock
+from gooseberrydeck_coordination.exceptions import (
+    CoordinationError,
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+)
+from gooseberrydeck_coordination.store import (
+    Delete,
+    Entry,
+    Operation,
+    Put,
+    Store,
+    Transaction,
+    compare_absent,
+    compare_unchanged,
+)
+from gooseberrydeck_coordination.versioned.exceptions import (
+    PublicationConflictError,
+    PublicationIdReusedError,
+    PublicationNotMadeError,
+    PublicationOutcomeUnknownError,
+)
+from gooseberrydeck_coordination.versioned.holder import VersionedHolder
+from gooseberrydeck_coordination.versioned.records import (
+    NO_VERSION,
+    Publication,
+    VersionedKeys,
+    VersionedRecord,
+    VersionNumber,
+    decode_record,
+    encode_record,
+)
+
+__all__ = ["HISTORY_LENGTH", "Publisher"]
+
+HISTORY_LENGTH = 256
+RETRY_PAUSE_S = 0.1
+
+
+class CommitUnansweredError(CoordinationError):
+    """The commit of a publication was sent and not answered."""
+
+
+class Publisher:
+    """Publish versions so that racing authors cannot overwrite one another.
+
+    A publication that follows ``base`` gets the number ``base + 1`` or none at all.
+    So a lost answer is settled by reading that number back, and publishing again
+    under the same id has no further effect.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        keys: VersionedKeys,
+        clock: Clock,
+        call_timeout_s: float = 1.0,
+        pause: Callable[[float], None] = time.sleep,
+    ) -> None:
+        """Publish through ``store``; ``pause`` waits between tries."""
+        self.store = store
+        self.keys = keys
+        self.clock = clock
+        self.call_timeout_s = call_timeout_s
+        self.pause = pause
+
+    def publish(
+        self, publication: Publication, holder: VersionedHolder, timeout_s: float
+    ) -> VersionedRecord:
+        """Publish, or find that it has been done, and return the record.
+
+        ``holder`` guards against a store that was restored to an older head: the
+        next number is above what this member holds. Raise a ``PublicationError``.
+        """
+        deadline_s = self.clock.monotonic() + timeout_s
+        may_have_effect = False
+        while True:
+            try:
+                return self._attempt(publication, holder)
+            except CommitUnansweredError:
+                may_have_effect = True
+            except (StoreUnavailableError, StoreOutcomeUnknownError):
+                pass  # Whether a read was answered changes nothing.
+            if self.clock.monotonic() >= deadline_s:
+                break
+            self.pause(RETRY_PAUSE_S)
+        if may_have_effect:
+            raise PublicationOutcomeUnknownError(publication.id)
+        raise PublicationNotMadeError("the store is out of reach")
+
+    def _attempt(
+        self, publication: Publication, holder: VersionedHolder
+    ) -> VersionedRecord:
+        """Publish if the head still allows it; a lost race is read back at once."""
+        while True:
+            head = self.store.read(self.keys.head, self.call_timeout_s)
+            newest = decode_record(head.value) if head else None
+            earlier = self._find(publication, newest)
+            if earlier is not None:
+                return earlier
+            if newest is not None:
+                holder.offer(newest)
+            if holder.number != publication.base:
+                raise self._conflict(publication, holder)
+            record = VersionedRecord(
+                number=VersionNumber(publication.base + 1),
+                publication=publication.id,
+                content=msgspec.Raw(publication.content),
+                author=publication.author,
+                comment=publication.comment,
+                published_s=self.clock.wall(),
+            )
+            if self._commit(head, record):
+                return record
+
+    def _find(
+        self, publication: Publication, newest: VersionedRecord | None
+    ) -> VersionedRecord | None:
+        """Return the record of an earlier try, which can have one number only."""
+        if newest is None or newest.number <= publication.base:
+            return None
+        number = VersionNumber(publication.base + 1)
+        record = newest if newest.number == number else self.read_history(number)
+        if record is None and newest.number - number >= HISTORY_LENGTH:
+            raise PublicationOutcomeUnknownError(publication.id)
+        if record is None or record.publication != publication.id:
+            return None
+        if bytes(record.content) != publication.content:
+            raise PublicationIdReusedError(
+                f"publication {publication.id} has been made with another content"
+            )
+        return record
+
+    def _conflict(
+        self, publication: Publication, holder: VersionedHolder
+    ) -> PublicationConflictError:
+        """Return the error that tells what was published after the base."""
+        base_record = None
+        if publication.base != NO_VERSION:
+            base_record = self.read_history(publication.base)
+        return PublicationConflictError(publication.base, holder.record, base_record)
+
+    def read_history(self, number: VersionNumber) -> VersionedRecord | None:
+        """Return a published record, or None if it is not kept."""
+        entry = self.store.read(self.keys.history(number), self.call_timeout_s)
+        return decode_record(entry.value) if entry else None
+
+    def _commit(self, head: Entry | None, record: VersionedRecord) -> bool:
+        """Write head, number and history if the head is unchanged."""
+        keys = self.keys
+        value = encode_record(record)
+        operations: list[Operation] = [
+            Put(keys.head, value),
+            Put(keys.number, str(record.number).encode()),
+            Put(keys.history(record.number), value),
+        ]
+        if record.number > HISTORY_LENGTH:
+            oldest = VersionNumber(record.number - HISTORY_LENGTH)
+            operations.append(Delete(keys.history(oldest)))
+        compare = compare_unchanged(head) if head else compare_absent(keys.head)
+        transaction = Transaction((compare,), tuple(operations))
+        try:
+            return self.store.commit(transaction, self.call_timeout_s).succeeded
+        except StoreOutcomeUnknownError as error:
+            raise CommitUnansweredError("the commit was not answered") from error
