Count how requests end, and compute the burn of service objectives

Operators need to see how fast each service uses up its budget and who does it, after any host has been replaced. The messages of the operators' interface stand in the configuration package, since both the listener and the command line need them.

--- /dev/null
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/reports/__init__.py
@@ -0,0 +1,18 @@
+"""Counts of how requests end, and the reports made of them."""
+
+from gooseberrydeck_daemon.reports.accumulator import (
+    BurnAccumulator,
+    BurnSnapshot,
+    ServiceSnapshot,
+    merge_snapshots,
+)
+from gooseberrydeck_daemon.reports.burn import burn_rate, burn_report
+
+__all__ = [
+    "BurnAccumulator",
+    "BurnSnapshot",
+    "ServiceSnapshot",
+    "burn_rate",
+    "burn_report",
+    "merge_snapshots",
+]
--- /dev/null
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/reports/accumulator.py
@@ -0,0 +1,184 @@
+"""Counting how requests end, for the burn report."""
+
+import threading
+from typing import Any
+
+import msgspec
+from hdrh.histogram import HdrHistogram
+
+from gooseberrydeck_coordination.clock import Clock
+from gooseberrydeck_coordination.ids import ServiceName, TeamName
+from gooseberrydeck_daemon.reports.windows import Counts, Series
+
+__all__ = [
+    "BurnAccumulator",
+    "BurnSnapshot",
+    "ServiceSnapshot",
+    "WaitHistograms",
+    "merge_snapshots",
+]
+
+MAX_WAIT_MS = 600_000
+SIGNIFICANT_DIGITS = 2
+HISTOGRAM_PERIOD_S = 3_600
+NO_TEAM = "(open)"
+
+
+class WaitHistograms:
+    """Waiting times of the present and the last hour, in milliseconds."""
+
+    def __init__(self) -> None:
+        """Begin without any."""
+        self.by_hour: dict[int, Any] = {}
+
+    def record(self, wall_s: float, wait_ms: float) -> None:
+        """Count one waiting time."""
+        value = min(MAX_WAIT_MS, max(0, round(wait_ms)))
+        self.hour(int(wall_s // HISTOGRAM_PERIOD_S)).record_value(value)
+
+    def hour(self, index: int) -> Any:
+        """Return the histogram of an hour."""
+        histogram = self.by_hour.get(index)
+        if histogram is None:
+            histogram = HdrHistogram(1, MAX_WAIT_MS, SIGNIFICANT_DIGITS)
+            self.by_hour[index] = histogram
+        return histogram
+
+    def expire(self, wall_s: float) -> None:
+        """Forget all but the present and the last hour."""
+        present = int(wall_s // HISTOGRAM_PERIOD_S)
+        for index in [i for i in self.by_hour if not present - 1 <= i <= present]:
+            del self.by_hour[index]
+
+    def encode(self) -> dict[int, str]:
+        """Return the histograms in text."""
+        return {
+            index: histogram.encode().decode()
+            for index, histogram in self.by_hour.items()
+        }
+
+    def merge(self, encoded: dict[int, str]) -> None:
+        """Add encoded histograms to these."""
+        for index, text in encoded.items():
+            self.hour(index).add(HdrHistogram.decode(text))
+
+    def percentile_ms(self, percentile: float) -> int:
+        """Return a percentile over both hours, or 0 without any request."""
+        total = HdrHistogram(1, MAX_WAIT_MS, SIGNIFICANT_DIGITS)
+        for histogram in self.by_hour.values():
+            total.add(histogram)
+        return int(total.get_value_at_percentile(percentile))
+
+
+class ServiceSnapshot(msgspec.Struct):
+    """What has been counted of one service."""
+
+    series: Series = msgspec.field(default_factory=Series)
+    waits: dict[int, str] = msgspec.field(default_factory=dict)
+
+
+class BurnSnapshot(msgspec.Struct):
+    """What one member has counted, as it is kept in the store."""
+
+    taken_s: float
+    services: dict[str, ServiceSnapshot] = msgspec.field(default_factory=dict)
+
+
+class Pending(msgspec.Struct):
+    """Counts of one service since the last fold."""
+
+    counts: Counts = msgspec.field(default_factory=Counts)
+    bad_by_team: dict[str, Counts] = msgspec.field(default_factory=dict)
+
+
+class BurnAccumulator:
+    """Count requests of any thread; cheap to record, folded into buckets by time."""
+
+    def __init__(self, clock: Clock) -> None:
+        """Begin without counts."""
+        self.clock = clock
+        self.lock = threading.Lock()
+        self.pending: dict[str, Pending] = {}
+        self.series: dict[str, Series] = {}
+        self.waits: dict[str, WaitHistograms] = {}
+
+    def record(
+        self,
+        service: ServiceName,
+        team: TeamName | None,
+        wait_ms: float,
+        ended_well: bool,
+        objective_wait_ms: float,
+    ) -> None:
+        """Count one request; a failed one's wait is not counted."""
+        if not ended_well:
+            counts = Counts(failed=1)
+        elif wait_ms >= objective_wait_ms:
+            counts = Counts(late=1)
+        else:
+            counts = Counts(good=1)
+        with self.lock:
+            pending = self.pending.get(service)
+            if pending is None:
+                pending = self.pending[service] = Pending()
+            pending.counts.add(counts)
+            if counts.bad:
+                name = team or NO_TEAM
+                pending.bad_by_team.setdefault(name, Counts()).add(counts)
+            if ended_well:
+                waits = self.waits.setdefault(service, WaitHistograms())
+                waits.record(self.clock.wall(), wait_ms)
+
+    def fold(self) -> None:
+        """Move what was counted since the last fold into the buckets of now."""
+        wall_s = self.clock.wall()
+        with self.lock:
+            for service, pending in self.pending.items():
+                series = self.series.setdefault(service, Series())
+                series.add(wall_s, pending.counts, pending.bad_by_team)
+            self.pending.clear()
+            for service, series in list(self.series.items()):
+                series.expire(wall_s)
+                if series.is_empty:
+                    del self.series[service]
+            for service, waits in list(self.waits.items()):
+                waits.expire(wall_s)
+                if not waits.by_hour:
+                    del self.waits[service]
+
+    def snapshot(self) -> BurnSnapshot:
+        """Return a copy of everything that has been counted."""
+        self.fold()
+        with self.lock:
+            result = BurnSnapshot(self.clock.wall())
+            for service, series in self.series.items():
+                copy = ServiceSnapshot()
+                copy.series.merge(series)
+                if service in self.waits:
+                    copy.waits = self.waits[service].encode()
+                result.services[service] = copy
+            return result
+
+    def restore(self, snapshot: BurnSnapshot) -> None:
+        """Add what an earlier run of this member had counted."""
+        with self.lock:
+            for service, earlier in snapshot.services.items():
+                self.series.setdefault(service, Series()).merge(earlier.series)
+                waits = self.waits.setdefault(service, WaitHistograms())
+                waits.merge(earlier.waits)
+
+
+def merge_snapshots(snapshots: list[BurnSnapshot], wall_s: float) -> BurnSnapshot:
+    """Return the sum of the snapshots, without what is too old by ``wall_s``."""
+    result = BurnSnapshot(wall_s)
+    waits: dict[str, WaitHistograms] = {}
+    for snapshot in snapshots:
+        for service, counted in snapshot.services.items():
+            target = result.services.setdefault(service, ServiceSnapshot())
+            target.series.merge(counted.series)
+            waits.setdefault(service, WaitHistograms()).merge(counted.waits)
+    for service, target in result.services.items():
+        target.series.expire(wall_s)
+        waits[service].expire(wall_s)
+        target.waits = waits[service].encode()
+    return result
--- /dev/null
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/reports/burn.py
@@ -0,0 +1,94 @@
+"""Computing the burn report from merged counts."""
+
+from gooseberrydeck_configuration.api import (
+    BurnAnswer,
+    BurnPoint,
+    BurnWindow,
+    Culprit,
+    ServiceBurn,
+)
+from gooseberrydeck_configuration.objects import Configuration, Service
+from gooseberrydeck_daemon.reports.accumulator import (
+    BurnSnapshot,
+    ServiceSnapshot,
+    WaitHistograms,
+)
+from gooseberrydeck_daemon.reports.windows import Bucket, Counts, Level
+
+__all__ = ["burn_report", "burn_rate"]
+
+PERCENTILES = (50.0, 90.0, 99.0, 99.9)
+PLOTTED_LEVEL = Level.THREE_DAYS
+
+
+def burn_rate(counts: Counts, objective_share: float) -> float:
+    """Return the share of bad requests over the share that the objective allows."""
+    if not counts.total:
+        return 0.0
+    allowed = max(1e-9, 1.0 - objective_share)
+    return counts.bad / counts.total / allowed
+
+
+def burn_report(
+    snapshot: BurnSnapshot, configuration: Configuration, members: int, complete: bool
+) -> BurnAnswer:
+    """Return the report over the services of the configuration."""
+    services = tuple(
+        service_burn(service, snapshot.services.get(service.name, ServiceSnapshot()))
+        for service in configuration.services
+    )
+    return BurnAnswer(snapshot.taken_s, members, complete, services)
+
+
+def service_burn(service: Service, counted: ServiceSnapshot) -> ServiceBurn:
+    """Return how one service stands to its objective."""
+    share = service.objective_share
+    longest = counted.series.level(Level.THREE_DAYS).total()
+    waits = WaitHistograms()
+    waits.merge(counted.waits)
+    return ServiceBurn(
+        service=service.name,
+        objective_wait_ms=service.objective_wait_ms,
+        objective_share=share,
+        budget_left=1.0 - burn_rate(longest.counts, share),
+        windows=tuple(burn_window(counted, level, share) for level in Level),
+        culprits=culprits(longest),
+        points=burn_points(counted, share),
+        wait_ms={f"p{p:g}": waits.percentile_ms(p) for p in PERCENTILES},
+    )
+
+
+def burn_window(counted: ServiceSnapshot, level: Level, share: float) -> BurnWindow:
+    """Return the counts and the burn of one window."""
+    counts = counted.series.level(level).total().counts
+    return BurnWindow(
+        level.label,
+        level.window_s,
+        counts.good,
+        counts.late,
+        counts.failed,
+        burn_rate(counts, share),
+    )
+
+
+def culprits(longest: Bucket) -> tuple[Culprit, ...]:
+    """Return who used the budget up, the largest part first."""
+    bad = longest.counts.bad
+    found = [
+        Culprit(team, counts.late, counts.failed, counts.bad / bad)
+        for team, counts in longest.bad_by_team.items()
+    ]
+    return tuple(sorted(found, key=lambda culprit: (-culprit.share, culprit.team)))
+
+
+def burn_points(counted: ServiceSnapshot, share: float) -> tuple[BurnPoint, ...]:
+    """Return the burn bucket by bucket, for plots."""
+    buckets = counted.series.level(PLOTTED_LEVEL).buckets
+    return tuple(
+        BurnPoint(
+            float(index * PLOTTED_LEVEL.bucket_s),
+            bucket.counts.total,
+            burn_rate(bucket.counts, share),
+        )
+        for index, bucket in sorted(buckets.items())
+    )
