Let the secret of a new key never leave its maker

A grant that is repeated after a lost answer would have made a second secret, or lost the first. The one who asks for a key now makes it and sends the hash, so a grant is safe to repeat and the secret crosses no network. A follower only takes records out of the watch; the task that owns the holder judges them.

--- a/packages/gooseberrydeck-configuration/src/gooseberrydeck_configuration/__init__.py
+++ b/packages/gooseberrydeck-configuration/src/gooseberrydeck_configuration/__init__.py
@@ -30,6 +30,7 @@
     KeyTable,
     grant_key,
     hash_secret,
+    make_key,
     withdraw_key,
 )
 from gooseberrydeck_configuration.objects import (
@@ -75,6 +76,7 @@
     "has_errors",
     "hash_secret",
     "load_configuration",
+    "make_key",
     "run_checks",
     "withdraw_key",
 ]
--- a/packages/gooseberrydeck-configuration/src/gooseberrydeck_configuration/api/publications.py
+++ b/packages/gooseberrydeck-configuration/src/gooseberrydeck_configuration/api/publications.py
@@ -11,7 +11,6 @@
     "DifferenceAnswer",
     "HistoryAnswer",
     "KeyAnswer",
-    "KeyRequest",
     "KeysAnswer",
     "PublishedAnswer",
     "VersionAnswer",
@@ -78,19 +77,14 @@
     differences: tuple[Difference, ...] = ()
 
 
-class KeyRequest(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Ask for a new key of a team."""
-
-    team: str
-    id: str
-
-
 class KeyAnswer(msgspec.Struct, frozen=True):
-    """A granted or withdrawn key; ``secret`` is told this once."""
+    """A granted or withdrawn key, and the publication that made it so.
 
-    key: Key
+    Secrets are made by who asks for a key; only their hashes reach a member.
+    """
+
+    id: str
     published: PublishedAnswer
-    secret: str = ""
 
 
 class KeysAnswer(msgspec.Struct, frozen=True):
--- a/packages/gooseberrydeck-configuration/src/gooseberrydeck_configuration/keys.py
+++ b/packages/gooseberrydeck-configuration/src/gooseberrydeck_configuration/keys.py
@@ -25,6 +25,7 @@
     "KeyTable",
     "grant_key",
     "hash_secret",
+    "make_key",
     "withdraw_key",
 ]
 
@@ -48,16 +49,23 @@
     return hashlib.sha256(secret.encode("utf-8", "surrogateescape")).hexdigest()
 
 
-def grant_key(
-    configuration: Configuration, team: TeamName, id: KeyId
-) -> tuple[Configuration, GrantedKey]:
-    """Return the configuration with a new key of the team, and the key."""
-    if any(key.id == id for key in configuration.keys):
-        raise KeyAlreadyExistsError(f"there is a key {id!r} already")
+def make_key(team: TeamName, id: KeyId) -> GrantedKey:
+    """Return a new key; only its hash needs to leave this process."""
     secret = SECRET_PREFIX + secrets.token_urlsafe(SECRET_BYTES)
-    key = Key(id=id, team=team, sha256=hash_secret(secret))
-    changed = msgspec.structs.replace(configuration, keys=(*configuration.keys, key))
-    return changed, GrantedKey(key, secret)
+    return GrantedKey(Key(id=id, team=team, sha256=hash_secret(secret)), secret)
+
+
+def grant_key(configuration: Configuration, key: Key) -> Configuration:
+    """Return the configuration with a key; granting the same key twice is one grant.
+
+    Raise ``KeyAlreadyExistsError`` if the id stands for another key.
+    """
+    for known in configuration.keys:
+        if known == key:
+            return configuration
+        if known.id == key.id:
+            raise KeyAlreadyExistsError(f"there is another key {key.id!r} already")
+    return msgspec.structs.replace(configuration, keys=(*configuration.keys, key))
 
 
 def withdraw_key(configuration: Configuration, id: KeyId) -> Configuration:
--- a/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/versioned/holder.py
+++ b/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/versioned/holder.py
@@ -1,5 +1,6 @@
 """Holding the newest version that was seen, whatever the order of deliveries."""
 
+from collections.abc import Callable
 from enum import Enum
 
 import msgspec
@@ -72,48 +73,45 @@
 
 
 class Follower:
-    """Feed a holder from a store's watch, and tell where the watch starts.
+    """Take records out of a store's watch, and tell where the watch starts.
 
     ``start`` is None while the head has to be read before it can be watched: at
     first, and after the watch asked for a revision that has been compacted.
     """
 
-    def __init__(self, holder: VersionedHolder, head: str) -> None:
-        """Follow the key ``head``."""
-        self.holder = holder
+    def __init__(self, offer: Callable[[VersionedRecord], object], head: str) -> None:
+        """Give every record found at the key ``head`` to ``offer``."""
+        self.offer = offer
         self.head = head
         self.start: Revision | None = None
         self.undecodable = 0
 
-    def on_read(self, snapshot: Snapshot) -> Offer | None:
-        """Take in a read of the head; return what became of its record, if any."""
-        self.start = Revision(snapshot.revision + 1)
+    def on_read(self, snapshot: Snapshot) -> None:
+        """Take in a read of the head."""
         for entry in snapshot.entries:
             if entry.key == self.head:
-                return self._offer(entry.value)
-        return None
+                self.take(entry.value)
+        self.start = Revision(snapshot.revision + 1)
 
-    def on_batch(self, batch: WatchBatch) -> Offer | None:
-        """Take in a batch of the watch; return what became of its last record.
+    def on_batch(self, batch: WatchBatch) -> None:
+        """Take in a batch of the watch.
 
         A deleted head changes nothing: what was in force stays in force.
         """
-        result = None
         for event in batch.events:
             if event.kind is EventKind.PUT and event.entry.key == self.head:
-                result = self._offer(event.entry.value)
+                self.take(event.entry.value)
         self.start = Revision(batch.revision + 1)
-        return result
 
     def on_compacted(self) -> None:
         """Require a read before the next watch."""
         self.start = None
 
-    def _offer(self, value: bytes) -> Offer | None:
+    def take(self, value: bytes) -> None:
         """Offer a stored value; count it if it is no record."""
         try:
             record = decode_record(value)
         except msgspec.DecodeError:
             self.undecodable += 1
-            return None
-        return self.holder.offer(record)
+            return
+        self.offer(record)
--- a/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/versioned/publisher.py
+++ b/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/versioned/publisher.py
@@ -147,6 +147,19 @@
             base_record = self.read_history(publication.base)
         return PublicationConflictError(publication.base, holder.record, base_record)
 
+    def read_newest(self, holder: VersionedHolder) -> VersionedRecord | None:
+        """Return the newest record of the store and the holder, or None."""
+        head = self.store.read(self.keys.head, self.call_timeout_s)
+        if head is not None:
+            holder.offer(decode_record(head.value))
+        return holder.record
+
+    def list_history(self) -> tuple[VersionedRecord, ...]:
+        """Return the records that are kept, the newest first."""
+        prefix = self.keys.history_prefix
+        entries = self.store.read_prefix(prefix, self.call_timeout_s).entries
+        return tuple(decode_record(entry.value) for entry in reversed(entries))
+
     def read_history(self, number: VersionNumber) -> VersionedRecord | None:
         """Return a published record, or None if it is not kept."""
         entry = self.store.read(self.keys.history(number), self.call_timeout_s)
--- a/tests/configuration/test_keys.py
+++ b/tests/configuration/test_keys.py
@@ -15,6 +15,7 @@
     differences,
     grant_key,
     hash_secret,
+    make_key,
     withdraw_key,
 )
 from gooseberrydeck_coordination.ids import KeyId, TeamName
@@ -25,15 +26,18 @@
 
 class TestGrant:
     def test_only_the_hash_is_stored(self) -> None:
-        changed, granted = grant_key(Configuration(), RADIO, FIRST)
+        granted = make_key(RADIO, FIRST)
+        changed = grant_key(Configuration(), granted.key)
         assert changed.keys == (Key(FIRST, RADIO, hash_secret(granted.secret)),)
         assert granted.secret not in str(changed)
         assert len(granted.secret) > 40
 
     def test_id_is_granted_once(self) -> None:
-        changed, _ = grant_key(Configuration(), RADIO, FIRST)
+        granted = make_key(RADIO, FIRST)
+        changed = grant_key(Configuration(), granted.key)
+        assert grant_key(changed, granted.key) is changed
         with pytest.raises(KeyAlreadyExistsError):
-            grant_key(changed, RADIO, FIRST)
+            grant_key(changed, make_key(RADIO, FIRST).key)
 
     def test_withdrawing_an_unknown_key_is_an_error(self) -> None:
         with pytest.raises(KeyNotFoundError):
@@ -43,7 +47,8 @@
 class TestAuthenticator:
     def test_key_works_until_withdrawn(self) -> None:
         authenticator = Authenticator(lambda: True)
-        changed, granted = grant_key(Configuration(), RADIO, FIRST)
+        granted = make_key(RADIO, FIRST)
+        changed = grant_key(Configuration(), granted.key)
         authenticator.replace(changed)
         assert authenticator.authenticate(granted.secret).team == RADIO
         authenticator.replace(withdraw_key(changed, FIRST))
@@ -52,7 +57,8 @@
 
     def test_stale_member_judges_no_key(self) -> None:
         authenticator = Authenticator(lambda: False)
-        changed, granted = grant_key(Configuration(), RADIO, FIRST)
+        granted = make_key(RADIO, FIRST)
+        changed = grant_key(Configuration(), granted.key)
         authenticator.replace(changed)
         for secret in (granted.secret, "other"):
             with pytest.raises(ConfigurationStaleError):
--- a/tests/coordination/test_versioned.py
+++ b/tests/coordination/test_versioned.py
@@ -241,7 +241,8 @@
 
 class TestFollower:
     def test_compaction_asks_for_a_read(self, cell: Cell) -> None:
-        follower = Follower(VersionedHolder(), KEYS.head)
+        holder = VersionedHolder()
+        follower = Follower(holder.offer, KEYS.head)
         follow(cell.store(), follower)
         for number in range(3):
             cell.publish(f"p{number}", number)
@@ -249,15 +250,16 @@
         follow(cell.store(), follower)
         assert follower.start is None
         follow(cell.store(), follower)
-        assert follower.holder.number == 3
+        assert holder.number == 3
 
     def test_deleted_and_undecodable_heads_change_nothing(self, cell: Cell) -> None:
-        follower = Follower(VersionedHolder(), KEYS.head)
+        holder = VersionedHolder()
+        follower = Follower(holder.offer, KEYS.head)
         cell.publish("a", 0)
         follow(cell.store(), follower)
         cell.engine.transact([], [PutKey(KEYS.head.encode(), b"{}")])
         follow(cell.store(), follower)
-        assert (follower.holder.number, follower.undecodable) == (1, 1)
+        assert (holder.number, follower.undecodable) == (1, 1)
 
 
 def follow(store: EngineStore, follower: Follower) -> None:
@@ -283,9 +285,8 @@
     def start(self) -> None:
         self.cell = Cell()
         self.stores = [self.cell.store() for _ in range(MEMBERS)]
-        self.followers = [
-            Follower(VersionedHolder(), KEYS.head) for _ in range(MEMBERS)
-        ]
+        self.holders = [VersionedHolder() for _ in range(MEMBERS)]
+        self.followers = [Follower(each.offer, KEYS.head) for each in self.holders]
         self.floors = [NO_VERSION] * MEMBERS
         self.messages: list[bytes] = []
         self.unsettled: dict[str, Publication] = {}
@@ -295,7 +296,7 @@
 
     def publish(self, member: int, publication: Publication) -> None:
         publisher = self.cell.publisher(self.stores[member])
-        holder = self.followers[member].holder
+        holder = self.holders[member]
         try:
             record = publisher.publish(publication, holder, TIMEOUT_S)
         except PublicationOutcomeUnknownError:
@@ -312,7 +313,7 @@
     def publish_new(self, member: int, faults: list[StoreFault]) -> None:
         self.count += 1
         self.stores[member].next_faults.extend(faults)
-        base = self.followers[member].holder.number
+        base = self.holders[member].number
         content = str(self.count).encode()
         id = PublicationId(f"p{self.count}")
         self.publish(member, Publication(id, base, content))
@@ -341,7 +342,7 @@
 
     @rule(member=MEMBER)
     def send(self, member: int) -> None:
-        record = self.followers[member].holder.record
+        record = self.holders[member].record
         if record is not None:
             self.messages.append(encode_record(record))
 
@@ -349,19 +350,20 @@
     @rule(member=MEMBER, data=st.data())
     def deliver(self, member: int, data: st.DataObject) -> None:
         message = data.draw(st.sampled_from(self.messages))
-        self.followers[member].holder.offer(decode_record(message))
+        self.holders[member].offer(decode_record(message))
 
     @rule(member=MEMBER)
     def replace_member(self, member: int) -> None:
-        self.followers[member] = Follower(VersionedHolder(), KEYS.head)
+        self.holders[member] = VersionedHolder()
+        self.followers[member] = Follower(self.holders[member].offer, KEYS.head)
         self.floors[member] = NO_VERSION
 
     @invariant()
     def numbers_never_go_back(self) -> None:
-        for member, follower in enumerate(self.followers):
-            assert follower.holder.number >= self.floors[member]
-            assert follower.holder.conflict is None
-            self.floors[member] = follower.holder.number
+        for member, holder in enumerate(self.holders):
+            assert holder.number >= self.floors[member]
+            assert holder.conflict is None
+            self.floors[member] = holder.number
 
     @invariant()
     def an_accepted_publication_is_kept_under_its_number(self) -> None:
@@ -386,7 +388,8 @@
             store.next_faults.clear()
             follow(store, follower)
             follow(store, follower)
-            assert follower.holder.record == self.cell.head()
+        for holder in self.holders:
+            assert holder.record == self.cell.head()
 
 
 TestVersionedMachine = VersionedMachine.TestCase
