--- a/tests/coordination/test_slices.py
+++ b/tests/coordination/test_slices.py
@@ -30,7 +30,8 @@
 )
 from gooseberrydeck_coordination.slices.controller import MoveOutcome
 from gooseberrydeck_coordination.store import Put, Transaction
-from gooseberrydeck_standins.engine_store import EngineStore, StoreFault
+from gooseberrydeck_standins.engine_store import EngineStore
+from gooseberrydeck_standins.faults import CallFault
 from gooseberrydeck_standins.store_engine import StoreEngine
 
 TEAM = TeamName("redaccion")
@@ -41,7 +42,7 @@
 OWNERS = range(2)
 MOST_UNITS = 40
 LIMITS = st.sampled_from([0, 4, 10, MOST_UNITS])
-FAULTS = [StoreFault.DOWN, StoreFault.REQUEST_LOST, StoreFault.ANSWER_LOST]
+FAULTS = [CallFault.DOWN, CallFault.REQUEST_LOST, CallFault.ANSWER_LOST]
 
 
 def shard_key(shard: ShardId) -> str:
@@ -145,13 +146,13 @@
     @pytest.mark.parametrize(
         ("fault", "expected", "allowance"),
         [
-            (StoreFault.DOWN, MoveOutcome.STORE_OUT, 10),
-            (StoreFault.REQUEST_LOST, MoveOutcome.OUTDATED, 10),
-            (StoreFault.ANSWER_LOST, MoveOutcome.MOVED, 40),
+            (CallFault.DOWN, MoveOutcome.STORE_OUT, 10),
+            (CallFault.REQUEST_LOST, MoveOutcome.OUTDATED, 10),
+            (CallFault.ANSWER_LOST, MoveOutcome.MOVED, 40),
         ],
     )
     def test_fault_of_the_store(
-        self, fault: StoreFault, expected: MoveOutcome, allowance: int
+        self, fault: CallFault, expected: MoveOutcome, allowance: int
     ) -> None:
         donor, asker, claimed = self.two_owners()
         offers = self.offers(donor, asker)
@@ -315,7 +316,7 @@
         return any(now_s - at_s > FRESHNESS_S for _, at_s in unseen)
 
     @rule(number=st.sampled_from(OWNERS), fault=st.sampled_from([None, *FAULTS]))
-    def write_limits(self, number: int, fault: StoreFault | None) -> None:
+    def write_limits(self, number: int, fault: CallFault | None) -> None:
         if fault is not None:
             self.owners[number].store.next_faults.append(fault)
         self.owners[number].controller.write_limits()
@@ -350,7 +351,7 @@
                 self.offers.append(offer)
 
     @rule(recipient=st.sampled_from(SHARDS), fault=st.sampled_from([None, *FAULTS]))
-    def accept(self, recipient: ShardId, fault: StoreFault | None) -> None:
+    def accept(self, recipient: ShardId, fault: CallFault | None) -> None:
         offers = [offer for offer in self.offers if offer.recipient == recipient]
         if not offers:
             return
--- a/tests/coordination/test_versioned.py
+++ b/tests/coordination/test_versioned.py
@@ -34,7 +34,8 @@
     decode_record,
     encode_record,
 )
-from gooseberrydeck_standins.engine_store import EngineStore, StoreFault
+from gooseberrydeck_standins.engine_store import EngineStore
+from gooseberrydeck_standins.faults import CallFault
 from gooseberrydeck_standins.store_engine import PutKey, StoreEngine
 
 KEYS = VersionedKeys("/c/head", "/c/number", "/c/history/")
@@ -126,16 +127,16 @@
     @pytest.mark.parametrize(
         "faults",
         [
-            [StoreFault.NONE, StoreFault.ANSWER_LOST],
-            [StoreFault.NONE, StoreFault.REQUEST_LOST],
-            [StoreFault.NONE, StoreFault.DOWN],
-            [StoreFault.DOWN, StoreFault.REQUEST_LOST, StoreFault.ANSWER_LOST],
-            [StoreFault.NONE, StoreFault.ANSWER_LOST, StoreFault.DOWN],
-            [StoreFault.NONE, StoreFault.REQUEST_LOST] * 3,
+            [CallFault.NONE, CallFault.ANSWER_LOST],
+            [CallFault.NONE, CallFault.REQUEST_LOST],
+            [CallFault.NONE, CallFault.DOWN],
+            [CallFault.DOWN, CallFault.REQUEST_LOST, CallFault.ANSWER_LOST],
+            [CallFault.NONE, CallFault.ANSWER_LOST, CallFault.DOWN],
+            [CallFault.NONE, CallFault.REQUEST_LOST] * 3,
         ],
     )
     def test_fault_is_overcome_with_one_publication(
-        self, cell: Cell, faults: list[StoreFault]
+        self, cell: Cell, faults: list[CallFault]
     ) -> None:
         store = cell.store()
         store.next_faults.extend(faults)
@@ -145,16 +146,16 @@
     @pytest.mark.parametrize(
         ("faults", "later", "error"),
         [
-            ([], StoreFault.DOWN, PublicationNotMadeError),
-            ([], StoreFault.REQUEST_LOST, PublicationNotMadeError),
+            ([], CallFault.DOWN, PublicationNotMadeError),
+            ([], CallFault.REQUEST_LOST, PublicationNotMadeError),
             (
-                [StoreFault.NONE, StoreFault.ANSWER_LOST],
-                StoreFault.DOWN,
+                [CallFault.NONE, CallFault.ANSWER_LOST],
+                CallFault.DOWN,
                 PublicationOutcomeUnknownError,
             ),
             (
-                [StoreFault.NONE, StoreFault.REQUEST_LOST],
-                StoreFault.DOWN,
+                [CallFault.NONE, CallFault.REQUEST_LOST],
+                CallFault.DOWN,
                 PublicationOutcomeUnknownError,
             ),
         ],
@@ -162,8 +163,8 @@
     def test_lasting_fault_tells_whether_it_may_have_effect(
         self,
         cell: Cell,
-        faults: list[StoreFault],
-        later: StoreFault,
+        faults: list[CallFault],
+        later: CallFault,
         error: type[PublicationError],
     ) -> None:
         store = cell.store()
@@ -309,8 +310,8 @@
             self.unsettled.pop(publication.id, None)
             self.accepted[publication.id] = record
 
-    @rule(member=MEMBER, faults=st.lists(st.sampled_from(StoreFault), max_size=4))
-    def publish_new(self, member: int, faults: list[StoreFault]) -> None:
+    @rule(member=MEMBER, faults=st.lists(st.sampled_from(CallFault), max_size=4))
+    def publish_new(self, member: int, faults: list[CallFault]) -> None:
         self.count += 1
         self.stores[member].next_faults.extend(faults)
         base = self.holders[member].number
@@ -323,8 +324,8 @@
     def publish_again(self, member: int) -> None:
         self.publish(member, next(iter(self.unsettled.values())))
 
-    @rule(member=MEMBER, fault=st.sampled_from(StoreFault))
-    def break_store(self, member: int, fault: StoreFault) -> None:
+    @rule(member=MEMBER, fault=st.sampled_from(CallFault))
+    def break_store(self, member: int, fault: CallFault) -> None:
         self.stores[member].fault = fault
 
     @rule(member=MEMBER)
@@ -384,7 +385,7 @@
         if not hasattr(self, "cell") or not self.accepted:
             return
         for store, follower in zip(self.stores, self.followers, strict=True):
-            store.fault = StoreFault.NONE
+            store.fault = CallFault.NONE
             store.next_faults.clear()
             follow(store, follower)
             follow(store, follower)
