--- a/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/keys.py
+++ b/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/keys.py
@@ -65,3 +65,7 @@
     def report(self, member: MemberId, name: str) -> str:
         """Return the key of a member's report snapshot."""
         return f"{self.reports_prefix}{member}/{name}"
+
+    def commit_marker(self, member: MemberId) -> str:
+        """Return the key by which a member's group commits are settled."""
+        return f"{self.root}commits/{member}"
