Test the adapters and engines by one contract suite each

Found by it: a request whose headers cannot be written closed a good connection; a frozen call with a count was let go at once.

--- a/packages/gooseberrydeck-platform/src/gooseberrydeck_platform/http.py
+++ b/packages/gooseberrydeck-platform/src/gooseberrydeck_platform/http.py
@@ -210,8 +210,8 @@
     ) -> http.client.HTTPResponse:
         """Send a request and return its response, the body still unread."""
         deadline_s = time.monotonic() + max(timeout_s, MIN_TIMEOUT_S)
-        sock = self.connected(deadline_s)
         data = self.assemble(method, path, body, headers)
+        sock = self.connected(deadline_s)
         self.write(sock, data)
         try:
             return self.client.getresponse()
@@ -222,7 +222,8 @@
     def connected(self, deadline_s: float) -> DeadlineSocket:
         """Return a socket that is connected; a kept one only if it is idle."""
         if self.sock is not None and not self.sock.is_idle():
-            self.close()
+            self.sock.raw.close()
+            self.sock = None
         if self.sock is None:
             self.sock = self.connect(deadline_s)
         self.sock.deadline_s = deadline_s
@@ -238,6 +239,7 @@
             raw = socket.create_connection(target, min(left, CONNECT_TIMEOUT_S))
             raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         except OSError as error:
+            self.close()
             raise HttpNotSentError(self.describe(error)) from error
         return DeadlineSocket(raw)
 
@@ -254,7 +256,7 @@
                 self.client.putheader("Content-Length", str(len(body)))
             self.client.endheaders(body or None)
         except (ValueError, http.client.HTTPException) as error:
-            self.close()
+            self.client.close()
             raise HttpNotSentError(self.describe(error)) from error
         return b"".join(self.client.parts)
 
--- a/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/faults.py
+++ b/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/faults.py
@@ -62,6 +62,7 @@
         """Begin without faults."""
         self.settings = FaultSettings()
         self.calls_left = 0
+        self.turns = 0
         self.changed = threading.Condition()
 
     def set(
@@ -75,6 +76,7 @@
         with self.changed:
             self.settings = settings
             self.calls_left = settings.calls
+            self.turns += 1
             self.changed.notify_all()
 
     def clear(self) -> None:
@@ -88,9 +90,9 @@
         with self.changed:
             settings = self.take()
             if settings.slow_s:
-                self.wait_until_turned(settings, settings.slow_s)
+                self.wait_until_turned(settings.slow_s)
             if settings.kind is FaultKind.FROZEN:
-                self.wait_until_turned(settings, MAX_FROZEN_S)
+                self.wait_until_turned(MAX_FROZEN_S)
                 return FaultKind.NONE
             return settings.kind
 
@@ -103,6 +105,7 @@
                 self.settings = FaultSettings()
         return settings
 
-    def wait_until_turned(self, settings: FaultSettings, timeout_s: float) -> None:
+    def wait_until_turned(self, timeout_s: float) -> None:
         """Wait until the switches are turned or the time is over."""
-        self.changed.wait_for(lambda: self.settings is not settings, timeout_s)
+        turns = self.turns
+        self.changed.wait_for(lambda: self.turns != turns, timeout_s)
--- a/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/http_service.py
+++ b/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/http_service.py
@@ -125,6 +125,7 @@
     def stop(self) -> None:
         """Close the port and every connection."""
         self.stopped.set()
+        self.server.pull_trigger()
         self.thread.join()
         self.server.task_dispatcher.shutdown(cancel_pending=True, timeout=0)
         wasyncore.close_all(self.sockets, ignore_all=True)
--- /dev/null
+++ b/tests/platform/test_endpoint_contract.py
@@ -0,0 +1,150 @@
+"""Tests of endpoints over HTTP, with the faults that they show."""
+
+import threading
+
+import pytest
+
+from gooseberrydeck_coordination.ids import HostName, RequestId, ServiceName
+from gooseberrydeck_platform.endpoint_http import HttpEndpoint
+from gooseberrydeck_platform.endpoints import EndpointRequest
+from gooseberrydeck_platform.exceptions import (
+    EndpointRefusedError,
+    EndpointUnavailableError,
+    OutcomeUnknownError,
+    PlatformError,
+)
+from gooseberrydeck_standins.endpoint_engine import EndpointEngine
+from gooseberrydeck_standins.endpoint_server import EndpointServer
+from gooseberrydeck_standins.faults import FaultKind
+
+TIMEOUT_S = 10.0
+SHORT_S = 0.2
+LOOKUPS = ServiceName("lookups")
+
+
+def made(slots: int = 8, connections: int = 64) -> EndpointServer:
+    engine = EndpointEngine(HostName("endpoint-000"), slots, connections)
+    return EndpointServer(engine)
+
+
+def request(
+    name: str = "r1", body: bytes = b"claim", content_type: str = "text/plain"
+) -> EndpointRequest:
+    return EndpointRequest(RequestId(name), LOOKUPS, content_type, body)
+
+
+class TestAnswers:
+    def test_the_answer_is_whole(self) -> None:
+        body = bytes(range(256)) * 8_000
+        with made() as server:
+            endpoint = HttpEndpoint(server.described(LOOKUPS))
+            answer = endpoint.call(request(body=body), TIMEOUT_S)
+            assert answer.status == 200
+            assert answer.content_type == "text/plain"
+            assert answer.body == body
+
+    def test_the_endpoint_sees_request_and_service(self) -> None:
+        with made() as server:
+            endpoint = HttpEndpoint(server.described(LOOKUPS))
+            for name in ("r1", "r2"):
+                endpoint.call(request(name), TIMEOUT_S)
+            summary = server.engine.summary()
+            runs = [(run.request, run.service) for run in summary.runs]
+            assert runs == [("r1", "lookups"), ("r2", "lookups")]
+            assert summary.ran_twice() == []
+            assert summary.most_connections == 1
+
+    def test_a_status_of_the_endpoint_is_passed_on(self) -> None:
+        with made() as server:
+            endpoint = HttpEndpoint(server.described(LOOKUPS))
+            body = b'{"status": 404, "seat": 7}'
+            assert endpoint.call(request(body=body), TIMEOUT_S).status == 404
+
+    def test_a_503_without_the_header_was_run(self) -> None:
+        with made() as server:
+            endpoint = HttpEndpoint(server.described(LOOKUPS))
+            assert endpoint.call(request(body=b'{"status": 503}'), TIMEOUT_S)
+            assert len(server.engine.summary().runs) == 1
+
+    def test_slots_are_kept(self) -> None:
+        with made(slots=2) as server:
+            host = server.described(LOOKUPS)
+            body = b'{"service_ms": 20}'
+
+            def call(name: str) -> None:
+                HttpEndpoint(host).call(request(name, body), TIMEOUT_S)
+
+            threads = [
+                threading.Thread(target=call, args=(f"r{index}",)) for index in range(6)
+            ]
+            for thread in threads:
+                thread.start()
+            for thread in threads:
+                thread.join()
+            summary = server.engine.summary()
+            assert len(summary.runs) == 6
+            assert summary.most_running == 2
+
+    def test_a_connection_too_many_is_refused_as_not_run(self) -> None:
+        with made(connections=1) as server:
+            first = HttpEndpoint(server.described(LOOKUPS))
+            first.call(request(), TIMEOUT_S)
+            second = HttpEndpoint(server.described(LOOKUPS))
+            with pytest.raises(EndpointRefusedError):
+                second.call(request("r2"), TIMEOUT_S)
+            assert len(server.engine.summary().runs) == 1
+
+
+FAULTS = [
+    (FaultKind.DOWN, EndpointRefusedError, 0),
+    (FaultKind.REFUSE, EndpointRefusedError, 0),
+    (FaultKind.ANSWER_LOST, OutcomeUnknownError, 1),
+    (FaultKind.FROZEN, OutcomeUnknownError, 0),
+]
+
+
+class TestFaults:
+    @pytest.mark.parametrize(("kind", "error", "runs"), FAULTS)
+    def test_calls(
+        self, kind: FaultKind, error: type[PlatformError], runs: int
+    ) -> None:
+        with made() as server:
+            endpoint = HttpEndpoint(server.described(LOOKUPS))
+            endpoint.call(request("r0"), TIMEOUT_S)
+            server.faults.set(kind)
+            with pytest.raises(error):
+                endpoint.call(request(), SHORT_S)
+            assert len(server.engine.summary().runs) == 1 + runs
+            server.faults.clear()
+
+    def test_an_endpoint_that_fails_everything_answers_500(self) -> None:
+        with made() as server:
+            server.faults.set(FaultKind.FAIL_EVERYTHING)
+            endpoint = HttpEndpoint(server.described(LOOKUPS))
+            assert endpoint.call(request(), TIMEOUT_S).status == 500
+
+    def test_a_late_answer_never_reaches_the_next_request(self) -> None:
+        with made() as server:
+            endpoint = HttpEndpoint(server.described(LOOKUPS))
+            slow = request("r1", b'{"service_ms": 400}')
+            with pytest.raises(OutcomeUnknownError):
+                endpoint.call(slow, SHORT_S)
+            assert endpoint.call(request("r2", b"second"), TIMEOUT_S).body == b"second"
+
+    def test_a_stopped_endpoint_is_unavailable(self) -> None:
+        with made() as server:
+            host = server.described(LOOKUPS)
+            endpoint = HttpEndpoint(host)
+            endpoint.call(request(), TIMEOUT_S)
+        with pytest.raises(EndpointUnavailableError):
+            endpoint.call(request("r2"), TIMEOUT_S)
+
+    @pytest.mark.parametrize("content_type", ["a\r\nb", "\u20ac"])
+    def test_a_content_type_that_cannot_be_written_was_not_run(
+        self, content_type: str
+    ) -> None:
+        with made() as server:
+            endpoint = HttpEndpoint(server.described(LOOKUPS))
+            with pytest.raises(EndpointUnavailableError):
+                endpoint.call(request(content_type=content_type), TIMEOUT_S)
+            assert server.engine.summary().runs == ()
--- /dev/null
+++ b/tests/platform/test_etcd_wire.py
@@ -0,0 +1,145 @@
+"""Tests of the JSON against the forms that etcd has published for its gateway."""
+
+import json
+from typing import Any
+
+import msgspec
+import pytest
+
+from gooseberrydeck_coordination.clock import ManualClock
+from gooseberrydeck_coordination.exceptions import (
+    StoreError,
+    StoreLeaseLostError,
+    StoreOutcomeUnknownError,
+    StoreRequestRefusedError,
+    StoreUnavailableError,
+)
+from gooseberrydeck_coordination.ids import Revision, StoreLeaseId
+from gooseberrydeck_coordination.store import (
+    Compare,
+    CompareTarget,
+    Delete,
+    Put,
+    compare_absent,
+)
+from gooseberrydeck_platform.etcd import (
+    compare_body,
+    entry_of,
+    event_of,
+    operation_body,
+    raise_failure,
+)
+from gooseberrydeck_platform.etcd_messages import RangeAnswer, WatchAnswer
+from gooseberrydeck_platform.http import HttpConnection, HttpResponse
+from gooseberrydeck_standins.store_server import StoreServer
+
+RANGE = b"""{"header":{"cluster_id":"12585971608760269493",
+"member_id":"13847567121247652255","revision":"2","raft_term":"3"},
+"kvs":[{"key":"Zm9v","create_revision":"2","mod_revision":"2","version":"1",
+"value":"YmFy"}],"count":"1"}"""
+
+WATCH = b"""{"result":{"header":{"cluster_id":"12585971608760269493",
+"member_id":"13847567121247652255","revision":"2","raft_term":"2"},
+"events":[{"kv":{"key":"Zm9v","create_revision":"2","mod_revision":"2",
+"version":"1","value":"YmFy"}},
+{"type":"DELETE","kv":{"key":"Zm9v","mod_revision":"3"}}]}}"""
+
+
+class TestDecoding:
+    def test_a_range(self) -> None:
+        answer = msgspec.json.decode(RANGE, type=RangeAnswer)
+        entry = entry_of(answer.kvs[0])
+        assert (entry.key, entry.value, entry.mod_revision) == ("foo", b"bar", 2)
+
+    def test_a_watch(self) -> None:
+        result = msgspec.json.decode(WATCH, type=WatchAnswer).result
+        assert result is not None
+        events = [event_of(each) for each in result.events]
+        seen = [(each.kind.value, each.entry.mod_revision) for each in events]
+        assert seen == [("put", 2), ("delete", 3)]
+
+    @pytest.mark.parametrize(
+        ("status", "body", "error"),
+        [
+            (404, '{"code": 5, "message": "lease"}', StoreLeaseLostError),
+            (400, '{"code": 3, "message": "duplicate"}', StoreRequestRefusedError),
+            (429, '{"code": 8, "message": "space"}', StoreUnavailableError),
+            (
+                503,
+                '{"code": 14, "message": "etcdserver: no leader"}',
+                StoreUnavailableError,
+            ),
+            (
+                503,
+                '{"code": 14, "message": "etcdserver: request timed out"}',
+                StoreOutcomeUnknownError,
+            ),
+            (504, '{"code": 4, "message": "deadline"}', StoreOutcomeUnknownError),
+            (500, '{"code": 2, "message": "unknown"}', StoreOutcomeUnknownError),
+            (502, "<html>", StoreOutcomeUnknownError),
+        ],
+    )
+    def test_failures(self, status: int, body: str, error: type[StoreError]) -> None:
+        with pytest.raises(error):
+            raise_failure(HttpResponse(status, {}, body.encode()))
+
+
+class TestEncoding:
+    @pytest.mark.parametrize(
+        ("given", "expected"),
+        [
+            (
+                compare_body(Compare("foo", CompareTarget.MOD_REVISION, Revision(2))),
+                {"key": "Zm9v", "target": "MOD", "mod_revision": "2"},
+            ),
+            (
+                compare_body(compare_absent("foo")),
+                {"key": "Zm9v", "target": "MOD", "mod_revision": "0"},
+            ),
+            (
+                compare_body(Compare("foo", CompareTarget.VALUE, b"bar")),
+                {"key": "Zm9v", "target": "VALUE", "value": "YmFy"},
+            ),
+            (
+                operation_body(Put("foo", b"bar", StoreLeaseId(7_587_848_390))),
+                {
+                    "request_put": {
+                        "key": "Zm9v",
+                        "value": "YmFy",
+                        "lease": "7587848390",
+                    }
+                },
+            ),
+            (
+                operation_body(Delete("foo", is_prefix=True)),
+                {"request_delete_range": {"key": "Zm9v", "range_end": "Zm9w"}},
+            ),
+        ],
+    )
+    def test_parts_of_transactions(
+        self, given: msgspec.Struct, expected: dict[str, Any]
+    ) -> None:
+        assert json.loads(msgspec.json.encode(given)) == expected
+
+
+class TestStandin:
+    def test_it_takes_and_gives_the_published_forms(self) -> None:
+        with StoreServer(ManualClock(), threads=2) as server:
+            connection = HttpConnection(server.address)
+
+            def call(path: str, body: str) -> Any:
+                return json.loads(connection.request("POST", path, body.encode()).body)
+
+            put = call("/v3/kv/put", '{"key": "Zm9v", "value": "YmFy"}')
+            assert put["header"]["revision"] == "2"
+            told = call("/v3/kv/range", '{"key": "Zm9v"}')
+            assert told["kvs"] == json.loads(RANGE)["kvs"]
+            granted = call("/v3/lease/grant", '{"TTL": "5"}')
+            assert granted["TTL"] == "5"
+            kept = call("/v3/lease/keepalive", json.dumps({"ID": granted["ID"]}))
+            assert kept["result"] == {"ID": granted["ID"], "TTL": "5"}
+            gone = call("/v3/lease/keepalive", '{"ID": "99"}')
+            assert "TTL" not in gone["result"]
+            calls = json.loads(connection.request("GET", "/calls").body)
+            assert calls["kv/range"] == 1
+            connection.close()
