--- a/packages/gooseberrydeck-platform/src/gooseberrydeck_platform/etcd.py
+++ b/packages/gooseberrydeck-platform/src/gooseberrydeck_platform/etcd.py
@@ -47,6 +47,7 @@
     WatchCall,
     WatchCreate,
     WatchResult,
+    prefix_end,
 )
 from gooseberrydeck_platform.http import (
     HttpAddress,
@@ -232,14 +233,6 @@
     return result
 
 
-def prefix_end(prefix: bytes) -> bytes:
-    """Return the end of the range of keys that begin with ``prefix``."""
-    for index in range(len(prefix) - 1, -1, -1):
-        if prefix[index] < 0xFF:
-            return prefix[:index] + bytes([prefix[index] + 1])
-    return b"\x00"
-
-
 def entry_of(answer: KeyAnswer) -> Entry:
     """Return a key of an answer as an entry."""
     return Entry(
--- a/packages/gooseberrydeck-platform/src/gooseberrydeck_platform/etcd_messages.py
+++ b/packages/gooseberrydeck-platform/src/gooseberrydeck_platform/etcd_messages.py
@@ -30,6 +30,7 @@
     "EventAnswer",
     "FailureAnswer",
     "StreamFailure",
+    "prefix_end",
 ]
 
 Int64 = int | str
@@ -203,3 +204,11 @@
 
     code: int = 0
     message: str = ""
+
+
+def prefix_end(prefix: bytes) -> bytes:
+    """Return the end of the range of keys that begin with ``prefix``."""
+    for index in range(len(prefix) - 1, -1, -1):
+        if prefix[index] < 0xFF:
+            return prefix[:index] + bytes([prefix[index] + 1])
+    return b"\x00"
