Tell every member the use and the room of all shards

Cause: a shard's owner orders teams by their share of the whole cell, and a member that accepts a job has to choose a shard with room; both need what only other members know. Ruled out: keeping usage in the store, which would cost a write for each start; sending every change at once, which at 30 members exceeds 5 KB/s.

--- /dev/null
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/usage/__init__.py
@@ -0,0 +1,18 @@
+"""What every member knows of the use and the room of all shards."""
+
+from gooseberrydeck_daemon.usage.messages import (
+    ShardUsage,
+    UsageSummary,
+    pack_resources,
+)
+from gooseberrydeck_daemon.usage.table import CellUsage, UsageTable
+from gooseberrydeck_daemon.usage.task import UsageTask
+
+__all__ = [
+    "CellUsage",
+    "ShardUsage",
+    "UsageSummary",
+    "UsageTable",
+    "UsageTask",
+    "pack_resources",
+]
--- /dev/null
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/usage/table.py
@@ -0,0 +1,98 @@
+"""The newest summary of each shard, and what follows from all of them."""
+
+import random
+import threading
+from collections.abc import Collection, Iterable
+
+import msgspec
+
+from gooseberrydeck_coordination.ids import ShardId, TeamName
+from gooseberrydeck_coordination.resources import NOTHING, Resources
+from gooseberrydeck_daemon.peers import Inbound
+from gooseberrydeck_daemon.usage.messages import ShardUsage, UsageSummary
+
+__all__ = ["CellUsage", "UsageTable"]
+
+CHOICES = 2
+
+
+class CellUsage(msgspec.Struct, frozen=True):
+    """Capacity, and use by team, summed over some shards."""
+
+    capacity: Resources
+    teams: dict[TeamName, Resources]
+
+
+class UsageTable:
+    """Keep the newest summary of each shard; several threads may use it.
+
+    A dead owner's summary stays until a successor's comes, since its tasks run on.
+    """
+
+    def __init__(self, rng: random.Random) -> None:
+        """Begin without summaries; ``rng`` breaks ties between shards."""
+        self.rng = rng
+        self.shards: dict[ShardId, ShardUsage] = {}
+        self.lock = threading.Lock()
+
+    def receive(self, inbound: Inbound) -> None:
+        """Take in a peer's summary."""
+        summary: UsageSummary = inbound.message
+        self.observe(summary.shards)
+
+    def observe(self, usages: Iterable[ShardUsage]) -> None:
+        """Take in summaries; one that is not newer than the known one is dropped."""
+        with self.lock:
+            for usage in usages:
+                known = self.shards.get(usage.shard)
+                if known is None or known.version < usage.version:
+                    self.shards[usage.shard] = usage
+
+    def elsewhere(self, own: Collection[ShardId]) -> CellUsage:
+        """Return the capacity and the use of all shards but ``own``."""
+        with self.lock:
+            others = [usage for usage in self.shards.values() if usage.shard not in own]
+        capacity = sum((usage.capacity.unpack() for usage in others), NOTHING)
+        teams: dict[TeamName, Resources] = {}
+        for usage in others:
+            for team, used in usage.teams.items():
+                teams[team] = teams.get(team, NOTHING) + used.unpack()
+        return CellUsage(capacity, teams)
+
+    def choose_shard(
+        self, task: Resources, tasks: int, excluded: Collection[ShardId] = ()
+    ) -> ShardId | None:
+        """Return a shard for a job, the better of two that could hold its tasks.
+
+        It is None if no summary shows a shard with any worker that is large enough.
+        """
+        with self.lock:
+            fitting = [
+                usage
+                for usage in self.shards.values()
+                if usage.shard not in excluded and task.fits_in(usage.capacity.unpack())
+            ]
+            if not fitting:
+                return None
+            drawn = self.rng.sample(fitting, min(CHOICES, len(fitting)))
+        best = max(drawn, key=lambda usage: room_rank(usage, task, tasks))
+        return best.shard
+
+
+def room_rank(usage: ShardUsage, task: Resources, tasks: int) -> tuple[bool, float]:
+    """Return how well a shard can hold a job; larger is better.
+
+    A shard that can start the job at once comes before one that can't; then the one
+    with less waiting for its size.
+    """
+    free = usage.free.unpack()
+    wanted = Resources(
+        task.cpu_millis * tasks, task.memory_mib * tasks, task.accelerators * tasks
+    )
+    starts_at_once = (
+        not usage.waiting
+        and task.fits_in(usage.largest_hole.unpack())
+        and wanted.fits_in(free)
+    )
+    size = max(1, usage.capacity.cpu_millis)
+    return (starts_at_once, (free.cpu_millis / size) - usage.waiting * 1000 / size)
