Keep the newest configuration in force on every member

A member has to follow the published configuration from the store, and from its peers while the store is out, and has to know when it cannot tell what is newest. One thread watches the head, one confirms the newest number every second in a key of a few bytes, which also catches a stuck watch; the task alone holds the state. A peer that is asked to await a number answers once it holds it, so a publisher learns who has it with one message a member; a member that hears of a number and gets no content from its watch fetches it from who told. Red without the mechanism: judging freshness (TestWithdrawnKey, four tests), counting a read only if it shows nothing newer (test_store_that_shows_a_newer_number_confirms_nothing), fetching from peers (test_new_member_without_the_store_takes_it_from_a_peer and others).

--- /dev/null
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/controllers/configuration/reader.py
@@ -0,0 +1,133 @@
+"""The threads that read the configuration from the store."""
+
+import threading
+from collections.abc import Callable
+
+from gooseberrydeck_coordination.clock import Clock
+from gooseberrydeck_coordination.exceptions import StoreCompactedError, StoreError
+from gooseberrydeck_coordination.store import Store
+from gooseberrydeck_coordination.versioned import (
+    Follower,
+    VersionedKeys,
+    VersionedRecord,
+    VersionNumber,
+    decode_record,
+)
+from gooseberrydeck_daemon.controllers.configuration.messages import (
+    ConfigurationMessage,
+    NumberRead,
+    RecordFound,
+)
+from gooseberrydeck_daemon.metrics import Metrics
+
+__all__ = ["ConfigurationConfirmation", "ConfigurationWatch"]
+
+CALL_TIMEOUT_S = 1.0
+WATCH_SILENCE_S = 10.0
+RETRY_PAUSE_S = 0.25
+CONFIRM_PERIOD_S = 1.0
+
+Post = Callable[[ConfigurationMessage], bool]
+
+
+class ConfigurationWatch:
+    """Watch the head and post every record; read again after any failure."""
+
+    def __init__(
+        self, store: Store, keys: VersionedKeys, post: Post, metrics: Metrics
+    ) -> None:
+        """Post what is found by ``post``."""
+        self.name = "configuration watch"
+        self.store = store
+        self.post = post
+        self.metrics = metrics
+        self.follower = Follower(self.offer, keys.head)
+        self.stopping = threading.Event()
+
+    def offer(self, record: VersionedRecord) -> None:
+        """Post a record; if there is no room, read again later."""
+        if not self.post(RecordFound(record)):
+            self.metrics.count("configuration.watch.dropped")
+            self.follower.on_compacted()
+
+    def run(self) -> None:
+        """Follow the head until stopped."""
+        while not self.stopping.is_set():
+            try:
+                self.follow()
+            except StoreCompactedError:
+                self.metrics.count("configuration.watch.compacted")
+                self.follower.on_compacted()
+            except StoreError:
+                self.metrics.count("configuration.watch.failed")
+                self.stopping.wait(RETRY_PAUSE_S)
+
+    def follow(self) -> None:
+        """Read the head if that is due, then watch until the stream ends."""
+        if self.follower.start is None:
+            snapshot = self.store.read_prefix(self.follower.head, CALL_TIMEOUT_S)
+            self.follower.on_read(snapshot)
+            return
+        start = self.follower.start
+        for batch in self.store.watch(self.follower.head, start, WATCH_SILENCE_S):
+            self.follower.on_batch(batch)
+            if self.stopping.is_set():
+                return
+        self.stopping.wait(RETRY_PAUSE_S)
+
+    def stop(self) -> None:
+        """Ask the thread to end after the batch at hand."""
+        self.stopping.set()
+
+
+class ConfigurationConfirmation:
+    """Confirm every second that the newest number is held; read the head if not.
+
+    The number stands in a key of its own, so that this costs a few bytes. It also
+    catches a watch that is stuck.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        keys: VersionedKeys,
+        clock: Clock,
+        post: Post,
+        held: Callable[[], VersionNumber],
+        metrics: Metrics,
+    ) -> None:
+        """Compare the store's number with what ``held`` returns."""
+        self.name = "configuration confirmation"
+        self.store = store
+        self.keys = keys
+        self.clock = clock
+        self.post = post
+        self.held = held
+        self.metrics = metrics
+        self.stopping = threading.Event()
+
+    def run(self) -> None:
+        """Confirm until stopped."""
+        while not self.stopping.is_set():
+            try:
+                self.confirm()
+            except StoreError:
+                self.metrics.count("configuration.confirm.failed")
+            except ValueError:
+                self.metrics.count("configuration.confirm.undecodable")
+            self.stopping.wait(CONFIRM_PERIOD_S)
+
+    def confirm(self) -> None:
+        """Read the number, and the head if it is newer than what is held."""
+        sent_s = self.clock.monotonic()
+        entry = self.store.read(self.keys.number, CALL_TIMEOUT_S)
+        number = VersionNumber(int(entry.value)) if entry else VersionNumber(0)
+        if number > self.held():
+            head = self.store.read(self.keys.head, CALL_TIMEOUT_S)
+            if head is not None:
+                self.post(RecordFound(decode_record(head.value)))
+        self.post(NumberRead(number, sent_s))
+
+    def stop(self) -> None:
+        """Ask the thread to end."""
+        self.stopping.set()
--- /dev/null
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/controllers/configuration/task.py
@@ -0,0 +1,248 @@
+"""The task that holds the newest configuration of this member."""
+
+import random
+from concurrent.futures import Future
+from typing import Any, Protocol
+
+import msgspec
+import structlog
+
+from gooseberrydeck_configuration.objects import Configuration
+from gooseberrydeck_coordination.authority import NEVER_S
+from gooseberrydeck_coordination.clock import Clock
+from gooseberrydeck_coordination.ids import ConfigurationNumber, MemberId
+from gooseberrydeck_coordination.versioned import (
+    Offer,
+    VersionedHolder,
+    VersionedRecord,
+    VersionNumber,
+    decode_record,
+    encode_record,
+)
+from gooseberrydeck_daemon.controllers.configuration.freshness import FreshnessRule
+from gooseberrydeck_daemon.controllers.configuration.messages import (
+    AwaitConfiguration,
+    ConfigurationContent,
+    ConfigurationHeld,
+    ConfigurationMessage,
+    FetchConfiguration,
+    FetchFailed,
+    NumberRead,
+    PeerAwaits,
+    RecordFound,
+)
+from gooseberrydeck_daemon.metrics import Metrics
+from gooseberrydeck_daemon.peers import Inbound, Peers
+from gooseberrydeck_daemon.tasks import Task
+from gooseberrydeck_daemon.views import MembershipView
+
+__all__ = ["ConfigurationSink", "ConfigurationTask", "decode_configuration_record"]
+
+FETCH_TIMEOUT_S = 1.0
+FETCH_PERIOD_S = 0.3
+MAX_WAITING_PEERS = 256
+WAITING_LIMIT_S = 10.0
+
+log = structlog.get_logger(__name__)
+
+
+class ConfigurationSink(Protocol):
+    """Take each newer configuration, as the rest of the member sees it."""
+
+    def offer(self, configuration: Configuration) -> bool:
+        """Take a newer configuration; return False for one that is not newer."""
+
+
+class Waiting(msgspec.Struct, frozen=True):
+    """A peer that waits, and until when."""
+
+    peer: PeerAwaits
+    until_s: float
+
+
+def decode_configuration_record(record: VersionedRecord) -> Configuration:
+    """Return the record's configuration under its number.
+
+    Raise ``msgspec.DecodeError`` if this version of the program cannot read it.
+    """
+    content = msgspec.json.decode(record.content, type=Configuration)
+    return msgspec.structs.replace(content, number=ConfigurationNumber(record.number))
+
+
+class ConfigurationTask(Task[ConfigurationMessage]):
+    """Hold the newest configuration, from the store or from peers.
+
+    ``record``, ``number`` and ``is_fresh`` may be used from any thread.
+    """
+
+    def __init__(
+        self,
+        sink: ConfigurationSink,
+        rule: FreshnessRule,
+        peers: Peers,
+        membership: MembershipView,
+        clock: Clock,
+        metrics: Metrics,
+        rng: random.Random | None = None,
+    ) -> None:
+        """Begin without a configuration."""
+        super().__init__("configuration")
+        self.sink = sink
+        self.rule = rule
+        self.peers = peers
+        self.membership = membership
+        self.clock = clock
+        self.metrics = metrics
+        self.rng = rng or random.Random()
+        self.holder = VersionedHolder()
+        self.confirmed_s = NEVER_S
+        self.fresh_until_s = NEVER_S
+        self.was_fresh = False
+        self.waiting: list[Waiting] = []
+        self.teller: MemberId | None = None
+        self.fetch_due_s = NEVER_S
+        self.fetching_until_s = NEVER_S
+
+    # Called from any thread.
+
+    @property
+    def record(self) -> VersionedRecord | None:
+        """Return the record that is held."""
+        return self.holder.record
+
+    @property
+    def number(self) -> VersionNumber:
+        """Return the number that is held."""
+        return self.holder.number
+
+    def is_fresh(self) -> bool:
+        """Tell whether the configuration may be relied on to be the newest."""
+        return self.clock.monotonic() < self.fresh_until_s
+
+    def receive_await(self, inbound: Inbound) -> None:
+        """Take in ``AwaitConfiguration``, in the network task."""
+        message: AwaitConfiguration = inbound.message
+        number = VersionNumber(message.number)
+        if self.number >= number:
+            inbound.answer(ConfigurationHeld(self.number))
+        elif not self.post(PeerAwaits(inbound.sender, number, inbound.answer)):
+            self.metrics.count("configuration.awaits.dropped")
+
+    def receive_fetch(self, inbound: Inbound) -> None:
+        """Answer ``FetchConfiguration``, in the network task."""
+        record = self.record
+        content = encode_record(record) if record else b""
+        inbound.answer(ConfigurationContent(content))
+
+    # Called in the task only.
+
+    def handle(self, message: ConfigurationMessage) -> None:
+        """Act on one message."""
+        match message:
+            case RecordFound(record):
+                self.take_record(record)
+            case NumberRead(number, sent_s):
+                self.take_number(number, sent_s)
+            case PeerAwaits():
+                self.take_waiting(message)
+            case FetchFailed():
+                self.fetching_until_s = NEVER_S
+        self.tick()
+
+    def tick(self) -> None:
+        """Fetch from a peer if that is due, and judge freshness."""
+        now_s = self.clock.monotonic()
+        self.waiting = [item for item in self.waiting if item.until_s > now_s]
+        due_s = max(self.fetch_due_s, self.fetching_until_s)
+        if self.needs_peer() and now_s >= due_s:
+            self.fetch_due_s = now_s + FETCH_PERIOD_S
+            self.fetch()
+        self.judge_freshness(now_s)
+
+    def take_record(self, record: VersionedRecord) -> None:
+        """Hold a record if it is newer, and tell who waits for it."""
+        self.fetching_until_s = NEVER_S
+        try:
+            configuration = decode_configuration_record(record)
+        except msgspec.DecodeError:
+            # The number is known to exist, so that this member counts as behind.
+            self.holder.hear(record.number)
+            self.metrics.count("configuration.undecodable")
+            return
+        result = self.holder.offer(record)
+        self.metrics.count(f"configuration.offers.{result.value}")
+        if result is Offer.CONFLICT:
+            log.error("two configurations have one number", number=record.number)
+        if result is not Offer.NEWER:
+            return
+        self.sink.offer(configuration)
+        self.metrics.gauge("configuration.number", record.number)
+        log.info("configuration in force", number=record.number, author=record.author)
+        self.answer_waiting()
+
+    def take_number(self, number: VersionNumber, sent_s: float) -> None:
+        """Take in the store's newest number; contact counts if it is held."""
+        self.holder.hear(number)
+        if number <= self.holder.number:
+            self.confirmed_s = max(self.confirmed_s, sent_s)
+
+    def take_waiting(self, peer: PeerAwaits) -> None:
+        """Answer a peer, now or once its number is held."""
+        if self.holder.number < peer.number:
+            self.teller = peer.sender
+            self.holder.hear(peer.number)
+            if len(self.waiting) < MAX_WAITING_PEERS:
+                until_s = self.clock.monotonic() + WAITING_LIMIT_S
+                self.waiting.append(Waiting(peer, until_s))
+            # The watch gets a moment's time to bring the content.
+            self.fetch_due_s = self.clock.monotonic() + FETCH_PERIOD_S
+        else:
+            peer.answer(ConfigurationHeld(self.holder.number))
+
+    def answer_waiting(self) -> None:
+        """Answer the peers whose number is held now."""
+        number = self.holder.number
+        due = [item for item in self.waiting if item.peer.number <= number]
+        self.waiting = [item for item in self.waiting if item.peer.number > number]
+        for item in due:
+            item.peer.answer(ConfigurationHeld(number))
+
+    def needs_peer(self) -> bool:
+        """Tell whether a peer may have what this member lacks."""
+        return self.holder.is_behind or self.holder.record is None
+
+    def fetch(self) -> None:
+        """Ask the member that told of a newer number, or any other."""
+        names = [peer.member for peer in self.membership.peers()]
+        member = self.teller if self.teller in names else None
+        self.teller = None
+        if member is None and names:
+            member = self.rng.choice(names)
+        if member is None:
+            return
+        # An answer that found the inbox full must not stop later fetches.
+        self.fetching_until_s = self.clock.monotonic() + 2 * FETCH_TIMEOUT_S
+        future = self.peers.ask(member, FetchConfiguration(), FETCH_TIMEOUT_S)
+        future.add_done_callback(self.note_fetched)
+
+    def note_fetched(self, future: Future[Any]) -> None:
+        """Post what a peer answered, in whatever thread it came."""
+        content = None if future.exception() else future.result()
+        message: ConfigurationMessage = FetchFailed()
+        if isinstance(content, ConfigurationContent) and content.record:
+            try:
+                message = RecordFound(decode_record(content.record))
+            except msgspec.DecodeError:
+                self.metrics.count("configuration.undecodable")
+        self.post(message)
+
+    def judge_freshness(self, now_s: float) -> None:
+        """Work out until when the configuration counts as fresh."""
+        number = ConfigurationNumber(self.holder.number)
+        self.fresh_until_s = self.rule.configuration_deadline_s(
+            number, self.confirmed_s
+        )
+        is_fresh = now_s < self.fresh_until_s
+        if is_fresh is not self.was_fresh:
+            self.was_fresh = is_fresh
+            log.info("configuration freshness changed", is_fresh=is_fresh)
--- /dev/null
+++ b/tests/daemon/test_configuration_task.py
@@ -0,0 +1,340 @@
+from collections import deque
+from concurrent.futures import Future
+from typing import Any
+
+import msgspec
+import pytest
+
+from gooseberrydeck_configuration import (
+    Authenticator,
+    Configuration,
+    ConfigurationStaleError,
+    Key,
+    KeyUnknownError,
+    hash_secret,
+)
+from gooseberrydeck_coordination.attestation import (
+    AttestationAnswer,
+    AttestationRequest,
+    Attestor,
+)
+from gooseberrydeck_coordination.authority import Authority, PeerContact
+from gooseberrydeck_coordination.clock import ManualClock
+from gooseberrydeck_coordination.ids import (
+    ConfigurationNumber,
+    KeyId,
+    MemberId,
+    TeamName,
+)
+from gooseberrydeck_coordination.roster import RosterRecord, Seat
+from gooseberrydeck_coordination.timing import Timing
+from gooseberrydeck_coordination.versioned import (
+    PublicationId,
+    VersionedKeys,
+    VersionedRecord,
+    VersionNumber,
+    encode_record,
+)
+from gooseberrydeck_daemon.controllers.configuration import (
+    AwaitConfiguration,
+    ConfigurationConfirmation,
+    ConfigurationContent,
+    ConfigurationHeld,
+    ConfigurationMessage,
+    ConfigurationTask,
+    ConfigurationWatch,
+    FetchConfiguration,
+    NumberRead,
+    RecordFound,
+)
+from gooseberrydeck_daemon.metrics import CounterMetrics
+from gooseberrydeck_daemon.peers import Inbound, PeerMessage, PeerSilentError
+from gooseberrydeck_daemon.settings import PeerAddress
+from gooseberrydeck_daemon.views import ConfigurationHolder, StaticMembership
+from gooseberrydeck_standins.engine_store import EngineStore
+from gooseberrydeck_standins.store_engine import PutKey, StoreEngine
+
+NAMES = [MemberId(name) for name in ("m1", "m2", "m3")]
+SEATS = [Seat(name, "1") for name in NAMES]
+SECRET = "demo-radio"
+KEY = Key(KeyId("radio-1"), TeamName("radio"), hash_secret(SECRET))
+GRANTED = Configuration(keys=(KEY,))
+WITHDRAWN = Configuration()
+TIMING = Timing()
+KEYS = VersionedKeys("/c/head", "/c/number", "/c/history/")
+
+
+def make_record(number: int, content: Configuration = GRANTED) -> VersionedRecord:
+    return VersionedRecord(
+        VersionNumber(number),
+        PublicationId(f"p{number}"),
+        msgspec.Raw(msgspec.json.encode(content)),
+    )
+
+
+class FakePeers:
+    """Carry messages between tasks at once; members can be cut off."""
+
+    def __init__(self) -> None:
+        self.tasks: dict[MemberId, ConfigurationTask] = {}
+        self.cut: set[MemberId] = set()
+
+    def send(self, member: MemberId, message: PeerMessage) -> bool:
+        return True
+
+    def ask(
+        self, member: MemberId, message: PeerMessage, timeout_s: float
+    ) -> Future[Any]:
+        future: Future[Any] = Future()
+        if member in self.cut:
+            future.set_exception(PeerSilentError(member))
+            return future
+        inbound = Inbound(MemberId("m1"), message, future.set_result)
+        if isinstance(message, FetchConfiguration):
+            self.tasks[member].receive_fetch(inbound)
+        else:
+            self.tasks[member].receive_await(inbound)
+        return future
+
+
+class FakeMember:
+    """A configuration task with its authority, driven by hand."""
+
+    def __init__(self, name: MemberId, clock: ManualClock, peers: FakePeers) -> None:
+        self.seat = Seat(name, "1")
+        self.clock = clock
+        self.attestor = Attestor(self.seat)
+        self.attestor.observe_store(RosterRecord(1, tuple(SEATS)), {})
+        self.authority = Authority(self.attestor, clock, TIMING)
+        self.authority.note_read(clock.monotonic())
+        self.view = ConfigurationHolder()
+        addresses = [PeerAddress(each, "127.0.0.1", 1) for each in NAMES]
+        self.task = ConfigurationTask(
+            self.view,
+            self.authority,
+            peers,
+            StaticMembership(addresses, name),
+            clock,
+            CounterMetrics(),
+        )
+        self.authenticator = Authenticator(self.task.is_fresh)
+        peers.tasks[name] = self.task
+
+    def deliver(self, *messages: ConfigurationMessage) -> None:
+        for message in messages:
+            self.task.handle(message)
+        self.settle()
+
+    def settle(self) -> None:
+        """Handle what waits, then judge as the task does between messages."""
+        while not self.task.inbox.empty():
+            self.task.run_once(0)
+        self.attestor.observe_configuration(self.view.current.number)
+        self.task.tick()
+        self.authenticator.replace(self.view.current)
+
+    def confirm(self, number: int) -> None:
+        self.deliver(NumberRead(VersionNumber(number), self.clock.monotonic()))
+
+    def hear(self, peer: "FakeMember") -> None:
+        """Exchange an attestation with a peer."""
+        request = AttestationRequest(self.seat, 1, 1, ())
+        answer: AttestationAnswer = peer.attestor.answer(request)
+        self.authority.note_peer(PeerContact(self.clock.monotonic(), (), answer))
+
+    def knows_key(self) -> bool:
+        """Tell whether work is taken with the key; raise if it cannot tell."""
+        try:
+            return self.authenticator.authenticate(SECRET) == KEY
+        except KeyUnknownError:
+            return False
+
+
+class Cell:
+    def __init__(self) -> None:
+        self.clock = ManualClock()
+        self.peers = FakePeers()
+        self.members = [FakeMember(name, self.clock, self.peers) for name in NAMES]
+        for member in self.members:
+            member.deliver(RecordFound(make_record(1)))
+            member.confirm(1)
+
+    def run(self, seconds: float, with_store: set[int], linked: set[int]) -> None:
+        """Let time pass with contacts every second, as far as there are any."""
+        for _ in range(int(seconds)):
+            self.clock.advance(1)
+            for index, member in enumerate(self.members):
+                if index in with_store:
+                    member.confirm(member.task.number)
+            for index in linked:
+                for other in linked - {index}:
+                    self.members[index].hear(self.members[other])
+            for member in self.members:
+                member.settle()
+
+
+@pytest.fixture
+def cell() -> Cell:
+    return Cell()
+
+
+class TestWithdrawnKey:
+    def test_key_works_everywhere_at_first(self, cell: Cell) -> None:
+        assert [member.knows_key() for member in cell.members] == [True] * 3
+
+    @pytest.mark.parametrize("linked", [{0, 1}, {0, 1, 2}])
+    def test_member_cut_off_from_the_store_stops_within_the_session_time(
+        self, cell: Cell, linked: set[int]
+    ) -> None:
+        """m3 has no store; m1 and m2 hold the withdrawal and m3 hears of them only."""
+        for member in cell.members[:2]:
+            member.deliver(RecordFound(make_record(2, WITHDRAWN)))
+        cell.peers.cut = set(NAMES)
+        cell.run(TIMING.session_ttl_s, with_store={0, 1}, linked=linked)
+        with pytest.raises(ConfigurationStaleError):
+            cell.members[2].knows_key()
+        assert not cell.members[0].knows_key()
+
+    def test_member_that_hears_of_it_fetches_it_from_the_teller(
+        self, cell: Cell
+    ) -> None:
+        teller, other = cell.members[0], cell.members[2]
+        teller.deliver(RecordFound(make_record(2, WITHDRAWN)))
+        held = cell.peers.ask(NAMES[2], AwaitConfiguration(2), 1)
+        other.settle()
+        assert not held.done()
+        cell.clock.advance(0.5)
+        other.settle()
+        other.settle()
+        assert held.result() == ConfigurationHeld(2)
+        assert not other.knows_key()
+
+    def test_whole_cell_goes_on_without_the_store(self, cell: Cell) -> None:
+        cell.run(60, with_store=set(), linked={0, 1, 2})
+        assert [member.knows_key() for member in cell.members] == [True] * 3
+
+    def test_minority_without_the_store_refuses(self, cell: Cell) -> None:
+        cell.run(TIMING.session_ttl_s, with_store=set(), linked={0, 1})
+        assert cell.members[0].knows_key()
+        with pytest.raises(ConfigurationStaleError):
+            cell.members[2].knows_key()
+
+    def test_paused_member_refuses_until_it_has_contact(self, cell: Cell) -> None:
+        member = cell.members[0]
+        cell.clock.advance(60)
+        with pytest.raises(ConfigurationStaleError):
+            member.knows_key()
+        member.confirm(1)
+        assert member.knows_key()
+
+    def test_store_that_shows_a_newer_number_confirms_nothing(self, cell: Cell) -> None:
+        cell.clock.advance(TIMING.session_ttl_s)
+        cell.peers.cut = set(NAMES)
+        cell.members[0].confirm(2)
+        with pytest.raises(ConfigurationStaleError):
+            cell.members[0].knows_key()
+
+
+class TestContent:
+    def test_new_member_without_the_store_takes_it_from_a_peer(
+        self, cell: Cell
+    ) -> None:
+        newcomer = FakeMember(NAMES[2], cell.clock, cell.peers)
+        cell.members[0].deliver(RecordFound(make_record(1)))
+        for _ in range(4):
+            cell.clock.advance(0.5)
+            newcomer.settle()
+        assert newcomer.view.current.number == 1
+        assert newcomer.view.current.keys == (KEY,)
+
+    def test_content_that_is_not_known_leaves_the_member_behind(
+        self, cell: Cell
+    ) -> None:
+        member = cell.members[0]
+        record = make_record(2)
+        strange = msgspec.structs.replace(record, content=msgspec.Raw(b'{"x": 1}'))
+        member.deliver(RecordFound(strange))
+        assert member.view.current.number == 1
+        assert member.task.holder.is_behind
+        cell.clock.advance(TIMING.session_ttl_s)
+        member.confirm(2)
+        assert not member.task.is_fresh()
+
+    @pytest.mark.parametrize(
+        "content",
+        [b"", b"{", b"null", encode_record(make_record(3))[:-2], b"\xff" * 100],
+    )
+    def test_peer_that_answers_nonsense_changes_nothing(
+        self, cell: Cell, content: bytes
+    ) -> None:
+        member = cell.members[0]
+        future: Future[Any] = Future()
+        future.set_result(ConfigurationContent(content))
+        member.task.note_fetched(future)
+        member.settle()
+        assert member.view.current.number == 1
+
+    def test_silent_peer_is_asked_again(self, cell: Cell) -> None:
+        cell.peers.cut = set(NAMES)
+        member = cell.members[2]
+        cell.members[0].deliver(RecordFound(make_record(2, WITHDRAWN)))
+        cell.members[1].deliver(RecordFound(make_record(2, WITHDRAWN)))
+        member.confirm(2)
+        cell.peers.cut = set()
+        for _ in range(4):
+            cell.clock.advance(0.5)
+            member.settle()
+        assert member.view.current.number == ConfigurationNumber(2)
+
+
+class TestReaders:
+    def test_watch_survives_compaction(self) -> None:
+        engine = StoreEngine(ManualClock())
+        store = EngineStore(engine, waits=False)
+        found: deque[ConfigurationMessage] = deque()
+
+        def post(message: ConfigurationMessage) -> bool:
+            found.append(message)
+            return True
+
+        metrics = CounterMetrics()
+        watch = ConfigurationWatch(store, KEYS, post, metrics)
+        watch.follow()
+        for number in (1, 2):
+            value = encode_record(make_record(number))
+            engine.transact([], [PutKey(KEYS.head.encode(), value)])
+        engine.compact(engine.revision)
+        engine.transact([], [PutKey(KEYS.head.encode(), value)])
+
+        def post_and_stop(message: ConfigurationMessage) -> bool:
+            watch.stop()
+            return post(message)
+
+        watch.post = post_and_stop
+        watch.run()
+        assert found[-1] == RecordFound(make_record(2))
+        assert metrics.snapshot()["configuration.watch.compacted"] == 1
+
+    def test_confirmation_reads_the_head_that_a_stuck_watch_missed(self) -> None:
+        clock = ManualClock()
+        engine = StoreEngine(clock)
+        store = EngineStore(engine, waits=False)
+        value = encode_record(make_record(1))
+        engine.transact(
+            [],
+            [PutKey(KEYS.head.encode(), value), PutKey(KEYS.number.encode(), b"1")],
+        )
+        found: list[ConfigurationMessage] = []
+
+        def post(message: ConfigurationMessage) -> bool:
+            found.append(message)
+            return True
+
+        confirmation = ConfigurationConfirmation(
+            store, KEYS, clock, post, lambda: VersionNumber(0), CounterMetrics()
+        )
+        confirmation.confirm()
+        assert found == [
+            RecordFound(make_record(1)),
+            NumberRead(VersionNumber(1), clock.monotonic()),
+        ]
