--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/composition.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/composition.py
@@ -24,7 +24,7 @@
 from gooseberrydeck_daemon.dispatch.slots import EndpointFactory
 from gooseberrydeck_daemon.http import (
     Application,
-    CallersServer,
+    HttpServer,
     Router,
     build_chain,
 )
@@ -132,7 +132,7 @@
         self.registry.register(LoadSummary, self.loads.receive)
         return dispatcher
 
-    def build_callers(self) -> CallersServer:
+    def build_callers(self) -> HttpServer:
         """Build the filter chain and bind the callers' listener."""
         listener = self.settings.listeners.callers
         chain = build_chain(
@@ -144,7 +144,7 @@
         )
         self.admit = chain.admit
         application = Application(chain.get_response, self.health, self.metrics)
-        return CallersServer(application, self.settings.address, listener)
+        return HttpServer("callers", application, self.settings.address, listener)
 
     def build_tasks(self, platform: Platform) -> list[Runnable]:
         """Return the tasks in the order in which they start."""
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/http/__init__.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/http/__init__.py
@@ -5,11 +5,11 @@
 from gooseberrydeck_daemon.http.requests import Request
 from gooseberrydeck_daemon.http.responses import Response
 from gooseberrydeck_daemon.http.router import Route, Router
-from gooseberrydeck_daemon.http.server import CallersServer
+from gooseberrydeck_daemon.http.server import HttpServer
 
 __all__ = [
     "Application",
-    "CallersServer",
+    "HttpServer",
     "ProblemError",
     "ProblemType",
     "Request",
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/http/server.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/http/server.py
@@ -1,18 +1,17 @@
-"""The callers' listener, by waitress."""
+"""The listeners of callers and of operators, by waitress."""
 
 import threading
-from typing import Any
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any, Protocol
 
 from waitress.channel import HTTPChannel
 from waitress.server import TcpWSGIServer, create_server
 from waitress.task import ErrorTask
 
-from gooseberrydeck_daemon.http.application import Application
 from gooseberrydeck_daemon.http.problems import ProblemError, ProblemType
 from gooseberrydeck_daemon.http.responses import status_line
-from gooseberrydeck_daemon.settings import CallersListener
 
-__all__ = ["CallersServer"]
+__all__ = ["HttpServer", "ListenerBounds", "WsgiApplication"]
 
 MAX_HEADER_BYTES = 65_536
 CHANNEL_TIMEOUT_S = 60
@@ -43,19 +42,48 @@
 
 
 class ProblemChannel(HTTPChannel):  # type: ignore[misc]
-    """A caller's connection whose failures are problem details."""
+    """A client's connection whose failures are problem details."""
 
     error_task_class = ProblemTask
 
 
-class CallersServer:
-    """Run waitress's loop as a task; it owns the callers' connections."""
+WsgiApplication = Callable[
+    [Mapping[str, Any], Callable[[str, list[tuple[str, str]]], Any]], Iterable[bytes]
+]
+
+
+class ListenerBounds(Protocol):
+    """The port of a listener and the bounds of what it takes in at once."""
+
+    @property
+    def port(self) -> int:
+        """Return the port, or 0 to let the system choose one."""
+
+    @property
+    def threads(self) -> int:
+        """Return how many requests are served at once."""
+
+    @property
+    def max_connections(self) -> int:
+        """Return how many connections are open at once."""
+
+    @property
+    def max_body_bytes(self) -> int:
+        """Return the size of the largest body."""
+
+
+class HttpServer:
+    """Run waitress's loop as a task; it owns its clients' connections."""
 
     def __init__(
-        self, application: Application, address: str, listener: CallersListener
+        self,
+        name: str,
+        application: WsgiApplication,
+        address: str,
+        listener: ListenerBounds,
     ) -> None:
-        """Bind the port; ``port`` is then the one that callers connect to."""
-        self.name = "callers"
+        """Bind the port; ``port`` is then the one that clients connect to."""
+        self.name = name
         self.map: dict[int, Any] = {}
         self.server: TcpWSGIServer = create_server(
             application,
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/settings.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/settings.py
@@ -15,6 +15,8 @@
     "Listeners",
     "LogFormat",
     "LogSettings",
+    "OperatorKey",
+    "OperatorsListener",
     "PeerSettings",
     "PeerAddress",
     "Settings",
@@ -46,11 +48,28 @@
     max_body_bytes: Count = 8_388_608
 
 
+class OperatorKey(Strict, frozen=True):
+    """A key of an operator; only the SHA-256 of the secret is kept."""
+
+    id: Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9._@-]{1,63}$")]
+    sha256: Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{64}$")]
+
+
+class OperatorsListener(Strict, frozen=True):
+    """The operators' port, its bounds and the keys that it takes."""
+
+    port: Port
+    threads: Annotated[int, msgspec.Meta(ge=2, le=64)] = 4
+    max_connections: Count = 64
+    max_body_bytes: Count = 4_194_304
+    keys: tuple[OperatorKey, ...] = ()
+
+
 class Listeners(Strict, frozen=True):
     """The three listeners of a member."""
 
     callers: CallersListener
-    operators: Listener
+    operators: OperatorsListener
     peers: Listener
 
 
--- a/tests/daemon/test_configuration_task.py
+++ b/tests/daemon/test_configuration_task.py
@@ -206,7 +206,7 @@
         cell.clock.advance(0.5)
         other.settle()
         other.settle()
-        assert held.result() == ConfigurationHeld(2)
+        assert held.result(timeout=0) == ConfigurationHeld(2)
         assert not other.knows_key()
 
     def test_whole_cell_goes_on_without_the_store(self, cell: Cell) -> None:
