Wire the operators' listener, reports and the authentication of callers

A member with a store now follows the configuration, serves its operators, and judges callers' keys by the newest configuration only while it is fresh; else it answers configuration-stale, not_run. The keys stand in the same immutable tables as the services: a first version replaced them in a separate step, where two threads could have left an older key table behind a newer configuration. Requests now carry when they were placed, also over a hop, so that the burn report counts the wait and not the run time.

--- a/packages/gooseberrydeck-configuration/src/gooseberrydeck_configuration/keys.py
+++ b/packages/gooseberrydeck-configuration/src/gooseberrydeck_configuration/keys.py
@@ -103,17 +103,15 @@
 
     A key is judged only while ``is_fresh`` holds: a member that cannot tell whether
     its configuration is the newest refuses keyed work, since the key may have been
-    withdrawn. Replacing the table is one assignment, so any thread may ask.
+    withdrawn. Any thread may ask.
     """
 
-    def __init__(self, is_fresh: Callable[[], bool]) -> None:
-        """Begin with no keys."""
+    def __init__(
+        self, is_fresh: Callable[[], bool], table: Callable[[], KeyTable]
+    ) -> None:
+        """Judge by what ``table`` returns, the keys of the newest configuration."""
         self.is_fresh = is_fresh
-        self.table = KeyTable(Configuration())
-
-    def replace(self, configuration: Configuration) -> None:
-        """Judge by a newer configuration from now on."""
-        self.table = KeyTable(configuration)
+        self.table = table
 
     def authenticate(self, secret: str | None) -> Key:
         """Return the key of a secret, or raise an ``AuthenticationError``.
@@ -127,4 +125,4 @@
             raise ConfigurationStaleError(
                 "this member cannot tell whether its configuration is the newest"
             )
-        return self.table.find(secret)
+        return self.table().find(secret)
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/composition.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/composition.py
@@ -7,6 +7,9 @@
 import structlog
 
 from gooseberrydeck_coordination.clock import SystemClock
+from gooseberrydeck_coordination.store import Store
+from gooseberrydeck_coordination.timing import Timing
+from gooseberrydeck_daemon.controllers.configuration import StoreFreshness
 from gooseberrydeck_daemon.dispatch import Dispatcher
 from gooseberrydeck_daemon.dispatch.directory import (
     EndpointDirectory,
@@ -29,11 +32,14 @@
     build_chain,
 )
 from gooseberrydeck_daemon.http.access import AccessIndex
+from gooseberrydeck_daemon.http.filters import GetResponse
 from gooseberrydeck_daemon.http.health import Health
 from gooseberrydeck_daemon.http.services import ServiceHandler
 from gooseberrydeck_daemon.metrics import CounterMetrics, StatsdTask
+from gooseberrydeck_daemon.operators import OperatorsSide
 from gooseberrydeck_daemon.peers import MessageRegistry, PeerNetwork
 from gooseberrydeck_daemon.peers.security import CurveKeys
+from gooseberrydeck_daemon.reports.recorder import BurnFilter
 from gooseberrydeck_daemon.settings import Settings
 from gooseberrydeck_daemon.tasks import Runnable, Supervisor
 from gooseberrydeck_daemon.views import (
@@ -42,6 +48,7 @@
     StaticOwnership,
 )
 from gooseberrydeck_platform.endpoint_http import HttpEndpoint
+from gooseberrydeck_platform.etcd import EtcdStore
 from gooseberrydeck_platform.host_list_http import HttpHostList
 from gooseberrydeck_platform.hosts import HostList
 from gooseberrydeck_platform.http import HttpAddress
@@ -60,9 +67,15 @@
 class Platform:
     """The adapters to the platform that a member works through."""
 
-    def __init__(self, hosts: HostList, connect: EndpointFactory) -> None:
-        """Use ``hosts``, and ``connect`` for connections to endpoints."""
+    def __init__(
+        self, hosts: HostList, connect: EndpointFactory, store: Store | None = None
+    ) -> None:
+        """Use ``hosts``, and ``connect`` for connections to endpoints.
+
+        Without a store, the member follows no operators.
+        """
         self.hosts = hosts
+        self.store = store
         self.connect = connect
 
 
@@ -95,7 +108,8 @@
         )
         self.dispatcher = self.build_dispatcher()
         self.router = Router()
-        self.access = AccessIndex(self.configuration)
+        self.operators = self.build_operators(platform)
+        self.access = AccessIndex(self.configuration, self.is_configuration_fresh)
         self.router.add(ServiceHandler(self.access, self.dispatcher).route())
         self.callers = self.build_callers()
         self.tasks = self.build_tasks(platform)
@@ -132,6 +146,27 @@
         self.registry.register(LoadSummary, self.loads.receive)
         return dispatcher
 
+    def build_operators(self, platform: Platform) -> OperatorsSide | None:
+        """Build what follows operators, if there is a store to follow."""
+        if platform.store is None:
+            return None
+        return OperatorsSide(
+            self.settings,
+            platform.store,
+            self.configuration,
+            StoreFreshness(Timing()),
+            self.network,
+            self.registry,
+            self.membership,
+            lambda: self.directory.hosts,
+            SystemClock(),
+            self.metrics,
+        )
+
+    def is_configuration_fresh(self) -> bool:
+        """Tell whether keys may be judged by the configuration."""
+        return self.operators is None or self.operators.configuration.is_fresh()
+
     def build_callers(self) -> HttpServer:
         """Build the filter chain and bind the callers' listener."""
         listener = self.settings.listeners.callers
@@ -143,7 +178,11 @@
             listener.threads - listener.refusing_threads,
         )
         self.admit = chain.admit
-        application = Application(chain.get_response, self.health, self.metrics)
+        get_response: GetResponse = chain.get_response
+        if self.operators is not None:
+            burn = self.operators.burn
+            get_response = BurnFilter(get_response, self.access, burn)
+        application = Application(get_response, self.health, self.metrics)
         return HttpServer("callers", application, self.settings.address, listener)
 
     def build_tasks(self, platform: Platform) -> list[Runnable]:
@@ -157,6 +196,8 @@
                 self.directory.loads, self.network, self.membership, SystemClock()
             ),
         ]
+        if self.operators is not None:
+            tasks.extend(self.operators.tasks())
         if self.settings.statsd is not None:
             statsd = self.settings.statsd
             tasks.append(
@@ -196,4 +237,5 @@
 def compose(settings: Settings) -> Member:
     """Build a member over the platform that its settings name."""
     host_list = HttpHostList([HttpAddress.parse(settings.host_list.address)])
-    return Member(settings, Platform(host_list, HttpEndpoint))
+    store = EtcdStore([HttpAddress.parse(item) for item in settings.store.addresses])
+    return Member(settings, Platform(host_list, HttpEndpoint, store))
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/dispatch/dispatcher.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/dispatch/dispatcher.py
@@ -152,8 +152,12 @@
         )
         self.loads.note_sent(peer, request.service)
         self.metrics.count("dispatch.forwards")
+        asked_s = time.monotonic()
         future = self.peers.ask(peer, message, left_s)
-        return self.take_answer(peer, request, self.wait_for(future, peer, left_s))
+        reply = self.wait_for(future, peer, left_s)
+        answer = self.take_answer(peer, request, reply)
+        request.placed_s = asked_s + reply.waited_ms / 1000
+        return answer
 
     def wait_for(self, future: Future[Any], peer: MemberId, left_s: float) -> Any:
         """Return a peer's reply, or raise the typed failure."""
@@ -200,23 +204,29 @@
             time.monotonic() + message.timeout_ms / 1000,
             is_retry=message.is_retry,
         )
+        received_s = time.monotonic()
         ticket: Ticket = pool.submit(request)
 
         def answer(future: Future[EndpointAnswer]) -> None:
-            inbound.answer(reply_message(message, future, pool.load()))
+            placed_s = request.placed_s or received_s
+            waited_ms = (placed_s - received_s) * 1000
+            inbound.answer(reply_message(message, future, pool.load(), waited_ms))
 
         ticket.future.add_done_callback(answer)
 
 
 def reply_message(
-    message: ForwardRequest, future: Future[EndpointAnswer], load: PoolLoad
+    message: ForwardRequest,
+    future: Future[EndpointAnswer],
+    load: PoolLoad,
+    waited_ms: float,
 ) -> ForwardAnswer | ForwardFailure:
     """Return what the asking member is told of an ended ticket."""
     error = future.exception()
     if error is None:
         answer = future.result()
         return ForwardAnswer(
-            message.id, answer.status, answer.content_type, answer.body, load
+            message.id, answer.status, answer.content_type, answer.body, load, waited_ms
         )
     if not isinstance(error, DispatchError):
         error = OutcomeUnknownError(Reason.MEMBER_FAILED)
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/dispatch/messages.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/dispatch/messages.py
@@ -28,6 +28,8 @@
     content_type: str
     body: bytes
     load: PoolLoad
+    waited_ms: float = 0.0
+    """How long the request waited at the owner before it was sent."""
 
 
 class ForwardFailure(PeerMessage, frozen=True):
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/dispatch/requests.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/dispatch/requests.py
@@ -1,6 +1,7 @@
 """Requests, and their way through the states of a pool."""
 
 import threading
+import time
 from collections.abc import Callable
 from concurrent.futures import Future
 from enum import Enum
@@ -24,7 +25,10 @@
 
 
 class ServiceRequest(msgspec.Struct):
-    """A request to a service; ``deadline_s`` is on the monotonic clock."""
+    """A request to a service; times are on the monotonic clock.
+
+    ``placed_s`` is when it was last sent to an endpoint, or None before that.
+    """
 
     id: RequestId
     service: ServiceName
@@ -34,6 +38,7 @@
     deadline_s: float
     is_idempotent: bool = False
     is_retry: bool = False
+    placed_s: float | None = None
     is_caller_gone: Callable[[], bool] = is_never_gone
 
 
@@ -61,6 +66,7 @@
             if self.state is not TicketState.WAITING:
                 return False
             self.state = TicketState.SENDING
+            self.request.placed_s = time.monotonic()
             return True
 
     def give_up(self, reason: Reason) -> None:
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/http/filters.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/http/filters.py
@@ -8,7 +8,8 @@
 
 import structlog
 
-from gooseberrydeck_coordination.ids import RequestId
+from gooseberrydeck_configuration.exceptions import ConfigurationStaleError
+from gooseberrydeck_coordination.ids import RequestId, TeamName
 from gooseberrydeck_daemon.dispatch.exceptions import DispatchError, Outcome
 from gooseberrydeck_daemon.http.access import AccessIndex
 from gooseberrydeck_daemon.http.problems import (
@@ -99,11 +100,18 @@
             if header[: len(BEARER)].lower() != BEARER:
                 detail = "Authorization must be: Bearer KEY"
                 raise self.refusal(detail)
-            request.team = self.access.team_of_key(header[len(BEARER) :].strip())
+            request.team = self.team_of_key(header[len(BEARER) :].strip())
             if request.team is None:
                 raise self.refusal("")
         return self.get_response(request)
 
+    def team_of_key(self, secret: str) -> TeamName | None:
+        """Return the team of a key, or refuse while that cannot be told."""
+        try:
+            return self.access.team_of_key(secret)
+        except ConfigurationStaleError as error:
+            raise ProblemError(ProblemType.CONFIGURATION_STALE) from error
+
     def refusal(self, detail: str) -> ProblemError:
         """Return the problem of a bad key."""
         headers = (("WWW-Authenticate", "Bearer"),)
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/http/problems.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/http/problems.py
@@ -43,6 +43,11 @@
     NO_ENDPOINT = ("no-endpoint", 503, "No endpoint is there")
     ENDPOINT_NOT_REACHED = ("endpoint-not-reached", 503, "No endpoint was reached")
     QUEUE_FULL = ("queue-full", 503, "Too many requests wait already")
+    CONFIGURATION_STALE = (
+        "configuration-stale",
+        503,
+        "The member cannot tell whether the key is still in force",
+    )
     AT_CAPACITY = ("at-capacity", 503, "The member serves all it can")
     DRAINING = ("draining", 503, "The member is about to stop")
     STORE_UNAVAILABLE = ("store-unavailable", 503, "The store does not answer")
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/http/requests.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/http/requests.py
@@ -16,6 +16,7 @@
     """What the caller sent, and what the filters found out about it.
 
     ``deadline_s`` is on the monotonic clock. ``team`` is None without a key.
+    ``placed_s`` is when the request was sent to an endpoint, or None.
     ``route`` and ``parameters`` are set by the classify filter.
     """
 
@@ -26,6 +27,7 @@
     received_s: float
     id: RequestId = RequestId("")
     team: TeamName | None = None
+    placed_s: float | None = None
     timeout_ms: int | None = None
     deadline_s: float = 0.0
     route: Any = None
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/http/services.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/http/services.py
@@ -59,16 +59,16 @@
         """Run the request and return the endpoint's answer, whole."""
         service = self.find(request)
         assert request.team is not None
-        answer = self.dispatcher.run(
-            ServiceRequest(
-                request.id,
-                service.name,
-                request.team,
-                request.content_type,
-                request.read_body(),
-                request.deadline_s,
-                is_idempotent=service.is_idempotent,
-                is_caller_gone=request.is_caller_gone,
-            )
+        sent = ServiceRequest(
+            request.id,
+            service.name,
+            request.team,
+            request.content_type,
+            request.read_body(),
+            request.deadline_s,
+            is_idempotent=service.is_idempotent,
+            is_caller_gone=request.is_caller_gone,
         )
+        answer = self.dispatcher.run(sent)
+        request.placed_s = sent.placed_s
         return Response(answer.status, answer.content_type, answer.body)
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/operators/configuration.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/operators/configuration.py
@@ -67,9 +67,7 @@
         except PublicationConflictError as error:
             raise conflict_problem(error) from error
         except PublicationIdReusedError as error:
-            raise OperatorProblemError(
-                OperatorProblem.ID_REUSED, str(error)
-            ) from error
+            raise OperatorProblemError(OperatorProblem.ID_REUSED, str(error)) from error
         except PublicationOutcomeUnknownError as error:
             detail = "publish again under the same id to find out"
             raise OperatorProblemError(
@@ -98,20 +96,22 @@
     """Tell a publisher that lost a race what changed, and how to carry on."""
     newest = error.newest
     after = decode_configuration_record(newest) if newest else Configuration()
-    members: dict[str, object] = {
-        "number": after.number,
-        "newest": header_of(newest) if newest else None,
-    }
+    before = None
     if error.base == NO_VERSION:
-        members["differences"] = differences(Configuration(), after)
+        before = Configuration()
     elif error.base_record is not None:
         before = decode_configuration_record(error.base_record)
-        members["differences"] = differences(before, after)
     detail = (
         f"the newest number is {after.number}, not {error.base}; "
         "look at the differences and publish again after the newest number"
     )
-    return OperatorProblemError(OperatorProblem.CONFLICT, detail, **members)
+    return OperatorProblemError(
+        OperatorProblem.CONFLICT,
+        detail,
+        number=after.number,
+        newest=header_of(newest) if newest else None,
+        differences=differences(before, after) if before is not None else None,
+    )
 
 
 class ConfigurationHandler:
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/operators/publishing.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/operators/publishing.py
@@ -20,7 +20,10 @@
     VersionHeader,
 )
 from gooseberrydeck_configuration.checks import CellCapacity
-from gooseberrydeck_configuration.exceptions import ConfigurationInvalidError
+from gooseberrydeck_configuration.exceptions import (
+    ConfigurationError,
+    ConfigurationInvalidError,
+)
 from gooseberrydeck_coordination.exceptions import StoreError
 from gooseberrydeck_coordination.ids import ConfigurationNumber, MemberId
 from gooseberrydeck_coordination.roster import is_majority
@@ -154,7 +157,14 @@
             holder = self.holder()
             record = self.publisher.read_newest(holder)
             before = self.current(record)
-            after = change(before)
+            try:
+                after = change(before)
+            except ConfigurationError:
+                # A repeated withdrawal finds the key gone by its own first try.
+                earlier = self.find_publication(publication)
+                if earlier is None:
+                    raise
+                return self.confirm(earlier, (), before)
             if record is not None and after == before:
                 return self.confirm(record, (), before)
             base = record.number if record else NO_VERSION
@@ -164,6 +174,13 @@
                 conflict = error
         raise conflict
 
+    def find_publication(self, id: PublicationId) -> VersionedRecord | None:
+        """Return the publication of that id, if it is kept."""
+        for record in self.publisher.list_history():
+            if record.publication == id:
+                return record
+        return None
+
     def confirm(
         self,
         record: VersionedRecord,
--- /dev/null
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/reports/snapshots.py
@@ -0,0 +1,176 @@
+"""Keeping members' snapshots in the store, so that reports outlive any host."""
+
+import threading
+from collections.abc import Callable
+from typing import TypeVar
+
+import msgspec
+import structlog
+
+from gooseberrydeck_coordination.clock import Clock
+from gooseberrydeck_coordination.exceptions import StoreError
+from gooseberrydeck_coordination.ids import MemberId
+from gooseberrydeck_coordination.keys import StoreKeys
+from gooseberrydeck_coordination.store import (
+    Delete,
+    Entry,
+    Operation,
+    Put,
+    Store,
+    Transaction,
+)
+from gooseberrydeck_daemon.metrics import Metrics
+from gooseberrydeck_daemon.reports.accumulator import BurnAccumulator, BurnSnapshot
+from gooseberrydeck_daemon.reports.usage import UsageSnapshot, UsageSource
+from gooseberrydeck_daemon.reports.windows import Level
+
+__all__ = ["BURN", "USAGE", "ReportWriter", "SnapshotReader"]
+
+BURN = "burn"
+USAGE = "usage"
+FOLD_PERIOD_S = 10.0
+SAVE_PERIOD_S = 60.0
+CALL_TIMEOUT_S = 2.0
+CLEAN_EVERY_SAVES = 60
+MAX_SNAPSHOT_AGE_S = Level.THREE_DAYS.window_s + Level.THREE_DAYS.bucket_s
+MAX_DELETES = 64
+
+SnapshotT = TypeVar("SnapshotT", BurnSnapshot, UsageSnapshot)
+
+log = structlog.get_logger(__name__)
+
+
+class Taken(msgspec.Struct, frozen=True):
+    """The part that every snapshot has."""
+
+    taken_s: float
+
+
+class SnapshotReader:
+    """Read the snapshots of all members."""
+
+    def __init__(self, store: Store, keys: StoreKeys, member: MemberId) -> None:
+        """Leave out ``member``'s own, which it has newer in memory."""
+        self.store = store
+        self.keys = keys
+        self.member = member
+
+    def read(self, name: str, snapshot_type: type[SnapshotT]) -> list[SnapshotT]:
+        """Return the other members' snapshots of that name, or raise ``StoreError``."""
+        prefix = self.keys.reports_prefix
+        own = self.keys.report(self.member, name)
+        found = []
+        for entry in self.store.read_prefix(prefix, CALL_TIMEOUT_S).entries:
+            if entry.key.rpartition("/")[2] != name or entry.key == own:
+                continue
+            try:
+                found.append(msgspec.json.decode(entry.value, type=snapshot_type))
+            except msgspec.DecodeError:
+                log.warning("a report snapshot cannot be read", key=entry.key)
+        return found
+
+
+class ReportWriter:
+    """Write this member's snapshots once a minute, in a thread of its own.
+
+    Nothing is written before the member's earlier snapshot has been read, since it
+    would be lost; a planned stop writes a last time.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        keys: StoreKeys,
+        member: MemberId,
+        burn: BurnAccumulator,
+        usage: UsageSource | None,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        """Write what ``burn`` has counted and, if given, what ``usage`` returns."""
+        self.name = "reports"
+        self.store = store
+        self.keys = keys
+        self.member = member
+        self.burn = burn
+        self.usage = usage
+        self.clock = clock
+        self.metrics = metrics
+        self.stopping = threading.Event()
+        self.is_restored = False
+        self.next_save_s = clock.monotonic() + SAVE_PERIOD_S
+        self.saves = 0
+
+    def run(self) -> None:
+        """Fold and save until stopped, then save once more."""
+        while not self.stopping.is_set():
+            self.attempt(self.restore)
+            self.stopping.wait(FOLD_PERIOD_S)
+            self.burn.fold()
+            if self.clock.monotonic() >= self.next_save_s:
+                self.next_save_s = self.clock.monotonic() + SAVE_PERIOD_S
+                self.attempt(self.save)
+        self.attempt(self.save)
+
+    def stop(self) -> None:
+        """Ask the thread to save and end."""
+        self.stopping.set()
+
+    def attempt(self, step: Callable[[], None]) -> None:
+        """Take a step; a store that fails is tried again later."""
+        try:
+            step()
+        except StoreError:
+            self.metrics.count("reports.store.failed")
+
+    def restore(self) -> None:
+        """Go on from what an earlier run of this member wrote."""
+        if self.is_restored:
+            return
+        key = self.keys.report(self.member, BURN)
+        entry = self.store.read(key, CALL_TIMEOUT_S)
+        self.is_restored = True
+        if entry is None:
+            return
+        try:
+            snapshot = msgspec.json.decode(entry.value, type=BurnSnapshot)
+        except msgspec.DecodeError:
+            log.warning("a report snapshot cannot be read", key=key)
+        else:
+            self.burn.restore(snapshot)
+
+    def save(self) -> None:
+        """Write the snapshots, and now and then delete old ones."""
+        if not self.is_restored:
+            return
+        snapshots = {BURN: msgspec.json.encode(self.burn.snapshot())}
+        if self.usage is not None:
+            snapshots[USAGE] = msgspec.json.encode(self.usage())
+        puts: list[Operation] = [
+            Put(self.keys.report(self.member, name), value)
+            for name, value in snapshots.items()
+        ]
+        self.store.commit(Transaction((), tuple(puts)), CALL_TIMEOUT_S)
+        self.saves += 1
+        if self.saves % CLEAN_EVERY_SAVES == 0:
+            self.clean()
+
+    def clean(self) -> None:
+        """Delete the snapshots of members that are gone for the longest window."""
+        oldest_s = self.clock.wall() - MAX_SNAPSHOT_AGE_S
+        snapshot = self.store.read_prefix(self.keys.reports_prefix, CALL_TIMEOUT_S)
+        deletes = [
+            Delete(entry.key)
+            for entry in snapshot.entries
+            if taken_s_of(entry) < oldest_s
+        ][:MAX_DELETES]
+        if deletes:
+            self.store.commit(Transaction((), tuple(deletes)), CALL_TIMEOUT_S)
+
+
+def taken_s_of(entry: Entry) -> float:
+    """Return when a snapshot was taken; one that cannot be read is the oldest."""
+    try:
+        return msgspec.json.decode(entry.value, type=Taken).taken_s
+    except msgspec.DecodeError:
+        return 0.0
--- /dev/null
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/reports/usage.py
@@ -0,0 +1,115 @@
+"""Snapshots of what runs, and the share and packing reports made of them."""
+
+from collections.abc import Callable, Iterable
+
+import msgspec
+
+from gooseberrydeck_configuration.api import PackingAnswer, ShareAnswer, TeamShare
+from gooseberrydeck_configuration.objects import Configuration
+from gooseberrydeck_coordination.resources import NOTHING, Resources
+
+__all__ = [
+    "MAX_USAGE_AGE_S",
+    "TeamUsage",
+    "UsageSnapshot",
+    "UsageSource",
+    "dominant_share",
+    "packing_report",
+    "share_report",
+]
+
+MAX_USAGE_AGE_S = 150.0
+"""How old a member's snapshot may be to count; they are written every minute."""
+
+
+class TeamUsage(msgspec.Struct, frozen=True):
+    """What a team has on the shards of one member."""
+
+    running: int = 0
+    waiting: int = 0
+    resources: Resources = NOTHING
+
+
+class UsageSnapshot(msgspec.Struct, frozen=True):
+    """What runs on the workers of the shards that one member owns."""
+
+    taken_s: float
+    hosts: int = 0
+    capacity: Resources = NOTHING
+    committed: Resources = NOTHING
+    used: Resources = NOTHING
+    largest_hole: Resources = NOTHING
+    waiting: int = 0
+    teams: dict[str, TeamUsage] = {}
+
+
+UsageSource = Callable[[], UsageSnapshot]
+
+
+def dominant_share(part: Resources, whole: Resources) -> float:
+    """Return the largest share that ``part`` is of any resource of ``whole``."""
+    pairs = (
+        (part.cpu_millis, whole.cpu_millis),
+        (part.memory_mib, whole.memory_mib),
+        (part.accelerators, whole.accelerators),
+    )
+    return max((use / total for use, total in pairs if total > 0), default=0.0)
+
+
+def larger(left: Resources, right: Resources) -> Resources:
+    """Return the hole that takes the larger task: by processors, then memory."""
+    key_left = (left.cpu_millis, left.memory_mib, left.accelerators)
+    key_right = (right.cpu_millis, right.memory_mib, right.accelerators)
+    return left if key_left >= key_right else right
+
+
+def packing_report(snapshots: Iterable[UsageSnapshot], made_s: float) -> PackingAnswer:
+    """Return how full the workers of all members are."""
+    hosts = waiting = members = 0
+    capacity = committed = used = hole = NOTHING
+    for snapshot in snapshots:
+        members += 1
+        hosts += snapshot.hosts
+        waiting += snapshot.waiting
+        capacity += snapshot.capacity
+        committed += snapshot.committed
+        used += snapshot.used
+        hole = larger(hole, snapshot.largest_hole)
+    return PackingAnswer(
+        made_s, members, hosts, capacity, committed, used, hole, waiting
+    )
+
+
+def share_report(
+    snapshots: Iterable[UsageSnapshot], configuration: Configuration, made_s: float
+) -> ShareAnswer:
+    """Return how near each team comes to its share.
+
+    ``distance`` is the share that a team lacks while it has work waiting, else 0.
+    """
+    members = list(snapshots)
+    capacity = NOTHING
+    for snapshot in members:
+        capacity += snapshot.capacity
+    limits = {limit.team: limit.max_running for limit in configuration.limits}
+    teams = []
+    for share in configuration.shares:
+        usages = [m.teams.get(share.team, TeamUsage()) for m in members]
+        resources = NOTHING
+        for usage in usages:
+            resources += usage.resources
+        waiting = sum(usage.waiting for usage in usages)
+        part = dominant_share(resources, capacity)
+        distance = max(0.0, share.weight - part) if waiting else 0.0
+        teams.append(
+            TeamShare(
+                team=share.team,
+                weight=share.weight,
+                dominant_share=part,
+                distance=distance,
+                limit=limits.get(share.team, 0),
+                running=sum(usage.running for usage in usages),
+                waiting=waiting,
+            )
+        )
+    return ShareAnswer(made_s, len(members), tuple(teams))
--- a/tests/configuration/test_keys.py
+++ b/tests/configuration/test_keys.py
@@ -9,6 +9,7 @@
     KeyAlreadyExistsError,
     KeyMissingError,
     KeyNotFoundError,
+    KeyTable,
     KeyUnknownError,
     Limit,
     Team,
@@ -44,35 +45,37 @@
             withdraw_key(Configuration(), FIRST)
 
 
+def make_authenticator(
+    configuration: Configuration, is_fresh: bool = True
+) -> Authenticator:
+    return Authenticator(lambda: is_fresh, lambda: KeyTable(configuration))
+
+
 class TestAuthenticator:
     def test_key_works_until_withdrawn(self) -> None:
-        authenticator = Authenticator(lambda: True)
         granted = make_key(RADIO, FIRST)
         changed = grant_key(Configuration(), granted.key)
-        authenticator.replace(changed)
-        assert authenticator.authenticate(granted.secret).team == RADIO
-        authenticator.replace(withdraw_key(changed, FIRST))
+        assert make_authenticator(changed).authenticate(granted.secret) == granted.key
+        withdrawn = make_authenticator(withdraw_key(changed, FIRST))
         with pytest.raises(KeyUnknownError):
-            authenticator.authenticate(granted.secret)
+            withdrawn.authenticate(granted.secret)
 
     def test_stale_member_judges_no_key(self) -> None:
-        authenticator = Authenticator(lambda: False)
         granted = make_key(RADIO, FIRST)
-        changed = grant_key(Configuration(), granted.key)
-        authenticator.replace(changed)
+        stale = make_authenticator(grant_key(Configuration(), granted.key), False)
         for secret in (granted.secret, "other"):
             with pytest.raises(ConfigurationStaleError):
-                authenticator.authenticate(secret)
+                stale.authenticate(secret)
 
     @pytest.mark.parametrize("secret", ["x", "x" * 100_000, "\udcff", "é"])
     def test_unknown_secret(self, secret: str) -> None:
         with pytest.raises(KeyUnknownError):
-            Authenticator(lambda: True).authenticate(secret)
+            make_authenticator(Configuration()).authenticate(secret)
 
     @pytest.mark.parametrize("secret", [None, ""])
     def test_missing_secret(self, secret: str | None) -> None:
         with pytest.raises(KeyMissingError):
-            Authenticator(lambda: True).authenticate(secret)
+            make_authenticator(Configuration()).authenticate(secret)
 
 
 class TestDifferences:
--- a/tests/daemon/test_configuration_task.py
+++ b/tests/daemon/test_configuration_task.py
@@ -10,6 +10,7 @@
     Configuration,
     ConfigurationStaleError,
     Key,
+    KeyTable,
     KeyUnknownError,
     hash_secret,
 )
@@ -117,7 +118,9 @@
             clock,
             CounterMetrics(),
         )
-        self.authenticator = Authenticator(self.task.is_fresh)
+        self.authenticator = Authenticator(
+            self.task.is_fresh, lambda: KeyTable(self.view.current)
+        )
         peers.tasks[name] = self.task
 
     def deliver(self, *messages: ConfigurationMessage) -> None:
@@ -131,7 +134,6 @@
             self.task.run_once(0)
         self.attestor.observe_configuration(self.view.current.number)
         self.task.tick()
-        self.authenticator.replace(self.view.current)
 
     def confirm(self, number: int) -> None:
         self.deliver(NumberRead(VersionNumber(number), self.clock.monotonic()))
