Let a network task that has ended be stopped again

Cause: stop() wakes the network task after telling it to end; when the task was quicker and had closed its side of the pair, the send failed with a broken pipe. It was seen twice as a rare failure of tests/daemon/test_callers_http.py (once in about ten runs, the first time without its cause). Ruled out: a lock around closing, since waking a task that has ended is no error. Measured: the new test fails with BrokenPipeError before and passes after.

--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/peers/network.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/peers/network.py
@@ -7,6 +7,7 @@
 from collections import OrderedDict, deque
 from collections.abc import Callable
 from concurrent.futures import Future
+from contextlib import suppress
 from functools import partial
 from typing import Any, Protocol
 
@@ -151,13 +152,19 @@
         self.outbox.append(item)
         if not self.is_woken:
             self.is_woken = True
-            self.wake_writer.send(b"w")
+            self.wake()
         return True
 
+    def wake(self) -> None:
+        """Let the network task look at its outbox."""
+        # The task may have ended and closed its side of the pair meanwhile.
+        with suppress(OSError):
+            self.wake_writer.send(b"w")
+
     def stop(self) -> None:
         """Ask the network task to end."""
         self.stopping.set()
-        self.wake_writer.send(b"w")
+        self.wake()
 
     # Called in the network task only.
 
--- a/tests/daemon/test_peer_network.py
+++ b/tests/daemon/test_peer_network.py
@@ -208,3 +208,12 @@
         assert isinstance(future.exception(), PeerSilentError)
         table.answer(M2, correlation, Answer("x"))
         assert metrics.counts["peers.answers.late"] == 1
+
+
+class TestStop:
+    def test_wakes_a_network_that_has_closed_already(self) -> None:
+        network = make_network(M1, {}, KEYS, [])
+        network.stopping.set()
+        network.run()
+        network.stop()
+        network.wake()
