Add processes of a local cell for tests, benches and the demo

Tests of kill -9, SIGSTOP and store outages need real processes with their output kept in files, readiness polled, and every process ended by its id. They live with the stand-ins because tests, benches and the demo all start the same cell. Not yet used by a test: the members cannot read a configuration from the store so far.

--- /dev/null
+++ b/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/local_cell.py
@@ -0,0 +1,216 @@
+"""A whole cell of processes on this machine, over stand-ins of the platform."""
+
+import json
+from pathlib import Path
+from types import TracebackType
+from typing import Any, Self
+
+import msgspec
+import zmq
+
+from gooseberrydeck_coordination.ids import HostName
+from gooseberrydeck_coordination.resources import Resources
+from gooseberrydeck_platform.hosts import Host
+from gooseberrydeck_platform.http import (
+    HttpAddress,
+    HttpConnection,
+    HttpError,
+    HttpResponse,
+)
+from gooseberrydeck_standins.endpoint_engine import EndpointSummary
+from gooseberrydeck_standins.host_list_server import HostListServer
+from gooseberrydeck_standins.ledger import Ledger, Run
+from gooseberrydeck_standins.processes import (
+    LOOPBACK,
+    ChildProcess,
+    StandinProcess,
+    free_ports,
+    wait_for,
+)
+
+__all__ = ["LocalCell", "MemberProcess"]
+
+READY_TIMEOUT_S = 1.0
+CALL_TIMEOUT_S = 30.0
+HOST_LIST_POLL_MS = 200
+
+
+class MemberProcess(ChildProcess):
+    """A ``gooseberryd`` process and the address of its callers' listener."""
+
+    def __init__(self, name: str, settings: Path, callers_port: int, log: Path) -> None:
+        """Start the member."""
+        arguments = ["-m", "gooseberrydeck_daemon", "run", "--settings", str(settings)]
+        super().__init__(arguments, log)
+        self.name = name
+        self.callers = HttpAddress(LOOPBACK, callers_port)
+
+    def is_ready(self) -> bool:
+        """Tell whether the member says that it is ready."""
+        connection = HttpConnection(self.callers)
+        try:
+            answer = connection.request("GET", "/readyz", timeout_s=READY_TIMEOUT_S)
+        except HttpError:
+            return False
+        finally:
+            connection.close()
+        return answer.status == 200
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        headers: dict[str, str] | None = None,
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> HttpResponse:
+        """Make one call on a connection of its own."""
+        connection = HttpConnection(self.callers)
+        try:
+            return connection.request(method, path, body, headers or {}, timeout_s)
+        finally:
+            connection.close()
+
+
+class LocalCell:
+    """Members and stand-ins, all ended at the end of a ``with`` block.
+
+    Files go to ``folder``. The host list answers in this process, since that is
+    where tests let hosts come and go.
+    """
+
+    def __init__(self, folder: Path, name: str = "local", shards: int = 16) -> None:
+        """Start the store and the host list."""
+        self.folder = folder
+        self.name = name
+        self.shards = shards
+        self.public_key, self.secret_key = (key.decode() for key in zmq.curve_keypair())
+        self.members: dict[str, MemberProcess] = {}
+        self.peers: dict[str, int] = {}
+        self.workers: list[StandinProcess] = []
+        self.endpoints: list[StandinProcess] = []
+        self.store_port = free_ports(1)[0]
+        self.store = self.start_store()
+        self.host_list = HostListServer(lag_s=0.0)
+        self.host_list.start()
+
+    def start_store(self) -> StandinProcess:
+        """Start an empty store on the cell's port for it."""
+        return self.standin("store_server", "--port", str(self.store_port))
+
+    def standin(self, module: str, *options: str) -> StandinProcess:
+        """Start one stand-in."""
+        log = self.folder / f"{module}-{len(list(self.folder.iterdir()))}.log"
+        return StandinProcess(module, log, *options)
+
+    def add_workers(self, count: int, *options: str) -> StandinProcess:
+        """Start a process of workers and list them."""
+        process = self.standin("worker_server", "--count", str(count), *options)
+        self.workers.append(process)
+        self.host_list.hosts.register(*process.hosts)
+        return process
+
+    def add_endpoints(self, service: str, count: int, *options: str) -> StandinProcess:
+        """Start a process of endpoints and list them."""
+        process = self.standin(
+            "endpoint_server", service, "--count", str(count), *options
+        )
+        self.endpoints.append(process)
+        self.host_list.hosts.register(*process.hosts)
+        return process
+
+    def add_member(self, name: str, **changes: Any) -> MemberProcess:
+        """Start a member; ``changes`` replace whole sections of its settings."""
+        callers_port, operators_port, peers_port = free_ports(3)
+        self.peers[name] = peers_port
+        settings = {**self.settings(name, callers_port, operators_port), **changes}
+        path = self.folder / f"{name}.json"
+        path.write_text(json.dumps(settings))
+        member = MemberProcess(name, path, callers_port, self.folder / f"{name}.log")
+        self.members[name] = member
+        return member
+
+    def settings(
+        self, name: str, callers_port: int, operators_port: int
+    ) -> dict[str, Any]:
+        """Return the settings of a member."""
+        return {
+            "cell": self.name,
+            "member": name,
+            "data_centre": "dc1",
+            "address": LOOPBACK,
+            "listeners": {
+                "callers": {"port": callers_port},
+                "operators": {"port": operators_port},
+                "peers": {"port": self.peers[name]},
+            },
+            "store": {"addresses": [str(self.store.address)]},
+            "host_list": {
+                "address": str(self.host_list.address),
+                "poll_ms": HOST_LIST_POLL_MS,
+            },
+            "peers": {"public_key": self.public_key, "secret_key": self.secret_key},
+            "shards": self.shards,
+        }
+
+    def wait_ready(self) -> None:
+        """Wait until every member that runs is ready."""
+        for member in self.members.values():
+            if member.is_alive():
+                wait_for(member.is_ready, f"{member.name} is ready")
+
+    def hosts(self) -> list[Host]:
+        """Return every host that the stand-ins have."""
+        return [
+            host for each in (*self.workers, *self.endpoints) for host in each.hosts
+        ]
+
+    def ledger(self) -> Ledger:
+        """Return the runs of every worker."""
+        runs: list[Run] = []
+        for process in self.workers:
+            runs.extend(msgspec.json.decode(process.fetch("/ledger"), type=list[Run]))
+        return Ledger(runs)
+
+    def capacities(self) -> dict[HostName, Resources]:
+        """Return what each worker has."""
+        return {host.name: host.capacity for host in self.hosts()}
+
+    def summaries(self) -> list[EndpointSummary]:
+        """Return what every endpoint has done."""
+        found = []
+        for process in self.endpoints:
+            for host in process.hosts:
+                connection = HttpConnection(HttpAddress(host.address, host.port))
+                body = connection.request("GET", "/runs").body
+                connection.close()
+                found.append(msgspec.json.decode(body, type=EndpointSummary))
+        return found
+
+    def requests_run(self) -> list[str]:
+        """Return the ids of the requests that endpoints ran, in no order."""
+        return [run.request for each in self.summaries() for run in each.runs]
+
+    def close(self) -> None:
+        """End every process, the members first."""
+        for member in self.members.values():
+            if member.is_alive():
+                member.resume()
+                member.terminate()
+        processes: list[ChildProcess] = [*self.members.values(), *self.workers]
+        for process in (*processes, *self.endpoints, self.store):
+            process.close()
+        self.host_list.stop()
+
+    def __enter__(self) -> Self:
+        """Return the cell."""
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """End every process."""
+        self.close()
