--- a/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/http_service.py
+++ b/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/http_service.py
@@ -109,7 +109,7 @@
             connection_limit=2_000,
             asyncore_use_poll=True,
         )
-        self.address = HttpAddress(host, self.server.effective_port)
+        self.address = HttpAddress(host, int(self.server.effective_port))
         self.stopped = threading.Event()
         self.thread = threading.Thread(target=self.run, daemon=True)
 
