--- a/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/processes.py
+++ b/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/processes.py
@@ -81,8 +81,9 @@
         self.process.wait(END_TIMEOUT_S)
 
     def pause(self) -> None:
-        """Stop the process where it is."""
+        """Stop the process where it is, and wait until it has stopped."""
         self.process.send_signal(signal.SIGSTOP)
+        os.waitid(os.P_PID, self.process.pid, os.WSTOPPED)
 
     def resume(self) -> None:
         """Let a paused process go on."""
