Let the local cell publish through a member's operators' listener

Tests of whole processes have to publish as operators do. The members' ports are chosen before the first one starts, so that each can be told of the others.

--- a/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/local_cell.py
+++ b/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/local_cell.py
@@ -1,5 +1,6 @@
 """A whole cell of processes on this machine, over stand-ins of the platform."""
 
+import hashlib
 import json
 from pathlib import Path
 from types import TracebackType
@@ -32,18 +33,32 @@
 
 READY_TIMEOUT_S = 1.0
 CALL_TIMEOUT_S = 30.0
+SUCCESS_STATUSES = range(200, 300)
 HOST_LIST_POLL_MS = 200
+OPERATOR_SECRET = "local-operator"
+
+
+class PublishFailedError(Exception):
+    """A configuration was not published."""
 
 
 class MemberProcess(ChildProcess):
-    """A ``gooseberryd`` process and the address of its callers' listener."""
+    """A ``gooseberryd`` process and the addresses of its listeners."""
 
-    def __init__(self, name: str, settings: Path, callers_port: int, log: Path) -> None:
+    def __init__(
+        self,
+        name: str,
+        settings: Path,
+        callers_port: int,
+        operators_port: int,
+        log: Path,
+    ) -> None:
         """Start the member."""
         arguments = ["-m", "gooseberrydeck_daemon", "run", "--settings", str(settings)]
         super().__init__(arguments, log)
         self.name = name
         self.callers = HttpAddress(LOOPBACK, callers_port)
+        self.operators = HttpAddress(LOOPBACK, operators_port)
 
     def is_ready(self) -> bool:
         """Tell whether the member says that it is ready."""
@@ -64,12 +79,37 @@
         headers: dict[str, str] | None = None,
         timeout_s: float = CALL_TIMEOUT_S,
     ) -> HttpResponse:
-        """Make one call on a connection of its own."""
-        connection = HttpConnection(self.callers)
-        try:
-            return connection.request(method, path, body, headers or {}, timeout_s)
-        finally:
-            connection.close()
+        """Make a caller's call on a connection of its own."""
+        return call(self.callers, method, path, body, headers or {}, timeout_s)
+
+    def configuration_number(self) -> int:
+        """Return the number of the configuration that the member holds."""
+        answer = self.operate("GET", "/v1/configuration")
+        return int(json.loads(answer.body)["header"]["number"])
+
+    def operate(self, method: str, path: str, body: bytes = b"") -> HttpResponse:
+        """Make an operator's call on a connection of its own."""
+        headers = {
+            "Authorization": f"Bearer {OPERATOR_SECRET}",
+            "Content-Type": "application/json",
+        }
+        return call(self.operators, method, path, body, headers, CALL_TIMEOUT_S)
+
+
+def call(
+    address: HttpAddress,
+    method: str,
+    path: str,
+    body: bytes,
+    headers: dict[str, str],
+    timeout_s: float,
+) -> HttpResponse:
+    """Make one call on a connection of its own."""
+    connection = HttpConnection(address)
+    try:
+        return connection.request(method, path, body, headers, timeout_s)
+    finally:
+        connection.close()
 
 
 class LocalCell:
@@ -119,14 +159,20 @@
         self.host_list.hosts.register(*process.hosts)
         return process
 
+    def plan_members(self, *names: str) -> None:
+        """Choose the ports of members, so that each is told of the others."""
+        new = [name for name in names if name not in self.peers]
+        self.peers.update(zip(new, free_ports(len(new)), strict=True))
+
     def add_member(self, name: str, **changes: Any) -> MemberProcess:
         """Start a member; ``changes`` replace whole sections of its settings."""
-        callers_port, operators_port, peers_port = free_ports(3)
-        self.peers[name] = peers_port
+        self.plan_members(name)
+        callers_port, operators_port = free_ports(2)
         settings = {**self.settings(name, callers_port, operators_port), **changes}
         path = self.folder / f"{name}.json"
         path.write_text(json.dumps(settings))
-        member = MemberProcess(name, path, callers_port, self.folder / f"{name}.log")
+        log = self.folder / f"{name}.log"
+        member = MemberProcess(name, path, callers_port, operators_port, log)
         self.members[name] = member
         return member
 
@@ -134,6 +180,8 @@
         self, name: str, callers_port: int, operators_port: int
     ) -> dict[str, Any]:
         """Return the settings of a member."""
+        digest = hashlib.sha256(OPERATOR_SECRET.encode()).hexdigest()
+        operator = {"id": "local", "sha256": digest}
         return {
             "cell": self.name,
             "member": name,
@@ -141,7 +189,7 @@
             "address": LOOPBACK,
             "listeners": {
                 "callers": {"port": callers_port},
-                "operators": {"port": operators_port},
+                "operators": {"port": operators_port, "keys": [operator]},
                 "peers": {"port": self.peers[name]},
             },
             "store": {"addresses": [str(self.store.address)]},
@@ -149,7 +197,14 @@
                 "address": str(self.host_list.address),
                 "poll_ms": HOST_LIST_POLL_MS,
             },
-            "peers": {"public_key": self.public_key, "secret_key": self.secret_key},
+            "peers": {
+                "public_key": self.public_key,
+                "secret_key": self.secret_key,
+                "initial": [
+                    {"member": peer, "address": LOOPBACK, "port": port}
+                    for peer, port in self.peers.items()
+                ],
+            },
             "shards": self.shards,
         }
 
@@ -159,6 +214,20 @@
             if member.is_alive():
                 wait_for(member.is_ready, f"{member.name} is ready")
 
+    def publish(self, configuration: object, base: int = 0) -> None:
+        """Publish a configuration through a member, and wait until all follow it."""
+        member = next(each for each in self.members.values() if each.is_alive())
+        path = f"/v1/configuration?base={base}&publication=local-{base + 1}"
+        answer = member.operate("POST", path, msgspec.json.encode(configuration))
+        if answer.status not in SUCCESS_STATUSES:
+            raise PublishFailedError(answer.body.decode())
+        wait_for(lambda: self.follow(base + 1), f"configuration {base + 1}")
+
+    def follow(self, number: int) -> bool:
+        """Tell whether every member that runs holds a configuration."""
+        running = [each for each in self.members.values() if each.is_alive()]
+        return all(each.configuration_number() >= number for each in running)
+
     def hosts(self) -> list[Host]:
         """Return every host that the stand-ins have."""
         return [
