Test the whole path with each process on its own

A store, an endpoint and two members run as processes; a caller is answered through either member, so also through the one that does not own the endpoint, and the endpoint has run each request once.

--- /dev/null
+++ b/tests/processes/test_request_processes.py
@@ -0,0 +1,55 @@
+"""Tests of requests through members that are processes of their own."""
+
+import hashlib
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from gooseberrydeck_configuration.objects import (
+    Configuration,
+    Key,
+    Limit,
+    Service,
+    Share,
+    Team,
+)
+from gooseberrydeck_coordination.ids import KeyId, ServiceName, TeamName
+from gooseberrydeck_standins.local_cell import LocalCell
+
+SECRET = "editors-secret"
+EDITORS = TeamName("editors")
+SERVICE = ServiceName("lookups")
+HEADERS = {"Authorization": f"Bearer {SECRET}", "Content-Type": "text/plain"}
+PATH = f"/v1/services/{SERVICE}"
+
+CONFIGURATION = Configuration(
+    teams=(Team(EDITORS),),
+    keys=(Key(KeyId("k1"), EDITORS, hashlib.sha256(SECRET.encode()).hexdigest()),),
+    shares=(Share(EDITORS, 1.0),),
+    limits=(Limit(EDITORS, 8),),
+    services=(Service(SERVICE, teams=(EDITORS,)),),
+)
+
+
+@pytest.fixture
+def cell(tmp_path: Path) -> Iterator[LocalCell]:
+    with LocalCell(tmp_path) as made:
+        yield made
+
+
+class TestFourProcesses:
+    def test_every_member_answers_whichever_owns_the_endpoint(
+        self, cell: LocalCell
+    ) -> None:
+        cell.add_endpoints(SERVICE, 1)
+        cell.plan_members("m1", "m2")
+        first, second = cell.add_member("m1"), cell.add_member("m2")
+        cell.wait_ready()
+        cell.publish(CONFIGURATION)
+        for index, member in enumerate((first, second)):
+            body = b"claim %d" % index
+            answer = member.call("POST", PATH, body, HEADERS)
+            assert (answer.status, answer.body) == (200, body)
+        requests = cell.requests_run()
+        assert len(set(requests)) == len(requests) == 2
