Prove ownership under faults, and balance it

Whole members run over a fake network, drifting clocks, fake workers and the store engine; after each half second no task may be in two places, no epoch may go back, and one owner at most may act on a worker without a fence; healed, all tasks run.

One check was found to be double (newer epochs in a contact, which the asker learns anyway) and was removed.

--- a/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/adoption.py
+++ b/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/adoption.py
@@ -40,6 +40,7 @@
         self.phase = AdoptionState.UNADOPTED
         self.granted_sent_s = float("-inf")
         self.fenced_s: float | None = None
+        self.unanswered_until_s = float("-inf")
 
     @property
     def state(self) -> AdoptionState:
@@ -67,8 +68,13 @@
 
     @property
     def may_replace_tasks(self) -> bool:
-        """Tell whether tasks that may have run here may be placed elsewhere."""
-        return self.state is AdoptionState.LAPSED
+        """Tell whether tasks that may have run here may be placed elsewhere.
+
+        That does not end while a further adopting call is under way.
+        """
+        if self.phase in (AdoptionState.ADOPTED, AdoptionState.SUPERSEDED):
+            return False
+        return self.clock.monotonic() >= self.lapsed_s
 
     @property
     def needs_adopting(self) -> bool:
@@ -87,9 +93,11 @@
         """Take in the worker's list; return whether it is exact.
 
         Without a fence the old owner may start tasks after the list was made, unless
-        the call was sent when that owner was certainly silent.
+        the call was sent when that owner was certainly silent. The same goes for this
+        owner's own calls that were never answered.
         """
-        if has_fencing or sent_s >= self.quarantine.silent_s:
+        is_old_owner_out = has_fencing or sent_s >= self.quarantine.silent_s
+        if is_old_owner_out and sent_s >= self.unanswered_until_s:
             self.phase = AdoptionState.ADOPTED
             if self.fenced_s is None:
                 self.fenced_s = self.clock.monotonic()
@@ -99,6 +107,9 @@
 
     def unreachable(self) -> None:
         """Note a call without an answer; the worker has to be adopted again."""
+        timing = self.quarantine.timing
+        effect_s = timing.lengthen(timing.call_effect_limit_s)
+        self.unanswered_until_s = self.granted_sent_s + effect_s
         self.phase = AdoptionState.QUARANTINED
 
     def refused(self) -> None:
--- a/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/authority.py
+++ b/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/authority.py
@@ -28,9 +28,11 @@
     answer: AttestationAnswer
 
     def supports(self, mark: EpochMark) -> bool:
-        """Tell whether the peer was asked about ``mark`` and knew nothing newer."""
-        is_newer = any(newer.shard == mark.shard for newer in self.answer.newer)
-        return mark in self.held and not is_newer
+        """Tell whether the peer was asked about ``mark``.
+
+        Had it known anything newer, the asker would have learned that with the answer.
+        """
+        return mark in self.held
 
 
 class Authority:
--- a/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/coordinator.py
+++ b/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/coordinator.py
@@ -82,6 +82,8 @@
     def plan_round(self) -> RoundPlan:
         """Return what the next round should do."""
         self.rounds_planned += 1
+        if self.is_leaving:
+            self._release_next()
         version = self.attestor.roster_version
         return RoundPlan(
             releases=self._due_releases(),
@@ -167,6 +169,7 @@
                 shard: OwnedShard(
                     shard,
                     holding.epoch,
+                    holding.revision,
                     self.authority.shard_deadline_s(shard, holding.epoch),
                     holding.quarantine,
                     holding.release_s is not None,
@@ -195,11 +198,16 @@
             effect_s = self.timing.lengthen(self.timing.call_effect_limit_s)
             holding.release_s = self.clock.monotonic() + effect_s
 
+    def mark_idle(self, shard: ShardId, epoch: Epoch) -> None:
+        """Note that every call for a shard that is being released was answered."""
+        holding = self.holdings.get(shard)
+        if holding is None or holding.epoch != epoch or holding.release_s is None:
+            return
+        holding.release_s = min(holding.release_s, self.clock.monotonic())
+
     def begin_leaving(self) -> None:
-        """Release every shard and leave the roster; claim nothing any more."""
+        """Release the shards one by one and leave the roster; claim nothing more."""
         self.is_leaving = True
-        for shard in self.holdings:
-            self.begin_release(shard)
 
     @property
     def has_left(self) -> bool:
@@ -245,10 +253,12 @@
             known = self.holdings.get(shard)
             if known is None or known.epoch != record.epoch:
                 self.holdings[shard] = begin_holding(
-                    record, self.timing, self.clock.monotonic(), self.rounds_planned
+                    record,
+                    snapshot.shard_revisions[shard],
+                    self.timing,
+                    self.clock.monotonic(),
+                    self.rounds_planned,
                 )
-                if self.is_leaving:
-                    self.begin_release(shard)
 
     def _check_holdings(self) -> None:
         """Drop superseded holdings; note those whose predecessor is blocked."""
@@ -261,8 +271,16 @@
                 holding.acknowledged.add(self.record.seat)
                 holding.check_blocked(roster, now_s)
 
+    def _release_next(self) -> None:
+        """Begin to release a shard, unless one is being released."""
+        is_releasing = any(
+            each.release_s is not None for each in self.holdings.values()
+        )
+        if self.holdings and not is_releasing:
+            self.begin_release(min(self.holdings))
+
     def _due_releases(self) -> tuple[ShardRelease, ...]:
-        """Return the shards that may be released, one by one."""
+        """Return the shards that may be released now."""
         now_s = self.clock.monotonic()
         due = [
             ShardRelease(shard, holding.epoch, holding.is_settled)
--- a/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/holdings.py
+++ b/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/holdings.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from gooseberrydeck_coordination.ids import Epoch, ShardId
+from gooseberrydeck_coordination.ids import Epoch, Revision, ShardId
 from gooseberrydeck_coordination.quarantine import Quarantine
 from gooseberrydeck_coordination.roster import RosterRecord, Seat
 from gooseberrydeck_coordination.shards import ShardRecord
@@ -20,6 +20,7 @@
     """
 
     epoch: Epoch
+    revision: Revision
     claim_round: int
     quarantine: Quarantine
     acknowledged: set[Seat] = msgspec.field(default_factory=set)
@@ -35,7 +36,11 @@
 
 
 def begin_holding(
-    record: ShardRecord, timing: Timing, now_s: float, claim_round: int
+    record: ShardRecord,
+    revision: Revision,
+    timing: Timing,
+    now_s: float,
+    claim_round: int,
 ) -> Holding:
     """Return the holding of a shard whose claim has just been learned of."""
     quarantine = Quarantine(
@@ -46,7 +51,7 @@
         session_ttl_s=record.wait_session_ttl_s,
         task_lease_s=record.wait_task_lease_s,
     )
-    return Holding(record.epoch, claim_round, quarantine)
+    return Holding(record.epoch, revision, claim_round, quarantine)
 
 
 def is_superseded(holding: Holding, shard: ShardId, seen: dict[ShardId, Epoch]) -> bool:
--- a/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/ownership.py
+++ b/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/ownership.py
@@ -7,7 +7,7 @@
 
 from gooseberrydeck_coordination.clock import Clock
 from gooseberrydeck_coordination.exceptions import AuthorityLostError
-from gooseberrydeck_coordination.ids import Epoch, HostName, MemberId, ShardId
+from gooseberrydeck_coordination.ids import Epoch, HostName, MemberId, Revision, ShardId
 from gooseberrydeck_coordination.members import MemberRecord
 from gooseberrydeck_coordination.quarantine import Quarantine
 
@@ -18,11 +18,13 @@
     """A shard that this member owns.
 
     ``deadline_s`` is until when the member may act, by its monotonic clock. While
-    ``is_releasing`` no new work is started, and nothing once it has been released.
+    ``is_releasing`` nothing is started or renewed. ``revision`` is that of the record
+    in the store, for transactions that require the ownership.
     """
 
     shard: ShardId
     epoch: Epoch
+    revision: Revision
     deadline_s: float
     quarantine: Quarantine
     is_releasing: bool = False
--- a/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/roster.py
+++ b/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/roster.py
@@ -44,6 +44,18 @@
         """Return this roster with its change settled."""
         return RosterRecord(self.version, self.seats)
 
+    def without_dead(self, dead: Set[Seat]) -> "RosterRecord":
+        """Return the next roster after an operator has declared seats dead.
+
+        That is the only change which rests on somebody's word: it is safe only if the
+        processes of these seats have certainly ended.
+        """
+        return RosterRecord(
+            self.version + 1,
+            tuple(seat for seat in self.seats if seat not in dead),
+            tuple(seat for seat in self.former_seats if seat not in dead),
+        )
+
     def is_blocked_by(self, acknowledged: Set[Seat]) -> bool:
         """Tell whether every majority to lean on holds an acknowledging seat."""
         return leaves_no_majority(self.seats, acknowledged) and (
--- a/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/rounds.py
+++ b/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/rounds.py
@@ -5,7 +5,7 @@
 from gooseberrydeck_coordination.assignments import HostSpecification, assign_hosts
 from gooseberrydeck_coordination.clock import Clock
 from gooseberrydeck_coordination.exceptions import CoordinationError
-from gooseberrydeck_coordination.ids import Epoch, ShardId, StoreLeaseId
+from gooseberrydeck_coordination.ids import Epoch, Revision, ShardId, StoreLeaseId
 from gooseberrydeck_coordination.keys import StoreKeys
 from gooseberrydeck_coordination.members import MemberRecord
 from gooseberrydeck_coordination.roster import Seat
@@ -162,8 +162,11 @@
         compares: tuple[Compare, ...],
     ) -> None:
         """Write a shard's record, and into the snapshot if that succeeded."""
-        if self._commit(self.keys.shard(shard), record, compares):
+        key = self.keys.shard(shard)
+        revision = self._commit(key, record, compares)
+        if revision is not None:
             snapshot.shards[shard] = record
+            snapshot.shard_revisions[shard] = revision
 
     def _change_roster(self, snapshot: CellSnapshot, plan: RoundPlan) -> None:
         """Write the next roster if one is due; the next round reads it."""
@@ -184,13 +187,13 @@
 
     def _commit(
         self, key: str, record: msgspec.Struct, compares: tuple[Compare, ...]
-    ) -> bool:
-        """Write one record if the compares hold."""
+    ) -> Revision | None:
+        """Write one record if the compares hold; return its revision then."""
         put = Put(key, msgspec.json.encode(record))
         result = self.store.commit(
             Transaction(compares, (put,)), self.timing.store_timeout_s
         )
-        return result.succeeded
+        return result.revision if result.succeeded else None
 
 
 def _compare(snapshot: CellSnapshot, key: str) -> Compare:
--- a/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/seating.py
+++ b/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/seating.py
@@ -2,13 +2,22 @@
 
 from collections.abc import Mapping, Set
 
+import msgspec
+
 from gooseberrydeck_coordination.clock import Clock
 from gooseberrydeck_coordination.ids import MemberId
+from gooseberrydeck_coordination.keys import StoreKeys
 from gooseberrydeck_coordination.members import MemberRecord
 from gooseberrydeck_coordination.roster import RosterRecord, Seat, leaves_no_majority
+from gooseberrydeck_coordination.store import (
+    Put,
+    Store,
+    Transaction,
+    compare_unchanged,
+)
 from gooseberrydeck_coordination.timing import Timing
 
-__all__ = ["Seating"]
+__all__ = ["Seating", "declare_dead"]
 
 
 class Seating:
@@ -77,3 +86,23 @@
             return record.seat != seat or record.is_leaving
         absent_s = self.clock.monotonic() - self.absent_since_s[seat]
         return absent_s > self.timing.forget_member_s
+
+
+def declare_dead(
+    store: Store, keys: StoreKeys, dead: Set[Seat], timeout_s: float
+) -> RosterRecord | None:
+    """Take seats off the roster on an operator's word that their processes ended.
+
+    It is needed where a majority was lost at once: what ran on workers that cannot be
+    reached is placed again only after it, or after the limit of authority without the
+    store. Return the roster written, or None if it changed meanwhile or leaves no seat.
+    """
+    entry = store.read(keys.roster, timeout_s)
+    if entry is None:
+        return None
+    roster = msgspec.json.decode(entry.value, type=RosterRecord).without_dead(dead)
+    if not roster.seats:
+        return None
+    put = Put(keys.roster, msgspec.json.encode(roster))
+    change = Transaction((compare_unchanged(entry),), (put,))
+    return roster if store.commit(change, timeout_s).succeeded else None
--- a/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/shards.py
+++ b/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/shards.py
@@ -20,6 +20,7 @@
     "decode_shards",
     "free_shards",
     "released_record",
+    "shard_of",
 ]
 
 
@@ -76,13 +77,16 @@
 def decode_shards(entries: Iterable[Entry]) -> dict[ShardId, ShardRecord]:
     """Return the shards recorded under the shards' prefix."""
     return {
-        ShardId(int(entry.key.rsplit("/", 1)[-1])): msgspec.json.decode(
-            entry.value, type=ShardRecord
-        )
+        shard_of(entry): msgspec.json.decode(entry.value, type=ShardRecord)
         for entry in entries
     }
 
 
+def shard_of(entry: Entry) -> ShardId:
+    """Return the shard whose record an entry holds."""
+    return ShardId(int(entry.key.rsplit("/", 1)[-1]))
+
+
 def free_shards(
     shard_count: int,
     shards: Mapping[ShardId, ShardRecord],
@@ -119,6 +123,7 @@
         self.surplus_since_s: float | None = None
         self.last_read_s = float("-inf")
         self.claims_from_s = float("-inf")
+        self.first_claims_from_s: float | None = None
 
     def observe(
         self,
@@ -127,6 +132,9 @@
     ) -> None:
         """Take in a new picture; call it before ``claims`` and ``handover``."""
         now_s = self.clock.monotonic()
+        if self.first_claims_from_s is None:
+            # Members that start together share the shards from the beginning.
+            self.first_claims_from_s = now_s + self.timing.cold_start_s
         if now_s - self.last_read_s > self.timing.session_ttl_s:
             # After an outage of the store every session may have lapsed; the owners
             # get the time to open theirs again.
@@ -185,8 +193,11 @@
         return max(own, default=None)
 
     def _may_claim(self, record: ShardRecord | None, now_s: float) -> bool:
-        """Tell whether a free shard may be claimed so soon after an outage."""
-        if record is None or record.is_released:
+        """Tell whether a free shard may be claimed so soon after a start or outage."""
+        if record is None:
+            assert self.first_claims_from_s is not None
+            return now_s >= self.first_claims_from_s
+        if record.is_released:
             return True
         return now_s >= self.claims_from_s
 
--- a/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/snapshots.py
+++ b/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/snapshots.py
@@ -3,11 +3,11 @@
 import msgspec
 
 from gooseberrydeck_coordination.assignments import AssignmentTable
-from gooseberrydeck_coordination.ids import Epoch, MemberId, ShardId
+from gooseberrydeck_coordination.ids import Epoch, MemberId, Revision, ShardId
 from gooseberrydeck_coordination.keys import StoreKeys
 from gooseberrydeck_coordination.members import MemberRecord, decode_members
 from gooseberrydeck_coordination.roster import RosterRecord
-from gooseberrydeck_coordination.shards import ShardRecord, decode_shards
+from gooseberrydeck_coordination.shards import ShardRecord, decode_shards, shard_of
 from gooseberrydeck_coordination.store import Entry, Store
 
 __all__ = ["CellSnapshot", "read_snapshot"]
@@ -24,6 +24,7 @@
     members: dict[MemberId, MemberRecord]
     assignments: AssignmentTable
     shards: dict[ShardId, ShardRecord]
+    shard_revisions: dict[ShardId, Revision]
     entries: dict[str, Entry]
 
     def epochs(self) -> dict[ShardId, Epoch]:
@@ -47,5 +48,6 @@
             else AssignmentTable()
         ),
         shards=decode_shards(shards),
+        shard_revisions={shard_of(entry): entry.mod_revision for entry in shards},
         entries={entry.key: entry for entry in (*members, *shards, *singles)},
     )
--- a/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/timing.py
+++ b/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/timing.py
@@ -22,6 +22,7 @@
     call_effect_limit_s: float = 5.0
     peer_authority_limit_s: float = 43_200.0
     clock_drift: float = 0.01
+    cold_start_s: float = 2.0
     fallback_claim_s: float = 3.0
     move_interval_s: float = 5.0
     imbalance_hold_s: float = 30.0
--- /dev/null
+++ b/tests/coordination/test_ownership_machine.py
@@ -0,0 +1,131 @@
+"""A state machine over whole members: every fault of the brief, in any order."""
+
+from hypothesis import Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
+
+from coordination.ownership_fakes import FakeCluster
+from gooseberrydeck_coordination import Timing
+from gooseberrydeck_standins.engine_store import StoreFault
+
+MEMBERS = ("m0", "m1", "m2", "m3", "m4")
+members = st.sampled_from(MEMBERS)
+workers = st.sampled_from(("w0", "w1", "w2", "w3"))
+faults = st.sampled_from(
+    (StoreFault.DOWN, StoreFault.REQUEST_LOST, StoreFault.ANSWER_LOST)
+)
+TIMING = Timing(peer_authority_limit_s=60.0)
+"""A short limit, so that healing ends even where a majority was killed at once."""
+
+SECONDS_TO_HEAL = 200.0
+
+
+class OwnershipMachine(RuleBasedStateMachine):
+    """Five members, two shards, three fenced workers and one without a fence.
+
+    The cluster checks after each half second that no task is in two places, that no
+    epoch goes back and that one owner at most may act on the worker without a fence.
+    """
+
+    @initialize(unfenced=st.sampled_from((frozenset(), frozenset({1}))))
+    def begin(self, unfenced: frozenset[int]) -> None:
+        self.cluster = FakeCluster(members=5, unfenced=unfenced, timing=TIMING)
+        self.cluster.advance(8.0)
+        self.restarts = 0
+
+    @rule(seconds=st.sampled_from((0.5, 2.0, 6.0, 20.0)))
+    def wait(self, seconds: float) -> None:
+        self.cluster.advance(seconds)
+
+    @rule(shard=st.sampled_from((0, 1)), with_workers=st.booleans(), peers=members)
+    def isolate_owner(self, shard: int, with_workers: bool, peers: str) -> None:
+        """Cut an owner off from the store and from all but one peer."""
+        owner = self.cluster.owner(shard).name
+        self.cluster.cut_store(owner)
+        self.cluster.cut(owner, *(set(MEMBERS) - {owner, peers}))
+        if with_workers:
+            others = set(self.cluster.processes) - {owner}
+            for name in (f"w{2 * shard}", f"w{2 * shard + 1}"):
+                self.cluster.cut(name, *others)
+
+    @rule(name=members, fault=faults)
+    def cut_store(self, name: str, fault: StoreFault) -> None:
+        self.cluster.cut_store(name, fault)
+
+    @rule(fault=faults)
+    def stop_store(self, fault: StoreFault) -> None:
+        self.cluster.set_store(fault)
+
+    @rule(one=members, other=members | workers)
+    def cut_link(self, one: str, other: str) -> None:
+        self.cluster.cut(one, other)
+
+    @rule(one=members, other=members | workers)
+    def hold_link(self, one: str, other: str) -> None:
+        self.cluster.network.held.add(frozenset((one, other)))
+
+    @precondition(lambda self: self.cluster.network.held)
+    @rule(data=st.data(), doubled=st.booleans())
+    def release_link(self, data: st.DataObject, doubled: bool) -> None:
+        links = sorted(self.cluster.network.held, key=sorted)
+        link = data.draw(st.sampled_from(links), label="link")
+        self.cluster.network.release(link, doubled)
+
+    @rule(name=members)
+    def pause(self, name: str) -> None:
+        self.cluster.processes[name].is_paused = True
+
+    @rule(name=members)
+    def resume(self, name: str) -> None:
+        self.cluster.processes[name].is_paused = False
+
+    @rule(name=members)
+    def kill(self, name: str) -> None:
+        self.cluster.kill(name)
+
+    @rule(name=members)
+    def restart(self, name: str) -> None:
+        """Start a killed member again, under a new address and without memory."""
+        if not self.cluster.processes[name].is_alive:
+            self.cluster.start(name)
+
+    @rule(name=members)
+    def leave(self, name: str) -> None:
+        process = self.cluster.processes[name]
+        if process.runs:
+            process.coordinator.begin_leaving()
+
+    @rule()
+    def heal_network(self) -> None:
+        self.cluster.network.cut.clear()
+        self.cluster.network.held.clear()
+
+    @rule()
+    def heal_store(self) -> None:
+        self.cluster.set_store(StoreFault.NONE)
+
+    def teardown(self) -> None:
+        """Heal everything: whatever was accepted runs again, once."""
+        if not hasattr(self, "cluster"):
+            return
+        self.heal_network()
+        self.heal_store()
+        for name, process in list(self.cluster.processes.items()):
+            process.is_paused = False
+            if not process.is_alive or process.coordinator.is_leaving:
+                self.cluster.kill(name)
+                self.cluster.start(name)
+        self.cluster.advance(SECONDS_TO_HEAL)
+        assert self.cluster.running() == self.cluster.all_tasks()
+
+
+# Shrinking a run of whole clusters takes minutes, longer than a test may.
+OwnershipMachine.TestCase.settings = settings(
+    max_examples=30,
+    stateful_step_count=30,
+    phases=(Phase.explicit, Phase.generate),
+)
+
+
+class TestOwnershipMachine(OwnershipMachine.TestCase):  # type: ignore[misc,name-defined]
+    """Run the machine."""
