Bound retries, leave failing endpoints alone, refuse what can't be met

Retries have a budget a service (the coordination package's), endpoints a breaker and a slow start, and a request whose turn would come too late is refused on arrival with Retry-After. An endpoint that fails at once has the most room, so that all three attempts went to it; its failures now put it last. Breakers are ignored while they would close more than half of a pool, since then the fault is probably not the endpoints'.

Slow start begins only where the host list shows an endpoint anew or a breaker closes; an endpoint that came with a shard from another owner is warm. Starting slowly after each takeover was ruled out, it would cost seven eighths of the capacity for seconds.

--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/composition.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/composition.py
@@ -6,16 +6,19 @@
 import structlog
 
 from gooseberrydeck_coordination.clock import SystemClock
+from gooseberrydeck_coordination.ids import ServiceName
 from gooseberrydeck_coordination.store import Store
 from gooseberrydeck_coordination.timing import Timing
 from gooseberrydeck_daemon.controllers.configuration import StoreFreshness
 from gooseberrydeck_daemon.dispatch import Dispatcher
+from gooseberrydeck_daemon.dispatch.budgets import RetryBudgets
 from gooseberrydeck_daemon.dispatch.directory import (
     EndpointDirectory,
     HostListTask,
-    QueueExpiryTask,
+    PoolTask,
 )
 from gooseberrydeck_daemon.dispatch.gossip import GossipTask
+from gooseberrydeck_daemon.dispatch.limits import NoLimits
 from gooseberrydeck_daemon.dispatch.loads import LoadTable
 from gooseberrydeck_daemon.dispatch.messages import (
     ForwardAnswer,
@@ -55,6 +58,7 @@
 __all__ = ["Member", "Platform", "compose"]
 
 CALL_THREADS = 512
+DEFAULT_RETRY_SHARE = 0.1
 MAX_TASKS = 32
 DRAIN_GRACE_S = 1.0
 DRAIN_TIMEOUT_S = 60.0
@@ -102,6 +106,7 @@
             self.configuration,
             platform.connect,
             self.executor,
+            NoLimits(),
             self.metrics,
         )
         self.dispatcher = self.build_dispatcher()
@@ -135,7 +140,7 @@
             self.network,
             self.loads,
             self.directory.owners_of,
-            lambda _service: True,
+            RetryBudgets(self.retry_share, SystemClock()),
             self.metrics,
         )
         self.registry.register(ForwardRequest, dispatcher.receive_forward)
@@ -144,6 +149,11 @@
         self.registry.register(LoadSummary, self.loads.receive)
         return dispatcher
 
+    def retry_share(self, service: ServiceName) -> float:
+        """Return the share of retries that the configuration gives a service."""
+        found = self.access.service(service)
+        return DEFAULT_RETRY_SHARE if found is None else found.retry_share
+
     def build_operators(self, platform: Platform) -> OperatorsSide | None:
         """Build what follows operators, if there is a store to follow."""
         if platform.store is None:
@@ -189,7 +199,7 @@
         tasks: list[Runnable] = [
             self.network,
             HostListTask(platform.hosts, self.directory.update, poll_s, self.metrics),
-            QueueExpiryTask(self.directory),
+            PoolTask(self.directory),
             GossipTask(
                 self.directory.loads, self.network, self.membership, SystemClock()
             ),
--- /dev/null
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/dispatch/calls.py
@@ -0,0 +1,64 @@
+"""One call to an endpoint, with every failure typed."""
+
+import time
+
+from gooseberrydeck_daemon.dispatch.exceptions import (
+    DispatchError,
+    NotRunError,
+    OutcomeUnknownError,
+    Reason,
+)
+from gooseberrydeck_daemon.dispatch.requests import ServiceRequest
+from gooseberrydeck_daemon.metrics import Metrics
+from gooseberrydeck_platform import exceptions as platform
+from gooseberrydeck_platform.endpoints import (
+    Endpoint,
+    EndpointAnswer,
+    EndpointRequest,
+)
+
+__all__ = ["CallOutcome", "call_endpoint", "is_endpoint_failure"]
+
+CallOutcome = EndpointAnswer | DispatchError
+
+FIRST_SERVER_FAULT = 500
+ENDPOINT_FAILURES = frozenset(
+    {
+        Reason.ENDPOINT_NOT_REACHED,
+        Reason.ENDPOINT_REFUSED,
+        Reason.ENDPOINT_FAILED,
+        Reason.ENDPOINT_LATE,
+    }
+)
+
+
+def call_endpoint(
+    connection: Endpoint, request: ServiceRequest, metrics: Metrics
+) -> CallOutcome:
+    """Return the endpoint's answer, or the typed failure."""
+    message = EndpointRequest(
+        request.id, request.service, request.content_type, request.body
+    )
+    timeout_s = request.deadline_s - time.monotonic()
+    if timeout_s <= 0:
+        return NotRunError(Reason.WAITED_TOO_LONG)
+    try:
+        return connection.call(message, timeout_s)
+    except platform.EndpointUnavailableError:
+        return NotRunError(Reason.ENDPOINT_NOT_REACHED)
+    except platform.EndpointRefusedError:
+        return NotRunError(Reason.ENDPOINT_REFUSED)
+    except platform.OutcomeUnknownError:
+        is_late = request.deadline_s <= time.monotonic()
+        reason = Reason.ENDPOINT_LATE if is_late else Reason.ENDPOINT_FAILED
+        return OutcomeUnknownError(reason)
+    except Exception:
+        metrics.count("dispatch.calls.crashed")
+        return OutcomeUnknownError(Reason.MEMBER_FAILED)
+
+
+def is_endpoint_failure(outcome: CallOutcome) -> bool:
+    """Tell whether an outcome speaks against the endpoint."""
+    if isinstance(outcome, EndpointAnswer):
+        return outcome.status >= FIRST_SERVER_FAULT
+    return outcome.reason in ENDPOINT_FAILURES
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/dispatch/directory.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/dispatch/directory.py
@@ -3,10 +3,11 @@
 import threading
 import time
 from collections import defaultdict
-from collections.abc import Callable
+from collections.abc import Callable, Container
 from concurrent.futures import Executor
 
 from gooseberrydeck_coordination.ids import HostName, MemberId, ServiceName
+from gooseberrydeck_daemon.dispatch.limits import RequestLimits
 from gooseberrydeck_daemon.dispatch.pools import PoolLoad, ServicePool
 from gooseberrydeck_daemon.dispatch.slots import EndpointFactory, EndpointSlots
 from gooseberrydeck_daemon.metrics import Metrics
@@ -15,10 +16,10 @@
 from gooseberrydeck_platform.exceptions import HostListUnavailableError
 from gooseberrydeck_platform.hosts import Host, HostKind, HostList, HostState
 
-__all__ = ["EndpointDirectory", "HostListTask", "QueueExpiryTask"]
+__all__ = ["EndpointDirectory", "HostListTask", "PoolTask"]
 
 HOST_LIST_TIMEOUT_S = 2.0
-EXPIRY_PERIOD_S = 0.02
+POOL_PERIOD_S = 0.02
 DEFAULT_MAX_WAITING = 256
 
 
@@ -32,10 +33,12 @@
         configuration: ConfigurationView,
         connect: EndpointFactory,
         executor: Executor,
+        limits: RequestLimits,
         metrics: Metrics,
     ) -> None:
         """Begin without endpoints."""
         self.own = own
+        self.limits = limits
         self.ownership = ownership
         self.configuration = configuration
         self.connect = connect
@@ -59,8 +62,22 @@
     def update(self, hosts: tuple[Host, ...]) -> None:
         """Take in the newest host list, and ownership as it is now."""
         with self.lock:
+            listed = {host.name for host in self.hosts}
+            is_first = not self.hosts
             self.hosts = hosts
             self.refresh()
+            if not is_first:
+                self.start_slowly(listed)
+
+    def start_slowly(self, listed: Container[HostName]) -> None:
+        """Begin a slow start of endpoints that the list did not have before.
+
+        An endpoint whose shard came from another owner is warm and starts at once.
+        """
+        for name, slots in self.slots.items():
+            if name not in listed:
+                slots.slow_start.begin(time.monotonic())
+                slots.refresh(time.monotonic())
 
     def refresh(self) -> None:
         """Work out owners and pools again; the lock is held."""
@@ -89,7 +106,7 @@
         if known is None or shard != known.shard or is_moved(known.host, host):
             assert shard is not None
             return EndpointSlots(host, shard, self.connect)
-        known.set_host(host)
+        known.set_host(host, time.monotonic())
         return known
 
     def pool_of(self, service: ServiceName) -> ServicePool:
@@ -101,6 +118,7 @@
                 self.max_waiting(service),
                 self.executor,
                 self.ownership.may_act,
+                self.limits,
                 self.metrics,
             )
             self.pools[service] = pool
@@ -157,16 +175,15 @@
         self.on_hosts(hosts)
 
 
-class QueueExpiryTask(Task[None]):
-    """Answer waiting requests at the moment their time is up."""
+class PoolTask(Task[None]):
+    """Do what is due by time in every pool."""
 
     def __init__(self, directory: EndpointDirectory) -> None:
         """Look through the directory's pools."""
-        super().__init__("queue-expiry", tick_s=EXPIRY_PERIOD_S)
+        super().__init__("pools", tick_s=POOL_PERIOD_S)
         self.directory = directory
 
     def tick(self) -> None:
-        """Expire what waited too long."""
+        """Answer what waited too long, and let endpoints come back."""
         for pool in list(self.directory.pools.values()):
-            if pool.queue.size:
-                pool.expire(time.monotonic())
+            pool.refresh(time.monotonic())
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/dispatch/dispatcher.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/dispatch/dispatcher.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from gooseberrydeck_coordination.ids import MemberId, ServiceName
+from gooseberrydeck_daemon.dispatch.budgets import RetryBudgets
 from gooseberrydeck_daemon.dispatch.exceptions import (
     DispatchError,
     NotRunError,
@@ -48,7 +49,6 @@
 )
 
 OwnersOf = Callable[[ServiceName], Collection[MemberId]]
-MayRetry = Callable[[ServiceName], bool]
 
 
 class Dispatcher:
@@ -60,7 +60,7 @@
         peers: Peers,
         loads: LoadTable,
         owners_of: OwnersOf,
-        may_retry: MayRetry,
+        budgets: RetryBudgets,
         metrics: Metrics,
     ) -> None:
         """Wire the parts; ``owners_of`` names the peers that own endpoints."""
@@ -68,12 +68,14 @@
         self.peers = peers
         self.loads = loads
         self.owners_of = owners_of
-        self.take_retry = may_retry
+        self.budgets = budgets
         self.metrics = metrics
 
     def run(self, request: ServiceRequest) -> EndpointAnswer:
         """Return the whole answer, or raise ``DispatchError``; blocks the caller."""
         attempt = 1
+        if not request.is_retry:
+            self.budgets.record_fresh(request.service)
         while True:
             try:
                 return self.run_once(request)
@@ -94,7 +96,10 @@
             return False
         if request.deadline_s <= time.monotonic() or request.is_caller_gone():
             return False
-        return self.take_retry(request.service)
+        if self.budgets.try_retry(request.service):
+            return True
+        self.metrics.count("dispatch.retries.over_budget")
+        return False
 
     def run_once(self, request: ServiceRequest) -> EndpointAnswer:
         """Send a request once, to the place that has room soonest."""
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/dispatch/pools.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/dispatch/pools.py
@@ -9,25 +9,28 @@
 import msgspec
 
 from gooseberrydeck_coordination.ids import HostName, ServiceName, ShardId
-from gooseberrydeck_daemon.dispatch.exceptions import (
-    NotRunError,
-    OutcomeUnknownError,
-    Reason,
+from gooseberrydeck_daemon.dispatch.breakers import BreakerState
+from gooseberrydeck_daemon.dispatch.calls import (
+    CallOutcome,
+    call_endpoint,
+    is_endpoint_failure,
 )
+from gooseberrydeck_daemon.dispatch.exceptions import NotRunError, Reason
+from gooseberrydeck_daemon.dispatch.limits import RequestLimits
 from gooseberrydeck_daemon.dispatch.queues import FairQueue
 from gooseberrydeck_daemon.dispatch.requests import ServiceRequest, Ticket
 from gooseberrydeck_daemon.dispatch.slots import EndpointSlots
+from gooseberrydeck_daemon.dispatch.waits import WaitEstimate
 from gooseberrydeck_daemon.metrics import Metrics
-from gooseberrydeck_platform import exceptions as platform
-from gooseberrydeck_platform.endpoints import (
-    Endpoint,
-    EndpointAnswer,
-    EndpointRequest,
-)
+from gooseberrydeck_platform.endpoints import Endpoint, EndpointAnswer
 
 __all__ = ["PoolLoad", "ServicePool"]
 
-ROOM = operator.attrgetter("room")
+RANK = operator.attrgetter("rank")
+MIN_SHARE_WITH_BREAKERS = 0.5
+UNSENT_REASONS = frozenset(
+    {Reason.OWNERSHIP_MOVED, Reason.CALLER_GONE, Reason.WAITED_TOO_LONG}
+)
 
 
 class PoolLoad(msgspec.Struct, frozen=True, array_like=True):
@@ -38,6 +41,14 @@
     slots: int = 0
 
 
+class Lane(msgspec.Struct):
+    """A taken slot with its connection, and the request's units of its limit."""
+
+    slots: EndpointSlots
+    connection: Endpoint
+    request: ServiceRequest
+
+
 class ServicePool:
     """Match requests of one service with free slots of its endpoints."""
 
@@ -47,15 +58,18 @@
         max_waiting: int,
         executor: Executor,
         may_act: Callable[[ShardId], bool],
+        limits: RequestLimits,
         metrics: Metrics,
     ) -> None:
         """Begin without endpoints."""
         self.service = service
         self.executor = executor
         self.may_act = may_act
+        self.limits = limits
         self.metrics = metrics
         self.lock = threading.Lock()
         self.queue = FairQueue(max_waiting)
+        self.waits = WaitEstimate()
         self.endpoints: dict[HostName, EndpointSlots] = {}
 
     def set_endpoints(self, endpoints: Iterable[EndpointSlots]) -> None:
@@ -77,22 +91,26 @@
             sum([item.slots for item in endpoints]),
         )
 
-    def try_run(self, request: ServiceRequest) -> EndpointAnswer | Exception | None:
+    def in_use(self) -> int:
+        """Return how many requests are at endpoints."""
+        return sum([item.in_use for item in self.endpoints.values()])
+
+    def try_run(self, request: ServiceRequest) -> CallOutcome | None:
         """Run a request in the calling thread if a slot is free, else return None.
 
         The connection's own deadline bounds the call, so that the caller needs no
         second thread to be answered in time.
         """
         with self.lock:
-            slots = self.pick() if not self.queue.size else None
-            if slots is None:
-                return None
-            connection = slots.take()
-        outcome: EndpointAnswer | Exception = NotRunError(Reason.OWNERSHIP_MOVED)
-        if self.may_act(slots.shard):
-            outcome = self.call(connection, request)
+            lane = self.take_lane(request) if not self.queue.size else None
+        if lane is None:
+            return None
+        outcome: CallOutcome = NotRunError(Reason.OWNERSHIP_MOVED)
+        if self.may_act(lane.slots.shard):
+            request.placed_s = time.monotonic()
+            outcome = call_endpoint(lane.connection, request, self.metrics)
         with self.lock:
-            slots.give_back(connection, isinstance(outcome, EndpointAnswer))
+            self.end_lane(lane, outcome)
         if self.queue.size:
             self.start_waiting()
         return outcome
@@ -102,91 +120,141 @@
         ticket = Ticket(request)
         displaced = None
         with self.lock:
-            slots = self.pick() if not self.queue.size else None
-            if slots is not None:
-                connection = slots.take()
-            else:
-                displaced = self.queue.push(ticket)
-        if slots is not None:
-            self.executor.submit(self.work, slots, connection, ticket)
+            lane = self.take_lane(request) if not self.queue.size else None
+            if lane is None:
+                refusal = self.refuse_early(request)
+                if refusal is None:
+                    displaced = self.queue.push(ticket)
+        if lane is not None:
+            self.executor.submit(self.work, lane, ticket)
+        elif refusal is not None:
+            self.metrics.count("dispatch.refused.deadline")
+            ticket.end(refusal)
         elif displaced is not None:
             self.metrics.count("dispatch.queue.displaced")
-            displaced.end(NotRunError(Reason.QUEUE_FULL, retry_after_s=1.0))
+            displaced.end(NotRunError(Reason.QUEUE_FULL, self.retry_after_s()))
         return ticket
 
-    def pick(self) -> EndpointSlots | None:
-        """Return the endpoint with the most free slots; the lock is held."""
-        best = max(self.endpoints.values(), key=ROOM, default=None)
+    def refuse_early(self, request: ServiceRequest) -> NotRunError | None:
+        """Return a refusal if the request would not start in time; locked."""
+        ahead = self.queue.ahead_of(request)
+        slots = sum([item.usable for item in self.endpoints.values()])
+        if self.waits.would_start_in_time(ahead, slots, request.deadline_s):
+            return None
+        return NotRunError(Reason.DEADLINE_OUT_OF_REACH, self.retry_after_s())
+
+    def retry_after_s(self) -> float:
+        """Return when the queue of now will have been served."""
+        slots = sum([item.usable for item in self.endpoints.values()])
+        return self.waits.wait_s(self.queue.size, slots)
+
+    def take_lane(self, request: ServiceRequest) -> Lane | None:
+        """Take a free slot within the team's limit; the lock is held."""
+        best = max(self.endpoints.values(), key=RANK, default=None)
         if best is None or best.room == 0:
             return None
-        return best
+        if not self.limits.try_admit(request.team, best.shard):
+            best = self.pick_other(request, best)
+            if best is None:
+                return None
+        return Lane(best, best.take(), request)
+
+    def pick_other(
+        self, request: ServiceRequest, refused: EndpointSlots
+    ) -> EndpointSlots | None:
+        """Return a free endpoint on a shard where the team's limit has room."""
+        tried = {refused.shard}
+        for slots in self.endpoints.values():
+            if slots.room and slots.shard not in tried:
+                if self.limits.try_admit(request.team, slots.shard):
+                    return slots
+                tried.add(slots.shard)
+        request.is_limited = True
+        return None
+
+    def end_lane(self, lane: Lane, outcome: CallOutcome) -> None:
+        """Give a slot back and learn from how its call ended; the lock is held."""
+        slots = lane.slots
+        self.limits.release(lane.request.team, slots.shard)
+        now_s = time.monotonic()
+        if isinstance(outcome, EndpointAnswer):
+            is_reusable = is_timed = True
+        else:
+            is_reusable = outcome.reason in UNSENT_REASONS
+            is_timed = outcome.reason is Reason.ENDPOINT_LATE
+        is_failure = is_endpoint_failure(outcome)
+        is_tested = is_failure or isinstance(outcome, EndpointAnswer)
+        if is_tested and slots.record(not is_failure, now_s):
+            self.note_breakers(now_s)
+        if is_timed and lane.request.placed_s is not None:
+            self.waits.record(now_s - lane.request.placed_s)
+        slots.give_back(lane.connection, is_reusable)
+
+    def note_breakers(self, now_s: float) -> None:
+        """Count breakers; ignore them while they would close most of the pool."""
+        endpoints = self.endpoints.values()
+        closed = sum([item.breaker.state is BreakerState.CLOSED for item in endpoints])
+        ignore = closed < MIN_SHARE_WITH_BREAKERS * len(endpoints)
+        self.metrics.count("dispatch.breakers.changed")
+        for item in endpoints:
+            item.ignores_breaker = ignore
+            item.refresh(now_s)
+
+    def pop_lane(self) -> tuple[Lane, Ticket] | None:
+        """Take the next waiting ticket and a slot for it; the lock is held."""
+        found: list[Lane] = []
+
+        def may_start(ticket: Ticket) -> bool:
+            lane = self.take_lane(ticket.request)
+            if lane is not None:
+                found.append(lane)
+            return lane is not None
+
+        ticket = self.queue.pop(may_start)
+        return (found[0], ticket) if ticket is not None else None
 
     def start_waiting(self) -> None:
         """Start waiting tickets while there are free slots."""
         while True:
             with self.lock:
-                slots = self.pick()
-                ticket = self.queue.pop(lambda _: True) if slots else None
-                if slots is None or ticket is None:
-                    return
-                connection = slots.take()
-            self.executor.submit(self.work, slots, connection, ticket)
-
-    def work(self, slots: EndpointSlots, connection: Endpoint, ticket: Ticket) -> None:
+                started = self.pop_lane() if self.queue.size else None
+            if started is None:
+                return
+            self.executor.submit(self.work, *started)
+
+    def work(self, lane: Lane, ticket: Ticket) -> None:
         """Run a ticket, then others that wait, until the slot is not needed."""
-        next_ticket: Ticket | None = ticket
-        while next_ticket is not None:
-            is_reusable = self.run_ticket(slots, connection, next_ticket)
+        started: tuple[Lane, Ticket] | None = (lane, ticket)
+        while started is not None:
+            outcome = self.run_ticket(*started)
             with self.lock:
-                slots.give_back(connection, is_reusable)
-                picked = self.pick() if self.queue.size else None
-                next_ticket = self.queue.pop(lambda _: True) if picked else None
-                if picked is not None and next_ticket is not None:
-                    slots, connection = picked, picked.take()
-
-    def run_ticket(
-        self, slots: EndpointSlots, connection: Endpoint, ticket: Ticket
-    ) -> bool:
-        """Send one request; return whether the connection can be used again."""
-        if not self.may_act(slots.shard):
-            ticket.end(NotRunError(Reason.OWNERSHIP_MOVED))
-            return True
+                self.end_lane(started[0], outcome)
+                started = self.pop_lane() if self.queue.size else None
+
+    def run_ticket(self, lane: Lane, ticket: Ticket) -> CallOutcome:
+        """Send one request and end its ticket."""
+        if not self.may_act(lane.slots.shard):
+            moved = NotRunError(Reason.OWNERSHIP_MOVED)
+            ticket.end(moved)
+            return moved
         if not ticket.begin_sending():
-            return True
-        outcome = self.call(connection, ticket.request)
+            return NotRunError(Reason.CALLER_GONE)
+        outcome = call_endpoint(lane.connection, ticket.request, self.metrics)
         if not ticket.end(outcome):
             self.metrics.count("dispatch.answers.late")
-        return isinstance(outcome, EndpointAnswer)
-
-    def call(
-        self, connection: Endpoint, request: ServiceRequest
-    ) -> EndpointAnswer | Exception:
-        """Return the endpoint's answer, or the typed failure."""
-        message = EndpointRequest(
-            request.id, request.service, request.content_type, request.body
-        )
-        timeout_s = request.deadline_s - time.monotonic()
-        if timeout_s <= 0:
-            return NotRunError(Reason.WAITED_TOO_LONG)
-        try:
-            return connection.call(message, timeout_s)
-        except platform.EndpointUnavailableError:
-            return NotRunError(Reason.ENDPOINT_NOT_REACHED)
-        except platform.EndpointRefusedError:
-            return NotRunError(Reason.ENDPOINT_REFUSED)
-        except platform.OutcomeUnknownError:
-            is_late = request.deadline_s <= time.monotonic()
-            reason = Reason.ENDPOINT_LATE if is_late else Reason.ENDPOINT_FAILED
-            return OutcomeUnknownError(reason)
-        except Exception:
-            self.metrics.count("dispatch.calls.crashed")
-            return OutcomeUnknownError(Reason.MEMBER_FAILED)
-
-    def expire(self, now_s: float) -> None:
-        """Answer the waiting tickets whose time is up."""
+        return outcome
+
+    def refresh(self, now_s: float) -> None:
+        """Do what is due by time: probes, slow starts, waits that are over."""
         with self.lock:
+            for item in self.endpoints.values():
+                if not item.is_settled:
+                    item.refresh(now_s)
             expired = self.queue.remove_where(
                 lambda ticket: ticket.request.deadline_s <= now_s
             )
         for ticket in expired:
-            ticket.give_up(Reason.WAITED_TOO_LONG)
+            limited = ticket.request.is_limited
+            ticket.give_up(Reason.TEAM_LIMIT if limited else Reason.WAITED_TOO_LONG)
+        if self.queue.size:
+            self.start_waiting()
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/dispatch/queues.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/dispatch/queues.py
@@ -4,7 +4,11 @@
 from collections.abc import Callable, Mapping
 
 from gooseberrydeck_coordination.ids import TeamName
-from gooseberrydeck_daemon.dispatch.requests import Ticket, TicketState
+from gooseberrydeck_daemon.dispatch.requests import (
+    ServiceRequest,
+    Ticket,
+    TicketState,
+)
 
 __all__ = ["FairQueue"]
 
@@ -46,6 +50,20 @@
         self.size += 1
         return displaced
 
+    def ahead_of(self, request: ServiceRequest) -> int:
+        """Return how many tickets would start before one that comes now.
+
+        Teams take turns, so a team's next ticket waits for a turn of every team that
+        waits, for each ticket that it has before; never for more than there are.
+        """
+        by_team = self.classes[request.is_retry]
+        own = len(by_team.get(request.team, ()))
+        teams = sum([bool(tickets) for tickets in by_team.values()])
+        others = 0
+        if request.is_retry:
+            others = sum([len(tickets) for tickets in self.classes[False].values()])
+        return min(self.size, others + (own + 1) * max(1, teams))
+
     def is_waiting(self, team: TeamName) -> bool:
         """Tell whether a team has tickets in the queue."""
         return any(by_team.get(team) for by_team in self.classes)
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/dispatch/requests.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/dispatch/requests.py
@@ -38,6 +38,7 @@
     deadline_s: float
     is_idempotent: bool = False
     is_retry: bool = False
+    is_limited: bool = False
     placed_s: float | None = None
     is_caller_gone: Callable[[], bool] = is_never_gone
 
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/dispatch/slots.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/dispatch/slots.py
@@ -3,11 +3,15 @@
 from collections.abc import Callable
 
 from gooseberrydeck_coordination.ids import ShardId
+from gooseberrydeck_daemon.dispatch.breakers import Breaker, BreakerState, SlowStart
 from gooseberrydeck_platform.endpoints import Endpoint
 from gooseberrydeck_platform.hosts import Host, HostState
 
 __all__ = ["EndpointFactory", "EndpointSlots"]
 
+FAILURE_WEIGHT = 10_000
+NO_ROOM = -1_000_000_000
+
 EndpointFactory = Callable[[Host], Endpoint]
 
 
@@ -24,28 +28,55 @@
         self.host = host
         self.shard = shard
         self.connect = connect
+        self.breaker = Breaker()
+        self.slow_start = SlowStart()
+        self.ignores_breaker = False
         self.in_use = 0
         self.idle: list[Endpoint] = []
         self.is_gone = False
         self.slots = 0
+        self.usable = 0
         self.room = 0
-        self.set_host(host)
+        self.rank = NO_ROOM
+        self.set_host(host, 0.0)
 
-    def set_host(self, host: Host) -> None:
+    def set_host(self, host: Host, now_s: float) -> None:
         """Take in what the host list says of the endpoint now."""
+        if self.host.state is not HostState.LIVE and host.state is HostState.LIVE:
+            self.slow_start.begin(now_s)
         self.host = host
         bound = host.connections or host.slots
         self.slots = min(host.slots, bound) if self.is_open else 0
-        self.update_room()
+        self.refresh(now_s)
 
     @property
     def is_open(self) -> bool:
         """Tell whether the endpoint may get new work at all."""
         return not self.is_gone and self.host.state is HostState.LIVE
 
+    @property
+    def is_settled(self) -> bool:
+        """Tell whether time alone changes nothing about the room."""
+        is_closed = self.breaker.state is BreakerState.CLOSED
+        return is_closed and self.slow_start.started_s is None
+
+    def refresh(self, now_s: float) -> None:
+        """Work out again how many slots may be used."""
+        usable = self.slots
+        if not self.ignores_breaker:
+            usable = self.breaker.allowance(usable, now_s)
+        self.usable = self.slow_start.allowance(usable, now_s)
+        self.update_room()
+
     def update_room(self) -> None:
-        """Work out the room again."""
-        self.room = max(0, self.slots - self.in_use)
+        """Work out the room again, and the rank among endpoints with room.
+
+        An endpoint whose last call failed comes after all others, since one that
+        fails at once would else always have the most room.
+        """
+        self.room = max(0, self.usable - self.in_use)
+        rank = self.room - FAILURE_WEIGHT * self.breaker.failures
+        self.rank = rank if self.room else NO_ROOM
 
     def take(self) -> Endpoint:
         """Take a slot, and a connection to go with it."""
@@ -64,10 +95,22 @@
         else:
             connection.close()
 
+    def record(self, is_success: bool, now_s: float) -> bool:
+        """Count how a call ended; return whether the breaker changed."""
+        if is_success:
+            is_changed = self.breaker.record_success()
+            if not is_changed:
+                return False
+            self.slow_start.begin(now_s)
+        else:
+            is_changed = self.breaker.record_failure(now_s)
+        self.refresh(now_s)
+        return is_changed
+
     def retire(self) -> None:
         """Take no more work; close what is idle."""
         self.is_gone = True
-        self.slots = 0
+        self.slots = self.usable = 0
         self.update_room()
         for connection in self.idle:
             connection.close()
--- /dev/null
+++ b/tests/daemon/test_overload_parts.py
@@ -0,0 +1,237 @@
+"""Tests of the parts that keep the request path useful under overload."""
+
+import time
+from concurrent.futures import Future, ThreadPoolExecutor
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from daemon_support import EDITORS, LOOKUP, FakeEndpoints, endpoint_host
+from gooseberrydeck_coordination.ids import RequestId, ShardId, TeamName
+from gooseberrydeck_daemon.dispatch.breakers import Breaker, BreakerState, SlowStart
+from gooseberrydeck_daemon.dispatch.exceptions import NotRunError, Reason
+from gooseberrydeck_daemon.dispatch.limits import NoLimits
+from gooseberrydeck_daemon.dispatch.pools import ServicePool
+from gooseberrydeck_daemon.dispatch.queues import FairQueue
+from gooseberrydeck_daemon.dispatch.requests import ServiceRequest, Ticket
+from gooseberrydeck_daemon.dispatch.slots import EndpointSlots
+from gooseberrydeck_daemon.dispatch.waits import MIN_SAMPLES, WaitEstimate
+from gooseberrydeck_daemon.metrics import CounterMetrics
+from gooseberrydeck_platform.hosts import HostState
+
+
+def make_request(
+    team: str = EDITORS, is_retry: bool = False, timeout_s: float = 60.0
+) -> ServiceRequest:
+    return ServiceRequest(
+        RequestId(f"{team}/{is_retry}"),
+        LOOKUP,
+        TeamName(team),
+        "text/plain",
+        b"",
+        time.monotonic() + timeout_s,
+        is_retry=is_retry,
+    )
+
+
+def pop_teams(queue: FairQueue, count: int) -> list[str]:
+    tickets = [queue.pop(lambda _: True) for _ in range(count)]
+    return [ticket.request.team for ticket in tickets if ticket is not None]
+
+
+class TestFairQueue:
+    def test_a_flood_of_one_team_does_not_delay_another(self) -> None:
+        queue = FairQueue(100)
+        for _ in range(20):
+            queue.push(Ticket(make_request("flood")))
+        queue.push(Ticket(make_request("quiet")))
+        assert "quiet" in pop_teams(queue, 2)
+
+    def test_turns_follow_the_weights(self) -> None:
+        queue = FairQueue(100)
+        queue.weights = {TeamName("heavy"): 3.0, TeamName("light"): 1.0}
+        for team in 40 * ["heavy", "light"]:
+            queue.push(Ticket(make_request(team)))
+        assert pop_teams(queue, 40).count("heavy") == 30
+
+    def test_fresh_work_goes_before_retries(self) -> None:
+        queue = FairQueue(10)
+        queue.push(Ticket(make_request("a", is_retry=True)))
+        queue.push(Ticket(make_request("b")))
+        assert pop_teams(queue, 2) == ["b", "a"]
+
+    @pytest.mark.parametrize(
+        ("waiting", "newcomer", "displaced"),
+        [
+            (["a", "a", "a"], ("b", False), "a"),
+            (["a", "b", "c"], ("a", False), "a"),
+            (["a", "a", "b"], ("a", False), "a"),
+            (["a", "a", "b"], ("c", True), "c"),
+        ],
+    )
+    def test_who_gives_way_when_the_queue_is_full(
+        self, waiting: list[str], newcomer: tuple[str, bool], displaced: str
+    ) -> None:
+        queue = FairQueue(len(waiting))
+        for team in waiting:
+            queue.push(Ticket(make_request(team)))
+        ticket = Ticket(make_request(*newcomer))
+        out = queue.push(ticket)
+        assert out is not None
+        assert out.request.team == displaced
+        assert queue.size == len(waiting)
+
+    def test_a_retry_gives_way_to_fresh_work(self) -> None:
+        queue = FairQueue(2)
+        queue.push(Ticket(make_request("a")))
+        queue.push(Ticket(make_request("b", is_retry=True)))
+        out = queue.push(Ticket(make_request("a")))
+        assert out is not None
+        assert out.request.is_retry
+
+    def test_a_ticket_that_was_given_up_is_not_started(self) -> None:
+        queue = FairQueue(2)
+        ticket = Ticket(make_request())
+        queue.push(ticket)
+        ticket.give_up(Reason.CALLER_GONE)
+        assert queue.pop(lambda _: True) is None
+        assert queue.size == 0
+
+    @settings(derandomize=True, database=None, deadline=None, max_examples=200)
+    @given(
+        st.lists(
+            st.one_of(
+                st.tuples(st.sampled_from("abc"), st.booleans()),
+                st.sampled_from(["pop", "refuse", "expire"]),
+            ),
+            max_size=60,
+        )
+    )
+    def test_the_size_is_always_that_of_the_tickets(self, steps: list[object]) -> None:
+        queue = FairQueue(8)
+        inside: set[int] = set()
+        kept: list[Ticket] = []
+        for step in steps:
+            if isinstance(step, tuple):
+                ticket = Ticket(make_request(*step))
+                kept.append(ticket)
+                inside.add(id(ticket))
+                inside.discard(id(queue.push(ticket)))
+            elif step == "expire":
+                inside -= {id(item) for item in queue.remove_where(lambda _: True)}
+            else:
+                taken = queue.pop(lambda _, answer=step == "pop": answer)
+                assert taken is None or id(taken) in inside
+                inside.discard(id(taken))
+            assert queue.size == len(inside) <= 8
+
+
+class TestBreaker:
+    def test_opens_after_failures_in_a_row_and_probes_after_a_rest(self) -> None:
+        breaker = Breaker()
+        assert [breaker.record_failure(10.0) for _ in range(5)][-1]
+        assert breaker.allowance(8, 10.9) == 0
+        assert breaker.allowance(8, 11.0) == 1
+        assert breaker.record_failure(11.0)
+        assert breaker.allowance(8, 12.9) == 0
+        assert breaker.allowance(8, 13.0) == 1
+        assert breaker.record_success()
+        assert breaker.allowance(8, 13.0) == 8
+
+    def test_a_success_forgets_earlier_failures(self) -> None:
+        breaker = Breaker()
+        for _ in range(3):
+            assert not any(breaker.record_failure(1.0) for _ in range(4))
+            breaker.record_success()
+        assert breaker.state is BreakerState.CLOSED
+
+
+class TestSlowStart:
+    def test_slots_come_back_one_by_one(self) -> None:
+        slow_start = SlowStart()
+        assert slow_start.allowance(8, 100.0) == 8
+        slow_start.begin(100.0)
+        counts = [slow_start.allowance(8, 100.0 + second) for second in range(12)]
+        assert counts == [1, 1, 2, 3, 4, 5, 5, 6, 7, 8, 8, 8]
+
+    def test_an_endpoint_that_was_leaving_starts_slowly(self) -> None:
+        host = endpoint_host("e1", state=HostState.LEAVING)
+        slots = EndpointSlots(host, ShardId(1), FakeEndpoints().connect)
+        assert slots.room == 0
+        slots.set_host(endpoint_host("e1"), 50.0)
+        assert slots.room == 1
+        slots.refresh(60.0)
+        assert slots.room == 8
+
+
+class TestWaitEstimate:
+    def test_what_cannot_be_met_is_known_on_arrival(self) -> None:
+        waits = WaitEstimate()
+        now_s = time.monotonic()
+        assert waits.would_start_in_time(1_000, 1, now_s)
+        for _ in range(MIN_SAMPLES):
+            waits.record(0.1)
+        assert waits.wait_s(7, 8) == pytest.approx(0.1)
+        assert not waits.would_start_in_time(79, 8, now_s + 1.0)
+        assert waits.would_start_in_time(79, 8, now_s + 5.0)
+
+
+class HeldExecutor(ThreadPoolExecutor):
+    """Take work without ever running it."""
+
+    def submit(self, *_: object, **__: object) -> Future[None]:  # type: ignore[override]
+        return Future()
+
+
+class TestPool:
+    def make_pool(self, slots: int = 1) -> ServicePool:
+        pool = ServicePool(
+            LOOKUP, 4, HeldExecutor(), lambda _: True, NoLimits(), CounterMetrics()
+        )
+        host = endpoint_host("e1", slots=slots)
+        connect = FakeEndpoints().connect
+        pool.set_endpoints([EndpointSlots(host, ShardId(1), connect)])
+        return pool
+
+    def reason(self, ticket: Ticket) -> Reason:
+        error = ticket.future.exception(timeout=0)
+        assert isinstance(error, NotRunError)
+        return error.reason
+
+    def test_a_request_out_of_reach_is_refused_on_arrival(self) -> None:
+        pool = self.make_pool()
+        for _ in range(MIN_SAMPLES):
+            pool.waits.record(1.0)
+        pool.submit(make_request())
+        patient = pool.submit(make_request(timeout_s=10.0))
+        hasty = pool.submit(make_request(timeout_s=2.5))
+        assert not patient.future.done()
+        assert self.reason(hasty) is Reason.DEADLINE_OUT_OF_REACH
+        error = hasty.future.exception()
+        assert isinstance(error, NotRunError)
+        assert error.retry_after_s == pytest.approx(2.0)
+
+    def test_waiting_ends_at_the_deadline(self) -> None:
+        pool = self.make_pool()
+        pool.submit(make_request())
+        waiting = pool.submit(make_request(timeout_s=5.0))
+        pool.refresh(time.monotonic() + 4.0)
+        assert not waiting.future.done()
+        pool.refresh(time.monotonic() + 5.0)
+        assert self.reason(waiting) is Reason.WAITED_TOO_LONG
+
+    def test_a_full_queue_refuses_at_once(self) -> None:
+        pool = self.make_pool()
+        tickets = [pool.submit(make_request()) for _ in range(6)]
+        assert self.reason(tickets[5]) is Reason.QUEUE_FULL
+        assert pool.load().waiting == 4
+
+    def test_breakers_are_ignored_when_most_would_be_open(self) -> None:
+        pool = self.make_pool()
+        (slots,) = pool.endpoints.values()
+        for _ in range(5):
+            if slots.record(False, 100.0):
+                pool.note_breakers(100.0)
+        assert slots.breaker.state is BreakerState.OPEN
+        assert slots.room == 1
--- a/tests/daemon_support.py
+++ b/tests/daemon_support.py
@@ -24,6 +24,7 @@
     TeamName,
 )
 from gooseberrydeck_daemon.composition import Member, Platform
+from gooseberrydeck_daemon.dispatch.slots import EndpointFactory
 from gooseberrydeck_daemon.settings import Settings
 from gooseberrydeck_platform.endpoints import EndpointAnswer, EndpointRequest
 from gooseberrydeck_platform.hosts import Host, HostKind, HostState
@@ -163,13 +164,14 @@
     endpoints: FakeEndpoints,
     members: Sequence[str] = ("m1",),
     configuration: Configuration = CONFIGURATION,
+    connect: EndpointFactory | None = None,
     **callers: int,
 ) -> Iterator[dict[str, Member]]:
     """Run members that know each other, until the block ends."""
     ports = {name: free_port() if len(members) > 1 else 0 for name in members}
     cell: dict[str, Member] = {}
     for name in members:
-        platform = Platform(FakeHostList(hosts), endpoints.connect)
+        platform = Platform(FakeHostList(hosts), connect or endpoints.connect)
         settings = make_settings(name, ports, **callers)
         cell[name] = Member(settings, platform)
         cell[name].configuration.offer(configuration)
