--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/limits/task.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/limits/task.py
@@ -10,8 +10,7 @@
 from gooseberrydeck_coordination.exceptions import StoreError
 from gooseberrydeck_coordination.ids import Epoch, MemberId, Revision, ShardId, TeamName
 from gooseberrydeck_coordination.keys import StoreKeys
-from gooseberrydeck_coordination.ownership import OwnershipView
-from gooseberrydeck_coordination.shards import decode_shards
+from gooseberrydeck_coordination.ownership import OwnedShard, OwnershipView
 from gooseberrydeck_coordination.slices import (
     SliceController,
     SliceLedger,
@@ -48,7 +47,6 @@
 TICK_S = 0.05
 ASK_TIMEOUT_S = 0.5
 OFFER_LIFETIME_S = 2.0
-STORE_TIMEOUT_S = 2.0
 STORE_RETRY_S = 1.0
 
 
@@ -170,15 +168,12 @@
                 del self.held[shard]
         for shard, holding in owned.items():
             if shard not in self.held and not self.is_store_paused():
-                self.ask_store(partial(self.take_shard, shard, holding.epoch))
+                self.ask_store(partial(self.take_shard, holding))
 
-    def take_shard(self, shard: ShardId, epoch: Epoch) -> None:
-        """Begin to admit on a shard, if the store still shows our claim."""
-        entry = self.store.read(self.keys.shard(shard), STORE_TIMEOUT_S)
-        if entry is None or decode_shards([entry])[shard].epoch != epoch:
-            return
-        self.controller.take_shard(shard, entry.mod_revision, {})
-        self.held[shard] = (epoch, entry.mod_revision)
+    def take_shard(self, holding: OwnedShard) -> None:
+        """Begin to admit on a shard that was claimed."""
+        self.controller.take_shard(holding.shard, holding.revision, {})
+        self.held[holding.shard] = (holding.epoch, holding.revision)
         self.tell_change()
 
     def ask_for_units(self, slot: Slot) -> None:
--- a/tests/daemon/test_limits.py
+++ b/tests/daemon/test_limits.py
@@ -14,14 +14,17 @@
     ConfigurationNumber,
     Epoch,
     MemberId,
+    Revision,
     ShardId,
     TeamName,
 )
 from gooseberrydeck_coordination.keys import StoreKeys
 from gooseberrydeck_coordination.ownership import OwnedShard, OwnershipView
+from gooseberrydeck_coordination.quarantine import Quarantine
 from gooseberrydeck_coordination.roster import Seat
 from gooseberrydeck_coordination.shards import ShardRecord
 from gooseberrydeck_coordination.store import Put, Transaction
+from gooseberrydeck_coordination.timing import Timing
 from gooseberrydeck_daemon.limits import LimitsTask, UnitsRequest
 from gooseberrydeck_daemon.limits.demand import DemandBook
 from gooseberrydeck_daemon.metrics import CounterMetrics
@@ -34,6 +37,7 @@
 TEAM = TeamName("segreteria")
 KEYS = StoreKeys(CellName("lauree"))
 STEP_S = 0.05
+CLEAN = Quarantine(Timing(), claimed_s=0.0, has_predecessor=False)
 
 
 class FakeOwnership:
@@ -43,10 +47,13 @@
         self.clock = clock
         self.member = member
         self.owners: dict[ShardId, MemberId] = {}
+        self.revisions: dict[ShardId, Revision] = {}
 
     def view(self) -> OwnershipView:
         owned = {
-            shard: OwnedShard(shard, Epoch(1), float("inf"), None)  # type: ignore[arg-type]
+            shard: OwnedShard(
+                shard, Epoch(1), self.revisions[shard], float("inf"), CLEAN
+            )
             for shard, owner in self.owners.items()
             if owner == self.member
         }
@@ -90,6 +97,7 @@
         }
         self.configuration = ConfigurationHolder()
         self.publish(1, limit)
+        self.revisions: dict[ShardId, Revision] = {}
         self.tasks: dict[MemberId, LimitsTask] = {}
         self.stores: dict[MemberId, EngineStore] = {}
         for name in self.names:
@@ -97,11 +105,13 @@
         for shard, owner in self.owners.items():
             record = ShardRecord(Seat(owner, "run-1"), Epoch(1), 10.0, 10.0)
             put = Put(KEYS.shard(shard), msgspec.json.encode(record))
-            EngineStore(self.engine).commit(Transaction((), (put,)), 1.0)
+            result = EngineStore(self.engine).commit(Transaction((), (put,)), 1.0)
+            self.revisions[shard] = result.revision
 
     def add(self, name: MemberId, shards: int) -> None:
         ownership = FakeOwnership(self.clock, name)
         ownership.owners = self.owners
+        ownership.revisions = self.revisions
         self.stores[name] = EngineStore(self.engine, waits=False)
         self.tasks[name] = LimitsTask(
             self.stores[name],
