--- a/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/starting.py
+++ b/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/starting.py
@@ -20,6 +20,9 @@
 LOOK_AGAIN_S = 0.25
 """How often a job is tried again while nothing has opened for its size."""
 
+LOOK_AT_GANG_S = 0.1
+"""The same for a gang, since no size of its own tells when it fits."""
+
 LOOK_LATER_S = 1.0
 """The same for jobs behind the first few of their team."""
 
@@ -76,7 +79,7 @@
             if not started:
                 order.missed(job)
                 is_ahead = order.misses[job.spec.team] <= JOBS_AHEAD
-                job.look_s = now_s + (LOOK_AGAIN_S if is_ahead else LOOK_LATER_S)
+                job.look_s = now_s + look_after_s(job, is_ahead)
                 continue
             left -= started
             if not job.pending:
@@ -216,3 +219,10 @@
             self.state.forget(job)
             self.state.decisions.append(refusal)
         self.hopeless.clear()
+
+
+def look_after_s(job: TrackedJob, is_ahead: bool) -> float:
+    """Return after how many seconds to try again a job that did not start."""
+    if not is_ahead:
+        return LOOK_LATER_S
+    return LOOK_AT_GANG_S if job.spec.is_gang else LOOK_AGAIN_S
