Claim an Idempotency-Key before its request is sent

A non-idempotent request with a key is claimed at requests/SERVICE/HASH by a transaction that wants the key absent; only then is it sent. A second use gets the first answer, or 409 with outcome unknown, through any member. A first use that certainly was not run frees the key again.

Claims are committed in groups by a task of their own, paced so that all members together write at most 100 transactions a second for them. The member's marker settles answers that were lost, so that a claim that may still come is never mistaken for one that failed. Writing the claim in the caller's thread was ruled out, it costs one transaction a request; the memory of the shard's owner instead of the store was left out, so with the store out such requests are refused as not_run.

--- a/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/keys.py
+++ b/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/keys.py
@@ -69,3 +69,7 @@
     def commit_marker(self, member: MemberId) -> str:
         """Return the key by which a member's group commits are settled."""
         return f"{self.root}commits/{member}"
+
+    def request_marker(self, member: MemberId) -> str:
+        """Return the key by which a member's claims of requests are settled."""
+        return f"{self.root}request-commits/{member}"
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/composition.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/composition.py
@@ -7,6 +7,7 @@
 
 from gooseberrydeck_coordination.clock import SystemClock
 from gooseberrydeck_coordination.ids import ServiceName
+from gooseberrydeck_coordination.keys import StoreKeys
 from gooseberrydeck_coordination.store import Store
 from gooseberrydeck_coordination.timing import Timing
 from gooseberrydeck_daemon.controllers.configuration import StoreFreshness
@@ -37,6 +38,7 @@
 from gooseberrydeck_daemon.http.filters import GetResponse
 from gooseberrydeck_daemon.http.health import Health
 from gooseberrydeck_daemon.http.services import ServiceHandler
+from gooseberrydeck_daemon.idempotency import IdempotencyGuard, RecordsTask
 from gooseberrydeck_daemon.metrics import CounterMetrics, StatsdTask
 from gooseberrydeck_daemon.operators import OperatorsSide
 from gooseberrydeck_daemon.peers import MessageRegistry, PeerNetwork
@@ -113,7 +115,10 @@
         self.router = Router()
         self.operators = self.build_operators(platform)
         self.access = AccessIndex(self.configuration, self.is_configuration_fresh)
-        self.router.add(ServiceHandler(self.access, self.dispatcher).route())
+        self.records = self.build_records(platform)
+        guard = self.build_guard(platform)
+        services = ServiceHandler(self.access, self.dispatcher, guard)
+        self.router.add(services.route())
         self.callers = self.build_callers()
         self.tasks = self.build_tasks(platform)
 
@@ -171,6 +176,31 @@
             self.metrics,
         )
 
+    def build_records(self, platform: Platform) -> RecordsTask | None:
+        """Build the task that records requests with an Idempotency-Key."""
+        if platform.store is None:
+            return None
+        keys = StoreKeys(self.settings.cell)
+        return RecordsTask(
+            platform.store,
+            keys.request_marker(self.settings.member),
+            self.membership,
+            SystemClock(),
+            self.metrics,
+        )
+
+    def build_guard(self, platform: Platform) -> IdempotencyGuard | None:
+        """Build the guard of requests with an Idempotency-Key."""
+        if platform.store is None or self.records is None:
+            return None
+        return IdempotencyGuard(
+            self.settings.member,
+            platform.store,
+            StoreKeys(self.settings.cell),
+            self.records,
+            self.metrics,
+        )
+
     def is_configuration_fresh(self) -> bool:
         """Tell whether keys may be judged by the configuration."""
         return self.operators is None or self.operators.configuration.is_fresh()
@@ -204,6 +234,8 @@
                 self.directory.loads, self.network, self.membership, SystemClock()
             ),
         ]
+        if self.records is not None:
+            tasks.append(self.records)
         if self.operators is not None:
             tasks.extend(self.operators.tasks())
         if self.settings.statsd is not None:
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/http/services.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/http/services.py
@@ -1,5 +1,8 @@
 """POST /v1/services/SERVICE: run a request while the caller waits."""
 
+import re
+import time
+
 from gooseberrydeck_configuration.objects import Queue, Service
 from gooseberrydeck_coordination.ids import TeamName
 from gooseberrydeck_daemon.dispatch import Dispatcher, ServiceRequest
@@ -8,9 +11,13 @@
 from gooseberrydeck_daemon.http.requests import Request
 from gooseberrydeck_daemon.http.responses import Response
 from gooseberrydeck_daemon.http.router import Route
+from gooseberrydeck_daemon.idempotency import IdempotencyGuard, KeyedRequest
+from gooseberrydeck_platform.endpoints import EndpointAnswer
 
 __all__ = ["ServiceHandler", "team_allowed"]
 
+IDEMPOTENCY_KEY = re.compile(r"[\x21-\x7e]{1,255}")
+
 
 def team_allowed(request: Request, target: Service | Queue) -> TeamName:
     """Return the team that the work is taken for, or raise ``ProblemError``."""
@@ -29,9 +36,18 @@
 class ServiceHandler:
     """Serve requests to services."""
 
-    def __init__(self, access: AccessIndex, dispatcher: Dispatcher) -> None:
-        """Find services in ``access`` and run requests by ``dispatcher``."""
+    def __init__(
+        self,
+        access: AccessIndex,
+        dispatcher: Dispatcher,
+        guard: IdempotencyGuard | None = None,
+    ) -> None:
+        """Find services in ``access`` and run requests by ``dispatcher``.
+
+        Without a guard, requests with an Idempotency-Key are refused.
+        """
         self.access = access
+        self.guard = guard
         self.dispatcher = dispatcher
 
     def route(self) -> Route:
@@ -69,6 +85,22 @@
             is_idempotent=service.is_idempotent,
             is_caller_gone=request.is_caller_gone,
         )
-        answer = self.dispatcher.run(sent)
+        answer = self.run(request, sent)
         request.placed_s = sent.placed_s
         return Response(answer.status, answer.content_type, answer.body)
+
+    def run(self, request: Request, sent: ServiceRequest) -> EndpointAnswer:
+        """Run a request, guarded by its Idempotency-Key if it needs one."""
+        key = request.header("HTTP_IDEMPOTENCY_KEY")
+        if key is None or sent.is_idempotent:
+            return self.dispatcher.run(sent)
+        if not IDEMPOTENCY_KEY.fullmatch(key):
+            detail = "write 1 to 255 visible ASCII characters"
+            raise ProblemError(ProblemType.BAD_IDEMPOTENCY_KEY, detail)
+        if self.guard is None:
+            raise ProblemError(ProblemType.STORE_UNAVAILABLE, "there is no store")
+        keyed = KeyedRequest(
+            sent.id, sent.service, sent.team, key, sent.content_type, sent.body
+        )
+        left_s = max(0.0, sent.deadline_s - time.monotonic())
+        return self.guard.run(keyed, left_s, lambda: self.dispatcher.run(sent))
--- /dev/null
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/idempotency/__init__.py
@@ -0,0 +1,17 @@
+"""Idempotency keys: a second use of a key never runs its request again."""
+
+from gooseberrydeck_daemon.idempotency.guard import IdempotencyGuard
+from gooseberrydeck_daemon.idempotency.records import (
+    KeyedRequest,
+    RequestRecord,
+    StoredAnswer,
+)
+from gooseberrydeck_daemon.idempotency.task import RecordsTask
+
+__all__ = [
+    "IdempotencyGuard",
+    "KeyedRequest",
+    "RecordsTask",
+    "RequestRecord",
+    "StoredAnswer",
+]
--- /dev/null
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/idempotency/guard.py
@@ -0,0 +1,141 @@
+"""Claim a key before its request is sent, and answer second uses."""
+
+from collections.abc import Callable
+from concurrent.futures import Future, TimeoutError
+from functools import partial
+
+import msgspec
+
+from gooseberrydeck_coordination.exceptions import StoreError
+from gooseberrydeck_coordination.group_commit import WriteOutcome
+from gooseberrydeck_coordination.ids import MemberId
+from gooseberrydeck_coordination.keys import StoreKeys
+from gooseberrydeck_coordination.store import Entry, Store
+from gooseberrydeck_daemon.dispatch.exceptions import DispatchError, Outcome
+from gooseberrydeck_daemon.http.problems import ProblemError, ProblemType
+from gooseberrydeck_daemon.idempotency.records import (
+    KeyedRequest,
+    RequestRecord,
+    StoredAnswer,
+)
+from gooseberrydeck_daemon.idempotency.task import RecordsTask
+from gooseberrydeck_daemon.metrics import Metrics
+from gooseberrydeck_platform.endpoints import EndpointAnswer
+
+__all__ = ["IdempotencyGuard"]
+
+STORE_TIMEOUT_S = 2.0
+MAX_STORED_BODY_BYTES = 65_536
+
+
+class IdempotencyGuard:
+    """Run the request of a key once; later uses get the first answer or unknown."""
+
+    def __init__(
+        self,
+        member: MemberId,
+        store: Store,
+        keys: StoreKeys,
+        records: RecordsTask,
+        metrics: Metrics,
+    ) -> None:
+        """Claim keys through ``records``, and read other claims from ``store``."""
+        self.member = member
+        self.store = store
+        self.keys = keys
+        self.records = records
+        self.metrics = metrics
+
+    def run(
+        self,
+        request: KeyedRequest,
+        timeout_s: float,
+        run: Callable[[], EndpointAnswer],
+    ) -> EndpointAnswer:
+        """Return the answer of ``run`` or of the first use of the key."""
+        path = self.keys.request(request.service, request.key_hash())
+        record = RequestRecord(request.request, self.member, request.fingerprint())
+        claim = msgspec.json.encode(record)
+        if not self.is_claimed(path, claim, timeout_s):
+            return self.answer_again(path, record, claim, run)
+        return self.run_claimed(path, record, claim, run)
+
+    def is_claimed(self, path: str, claim: bytes, timeout_s: float) -> bool:
+        """Claim a key; return False if the store says that it is claimed."""
+        future = self.records.write(path, None, claim)
+        try:
+            outcome = future.result(timeout_s)
+        except TimeoutError:
+            future.add_done_callback(partial(self.free_late_claim, path, claim))
+            outcome = WriteOutcome.UNKNOWN
+        if outcome in (WriteOutcome.WRITTEN, WriteOutcome.CONFLICT):
+            return outcome is WriteOutcome.WRITTEN
+        # Nothing was sent to an endpoint, so this is true even if the claim is
+        # written later; a second use then gets unknown, never a second run.
+        raise ProblemError(ProblemType.STORE_UNAVAILABLE, "the key was not claimed")
+
+    def free_late_claim(
+        self, path: str, claim: bytes, future: Future[WriteOutcome]
+    ) -> None:
+        """Free a key that was claimed after its caller had been refused."""
+        if future.result() is WriteOutcome.WRITTEN:
+            self.records.write(path, claim, None)
+
+    def run_claimed(
+        self,
+        path: str,
+        record: RequestRecord,
+        claim: bytes,
+        run: Callable[[], EndpointAnswer],
+    ) -> EndpointAnswer:
+        """Run the request, and record its answer or free the key again."""
+        try:
+            answer = run()
+        except DispatchError as error:
+            if error.outcome is Outcome.NOT_RUN:
+                self.records.write(path, claim, None)
+            raise
+        if len(answer.body) <= MAX_STORED_BODY_BYTES:
+            stored = StoredAnswer(answer.status, answer.content_type, answer.body)
+            done = msgspec.structs.replace(record, answer=stored)
+            self.records.write(path, claim, msgspec.json.encode(done))
+        return answer
+
+    def answer_again(
+        self,
+        path: str,
+        record: RequestRecord,
+        claim: bytes,
+        run: Callable[[], EndpointAnswer],
+    ) -> EndpointAnswer:
+        """Return the first use's answer, or refuse as unknown."""
+        self.metrics.count("requests.repeated")
+        entry = self.read_claim(path)
+        if entry is not None and entry.value == claim:
+            # Our own claim, whose answer was lost on its way back to us.
+            return self.run_claimed(path, record, claim, run)
+        first = None
+        if entry is not None:
+            first = msgspec.json.decode(entry.value, type=RequestRecord)
+        if first is not None and first.fingerprint != record.fingerprint:
+            detail = "the key was used with another body or content type"
+            raise ProblemError(ProblemType.REPEATED, detail)
+        if first is None or first.answer is None:
+            detail = "the first use has not been answered, or its answer is not kept"
+            raise ProblemError(
+                ProblemType.REPEATED, detail, Outcome.UNKNOWN, retry_after_s=1.0
+            )
+        stored = first.answer
+        return EndpointAnswer(stored.status, stored.content_type, stored.body)
+
+    def read_claim(self, path: str) -> Entry | None:
+        """Return the claim, or refuse as unknown while it can't be read."""
+        try:
+            return self.store.read(path, STORE_TIMEOUT_S)
+        except StoreError as error:
+            raise ProblemError(
+                ProblemType.REPEATED,
+                "the first use could not be looked up",
+                Outcome.UNKNOWN,
+                retry_after_s=1.0,
+            ) from error
