Finish what is in flight at a stop, and give up what callers left

A member that stops tells its peers that it has no room, serves on until they and the balancer have noticed, then refuses new work as not_run, waits for its own and forwarded requests, and leaves its loop only when every answer has been written: an answer that waited for its reader was cut off before. Stopping the listener twice wrote to a closed descriptor; now the second stop does nothing.

Without the flush, the refusal of forwards, the drain, the cancel message or the local giving up, a test of tests/daemon/test_draining.py goes red; each tried.

--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/composition.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/composition.py
@@ -23,6 +23,7 @@
 from gooseberrydeck_daemon.dispatch.loads import LoadTable
 from gooseberrydeck_daemon.dispatch.messages import (
     ForwardAnswer,
+    ForwardCancel,
     ForwardFailure,
     ForwardRequest,
     LoadSummary,
@@ -64,6 +65,7 @@
 MAX_TASKS = 32
 DRAIN_GRACE_S = 1.0
 DRAIN_TIMEOUT_S = 60.0
+DRAIN_POLL_S = 0.02
 
 log = structlog.get_logger(__name__)
 
@@ -149,6 +151,7 @@
             self.metrics,
         )
         self.registry.register(ForwardRequest, dispatcher.receive_forward)
+        self.registry.register(ForwardCancel, dispatcher.receive_cancel)
         self.registry.register(ForwardAnswer)
         self.registry.register(ForwardFailure)
         self.registry.register(LoadSummary, self.loads.receive)
@@ -264,13 +267,22 @@
         self.health.ready.clear()
         log.info("member drains")
         if self.supervisor.crash is None:
-            # Requests that the balancer sent before it noticed are still served.
-            time.sleep(DRAIN_GRACE_S)
-            self.admit.drain(DRAIN_TIMEOUT_S)
+            self.drain()
         self.supervisor.close()
         self.executor.shutdown(wait=False)
         log.info("member stopped")
 
+    def drain(self) -> None:
+        """Finish what callers and peers have sent."""
+        end_s = time.monotonic() + DRAIN_TIMEOUT_S
+        self.directory.is_draining = True
+        # Until the balancer and the peers have noticed, all is served as before.
+        time.sleep(DRAIN_GRACE_S)
+        self.dispatcher.is_draining = True
+        self.admit.drain(DRAIN_TIMEOUT_S)
+        while self.directory.in_use() and time.monotonic() < end_s:
+            time.sleep(DRAIN_POLL_S)
+
 
 def compose(settings: Settings) -> Member:
     """Build a member over the platform that its settings name."""
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/dispatch/directory.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/dispatch/directory.py
@@ -45,6 +45,7 @@
         self.executor = executor
         self.metrics = metrics
         self.lock = threading.Lock()
+        self.is_draining = False
         self.pools: dict[ServiceName, ServicePool] = {}
         self.owners: dict[ServiceName, tuple[MemberId, ...]] = {}
         self.slots: dict[HostName, EndpointSlots] = {}
@@ -54,9 +55,17 @@
         """Return the peers that own live endpoints of a service."""
         return self.owners.get(service, ())
 
+    def in_use(self) -> int:
+        """Return how many requests are at our endpoints or wait for them."""
+        pools = list(self.pools.values())
+        return sum(pool.in_use() + pool.queue.size for pool in pools)
+
     def loads(self) -> dict[ServiceName, PoolLoad]:
-        """Return the load of every pool that has endpoints."""
-        loads = {name: pool.load() for name, pool in list(self.pools.items())}
+        """Return the load of every pool that has endpoints; none while draining."""
+        pools = list(self.pools.items())
+        if self.is_draining:
+            return {name: PoolLoad() for name, _ in pools}
+        loads = {name: pool.load() for name, pool in pools}
         return {name: load for name, load in loads.items() if load.slots}
 
     def update(self, hosts: tuple[Host, ...]) -> None:
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/dispatch/dispatcher.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/dispatch/dispatcher.py
@@ -5,7 +5,7 @@
 from concurrent.futures import Future, TimeoutError
 from typing import Any
 
-from gooseberrydeck_coordination.ids import MemberId, ServiceName
+from gooseberrydeck_coordination.ids import MemberId, RequestId, ServiceName
 from gooseberrydeck_daemon.dispatch.budgets import RetryBudgets
 from gooseberrydeck_daemon.dispatch.exceptions import (
     DispatchError,
@@ -17,6 +17,7 @@
 from gooseberrydeck_daemon.dispatch.loads import LoadTable
 from gooseberrydeck_daemon.dispatch.messages import (
     ForwardAnswer,
+    ForwardCancel,
     ForwardFailure,
     ForwardRequest,
 )
@@ -70,6 +71,8 @@
         self.owners_of = owners_of
         self.budgets = budgets
         self.metrics = metrics
+        self.is_draining = False
+        self.forwarded: dict[RequestId, Ticket] = {}
 
     def run(self, request: ServiceRequest) -> EndpointAnswer:
         """Return the whole answer, or raise ``DispatchError``; blocks the caller."""
@@ -162,20 +165,31 @@
         self.metrics.count("dispatch.forwards")
         asked_s = time.monotonic()
         future = self.peers.ask(peer, message, left_s)
-        reply = self.wait_for(future, peer, left_s)
+        reply = self.wait_for(future, peer, request)
         answer = self.take_answer(peer, request, reply)
         request.placed_s = asked_s + reply.waited_ms / 1000
         return answer
 
-    def wait_for(self, future: Future[Any], peer: MemberId, left_s: float) -> Any:
+    def wait_for(
+        self, future: Future[Any], peer: MemberId, request: ServiceRequest
+    ) -> Any:
         """Return a peer's reply, or raise the typed failure."""
-        try:
-            return future.result(max(0.0, left_s))
-        except PeerNotReachedError as error:
-            self.loads.note_unreached(peer)
-            raise NotRunError(Reason.PEER_NOT_REACHED) from error
-        except (PeerSilentError, TimeoutError) as error:
-            raise OutcomeUnknownError(Reason.PEER_SILENT) from error
+        while True:
+            left_s = request.deadline_s - time.monotonic()
+            try:
+                return future.result(max(0.0, min(left_s, CALLER_CHECK_S)))
+            except PeerNotReachedError as error:
+                self.loads.note_unreached(peer)
+                raise NotRunError(Reason.PEER_NOT_REACHED) from error
+            except PeerSilentError as error:
+                raise OutcomeUnknownError(Reason.PEER_SILENT) from error
+            except TimeoutError as error:
+                if left_s <= CALLER_CHECK_S:
+                    raise OutcomeUnknownError(Reason.PEER_SILENT) from error
+            if request.is_caller_gone():
+                self.metrics.count("dispatch.callers.gone")
+                self.peers.send(peer, ForwardCancel(request.id))
+                raise OutcomeUnknownError(Reason.CALLER_GONE)
 
     def take_answer(
         self, peer: MemberId, request: ServiceRequest, reply: object
@@ -199,7 +213,7 @@
         """Run a peer's request on our endpoints; answer when it ends."""
         message: ForwardRequest = inbound.message
         pool = self.pools.get(message.service)
-        if pool is None or not pool.load().slots:
+        if pool is None or self.is_draining or not pool.load().slots:
             failure = NotRunError(Reason.OWNERSHIP_MOVED)
             inbound.answer(failure_message(message, failure, PoolLoad()))
             return
@@ -214,14 +228,23 @@
         )
         received_s = time.monotonic()
         ticket: Ticket = pool.submit(request)
+        self.forwarded[message.id] = ticket
 
         def answer(future: Future[EndpointAnswer]) -> None:
+            self.forwarded.pop(message.id, None)
             placed_s = request.placed_s or received_s
             waited_ms = (placed_s - received_s) * 1000
             inbound.answer(reply_message(message, future, pool.load(), waited_ms))
 
         ticket.future.add_done_callback(answer)
 
+    def receive_cancel(self, inbound: Inbound) -> None:
+        """Give up a forwarded request whose caller has gone."""
+        message: ForwardCancel = inbound.message
+        ticket = self.forwarded.get(message.id)
+        if ticket is not None:
+            ticket.give_up(Reason.CALLER_GONE)
+
 
 def reply_message(
     message: ForwardRequest,
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/dispatch/messages.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/dispatch/messages.py
@@ -5,7 +5,13 @@
 from gooseberrydeck_daemon.dispatch.pools import PoolLoad
 from gooseberrydeck_daemon.peers import PeerMessage
 
-__all__ = ["ForwardAnswer", "ForwardFailure", "ForwardRequest", "LoadSummary"]
+__all__ = [
+    "ForwardAnswer",
+    "ForwardCancel",
+    "ForwardFailure",
+    "ForwardRequest",
+    "LoadSummary",
+]
 
 
 class ForwardRequest(PeerMessage, frozen=True):
@@ -42,6 +48,12 @@
     retry_after_ms: int | None = None
 
 
+class ForwardCancel(PeerMessage, frozen=True):
+    """Give up a forwarded request, since its caller has gone."""
+
+    id: RequestId
+
+
 class LoadSummary(PeerMessage, frozen=True):
     """The load of each service that the sender owns endpoints of."""
 
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/http/server.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/http/server.py
@@ -1,6 +1,7 @@
 """The listeners of callers and of operators, by waitress."""
 
 import threading
+import time
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any, Protocol
 
@@ -17,6 +18,8 @@
 CHANNEL_TIMEOUT_S = 60
 BACKLOG = 1_024
 SHUTDOWN_TIMEOUT_S = 5.0
+LOOP_TIMEOUT_S = 1.0
+FLUSH_TIMEOUT_S = 0.05
 
 PROBLEMS_BY_STATUS = {
     413: ProblemType.BODY_TOO_LARGE,
@@ -108,14 +111,38 @@
         self.stopping = threading.Event()
 
     def run(self) -> None:
-        """Serve until stopped."""
-        loop = self.server.asyncore.loop
+        """Serve until stopped, and then until every answer has left."""
         while not self.stopping.is_set():
-            loop(timeout=1.0, map=self.map, use_poll=True, count=1)
+            self.loop_once(LOOP_TIMEOUT_S)
+        self.stop_listening()
+        end_s = time.monotonic() + SHUTDOWN_TIMEOUT_S
+        while self.has_unfinished() and time.monotonic() < end_s:
+            self.loop_once(FLUSH_TIMEOUT_S)
         self.server.task_dispatcher.shutdown(timeout=SHUTDOWN_TIMEOUT_S)
         self.server.close()
+        for channel in self.channels():
+            channel.close()
+
+    def loop_once(self, timeout_s: float) -> None:
+        """Serve what happens on the connections, once."""
+        loop = self.server.asyncore.loop
+        loop(timeout=timeout_s, map=self.map, use_poll=True, count=1)
+
+    def stop_listening(self) -> None:
+        """Take no more connections; the open ones are still served."""
+        self.server.del_channel(self.map)
+        self.server.socket.close()
+
+    def channels(self) -> list[HTTPChannel]:
+        """Return the open connections."""
+        return [item for item in self.map.values() if isinstance(item, HTTPChannel)]
+
+    def has_unfinished(self) -> bool:
+        """Tell whether a request is being served or an answer being sent."""
+        return any(item.requests or item.total_outbufs_len for item in self.channels())
 
     def stop(self) -> None:
-        """Ask the loop to end."""
-        self.stopping.set()
-        self.server.pull_trigger()
+        """Ask the loop to end; the trigger may be closed at a second time."""
+        if not self.stopping.is_set():
+            self.stopping.set()
+            self.server.pull_trigger()
--- /dev/null
+++ b/tests/daemon/test_draining.py
@@ -0,0 +1,125 @@
+"""A planned stop cuts no request, and vanished callers cost no endpoint time."""
+
+import socket
+import threading
+from collections.abc import Callable
+
+from daemon_support import (
+    LOOKUP,
+    SECRET,
+    FakeEndpoints,
+    call,
+    echo,
+    endpoint_host,
+    owned_by,
+    problem,
+    running_cell,
+    wait_until,
+)
+from gooseberrydeck_daemon.composition import Member
+from gooseberrydeck_platform.endpoints import EndpointAnswer, EndpointRequest
+
+
+class HeldEndpoints(FakeEndpoints):
+    """Endpoints that answer when they are released."""
+
+    def __init__(self) -> None:
+        super().__init__(self.hold)
+        self.released = threading.Event()
+
+    def hold(self, request: EndpointRequest, timeout_s: float) -> EndpointAnswer:
+        self.released.wait(10)
+        return echo(request, timeout_s)
+
+
+def in_thread(action: Callable[[], object]) -> threading.Thread:
+    thread = threading.Thread(target=action)
+    thread.start()
+    return thread
+
+
+class TestDrain:
+    def test_work_in_flight_is_finished_and_new_work_refused(self) -> None:
+        endpoints, answers = HeldEndpoints(), []
+        with running_cell([endpoint_host("e1")], endpoints) as cell:
+            member = cell["m1"]
+            first = in_thread(lambda: answers.append(call(member, body=b"first")))
+            wait_until(lambda: len(endpoints.runs) == 1)
+            closing = in_thread(member.close)
+            wait_until(lambda: not member.health.ready.is_set())
+            assert call(member, method="GET", path="/readyz", key=None)[0] == 503
+            wait_until(lambda: member.admit.is_draining)
+            assert problem(call(member)) == (503, "draining", "not_run")
+            endpoints.released.set()
+            first.join()
+            closing.join()
+        assert answers[0][0] == 200
+        assert answers[0][2] == b"first"
+        assert len(endpoints.runs) == 1
+
+    def test_an_answer_that_waits_for_its_reader_leaves_whole(self) -> None:
+        body = b"x" * 16_000_000
+
+        def answer(_request: EndpointRequest, _timeout_s: float) -> EndpointAnswer:
+            return EndpointAnswer(200, "a/b", body)
+
+        endpoints, received = FakeEndpoints(answer), []
+        with running_cell([endpoint_host("e1")], endpoints) as cell:
+            member = cell["m1"]
+            with send(member) as connection:
+                wait_until(lambda: member.metrics.counts["http.answers.200"] == 1)
+                member.callers.stop()
+                while data := connection.recv(1_000_000):
+                    received.append(data)
+        assert b"".join(received).endswith(b"\r\n\r\n" + body)
+
+    def test_a_draining_owner_finishes_forwards_and_gets_no_more(self) -> None:
+        names = ("m1", "m2")
+        host = endpoint_host(next(owned_by("m2", names)))
+        endpoints, answers = HeldEndpoints(), []
+        with running_cell([host], endpoints, names) as cell:
+            first = in_thread(lambda: answers.append(call(cell["m1"])))
+            wait_until(lambda: len(endpoints.runs) == 1)
+            closing = in_thread(cell["m2"].close)
+            wait_until(lambda: cell["m2"].dispatcher.is_draining)
+            assert problem(call(cell["m1"]))[2] == "not_run"
+            endpoints.released.set()
+            first.join()
+            closing.join()
+        assert answers[0][0] == 200
+        assert len(endpoints.runs) == 1
+
+
+def send(member: Member) -> socket.socket:
+    """Send a request, and return its connection."""
+    connection = socket.create_connection(("127.0.0.1", member.callers.port))
+    connection.sendall(
+        b"POST /v1/services/lookup HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n"
+        b"Authorization: Bearer " + SECRET.encode() + b"\r\n\r\nv"
+    )
+    return connection
+
+
+class TestVanishedCallers:
+    def check(self, names: tuple[str, ...], owner: str) -> None:
+        host = endpoint_host(next(owned_by(owner, names)), slots=1)
+        endpoints = HeldEndpoints()
+        with running_cell([host], endpoints, names) as cell:
+            entry = cell["m1"]
+            first = in_thread(lambda: call(entry, body=b"first"))
+            wait_until(lambda: len(endpoints.runs) == 1)
+            queue = cell[owner].directory.pools[LOOKUP].queue
+            with send(entry):
+                wait_until(lambda: entry.admit.in_flight == 2)
+            wait_until(lambda: entry.metrics.counts["dispatch.callers.gone"] == 1)
+            wait_until(lambda: entry.admit.in_flight == 1)
+            endpoints.released.set()
+            first.join()
+            wait_until(lambda: queue.size == 0)
+        assert [body for _, body in endpoints.runs] == ["first"]
+
+    def test_their_waiting_requests_are_not_run(self) -> None:
+        self.check(("m1",), "m1")
+
+    def test_their_forwarded_requests_are_not_run(self) -> None:
+        self.check(("m1", "m2"), "m2")
