Test the operators' listener over HTTP and with fuzzed input

A server that had ended could not be stopped again, which left threads that kept the process from ending. The watch's silence is bounded by 4 s, since a waiting watch delays the stop.

--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/controllers/configuration/reader.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/controllers/configuration/reader.py
@@ -23,7 +23,7 @@
 __all__ = ["ConfigurationConfirmation", "ConfigurationWatch"]
 
 CALL_TIMEOUT_S = 1.0
-WATCH_SILENCE_S = 10.0
+WATCH_SILENCE_S = 4.0
 RETRY_PAUSE_S = 0.25
 CONFIRM_PERIOD_S = 1.0
 
@@ -41,6 +41,8 @@
         self.store = store
         self.post = post
         self.metrics = metrics
+        # It bounds how long a stop waits, since a waiting watch cannot be ended.
+        self.silence_s = WATCH_SILENCE_S
         self.follower = Follower(self.offer, keys.head)
         self.stopping = threading.Event()
 
@@ -69,7 +71,7 @@
             self.follower.on_read(snapshot)
             return
         start = self.follower.start
-        for batch in self.store.watch(self.follower.head, start, WATCH_SILENCE_S):
+        for batch in self.store.watch(self.follower.head, start, self.silence_s):
             self.follower.on_batch(batch)
             if self.stopping.is_set():
                 return
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/http/server.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/http/server.py
@@ -116,6 +116,8 @@
         self.server.close()
 
     def stop(self) -> None:
-        """Ask the loop to end."""
+        """Ask the loop to end; a second call finds the trigger closed."""
+        if self.stopping.is_set():
+            return
         self.stopping.set()
         self.server.pull_trigger()
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/operators/listener.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/operators/listener.py
@@ -121,8 +121,10 @@
         chain = build_operators_chain(
             self.router, listener.keys, listener.max_body_bytes, metrics
         )
-        application = OperatorsApplication(chain, metrics)
-        self.server = HttpServer("operators", application, settings.address, listener)
+        self.application = OperatorsApplication(chain, metrics)
+        self.server = HttpServer(
+            "operators", self.application, settings.address, listener
+        )
 
     def register_messages(self, registry: MessageRegistry) -> None:
         """Register what members say about configurations."""
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/operators/publishing.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/operators/publishing.py
@@ -2,7 +2,7 @@
 
 import time
 from collections.abc import Callable, Sequence
-from concurrent.futures import Future, wait
+from concurrent.futures import FIRST_COMPLETED, Future, wait
 from typing import Any
 
 import msgspec
@@ -51,6 +51,8 @@
 
 PUBLISH_TIMEOUT_S = 5.0
 CONFIRM_TIMEOUT_S = 2.0
+CONFIRM_STEP_S = 0.1
+CONFIRM_PAUSE_S = 0.01
 MAX_CHANGE_TRIES = 8
 
 Change = Callable[[Configuration], Configuration]
@@ -190,13 +192,8 @@
         """Put a record in force here, and wait for the peers to hold it."""
         self.task.post(RecordFound(record))
         names = [peer.member for peer in self.membership.peers()]
-        message = AwaitConfiguration(record.number)
-        futures = {
-            name: self.peers.ask(name, message, CONFIRM_TIMEOUT_S) for name in names
-        }
-        wait(futures.values(), timeout=CONFIRM_TIMEOUT_S)
-        confirmed = {name for name, f in futures.items() if holds(f, record.number)}
-        if self.is_held_here(record.number):
+        confirmed = self.await_peers(names, record.number)
+        if self.task.number >= record.number:
             confirmed.add(self.member)
         unconfirmed = {self.member, *names} - confirmed
         members = len(names) + 1
@@ -210,12 +207,32 @@
             differences=differences(before, self.current(record)),
         )
 
-    def is_held_here(self, number: VersionNumber) -> bool:
-        """Wait a moment until this member's own task holds ``number``."""
+    def await_peers(
+        self, names: Sequence[MemberId], number: VersionNumber
+    ) -> set[MemberId]:
+        """Return the peers that hold ``number`` within the time for confirmations.
+
+        A peer whose connection is not up yet is asked again.
+        """
         end_s = time.monotonic() + CONFIRM_TIMEOUT_S
-        while self.task.number < number and time.monotonic() < end_s:
-            time.sleep(0.01)
-        return self.task.number >= number
+        confirmed: set[MemberId] = set()
+        asked: dict[MemberId, Future[Any]] = {}
+        while len(confirmed) < len(names) or self.task.number < number:
+            left_s = end_s - time.monotonic()
+            if left_s <= 0:
+                break
+            for name in set(names) - confirmed - set(asked):
+                message = AwaitConfiguration(number)
+                asked[name] = self.peers.ask(name, message, left_s)
+            wait(asked.values(), min(left_s, CONFIRM_STEP_S), FIRST_COMPLETED)
+            for name, future in list(asked.items()):
+                if holds(future, number):
+                    confirmed.add(name)
+                if future.done():
+                    del asked[name]
+            if not asked:
+                time.sleep(CONFIRM_PAUSE_S)
+        return confirmed
 
 
 def holds(future: Future[Any], number: VersionNumber) -> bool:
--- /dev/null
+++ b/tests/daemon/test_operators.py
@@ -0,0 +1,349 @@
+from collections.abc import Iterator
+from typing import Any
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from daemon_support import call, problem, wait_until
+from gooseberrydeck_configuration import Configuration, Limit, make_key
+from gooseberrydeck_configuration.api import JobAnswer, JobsAnswer, WaitReason
+from gooseberrydeck_coordination.ids import JobId, KeyId, TeamName
+from gooseberrydeck_daemon.operators import JobFilter
+from gooseberrydeck_standins.engine_store import CallFault
+from operators_support import EXAMPLE, OperatedCell, operated_cell
+
+RADIO = TeamName("radio")
+PREFIX = "urn:gooseberrydeck:problem:"
+
+
+def kind_of(answer: dict[str, Any]) -> str:
+    return str(answer["type"]).removeprefix(PREFIX)
+
+
+def with_limit(limit: int) -> Configuration:
+    """Return the example with another limit for the team radio."""
+    limits = (Limit(RADIO, limit), *EXAMPLE.limits[1:])
+    return msgspec.structs.replace(EXAMPLE, limits=limits)
+
+
+@pytest.fixture
+def cell() -> Iterator[OperatedCell]:
+    with operated_cell("m1") as running:
+        yield running
+
+
+class TestPublishing:
+    def test_publication_is_in_force_on_every_member(self) -> None:
+        with operated_cell("m1", "m2", "m3") as cell:
+            status, answer = cell.publish("m2", EXAMPLE, 0, "a")
+            assert status == 200, answer
+            assert answer["header"]["number"] == 1
+            assert answer["header"]["author"] == "ops"
+            assert answer["confirmed"] == ["m1", "m2", "m3"]
+            assert answer["is_in_force"]
+            assert answer["is_guaranteed"]
+            assert cell.numbers() == [1, 1, 1]
+
+    def test_member_without_the_store_follows_its_peers(self) -> None:
+        with operated_cell("m1", "m2", "m3") as cell:
+            cell.publish("m1", EXAMPLE, 0, "a")
+            assert call(cell["m3"], "claim-check", key="demo-radio")[0] == 200
+            cell.stores["m3"].fault = CallFault.DOWN
+            path = "/v1/keys/radio-1?publication=w"
+            status, answer = cell.operate("m1", "DELETE", path)
+            assert status == 200, answer
+            assert answer["published"]["is_in_force"]
+            for member in cell.members.values():
+                refusal = problem(call(member, "claim-check", key="demo-radio"))
+                assert refusal == (401, "key-unknown", "not_run")
+
+    def test_losing_publisher_is_told_what_changed(self, cell: OperatedCell) -> None:
+        cell.publish("m1", EXAMPLE, 0, "a")
+        assert cell.publish("m1", with_limit(100), 1, "b")[0] == 200
+        status, answer = cell.publish("m1", with_limit(200), 1, "c")
+        assert (status, kind_of(answer)) == (409, "publication-conflict")
+        assert answer["outcome"] == "not_run"
+        assert answer["newest"]["publication"] == "b"
+        (difference,) = answer["differences"]
+        assert (difference["section"], difference["name"]) == ("limits", "radio")
+        assert cell.publish("m1", with_limit(200), answer["number"], "d")[0] == 200
+
+    def test_repeated_publication_is_one(self, cell: OperatedCell) -> None:
+        cell.stores["m1"].next_faults.clear()
+        first = cell.publish("m1", EXAMPLE, 0, "a")
+        assert cell.publish("m1", EXAMPLE, 0, "a")[1]["header"] == first[1]["header"]
+        status, answer = cell.publish("m1", with_limit(9), 0, "a")
+        assert (status, kind_of(answer)) == (409, "publication-id-reused")
+
+    def test_every_error_is_listed(self, cell: OperatedCell) -> None:
+        limits = tuple(
+            msgspec.structs.replace(limit, max_running=-1) for limit in EXAMPLE.limits
+        )
+        broken = msgspec.structs.replace(EXAMPLE, limits=limits, shares=())
+        status, answer = cell.publish("m1", broken, 0, "a")
+        assert (status, kind_of(answer)) == (422, "configuration-invalid")
+        ids = [item["id"] for item in answer["problems"]]
+        assert ids.count("limits.E003") == 6
+        assert ids.count("teams.E004") == 6
+        assert cell.operate("m1", "GET", "/v1/configuration")[0] == 404
+
+    def test_store_outage_refuses_publications_as_not_run(
+        self, cell: OperatedCell, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        module = "gooseberrydeck_daemon.operators.publishing"
+        monkeypatch.setattr(f"{module}.PUBLISH_TIMEOUT_S", 0.2)
+        cell.publish("m1", EXAMPLE, 0, "a")
+        cell.stores["m1"].fault = CallFault.DOWN
+        status, answer = cell.publish("m1", with_limit(5), 1, "b")
+        assert (status, kind_of(answer)) == (503, "store-unavailable")
+        assert answer["outcome"] == "not_run"
+        status, answer = cell.operate("m1", "GET", "/v1/configuration")
+        assert (status, answer["header"]["number"]) == (200, 1)
+
+    def test_check_tells_problems_and_differences(self, cell: OperatedCell) -> None:
+        cell.publish("m1", EXAMPLE, 0, "a")
+        path = "/v1/configuration/check"
+        status, answer = cell.operate("m1", "POST", path, with_limit(99_999))
+        assert status == 200
+        assert answer["number"] == 1
+        assert [item["id"] for item in answer["problems"]] == ["limits.E004"]
+        assert [item["name"] for item in answer["differences"]] == ["radio"]
+
+    def test_history_and_differences(self, cell: OperatedCell) -> None:
+        cell.publish("m1", EXAMPLE, 0, "a")
+        cell.publish("m1", with_limit(7), 1, "b")
+        _, history = cell.operate("m1", "GET", "/v1/configuration/history")
+        assert [item["number"] for item in history["versions"]] == [2, 1]
+        _, old = cell.operate("m1", "GET", "/v1/configuration/history/1")
+        assert old["configuration"]["limits"][0]["max_running"] == 320
+        path = "/v1/configuration/diff?before=1&after=2"
+        _, answer = cell.operate("m1", "GET", path)
+        (difference,) = answer["differences"]
+        (change,) = difference["changes"]
+        assert change == {"field": "max_running", "before": 320, "after": 7}
+
+
+class TestKeys:
+    def test_key_is_granted_and_withdrawn(self, cell: OperatedCell) -> None:
+        cell.publish("m1", EXAMPLE, 0, "a")
+        granted = make_key(RADIO, KeyId("radio-2"))
+        status, answer = cell.operate(
+            "m1", "POST", "/v1/keys?publication=g", granted.key
+        )
+        assert status == 200, answer
+        assert call(cell["m1"], "claim-check", key=granted.secret)[0] == 200
+        again = cell.operate("m1", "POST", "/v1/keys?publication=g", granted.key)
+        assert again[1]["published"]["header"]["number"] == 2
+        for _ in range(2):
+            status, answer = cell.operate(
+                "m1", "DELETE", "/v1/keys/radio-2?publication=w"
+            )
+            assert (status, answer["published"]["header"]["number"]) == (200, 3)
+        refusal = problem(call(cell["m1"], "claim-check", key=granted.secret))
+        assert refusal == (401, "key-unknown", "not_run")
+
+    @pytest.mark.parametrize(
+        ("method", "path", "body", "expected"),
+        [
+            ("DELETE", "/v1/keys/nobody?publication=w", None, (404, "key-not-found")),
+            (
+                "POST",
+                "/v1/keys?publication=g",
+                make_key(RADIO, KeyId("radio-1")).key,
+                (409, "key-exists"),
+            ),
+            (
+                "POST",
+                "/v1/keys?publication=g",
+                make_key(TeamName("nobody"), KeyId("n-1")).key,
+                (422, "configuration-invalid"),
+            ),
+            ("POST", "/v1/keys?publication=g", b"{}", (400, "bad-body")),
+            ("POST", "/v1/keys", b"{}", (400, "bad-parameter")),
+        ],
+    )
+    def test_refusals(
+        self,
+        cell: OperatedCell,
+        method: str,
+        path: str,
+        body: object,
+        expected: tuple[int, str],
+    ) -> None:
+        cell.publish("m1", EXAMPLE, 0, "a")
+        status, answer = cell.operate("m1", method, path, body)
+        assert (status, kind_of(answer)) == expected
+        assert cell.numbers() == [1]
+
+
+class FakeJobs:
+    def list_jobs(self, chosen: JobFilter) -> JobsAnswer:
+        return JobsAnswer((JobAnswer("j1", queue=chosen.queue or "any"),))
+
+    def explain_job(self, job: JobId) -> JobAnswer | None:
+        if job != "j1":
+            return None
+        return JobAnswer(job, waits=(WaitReason("team limit", tasks=3),))
+
+    def cancel_job(self, job: JobId) -> JobAnswer | None:
+        return JobAnswer(job, state="cancelled")
+
+
+class TestListener:
+    @pytest.mark.parametrize(
+        ("key", "expected"),
+        [
+            (None, "operator-key-missing"),
+            ("x", "operator-key-unknown"),
+            ("demo-radio", "operator-key-unknown"),
+        ],
+    )
+    def test_operators_need_a_key_of_their_own(
+        self, cell: OperatedCell, key: str | None, expected: str
+    ) -> None:
+        cell.publish("m1", EXAMPLE, 0, "a")
+        status, answer = cell.operate("m1", "GET", "/v1/configuration", key=key)
+        assert (status, kind_of(answer)) == (401, expected)
+
+    @pytest.mark.parametrize(
+        ("method", "path", "expected"),
+        [
+            ("GET", "/v1/nothing", (404, "path-unknown")),
+            ("PUT", "/v1/configuration", (405, "method-not-allowed")),
+            ("POST", "/v1/configuration?publication=a", (400, "bad-parameter")),
+            (
+                "POST",
+                "/v1/configuration?base=-1&publication=a",
+                (400, "bad-parameter"),
+            ),
+            ("POST", "/v1/configuration?base=0&publication=", (400, "bad-parameter")),
+            ("GET", "/v1/configuration/history/77", (404, "version-unknown")),
+            ("GET", "/v1/configuration/history/x", (400, "bad-parameter")),
+            ("GET", "/v1/shards", (501, "view-not-available")),
+            ("POST", "/v1/members/m9/drain", (501, "view-not-available")),
+        ],
+    )
+    def test_refusals(
+        self, cell: OperatedCell, method: str, path: str, expected: tuple[int, str]
+    ) -> None:
+        body = {} if method in ("POST", "PUT") else None
+        status, answer = cell.operate("m1", method, path, body)
+        assert (status, kind_of(answer)) == expected
+
+    def test_views_are_shown_where_there_are_any(self, cell: OperatedCell) -> None:
+        side = cell["m1"].operators
+        assert side is not None
+        side.views.jobs = FakeJobs()
+        _, listed = cell.operate("m1", "GET", "/v1/jobs?queue=reviews")
+        assert listed["jobs"][0]["queue"] == "reviews"
+        _, job = cell.operate("m1", "GET", "/v1/jobs/j1")
+        assert job["waits"][0]["reason"] == "team limit"
+        assert cell.operate("m1", "GET", "/v1/jobs/j2")[0] == 404
+        _, cancelled = cell.operate("m1", "DELETE", "/v1/jobs/j1")
+        assert cancelled["state"] == "cancelled"
+
+    def test_burn_report_outlives_the_member_that_counted(self) -> None:
+        with operated_cell("m1", "m2") as cell:
+            cell.publish("m1", EXAMPLE, 0, "a")
+            for _ in range(3):
+                assert call(cell["m1"], "claim-check", key="demo-radio")[0] == 200
+            call(cell["m1"], "claim-check", key="wrong")
+            cell["m1"].supervisor.close()
+            _, report = cell.operate("m2", "GET", "/v1/reports/burn")
+            (service,) = report["services"]
+            assert report["members"] == 2
+            assert [window["good"] for window in service["windows"]] == [3] * 4
+            assert [window["failed"] for window in service["windows"]] == [0] * 4
+
+
+TEXT = st.text(max_size=40)
+PATHS = st.one_of(
+    st.sampled_from(
+        [
+            "/v1/configuration",
+            "/v1/configuration/check",
+            "/v1/configuration/diff",
+            "/v1/configuration/history",
+            "/v1/configuration/history/1",
+            "/v1/keys",
+            "/v1/keys/radio-1",
+            "/v1/jobs",
+            "/v1/reports/burn",
+        ]
+    ),
+    TEXT.map(lambda text: "/v1/" + text),
+)
+JSON_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | TEXT,
+    lambda inner: (
+        st.lists(inner, max_size=4) | st.dictionaries(TEXT, inner, max_size=4)
+    ),
+    max_leaves=12,
+)
+SECTIONS = st.sampled_from(
+    ["teams", "keys", "shares", "limits", "queues", "services", "number"]
+)
+BODIES = st.one_of(
+    st.binary(max_size=60),
+    JSON_VALUES.map(lambda value: msgspec.json.encode(value)),
+    st.dictionaries(SECTIONS, JSON_VALUES).map(msgspec.json.encode),
+)
+EXPECTED_SERVER_FAULTS = {501, 503}
+
+
+@pytest.fixture(scope="module")
+def fuzzed() -> Iterator[OperatedCell]:
+    with operated_cell("m1") as running:
+        running.publish("m1", EXAMPLE, 0, "a")
+        yield running
+
+
+class TestFuzz:
+    @given(
+        method=st.sampled_from(["GET", "POST", "DELETE", "PUT", "HEAD", "X"]),
+        path=PATHS,
+        query=st.one_of(
+            TEXT, st.sampled_from(["base=1&publication=b", "publication=c", "limit=9"])
+        ),
+        body=BODIES,
+        length=st.one_of(st.none(), TEXT),
+    )
+    @settings(max_examples=400, derandomize=True, database=None, deadline=None)
+    def test_no_input_makes_the_listener_fail(
+        self,
+        fuzzed: OperatedCell,
+        method: str,
+        path: str,
+        query: str,
+        body: bytes,
+        length: str | None,
+    ) -> None:
+        """Call the application itself, with input that no HTTP client would send."""
+        side = fuzzed["m1"].operators
+        assert side is not None
+        seen: list[str] = []
+        environ = {
+            "REQUEST_METHOD": method,
+            "PATH_INFO": path,
+            "QUERY_STRING": query,
+            "HTTP_AUTHORIZATION": "Bearer demo-operator",
+            "CONTENT_LENGTH": str(len(body)) if length is None else length,
+            "wsgi.input": Input(body),
+        }
+        answer = side.application(environ, lambda status, _headers: seen.append(status))
+        msgspec.json.decode(b"".join(answer))
+        status = int(seen[0].split()[0])
+        assert status < 500 or status in EXPECTED_SERVER_FAULTS, seen[0]
+
+    def test_the_configuration_is_as_it_was(self, fuzzed: OperatedCell) -> None:
+        wait_until(lambda: fuzzed.numbers() == [1])
+
+
+class Input:
+    def __init__(self, body: bytes) -> None:
+        self.body = body
+
+    def read(self) -> bytes:
+        return self.body
--- /dev/null
+++ b/tests/operators_support.py
@@ -0,0 +1,150 @@
+"""Members with a store in one process, and calls to their operators' listeners."""
+
+import http.client
+import json
+from collections.abc import Iterator
+from contextlib import ExitStack, contextmanager
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from daemon_support import (
+    FakeEndpoints,
+    FakeHostList,
+    endpoint_host,
+    free_port,
+    make_settings,
+    wait_until,
+)
+from gooseberrydeck_configuration import Configuration, hash_secret, load_configuration
+from gooseberrydeck_coordination.clock import SystemClock
+from gooseberrydeck_coordination.ids import DataCentre, HostName, Rack, ServiceName
+from gooseberrydeck_coordination.resources import Resources
+from gooseberrydeck_daemon.composition import Member, Platform
+from gooseberrydeck_daemon.settings import OperatorKey
+from gooseberrydeck_platform.hosts import Host, HostKind, HostState
+from gooseberrydeck_standins.engine_store import EngineStore
+from gooseberrydeck_standins.store_engine import StoreEngine
+
+OPERATOR_SECRET = "demo-operator"
+CLAIM_CHECK = ServiceName("claim-check")
+EXAMPLE = load_configuration(
+    Path(__file__).parents[1] / "examples" / "verificaciones.json"
+)
+
+Answer = tuple[int, dict[str, Any]]
+
+
+def worker_host(name: str) -> Host:
+    return Host(
+        HostName(name),
+        HostKind.WORKER,
+        HostState.LIVE,
+        "127.0.0.1",
+        1,
+        DataCentre("lima-1"),
+        Rack("r1"),
+        capacity=Resources(768_000, 1_572_864, 0),
+    )
+
+
+class OperatedCell:
+    """Several members over one store, each with faults of its own."""
+
+    def __init__(self, names: tuple[str, ...]) -> None:
+        self.engine = StoreEngine(SystemClock())
+        self.endpoints = FakeEndpoints()
+        ports = {name: free_port() if len(names) > 1 else 0 for name in names}
+        self.stores = {name: EngineStore(self.engine) for name in names}
+        hosts = [worker_host("w1"), endpoint_host("e1", CLAIM_CHECK)]
+        key = OperatorKey("ops", hash_secret(OPERATOR_SECRET))
+        self.members: dict[str, Member] = {}
+        for name in names:
+            settings = make_settings(name, ports)
+            operators = msgspec.structs.replace(
+                settings.listeners.operators, keys=(key,)
+            )
+            listeners = msgspec.structs.replace(settings.listeners, operators=operators)
+            settings = msgspec.structs.replace(settings, listeners=listeners)
+            platform = Platform(
+                FakeHostList(hosts), self.endpoints.connect, self.stores[name]
+            )
+            member = Member(settings, platform)
+            assert member.operators is not None
+            member.operators.watch.silence_s = 0.2
+            self.members[name] = member
+
+    def __getitem__(self, name: str) -> Member:
+        return self.members[name]
+
+    def operate(
+        self,
+        name: str,
+        method: str,
+        path: str,
+        body: object = None,
+        key: str | None = OPERATOR_SECRET,
+    ) -> Answer:
+        """Send one operator's request and return its status and JSON."""
+        return call_operators(self.port(name), method, path, body, key)
+
+    def port(self, name: str) -> int:
+        operators = self.members[name].operators
+        assert operators is not None
+        return operators.server.port
+
+    def publish(
+        self, name: str, configuration: Configuration, base: int, id: str
+    ) -> Answer:
+        path = f"/v1/configuration?base={base}&publication={id}"
+        return self.operate(name, "POST", path, configuration)
+
+    def numbers(self) -> list[int]:
+        return [member.configuration.current.number for member in self.members.values()]
+
+
+def call_operators(
+    port: int,
+    method: str,
+    path: str,
+    body: object = None,
+    key: str | None = OPERATOR_SECRET,
+) -> Answer:
+    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=20)
+    headers = {} if key is None else {"Authorization": f"Bearer {key}"}
+    data = body if isinstance(body, bytes) else msgspec.json.encode(body)
+    try:
+        connection.request(method, path, data if body is not None else None, headers)
+        response = connection.getresponse()
+        return response.status, json.loads(response.read())
+    finally:
+        connection.close()
+
+
+@contextmanager
+def operated_cell(*names: str) -> Iterator[OperatedCell]:
+    """Run members until the block ends."""
+    cell = OperatedCell(names)
+    for member in cell.members.values():
+        member.start()
+    try:
+        wait_until(lambda: all(m.directory.hosts for m in cell.members.values()))
+        if len(names) > 1:
+            wait_until(lambda: all_connected(cell))
+        yield cell
+    finally:
+        # Threads that are left by a failed test would keep pytest from ending.
+        with ExitStack() as stack:
+            for member in cell.members.values():
+                stack.callback(member.executor.shutdown, wait=False)
+                stack.callback(member.supervisor.close)
+
+
+def all_connected(cell: OperatedCell) -> bool:
+    """Tell whether every member has heard from every peer."""
+    return all(
+        len(member.network.seen) >= len(cell.members) - 1
+        or len(member.network.dealers) >= len(cell.members) - 1
+        for member in cell.members.values()
+    )
