--- a/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/engine.py
+++ b/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/engine.py
@@ -77,8 +77,8 @@
         self, capacity: Resources, used: Mapping[TeamName, Resources]
     ) -> None:
         """Take in the capacity of the other shards and what teams use there."""
-        self.state.shares.capacity_elsewhere = capacity
-        self.state.shares.elsewhere = dict(used)
+        self.state.capacity_elsewhere = capacity
+        self.state.shares.set_elsewhere(used)
         self.state.capacity_changed()
 
     def check(self, spec: JobSpec) -> None:
@@ -172,6 +172,7 @@
         job = state.jobs.get(running.job)
         if job is None or job.running.pop(running.index, None) is None:
             return
+        job.record.tasks[running.index].attempt = running.attempt + 1
         if is_broken:
             state.health.failed(running.host, job.id, job.family, now_s)
             state.apply_verdicts()
--- a/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/starting.py
+++ b/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/starting.py
@@ -1,24 +1,34 @@
 """Choose which waiting tasks start, and where."""
 
-import heapq
-
 from gooseberrydeck_coordination.ids import HostName
 from gooseberrydeck_coordination.resources import Resources
+from gooseberrydeck_scheduling.blocking import BlockedSizes
 from gooseberrydeck_scheduling.checks import find_refusal_by_size
-from gooseberrydeck_scheduling.decisions import Preempt, Refuse
-from gooseberrydeck_scheduling.gangs import Reservation, ReservationPlan
+from gooseberrydeck_scheduling.decisions import Refuse
 from gooseberrydeck_scheduling.jobs import JobState
 from gooseberrydeck_scheduling.ordering import Band, TeamOrder, TrackedJob
-from gooseberrydeck_scheduling.preemption import Victims, find_victims
+from gooseberrydeck_scheduling.preempting import Preemptor
 from gooseberrydeck_scheduling.reserving import Reserver
 from gooseberrydeck_scheduling.spreading import find_spread
-from gooseberrydeck_scheduling.state import URGENT_PRIORITY, SchedulerState
-from gooseberrydeck_scheduling.workers import Ending, WorkerState
+from gooseberrydeck_scheduling.state import SchedulerState
+from gooseberrydeck_scheduling.workers import WorkerState
 
 __all__ = ["Starter"]
 
 NO_HOSTS: frozenset[HostName] = frozenset()
 
+LOOK_AGAIN_S = 0.25
+"""How often a job is tried again while nothing has opened for its size."""
+
+LOOK_AT_GANG_S = 0.1
+"""The same for a gang, since no size of its own tells when it fits."""
+
+LOOK_LATER_S = 1.0
+"""The same for jobs behind the first few of their team."""
+
+JOBS_AHEAD = 4
+"""For how many jobs of a team room is sought actively."""
+
 EXCLUSION_S = 10.0
 """How long a task that failed waits for a host on which it has not failed."""
 
@@ -32,14 +42,17 @@
     def __init__(self, state: SchedulerState) -> None:
         """Work on the state that the scheduler's parts share."""
         self.state = state
-        self.blocked: list[Resources] = []
-        self.blocked_at = -1
+        self.blocked = BlockedSizes()
         self.reserver = Reserver(state)
+        self.preemptor = Preemptor(state)
         self.hopeless: list[tuple[TrackedJob, Refuse]] = []
 
     def run(self, now_s: float) -> None:
         """Start what can start now, within the bound of decisions per tick."""
         self.reserver.end_expired(now_s)
+        self.preemptor.refresh()
+        for worker in self.state.cell.take_fresh():
+            self.blocked.open(worker)
         self.reserver.use(now_s)
         left = self.state.settings.decisions_per_tick
         for band in Band:
@@ -56,12 +69,17 @@
         )
         emptied: list[TrackedJob] = []
         while left > 0 and (job := order.next()) is not None:
+            if job.is_blocked(now_s):
+                order.missed(job)
+                continue
             if not state.slices.room(job.spec.team):
                 order.drop(job.spec.team)
                 continue
             started = self.try_job(job, now_s)
             if not started:
                 order.missed(job)
+                is_ahead = order.misses[job.spec.team] <= JOBS_AHEAD
+                job.look_s = now_s + look_after_s(job, is_ahead)
                 continue
             left -= started
             if not job.pending:
@@ -77,9 +95,6 @@
             return 0
         if job.spec.is_gang:
             return self.try_gang(job, now_s)
-        reservation = self.state.reservations.by_job.get(job.id)
-        if reservation is not None and reservation.is_whole:
-            return 0
         index = job.pending[0]
         worker = self.find_worker(job, index, now_s)
         if worker is None:
@@ -101,23 +116,21 @@
             hosts = [state.cell.tasks[task].host for task in job.running.values()]
             return find_spread(state.cell, wanted, hosts, excluded)
         worker = self.find_probe(job, excluded)
-        if worker is None and not self.is_blocked(wanted):
-            worker = state.cell.placer.find(wanted, excluded)
-            if worker is None and not excluded:
-                self.block(wanted)
+        if worker is None:
+            worker = self.find_open(job, wanted, excluded)
         return worker or self.reserver.find_backfill(job, excluded, now_s)
 
-    def is_blocked(self, wanted: Resources) -> bool:
-        """Tell whether no more than this failed to fit since room last grew."""
-        if self.blocked_at != self.state.cell.releases:
-            self.blocked_at = self.state.cell.releases
-            self.blocked.clear()
-        return any(smaller.fits_in(wanted) for smaller in self.blocked)
-
-    def block(self, wanted: Resources) -> None:
-        """Note that no worker has room for a task."""
-        self.blocked = [larger for larger in self.blocked if not wanted.fits_in(larger)]
-        self.blocked.append(wanted)
+    def find_open(
+        self, job: TrackedJob, wanted: Resources, excluded: frozenset[HostName]
+    ) -> WorkerState | None:
+        """Return the best open worker, unless the size is known to fit nowhere."""
+        job.blocker = self.blocked.find(wanted)
+        if job.blocker is not None:
+            return None
+        worker = self.state.cell.placer.find(wanted, excluded)
+        if worker is None and not excluded:
+            job.blocker = self.blocked.add(wanted)
+        return worker
 
     def find_probe(
         self, job: TrackedJob, excluded: frozenset[HostName]
@@ -137,35 +150,38 @@
         """Start every task of a gang, or none."""
         state = self.state
         count = len(job.pending)
-        if job.running or job.id in state.reservations.by_job:
+        if job.running or state.slices.room(job.spec.team) < count:
             return 0
-        if state.slices.room(job.spec.team) < count:
+        if job.id in state.reservations.by_job:
+            self.make_room(job, now_s)
             return 0
-        hosts = self.find_gang_hosts(job, count)
+        hosts = self.find_gang_hosts(job, count, now_s)
         if hosts is None:
             self.make_room(job, now_s)
             return 0
         self.start_gang(job, hosts, now_s)
         return count
 
-    def find_gang_hosts(self, job: TrackedJob, count: int) -> list[HostName] | None:
+    def find_gang_hosts(
+        self, job: TrackedJob, count: int, now_s: float
+    ) -> list[HostName] | None:
         """Return a host for each of ``count`` tasks, or None if they do not fit."""
         cell = self.state.cell
         wanted = job.spec.resources
-        if self.is_blocked(wanted) or not cell.placer.may_fit(wanted, count):
+        job.blocker = self.blocked.find(wanted)
+        if job.blocker is not None or not cell.placer.may_fit(wanted, count):
             return None
-        excluded = frozenset().union(*job.excluded.values())
+        excluded = NO_HOSTS
+        if now_s - job.since_s <= EXCLUSION_S:
+            excluded = NO_HOSTS.union(*job.excluded.values())
         hosts: list[HostName] = []
         while len(hosts) < count:
             worker = cell.placer.find(wanted, excluded)
             if worker is None or not cell.hold(worker.host, job.id, wanted):
                 break
             hosts.append(worker.host)
-        releases = cell.releases
         for host in hosts:
             cell.drop_hold(host, job.id, wanted)
-        # Giving back what was only tried leaves no more room than before.
-        cell.releases = releases
         return hosts if len(hosts) == count else None
 
     def start_gang(self, job: TrackedJob, hosts: list[HostName], now_s: float) -> None:
@@ -180,8 +196,11 @@
         if now_s - job.size_checked_s >= self.state.settings.size_check_s:
             self.check_size(job, now_s)
         if job.band is Band.URGENT and not job.spec.is_gang:
-            self.preempt(job, now_s)
-        elif now_s - job.unfit_since_s >= self.state.settings.reserve_after_s:
+            self.preemptor.preempt_for_urgent(job, now_s)
+            return
+        if self.preemptor.reclaim(job, now_s):
+            return
+        if now_s - job.unfit_since_s >= self.state.settings.reserve_after_s:
             self.reserver.reserve(job, now_s)
 
     def check_size(self, job: TrackedJob, now_s: float) -> None:
@@ -201,41 +220,9 @@
             self.state.decisions.append(refusal)
         self.hopeless.clear()
 
-    def preempt(self, job: TrackedJob, now_s: float) -> None:
-        """Ask lower tasks to make room for one urgent task."""
-        state = self.state
-        reservation = state.reservations.by_job.get(job.id)
-        reserved = reservation.count if reservation else 0
-        if reserved >= min(len(job.pending), state.slices.room(job.spec.team)):
-            return
-        victims = find_victims(
-            state.cell,
-            job.spec.resources,
-            URGENT_PRIORITY,
-            state.settings.max_victims,
-            state.shares.rank,
-            state.next_sequence(),
-        )
-        if victims is None:
-            return
-        self.end_victims(victims, now_s)
-        host = victims.worker.host
-        if reservation is not None:
-            state.reservations.extend(reservation, host)
-            return
-        grace_s = state.settings.grace_s
-        plan = ReservationPlan({host: 1}, now_s + grace_s)
-        deadline_s = now_s + grace_s + URGENT_MARGIN_S
-        state.reservations.add(
-            Reservation(job.id, job.spec.resources, plan, deadline_s, is_whole=False)
-        )
 
-    def end_victims(self, victims: Victims, now_s: float) -> None:
-        """Ask tasks to checkpoint; they are stopped after the grace."""
-        state = self.state
-        grace_s = state.settings.grace_s
-        for running in victims.tasks:
-            running.ending = Ending.PREEMPTION
-            running.stop_s = now_s + grace_s
-            heapq.heappush(state.stops, (running.stop_s, running.task))
-            state.decisions.append(Preempt(running.task, running.host, grace_s))
+def look_after_s(job: TrackedJob, is_ahead: bool) -> float:
+    """Return after how many seconds to try again a job that did not start."""
+    if not is_ahead:
+        return LOOK_LATER_S
+    return LOOK_AT_GANG_S if job.spec.is_gang else LOOK_AGAIN_S
--- a/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/state.py
+++ b/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/state.py
@@ -4,6 +4,7 @@
 from collections.abc import Mapping
 
 from gooseberrydeck_coordination.ids import HostName, JobId, QueueName, TaskId, TeamName
+from gooseberrydeck_coordination.resources import NOTHING, Resources
 from gooseberrydeck_scheduling.cell import Cell, Placer
 from gooseberrydeck_scheduling.decisions import Decision, End, Start, Stop
 from gooseberrydeck_scheduling.exceptions import UnknownJobError
@@ -60,6 +61,8 @@
         self.stops: list[tuple[float, TaskId]] = []
         self.overtime: list[tuple[float, TaskId]] = []
         self.team_limits: dict[TeamName, int] = {}
+        self.largest = NOTHING
+        self.capacity_elsewhere = NOTHING
         self.probing: set[HostName] = set()
         self.first_attempt = first_attempt
         self.sequence = 0
@@ -79,7 +82,12 @@
     def capacity_changed(self) -> None:
         """Take over the workers' number and total into the other books."""
         self.health.workers = len(self.cell.workers)
-        self.shares.total = self.cell.capacity + self.shares.capacity_elsewhere
+        capacities = [worker.info.capacity for worker in self.cell]
+        self.largest = Resources(
+            max((capacity.cpu_millis for capacity in capacities), default=0),
+            max((capacity.memory_mib for capacity in capacities), default=0),
+        )
+        self.shares.set_total(self.cell.capacity + self.capacity_elsewhere)
 
     def start(self, job: TrackedJob, index: int, host: HostName, now_s: float) -> None:
         """Commit a pending task and decide its start."""
@@ -87,7 +95,6 @@
         attempt = max(task.attempt, self.first_attempt)
         running = self.describe_task(job, index, attempt, now_s)
         self.cell.commit(host, running)
-        task.attempt = attempt + 1
         job.pending.remove(index)
         self.count_running(job, running)
         if not task.failures:
@@ -182,8 +189,9 @@
                 self.reopen(host)
                 continue
             self.close(host, WorkerStatus.SET_ASIDE)
-            for job in self.health.refunds(host):
-                self.refund(job, host)
+            if verdict is Verdict.SET_ASIDE:
+                for job in self.health.refunds(host):
+                    self.refund(job, host)
 
     def reopen(self, host: HostName) -> None:
         """Let a worker that was set aside take tasks again."""
--- a/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/http_service.py
+++ b/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/http_service.py
@@ -109,7 +109,7 @@
             connection_limit=2_000,
             asyncore_use_poll=True,
         )
-        self.address = HttpAddress(host, self.server.effective_port)
+        self.address = HttpAddress(host, int(self.server.effective_port))
         self.stopped = threading.Event()
         self.thread = threading.Thread(target=self.run, daemon=True)
 
@@ -125,6 +125,7 @@
     def stop(self) -> None:
         """Close the port and every connection."""
         self.stopped.set()
+        self.server.pull_trigger()
         self.thread.join()
         self.server.task_dispatcher.shutdown(cancel_pending=True, timeout=0)
         wasyncore.close_all(self.sockets, ignore_all=True)
