End a member on SIGTERM whichever thread receives it

The signal then reaches another thread than the main one, whose wait for a queue it does not interrupt, so Python never runs the handler. Ruled out: the handler's own lock, since SimpleQueue may be put into by it (an Event, which the stand-ins used, may not).

Also: ports of the local cell come from below the system's own range, where no outgoing connection takes one before its listener is up; and tests that what callers are told is true while a member or its endpoints are paused, by tags that the endpoints record.

--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/tasks.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/tasks.py
@@ -2,6 +2,7 @@
 
 import queue
 import threading
+import time
 from collections.abc import Sequence
 from concurrent.futures import Future, ThreadPoolExecutor
 from typing import Generic, Protocol, TypeVar
@@ -16,6 +17,7 @@
 
 DEFAULT_INBOX_SIZE = 1024
 DEFAULT_TICK_S = 0.1
+SIGNAL_POLL_S = 0.1
 
 log = structlog.get_logger(__name__)
 
@@ -125,7 +127,9 @@
 
     def wait(self) -> None:
         """Block until a task crashes or the end is requested."""
-        self.ended.get()
+        # A signal may reach another thread, which does not wake this one: look often.
+        while self.ended.empty():
+            time.sleep(SIGNAL_POLL_S)
 
     def stop(self, names: Sequence[str] = (), timeout_s: float = 5.0) -> None:
         """Stop the named tasks, or all, the last started first, and wait for them."""
--- a/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/endpoint_engine.py
+++ b/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/endpoint_engine.py
@@ -17,10 +17,14 @@
 
 
 class EndpointOrder(msgspec.Struct, frozen=True):
-    """What a JSON body may ask of the endpoint; other fields are ignored."""
+    """What a JSON body may ask of the endpoint; other fields are ignored.
+
+    ``tag`` is the caller's own mark, by which a test finds the run of its request.
+    """
 
     service_ms: float | None = None
     status: int = 200
+    tag: str = ""
 
 
 class EndpointRun(msgspec.Struct):
@@ -29,6 +33,7 @@
     request: str
     service: str
     started_s: float
+    tag: str = ""
     ended_s: float | None = None
 
 
@@ -90,7 +95,7 @@
             self.changed.wait_for(lambda: self.running < self.slots)
             self.running += 1
             self.most_running = max(self.most_running, self.running)
-        run = EndpointRun(request, service, self.clock.monotonic())
+        run = EndpointRun(request, service, self.clock.monotonic(), order.tag)
         self.runs.append(run)
         try:
             service_ms = order.service_ms
--- a/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/http_service.py
+++ b/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/http_service.py
@@ -2,9 +2,11 @@
 
 import json
 import logging
+import queue
 import signal
 import sys
 import threading
+import time
 from collections.abc import Callable, Iterable, Mapping
 from types import FrameType, TracebackType
 from typing import Any, Protocol, Self
@@ -21,6 +23,7 @@
 LOOPBACK = "127.0.0.1"
 DEFAULT_THREADS = 64
 POLL_S = 0.2
+SIGNAL_POLL_S = 0.1
 CUT_OFF_BYTES = 1_000_000
 """The length that a cut-off answer announces and never delivers."""
 
@@ -147,15 +150,17 @@
 
 def serve(start: Callable[[], object], announcement: Mapping[str, object]) -> None:
     """Announce a process by a line of JSON, and keep it up until SIGTERM."""
-    ended = threading.Event()
+    # An event must not be set by a handler that interrupts its own thread's wait.
+    ended: queue.SimpleQueue[None] = queue.SimpleQueue()
 
     def end(number: int, frame: FrameType | None) -> None:
-        ended.set()
+        ended.put(None)
 
     signal.signal(signal.SIGTERM, end)
     signal.signal(signal.SIGINT, end)
     start()
     sys.stdout.write(json.dumps(announcement) + "\n")
     sys.stdout.flush()
-    while not ended.wait(1.0):
-        pass
+    # A signal may reach another thread, which does not wake this one: so look often.
+    while ended.empty():
+        time.sleep(SIGNAL_POLL_S)
--- a/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/processes.py
+++ b/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/processes.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -25,6 +26,7 @@
 WAIT_TIMEOUT_S = 60.0
 POLL_S = 0.02
 LOOPBACK = "127.0.0.1"
+PORT_RANGE = (20_000, 32_000)
 
 
 class WaitTimeoutError(Exception):
@@ -48,12 +50,26 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports that were free a moment ago."""
-    probes = [socket.create_server((LOOPBACK, 0)) for _ in range(count)]
-    ports = [probe.getsockname()[1] for probe in probes]
-    for probe in probes:
-        probe.close()
-    return ports
+    """Return ports that are free now.
+
+    They lie below the range from which the system takes ports by itself, so that no
+    outgoing connection takes one of them before its listener is up.
+    """
+    found: list[int] = []
+    while len(found) < count:
+        port = random.SystemRandom().randrange(*PORT_RANGE)
+        if port not in found and is_free(port):
+            found.append(port)
+    return found
+
+
+def is_free(port: int) -> bool:
+    """Tell whether a port can be listened on."""
+    try:
+        socket.create_server((LOOPBACK, port)).close()
+    except OSError:
+        return False
+    return True
 
 
 class ChildProcess:
--- /dev/null
+++ b/tests/processes/test_request_faults.py
@@ -0,0 +1,60 @@
+"""Tests of requests while processes die, pause and are replaced."""
+
+import time
+from collections.abc import Callable, Iterator
+from pathlib import Path
+
+import pytest
+
+from cell_traffic import Traffic, runs_by_tag
+from gooseberrydeck_standins.local_cell import LocalCell
+from gooseberrydeck_standins.processes import wait_for
+from processes_support import CONFIGURATION, HEADERS, PATH, SERVICE
+
+MEMBERS = ("m1", "m2", "m3")
+WARM_ANSWERS = 50
+
+
+@pytest.fixture
+def cell(tmp_path: Path) -> Iterator[LocalCell]:
+    with LocalCell(tmp_path) as made:
+        for prefix in ("a", "b"):
+            made.add_endpoints(SERVICE, 4, "--prefix", prefix)
+        made.plan_members(*MEMBERS)
+        for name in MEMBERS:
+            made.add_member(name)
+        made.wait_ready()
+        made.publish(CONFIGURATION)
+        yield made
+
+
+def pause_member(cell: LocalCell) -> None:
+    cell.members["m1"].pause()
+    time.sleep(3)
+    cell.members["m1"].resume()
+
+
+def pause_endpoints(cell: LocalCell) -> None:
+    cell.endpoints[0].pause()
+    time.sleep(1)
+    cell.endpoints[0].resume()
+
+
+FAULTS: dict[str, Callable[[LocalCell], None]] = {
+    "a paused member": pause_member,
+    "paused endpoints": pause_endpoints,
+}
+
+
+class TestOutcomes:
+    @pytest.mark.parametrize("case", FAULTS)
+    def test_what_callers_are_told_is_true(self, cell: LocalCell, case: str) -> None:
+        with Traffic(cell, PATH, HEADERS) as traffic:
+            wait_for(lambda: traffic.counts().total() > WARM_ANSWERS, "traffic")
+            FAULTS[case](cell)
+            after_s = time.monotonic()
+            wait_for(
+                lambda: traffic.answered_since(after_s) > WARM_ANSWERS,
+                f"requests are answered again ({case})",
+            )
+        assert traffic.problems(runs_by_tag(cell)) == []
--- a/tests/processes/test_request_processes.py
+++ b/tests/processes/test_request_processes.py
@@ -1,38 +1,16 @@
 """Tests of requests through members that are processes of their own."""
 
-import hashlib
 import time
 from collections.abc import Iterator
 from pathlib import Path
 
 import pytest
 
-from gooseberrydeck_configuration.objects import (
-    Configuration,
-    Key,
-    Limit,
-    Service,
-    Share,
-    Team,
-)
-from gooseberrydeck_coordination.ids import KeyId, ServiceName, TeamName
 from gooseberrydeck_platform.http import HttpResponse
 from gooseberrydeck_standins.local_cell import LocalCell, MemberProcess
+from processes_support import CONFIGURATION, HEADERS, PATH, SERVICE
 
 CALL_AGAIN_S = 20.0
-SECRET = "editors-secret"
-EDITORS = TeamName("editors")
-SERVICE = ServiceName("lookups")
-HEADERS = {"Authorization": f"Bearer {SECRET}", "Content-Type": "text/plain"}
-PATH = f"/v1/services/{SERVICE}"
-
-CONFIGURATION = Configuration(
-    teams=(Team(EDITORS),),
-    keys=(Key(KeyId("k1"), EDITORS, hashlib.sha256(SECRET.encode()).hexdigest()),),
-    shares=(Share(EDITORS, 1.0),),
-    limits=(Limit(EDITORS, 8),),
-    services=(Service(SERVICE, teams=(EDITORS,)),),
-)
 
 
 @pytest.fixture
