Let members of the daemon agree on ownership through the store

The ownership task keeps the session, claims, balances and releases shards, gives hosts their shard, exchanges attestations with its peers, and publishes an immutable view. Endpoints, peers' addresses, readiness and the freshness of the configuration follow it; without a store, ownership stays that of the settings. A drain releases the shards one by one and leaves the roster before it ends. Settings take a timing section with checks of its own.

Found on the way: a cold start that was longer than the time after which others may claim let the first member take every shard, because that time counted from when the shard was seen free and not from when claims began; the test of it (TestBalance.test_long_cold_start_...) failed before and passes now. OwnedShard gained the revision of its record, last and with a default, since the tests of limits build it without one.

--- a/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/authority.py
+++ b/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/authority.py
@@ -41,6 +41,9 @@
     It may act for a session's time to live after contact with the store, or after
     contact with more than half of the seats none of which has seen anything newer.
     The second holds for a limited time after the last read of the store only.
+
+    One thread notes contacts; any may ask for deadlines, since contacts and roster
+    are replaced, never changed, and a mixture of old and new is never too late.
     """
 
     def __init__(self, attestor: Attestor, clock: Clock, timing: Timing) -> None:
@@ -68,7 +71,9 @@
         """Record an answer; answers to later requests replace earlier ones."""
         known = self.contacts.get(contact.answer.answerer)
         if known is None or contact.sent_s > known.sent_s:
-            self.contacts[contact.answer.answerer] = contact
+            seats = self.attestor.roster.seats if self.attestor.roster else ()
+            kept = {seat: each for seat, each in self.contacts.items() if seat in seats}
+            self.contacts = {**kept, contact.answer.answerer: contact}
 
     def shard_deadline_s(self, shard: ShardId, epoch: Epoch) -> float:
         """Return until when the owner of ``shard`` at ``epoch`` may act."""
--- a/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/coordinator.py
+++ b/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/coordinator.py
@@ -169,10 +169,10 @@
                 shard: OwnedShard(
                     shard,
                     holding.epoch,
-                    holding.revision,
                     self.authority.shard_deadline_s(shard, holding.epoch),
                     holding.quarantine,
                     holding.release_s is not None,
+                    holding.revision,
                 )
                 for shard, holding in self.holdings.items()
             },
--- a/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/ownership.py
+++ b/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/ownership.py
@@ -10,6 +10,7 @@
 from gooseberrydeck_coordination.ids import Epoch, HostName, MemberId, Revision, ShardId
 from gooseberrydeck_coordination.members import MemberRecord
 from gooseberrydeck_coordination.quarantine import Quarantine
+from gooseberrydeck_coordination.store import ABSENT
 
 __all__ = ["OwnedShard", "OwnershipView"]
 
@@ -24,10 +25,10 @@
 
     shard: ShardId
     epoch: Epoch
-    revision: Revision
     deadline_s: float
     quarantine: Quarantine
     is_releasing: bool = False
+    revision: Revision = ABSENT
 
 
 @dataclass(frozen=True)
@@ -54,10 +55,16 @@
 
     def may_act(self, shard: ShardId) -> bool:
         """Tell whether this member may start or renew anything of the shard now."""
+        return self.may_serve(shard) and not self.owned[shard].is_releasing
+
+    def may_serve(self, shard: ShardId) -> bool:
+        """Tell whether this member may send requests to the shard's endpoints now.
+
+        That goes on until a shard is released: a request to an endpoint has no lease
+        that a successor would have to wait for.
+        """
         owned = self.owned.get(shard)
-        if owned is None or owned.is_releasing:
-            return False
-        return self.clock.monotonic() < owned.deadline_s
+        return owned is not None and self.clock.monotonic() < owned.deadline_s
 
     def require(self, shard: ShardId) -> Epoch:
         """Return the epoch to act under, or raise ``AuthorityLostError``.
--- a/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/shards.py
+++ b/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/shards.py
@@ -164,11 +164,7 @@
         return [
             shard
             for shard, owner in plan.items()
-            if self._may_claim(shards.get(shard), now_s)
-            and (
-                owner == self.member
-                or now_s - self.free_since_s[shard] >= self.timing.fallback_claim_s
-            )
+            if now_s >= self._claimable_s(shard, shards.get(shard), owner)
         ]
 
     def handover(
@@ -192,14 +188,19 @@
         ]
         return max(own, default=None)
 
-    def _may_claim(self, record: ShardRecord | None, now_s: float) -> bool:
-        """Tell whether a free shard may be claimed so soon after a start or outage."""
+    def _claimable_s(
+        self, shard: ShardId, record: ShardRecord | None, owner: MemberId
+    ) -> float:
+        """Return from when on this member may claim a free shard."""
+        assert self.first_claims_from_s is not None
+        from_s = self.free_since_s[shard]
         if record is None:
-            assert self.first_claims_from_s is not None
-            return now_s >= self.first_claims_from_s
-        if record.is_released:
-            return True
-        return now_s >= self.claims_from_s
+            from_s = max(from_s, self.first_claims_from_s)
+        elif not record.is_released:
+            from_s = max(from_s, self.claims_from_s)
+        if owner != self.member:
+            from_s += self.timing.fallback_claim_s
+        return from_s
 
     def _has_surplus(
         self,
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/checks/settings.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/checks/settings.py
@@ -9,6 +9,7 @@
 
 from gooseberrydeck_daemon.checks.messages import CheckMessage
 from gooseberrydeck_daemon.checks.structure import find_structure_problems
+from gooseberrydeck_daemon.checks.timing import find_timing_problems
 from gooseberrydeck_daemon.settings import PeerSettings, Settings
 from gooseberrydeck_platform.http import HttpAddress
 
@@ -42,6 +43,7 @@
     yield from check_platform_addresses(settings)
     yield from check_keys(settings.peers)
     yield from check_initial_peers(settings)
+    yield from find_timing_problems(settings.timing)
 
 
 def check_address(path: str, address: str) -> Iterator[CheckMessage]:
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/composition.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/composition.py
@@ -6,10 +6,10 @@
 import structlog
 
 from gooseberrydeck_coordination.clock import SystemClock
-from gooseberrydeck_coordination.ids import ServiceName
+from gooseberrydeck_coordination.ids import ServiceName, ShardId
 from gooseberrydeck_coordination.store import Store
-from gooseberrydeck_coordination.timing import Timing
-from gooseberrydeck_daemon.controllers.configuration import StoreFreshness
+from gooseberrydeck_daemon.controllers.ownership import OwnershipSide
+from gooseberrydeck_daemon.controllers.ownership.side import first_holder
 from gooseberrydeck_daemon.dispatch import Dispatcher
 from gooseberrydeck_daemon.dispatch.budgets import RetryBudgets
 from gooseberrydeck_daemon.dispatch.directory import (
@@ -46,13 +46,15 @@
 from gooseberrydeck_daemon.tasks import Runnable, Supervisor
 from gooseberrydeck_daemon.views import (
     ConfigurationHolder,
+    MembershipView,
+    OwnershipView,
     StaticMembership,
     StaticOwnership,
 )
 from gooseberrydeck_platform.endpoint_http import HttpEndpoint
 from gooseberrydeck_platform.etcd import EtcdStore
 from gooseberrydeck_platform.host_list_http import HttpHostList
-from gooseberrydeck_platform.hosts import HostList
+from gooseberrydeck_platform.hosts import Host, HostList
 from gooseberrydeck_platform.http import HttpAddress
 
 __all__ = ["Member", "Platform", "compose"]
@@ -62,6 +64,7 @@
 MAX_TASKS = 32
 DRAIN_GRACE_S = 1.0
 DRAIN_TIMEOUT_S = 60.0
+LEAVE_TIMEOUT_S = 20.0
 
 log = structlog.get_logger(__name__)
 
@@ -74,7 +77,7 @@
     ) -> None:
         """Use ``hosts``, and ``connect`` for connections to endpoints.
 
-        Without a store, the member follows no operators.
+        Without a store, the member follows no operators, and ownership is fixed.
         """
         self.hosts = hosts
         self.store = store
@@ -91,11 +94,9 @@
         self.supervisor = Supervisor(MAX_TASKS)
         self.health = Health()
         self.configuration = ConfigurationHolder()
-        initial = settings.peers.initial
-        self.membership = StaticMembership(initial, settings.member)
-        self.ownership = StaticOwnership(
-            settings.member, [peer.member for peer in initial], settings.shards
-        )
+        self.membership: MembershipView
+        self.ownership: OwnershipView
+        self.build_views(platform)
         self.registry = MessageRegistry()
         self.network = self.build_network()
         self.executor = ThreadPoolExecutor(CALL_THREADS, thread_name_prefix="call")
@@ -111,12 +112,24 @@
         )
         self.dispatcher = self.build_dispatcher()
         self.router = Router()
+        self.coordination = self.build_coordination(platform)
         self.operators = self.build_operators(platform)
         self.access = AccessIndex(self.configuration, self.is_configuration_fresh)
         self.router.add(ServiceHandler(self.access, self.dispatcher).route())
         self.callers = self.build_callers()
         self.tasks = self.build_tasks(platform)
 
+    def build_views(self, platform: Platform) -> None:
+        """Let members and owners come from the store, or else from the settings."""
+        if platform.store is not None:
+            holder = first_holder(self.settings, SystemClock())
+            self.membership = self.ownership = self.holder = holder
+            return
+        own, initial = self.settings.member, self.settings.peers.initial
+        names = [peer.member for peer in initial]
+        self.membership = StaticMembership(initial, own)
+        self.ownership = StaticOwnership(own, names, self.settings.shards)
+
     def build_network(self) -> PeerNetwork:
         """Bind the peers' listener."""
         peers = self.settings.peers
@@ -154,15 +167,37 @@
         found = self.access.service(service)
         return DEFAULT_RETRY_SHARE if found is None else found.retry_share
 
+    def build_coordination(self, platform: Platform) -> OwnershipSide | None:
+        """Build what keeps this member's shards, if there is a store to agree by."""
+        if platform.store is None:
+            return None
+        self.holder.listeners.append(self.directory.follow_ownership)
+        return OwnershipSide(
+            self.settings,
+            platform.store,
+            self.holder,
+            self.network,
+            self.registry,
+            lambda: self.configuration.current.number,
+            self.is_shard_idle,
+            self.health.ready.set,
+            SystemClock(),
+            self.metrics,
+        )
+
+    def is_shard_idle(self, shard: ShardId) -> bool:
+        """Tell whether no call to a worker of a shard is under way."""
+        return True
+
     def build_operators(self, platform: Platform) -> OperatorsSide | None:
         """Build what follows operators, if there is a store to follow."""
-        if platform.store is None:
+        if platform.store is None or self.coordination is None:
             return None
         return OperatorsSide(
             self.settings,
             platform.store,
             self.configuration,
-            StoreFreshness(Timing()),
+            self.coordination,
             self.network,
             self.registry,
             self.membership,
@@ -198,12 +233,14 @@
         poll_s = self.settings.host_list.poll_ms / 1000
         tasks: list[Runnable] = [
             self.network,
-            HostListTask(platform.hosts, self.directory.update, poll_s, self.metrics),
+            HostListTask(platform.hosts, self.observe_hosts, poll_s, self.metrics),
             PoolTask(self.directory),
             GossipTask(
                 self.directory.loads, self.network, self.membership, SystemClock()
             ),
         ]
+        if self.coordination is not None:
+            tasks.insert(1, self.coordination.task)
         if self.operators is not None:
             tasks.extend(self.operators.tasks())
         if self.settings.statsd is not None:
@@ -214,11 +251,18 @@
         tasks.append(self.callers)
         return tasks
 
+    def observe_hosts(self, hosts: tuple[Host, ...]) -> None:
+        """Take in the platform's list of hosts."""
+        if self.coordination is not None:
+            self.coordination.task.observe_hosts(hosts)
+        self.directory.update(hosts)
+
     def start(self) -> None:
-        """Start every task and become ready."""
+        """Start every task, and become ready once the owners are known."""
         for task in self.tasks:
             self.supervisor.start(task)
-        self.health.ready.set()
+        if self.coordination is None:
+            self.health.ready.set()
         log.info("member started", callers_port=self.callers.port)
 
     def run(self) -> None:
@@ -235,6 +279,8 @@
             # Requests that the balancer sent before it noticed are still served.
             time.sleep(DRAIN_GRACE_S)
             self.admit.drain(DRAIN_TIMEOUT_S)
+            if self.coordination is not None:
+                self.coordination.task.leave(LEAVE_TIMEOUT_S)
         self.supervisor.close()
         self.executor.shutdown(wait=False)
         log.info("member stopped")
--- /dev/null
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/controllers/ownership/side.py
@@ -0,0 +1,88 @@
+"""Build the parts of ownership of one member and wire them together."""
+
+import secrets
+from collections.abc import Callable
+
+from gooseberrydeck_coordination import (
+    Clock,
+    Coordinator,
+    MemberRecord,
+    OwnershipView,
+    Store,
+    StoreKeys,
+    StoreRounds,
+)
+from gooseberrydeck_coordination.ids import ConfigurationNumber, ShardId
+from gooseberrydeck_daemon.controllers.ownership.holder import OwnershipHolder
+from gooseberrydeck_daemon.controllers.ownership.messages import (
+    AttestationAsk,
+    AttestationReply,
+)
+from gooseberrydeck_daemon.controllers.ownership.task import OwnershipTask
+from gooseberrydeck_daemon.metrics import Metrics
+from gooseberrydeck_daemon.peers import MessageRegistry, PeerNetwork
+from gooseberrydeck_daemon.settings import Settings
+
+__all__ = ["OwnershipSide", "first_holder"]
+
+INCARNATION_BYTES = 4
+
+
+def first_holder(settings: Settings, clock: Clock) -> OwnershipHolder:
+    """Return a holder that shows nothing but the peers that settings name."""
+    view = OwnershipView(clock, settings.member)
+    return OwnershipHolder(view, settings.peers.initial)
+
+
+class OwnershipSide:
+    """The ownership task of a member, with its messages registered."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        store: Store,
+        holder: OwnershipHolder,
+        network: PeerNetwork,
+        registry: MessageRegistry,
+        configuration_number: Callable[[], ConfigurationNumber],
+        is_idle: Callable[[ShardId], bool],
+        on_informed: Callable[[], None],
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        """Build the task.
+
+        ``is_idle`` tells that no call to a worker of a shard is under way;
+        ``on_informed`` is called once the owners are known or can't be known.
+        """
+        record = MemberRecord(
+            settings.member,
+            secrets.token_hex(INCARNATION_BYTES),
+            settings.address,
+            network.port,
+            settings.data_centre,
+            settings.peers.public_key,
+        )
+        keys, timing = StoreKeys(settings.cell), settings.timing
+        self.coordinator = Coordinator(record, clock, timing)
+        rounds = StoreRounds(store, keys, record, settings.shards, clock, timing)
+        self.task = OwnershipTask(
+            self.coordinator,
+            rounds,
+            holder,
+            network,
+            configuration_number,
+            is_idle,
+            on_informed,
+            clock,
+            timing,
+            metrics,
+        )
+        registry.register(AttestationAsk, self.task.receive_ask)
+        registry.register(AttestationReply)
+
+    def configuration_deadline_s(
+        self, number: ConfigurationNumber, read_sent_s: float
+    ) -> float:
+        """Return until when configuration ``number`` counts as fresh."""
+        return self.coordinator.authority.configuration_deadline_s(number, read_sent_s)
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/dispatch/directory.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/dispatch/directory.py
@@ -79,6 +79,11 @@
                 slots.slow_start.begin(time.monotonic())
                 slots.refresh(time.monotonic())
 
+    def follow_ownership(self) -> None:
+        """Take in that ownership has changed."""
+        with self.lock:
+            self.refresh()
+
     def refresh(self) -> None:
         """Work out owners and pools again; the lock is held."""
         owners: dict[ServiceName, set[MemberId]] = defaultdict(set)
@@ -117,7 +122,7 @@
                 service,
                 self.max_waiting(service),
                 self.executor,
-                self.ownership.may_act,
+                self.ownership.may_serve,
                 self.limits,
                 self.metrics,
             )
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/settings.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/settings.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from gooseberrydeck_coordination.ids import CellName, DataCentre, MemberId
+from gooseberrydeck_coordination.timing import Timing
 
 __all__ = [
     "CallersListener",
@@ -151,4 +152,5 @@
     peers: PeerSettings
     statsd: StatsdSettings | None = None
     log: LogSettings = LogSettings()
+    timing: Timing = Timing()
     shards: Annotated[int, msgspec.Meta(ge=1, le=4096)] = 16
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/views.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/views.py
@@ -72,8 +72,8 @@
     def owner_of(self, shard: ShardId) -> MemberId | None:
         """Return the member that owns a shard, as last known."""
 
-    def may_act(self, shard: ShardId) -> bool:
-        """Tell whether this member may act as the owner of a shard now."""
+    def may_serve(self, shard: ShardId) -> bool:
+        """Tell whether this member may send requests to a shard's endpoints now."""
 
 
 class StaticOwnership:
@@ -97,7 +97,7 @@
         """Return the member that owns a shard."""
         return self.owners.get(shard)
 
-    def may_act(self, shard: ShardId) -> bool:
+    def may_serve(self, shard: ShardId) -> bool:
         """Tell whether this member owns the shard."""
         return self.owners.get(shard) == self.own
 
--- a/tests/coordination/ownership_fakes.py
+++ b/tests/coordination/ownership_fakes.py
@@ -27,7 +27,8 @@
     ShardId,
     TaskId,
 )
-from gooseberrydeck_standins.engine_store import EngineStore, StoreFault
+from gooseberrydeck_standins.engine_store import EngineStore
+from gooseberrydeck_standins.faults import CallFault
 from gooseberrydeck_standins.store_engine import StoreEngine
 
 TIMING = Timing()
@@ -253,7 +254,7 @@
         self.true_clock = ManualClock()
         self.store_clock = ManualClock(rate=RATES[1])
         self.engine = StoreEngine(self.store_clock)
-        self.store_fault = StoreFault.NONE
+        self.store_fault = CallFault.NONE
         self.network = FakeNetwork(self.true_clock)
         self.starts = 0
         count = shards * workers_per_shard
@@ -290,10 +291,10 @@
     def cut(self, one: str, *others: str) -> None:
         self.network.cut |= {frozenset((one, other)) for other in others}
 
-    def cut_store(self, name: str, fault: StoreFault = StoreFault.DOWN) -> None:
+    def cut_store(self, name: str, fault: CallFault = CallFault.DOWN) -> None:
         self.processes[name].store.fault = fault
 
-    def set_store(self, fault: StoreFault) -> None:
+    def set_store(self, fault: CallFault) -> None:
         self.store_fault = fault
         for process in self.processes.values():
             process.store.fault = fault
--- a/tests/coordination/test_ownership_machine.py
+++ b/tests/coordination/test_ownership_machine.py
@@ -6,13 +6,13 @@
 
 from coordination.ownership_fakes import FakeCluster
 from gooseberrydeck_coordination import Timing
-from gooseberrydeck_standins.engine_store import StoreFault
+from gooseberrydeck_standins.faults import CallFault
 
 MEMBERS = ("m0", "m1", "m2", "m3", "m4")
 members = st.sampled_from(MEMBERS)
 workers = st.sampled_from(("w0", "w1", "w2", "w3"))
 faults = st.sampled_from(
-    (StoreFault.DOWN, StoreFault.REQUEST_LOST, StoreFault.ANSWER_LOST)
+    (CallFault.DOWN, CallFault.REQUEST_LOST, CallFault.ANSWER_LOST)
 )
 TIMING = Timing(peer_authority_limit_s=60.0)
 """A short limit, so that healing ends even where a majority was killed at once."""
@@ -49,11 +49,11 @@
                 self.cluster.cut(name, *others)
 
     @rule(name=members, fault=faults)
-    def cut_store(self, name: str, fault: StoreFault) -> None:
+    def cut_store(self, name: str, fault: CallFault) -> None:
         self.cluster.cut_store(name, fault)
 
     @rule(fault=faults)
-    def stop_store(self, fault: StoreFault) -> None:
+    def stop_store(self, fault: CallFault) -> None:
         self.cluster.set_store(fault)
 
     @rule(one=members, other=members | workers)
@@ -102,7 +102,7 @@
 
     @rule()
     def heal_store(self) -> None:
-        self.cluster.set_store(StoreFault.NONE)
+        self.cluster.set_store(CallFault.NONE)
 
     def teardown(self) -> None:
         """Heal everything: whatever was accepted runs again, once."""
--- a/tests/coordination/test_ownership_parts.py
+++ b/tests/coordination/test_ownership_parts.py
@@ -41,7 +41,8 @@
 from gooseberrydeck_coordination.shards import claimed_record, released_record
 from gooseberrydeck_coordination.snapshots import read_snapshot
 from gooseberrydeck_coordination.store import Transaction, TransactionResult
-from gooseberrydeck_standins.engine_store import EngineStore, StoreFault
+from gooseberrydeck_standins.engine_store import EngineStore
+from gooseberrydeck_standins.faults import CallFault
 from gooseberrydeck_standins.store_engine import StoreEngine
 
 SHARD = ShardId(0)
@@ -112,7 +113,7 @@
         store = EngineStore(StoreEngine(clock))
         session = Session(store, KEYS, record(), clock, TIMING)
         store.next_faults.extend(
-            (StoreFault.NONE, StoreFault.NONE, StoreFault.ANSWER_LOST)
+            (CallFault.NONE, CallFault.NONE, CallFault.ANSWER_LOST)
         )
         with pytest.raises(StoreOutcomeUnknownError):
             session.step()
@@ -189,8 +190,8 @@
         coordinator = Coordinator(record(), clock, TIMING)
         mine = rounds(store, clock, "m0")
         calls_before_the_claim = 8
-        store.next_faults.extend([StoreFault.NONE] * calls_before_the_claim)
-        store.next_faults.append(StoreFault.ANSWER_LOST)
+        store.next_faults.extend([CallFault.NONE] * calls_before_the_claim)
+        store.next_faults.append(CallFault.ANSWER_LOST)
         coordinator.apply_round(mine.run(coordinator.plan_round()))
         assert not store.next_faults
         assert not coordinator.holdings
--- a/tests/coordination/test_ownership_scenarios.py
+++ b/tests/coordination/test_ownership_scenarios.py
@@ -5,9 +5,10 @@
 import pytest
 
 from coordination.ownership_fakes import KEYS, FakeCluster, FakeProcess
+from gooseberrydeck_coordination import Timing
 from gooseberrydeck_coordination.ids import ShardId, TaskId
 from gooseberrydeck_coordination.seating import declare_dead
-from gooseberrydeck_standins.engine_store import StoreFault
+from gooseberrydeck_standins.faults import CallFault
 
 SHARD = ShardId(0)
 TASK = TaskId("t0/0/0")
@@ -127,12 +128,12 @@
 
 def store_down(cluster: FakeCluster, owner: FakeProcess) -> None:
     """Stop the store for every member."""
-    cluster.set_store(StoreFault.DOWN)
+    cluster.set_store(CallFault.DOWN)
 
 
 def store_answers_lost(cluster: FakeCluster, owner: FakeProcess) -> None:
     """Lose every answer of the store after its effect."""
-    cluster.set_store(StoreFault.ANSWER_LOST)
+    cluster.set_store(CallFault.ANSWER_LOST)
 
 
 def no_peers(cluster: FakeCluster, owner: FakeProcess) -> None:
@@ -198,7 +199,7 @@
     def test_peer_authority_ends_at_its_limit(self) -> None:
         cluster = started()
         owner = cluster.owner(SHARD)
-        cluster.set_store(StoreFault.DOWN)
+        cluster.set_store(CallFault.DOWN)
         cluster.advance(20.0)
         limit_s = owner.coordinator.timing.peer_authority_limit_s
         owner.coordinator.authority.read_sent_s -= limit_s
@@ -219,10 +220,10 @@
     def test_owners_stay_after_an_outage_longer_than_every_lease(self) -> None:
         cluster = started()
         before = [cluster.owner(shard) for shard in (0, 1)]
-        cluster.set_store(StoreFault.DOWN)
+        cluster.set_store(CallFault.DOWN)
         cluster.advance(OUTAGE_S)
         for process in cluster.processes.values():
-            process.store.fault = StoreFault.NONE
+            process.store.fault = CallFault.NONE
             cluster.advance(1.0)
         cluster.advance(20.0)
         assert [cluster.owner(shard) for shard in (0, 1)] == before
@@ -281,6 +282,12 @@
 
 
 class TestBalance:
+    def test_long_cold_start_does_not_make_every_member_take_all(self) -> None:
+        timing = Timing(cold_start_s=6.0, fallback_claim_s=3.0)
+        cluster = FakeCluster(members=4, shards=8, timing=timing)
+        cluster.advance(8.0)
+        assert loads(cluster) == {"m0": 2, "m1": 2, "m2": 2, "m3": 2}
+
     def test_shards_are_shared_from_the_start_and_move_slowly(self) -> None:
         cluster = FakeCluster(members=4, shards=8, workers_per_shard=1)
         cluster.advance(10.0)
