--- a/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/ownership.py
+++ b/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/ownership.py
@@ -10,7 +10,6 @@
 from gooseberrydeck_coordination.ids import Epoch, HostName, MemberId, Revision, ShardId
 from gooseberrydeck_coordination.members import MemberRecord
 from gooseberrydeck_coordination.quarantine import Quarantine
-from gooseberrydeck_coordination.store import ABSENT
 
 __all__ = ["OwnedShard", "OwnershipView"]
 
@@ -25,10 +24,10 @@
 
     shard: ShardId
     epoch: Epoch
+    revision: Revision
     deadline_s: float
     quarantine: Quarantine
     is_releasing: bool = False
-    revision: Revision = ABSENT
 
 
 @dataclass(frozen=True)
--- a/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/gangs.py
+++ b/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/gangs.py
@@ -1,6 +1,6 @@
 """Reservations: rooms kept for a gang, a large task or an urgent one."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from gooseberrydeck_coordination.ids import HostName, JobId
 from gooseberrydeck_coordination.resources import NOTHING, Resources
@@ -11,6 +11,7 @@
     "Reservation",
     "ReservationBook",
     "ReservationPlan",
+    "plan_preemption",
     "plan_reservation",
     "rooms_in",
     "smaller",
@@ -169,7 +170,10 @@
 
 
 def plan_reservation(
-    book: ReservationBook, wanted: Resources, count: int, now_s: float
+    book: ReservationBook,
+    wanted: Resources,
+    count: int,
+    now_s: float,
 ) -> ReservationPlan | None:
     """Choose the rooms that are likely free first, or None if there are too few.
 
@@ -192,6 +196,45 @@
     return ReservationPlan(hosts, offers[count - 1][0])
 
 
+def plan_preemption(
+    book: ReservationBook,
+    wanted: Resources,
+    count: int,
+    may_end: Callable[[RunningTask], bool],
+    ready_s: float,
+    offset: int,
+) -> ReservationPlan | None:
+    """Choose rooms that are free or can be made so by preemption, or return None.
+
+    ``offset`` says with which worker to begin.
+    """
+    names = list(book.cell.workers)
+    start = offset % len(names) if names else 0
+    hosts: dict[HostName, int] = {}
+    for host in names[start:] + names[:start]:
+        worker = book.cell.workers[host]
+        if worker.status is not WorkerStatus.AVAILABLE or host in book.by_host:
+            continue
+        rooms = min(count, rooms_in(reclaimable(worker, may_end), wanted))
+        if rooms:
+            hosts[host] = rooms
+            count -= rooms
+        if not count:
+            return ReservationPlan(hosts, ready_s)
+    return None
+
+
+def reclaimable(
+    worker: WorkerState, may_end: Callable[[RunningTask], bool]
+) -> Resources:
+    """Return what would be free on a worker if all that may end did."""
+    free = worker.free
+    for running in worker.tasks.values():
+        if running.is_preemptible and running.ending is None and may_end(running):
+            free = free + running.resources
+    return free
+
+
 def room_times(
     worker: WorkerState, wanted: Resources, now_s: float
 ) -> list[tuple[float, HostName]]:
--- a/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/ordering.py
+++ b/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/ordering.py
@@ -8,7 +8,7 @@
 from sortedcontainers import SortedDict
 
 from gooseberrydeck_coordination.ids import HostName, JobId, QueueName, TaskId, TeamName
-from gooseberrydeck_coordination.resources import Resources
+from gooseberrydeck_coordination.resources import NOTHING, Resources
 from gooseberrydeck_scheduling.blocking import Blocker
 from gooseberrydeck_scheduling.jobs import JobRecord
 from gooseberrydeck_scheduling.learning import Family, family_of
@@ -46,6 +46,7 @@
         "lost",
         "pending",
         "priority",
+        "reclaim_s",
         "record",
         "rules",
         "running",
@@ -78,6 +79,7 @@
         self.is_ending = False
         self.blocker: Blocker | None = None
         self.look_s = 0.0
+        self.reclaim_s = 0.0
         self.since_s = now_s
         self.size_checked_s = now_s
         self.unfit_since_s: float | None = None
@@ -142,6 +144,10 @@
         """Return the teams with waiting jobs in a band."""
         return tuple(self.bands[band])
 
+    def all_teams(self) -> set[TeamName]:
+        """Return the teams with waiting jobs in any band."""
+        return {team for teams in self.bands.values() for team in teams}
+
     def candidates(self, band: Band, team: TeamName) -> Iterator[TrackedJob]:
         """Iterate over a team's jobs in order; nothing may be added meanwhile."""
         queues = self.bands[band].get(team, {})
@@ -169,26 +175,44 @@
         self.weights: dict[TeamName, float] = {}
         self.used: dict[TeamName, Resources] = {}
         self.elsewhere: dict[TeamName, Resources] = {}
-        self.capacity_elsewhere = Resources()
-        self.total = Resources()
+        self.total = NOTHING
+        self.known: dict[TeamName, float] = {}
+        """The dominant shares that have been worked out and still hold."""
 
     def set_weights(self, weights: Mapping[TeamName, float]) -> None:
         """Replace every weight; a team without one counts one."""
         self.weights = dict(weights)
 
+    def set_total(self, total: Resources) -> None:
+        """Replace the capacity of the whole cell."""
+        self.total = total
+        self.known.clear()
+
+    def set_elsewhere(self, used: Mapping[TeamName, Resources]) -> None:
+        """Replace what teams use in other shards."""
+        self.elsewhere = dict(used)
+        self.known.clear()
+
     def add(self, team: TeamName, amount: Resources) -> None:
         """Count a task that starts."""
-        self.used[team] = self.used.get(team, Resources()) + amount
+        self.used[team] = self.used.get(team, NOTHING) + amount
+        self.known.pop(team, None)
 
     def subtract(self, team: TeamName, amount: Resources) -> None:
         """Count a task that ended."""
         self.used[team] = self.used[team] - amount
+        self.known.pop(team, None)
 
     def dominant(self, team: TeamName) -> float:
         """Return a team's largest share of any resource, from 0 to 1."""
-        used = self.used.get(team)
-        if used is None:
-            used = Resources()
+        known = self.known.get(team)
+        if known is None:
+            known = self.known[team] = self.share_with(team, NOTHING)
+        return known
+
+    def share_with(self, team: TeamName, extra: Resources) -> float:
+        """Return the dominant share of a team that uses ``extra`` more."""
+        used = self.used.get(team, NOTHING) + extra
         elsewhere = self.elsewhere.get(team)
         if elsewhere is not None:
             used = used + elsewhere
@@ -199,6 +223,10 @@
             used.accelerators / (total.accelerators or 1),
         )
 
+    def rank_with(self, team: TeamName, extra: Resources) -> float:
+        """Return the rank that a team would have if it used ``extra`` more."""
+        return self.share_with(team, extra) / self.weights.get(team, 1.0)
+
     def rank(self, team: TeamName) -> float:
         """Return the dominant share by weight; the lowest goes first."""
         return self.dominant(team) / self.weights.get(team, 1.0)
