--- a/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/ownership.py
+++ b/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/ownership.py
@@ -54,10 +54,16 @@
 
     def may_act(self, shard: ShardId) -> bool:
         """Tell whether this member may start or renew anything of the shard now."""
+        return self.may_serve(shard) and not self.owned[shard].is_releasing
+
+    def may_serve(self, shard: ShardId) -> bool:
+        """Tell whether this member may send requests to the shard's endpoints now.
+
+        That goes on until a shard is released: a request to an endpoint has no lease
+        that a successor would have to wait for.
+        """
         owned = self.owned.get(shard)
-        if owned is None or owned.is_releasing:
-            return False
-        return self.clock.monotonic() < owned.deadline_s
+        return owned is not None and self.clock.monotonic() < owned.deadline_s
 
     def require(self, shard: ShardId) -> Epoch:
         """Return the epoch to act under, or raise ``AuthorityLostError``.
--- a/tests/coordination/test_ownership_machine.py
+++ b/tests/coordination/test_ownership_machine.py
@@ -6,7 +6,7 @@
 
 from coordination.ownership_fakes import FakeCluster
 from gooseberrydeck_coordination import Timing
-from gooseberrydeck_standins.engine_store import CallFault
+from gooseberrydeck_standins.faults import CallFault
 
 MEMBERS = ("m0", "m1", "m2", "m3", "m4")
 members = st.sampled_from(MEMBERS)
--- a/tests/coordination/test_ownership_scenarios.py
+++ b/tests/coordination/test_ownership_scenarios.py
@@ -5,9 +5,10 @@
 import pytest
 
 from coordination.ownership_fakes import KEYS, FakeCluster, FakeProcess
+from gooseberrydeck_coordination import Timing
 from gooseberrydeck_coordination.ids import ShardId, TaskId
 from gooseberrydeck_coordination.seating import declare_dead
-from gooseberrydeck_standins.engine_store import CallFault
+from gooseberrydeck_standins.faults import CallFault
 
 SHARD = ShardId(0)
 TASK = TaskId("t0/0/0")
@@ -258,6 +259,13 @@
         assert len(cluster.processes["m1"].coordinator.holdings) == 3
         assert cluster.running() == cluster.all_tasks()
 
+    def test_all_members_leave_at_once(self) -> None:
+        cluster = started(members=3)
+        for process in cluster.processes.values():
+            process.coordinator.begin_leaving()
+        cluster.advance(10.0)
+        assert all(each.coordinator.has_left for each in cluster.processes.values())
+
     def test_all_members_are_replaced_one_by_one(self) -> None:
         cluster = started(members=3)
         for name in list(cluster.processes):
@@ -281,6 +289,12 @@
 
 
 class TestBalance:
+    def test_long_cold_start_does_not_make_every_member_take_all(self) -> None:
+        timing = Timing(cold_start_s=6.0, fallback_claim_s=3.0)
+        cluster = FakeCluster(members=4, shards=8, timing=timing)
+        cluster.advance(8.0)
+        assert loads(cluster) == {"m0": 2, "m1": 2, "m2": 2, "m3": 2}
+
     def test_shards_are_shared_from_the_start_and_move_slowly(self) -> None:
         cluster = FakeCluster(members=4, shards=8, workers_per_shard=1)
         cluster.advance(10.0)
