--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/operators/listener.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/operators/listener.py
@@ -26,6 +26,7 @@
     build_operators_chain,
 )
 from gooseberrydeck_daemon.operators.configuration import ConfigurationHandler
+from gooseberrydeck_daemon.operators.members import MembersReader
 from gooseberrydeck_daemon.operators.publishing import ConfigurationService
 from gooseberrydeck_daemon.operators.reports import ReportsHandler
 from gooseberrydeck_daemon.operators.views import CellViews, ViewsHandler
@@ -94,6 +95,9 @@
             sink, rule, peers, membership, clock, metrics
         )
         post = self.configuration.post
+        self.views.members = MembersReader(
+            settings, self.configuration, peers, membership
+        )
         self.watch = ConfigurationWatch(store, versioned, post, metrics)
         self.confirmation = ConfigurationConfirmation(
             store, versioned, clock, post, lambda: self.configuration.number, metrics
--- a/tests/daemon/test_operators.py
+++ b/tests/daemon/test_operators.py
@@ -45,6 +45,9 @@
             assert answer["is_in_force"]
             assert answer["is_guaranteed"]
             assert cell.numbers() == [1, 1, 1]
+            _, view = cell.operate("m1", "GET", "/v1/members")
+            held = {item["member"]: item["configuration"] for item in view["members"]}
+            assert held == {"m1": 1, "m2": 1, "m3": 1}
 
     def test_member_without_the_store_follows_its_peers(self) -> None:
         with operated_cell("m1", "m2", "m3") as cell:
