Run the jobs of a shard so that a successor can go on

Cause: jobs that are accepted must be kept through the death of their shard's owner, lost answers and outages of the store, without a write for each start. The owner finds what runs by adopting workers, acknowledges an end only once it is recorded, checks its authority before each call, and its writes require its claim. Also: a job can be declared not idempotent, and then a lost or failed task is not started again; task ids after a takeover never repeat; what may run on a host that the owner does not know yet is not started elsewhere. Ruled out: a write for each start (one a placement); acknowledging ends before the record (a crash between loses the result).

--- /dev/null
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Jobs: accepted durably, run by the owner of their shard, and answered."""
--- /dev/null
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/jobs/calls.py
@@ -0,0 +1,239 @@
+"""The calls that a shard's owner makes to its workers, and what comes of them."""
+
+from collections.abc import Callable, Iterable
+from concurrent.futures import Future
+from typing import Protocol, TypeVar
+
+from gooseberrydeck_coordination.adoption import AdoptionState
+from gooseberrydeck_coordination.clock import Clock
+from gooseberrydeck_coordination.exceptions import AuthorityLostError
+from gooseberrydeck_coordination.ids import HostName, TaskId
+from gooseberrydeck_daemon.jobs.book import RecordBook
+from gooseberrydeck_daemon.jobs.links import WorkerLink
+from gooseberrydeck_daemon.jobs.reports import is_ended, task_end
+from gooseberrydeck_platform.exceptions import (
+    PlatformError,
+    StaleFenceError,
+    WorkerUnavailableError,
+)
+from gooseberrydeck_platform.workers import (
+    Adoption,
+    StartRefusal,
+    StartResult,
+    TaskReport,
+    TaskStart,
+)
+from gooseberrydeck_scheduling import AdoptedTask, Scheduler, job_of
+
+__all__ = ["Runner", "WorkerCalls"]
+
+T = TypeVar("T")
+
+ADOPT_AGAIN_S = 1.0
+
+NOT_STARTED = (AuthorityLostError, StaleFenceError, WorkerUnavailableError)
+"""The failures of a start after which certainly nothing was started."""
+
+
+class Runner(Protocol):
+    """Run blocking calls; what comes of them is handed over in the owner's thread."""
+
+    def run(self, call: Callable[[], T], done: Callable[["Future[T]"], None]) -> None:
+        """Run ``call`` elsewhere, and ``done`` later in the owner's thread."""
+
+
+class WorkerCalls:
+    """Adopt workers, start, renew and end tasks there; one call at a time to each."""
+
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        book: RecordBook,
+        runner: Runner,
+        clock: Clock,
+        lease_s: float,
+        now_s: Callable[[], float],
+    ) -> None:
+        """Tell ``scheduler`` and ``book`` what comes of the calls."""
+        self.scheduler = scheduler
+        self.book = book
+        self.runner = runner
+        self.clock = clock
+        self.lease_s = lease_s
+        self.now_s = now_s
+        self.links: dict[HostName, WorkerLink] = {}
+        self.pending_acks: set[TaskId] = set()
+        """Ended tasks that the scheduler has taken in and no record tells yet."""
+
+    def call_next(self, link: WorkerLink) -> None:
+        """Make the next call that is due to a worker."""
+        if link.adoption.state is not AdoptionState.ADOPTED:
+            self.adopt(link)
+        elif link.stops or link.checkpoints or link.acknowledged:
+            self.end_tasks(link)
+        elif link.starts:
+            self.start_tasks(link)
+        elif link.is_renewal_due(self.lease_s):
+            self.renew(link)
+
+    def adopt(self, link: WorkerLink) -> None:
+        """Adopt a worker, if that is due."""
+        if not link.adoption.needs_adopting or self.clock.monotonic() < link.retry_s:
+            return
+        sent_s = self.clock.monotonic()
+        link.adoption.begin()
+
+        def done(answer: "Future[Adoption]") -> None:
+            if not self.has_answer(link, answer):
+                return
+            adoption = answer.result()
+            if link.adoption.answered(sent_s, adoption.has_fencing):
+                link.renewed_s = float("-inf")
+                self.take_adoption(link, adoption)
+
+        self.run(link, link.call_adopt, done)
+
+    def take_adoption(self, link: WorkerLink, adoption: Adoption) -> None:
+        """Take in everything that an adopted worker holds."""
+        now_s = self.now_s()
+        held = [
+            AdoptedTask(report.task, report.team, report.resources, report.run_s)
+            for report in adoption.tasks
+            if report.task not in self.pending_acks
+        ]
+        self.drop_outbox(link)
+        before = set(self.tasks_on(link.host))
+        self.scheduler.worker_added(link.info, now_s, held)
+        for task in before - {item.task for item in held}:
+            if job_of(task) in self.book.records:
+                self.book.change(job_of(task))
+        self.take_reports(link, adoption.tasks)
+
+    def tasks_on(self, host: HostName) -> list[TaskId]:
+        """Return the tasks that are committed on a worker."""
+        worker = self.scheduler.state.cell.workers.get(host)
+        return list(worker.tasks) if worker is not None else []
+
+    def drop_outbox(self, link: WorkerLink) -> None:
+        """Take back what a worker was not yet told."""
+        starts, link.starts = link.starts, []
+        self.refuse_all(starts)
+        link.stops.clear()
+        link.checkpoints.clear()
+
+    def take_reports(self, link: WorkerLink, reports: Iterable[TaskReport]) -> None:
+        """Learn from running tasks and record the ends of others."""
+        now_s = self.now_s()
+        for report in reports:
+            if not is_ended(report):
+                self.scheduler.usage_reported(report.task, report.usage)
+            elif report.task in self.pending_acks:
+                continue
+            elif report.task in self.scheduler.state.cell.tasks:
+                self.pending_acks.add(report.task)
+                job = self.scheduler.task_ended(task_end(report), now_s)
+                if job is None:
+                    self.acknowledge(link.host, report.task)
+                else:
+                    self.book.change(job, [(link.host, report.task)])
+            else:
+                self.acknowledge(link.host, report.task)
+
+    def acknowledge(self, host: HostName, task: TaskId) -> None:
+        """Let a worker forget an ended task."""
+        self.pending_acks.discard(task)
+        link = self.links.get(host)
+        if link is not None:
+            link.acknowledged.add(task)
+
+    def start_tasks(self, link: WorkerLink) -> None:
+        """Send the starts that were decided."""
+        starts, link.starts = link.starts, []
+
+        def done(answer: "Future[tuple[StartResult, ...]]") -> None:
+            if self.has_answer(link, answer):
+                self.take_results(answer.result())
+            elif isinstance(answer.exception(), NOT_STARTED):
+                self.refuse_all(starts)
+
+        self.run(link, lambda: link.call_start(starts), done)
+
+    def end_tasks(self, link: WorkerLink) -> None:
+        """Send what ends or forgets tasks."""
+        stops, checkpoints = link.stops, link.checkpoints
+        acknowledged = list(link.acknowledged)
+        link.stops, link.checkpoints = [], []
+
+        def done(answer: "Future[None]") -> None:
+            if self.has_answer(link, answer):
+                link.acknowledged.difference_update(acknowledged)
+                link.renewed_s = float("-inf")
+
+        self.run(link, lambda: link.call_end(stops, checkpoints, acknowledged), done)
+
+    def renew(self, link: WorkerLink) -> None:
+        """Renew the leases of a worker's tasks and take in its reports."""
+        tasks = self.tasks_on(link.host)
+        link.renewed_s = self.clock.monotonic()
+
+        def done(answer: "Future[tuple[TaskReport, ...]]") -> None:
+            if self.has_answer(link, answer):
+                self.take_renewal(link, tasks, answer.result())
+
+        self.run(link, lambda: link.call_renew(tasks, self.lease_s), done)
+
+    def take_results(self, results: Iterable[StartResult]) -> None:
+        """Take back the starts that a worker refused."""
+        for result in results:
+            if result.refusal is not None:
+                is_broken = result.refusal is StartRefusal.BROKEN
+                self.refuse_start(result.task, is_broken)
+
+    def refuse_all(self, starts: Iterable[TaskStart]) -> None:
+        """Let tasks that were certainly not started be placed again."""
+        for start in starts:
+            self.refuse_start(start.task, is_broken=False)
+
+    def refuse_start(self, task: TaskId, is_broken: bool) -> None:
+        """Let a task that certainly was not started be placed again."""
+        if task in self.scheduler.state.cell.tasks:
+            self.scheduler.start_refused(task, is_broken, self.now_s())
+
+    def take_renewal(
+        self, link: WorkerLink, asked: list[TaskId], reports: tuple[TaskReport, ...]
+    ) -> None:
+        """Take in reports; a worker that misses a task is adopted again."""
+        self.take_reports(link, reports)
+        listed = {report.task for report in reports}
+        if any(task not in listed for task in asked):
+            self.close(link)
+
+    def close(self, link: WorkerLink) -> None:
+        """Start nothing on a worker until it has been adopted again."""
+        link.adoption.unreachable()
+        if link.host in self.scheduler.state.cell.workers:
+            self.scheduler.worker_quarantined(link.host)
+
+    def run(
+        self,
+        link: WorkerLink,
+        call: Callable[[], T],
+        done: Callable[["Future[T]"], None],
+    ) -> None:
+        """Make a call to a worker, the only one under way."""
+        link.is_busy = True
+        self.runner.run(call, done)
+
+    def has_answer(self, link: WorkerLink, answer: "Future[T]") -> bool:
+        """Tell whether a call was answered, after noting why it was not."""
+        link.is_busy = False
+        error = answer.exception()
+        if error is None:
+            return True
+        if not isinstance(error, (AuthorityLostError, PlatformError)):
+            raise error
+        self.close(link)
+        if isinstance(error, StaleFenceError):
+            link.adoption.refused()
+        link.retry_s = self.clock.monotonic() + ADOPT_AGAIN_S
+        return False
--- /dev/null
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/jobs/committing.py
@@ -0,0 +1,97 @@
+"""The task that commits the writes of a member in groups."""
+
+import queue
+from collections.abc import Callable
+
+import msgspec
+
+from gooseberrydeck_coordination.group_commit import (
+    CommitPacer,
+    GroupCommitter,
+    RecordWrite,
+    WriteOutcome,
+)
+from gooseberrydeck_coordination.ids import StoreLeaseId
+from gooseberrydeck_coordination.store import Store
+from gooseberrydeck_daemon.jobs.records import WriteDone
+from gooseberrydeck_daemon.tasks import Task
+
+__all__ = ["CommitTask", "PendingWrite"]
+
+MAX_WAITING_WRITES = 10_000
+TICK_S = 0.1
+
+
+class PendingWrite(msgspec.Struct, frozen=True):
+    """A write and who wants to know its outcome."""
+
+    write: RecordWrite
+    done: WriteDone
+
+
+class CommitTask(Task[PendingWrite]):
+    """Commit what waits, as much as fits at once, within the pacer's rate.
+
+    ``lease`` returns the member's store lease, or None while it has no session: then
+    nothing is written and every writer is told so at once.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        marker_key: str,
+        lease: Callable[[], StoreLeaseId | None],
+        pacer: CommitPacer,
+    ) -> None:
+        """Write to ``store`` under a marker that no other member writes."""
+        super().__init__("commit", MAX_WAITING_WRITES, TICK_S)
+        self.store = store
+        self.marker_key = marker_key
+        self.lease = lease
+        self.pacer = pacer
+        self.committer: GroupCommitter | None = None
+
+    def write(self, write: RecordWrite, done: WriteDone) -> bool:
+        """Take a write, or return False if too many wait."""
+        return self.post(PendingWrite(write, done))
+
+    def handle(self, message: PendingWrite) -> None:
+        """Commit a write together with all others that wait."""
+        self.stopping.wait(self.pacer.delay_s())
+        pending = [message, *self.take_waiting()]
+        self.commit(pending)
+
+    def take_waiting(self) -> list[PendingWrite]:
+        """Return what waits in the inbox now."""
+        waiting: list[PendingWrite] = []
+        while True:
+            try:
+                waiting.append(self.inbox.get_nowait())
+            except queue.Empty:
+                return waiting
+
+    def commit(self, pending: list[PendingWrite]) -> None:
+        """Commit writes and tell each writer the outcome."""
+        committer = self.current_committer()
+        if committer is None:
+            for item in pending:
+                item.done(WriteOutcome.NOT_WRITTEN)
+            return
+        self.pacer.record_commit()
+        results = committer.commit([item.write for item in pending])
+        for item, result in zip(pending, results, strict=True):
+            item.done(result.outcome)
+
+    def current_committer(self) -> GroupCommitter | None:
+        """Return the committer of the present session, if there is one."""
+        lease = self.lease()
+        if lease is None:
+            self.committer = None
+        elif self.committer is None or self.committer.lease != lease:
+            self.committer = GroupCommitter(self.store, self.marker_key, lease)
+        return self.committer
+
+    def end(self) -> None:
+        """Tell the writers that still wait that nothing was written."""
+        for item in self.take_waiting():
+            item.done(WriteOutcome.NOT_WRITTEN)
--- /dev/null
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/jobs/owner.py
@@ -0,0 +1,188 @@
+"""The jobs of one shard, as its owner runs them."""
+
+from collections.abc import Callable, Iterable
+
+from gooseberrydeck_coordination.adoption import AdoptionState
+from gooseberrydeck_coordination.clock import Clock
+from gooseberrydeck_coordination.ids import HostName, JobId
+from gooseberrydeck_coordination.ownership import OwnedShard
+from gooseberrydeck_daemon.jobs.book import RecordBook, WriteAnswer
+from gooseberrydeck_daemon.jobs.calls import Runner, WorkerCalls
+from gooseberrydeck_daemon.jobs.links import WorkerLink
+from gooseberrydeck_platform.workers import TaskStart
+from gooseberrydeck_scheduling import (
+    Decision,
+    End,
+    JobRecord,
+    JobRefusedError,
+    JobState,
+    Preempt,
+    Refuse,
+    Scheduler,
+    Start,
+    Stop,
+    task_index,
+)
+
+__all__ = ["ATTEMPTS_PER_EPOCH", "ShardJobs"]
+
+
+ATTEMPTS_PER_EPOCH = 1_000_000
+
+
+class ShardJobs:
+    """Run the jobs of one owned shard; used by one thread.
+
+    Nothing is written when a task starts: a successor finds it on its worker. An end
+    is acknowledged to the worker only once it is recorded. While any worker has not
+    been adopted, tasks that may run there are not started elsewhere.
+    """
+
+    def __init__(
+        self,
+        owned: OwnedShard,
+        scheduler: Scheduler,
+        book: RecordBook,
+        runner: Runner,
+        clock: Clock,
+        lease_s: float,
+        hosts: Callable[[], Iterable[HostName]],
+    ) -> None:
+        """Begin without records and workers; the scheduler is new.
+
+        ``hosts`` returns the hosts of the shard, whether or not they are linked yet.
+        """
+        self.owned = owned
+        self.scheduler = scheduler
+        self.book = book
+        self.clock = clock
+        self.lease_s = lease_s
+        self.calls = WorkerCalls(scheduler, book, runner, clock, lease_s, self.now_s)
+        self.hosts = hosts
+        self.wall_offset_s = clock.wall() - clock.monotonic()
+        self.links = self.calls.links
+        self.is_loaded = False
+        self.is_lost = False
+
+    def now_s(self) -> float:
+        """Return wall-clock seconds that go on evenly from the takeover."""
+        return self.wall_offset_s + self.clock.monotonic()
+
+    def load(self, records: Iterable[JobRecord]) -> None:
+        """Take in what the store held at the takeover; it may run already."""
+        now_s = self.now_s()
+        for record in records:
+            if self.book.add(record) and not record.state.is_final:
+                self.scheduler.recover(record, now_s)
+        self.is_loaded = True
+
+    def accept(self, record: JobRecord) -> None:
+        """Take in a job that was bound to the shard after the takeover."""
+        if not self.is_loaded or not self.book.add(record):
+            return
+        if record.state.is_final:
+            return
+        try:
+            self.scheduler.submit(record, self.now_s())
+        except JobRefusedError as error:
+            record.state = JobState.REFUSED
+            record.reason = error.detail
+            record.ended_s = self.now_s()
+            self.book.change(record.spec.id)
+
+    def cancel(self, jobs: Iterable[JobId]) -> int:
+        """Cancel jobs; each is recorded at once, however long its tasks take."""
+        known = [job for job in jobs if job in self.scheduler.state.jobs]
+        count = self.scheduler.cancel(known, self.now_s())
+        for job in known:
+            self.book.change(job)
+        return count
+
+    def add_worker(self, link: WorkerLink) -> None:
+        """Begin to adopt a worker of the shard."""
+        self.links.setdefault(link.host, link)
+
+    def update(self, owned: OwnedShard) -> None:
+        """Take in what is now known of the former owner's silence."""
+        self.owned = owned
+        for link in self.links.values():
+            link.adoption.quarantine = owned.quarantine
+
+    def step(self) -> None:
+        """Do what is due: adopt, renew, decide, start, end and record."""
+        if self.is_lost or not self.is_loaded:
+            return
+        now_s = self.now_s()
+        self.lose_lapsed(now_s)
+        self.resolve_doubts(now_s)
+        for decision in self.scheduler.tick(now_s):
+            self.carry_out(decision)
+        for link in self.links.values():
+            if not link.is_busy:
+                self.calls.call_next(link)
+        self.book.flush(self.clock.monotonic())
+        self.is_lost = self.book.is_superseded
+
+    def lose_lapsed(self, now_s: float) -> None:
+        """Give up what ran on workers on which nothing can run any more."""
+        cell = self.scheduler.state.cell
+        for link in self.links.values():
+            if link.host in cell.workers and link.adoption.may_replace_tasks:
+                changed = {
+                    running.job for running in cell.workers[link.host].tasks.values()
+                }
+                self.calls.drop_outbox(link)
+                self.scheduler.worker_removed(link.host, now_s)
+                for job in changed & self.book.records.keys():
+                    self.book.change(job)
+
+    def resolve_doubts(self, now_s: float) -> None:
+        """Let doubtful tasks start once no worker can hold them unseen."""
+        if not self.is_every_host_linked():
+            return
+        adoptions = [link.adoption for link in self.links.values()]
+        if all(
+            adoption.state is AdoptionState.ADOPTED or adoption.may_replace_tasks
+            for adoption in adoptions
+        ):
+            is_exact = all(
+                adoption.state is AdoptionState.ADOPTED for adoption in adoptions
+            )
+            had_owner = self.owned.quarantine.has_predecessor
+            self.scheduler.resolve_doubts(now_s, had_owner and not is_exact)
+
+    def is_every_host_linked(self) -> bool:
+        """Tell whether no host of the shard can hold tasks without being linked."""
+        if self.clock.monotonic() >= self.owned.quarantine.leases_lapsed_s:
+            return True
+        return all(host in self.links for host in self.hosts())
+
+    def carry_out(self, decision: Decision) -> None:
+        """Put a decision where it is told to its worker, or recorded."""
+        match decision:
+            case Start():
+                self.links[decision.host].starts.append(self.describe_start(decision))
+            case Stop():
+                self.links[decision.host].stops.append(decision.task)
+            case Preempt():
+                self.links[decision.host].checkpoints.append(decision.task)
+            case End() | Refuse():
+                self.book.change(decision.job)
+
+    def describe_start(self, start: Start) -> TaskStart:
+        """Return a start as the worker is told it."""
+        record = self.book.records[start.job]
+        task = record.tasks[task_index(start.task)]
+        return TaskStart(
+            start.task,
+            start.team,
+            start.resources,
+            self.lease_s,
+            record.spec.payload,
+            task.checkpoint,
+        )
+
+    def take_write(self, answer: WriteAnswer) -> None:
+        """Take in the outcome of a write, and acknowledge what is recorded."""
+        for host, task in self.book.written(answer, self.clock.monotonic()):
+            self.calls.acknowledge(host, task)
--- a/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/adoption.py
+++ b/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/adoption.py
@@ -7,7 +7,7 @@
 from gooseberrydeck_coordination.ids import HostName, TaskId, TeamName
 from gooseberrydeck_coordination.resources import Resources
 from gooseberrydeck_scheduling.decisions import EndKind, TaskEnd
-from gooseberrydeck_scheduling.jobs import JobRecord, job_of, task_index
+from gooseberrydeck_scheduling.jobs import JobRecord, TaskState, job_of, task_index
 from gooseberrydeck_scheduling.ordering import TrackedJob
 from gooseberrydeck_scheduling.outcomes import Outcomes
 from gooseberrydeck_scheduling.state import SchedulerState
@@ -132,21 +132,32 @@
         state.shares.add(held.team, held.resources)
         state.stop(running, Ending.ORPHAN, now_s)
 
-    def resolve_doubts(self, now_s: float) -> None:
-        """Let doubtful tasks start: what may have run them certainly does not now."""
+    def resolve_doubts(self, now_s: float, may_have_run: bool) -> None:
+        """Let doubtful tasks start: what may have run them certainly does not now.
+
+        Those of jobs that are not idempotent are given up if they ``may_have_run``.
+        """
         if not self.has_doubts:
             return
         self.has_doubts = False
         for job in tuple(self.state.jobs.values()):
             if job.doubtful:
-                self.resolve_job(job, now_s)
+                self.resolve_job(job, now_s, may_have_run)
 
-    def resolve_job(self, job: TrackedJob, now_s: float) -> None:
+    def resolve_job(self, job: TrackedJob, now_s: float, may_have_run: bool) -> None:
         """Let the doubtful tasks of one job wait for a start."""
         state = self.state
         state.slices.doubt(job.spec.team, -len(job.doubtful))
-        job.pending.extend(sorted(job.doubtful))
+        doubtful = sorted(job.doubtful)
         job.doubtful.clear()
+        if may_have_run and not job.spec.is_idempotent:
+            for index in doubtful:
+                self.outcomes.end_task(job, index, TaskState.FAILED)
+            job.record.reason = "a task may have run on a worker that was lost"
+            self.outcomes.end_rest(job, now_s, Ending.CANCELLATION)
+            state.finish_if_done(job, now_s)
+            return
+        job.pending.extend(doubtful)
         if job.is_ending:
             self.outcomes.end_rest(job, now_s, Ending.CANCELLATION)
             state.finish_if_done(job, now_s)
--- a/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/engine.py
+++ b/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/engine.py
@@ -101,11 +101,18 @@
         """Take in a job accepted under an earlier owner; it may run already."""
         if record.spec.id in self.state.jobs:
             raise DuplicateJobError(record.spec.id)
-        self.adopter.recover(self.adopter.track(record, now_s))
+        job = self.adopter.track(record, now_s)
+        self.adopter.recover(job)
+        if record.is_cancel_requested:
+            self.outcomes.cancel(job, now_s)
 
-    def resolve_doubts(self, now_s: float) -> None:
-        """Say that every worker was adopted or that its leases have lapsed."""
-        self.adopter.resolve_doubts(now_s)
+    def resolve_doubts(self, now_s: float, may_have_run: bool = False) -> None:
+        """Say that every worker was adopted or that its leases have lapsed.
+
+        ``may_have_run`` tells that one was not adopted, so that a task may have run
+        there to its end.
+        """
+        self.adopter.resolve_doubts(now_s, may_have_run)
 
     def cancel(self, jobs: Iterable[JobId], now_s: float) -> int:
         """Cancel jobs, those that have ended excepted; return how many there were."""
--- a/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/jobs.py
+++ b/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/jobs.py
@@ -65,7 +65,9 @@
     ``resources`` are those of each task. ``deadline_s`` is a wall-clock time and zero
     means none. ``plan_order`` orders a team's jobs in a batch queue. A standing job
     keeps ``tasks`` replicas running until it is cancelled. The label ``kind`` groups
-    jobs that behave alike, for learning.
+    jobs that behave alike, for learning. A task of a job that is not idempotent is
+    started once: it is not tried again after a failure, nor when its worker is lost,
+    since it may have run.
     """
 
     id: JobId
@@ -76,6 +78,7 @@
     is_gang: bool = False
     is_standing: bool = False
     is_preemptible: bool = True
+    is_idempotent: bool = True
     priority: int = 0
     max_run_s: float = 3_600.0
     deadline_s: float = 0.0
@@ -110,6 +113,7 @@
     state: JobState = JobState.WAITING
     ended_s: float = 0.0
     reason: str = ""
+    is_cancel_requested: bool = False
     tasks: list[TaskRecord] = []
 
 
--- a/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/outcomes.py
+++ b/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/outcomes.py
@@ -4,7 +4,7 @@
 
 from gooseberrydeck_coordination.ids import HostName, JobId
 from gooseberrydeck_scheduling.decisions import EndKind, TaskEnd
-from gooseberrydeck_scheduling.jobs import TaskState
+from gooseberrydeck_scheduling.jobs import TaskRecord, TaskState
 from gooseberrydeck_scheduling.ordering import TrackedJob
 from gooseberrydeck_scheduling.retries import retry_delay_s
 from gooseberrydeck_scheduling.state import WHOLE_JOB, SchedulerState
@@ -81,7 +81,8 @@
         """Let a task that did not succeed start again, unless its budget is spent."""
         index = running.index
         delay_s = self.charge(job, running, end)
-        if self.is_spent(job, index):
+        is_over = not job.spec.is_idempotent and end.kind is not EndKind.CHECKPOINTED
+        if is_over or self.is_spent(job, index):
             self.give_up(job, index, end, now_s)
             return
         if job.spec.is_gang:
@@ -123,10 +124,7 @@
         """Fail a task; a job of which nothing succeeds ends with it."""
         task = job.record.tasks[index]
         self.end_task(job, index, TaskState.FAILED)
-        job.record.reason = (
-            f"task {index} failed {task.failures} times, last on "
-            f"{task.host} with exit code {end.exit_code}"
-        )
+        job.record.reason = failure_reason(index, task, end)
         succeeded = any(
             other.state is TaskState.SUCCEEDED for other in job.record.tasks
         )
@@ -154,6 +152,7 @@
         if job.is_cancelled:
             return
         job.is_cancelled = True
+        job.record.is_cancel_requested = True
         job.record.reason = "cancelled"
         self.end_rest(job, now_s, Ending.CANCELLATION)
         self.state.finish_if_done(job, now_s)
@@ -200,3 +199,13 @@
         elif job.pending:
             job.since_s = now_s
             self.state.waiting.add(job)
+
+
+def failure_reason(index: int, task: TaskRecord, end: TaskEnd) -> str:
+    """Return a sentence on why a task is not tried again."""
+    if end.kind is EndKind.FAILED:
+        return (
+            f"task {index} failed {task.failures} times, last on {task.host} "
+            f"with exit code {end.exit_code}"
+        )
+    return f"task {index} was {end.kind.value} on {task.host}; it may have run"
--- a/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/state.py
+++ b/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/state.py
@@ -10,7 +10,7 @@
 from gooseberrydeck_scheduling.exceptions import UnknownJobError
 from gooseberrydeck_scheduling.gangs import ReservationBook
 from gooseberrydeck_scheduling.health import HealthBook, Verdict
-from gooseberrydeck_scheduling.jobs import JobState, TaskState, task_id
+from gooseberrydeck_scheduling.jobs import JobSpec, JobState, TaskState, task_id
 from gooseberrydeck_scheduling.learning import Learner
 from gooseberrydeck_scheduling.limits import TeamSlices
 from gooseberrydeck_scheduling.ordering import (
@@ -121,7 +121,7 @@
             started_s,
             started_s + self.learner.typical_run_s(spec),
             priority,
-            spec.is_preemptible and not spec.is_gang and not spec.is_standing,
+            is_victim(spec),
         )
 
     def count_running(self, job: TrackedJob, running: RunningTask) -> None:
@@ -213,3 +213,13 @@
             if host in hosts:
                 task = job.record.tasks[index]
                 task.failures = max(0, task.failures - 1)
+
+
+def is_victim(spec: JobSpec) -> bool:
+    """Tell whether a job's tasks may be ended for others, one by one."""
+    return (
+        spec.is_preemptible
+        and spec.is_idempotent
+        and not spec.is_gang
+        and not spec.is_standing
+    )
--- /dev/null
+++ b/tests/jobs_support.py
@@ -0,0 +1,204 @@
+"""One shard's jobs over stand-ins in the same process, on a manual clock."""
+
+from collections import deque
+from collections.abc import Callable
+from concurrent.futures import Future
+from typing import Any, TypeVar
+
+import msgspec
+
+from gooseberrydeck_coordination.clock import ManualClock
+from gooseberrydeck_coordination.group_commit import (
+    GroupCommitter,
+    RecordWrite,
+    WriteOutcome,
+)
+from gooseberrydeck_coordination.ids import (
+    CellName,
+    DataCentre,
+    Epoch,
+    HostName,
+    JobId,
+    MemberId,
+    Rack,
+    ShardId,
+    TeamName,
+)
+from gooseberrydeck_coordination.keys import StoreKeys
+from gooseberrydeck_coordination.ownership import OwnedShard, OwnershipView
+from gooseberrydeck_coordination.quarantine import Quarantine
+from gooseberrydeck_coordination.resources import Resources
+from gooseberrydeck_coordination.store import Put, Transaction
+from gooseberrydeck_coordination.timing import Timing
+from gooseberrydeck_daemon.jobs.book import RecordBook, WriteAnswer
+from gooseberrydeck_daemon.jobs.links import Authority, WorkerLink
+from gooseberrydeck_daemon.jobs.owner import ATTEMPTS_PER_EPOCH, ShardJobs
+from gooseberrydeck_daemon.jobs.records import JobWrites, WriteDone
+from gooseberrydeck_scheduling import JobRecord, Scheduler, WorkerInfo, decode_record
+from gooseberrydeck_standins.engine_store import EngineStore
+from gooseberrydeck_standins.engine_worker import EngineWorker
+from gooseberrydeck_standins.ledger import Ledger
+from gooseberrydeck_standins.store_engine import StoreEngine
+from gooseberrydeck_standins.worker_engine import WorkerEngine
+from scheduling_support import QUEUES, TEAMS
+
+T = TypeVar("T")
+
+SHARD = ShardId(0)
+MEMBER = MemberId("member-1")
+CAPACITY = Resources(4_000, 4_096)
+KEYS = StoreKeys(CellName("test"))
+WRITES = JobWrites(KEYS)
+TIMING = Timing()
+
+
+class CrashedError(Exception):
+    """The owner was killed at this point."""
+
+
+class Effects:
+    """Every call that reaches the store or a worker, one after another.
+
+    The owner is killed before or after the effect with the number ``crash_at``.
+    """
+
+    def __init__(self, crash_at: int = -1, is_after: bool = False) -> None:
+        self.crash_at = crash_at
+        self.is_after = is_after
+        self.count = 0
+        self.waiting: deque[Callable[[], None]] = deque()
+
+    def make(self, effect: Callable[[], T]) -> T:
+        self.count += 1
+        if self.count == self.crash_at and not self.is_after:
+            raise CrashedError
+        result = effect()
+        if self.count == self.crash_at:
+            raise CrashedError
+        return result
+
+    def run(self, call: Callable[[], T], done: Callable[["Future[T]"], None]) -> None:
+        def perform() -> None:
+            answer: Future[T] = Future()
+            try:
+                answer.set_result(self.make(call))
+            except CrashedError:
+                raise
+            except Exception as error:
+                answer.set_exception(error)
+            done(answer)
+
+        self.waiting.append(perform)
+
+    def pump(self) -> None:
+        while self.waiting:
+            self.waiting.popleft()()
+
+
+class Platform:
+    """A store and workers that outlive the owners of the shard."""
+
+    def __init__(self, hosts: int = 2) -> None:
+        self.clock = ManualClock()
+        self.store_engine = StoreEngine(self.clock)
+        self.ledger = Ledger()
+        self.workers = {
+            HostName(f"host-{number}"): WorkerEngine(
+                HostName(f"host-{number}"), CAPACITY, self.clock, self.ledger
+            )
+            for number in range(hosts)
+        }
+        self.epoch = 0
+
+    def submit(self, *records: JobRecord) -> None:
+        store = EngineStore(self.store_engine)
+        for record in records:
+            write = WRITES.accept(SHARD, record)
+            store.commit(Transaction(write.compares, write.operations), 1.0)
+
+    def records(self) -> dict[JobId, JobRecord]:
+        store = EngineStore(self.store_engine)
+        found = store.read_prefix(KEYS.shard_jobs_prefix(SHARD), 1.0)
+        records = [decode_record(entry.value) for entry in found.entries]
+        return {record.spec.id: record for record in records}
+
+
+class Owner:
+    """One owner of the shard, from its claim to its death."""
+
+    def __init__(self, platform: Platform, effects: Effects | None = None) -> None:
+        platform.epoch += 1
+        self.platform = platform
+        self.clock = platform.clock
+        self.effects = effects or Effects()
+        self.store = EngineStore(platform.store_engine)
+        claim = Put(KEYS.shard(SHARD), str(platform.epoch).encode())
+        result = self.store.commit(Transaction((), (claim,)), 1.0)
+        lease = self.store.grant_lease(1_000, 1.0)
+        marker = KEYS.commit_marker(MemberId(f"member-{platform.epoch}"))
+        self.committer = GroupCommitter(self.store, marker, lease)
+        now_s = self.clock.monotonic()
+        quarantine = Quarantine(
+            TIMING, now_s, now_s, has_predecessor=platform.epoch > 1,
+            session_ttl_s=5.0, task_lease_s=TIMING.task_lease_s,
+        )  # fmt: skip
+        self.owned = OwnedShard(
+            SHARD, Epoch(platform.epoch), result.revision, float("inf"), quarantine
+        )
+        book = RecordBook(SHARD, result.revision, WRITES, self, self.take_write)
+        scheduler = Scheduler(QUEUES, first_attempt=platform.epoch * ATTEMPTS_PER_EPOCH)
+        scheduler.set_slices({TeamName(team): 100 for team in TEAMS})
+        self.jobs = ShardJobs(
+            self.owned,
+            scheduler,
+            book,
+            self.effects,
+            self.clock,
+            TIMING.task_lease_s,
+            lambda: tuple(platform.workers),
+        )
+        self.workers: dict[HostName, EngineWorker] = {}
+
+    def view(self) -> OwnershipView:
+        return OwnershipView(self.clock, MEMBER, {SHARD: self.owned})
+
+    def write(self, write: RecordWrite, done: WriteDone) -> bool:
+        def finish(answer: "Future[Any]") -> None:
+            done(answer.result()[0].outcome)
+
+        self.effects.run(lambda: self.committer.commit([write]), finish)
+        return True
+
+    def take_write(self, answer: WriteAnswer) -> None:
+        self.jobs.take_write(answer)
+
+    def take_over(self, without: tuple[str, ...] = ()) -> None:
+        self.jobs.load(self.platform.records().values())
+        authority = Authority(self.view, SHARD, self.owned.epoch)
+        for host, engine in self.platform.workers.items():
+            if host in without:
+                continue
+            info = WorkerInfo(host, CAPACITY, Rack("rack-1"), DataCentre("lima-1"))
+            worker = self.workers[host] = EngineWorker(engine)
+            self.jobs.add_worker(
+                WorkerLink(info, worker, self.owned.quarantine, authority, self.clock)
+            )
+
+    def lose_authority(self) -> None:
+        self.owned = msgspec.structs.replace(self.owned, deadline_s=float("-inf"))
+
+    def step(self, seconds: float = 0.5) -> None:
+        self.clock.advance(seconds)
+        self.jobs.step()
+        self.effects.pump()
+
+    def run_until_ended(self, most_steps: int = 400) -> dict[JobId, JobRecord]:
+        for _ in range(most_steps):
+            records = self.platform.records()
+            if all(record.state.is_final for record in records.values()):
+                return records
+            self.step()
+        raise AssertionError("a job did not end")
+
+
+WRITTEN = WriteOutcome.WRITTEN
--- a/tests/scheduling/test_failures.py
+++ b/tests/scheduling/test_failures.py
@@ -41,6 +41,7 @@
         assert scheduler.state.cell.workers[HostName("w0")].status is (
             WorkerStatus.SET_ASIDE
         )
+        assert scheduler.state.health.set_aside[HostName("w0")].is_convicted
         assert failed < 10
         assert {job.state for job in jobs} == {JobState.SUCCEEDED}
 
