--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/composition.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/composition.py
@@ -7,6 +7,7 @@
 
 from gooseberrydeck_coordination.clock import SystemClock
 from gooseberrydeck_coordination.ids import ServiceName
+from gooseberrydeck_coordination.keys import StoreKeys
 from gooseberrydeck_coordination.store import Store
 from gooseberrydeck_coordination.timing import Timing
 from gooseberrydeck_daemon.controllers.configuration import StoreFreshness
@@ -22,6 +23,7 @@
 from gooseberrydeck_daemon.dispatch.loads import LoadTable
 from gooseberrydeck_daemon.dispatch.messages import (
     ForwardAnswer,
+    ForwardCancel,
     ForwardFailure,
     ForwardRequest,
     LoadSummary,
@@ -37,6 +39,7 @@
 from gooseberrydeck_daemon.http.filters import GetResponse
 from gooseberrydeck_daemon.http.health import Health
 from gooseberrydeck_daemon.http.services import ServiceHandler
+from gooseberrydeck_daemon.idempotency import IdempotencyGuard, RecordsTask
 from gooseberrydeck_daemon.metrics import CounterMetrics, StatsdTask
 from gooseberrydeck_daemon.operators import OperatorsSide
 from gooseberrydeck_daemon.peers import MessageRegistry, PeerNetwork
@@ -62,6 +65,7 @@
 MAX_TASKS = 32
 DRAIN_GRACE_S = 1.0
 DRAIN_TIMEOUT_S = 60.0
+DRAIN_POLL_S = 0.02
 
 log = structlog.get_logger(__name__)
 
@@ -113,7 +117,10 @@
         self.router = Router()
         self.operators = self.build_operators(platform)
         self.access = AccessIndex(self.configuration, self.is_configuration_fresh)
-        self.router.add(ServiceHandler(self.access, self.dispatcher).route())
+        self.records = self.build_records(platform)
+        guard = self.build_guard(platform)
+        services = ServiceHandler(self.access, self.dispatcher, guard)
+        self.router.add(services.route())
         self.callers = self.build_callers()
         self.tasks = self.build_tasks(platform)
 
@@ -144,6 +151,7 @@
             self.metrics,
         )
         self.registry.register(ForwardRequest, dispatcher.receive_forward)
+        self.registry.register(ForwardCancel, dispatcher.receive_cancel)
         self.registry.register(ForwardAnswer)
         self.registry.register(ForwardFailure)
         self.registry.register(LoadSummary, self.loads.receive)
@@ -171,6 +179,31 @@
             self.metrics,
         )
 
+    def build_records(self, platform: Platform) -> RecordsTask | None:
+        """Build the task that records requests with an Idempotency-Key."""
+        if platform.store is None:
+            return None
+        keys = StoreKeys(self.settings.cell)
+        return RecordsTask(
+            platform.store,
+            keys.request_marker(self.settings.member),
+            self.membership,
+            SystemClock(),
+            self.metrics,
+        )
+
+    def build_guard(self, platform: Platform) -> IdempotencyGuard | None:
+        """Build the guard of requests with an Idempotency-Key."""
+        if platform.store is None or self.records is None:
+            return None
+        return IdempotencyGuard(
+            self.settings.member,
+            platform.store,
+            StoreKeys(self.settings.cell),
+            self.records,
+            self.metrics,
+        )
+
     def is_configuration_fresh(self) -> bool:
         """Tell whether keys may be judged by the configuration."""
         return self.operators is None or self.operators.configuration.is_fresh()
@@ -204,6 +237,8 @@
                 self.directory.loads, self.network, self.membership, SystemClock()
             ),
         ]
+        if self.records is not None:
+            tasks.append(self.records)
         if self.operators is not None:
             tasks.extend(self.operators.tasks())
         if self.settings.statsd is not None:
@@ -232,13 +267,22 @@
         self.health.ready.clear()
         log.info("member drains")
         if self.supervisor.crash is None:
-            # Requests that the balancer sent before it noticed are still served.
-            time.sleep(DRAIN_GRACE_S)
-            self.admit.drain(DRAIN_TIMEOUT_S)
+            self.drain()
         self.supervisor.close()
         self.executor.shutdown(wait=False)
         log.info("member stopped")
 
+    def drain(self) -> None:
+        """Finish what callers and peers have sent."""
+        end_s = time.monotonic() + DRAIN_TIMEOUT_S
+        self.directory.is_draining = True
+        # Until the balancer and the peers have noticed, all is served as before.
+        time.sleep(DRAIN_GRACE_S)
+        self.dispatcher.is_draining = True
+        self.admit.drain(DRAIN_TIMEOUT_S)
+        while self.directory.in_use() and time.monotonic() < end_s:
+            time.sleep(DRAIN_POLL_S)
+
 
 def compose(settings: Settings) -> Member:
     """Build a member over the platform that its settings name."""
