Wait in the operators' tests until a cell has owners

Cause: shards are now claimed through the store, so a member that has just started truly answers not_run; five tests called before any owner was known. Ruled out: answering before an owner is known. Members of one process keep shorter rounds, since each test starts a cell.

--- a/tests/daemon_support.py
+++ b/tests/daemon_support.py
@@ -145,6 +145,7 @@
         },
         "store": {"addresses": ["127.0.0.1:1"]},
         "host_list": {"address": "127.0.0.1:1", "poll_ms": 50},
+        "timing": {"round_interval_s": 0.1, "attestation_interval_s": 0.2},
         "peers": {
             "public_key": PUBLIC_KEY,
             "secret_key": SECRET_KEY,
--- a/tests/operators_support.py
+++ b/tests/operators_support.py
@@ -132,6 +132,7 @@
         wait_until(lambda: all(m.directory.hosts for m in cell.members.values()))
         if len(names) > 1:
             wait_until(lambda: all_connected(cell))
+        wait_until(lambda: all(map(can_place, cell.members.values())))
         yield cell
     finally:
         # Threads that are left by a failed test would keep pytest from ending.
@@ -141,6 +142,13 @@
                 stack.callback(member.supervisor.close)
 
 
+def can_place(member: Member) -> bool:
+    """Tell whether a member has an endpoint, or knows a peer that has."""
+    pool = member.directory.pools.get(CLAIM_CHECK)
+    has_own = pool is not None and pool.load().slots > 0
+    return has_own or bool(member.directory.owners_of(CLAIM_CHECK))
+
+
 def all_connected(cell: OperatedCell) -> bool:
     """Tell whether every member has heard from every peer."""
     return all(
