--- /dev/null
+++ b/tests/reports/test_snapshots.py
@@ -0,0 +1,114 @@
+import msgspec
+import pytest
+
+from gooseberrydeck_coordination.clock import ManualClock
+from gooseberrydeck_coordination.exceptions import StoreUnavailableError
+from gooseberrydeck_coordination.ids import CellName, MemberId, ServiceName
+from gooseberrydeck_coordination.keys import StoreKeys
+from gooseberrydeck_daemon.metrics import CounterMetrics
+from gooseberrydeck_daemon.reports import BurnAccumulator, BurnSnapshot
+from gooseberrydeck_daemon.reports.snapshots import (
+    BURN,
+    MAX_SNAPSHOT_AGE_S,
+    ReportWriter,
+    SnapshotReader,
+)
+from gooseberrydeck_standins.engine_store import CallFault, EngineStore
+from gooseberrydeck_standins.store_engine import PutKey, StoreEngine
+
+KEYS = StoreKeys(CellName("test"))
+CHECK = ServiceName("claim-check")
+
+
+class Cell:
+    """Writers of several members over one store."""
+
+    def __init__(self) -> None:
+        self.clock = ManualClock(1_000_000.0)
+        self.engine = StoreEngine(self.clock)
+
+    def start(self, name: str, failed: int = 0) -> ReportWriter:
+        """Return the writer of a new run of a member that counts some failures."""
+        burn = BurnAccumulator(self.clock)
+        for _ in range(failed):
+            burn.record(CHECK, None, 1.0, False, 50.0)
+        store = EngineStore(self.engine, waits=False)
+        member = MemberId(name)
+        return ReportWriter(
+            store, KEYS, member, burn, None, self.clock, CounterMetrics()
+        )
+
+    def read_failed(self) -> list[int]:
+        """Return the failures in each stored snapshot."""
+        reader = SnapshotReader(EngineStore(self.engine), KEYS, MemberId("reader"))
+        snapshots = reader.read(BURN, BurnSnapshot)
+        levels = [s.services[CHECK].series.levels["3d"] for s in snapshots]
+        return [level.total().counts.failed for level in levels]
+
+
+@pytest.fixture
+def cell() -> Cell:
+    return Cell()
+
+
+class TestReportWriter:
+    def test_a_new_run_of_a_member_adds_to_its_snapshot(self, cell: Cell) -> None:
+        for _ in range(3):
+            writer = cell.start("m1", failed=2)
+            writer.restore()
+            writer.restore()
+            writer.save()
+        assert cell.read_failed() == [6]
+
+    def test_nothing_is_written_before_the_earlier_snapshot_was_read(
+        self, cell: Cell
+    ) -> None:
+        first = cell.start("m1", failed=5)
+        first.restore()
+        first.save()
+        second = cell.start("m1", failed=1)
+        assert isinstance(second.store, EngineStore)
+        second.store.fault = CallFault.DOWN
+        second.attempt(second.restore)
+        second.store.fault = CallFault.NONE
+        second.save()
+        assert cell.read_failed() == [5]
+        second.restore()
+        second.save()
+        assert cell.read_failed() == [6]
+
+    def test_snapshots_of_members_long_gone_are_deleted(self, cell: Cell) -> None:
+        gone = cell.start("m1", failed=1)
+        gone.restore()
+        gone.save()
+        cell.clock.advance(MAX_SNAPSHOT_AGE_S + 1)
+        other = cell.start("m2", failed=1)
+        other.restore()
+        other.save()
+        other.clean()
+        found = EngineStore(cell.engine).read_prefix(KEYS.reports_prefix, 1.0)
+        assert [entry.key for entry in found.entries] == [
+            KEYS.report(other.member, BURN)
+        ]
+
+    def test_snapshot_that_cannot_be_read_is_left_out(self, cell: Cell) -> None:
+        writer = cell.start("m1", failed=1)
+        writer.restore()
+        writer.save()
+        key = KEYS.report(MemberId("m2"), BURN).encode()
+        cell.engine.transact([], [PutKey(key, b"{")])
+        assert cell.read_failed() == [1]
+
+    def test_reader_passes_on_that_the_store_is_out(self, cell: Cell) -> None:
+        store = EngineStore(cell.engine)
+        store.fault = CallFault.DOWN
+        with pytest.raises(StoreUnavailableError):
+            SnapshotReader(store, KEYS, MemberId("m1")).read(BURN, BurnSnapshot)
+
+    def test_snapshot_is_json(self, cell: Cell) -> None:
+        writer = cell.start("m1", failed=1)
+        writer.restore()
+        writer.save()
+        entry = EngineStore(cell.engine).read(KEYS.report(writer.member, BURN), 1.0)
+        assert entry is not None
+        assert msgspec.json.decode(entry.value)["taken_s"] == cell.clock.wall()
