--- a/bench/cell_processes.py
+++ b/bench/cell_processes.py
@@ -3,6 +3,7 @@
 import hashlib
 import http.client
 import json
+import logging
 import os
 import random
 import signal
@@ -67,6 +68,7 @@
 @application.command()
 def endpoint(port: int, threads: int, work_ms: float) -> None:
     """Answer every request with its body after ``work_ms``."""
+    logging.getLogger("waitress.queue").setLevel(logging.CRITICAL)
 
     def answer(environ: dict[str, Any], start: Callable[..., Any]) -> Iterable[bytes]:
         body = environ["wsgi.input"].read()
@@ -153,6 +155,7 @@
         work_ms: float = 0.0,
         slots: int = 8,
         callers_threads: int = 96,
+        settings: dict[str, Any] | None = None,
     ) -> None:
         """Start the processes and wait until the members are ready."""
         self.folder = Path(tempfile.mkdtemp(prefix="gooseberrydeck-bench-"))
@@ -190,7 +193,8 @@
         configuration_file = self.write("configuration.json", configuration)
         self.member_processes = []
         for number, port in enumerate(self.member_ports):
-            settings = {
+            member_settings = {
+                **(settings or {}),
                 "cell": "bench",
                 "member": f"m{number}",
                 "data_centre": "lima-1",
@@ -208,7 +212,7 @@
                     "initial": peers,
                 },
             }
-            settings_file = self.write(f"m{number}.json", settings)
+            settings_file = self.write(f"m{number}.json", member_settings)
             self.member_processes.append(
                 self.start(
                     "member",
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/composition.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/composition.py
@@ -111,6 +111,7 @@
             platform.connect,
             self.executor,
             NoLimits(),
+            settings.overload,
             self.metrics,
         )
         self.dispatcher = self.build_dispatcher()
@@ -148,6 +149,7 @@
             self.loads,
             self.directory.owners_of,
             RetryBudgets(self.retry_share, SystemClock()),
+            self.settings.overload,
             self.metrics,
         )
         self.registry.register(ForwardRequest, dispatcher.receive_forward)
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/dispatch/breakers.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/dispatch/breakers.py
@@ -7,7 +7,7 @@
 FAILURES_TO_OPEN = 5
 FIRST_REST_S = 1.0
 MAX_REST_S = 30.0
-RAMP_S = 10.0
+RAMP_S = 4.0
 
 
 class BreakerState(Enum):
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/dispatch/directory.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/dispatch/directory.py
@@ -11,6 +11,7 @@
 from gooseberrydeck_daemon.dispatch.pools import PoolLoad, ServicePool
 from gooseberrydeck_daemon.dispatch.slots import EndpointFactory, EndpointSlots
 from gooseberrydeck_daemon.metrics import Metrics
+from gooseberrydeck_daemon.settings import OverloadSettings
 from gooseberrydeck_daemon.tasks import Task
 from gooseberrydeck_daemon.views import ConfigurationView, OwnershipView
 from gooseberrydeck_platform.exceptions import HostListUnavailableError
@@ -34,9 +35,11 @@
         connect: EndpointFactory,
         executor: Executor,
         limits: RequestLimits,
+        overload: OverloadSettings,
         metrics: Metrics,
     ) -> None:
         """Begin without endpoints."""
+        self.overload = overload
         self.own = own
         self.limits = limits
         self.ownership = ownership
@@ -128,6 +131,7 @@
                 self.executor,
                 self.ownership.may_act,
                 self.limits,
+                self.overload,
                 self.metrics,
             )
             self.pools[service] = pool
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/dispatch/dispatcher.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/dispatch/dispatcher.py
@@ -22,6 +22,7 @@
     ForwardRequest,
 )
 from gooseberrydeck_daemon.dispatch.pools import PoolLoad, ServicePool
+from gooseberrydeck_daemon.dispatch.repeats import RecentFailures
 from gooseberrydeck_daemon.dispatch.requests import ServiceRequest, Ticket
 from gooseberrydeck_daemon.metrics import Metrics
 from gooseberrydeck_daemon.peers import (
@@ -30,6 +31,7 @@
     Peers,
     PeerSilentError,
 )
+from gooseberrydeck_daemon.settings import OverloadSettings
 from gooseberrydeck_platform.endpoints import EndpointAnswer
 
 __all__ = ["Dispatcher"]
@@ -62,6 +64,7 @@
         loads: LoadTable,
         owners_of: OwnersOf,
         budgets: RetryBudgets,
+        overload: OverloadSettings,
         metrics: Metrics,
     ) -> None:
         """Wire the parts; ``owners_of`` names the peers that own endpoints."""
@@ -70,18 +73,29 @@
         self.loads = loads
         self.owners_of = owners_of
         self.budgets = budgets
+        self.overload = overload
+        self.repeats = RecentFailures()
         self.metrics = metrics
         self.is_draining = False
         self.forwarded: dict[RequestId, Ticket] = {}
 
     def run(self, request: ServiceRequest) -> EndpointAnswer:
         """Return the whole answer, or raise ``DispatchError``; blocks the caller."""
-        attempt = 1
+        request.is_retry = request.is_retry or self.repeats.is_repeated(request)
         if not request.is_retry:
             self.budgets.record_fresh(request.service)
+        try:
+            return self.run_with_retries(request)
+        except DispatchError:
+            self.repeats.record(request)
+            raise
+
+    def run_with_retries(self, request: ServiceRequest) -> EndpointAnswer:
+        """Send a request, and again after failures that allow it."""
+        attempt = 1
         while True:
             try:
-                return self.run_once(request)
+                return self.run_once(request, is_paid=attempt > 1)
             except DispatchError as error:
                 if not self.may_try_again(request, error, attempt):
                     raise
@@ -99,13 +113,17 @@
             return False
         if request.deadline_s <= time.monotonic() or request.is_caller_gone():
             return False
-        if self.budgets.try_retry(request.service):
+        is_free = not self.overload.has_retry_budget
+        if is_free or self.budgets.try_retry(request.service):
             return True
         self.metrics.count("dispatch.retries.over_budget")
         return False
 
-    def run_once(self, request: ServiceRequest) -> EndpointAnswer:
-        """Send a request once, to the place that has room soonest."""
+    def run_once(self, request: ServiceRequest, is_paid: bool) -> EndpointAnswer:
+        """Send a request once, to the place that has room soonest.
+
+        A caller's retry that is not paid for by the budget gets free slots only.
+        """
         pool = self.pools.get(request.service)
         outcome = pool.try_run(request) if pool else None
         if isinstance(outcome, EndpointAnswer):
@@ -117,6 +135,8 @@
         peer = self.loads.choose(owners, request.service, must_be_free=True)
         if peer is not None:
             return self.run_there(peer, request)
+        if request.is_retry and not is_paid:
+            self.pay_for_retry(request, local)
         peer = self.loads.choose(owners, request.service, must_be_free=False)
         if pool and local.slots and not self.is_sooner(peer, request, local):
             return self.run_here(pool, request)
@@ -124,6 +144,14 @@
             return self.run_there(peer, request)
         raise NotRunError(Reason.NO_ENDPOINT, retry_after_s=1.0)
 
+    def pay_for_retry(self, request: ServiceRequest, local: PoolLoad) -> None:
+        """Let a caller's retry wait in a queue only if the budget has a token."""
+        if not self.overload.has_retry_budget or not local.waiting:
+            return
+        if not self.budgets.try_retry(request.service):
+            self.metrics.count("dispatch.refused.retry_budget")
+            raise NotRunError(Reason.RETRY_BUDGET_SPENT, retry_after_s=1.0)
+
     def is_sooner(
         self, peer: MemberId | None, request: ServiceRequest, local: PoolLoad
     ) -> bool:
@@ -145,10 +173,14 @@
             except TimeoutError:
                 if left_s <= CALLER_CHECK_S:
                     ticket.give_up(Reason.WAITED_TOO_LONG)
-                elif request.is_caller_gone():
+                elif self.is_caller_gone(request):
                     self.metrics.count("dispatch.callers.gone")
                     ticket.give_up(Reason.CALLER_GONE)
 
+    def is_caller_gone(self, request: ServiceRequest) -> bool:
+        """Tell whether nobody waits for the answer any more."""
+        return self.overload.has_caller_watch and request.is_caller_gone()
+
     def run_there(self, peer: MemberId, request: ServiceRequest) -> EndpointAnswer:
         """Run a request on an endpoint of a peer."""
         left_s = request.deadline_s - time.monotonic()
@@ -186,7 +218,7 @@
             except TimeoutError as error:
                 if left_s <= CALLER_CHECK_S:
                     raise OutcomeUnknownError(Reason.PEER_SILENT) from error
-            if request.is_caller_gone():
+            if self.is_caller_gone(request):
                 self.metrics.count("dispatch.callers.gone")
                 self.peers.send(peer, ForwardCancel(request.id))
                 raise OutcomeUnknownError(Reason.CALLER_GONE)
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/dispatch/exceptions.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/dispatch/exceptions.py
@@ -20,6 +20,7 @@
     NO_ENDPOINT = "no-endpoint"
     QUEUE_FULL = "queue-full"
     TEAM_LIMIT = "team-limit"
+    RETRY_BUDGET_SPENT = "retry-budget-spent"
     DEADLINE_OUT_OF_REACH = "deadline-out-of-reach"
     WAITED_TOO_LONG = "waited-too-long"
     CALLER_GONE = "caller-gone"
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/dispatch/pools.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/dispatch/pools.py
@@ -22,6 +22,7 @@
 from gooseberrydeck_daemon.dispatch.slots import EndpointSlots
 from gooseberrydeck_daemon.dispatch.waits import WaitEstimate
 from gooseberrydeck_daemon.metrics import Metrics
+from gooseberrydeck_daemon.settings import OverloadSettings
 from gooseberrydeck_platform.endpoints import Endpoint, EndpointAnswer
 
 __all__ = ["PoolLoad", "ServicePool"]
@@ -59,6 +60,7 @@
         executor: Executor,
         may_act: Callable[[ShardId], bool],
         limits: RequestLimits,
+        overload: OverloadSettings,
         metrics: Metrics,
     ) -> None:
         """Begin without endpoints."""
@@ -66,9 +68,10 @@
         self.executor = executor
         self.may_act = may_act
         self.limits = limits
+        self.overload = overload
         self.metrics = metrics
         self.lock = threading.Lock()
-        self.queue = FairQueue(max_waiting)
+        self.queue = FairQueue(max_waiting, overload.has_fresh_first)
         self.waits = WaitEstimate()
         self.endpoints: dict[HostName, EndpointSlots] = {}
 
@@ -137,6 +140,8 @@
 
     def refuse_early(self, request: ServiceRequest) -> NotRunError | None:
         """Return a refusal if the request would not start in time; locked."""
+        if not self.overload.has_deadline_admission:
+            return None
         ahead = self.queue.ahead_of(request)
         slots = sum([item.usable for item in self.endpoints.values()])
         if self.waits.would_start_in_time(ahead, slots, request.deadline_s):
@@ -184,6 +189,7 @@
             is_timed = outcome.reason is Reason.ENDPOINT_LATE
         is_failure = is_endpoint_failure(outcome)
         is_tested = is_failure or isinstance(outcome, EndpointAnswer)
+        is_tested = is_tested and self.overload.has_breakers
         if is_tested and slots.record(not is_failure, now_s):
             self.note_breakers(now_s)
         if is_timed and lane.request.placed_s is not None:
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/dispatch/queues.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/dispatch/queues.py
@@ -23,15 +23,20 @@
     can't shut out the others. Not safe for threads: the pool's lock guards it.
     """
 
-    def __init__(self, max_waiting: int) -> None:
+    def __init__(self, max_waiting: int, has_fresh_first: bool = True) -> None:
         """Bound the tickets that wait."""
         self.max_waiting = max_waiting
+        self.has_fresh_first = has_fresh_first
         self.weights: Mapping[TeamName, float] = {}
         self.classes: tuple[dict[TeamName, deque[Ticket]], ...] = ({}, {})
         self.served: dict[TeamName, float] = {}
         self.virtual_time = 0.0
         self.size = 0
 
+    def class_of(self, request: ServiceRequest) -> int:
+        """Return 1 for a retry, which waits behind fresh work, else 0."""
+        return int(request.is_retry and self.has_fresh_first)
+
     def push(self, ticket: Ticket) -> Ticket | None:
         """Add a ticket; return the one that found no room, maybe this one."""
         displaced = None
@@ -40,7 +45,7 @@
             if displaced is ticket:
                 return ticket
         team = ticket.request.team
-        by_team = self.classes[ticket.request.is_retry]
+        by_team = self.classes[self.class_of(ticket.request)]
         if team not in by_team:
             by_team[team] = deque()
         if not self.is_waiting(team):
@@ -56,11 +61,11 @@
         Teams take turns, so a team's next ticket waits for a turn of every team that
         waits, for each ticket that it has before; never for more than there are.
         """
-        by_team = self.classes[request.is_retry]
+        by_team = self.classes[self.class_of(request)]
         own = len(by_team.get(request.team, ()))
         teams = sum([bool(tickets) for tickets in by_team.values()])
         others = 0
-        if request.is_retry:
+        if self.class_of(request):
             others = sum([len(tickets) for tickets in self.classes[False].values()])
         return min(self.size, others + (own + 1) * max(1, teams))
 
@@ -70,18 +75,16 @@
 
     def displace(self, newcomer: Ticket) -> Ticket:
         """Take out the ticket that gives way to ``newcomer``, or return that."""
-        for by_team in reversed(self.classes):
-            longest = max(by_team, key=lambda team: len(by_team[team]), default=None)
-            if longest is None or not by_team[longest]:
-                continue
-            is_retry_class = by_team is self.classes[True]
-            if is_retry_class and not newcomer.request.is_retry:
-                return self.take_newest(by_team, longest)
-            if is_retry_class or not newcomer.request.is_retry:
-                own = len(by_team.get(newcomer.request.team, ()))
-                if len(by_team[longest]) > own + 1:
-                    return self.take_newest(by_team, longest)
+        rank = self.class_of(newcomer.request)
+        fresh, retries = self.classes
+        if any(retries.values()) and not rank:
+            return self.take_newest(retries, longest_of(retries))
+        if any(fresh.values()) and rank and not any(retries.values()):
             return newcomer
+        by_team = self.classes[rank]
+        team = longest_of(by_team)
+        if len(by_team[team]) > len(by_team.get(newcomer.request.team, ())) + 1:
+            return self.take_newest(by_team, team)
         return newcomer
 
     def take_newest(
@@ -137,3 +140,8 @@
                     del by_team[team]
         self.size -= len(removed)
         return removed
+
+
+def longest_of(by_team: Mapping[TeamName, deque[Ticket]]) -> TeamName:
+    """Return the team with the most tickets."""
+    return max(by_team, key=lambda team: len(by_team[team]))
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/dispatch/slots.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/dispatch/slots.py
@@ -101,7 +101,8 @@
             is_changed = self.breaker.record_success()
             if not is_changed:
                 return False
-            self.slow_start.begin(now_s)
+            if not self.ignores_breaker:
+                self.slow_start.begin(now_s)
         else:
             is_changed = self.breaker.record_failure(now_s)
         self.refresh(now_s)
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/http/problems.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/http/problems.py
@@ -48,6 +48,11 @@
         503,
         "The member cannot tell whether the key is still in force",
     )
+    RETRY_BUDGET_SPENT = (
+        "retry-budget-spent",
+        503,
+        "Too many requests are tried again",
+    )
     AT_CAPACITY = ("at-capacity", 503, "The member serves all it can")
     DRAINING = ("draining", 503, "The member is about to stop")
     STORE_UNAVAILABLE = ("store-unavailable", 503, "The store does not answer")
@@ -69,6 +74,7 @@
 PROBLEMS_OF_REASONS = {
     Reason.NO_ENDPOINT: ProblemType.NO_ENDPOINT,
     Reason.QUEUE_FULL: ProblemType.QUEUE_FULL,
+    Reason.RETRY_BUDGET_SPENT: ProblemType.RETRY_BUDGET_SPENT,
     Reason.TEAM_LIMIT: ProblemType.TEAM_LIMIT,
     Reason.DEADLINE_OUT_OF_REACH: ProblemType.DEADLINE_OUT_OF_REACH,
     Reason.WAITED_TOO_LONG: ProblemType.WAITED_TOO_LONG,
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/http/services.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/http/services.py
@@ -83,6 +83,7 @@
             request.read_body(),
             request.deadline_s,
             is_idempotent=service.is_idempotent,
+            is_retry=is_said_retry(request),
             is_caller_gone=request.is_caller_gone,
         )
         answer = self.run(request, sent)
@@ -104,3 +105,9 @@
         )
         left_s = max(0.0, sent.deadline_s - time.monotonic())
         return self.guard.run(keyed, left_s, lambda: self.dispatcher.run(sent))
+
+
+def is_said_retry(request: Request) -> bool:
+    """Tell whether the caller says that it has tried before."""
+    attempt = request.header("HTTP_GOOSEBERRY_ATTEMPT")
+    return attempt is not None and attempt not in ("", "0", "1")
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/settings.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/settings.py
@@ -17,6 +17,7 @@
     "LogSettings",
     "OperatorKey",
     "OperatorsListener",
+    "OverloadSettings",
     "PeerSettings",
     "PeerAddress",
     "Settings",
@@ -116,6 +117,16 @@
         return self.secret_key
 
 
+class OverloadSettings(Strict, frozen=True):
+    """The mechanisms that keep requests useful under overload, each on or off."""
+
+    has_deadline_admission: bool = True
+    has_caller_watch: bool = True
+    has_fresh_first: bool = True
+    has_retry_budget: bool = True
+    has_breakers: bool = True
+
+
 class StatsdSettings(Strict, frozen=True):
     """Where counters are sent."""
 
@@ -151,4 +162,5 @@
     peers: PeerSettings
     statsd: StatsdSettings | None = None
     log: LogSettings = LogSettings()
+    overload: OverloadSettings = OverloadSettings()
     shards: Annotated[int, msgspec.Meta(ge=1, le=4096)] = 16
