--- a/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/starting.py
+++ b/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/starting.py
@@ -20,6 +20,15 @@
 LOOK_AGAIN_S = 0.25
 """How often a job is tried again while nothing has opened for its size."""
 
+LOOK_AT_GANG_S = 0.1
+"""The same for a gang, since no size of its own tells when it fits."""
+
+LOOK_LATER_S = 1.0
+"""The same for jobs behind the first few of their team."""
+
+JOBS_AHEAD = 4
+"""For how many jobs of a team room is sought actively."""
+
 EXCLUSION_S = 10.0
 """How long a task that failed waits for a host on which it has not failed."""
 
@@ -68,8 +77,9 @@
                 continue
             started = self.try_job(job, now_s)
             if not started:
-                job.look_s = now_s + LOOK_AGAIN_S
                 order.missed(job)
+                is_ahead = order.misses[job.spec.team] <= JOBS_AHEAD
+                job.look_s = now_s + look_after_s(job, is_ahead)
                 continue
             left -= started
             if not job.pending:
@@ -145,21 +155,25 @@
         if job.id in state.reservations.by_job:
             self.make_room(job, now_s)
             return 0
-        hosts = self.find_gang_hosts(job, count)
+        hosts = self.find_gang_hosts(job, count, now_s)
         if hosts is None:
             self.make_room(job, now_s)
             return 0
         self.start_gang(job, hosts, now_s)
         return count
 
-    def find_gang_hosts(self, job: TrackedJob, count: int) -> list[HostName] | None:
+    def find_gang_hosts(
+        self, job: TrackedJob, count: int, now_s: float
+    ) -> list[HostName] | None:
         """Return a host for each of ``count`` tasks, or None if they do not fit."""
         cell = self.state.cell
         wanted = job.spec.resources
         job.blocker = self.blocked.find(wanted)
         if job.blocker is not None or not cell.placer.may_fit(wanted, count):
             return None
-        excluded = frozenset().union(*job.excluded.values())
+        excluded = NO_HOSTS
+        if now_s - job.since_s <= EXCLUSION_S:
+            excluded = NO_HOSTS.union(*job.excluded.values())
         hosts: list[HostName] = []
         while len(hosts) < count:
             worker = cell.placer.find(wanted, excluded)
@@ -205,3 +219,10 @@
             self.state.forget(job)
             self.state.decisions.append(refusal)
         self.hopeless.clear()
+
+
+def look_after_s(job: TrackedJob, is_ahead: bool) -> float:
+    """Return after how many seconds to try again a job that did not start."""
+    if not is_ahead:
+        return LOOK_LATER_S
+    return LOOK_AT_GANG_S if job.spec.is_gang else LOOK_AGAIN_S
