--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/dispatch/dispatcher.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/dispatch/dispatcher.py
@@ -23,6 +23,7 @@
 )
 from gooseberrydeck_daemon.dispatch.pools import PoolLoad, ServicePool
 from gooseberrydeck_daemon.dispatch.repeats import RecentFailures
+from gooseberrydeck_daemon.dispatch.replies import failure_message, reply_message
 from gooseberrydeck_daemon.dispatch.requests import ServiceRequest, Ticket
 from gooseberrydeck_daemon.metrics import Metrics
 from gooseberrydeck_daemon.peers import (
@@ -276,30 +277,3 @@
         ticket = self.forwarded.get(message.id)
         if ticket is not None:
             ticket.give_up(Reason.CALLER_GONE)
-
-
-def reply_message(
-    message: ForwardRequest,
-    future: Future[EndpointAnswer],
-    load: PoolLoad,
-    waited_ms: float,
-) -> ForwardAnswer | ForwardFailure:
-    """Return what the asking member is told of an ended ticket."""
-    error = future.exception()
-    if error is None:
-        answer = future.result()
-        return ForwardAnswer(
-            message.id, answer.status, answer.content_type, answer.body, load, waited_ms
-        )
-    if not isinstance(error, DispatchError):
-        error = OutcomeUnknownError(Reason.MEMBER_FAILED)
-    return failure_message(message, error, load)
-
-
-def failure_message(
-    message: ForwardRequest, error: DispatchError, load: PoolLoad
-) -> ForwardFailure:
-    """Return the failure of a forwarded request as a message."""
-    after_s = error.retry_after_s
-    after_ms = None if after_s is None else int(after_s * 1000)
-    return ForwardFailure(message.id, error.outcome, error.reason, load, after_ms)
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/peers/network.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/peers/network.py
@@ -27,20 +27,19 @@
     PeerMessage,
 )
 from gooseberrydeck_daemon.peers.security import CurveKeys, ZapHandler
+from gooseberrydeck_daemon.peers.sockets import (
+    MAX_QUEUED_MESSAGES,
+    open_dealer,
+    open_router,
+)
 from gooseberrydeck_daemon.settings import PeerAddress
 from gooseberrydeck_daemon.views import MembershipView
 
 __all__ = ["PeerNetwork", "Peers"]
 
-MAX_QUEUED_MESSAGES = 2_000
-MAX_MESSAGE_BYTES = 16_777_216
 MAX_CONNECTIONS_SEEN = 512
 POLL_MS = 50
 MEMBERSHIP_PERIOD_S = 0.5
-HEARTBEAT_MS = 1_000
-HEARTBEAT_TIMEOUT_MS = 4_000
-RECONNECT_MS = 100
-RECONNECT_MAX_MS = 1_000
 
 log = structlog.get_logger(__name__)
 
@@ -96,7 +95,7 @@
         self.identity = f"{member}/{secrets.token_hex(4)}".encode()
         self.context: zmq.Context[zmq.Socket[bytes]] = zmq.Context()
         self.zap = ZapHandler(self.context, keys.accepted(), metrics)
-        self.router = self.open_router(bind_address, port)
+        self.router = open_router(self.context, keys, bind_address, port)
         endpoint = self.router.getsockopt_string(zmq.LAST_ENDPOINT)
         self.port = int(endpoint.rsplit(":", 1)[-1])
         self.dealers: dict[MemberId, tuple[PeerAddress, zmq.Socket[bytes]]] = {}
@@ -110,24 +109,6 @@
         self.stopping = threading.Event()
         self.next_membership_s = 0.0
 
-    def open_router(self, bind_address: str, port: int) -> zmq.Socket[bytes]:
-        """Bind the socket on which peers connect to us."""
-        router: zmq.Socket[bytes] = self.context.socket(zmq.ROUTER)
-        self.keys.protect_server(router)
-        router.setsockopt(zmq.ROUTER_HANDOVER, 1)
-        router.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
-        self.bound_queues(router)
-        router.bind(f"tcp://{bind_address}:{port or '*'}")
-        return router
-
-    def bound_queues(self, socket: zmq.Socket[bytes]) -> None:
-        """Set the options that every socket to a peer has."""
-        socket.linger = 0
-        socket.sndhwm = MAX_QUEUED_MESSAGES
-        socket.rcvhwm = MAX_QUEUED_MESSAGES
-        socket.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_MS)
-        socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
-
     # Called from any thread.
 
     def send(self, member: MemberId, message: PeerMessage) -> bool:
@@ -219,16 +200,7 @@
 
     def connect(self, address: PeerAddress) -> None:
         """Open the connection on which we send to a peer."""
-        dealer: zmq.Socket[bytes] = self.context.socket(zmq.DEALER)
-        self.keys.protect_client(dealer, address.public_key)
-        dealer.setsockopt(zmq.ROUTING_ID, self.identity)
-        # Without a connection a message is refused at once, and is truly not sent.
-        dealer.setsockopt(zmq.IMMEDIATE, 1)
-        dealer.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
-        dealer.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
-        dealer.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
-        self.bound_queues(dealer)
-        dealer.connect(f"tcp://{address.address}:{address.port}")
+        dealer = open_dealer(self.context, self.keys, self.identity, address)
         self.poller.register(dealer, zmq.POLLIN)
         self.dealers[address.member] = (address, dealer)
         log.info("peer added", peer=address.member)
--- /dev/null
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/peers/sockets.py
@@ -0,0 +1,55 @@
+"""Open the sockets between members, with their bounds and keys."""
+
+import zmq
+
+from gooseberrydeck_daemon.peers.security import CurveKeys
+from gooseberrydeck_daemon.settings import PeerAddress
+
+__all__ = ["MAX_QUEUED_MESSAGES", "open_dealer", "open_router"]
+
+MAX_QUEUED_MESSAGES = 2_000
+MAX_MESSAGE_BYTES = 16_777_216
+HEARTBEAT_MS = 1_000
+HEARTBEAT_TIMEOUT_MS = 4_000
+RECONNECT_MS = 100
+RECONNECT_MAX_MS = 1_000
+
+Context = zmq.Context[zmq.Socket[bytes]]
+
+
+def open_router(
+    context: Context, keys: CurveKeys, bind_address: str, port: int
+) -> zmq.Socket[bytes]:
+    """Bind the socket on which peers connect to us."""
+    router: zmq.Socket[bytes] = context.socket(zmq.ROUTER)
+    keys.protect_server(router)
+    router.setsockopt(zmq.ROUTER_HANDOVER, 1)
+    set_bounds(router)
+    router.bind(f"tcp://{bind_address}:{port or '*'}")
+    return router
+
+
+def open_dealer(
+    context: Context, keys: CurveKeys, identity: bytes, address: PeerAddress
+) -> zmq.Socket[bytes]:
+    """Open the connection on which we send to a peer."""
+    dealer: zmq.Socket[bytes] = context.socket(zmq.DEALER)
+    keys.protect_client(dealer, address.public_key)
+    dealer.setsockopt(zmq.ROUTING_ID, identity)
+    # Without a connection a message is refused at once, and is truly not sent.
+    dealer.setsockopt(zmq.IMMEDIATE, 1)
+    dealer.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
+    dealer.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
+    set_bounds(dealer)
+    dealer.connect(f"tcp://{address.address}:{address.port}")
+    return dealer
+
+
+def set_bounds(socket: zmq.Socket[bytes]) -> None:
+    """Set the options that every socket to a peer has."""
+    socket.linger = 0
+    socket.sndhwm = MAX_QUEUED_MESSAGES
+    socket.rcvhwm = MAX_QUEUED_MESSAGES
+    socket.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
+    socket.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_MS)
+    socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
