--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/settings.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/settings.py
@@ -18,6 +18,7 @@
     "LogSettings",
     "OperatorKey",
     "OperatorsListener",
+    "OverloadSettings",
     "PeerSettings",
     "PeerAddress",
     "Settings",
@@ -117,6 +118,16 @@
         return self.secret_key
 
 
+class OverloadSettings(Strict, frozen=True):
+    """The mechanisms that keep requests useful under overload, each on or off."""
+
+    has_deadline_admission: bool = True
+    has_caller_watch: bool = True
+    has_fresh_first: bool = True
+    has_retry_budget: bool = True
+    has_breakers: bool = True
+
+
 class StatsdSettings(Strict, frozen=True):
     """Where counters are sent."""
 
@@ -153,4 +164,5 @@
     statsd: StatsdSettings | None = None
     log: LogSettings = LogSettings()
     timing: Timing = Timing()
+    overload: OverloadSettings = OverloadSettings()
     shards: Annotated[int, msgspec.Meta(ge=1, le=4096)] = 16
