--- a/tests/coordination/test_ownership_machine.py
+++ b/tests/coordination/test_ownership_machine.py
@@ -48,6 +48,23 @@
             for name in (f"w{2 * shard}", f"w{2 * shard + 1}"):
                 self.cluster.cut(name, *others)
 
+    @rule(
+        shard=st.sampled_from((0, 1)),
+        friends=st.sampled_from((1, 2)),
+        hosts=st.sampled_from(((), (0,), (0, 1))),
+    )
+    def cut_off_island(self, shard: int, friends: int, hosts: tuple[int, ...]) -> None:
+        """Cut an owner and some peers off, perhaps with workers, for a while."""
+        owner = self.cluster.owner(shard).name
+        others = [name for name in MEMBERS if name != owner]
+        outside = others[friends:]
+        for name in (owner, *others[:friends]):
+            self.cluster.cut_store(name)
+            self.cluster.cut(name, *outside)
+        for host in hosts:
+            self.cluster.cut(f"w{2 * shard + host}", *outside)
+        self.cluster.advance(30.0)
+
     @rule(name=members, fault=faults)
     def cut_store(self, name: str, fault: CallFault) -> None:
         self.cluster.cut_store(name, fault)
