Let the operators' tests wait until their members know the owners

Three of them called an endpoint right after the start, when ownership was fixed by the settings; now it is agreed through the store and takes a moment, and the calls were refused as not_run. The cell of these tests waits until every member is ready, knows an endpoint's owner and has heard of its load, and starts with a shorter cold start. No assertion was changed.

--- a/tests/operators_support.py
+++ b/tests/operators_support.py
@@ -14,6 +14,7 @@
     FakeHostList,
     endpoint_host,
     free_port,
+    knows_cell,
     make_settings,
     wait_until,
 )
@@ -21,6 +22,7 @@
 from gooseberrydeck_coordination.clock import SystemClock
 from gooseberrydeck_coordination.ids import DataCentre, HostName, Rack, ServiceName
 from gooseberrydeck_coordination.resources import Resources
+from gooseberrydeck_coordination.timing import Timing
 from gooseberrydeck_daemon.composition import Member, Platform
 from gooseberrydeck_daemon.settings import OperatorKey
 from gooseberrydeck_platform.hosts import Host, HostKind, HostState
@@ -49,6 +51,9 @@
     )
 
 
+TIMING = Timing(cold_start_s=0.2, round_interval_s=0.1)
+
+
 class OperatedCell:
     """Several members over one store, each with faults of its own."""
 
@@ -66,7 +71,9 @@
                 settings.listeners.operators, keys=(key,)
             )
             listeners = msgspec.structs.replace(settings.listeners, operators=operators)
-            settings = msgspec.structs.replace(settings, listeners=listeners)
+            settings = msgspec.structs.replace(
+                settings, listeners=listeners, timing=TIMING
+            )
             platform = Platform(
                 FakeHostList(hosts), self.endpoints.connect, self.stores[name]
             )
@@ -132,6 +139,7 @@
         wait_until(lambda: all(m.directory.hosts for m in cell.members.values()))
         if len(names) > 1:
             wait_until(lambda: all_connected(cell))
+        wait_until(lambda: all(map(is_serving, cell.members.values())))
         yield cell
     finally:
         # Threads that are left by a failed test would keep pytest from ending.
@@ -148,3 +156,9 @@
         or len(member.network.dealers) >= len(cell.members) - 1
         for member in cell.members.values()
     )
+
+
+def is_serving(member: Member) -> bool:
+    """Tell whether a member knows the owner of every shard and can reach it."""
+    has_endpoint = bool(member.directory.owners or member.directory.slots)
+    return member.health.ready.is_set() and has_endpoint and knows_cell(member, 0)
