Accept, read and cancel jobs over HTTP, at any member

Cause: jobs had an owner but no way in. A submission is written before it is answered, a repeated one with the same id and content is the same job, and cancellations are confirmed once they are recorded. What a member is asked about and does not own goes to the owner. Also: a task of a member follows ownership, configuration and workers; a shard's slice is shared with requests through the same ledger; a job bound before the owner has read its records is kept until it has (found by the test of cancelling right after a submission, which was told "cancelled" while the job ran on). Ruled out: a write for each cancellation by itself (they go into the same grouped writes); asking every member for a job (the index in the store tells its shard). Not wired into the composition root yet.

--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/jobs/committing.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/jobs/committing.py
@@ -1,7 +1,6 @@
 """The task that commits the writes of a member in groups."""
 
 import queue
-from collections.abc import Callable
 
 import msgspec
 
@@ -32,24 +31,15 @@
 class CommitTask(Task[PendingWrite]):
     """Commit what waits, as much as fits at once, within the pacer's rate.
 
-    ``lease`` returns the member's store lease, or None while it has no session: then
-    nothing is written and every writer is told so at once.
+    The marker needs no lease: what an owner writes requires its claim, and what is
+    accepted requires that the job is new.
     """
 
-    def __init__(
-        self,
-        store: Store,
-        marker_key: str,
-        lease: Callable[[], StoreLeaseId | None],
-        pacer: CommitPacer,
-    ) -> None:
+    def __init__(self, store: Store, marker_key: str, pacer: CommitPacer) -> None:
         """Write to ``store`` under a marker that no other member writes."""
         super().__init__("commit", MAX_WAITING_WRITES, TICK_S)
-        self.store = store
-        self.marker_key = marker_key
-        self.lease = lease
         self.pacer = pacer
-        self.committer: GroupCommitter | None = None
+        self.committer = GroupCommitter(store, marker_key, StoreLeaseId(0))
 
     def write(self, write: RecordWrite, done: WriteDone) -> bool:
         """Take a write, or return False if too many wait."""
@@ -72,25 +62,11 @@
 
     def commit(self, pending: list[PendingWrite]) -> None:
         """Commit writes and tell each writer the outcome."""
-        committer = self.current_committer()
-        if committer is None:
-            for item in pending:
-                item.done(WriteOutcome.NOT_WRITTEN)
-            return
         self.pacer.record_commit()
-        results = committer.commit([item.write for item in pending])
+        results = self.committer.commit([item.write for item in pending])
         for item, result in zip(pending, results, strict=True):
             item.done(result.outcome)
 
-    def current_committer(self) -> GroupCommitter | None:
-        """Return the committer of the present session, if there is one."""
-        lease = self.lease()
-        if lease is None:
-            self.committer = None
-        elif self.committer is None or self.committer.lease != lease:
-            self.committer = GroupCommitter(self.store, self.marker_key, lease)
-        return self.committer
-
     def end(self) -> None:
         """Tell the writers that still wait that nothing was written."""
         for item in self.take_waiting():
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/jobs/owner.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/jobs/owner.py
@@ -9,6 +9,7 @@
 from gooseberrydeck_daemon.jobs.book import RecordBook, WriteAnswer
 from gooseberrydeck_daemon.jobs.calls import Runner, WorkerCalls
 from gooseberrydeck_daemon.jobs.links import WorkerLink
+from gooseberrydeck_daemon.jobs.units import UnitsOfShard
 from gooseberrydeck_platform.workers import TaskStart
 from gooseberrydeck_scheduling import (
     Decision,
@@ -47,6 +48,7 @@
         clock: Clock,
         lease_s: float,
         hosts: Callable[[], Iterable[HostName]],
+        units: UnitsOfShard,
     ) -> None:
         """Begin without records and workers; the scheduler is new.
 
@@ -59,9 +61,12 @@
         self.lease_s = lease_s
         self.calls = WorkerCalls(scheduler, book, runner, clock, lease_s, self.now_s)
         self.hosts = hosts
+        self.units = units
         self.wall_offset_s = clock.wall() - clock.monotonic()
         self.links = self.calls.links
         self.is_loaded = False
+        self.early: list[JobRecord] = []
+        """Jobs that were bound to the shard before its records were read."""
         self.is_lost = False
 
     def now_s(self) -> float:
@@ -75,10 +80,16 @@
             if self.book.add(record) and not record.state.is_final:
                 self.scheduler.recover(record, now_s)
         self.is_loaded = True
+        for record in self.early:
+            self.accept(record)
+        self.early.clear()
 
     def accept(self, record: JobRecord) -> None:
         """Take in a job that was bound to the shard after the takeover."""
-        if not self.is_loaded or not self.book.add(record):
+        if not self.is_loaded:
+            self.early.append(record)
+            return
+        if not self.book.add(record):
             return
         if record.state.is_final:
             return
@@ -115,8 +126,11 @@
         now_s = self.now_s()
         self.lose_lapsed(now_s)
         self.resolve_doubts(now_s)
+        slices = self.scheduler.state.slices
+        slices.set_units(self.units.allowances())
         for decision in self.scheduler.tick(now_s):
             self.carry_out(decision)
+        self.units.settle(slices.running, slices.doubtful)
         for link in self.links.values():
             if not link.is_busy:
                 self.calls.call_next(link)
@@ -161,7 +175,7 @@
         """Put a decision where it is told to its worker, or recorded."""
         match decision:
             case Start():
-                self.links[decision.host].starts.append(self.describe_start(decision))
+                self.start(decision)
             case Stop():
                 self.links[decision.host].stops.append(decision.task)
             case Preempt():
@@ -169,6 +183,13 @@
             case End() | Refuse():
                 self.book.change(decision.job)
 
+    def start(self, start: Start) -> None:
+        """Let a task start, unless a request has taken its unit meanwhile."""
+        if self.units.admit(start.team):
+            self.links[start.host].starts.append(self.describe_start(start))
+        else:
+            self.calls.refuse_start(start.task, is_broken=False)
+
     def describe_start(self, start: Start) -> TaskStart:
         """Return a start as the worker is told it."""
         record = self.book.records[start.job]
--- /dev/null
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/jobs/task.py
@@ -0,0 +1,315 @@
+"""The task that owns the jobs of this member's shards."""
+
+from collections.abc import Callable, Iterable, Mapping
+from concurrent.futures import Executor, Future
+from typing import Any, TypeVar
+
+import structlog
+
+from gooseberrydeck_coordination.clock import Clock
+from gooseberrydeck_coordination.exceptions import StoreError
+from gooseberrydeck_coordination.ids import HostName, QueueName, ShardId, TeamName
+from gooseberrydeck_coordination.ownership import OwnedShard, OwnershipView
+from gooseberrydeck_coordination.store import Store
+from gooseberrydeck_daemon.jobs.answering import Answers
+from gooseberrydeck_daemon.jobs.book import RecordBook, WriteAnswer
+from gooseberrydeck_daemon.jobs.links import Authority, WorkerLink
+from gooseberrydeck_daemon.jobs.messages import (
+    CallDone,
+    CancelJobs,
+    JobBound,
+    JobQuery,
+    JobsMessage,
+    LocalCancel,
+    LocalQuery,
+    RecordsLoaded,
+    ShardWrite,
+)
+from gooseberrydeck_daemon.jobs.owner import ATTEMPTS_PER_EPOCH, ShardJobs
+from gooseberrydeck_daemon.jobs.records import JobWrites, RecordWriter
+from gooseberrydeck_daemon.jobs.units import UnitsOfShard
+from gooseberrydeck_daemon.metrics import Metrics
+from gooseberrydeck_daemon.peers import Inbound
+from gooseberrydeck_daemon.tasks import Task
+from gooseberrydeck_platform.workers import Worker
+from gooseberrydeck_scheduling import (
+    JobRecord,
+    QueueRules,
+    Scheduler,
+    WorkerInfo,
+    decode_record,
+)
+
+__all__ = ["CellRules", "JobsTask", "ShardParts"]
+
+T = TypeVar("T")
+
+INBOX_SIZE = 20_000
+TICK_S = 0.05
+SCAN_INTERVAL_S = 30.0
+LOAD_AGAIN_S = 1.0
+STORE_TIMEOUT_S = 5.0
+
+log = structlog.get_logger(__name__)
+
+
+class CellRules:
+    """What the configuration tells the scheduler; replaced as a whole."""
+
+    def __init__(
+        self,
+        queues: Iterable[QueueRules],
+        weights: Mapping[TeamName, float],
+        limits: Mapping[TeamName, int],
+    ) -> None:
+        """Keep queues, shares and limits."""
+        self.queues = {queue.name: queue for queue in queues}
+        self.weights = dict(weights)
+        self.limits = dict(limits)
+
+    def queue(self, name: QueueName) -> QueueRules | None:
+        """Return the rules of a queue."""
+        return self.queues.get(name)
+
+
+class ShardParts:
+    """What the task needs of the other parts of the member."""
+
+    def __init__(
+        self,
+        view: Callable[[], OwnershipView],
+        workers: Callable[[], Mapping[HostName, WorkerInfo]],
+        connect: Callable[[HostName], Worker],
+        units: Callable[[ShardId], UnitsOfShard],
+        rules: Callable[[], CellRules],
+    ) -> None:
+        """Keep the sources; each is asked anew whenever it matters."""
+        self.view = view
+        self.workers = workers
+        self.connect = connect
+        self.units = units
+        self.rules = rules
+
+
+class JobsTask(Task[JobsMessage]):
+    """Run the jobs of every owned shard; blocking calls go to an executor."""
+
+    def __init__(
+        self,
+        parts: ShardParts,
+        store: Store,
+        writes: JobWrites,
+        writer: RecordWriter,
+        executor: Executor,
+        clock: Clock,
+        lease_s: float,
+        metrics: Metrics,
+    ) -> None:
+        """Begin without shards; they follow ownership."""
+        super().__init__("jobs", INBOX_SIZE, TICK_S)
+        self.parts = parts
+        self.store = store
+        self.writes = writes
+        self.writer = writer
+        self.executor = executor
+        self.clock = clock
+        self.lease_s = lease_s
+        self.metrics = metrics
+        self.shards: dict[ShardId, ShardJobs] = {}
+        self.scan_s: dict[ShardId, float] = {}
+        self.answers = Answers(self.shards, clock)
+        self.last_step_s = float("-inf")
+        self.rules: CellRules | None = None
+
+    def receive(self, inbound: Inbound) -> None:
+        """Take a peer's message; an inbox that is full drops it."""
+        if not self.post(inbound):
+            self.metrics.count("jobs.messages.dropped")
+
+    def handle(self, message: JobsMessage) -> None:
+        """Act on one message, and on what is due by time."""
+        match message:
+            case CallDone():
+                message.done(message.answer)
+            case ShardWrite():
+                self.take_write(message)
+            case RecordsLoaded():
+                self.take_records(message)
+            case JobBound():
+                self.take_job(message)
+            case LocalQuery():
+                self.answers.query(message.query, message.answer)
+            case LocalCancel():
+                self.answers.cancel(message.cancel, message.answer)
+            case Inbound():
+                self.handle_peer(message)
+        if self.clock.monotonic() - self.last_step_s >= TICK_S:
+            self.tick()
+
+    def handle_peer(self, inbound: Inbound) -> None:
+        """Act on a peer's message."""
+        match inbound.message:
+            case JobBound():
+                self.take_job(inbound.message)
+            case JobQuery():
+                self.answers.query(inbound.message, inbound.answer)
+            case CancelJobs():
+                self.answers.cancel(inbound.message, inbound.answer)
+
+    def tick(self) -> None:
+        """Follow ownership and run each shard."""
+        self.last_step_s = self.clock.monotonic()
+        view = self.parts.view()
+        self.follow_ownership(view)
+        self.follow_rules()
+        self.follow_workers(view)
+        for shard, jobs in self.shards.items():
+            self.scan_if_due(shard, jobs)
+            jobs.step()
+        self.answers.settle()
+        self.scan_missing()
+
+    def follow_ownership(self, view: OwnershipView) -> None:
+        """Take over the shards that are new, and drop those that are gone."""
+        for shard, jobs in tuple(self.shards.items()):
+            owned = view.owned.get(shard)
+            if owned is None or owned.epoch != jobs.owned.epoch:
+                del self.shards[shard]
+                self.scan_s.pop(shard, None)
+                log.info("jobs of shard dropped", shard=shard, epoch=jobs.owned.epoch)
+            else:
+                jobs.update(owned)
+        for shard, owned in view.owned.items():
+            if shard not in self.shards and not owned.is_releasing:
+                self.shards[shard] = self.take_shard(owned)
+                log.info("jobs of shard taken over", shard=shard, epoch=owned.epoch)
+
+    def take_shard(self, owned: OwnedShard) -> ShardJobs:
+        """Return the jobs of a shard, not loaded yet."""
+        shard = owned.shard
+        rules = self.parts.rules()
+        first_attempt = owned.epoch * ATTEMPTS_PER_EPOCH
+        scheduler = Scheduler(rules.queues.values(), first_attempt=first_attempt)
+        apply_rules(scheduler, rules)
+
+        def post(answer: WriteAnswer) -> None:
+            self.inbox.put(ShardWrite(shard, answer))
+
+        book = RecordBook(shard, owned.revision, self.writes, self.writer, post)
+        return ShardJobs(
+            owned,
+            scheduler,
+            book,
+            InboxRunner(self.executor, self.inbox.put),
+            self.clock,
+            self.lease_s,
+            lambda: self.parts.view().hosts_of(shard),
+            self.parts.units(shard),
+        )
+
+    def follow_rules(self) -> None:
+        """Take over a new configuration."""
+        rules = self.parts.rules()
+        if rules is self.rules:
+            return
+        self.rules = rules
+        for jobs in self.shards.values():
+            apply_rules(jobs.scheduler, rules)
+
+    def follow_workers(self, view: OwnershipView) -> None:
+        """Link the workers of owned shards that are new."""
+        workers = self.parts.workers()
+        for host, info in workers.items():
+            shard = view.shard_of(host)
+            jobs = self.shards.get(shard) if shard is not None else None
+            if jobs is None or host in jobs.links:
+                continue
+            authority = Authority(self.parts.view, jobs.owned.shard, jobs.owned.epoch)
+            worker = self.parts.connect(host)
+            jobs.add_worker(
+                WorkerLink(info, worker, jobs.owned.quarantine, authority, self.clock)
+            )
+
+    def scan_missing(self) -> None:
+        """Read again soon the shards of which an unknown job was asked for."""
+        soon_s = self.clock.monotonic() + LOAD_AGAIN_S
+        for shard in self.answers.missing & self.scan_s.keys():
+            self.scan_s[shard] = min(self.scan_s[shard], soon_s)
+        self.answers.missing.clear()
+
+    def scan_if_due(self, shard: ShardId, jobs: ShardJobs) -> None:
+        """Read the shard's records, at the takeover and again for lost messages."""
+        now_s = self.clock.monotonic()
+        if now_s < self.scan_s.get(shard, float("-inf")):
+            return
+        self.scan_s[shard] = now_s + SCAN_INTERVAL_S
+        epoch = jobs.owned.epoch
+        prefix = self.writes.keys.shard_jobs_prefix(shard)
+
+        def read() -> None:
+            try:
+                found = self.store.read_prefix(prefix, STORE_TIMEOUT_S)
+            except StoreError:
+                self.inbox.put(RecordsLoaded(shard, epoch, None))
+                return
+            records = tuple(decode_record(entry.value) for entry in found.entries)
+            self.inbox.put(RecordsLoaded(shard, epoch, records))
+
+        self.executor.submit(read)
+
+    def take_records(self, loaded: RecordsLoaded) -> None:
+        """Take in what the store holds of a shard."""
+        jobs = self.shards.get(loaded.shard)
+        if jobs is None or jobs.owned.epoch != loaded.epoch:
+            return
+        if loaded.records is None:
+            self.scan_s[loaded.shard] = self.clock.monotonic() + LOAD_AGAIN_S
+        elif jobs.is_loaded:
+            self.take_new(jobs, loaded.records)
+        else:
+            jobs.load(loaded.records)
+
+    def take_new(self, jobs: ShardJobs, records: Iterable[JobRecord]) -> None:
+        """Take in the records that no message has told of."""
+        for record in records:
+            jobs.accept(record)
+
+    def take_job(self, bound: JobBound) -> None:
+        """Take in a job that was bound to a shard."""
+        jobs = self.shards.get(bound.shard)
+        if jobs is not None:
+            jobs.accept(decode_record(bound.record))
+
+    def take_write(self, write: ShardWrite) -> None:
+        """Take in the outcome of a write; one of an earlier epoch is dropped."""
+        jobs = self.shards.get(write.shard)
+        if jobs is not None and write.answer.job in jobs.book.under_way:
+            jobs.take_write(write.answer)
+
+
+class InboxRunner:
+    """Run calls in an executor, and bring what comes of them to a task."""
+
+    def __init__(self, executor: Executor, post: Callable[[CallDone], None]) -> None:
+        """Bring results by ``post``."""
+        self.executor = executor
+        self.post = post
+
+    def run(self, call: Callable[[], T], done: Callable[[Future[T]], None]) -> None:
+        """Run a blocking call in the executor, and ``done`` in the task."""
+        future = self.executor.submit(call)
+        future.add_done_callback(
+            lambda answer: self.post(CallDone(_untyped(done), answer))
+        )
+
+
+def _untyped(done: Callable[[Future[T]], None]) -> Callable[[Any], None]:
+    """Return a callback as messages carry it."""
+    return done
+
+
+def apply_rules(scheduler: Scheduler, rules: CellRules) -> None:
+    """Give a scheduler the configuration."""
+    scheduler.set_rules(rules.queues.values())
+    scheduler.set_shares(rules.weights)
+    scheduler.set_team_limits(rules.limits)
--- /dev/null
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/jobs/units.py
@@ -0,0 +1,74 @@
+"""A shard's slices of the teams' limits, shared with the requests on it."""
+
+from collections import Counter
+from collections.abc import Callable, Iterable, Mapping
+from typing import Protocol
+
+from gooseberrydeck_coordination.ids import ShardId, TeamName
+from gooseberrydeck_daemon.limits import TeamAdmission
+
+__all__ = ["SliceUnits", "UnitsOfShard"]
+
+
+class UnitsOfShard(Protocol):
+    """What the jobs of a shard may have running, by team."""
+
+    def allowances(self) -> Mapping[TeamName, int]:
+        """Return how many tasks of each team may run, those that do included."""
+
+    def admit(self, team: TeamName) -> bool:
+        """Count one task that is about to start; return False if it may not."""
+
+    def settle(
+        self, running: Mapping[TeamName, int], doubtful: Mapping[TeamName, int]
+    ) -> None:
+        """Bring the count in line with what runs or may run unseen."""
+
+
+class SliceUnits:
+    """Count a shard's tasks in the ledger that requests are counted in, too."""
+
+    def __init__(
+        self,
+        shard: ShardId,
+        admission: TeamAdmission,
+        teams: Callable[[], Iterable[TeamName]],
+    ) -> None:
+        """Count for ``shard``; ``teams`` returns those of the configuration."""
+        self.shard = shard
+        self.admission = admission
+        self.teams = teams
+        self.counted: Counter[TeamName] = Counter()
+
+    def allowances(self) -> dict[TeamName, int]:
+        """Return what is counted already and the idle units, by team."""
+        ledger = self.admission.ledger
+        return {
+            team: self.counted[team] + ledger.idle_units(team, self.shard)
+            for team in self.teams()
+        }
+
+    def admit(self, team: TeamName) -> bool:
+        """Count one task; a refusal is noted as demand."""
+        if not self.admission.try_admit(team, self.shard):
+            return False
+        self.counted[team] += 1
+        return True
+
+    def settle(
+        self, running: Mapping[TeamName, int], doubtful: Mapping[TeamName, int]
+    ) -> None:
+        """Count what was found running, and release what has ended."""
+        for team in running.keys() | doubtful.keys() | self.counted.keys():
+            wanted = running.get(team, 0) + doubtful.get(team, 0)
+            change = wanted - self.counted[team]
+            if change > 0:
+                self.admission.ledger.count_running(team, self.shard, change)
+            elif change < 0:
+                self.admission.release(team, self.shard, -change)
+            self.counted[team] = wanted
+
+    def want(self, waiting: Mapping[TeamName, int]) -> None:
+        """Note tasks that wait for units, so that units are asked for."""
+        for team, tasks in waiting.items():
+            self.admission.want(team, self.shard, tasks)
--- /dev/null
+++ b/tests/daemon/test_jobs_http.py
@@ -0,0 +1,288 @@
+"""Tests of submitting, reading and cancelling jobs, with real tasks in threads."""
+
+import io
+import threading
+from collections.abc import Iterator, Mapping
+from concurrent.futures import Future, ThreadPoolExecutor
+from typing import Any
+
+import msgspec
+import pytest
+
+from gooseberrydeck_configuration.objects import Configuration, Queue, QueuePolicy
+from gooseberrydeck_coordination.clock import SystemClock
+from gooseberrydeck_coordination.group_commit import CommitPacer
+from gooseberrydeck_coordination.ids import (
+    DataCentre,
+    Epoch,
+    HostName,
+    MemberId,
+    QueueName,
+    Rack,
+    TeamName,
+)
+from gooseberrydeck_coordination.ownership import OwnedShard, OwnershipView
+from gooseberrydeck_coordination.quarantine import Quarantine
+from gooseberrydeck_coordination.store import Put, Transaction
+from gooseberrydeck_daemon.dispatch.exceptions import Outcome
+from gooseberrydeck_daemon.http.access import AccessIndex
+from gooseberrydeck_daemon.http.problems import ProblemError, ProblemType
+from gooseberrydeck_daemon.http.requests import Request
+from gooseberrydeck_daemon.http.responses import Response
+from gooseberrydeck_daemon.http.router import Router
+from gooseberrydeck_daemon.jobs.acceptance import JobAcceptor
+from gooseberrydeck_daemon.jobs.committing import CommitTask
+from gooseberrydeck_daemon.jobs.handlers import JobsHandler
+from gooseberrydeck_daemon.jobs.task import CellRules, JobsTask, ShardParts
+from gooseberrydeck_daemon.metrics import CounterMetrics
+from gooseberrydeck_daemon.peers import Inbound, PeerMessage
+from gooseberrydeck_daemon.views import ConfigurationHolder
+from gooseberrydeck_scheduling import WorkerInfo
+from gooseberrydeck_standins.engine_store import EngineStore
+from gooseberrydeck_standins.engine_worker import EngineWorker
+from gooseberrydeck_standins.faults import CallFault
+from gooseberrydeck_standins.ledger import Ledger
+from gooseberrydeck_standins.store_engine import StoreEngine
+from gooseberrydeck_standins.worker_engine import WorkerEngine
+from jobs_support import CAPACITY, KEYS, SHARD, TIMING, WRITES, FixedUnits
+from scheduling_support import QUEUES
+
+OWNER, OTHER = MemberId("owner"), MemberId("other")
+HOST = HostName("host-0")
+PRESS, RADIO = TeamName("press"), TeamName("radio")
+CONFIGURATION = Configuration(
+    queues=(
+        Queue(QueueName("batch"), QueuePolicy.BATCH, (PRESS, RADIO)),
+        Queue(QueueName("gang"), QueuePolicy.GANG, (RADIO,)),
+    )
+)
+
+
+class LocalPeers:
+    """Hand what the other member sends straight to the owner's task."""
+
+    def __init__(self, task: JobsTask) -> None:
+        self.task = task
+
+    def send(self, member: MemberId, message: PeerMessage) -> bool:
+        self.task.receive(Inbound(OTHER, message, lambda _answer: None))
+        return True
+
+    def ask(
+        self, member: MemberId, message: PeerMessage, timeout_s: float
+    ) -> "Future[Any]":
+        answer: Future[Any] = Future()
+        self.task.receive(Inbound(OTHER, message, answer.set_result))
+        return answer
+
+
+class JobsCell:
+    """The owner of the only shard, with its tasks in threads."""
+
+    def __init__(self) -> None:
+        clock = SystemClock()
+        self.engine = WorkerEngine(HOST, CAPACITY, clock, Ledger())
+        store_engine = StoreEngine(clock)
+        self.store = EngineStore(store_engine)
+        claim = Put(KEYS.shard(SHARD), b"1")
+        revision = self.store.commit(Transaction((), (claim,)), 1.0).revision
+        quarantine = Quarantine(TIMING, clock.monotonic(), has_predecessor=False)
+        owned = OwnedShard(SHARD, Epoch(1), revision, float("inf"), quarantine)
+        self.view = OwnershipView(
+            clock, OWNER, {SHARD: owned}, {SHARD: OWNER}, {}, {HOST: SHARD}
+        )
+        self.rules = CellRules(QUEUES, {}, {})
+        pacer = CommitPacer(clock, 1_000.0)
+        self.commit = CommitTask(self.store, KEYS.commit_marker(OWNER), pacer)
+        parts = ShardParts(
+            lambda: self.view, self.workers, self.connect, self.units, self.get_rules
+        )
+        self.executor = ThreadPoolExecutor(4)
+        self.jobs = JobsTask(
+            parts,
+            EngineStore(store_engine),
+            WRITES,
+            self.commit,
+            self.executor,
+            clock,
+            TIMING.task_lease_s,
+            CounterMetrics(),
+        )
+        self.acceptor = JobAcceptor(
+            self.store,
+            WRITES,
+            self.commit,
+            lambda _size, _tasks: SHARD,
+            lambda: self.rules.queues,
+            lambda: self.rules.limits,
+            clock,
+        )
+        self.threads = [
+            threading.Thread(target=task.run, daemon=True)
+            for task in (self.commit, self.jobs)
+        ]
+
+    def get_rules(self) -> CellRules:
+        return self.rules
+
+    def workers(self) -> Mapping[HostName, WorkerInfo]:
+        info = WorkerInfo(HOST, CAPACITY, Rack("rack-1"), DataCentre("lima-1"))
+        return {HOST: info}
+
+    def connect(self, host: HostName) -> EngineWorker:
+        return EngineWorker(self.engine)
+
+    def units(self, shard: object) -> FixedUnits:
+        return FixedUnits()
+
+    def handler(self, member: MemberId = OWNER) -> JobsHandler:
+        view = OwnershipView(self.view.clock, member, owners={SHARD: OWNER})
+        return JobsHandler(
+            AccessIndex(ConfigurationHolder(CONFIGURATION)),
+            self.acceptor,
+            self.jobs,
+            LocalPeers(self.jobs),
+            lambda: view,
+            self.get_rules,
+        )
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        body: object = None,
+        query: str = "",
+        team: TeamName = PRESS,
+        member: MemberId = OWNER,
+    ) -> Response:
+        content = body if isinstance(body, bytes) else msgspec.json.encode(body)
+        environ = {"wsgi.input": io.BytesIO(content)}
+        request = Request(method, path, query, environ, 0.0, team=team)
+        router = Router()
+        for route in self.handler(member).routes():
+            router.add(route)
+        request.route, request.parameters = router.resolve(request)
+        request.route.prepare(request)
+        response: Response = request.route.handle(request)
+        return response
+
+
+@pytest.fixture(name="cell")
+def make_cell() -> Iterator[JobsCell]:
+    cell = JobsCell()
+    for thread in cell.threads:
+        thread.start()
+    yield cell
+    for task in (cell.jobs, cell.commit):
+        task.stop()
+    for thread in cell.threads:
+        thread.join(5.0)
+    cell.executor.shutdown()
+
+
+def job(name: str = "job", run_s: float = 0.0, **fields: object) -> dict[str, object]:
+    payload = msgspec.json.encode({"run_s": run_s, "result": "true"}).decode()
+    return {"id": name, "payload": payload, "max_run_s": 600.0, **fields}
+
+
+def read(response: Response) -> dict[str, Any]:
+    value: dict[str, Any] = msgspec.json.decode(response.body)
+    return value
+
+
+class TestJobs:
+    @pytest.mark.parametrize("member", [OWNER, OTHER])
+    def test_from_submission_to_result(self, cell: JobsCell, member: MemberId) -> None:
+        response = cell.call("POST", "/v1/queues/batch/jobs", job(), member=member)
+        assert response.status == 202
+        assert ("Location", "/v1/jobs/job") in response.headers
+        answer = cell.call("GET", "/v1/jobs/job", query="wait_s=30", member=member)
+        found = read(answer)
+        assert found["state"] == "succeeded"
+        assert found["tasks"][0]["result"] == "true"
+
+    def test_repeated_submission_is_the_same_job(self, cell: JobsCell) -> None:
+        for _ in range(2):
+            response = cell.call("POST", "/v1/queues/batch/jobs", job())
+            assert response.status == 202
+        cell.call("GET", "/v1/jobs/job", query="wait_s=30")
+        assert len(cell.engine.ledger.snapshot()) == 1
+
+    @pytest.mark.parametrize("member", [OWNER, OTHER])
+    def test_cancel(self, cell: JobsCell, member: MemberId) -> None:
+        cell.call("POST", "/v1/queues/batch/jobs", job(run_s=500.0))
+        assert cell.call("DELETE", "/v1/jobs/job", member=member).status == 200
+        found = read(cell.call("GET", "/v1/jobs/job", query="wait_s=30"))
+        assert found["state"] == "cancelled"
+
+    @pytest.mark.parametrize(
+        ("query", "cancelled"), [("", 3), ("label=show=late", 1), ("label=x=y", 0)]
+    )
+    def test_cancel_many(self, cell: JobsCell, query: str, cancelled: int) -> None:
+        for number in range(3):
+            labels = {"show": "late"} if number == 0 else {}
+            sent = job(f"job-{number}", run_s=500.0, labels=labels)
+            cell.call("POST", "/v1/queues/batch/jobs", sent)
+        radio = job("radio", run_s=500.0)
+        cell.call("POST", "/v1/queues/batch/jobs", radio, team=RADIO)
+        response = cell.call("DELETE", "/v1/queues/batch/jobs", query=query)
+        assert read(response) == {"cancelled": cancelled}
+
+
+class TestRefusals:
+    @pytest.mark.parametrize(
+        ("path", "body", "kind"),
+        [
+            ("/v1/queues/none/jobs", job(), ProblemType.QUEUE_UNKNOWN),
+            ("/v1/queues/gang/jobs", job(), ProblemType.NOT_PERMITTED),
+            ("/v1/queues/batch/jobs", b"{", ProblemType.BAD_JSON),
+            ("/v1/queues/batch/jobs", b"\xff", ProblemType.BAD_JSON),
+            ("/v1/queues/batch/jobs", job(colour="red"), ProblemType.BAD_FIELD),
+            ("/v1/queues/batch/jobs", job(tasks=0), ProblemType.BAD_FIELD),
+            ("/v1/queues/batch/jobs", job(cpus=-1), ProblemType.BAD_FIELD),
+            ("/v1/queues/batch/jobs", job("a/b"), ProblemType.BAD_FIELD),
+            ("/v1/queues/batch/jobs", job(max_run_s=1e8), ProblemType.BAD_FIELD),
+        ],
+    )
+    def test_submission_that_is_not_run(
+        self, cell: JobsCell, path: str, body: object, kind: ProblemType
+    ) -> None:
+        with pytest.raises(ProblemError) as refused:
+            cell.call("POST", path, body)
+        assert refused.value.kind is kind
+        assert refused.value.outcome is Outcome.NOT_RUN
+
+    def test_other_job_with_the_same_id(self, cell: JobsCell) -> None:
+        cell.call("POST", "/v1/queues/batch/jobs", job())
+        with pytest.raises(ProblemError) as refused:
+            cell.call("POST", "/v1/queues/batch/jobs", job(tasks=2))
+        assert refused.value.kind is ProblemType.REPEATED
+
+    def test_job_of_another_team(self, cell: JobsCell) -> None:
+        cell.call("POST", "/v1/queues/batch/jobs", job())
+        for method in ("GET", "DELETE"):
+            with pytest.raises(ProblemError) as refused:
+                cell.call(method, "/v1/jobs/job", team=RADIO)
+            assert refused.value.kind is ProblemType.JOB_UNKNOWN
+
+    def test_store_out(self, cell: JobsCell) -> None:
+        cell.store.fault = CallFault.DOWN
+        with pytest.raises(ProblemError) as refused:
+            cell.call("POST", "/v1/queues/batch/jobs", job())
+        assert refused.value.kind is ProblemType.STORE_UNAVAILABLE
+        assert refused.value.outcome is Outcome.NOT_RUN
+
+    def test_answer_lost_after_the_write(self, cell: JobsCell) -> None:
+        cell.call("POST", "/v1/queues/batch/jobs", job("first"))
+        cell.call("GET", "/v1/jobs/first", query="wait_s=30")
+        cell.store.next_faults.append(CallFault.ANSWER_LOST)
+        assert cell.call("POST", "/v1/queues/batch/jobs", job()).status == 202
+        found = read(cell.call("GET", "/v1/jobs/job", query="wait_s=30"))
+        assert found["state"] == "succeeded"
+
+    @pytest.mark.parametrize("query", ["wait_s=x", "wait_s=-1", "wait_s=nan"])
+    def test_bad_wait(self, cell: JobsCell, query: str) -> None:
+        cell.call("POST", "/v1/queues/batch/jobs", job())
+        with pytest.raises(ProblemError) as refused:
+            cell.call("GET", "/v1/jobs/job", query=query)
+        assert refused.value.kind is ProblemType.BAD_REQUEST
--- a/tests/jobs_support.py
+++ b/tests/jobs_support.py
@@ -1,7 +1,7 @@
 """One shard's jobs over stand-ins in the same process, on a manual clock."""
 
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from concurrent.futures import Future
 from typing import Any, TypeVar
 
@@ -95,6 +95,21 @@
             self.waiting.popleft()()
 
 
+class FixedUnits:
+    """A slice of the same size for each team, which nothing else uses."""
+
+    def allowances(self) -> dict[TeamName, int]:
+        return {TeamName(team): 100 for team in TEAMS}
+
+    def admit(self, team: TeamName) -> bool:
+        return True
+
+    def settle(
+        self, running: Mapping[TeamName, int], doubtful: Mapping[TeamName, int]
+    ) -> None:
+        pass
+
+
 class Platform:
     """A store and workers that outlive the owners of the shard."""
 
@@ -147,7 +162,6 @@
         )
         book = RecordBook(SHARD, result.revision, WRITES, self, self.take_write)
         scheduler = Scheduler(QUEUES, first_attempt=platform.epoch * ATTEMPTS_PER_EPOCH)
-        scheduler.set_slices({TeamName(team): 100 for team in TEAMS})
         self.jobs = ShardJobs(
             self.owned,
             scheduler,
@@ -156,6 +170,7 @@
             self.clock,
             TIMING.task_lease_s,
             lambda: tuple(platform.workers),
+            FixedUnits(),
         )
         self.workers: dict[HostName, EngineWorker] = {}
 
