Join jobs to limits, usage, configuration and peers

Cause: the jobs of a shard need the slices that requests use too, the use of teams in other shards, and the operators' rules. JobsSide builds it all, so that the composition root has one thing to add. Ruled out: a count of the jobs' own beside the ledger (requests and tasks of a team could together exceed its slice); counting before the ledger knows the shard (what was counted then would be lost, and the slice exceeded).

--- /dev/null
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/jobs/configured.py
@@ -0,0 +1,44 @@
+"""What the operators' configuration tells the scheduler."""
+
+from gooseberrydeck_configuration.objects import Configuration, Queue
+from gooseberrydeck_daemon.jobs.task import CellRules
+from gooseberrydeck_daemon.views import ConfigurationView
+from gooseberrydeck_scheduling import OrderPolicy, QueueRules
+
+__all__ = ["RulesOfConfiguration", "rules_of"]
+
+
+def rules_of(configuration: Configuration) -> CellRules:
+    """Return the rules of a configuration."""
+    return CellRules(
+        [rules_of_queue(queue) for queue in configuration.queues],
+        {share.team: share.weight for share in configuration.shares},
+        {limit.team: limit.max_running for limit in configuration.limits},
+    )
+
+
+def rules_of_queue(queue: Queue) -> QueueRules:
+    """Return the rules of one queue."""
+    return QueueRules(
+        queue.name,
+        OrderPolicy(queue.policy.value),
+        queue.priority,
+        queue.max_attempts,
+        queue.max_run_s,
+    )
+
+
+class RulesOfConfiguration:
+    """The rules of the newest configuration, made once for each."""
+
+    def __init__(self, view: ConfigurationView) -> None:
+        """Follow ``view``."""
+        self.view = view
+        self.cached = (view.current, rules_of(view.current))
+
+    def __call__(self) -> CellRules:
+        """Return the rules; the same object until the configuration changes."""
+        current = self.view.current
+        if self.cached[0] is not current:
+            self.cached = (current, rules_of(current))
+        return self.cached[1]
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/jobs/owner.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/jobs/owner.py
@@ -1,10 +1,11 @@
 """The jobs of one shard, as its owner runs them."""
 
+from collections import Counter
 from collections.abc import Callable, Iterable
 
 from gooseberrydeck_coordination.adoption import AdoptionState
 from gooseberrydeck_coordination.clock import Clock
-from gooseberrydeck_coordination.ids import HostName, JobId
+from gooseberrydeck_coordination.ids import HostName, JobId, TeamName
 from gooseberrydeck_coordination.ownership import OwnedShard
 from gooseberrydeck_daemon.jobs.book import RecordBook, WriteAnswer
 from gooseberrydeck_daemon.jobs.calls import Runner, WorkerCalls
@@ -137,6 +138,17 @@
         self.book.flush(self.clock.monotonic())
         self.is_lost = self.book.is_superseded
 
+    def want_units(self) -> None:
+        """Tell how many tasks of each team wait beyond its slice."""
+        state = self.scheduler.state
+        waiting: Counter[TeamName] = Counter()
+        for job in state.jobs.values():
+            waiting[job.spec.team] += len(job.pending)
+        lacking = {
+            team: tasks - state.slices.room(team) for team, tasks in waiting.items()
+        }
+        self.units.want({team: tasks for team, tasks in lacking.items() if tasks > 0})
+
     def lose_lapsed(self, now_s: float) -> None:
         """Give up what ran on workers on which nothing can run any more."""
         cell = self.scheduler.state.cell
--- /dev/null
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/jobs/side.py
@@ -0,0 +1,139 @@
+"""Build the parts of a member that deal with jobs and wire them together."""
+
+import random
+from collections.abc import Callable, Sequence
+from concurrent.futures import Executor
+
+from gooseberrydeck_coordination.clock import Clock
+from gooseberrydeck_coordination.group_commit import CommitPacer
+from gooseberrydeck_coordination.ids import HostName, ShardId
+from gooseberrydeck_coordination.keys import StoreKeys
+from gooseberrydeck_coordination.ownership import OwnershipView
+from gooseberrydeck_coordination.resources import Resources
+from gooseberrydeck_coordination.store import Store
+from gooseberrydeck_daemon.http.access import AccessIndex
+from gooseberrydeck_daemon.http.router import Router
+from gooseberrydeck_daemon.jobs.acceptance import JobAcceptor
+from gooseberrydeck_daemon.jobs.committing import CommitTask
+from gooseberrydeck_daemon.jobs.configured import RulesOfConfiguration
+from gooseberrydeck_daemon.jobs.handlers import JobsHandler
+from gooseberrydeck_daemon.jobs.messages import (
+    CancelAnswer,
+    CancelJobs,
+    JobAnswer,
+    JobBound,
+    JobQuery,
+)
+from gooseberrydeck_daemon.jobs.records import JobWrites
+from gooseberrydeck_daemon.jobs.task import JobsTask, ShardParts
+from gooseberrydeck_daemon.jobs.units import SliceUnits
+from gooseberrydeck_daemon.limits import TeamAdmission
+from gooseberrydeck_daemon.metrics import Metrics
+from gooseberrydeck_daemon.peers import MessageRegistry
+from gooseberrydeck_daemon.peers.network import Peers
+from gooseberrydeck_daemon.settings import Settings
+from gooseberrydeck_daemon.tasks import Runnable
+from gooseberrydeck_daemon.usage import UsageTable
+from gooseberrydeck_daemon.views import ConfigurationView
+from gooseberrydeck_platform.hosts import Host, HostKind, HostState
+from gooseberrydeck_platform.workers import Worker
+from gooseberrydeck_scheduling import WorkerInfo
+
+__all__ = ["JobsSide"]
+
+WRITES_PER_S = 200.0
+
+
+class JobsSide:
+    """The tasks, messages and routes of jobs of one member.
+
+    ``hosts`` returns the platform's hosts as last listed; ``connect`` makes the
+    adapter of one worker; ``admission`` counts against the slices of owned shards.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        store: Store,
+        view: Callable[[], OwnershipView],
+        configuration: ConfigurationView,
+        access: AccessIndex,
+        network: Peers,
+        registry: MessageRegistry,
+        admission: TeamAdmission,
+        usage: UsageTable,
+        hosts: Callable[[], Sequence[Host]],
+        connect: Callable[[Host], Worker],
+        task_lease_s: float,
+        executor: Executor,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        """Build the parts; nothing runs yet."""
+        self.view = view
+        self.usage = usage
+        self.hosts = hosts
+        self.connect = connect
+        self.rules = RulesOfConfiguration(configuration)
+        self.admission = admission
+        keys = StoreKeys(settings.cell)
+        writes = JobWrites(keys)
+        pacer = CommitPacer(clock, WRITES_PER_S)
+        marker = f"{keys.commit_marker(settings.member)}-jobs"
+        self.commit = CommitTask(store, marker, pacer)
+        parts = ShardParts(
+            view, self.workers, self.connect_host, self.units, self.rules
+        )
+        self.task = JobsTask(
+            parts, store, writes, self.commit, executor, clock, task_lease_s, metrics,
+            usage,
+        )  # fmt: skip
+        acceptor = JobAcceptor(
+            store,
+            writes,
+            self.commit,
+            self.choose_shard,
+            lambda: self.rules().queues,
+            lambda: self.rules().limits,
+            clock,
+        )
+        self.handler = JobsHandler(
+            access, acceptor, self.task, network, view, self.rules
+        )
+        for message in (JobBound, JobQuery, CancelJobs):
+            registry.register(message, self.task.receive)
+        registry.register(JobAnswer)
+        registry.register(CancelAnswer)
+
+    def add_routes(self, router: Router) -> None:
+        """Add the routes of jobs."""
+        for route in self.handler.routes():
+            router.add(route)
+
+    def tasks(self) -> list[Runnable]:
+        """Return the tasks to run, in the order in which they start."""
+        return [self.commit, self.task]
+
+    def workers(self) -> dict[HostName, WorkerInfo]:
+        """Return the live workers that the platform lists."""
+        return {
+            host.name: WorkerInfo(host.name, host.capacity, host.rack, host.data_centre)
+            for host in self.hosts()
+            if host.kind is HostKind.WORKER and host.state is HostState.LIVE
+        }
+
+    def connect_host(self, name: HostName) -> Worker:
+        """Return the adapter of a worker by its name."""
+        return next(self.connect(host) for host in self.hosts() if host.name == name)
+
+    def units(self, shard: ShardId) -> SliceUnits:
+        """Return the slices of a shard."""
+        return SliceUnits(shard, self.admission, lambda: self.rules().limits)
+
+    def choose_shard(self, size: Resources, tasks: int) -> ShardId | None:
+        """Return the shard to bind a job to; any owned one before summaries exist."""
+        chosen = self.usage.choose_shard(size, tasks)
+        if chosen is not None or self.usage.shards:
+            return chosen
+        owned = sorted(self.view().owners)
+        return random.choice(owned) if owned else None
--- /dev/null
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/jobs/summaries.py
@@ -0,0 +1,34 @@
+"""What the owner of a shard tells the cell about its jobs."""
+
+from gooseberrydeck_coordination.resources import NOTHING
+from gooseberrydeck_daemon.jobs.owner import ShardJobs
+from gooseberrydeck_daemon.usage import ShardUsage, pack_resources
+from gooseberrydeck_scheduling import WorkerStatus
+
+__all__ = ["summarize"]
+
+
+def summarize(jobs: ShardJobs, sequence: int) -> ShardUsage:
+    """Return the state of a shard; ``sequence`` rises within an epoch."""
+    state = jobs.scheduler.state
+    open_workers = [
+        worker for worker in state.cell if worker.status is WorkerStatus.AVAILABLE
+    ]
+    free = sum((worker.free for worker in open_workers), NOTHING)
+    holes = [worker.free for worker in open_workers]
+    largest = max(holes, key=lambda hole: hole.cpu_millis, default=NOTHING)
+    waiting = sum(len(job.pending) for job in state.jobs.values())
+    return ShardUsage(
+        jobs.owned.shard,
+        jobs.owned.epoch,
+        sequence,
+        pack_resources(state.cell.capacity),
+        pack_resources(free),
+        pack_resources(largest),
+        waiting,
+        {
+            team: pack_resources(used)
+            for team, used in state.shares.used.items()
+            if used != NOTHING
+        },
+    )
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/jobs/task.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/jobs/task.py
@@ -27,10 +27,12 @@
 )
 from gooseberrydeck_daemon.jobs.owner import ATTEMPTS_PER_EPOCH, ShardJobs
 from gooseberrydeck_daemon.jobs.records import JobWrites, RecordWriter
+from gooseberrydeck_daemon.jobs.summaries import summarize
 from gooseberrydeck_daemon.jobs.units import UnitsOfShard
 from gooseberrydeck_daemon.metrics import Metrics
 from gooseberrydeck_daemon.peers import Inbound
 from gooseberrydeck_daemon.tasks import Task
+from gooseberrydeck_daemon.usage import ShardUsage, UsageTable
 from gooseberrydeck_platform.workers import Worker
 from gooseberrydeck_scheduling import (
     JobRecord,
@@ -48,6 +50,7 @@
 TICK_S = 0.05
 SCAN_INTERVAL_S = 30.0
 LOAD_AGAIN_S = 1.0
+SUMMARY_INTERVAL_S = 0.25
 STORE_TIMEOUT_S = 5.0
 
 log = structlog.get_logger(__name__)
@@ -104,8 +107,12 @@
         clock: Clock,
         lease_s: float,
         metrics: Metrics,
+        usage: UsageTable,
     ) -> None:
-        """Begin without shards; they follow ownership."""
+        """Begin without shards; they follow ownership.
+
+        ``usage`` tells what the teams use in the shards of other members.
+        """
         super().__init__("jobs", INBOX_SIZE, TICK_S)
         self.parts = parts
         self.store = store
@@ -115,6 +122,11 @@
         self.clock = clock
         self.lease_s = lease_s
         self.metrics = metrics
+        self.usage = usage
+        self.summaries: tuple[ShardUsage, ...] = ()
+        """The newest summaries of the owned shards; any thread may read them."""
+        self.summary_sequence = 0
+        self.summary_s = float("-inf")
         self.shards: dict[ShardId, ShardJobs] = {}
         self.scan_s: dict[ShardId, float] = {}
         self.answers = Answers(self.shards, clock)
@@ -168,6 +180,8 @@
             jobs.step()
         self.answers.settle()
         self.scan_missing()
+        if self.last_step_s - self.summary_s >= SUMMARY_INTERVAL_S:
+            self.exchange_summaries()
 
     def follow_ownership(self, view: OwnershipView) -> None:
         """Take over the shards that are new, and drop those that are gone."""
@@ -230,6 +244,20 @@
                 WorkerLink(info, worker, jobs.owned.quarantine, authority, self.clock)
             )
 
+    def exchange_summaries(self) -> None:
+        """Sum up the owned shards, and take in what teams use in the others."""
+        self.summary_s = self.last_step_s
+        self.summary_sequence += 1
+        loaded = [jobs for jobs in self.shards.values() if jobs.is_loaded]
+        self.summaries = tuple(
+            summarize(jobs, self.summary_sequence) for jobs in loaded
+        )
+        self.usage.observe(self.summaries)
+        for jobs in loaded:
+            elsewhere = self.usage.elsewhere({jobs.owned.shard})
+            jobs.scheduler.set_elsewhere(elsewhere.capacity, elsewhere.teams)
+            jobs.want_units()
+
     def scan_missing(self) -> None:
         """Read again soon the shards of which an unknown job was asked for."""
         soon_s = self.clock.monotonic() + LOAD_AGAIN_S
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/jobs/units.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/jobs/units.py
@@ -24,6 +24,9 @@
     ) -> None:
         """Bring the count in line with what runs or may run unseen."""
 
+    def want(self, waiting: Mapping[TeamName, int]) -> None:
+        """Note the tasks that wait for units."""
+
 
 class SliceUnits:
     """Count a shard's tasks in the ledger that requests are counted in, too."""
@@ -40,8 +43,18 @@
         self.teams = teams
         self.counted: Counter[TeamName] = Counter()
 
+    @property
+    def is_known(self) -> bool:
+        """Tell whether the ledger counts for the shard."""
+        return self.shard in self.admission.ledger.shards
+
     def allowances(self) -> dict[TeamName, int]:
-        """Return what is counted already and the idle units, by team."""
+        """Return what is counted already and the idle units, by team.
+
+        It is nothing until the ledger knows the shard.
+        """
+        if not self.is_known:
+            return {}
         ledger = self.admission.ledger
         return {
             team: self.counted[team] + ledger.idle_units(team, self.shard)
@@ -59,6 +72,8 @@
         self, running: Mapping[TeamName, int], doubtful: Mapping[TeamName, int]
     ) -> None:
         """Count what was found running, and release what has ended."""
+        if not self.is_known:
+            return
         for team in running.keys() | doubtful.keys() | self.counted.keys():
             wanted = running.get(team, 0) + doubtful.get(team, 0)
             change = wanted - self.counted[team]
--- a/tests/daemon/test_jobs_http.py
+++ b/tests/daemon/test_jobs_http.py
@@ -1,6 +1,7 @@
 """Tests of submitting, reading and cancelling jobs, with real tasks in threads."""
 
 import io
+import random
 import threading
 from collections.abc import Iterator, Mapping
 from concurrent.futures import Future, ThreadPoolExecutor
@@ -36,6 +37,7 @@
 from gooseberrydeck_daemon.jobs.task import CellRules, JobsTask, ShardParts
 from gooseberrydeck_daemon.metrics import CounterMetrics
 from gooseberrydeck_daemon.peers import Inbound, PeerMessage
+from gooseberrydeck_daemon.usage import UsageTable
 from gooseberrydeck_daemon.views import ConfigurationHolder
 from gooseberrydeck_scheduling import WorkerInfo
 from gooseberrydeck_standins.engine_store import EngineStore
@@ -107,6 +109,7 @@
             clock,
             TIMING.task_lease_s,
             CounterMetrics(),
+            UsageTable(random.Random(0)),
         )
         self.acceptor = JobAcceptor(
             self.store,
--- a/tests/jobs_support.py
+++ b/tests/jobs_support.py
@@ -109,6 +109,9 @@
     ) -> None:
         pass
 
+    def want(self, waiting: Mapping[TeamName, int]) -> None:
+        pass
+
 
 class Platform:
     """A store and workers that outlive the owners of the shard."""
