Run the HTTP tests of jobs over the wired side of a member

Cause: the tests wired the parts by hand, so that JobsSide, which the composition root is to use, was not run by any test. Measured: tests/daemon/test_jobs_http.py, 24 tests pass, twice.

--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/jobs/side.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/jobs/side.py
@@ -6,7 +6,7 @@
 
 from gooseberrydeck_coordination.clock import Clock
 from gooseberrydeck_coordination.group_commit import CommitPacer
-from gooseberrydeck_coordination.ids import HostName, ShardId
+from gooseberrydeck_coordination.ids import CellName, HostName, MemberId, ShardId
 from gooseberrydeck_coordination.keys import StoreKeys
 from gooseberrydeck_coordination.ownership import OwnershipView
 from gooseberrydeck_coordination.resources import Resources
@@ -31,7 +31,6 @@
 from gooseberrydeck_daemon.metrics import Metrics
 from gooseberrydeck_daemon.peers import MessageRegistry
 from gooseberrydeck_daemon.peers.network import Peers
-from gooseberrydeck_daemon.settings import Settings
 from gooseberrydeck_daemon.tasks import Runnable
 from gooseberrydeck_daemon.usage import UsageTable
 from gooseberrydeck_daemon.views import ConfigurationView
@@ -53,7 +52,8 @@
 
     def __init__(
         self,
-        settings: Settings,
+        cell: CellName,
+        member: MemberId,
         store: Store,
         view: Callable[[], OwnershipView],
         configuration: ConfigurationView,
@@ -76,10 +76,10 @@
         self.connect = connect
         self.rules = RulesOfConfiguration(configuration)
         self.admission = admission
-        keys = StoreKeys(settings.cell)
+        keys = StoreKeys(cell)
         writes = JobWrites(keys)
         pacer = CommitPacer(clock, WRITES_PER_S)
-        marker = f"{keys.commit_marker(settings.member)}-jobs"
+        marker = f"{keys.commit_marker(member)}-jobs"
         self.commit = CommitTask(store, marker, pacer)
         parts = ShardParts(
             view, self.workers, self.connect_host, self.units, self.rules
--- a/tests/daemon/test_jobs_http.py
+++ b/tests/daemon/test_jobs_http.py
@@ -3,27 +3,36 @@
 import io
 import random
 import threading
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterator
 from concurrent.futures import Future, ThreadPoolExecutor
 from typing import Any
 
 import msgspec
 import pytest
 
-from gooseberrydeck_configuration.objects import Configuration, Queue, QueuePolicy
+from gooseberrydeck_configuration.objects import (
+    Configuration,
+    Limit,
+    Queue,
+    QueuePolicy,
+)
 from gooseberrydeck_coordination.clock import SystemClock
-from gooseberrydeck_coordination.group_commit import CommitPacer
 from gooseberrydeck_coordination.ids import (
+    ConfigurationNumber,
     DataCentre,
     Epoch,
     HostName,
     MemberId,
     QueueName,
     Rack,
+    Revision,
     TeamName,
 )
 from gooseberrydeck_coordination.ownership import OwnedShard, OwnershipView
 from gooseberrydeck_coordination.quarantine import Quarantine
+from gooseberrydeck_coordination.slices import SliceLedger
+from gooseberrydeck_coordination.slices.ledger import StoredSlices
+from gooseberrydeck_coordination.slices.records import TeamLimit, split_evenly
 from gooseberrydeck_coordination.store import Put, Transaction
 from gooseberrydeck_daemon.dispatch.exceptions import Outcome
 from gooseberrydeck_daemon.http.access import AccessIndex
@@ -31,40 +40,51 @@
 from gooseberrydeck_daemon.http.requests import Request
 from gooseberrydeck_daemon.http.responses import Response
 from gooseberrydeck_daemon.http.router import Router
-from gooseberrydeck_daemon.jobs.acceptance import JobAcceptor
-from gooseberrydeck_daemon.jobs.committing import CommitTask
 from gooseberrydeck_daemon.jobs.handlers import JobsHandler
-from gooseberrydeck_daemon.jobs.task import CellRules, JobsTask, ShardParts
+from gooseberrydeck_daemon.jobs.side import JobsSide
+from gooseberrydeck_daemon.jobs.task import JobsTask
+from gooseberrydeck_daemon.limits import TeamAdmission
 from gooseberrydeck_daemon.metrics import CounterMetrics
-from gooseberrydeck_daemon.peers import Inbound, PeerMessage
+from gooseberrydeck_daemon.peers import Inbound, MessageRegistry, PeerMessage
 from gooseberrydeck_daemon.usage import UsageTable
 from gooseberrydeck_daemon.views import ConfigurationHolder
-from gooseberrydeck_scheduling import WorkerInfo
+from gooseberrydeck_platform.hosts import Host, HostKind, HostState
 from gooseberrydeck_standins.engine_store import EngineStore
 from gooseberrydeck_standins.engine_worker import EngineWorker
 from gooseberrydeck_standins.faults import CallFault
 from gooseberrydeck_standins.ledger import Ledger
 from gooseberrydeck_standins.store_engine import StoreEngine
 from gooseberrydeck_standins.worker_engine import WorkerEngine
-from jobs_support import CAPACITY, KEYS, SHARD, TIMING, WRITES, FixedUnits
-from scheduling_support import QUEUES
+from jobs_support import CAPACITY, CELL, KEYS, SHARD, TIMING
 
 OWNER, OTHER = MemberId("owner"), MemberId("other")
 HOST = HostName("host-0")
 PRESS, RADIO = TeamName("press"), TeamName("radio")
+NUMBER = ConfigurationNumber(1)
+WORKER = Host(
+    HOST,
+    HostKind.WORKER,
+    HostState.LIVE,
+    "127.0.0.1",
+    1,
+    DataCentre("lima-1"),
+    Rack("rack-1"),
+    capacity=CAPACITY,
+)
 CONFIGURATION = Configuration(
+    NUMBER,
+    limits=(Limit(PRESS, 100), Limit(RADIO, 100)),
     queues=(
         Queue(QueueName("batch"), QueuePolicy.BATCH, (PRESS, RADIO)),
         Queue(QueueName("gang"), QueuePolicy.GANG, (RADIO,)),
-    )
+    ),
 )
 
 
 class LocalPeers:
     """Hand what the other member sends straight to the owner's task."""
 
-    def __init__(self, task: JobsTask) -> None:
-        self.task = task
+    task: JobsTask
 
     def send(self, member: MemberId, message: PeerMessage) -> bool:
         self.task.receive(Inbound(OTHER, message, lambda _answer: None))
@@ -78,14 +98,26 @@
         return answer
 
 
+def make_admission() -> TeamAdmission:
+    """Return the admission of an owner that has the whole limit of each team."""
+    ledger = SliceLedger()
+    limits = [TeamLimit(team, 100, NUMBER) for team in (PRESS, RADIO)]
+    ledger.set_limits(NUMBER, limits)
+    ledger.confirm(NUMBER)
+    for limit in limits:
+        record = split_evenly(limit, [SHARD])
+        ledger.observe(StoredSlices(record, Revision(1)))
+    ledger.add_shard(SHARD, Revision(1), {})
+    return TeamAdmission(ledger, CounterMetrics())
+
+
 class JobsCell:
     """The owner of the only shard, with its tasks in threads."""
 
     def __init__(self) -> None:
         clock = SystemClock()
         self.engine = WorkerEngine(HOST, CAPACITY, clock, Ledger())
-        store_engine = StoreEngine(clock)
-        self.store = EngineStore(store_engine)
+        self.store = EngineStore(StoreEngine(clock))
         claim = Put(KEYS.shard(SHARD), b"1")
         revision = self.store.commit(Transaction((), (claim,)), 1.0).revision
         quarantine = Quarantine(TIMING, clock.monotonic(), has_predecessor=False)
@@ -93,61 +125,50 @@
         self.view = OwnershipView(
             clock, OWNER, {SHARD: owned}, {SHARD: OWNER}, {}, {HOST: SHARD}
         )
-        self.rules = CellRules(QUEUES, {}, {})
-        pacer = CommitPacer(clock, 1_000.0)
-        self.commit = CommitTask(self.store, KEYS.commit_marker(OWNER), pacer)
-        parts = ShardParts(
-            lambda: self.view, self.workers, self.connect, self.units, self.get_rules
-        )
+        holder = ConfigurationHolder(CONFIGURATION)
+        self.access = AccessIndex(holder)
+        self.peers = LocalPeers()
         self.executor = ThreadPoolExecutor(4)
-        self.jobs = JobsTask(
-            parts,
-            EngineStore(store_engine),
-            WRITES,
-            self.commit,
+        self.side = JobsSide(
+            CELL,
+            OWNER,
+            self.store,
+            lambda: self.view,
+            holder,
+            self.access,
+            self.peers,
+            MessageRegistry(),
+            make_admission(),
+            UsageTable(random.Random(0)),
+            lambda: (WORKER,),
+            lambda _host: EngineWorker(self.engine),
+            TIMING.task_lease_s,
             self.executor,
             clock,
-            TIMING.task_lease_s,
             CounterMetrics(),
-            UsageTable(random.Random(0)),
-        )
-        self.acceptor = JobAcceptor(
-            self.store,
-            WRITES,
-            self.commit,
-            lambda _size, _tasks: SHARD,
-            lambda: self.rules.queues,
-            lambda: self.rules.limits,
-            clock,
         )
+        self.peers.task = self.side.task
         self.threads = [
-            threading.Thread(target=task.run, daemon=True)
-            for task in (self.commit, self.jobs)
+            threading.Thread(target=task.run, daemon=True) for task in self.side.tasks()
         ]
 
-    def get_rules(self) -> CellRules:
-        return self.rules
-
-    def workers(self) -> Mapping[HostName, WorkerInfo]:
-        info = WorkerInfo(HOST, CAPACITY, Rack("rack-1"), DataCentre("lima-1"))
-        return {HOST: info}
-
-    def connect(self, host: HostName) -> EngineWorker:
-        return EngineWorker(self.engine)
-
-    def units(self, shard: object) -> FixedUnits:
-        return FixedUnits()
-
-    def handler(self, member: MemberId = OWNER) -> JobsHandler:
+    def router(self, member: MemberId) -> Router:
+        router = Router()
+        if member == OWNER:
+            self.side.add_routes(router)
+            return router
         view = OwnershipView(self.view.clock, member, owners={SHARD: OWNER})
-        return JobsHandler(
-            AccessIndex(ConfigurationHolder(CONFIGURATION)),
-            self.acceptor,
-            self.jobs,
-            LocalPeers(self.jobs),
+        handler = JobsHandler(
+            self.access,
+            self.side.handler.acceptor,
+            self.side.task,
+            self.peers,
             lambda: view,
-            self.get_rules,
+            self.side.rules,
         )
+        for route in handler.routes():
+            router.add(route)
+        return router
 
     def call(
         self,
@@ -161,10 +182,7 @@
         content = body if isinstance(body, bytes) else msgspec.json.encode(body)
         environ = {"wsgi.input": io.BytesIO(content)}
         request = Request(method, path, query, environ, 0.0, team=team)
-        router = Router()
-        for route in self.handler(member).routes():
-            router.add(route)
-        request.route, request.parameters = router.resolve(request)
+        request.route, request.parameters = self.router(member).resolve(request)
         request.route.prepare(request)
         response: Response = request.route.handle(request)
         return response
@@ -176,7 +194,7 @@
     for thread in cell.threads:
         thread.start()
     yield cell
-    for task in (cell.jobs, cell.commit):
+    for task in cell.side.tasks():
         task.stop()
     for thread in cell.threads:
         thread.join(5.0)
