--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/jobs/book.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/jobs/book.py
@@ -13,6 +13,7 @@
 """An ended task and its worker, to be acknowledged once it is recorded."""
 
 RETRY_WRITE_S = 0.5
+MAX_FORGOTTEN = 200
 
 
 class WriteAnswer:
@@ -102,6 +103,36 @@
         self.change(job, ended)
         return False
 
+    def forget_old(self, before_s: float) -> None:
+        """Delete the jobs that ended before a wall-clock time, some at a time."""
+        old = [
+            job
+            for job in self.settled - self.under_way
+            if self.records[job].ended_s < before_s
+        ]
+        for job in old[:MAX_FORGOTTEN]:
+            self.forget(job)
+
+    def forget(self, job: JobId) -> None:
+        """Delete one ended job."""
+        write = self.writes.forget(self.shard, self.claim, job)
+
+        def done(outcome: WriteOutcome) -> None:
+            self.post(WriteAnswer(job, outcome, frozenset(), is_forget=True))
+
+        if self.writer.write(write, done):
+            self.under_way.add(job)
+
+    def forgotten(self, answer: WriteAnswer) -> None:
+        """Take in the outcome of a deletion; one that failed is tried again."""
+        self.under_way.discard(answer.job)
+        if answer.outcome is WriteOutcome.WRITTEN:
+            self.settled.discard(answer.job)
+            self.records.pop(answer.job, None)
+        self.is_superseded = self.is_superseded or (
+            answer.outcome is WriteOutcome.CONFLICT
+        )
+
     def written(self, answer: WriteAnswer, now_s: float) -> frozenset[EndedTask]:
         """Take in an outcome; return the ends that are recorded now."""
         self.under_way.discard(answer.job)
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/jobs/owner.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/jobs/owner.py
@@ -30,6 +30,10 @@
 
 
 ATTEMPTS_PER_EPOCH = 1_000_000
+RETENTION_S = 3_600.0
+"""How long an ended job can be asked for."""
+
+FORGET_INTERVAL_S = 10.0
 
 
 class ShardJobs:
@@ -65,6 +69,7 @@
         self.units = units
         self.wall_offset_s = clock.wall() - clock.monotonic()
         self.links = self.calls.links
+        self.forgot_s = clock.monotonic()
         self.is_loaded = False
         self.early: list[JobRecord] = []
         """Jobs that were bound to the shard before its records were read."""
@@ -136,6 +141,9 @@
             if not link.is_busy:
                 self.calls.call_next(link)
         self.book.flush(self.clock.monotonic())
+        if self.clock.monotonic() - self.forgot_s >= FORGET_INTERVAL_S:
+            self.forgot_s = self.clock.monotonic()
+            self.book.forget_old(now_s - RETENTION_S)
         self.is_lost = self.book.is_superseded
 
     def want_units(self) -> None:
@@ -217,5 +225,8 @@
 
     def take_write(self, answer: WriteAnswer) -> None:
         """Take in the outcome of a write, and acknowledge what is recorded."""
+        if answer.is_forget:
+            self.book.forgotten(answer)
+            return
         for host, task in self.book.written(answer, self.clock.monotonic()):
             self.calls.acknowledge(host, task)
--- a/tests/daemon/test_shard_jobs.py
+++ b/tests/daemon/test_shard_jobs.py
@@ -225,6 +225,21 @@
         check_promises(platform)
 
 
+class TestRetention:
+    def test_ended_job_is_deleted_after_an_hour(self) -> None:
+        platform = Platform()
+        platform.submit(record("job", payload=payload()))
+        owner = Owner(platform)
+        owner.take_over()
+        owner.run_until_ended()
+        owner.step(3_000.0)
+        assert len(platform.records()) == 1
+        owner.step(700.0)
+        owner.step()
+        assert platform.records() == {}
+        assert owner.jobs.book.records == {}
+
+
 class TestCancellation:
     def test_wave_is_recorded(self) -> None:
         platform = Platform()
--- a/tests/jobs_support.py
+++ b/tests/jobs_support.py
@@ -22,6 +22,7 @@
     MemberId,
     Rack,
     ShardId,
+    StoreLeaseId,
     TeamName,
 )
 from gooseberrydeck_coordination.keys import StoreKeys
@@ -153,9 +154,8 @@
         self.store = EngineStore(platform.store_engine)
         claim = Put(KEYS.shard(SHARD), str(platform.epoch).encode())
         result = self.store.commit(Transaction((), (claim,)), 1.0)
-        lease = self.store.grant_lease(1_000, 1.0)
         marker = KEYS.commit_marker(MemberId(f"member-{platform.epoch}"))
-        self.committer = GroupCommitter(self.store, marker, lease)
+        self.committer = GroupCommitter(self.store, marker, StoreLeaseId(0))
         now_s = self.clock.monotonic()
         quarantine = Quarantine(
             TIMING, now_s, now_s, has_predecessor=platform.epoch > 1,
