--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/jobs/handlers.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/jobs/handlers.py
@@ -27,8 +27,9 @@
     LocalCancel,
     LocalQuery,
 )
+from gooseberrydeck_daemon.jobs.parts import CellRules
 from gooseberrydeck_daemon.jobs.submission import parse_submission, view_of
-from gooseberrydeck_daemon.jobs.task import CellRules, JobsTask
+from gooseberrydeck_daemon.jobs.task import JobsTask
 from gooseberrydeck_daemon.peers.exceptions import PeerError
 from gooseberrydeck_daemon.peers.network import Peers
 from gooseberrydeck_scheduling import JobRecord, decode_record, encode_record
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/jobs/side.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/jobs/side.py
@@ -24,8 +24,9 @@
     JobBound,
     JobQuery,
 )
+from gooseberrydeck_daemon.jobs.parts import ShardParts
 from gooseberrydeck_daemon.jobs.records import JobWrites
-from gooseberrydeck_daemon.jobs.task import JobsTask, ShardParts
+from gooseberrydeck_daemon.jobs.task import JobsTask
 from gooseberrydeck_daemon.jobs.units import SliceUnits
 from gooseberrydeck_daemon.limits import TeamAdmission
 from gooseberrydeck_daemon.metrics import Metrics
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/jobs/task.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/jobs/task.py
@@ -1,14 +1,13 @@
 """The task that owns the jobs of this member's shards."""
 
-from collections.abc import Callable, Iterable, Mapping
-from concurrent.futures import Executor, Future
-from typing import Any, TypeVar
+from collections.abc import Iterable
+from concurrent.futures import Executor
 
 import structlog
 
 from gooseberrydeck_coordination.clock import Clock
 from gooseberrydeck_coordination.exceptions import StoreError
-from gooseberrydeck_coordination.ids import HostName, QueueName, ShardId, TeamName
+from gooseberrydeck_coordination.ids import ShardId
 from gooseberrydeck_coordination.ownership import OwnedShard, OwnershipView
 from gooseberrydeck_coordination.store import Store
 from gooseberrydeck_daemon.jobs.answering import Answers
@@ -26,25 +25,20 @@
     ShardWrite,
 )
 from gooseberrydeck_daemon.jobs.owner import ATTEMPTS_PER_EPOCH, ShardJobs
+from gooseberrydeck_daemon.jobs.parts import CellRules, InboxRunner, ShardParts
 from gooseberrydeck_daemon.jobs.records import JobWrites, RecordWriter
 from gooseberrydeck_daemon.jobs.summaries import summarize
-from gooseberrydeck_daemon.jobs.units import UnitsOfShard
 from gooseberrydeck_daemon.metrics import Metrics
 from gooseberrydeck_daemon.peers import Inbound
 from gooseberrydeck_daemon.tasks import Task
 from gooseberrydeck_daemon.usage import ShardUsage, UsageTable
-from gooseberrydeck_platform.workers import Worker
 from gooseberrydeck_scheduling import (
     JobRecord,
-    QueueRules,
     Scheduler,
-    WorkerInfo,
     decode_record,
 )
 
-__all__ = ["CellRules", "JobsTask", "ShardParts"]
-
-T = TypeVar("T")
+__all__ = ["JobsTask"]
 
 INBOX_SIZE = 20_000
 TICK_S = 0.05
@@ -56,44 +50,6 @@
 log = structlog.get_logger(__name__)
 
 
-class CellRules:
-    """What the configuration tells the scheduler; replaced as a whole."""
-
-    def __init__(
-        self,
-        queues: Iterable[QueueRules],
-        weights: Mapping[TeamName, float],
-        limits: Mapping[TeamName, int],
-    ) -> None:
-        """Keep queues, shares and limits."""
-        self.queues = {queue.name: queue for queue in queues}
-        self.weights = dict(weights)
-        self.limits = dict(limits)
-
-    def queue(self, name: QueueName) -> QueueRules | None:
-        """Return the rules of a queue."""
-        return self.queues.get(name)
-
-
-class ShardParts:
-    """What the task needs of the other parts of the member."""
-
-    def __init__(
-        self,
-        view: Callable[[], OwnershipView],
-        workers: Callable[[], Mapping[HostName, WorkerInfo]],
-        connect: Callable[[HostName], Worker],
-        units: Callable[[ShardId], UnitsOfShard],
-        rules: Callable[[], CellRules],
-    ) -> None:
-        """Keep the sources; each is asked anew whenever it matters."""
-        self.view = view
-        self.workers = workers
-        self.connect = connect
-        self.units = units
-        self.rules = rules
-
-
 class JobsTask(Task[JobsMessage]):
     """Run the jobs of every owned shard; blocking calls go to an executor."""
 
@@ -315,27 +271,6 @@
             jobs.take_write(write.answer)
 
 
-class InboxRunner:
-    """Run calls in an executor, and bring what comes of them to a task."""
-
-    def __init__(self, executor: Executor, post: Callable[[CallDone], None]) -> None:
-        """Bring results by ``post``."""
-        self.executor = executor
-        self.post = post
-
-    def run(self, call: Callable[[], T], done: Callable[[Future[T]], None]) -> None:
-        """Run a blocking call in the executor, and ``done`` in the task."""
-        future = self.executor.submit(call)
-        future.add_done_callback(
-            lambda answer: self.post(CallDone(_untyped(done), answer))
-        )
-
-
-def _untyped(done: Callable[[Future[T]], None]) -> Callable[[Any], None]:
-    """Return a callback as messages carry it."""
-    return done
-
-
 def apply_rules(scheduler: Scheduler, rules: CellRules) -> None:
     """Give a scheduler the configuration."""
     scheduler.set_rules(rules.queues.values())
