Test that a job bound before the owner has read its records is kept

Cause: switching that off left every test green, since the next scan finds the job; the mechanism needs a test of its own.

--- a/tests/daemon/test_shard_jobs.py
+++ b/tests/daemon/test_shard_jobs.py
@@ -137,6 +137,13 @@
         assert found.state is JobState.SUCCEEDED
 
 
+    def test_job_bound_before_the_records_are_read_is_kept(self) -> None:
+        owner = Owner(Platform())
+        owner.jobs.accept(record("job", payload=payload()))
+        owner.take_over()
+        assert list(owner.jobs.book.records) == ["job"]
+
+
 class TestFaults:
     @pytest.mark.parametrize("is_idempotent", [True, False])
     @pytest.mark.parametrize("steps_before", range(6))
