--- a/tests/daemon/test_shard_jobs.py
+++ b/tests/daemon/test_shard_jobs.py
@@ -136,7 +136,6 @@
         (found,) = successor.run_until_ended().values()
         assert found.state is JobState.SUCCEEDED
 
-
     def test_job_bound_before_the_records_are_read_is_kept(self) -> None:
         owner = Owner(Platform())
         owner.jobs.accept(record("job", payload=payload()))
