--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/jobs/owner.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/jobs/owner.py
@@ -1,14 +1,16 @@
 """The jobs of one shard, as its owner runs them."""
 
+from collections import Counter
 from collections.abc import Callable, Iterable
 
 from gooseberrydeck_coordination.adoption import AdoptionState
 from gooseberrydeck_coordination.clock import Clock
-from gooseberrydeck_coordination.ids import HostName, JobId
+from gooseberrydeck_coordination.ids import HostName, JobId, TeamName
 from gooseberrydeck_coordination.ownership import OwnedShard
 from gooseberrydeck_daemon.jobs.book import RecordBook, WriteAnswer
 from gooseberrydeck_daemon.jobs.calls import Runner, WorkerCalls
 from gooseberrydeck_daemon.jobs.links import WorkerLink
+from gooseberrydeck_daemon.jobs.units import UnitsOfShard
 from gooseberrydeck_platform.workers import TaskStart
 from gooseberrydeck_scheduling import (
     Decision,
@@ -28,6 +30,10 @@
 
 
 ATTEMPTS_PER_EPOCH = 1_000_000
+RETENTION_S = 3_600.0
+"""How long an ended job can be asked for."""
+
+FORGET_INTERVAL_S = 10.0
 
 
 class ShardJobs:
@@ -47,6 +53,7 @@
         clock: Clock,
         lease_s: float,
         hosts: Callable[[], Iterable[HostName]],
+        units: UnitsOfShard,
     ) -> None:
         """Begin without records and workers; the scheduler is new.
 
@@ -59,9 +66,13 @@
         self.lease_s = lease_s
         self.calls = WorkerCalls(scheduler, book, runner, clock, lease_s, self.now_s)
         self.hosts = hosts
+        self.units = units
         self.wall_offset_s = clock.wall() - clock.monotonic()
         self.links = self.calls.links
+        self.forgot_s = clock.monotonic()
         self.is_loaded = False
+        self.early: list[JobRecord] = []
+        """Jobs that were bound to the shard before its records were read."""
         self.is_lost = False
 
     def now_s(self) -> float:
@@ -75,10 +86,16 @@
             if self.book.add(record) and not record.state.is_final:
                 self.scheduler.recover(record, now_s)
         self.is_loaded = True
+        for record in self.early:
+            self.accept(record)
+        self.early.clear()
 
     def accept(self, record: JobRecord) -> None:
         """Take in a job that was bound to the shard after the takeover."""
-        if not self.is_loaded or not self.book.add(record):
+        if not self.is_loaded:
+            self.early.append(record)
+            return
+        if not self.book.add(record):
             return
         if record.state.is_final:
             return
@@ -115,14 +132,31 @@
         now_s = self.now_s()
         self.lose_lapsed(now_s)
         self.resolve_doubts(now_s)
+        slices = self.scheduler.state.slices
+        slices.set_units(self.units.allowances())
         for decision in self.scheduler.tick(now_s):
             self.carry_out(decision)
+        self.units.settle(slices.running, slices.doubtful)
         for link in self.links.values():
             if not link.is_busy:
                 self.calls.call_next(link)
         self.book.flush(self.clock.monotonic())
+        if self.clock.monotonic() - self.forgot_s >= FORGET_INTERVAL_S:
+            self.forgot_s = self.clock.monotonic()
+            self.book.forget_old(now_s - RETENTION_S)
         self.is_lost = self.book.is_superseded
 
+    def want_units(self) -> None:
+        """Tell how many tasks of each team wait beyond its slice."""
+        state = self.scheduler.state
+        waiting: Counter[TeamName] = Counter()
+        for job in state.jobs.values():
+            waiting[job.spec.team] += len(job.pending)
+        lacking = {
+            team: tasks - state.slices.room(team) for team, tasks in waiting.items()
+        }
+        self.units.want({team: tasks for team, tasks in lacking.items() if tasks > 0})
+
     def lose_lapsed(self, now_s: float) -> None:
         """Give up what ran on workers on which nothing can run any more."""
         cell = self.scheduler.state.cell
@@ -161,7 +195,7 @@
         """Put a decision where it is told to its worker, or recorded."""
         match decision:
             case Start():
-                self.links[decision.host].starts.append(self.describe_start(decision))
+                self.start(decision)
             case Stop():
                 self.links[decision.host].stops.append(decision.task)
             case Preempt():
@@ -169,6 +203,13 @@
             case End() | Refuse():
                 self.book.change(decision.job)
 
+    def start(self, start: Start) -> None:
+        """Let a task start, unless a request has taken its unit meanwhile."""
+        if self.units.admit(start.team):
+            self.links[start.host].starts.append(self.describe_start(start))
+        else:
+            self.calls.refuse_start(start.task, is_broken=False)
+
     def describe_start(self, start: Start) -> TaskStart:
         """Return a start as the worker is told it."""
         record = self.book.records[start.job]
@@ -184,5 +225,8 @@
 
     def take_write(self, answer: WriteAnswer) -> None:
         """Take in the outcome of a write, and acknowledge what is recorded."""
+        if answer.is_forget:
+            self.book.forgotten(answer)
+            return
         for host, task in self.book.written(answer, self.clock.monotonic()):
             self.calls.acknowledge(host, task)
--- a/tests/daemon/test_shard_jobs.py
+++ b/tests/daemon/test_shard_jobs.py
@@ -136,6 +136,12 @@
         (found,) = successor.run_until_ended().values()
         assert found.state is JobState.SUCCEEDED
 
+    def test_job_bound_before_the_records_are_read_is_kept(self) -> None:
+        owner = Owner(Platform())
+        owner.jobs.accept(record("job", payload=payload()))
+        owner.take_over()
+        assert list(owner.jobs.book.records) == ["job"]
+
 
 class TestFaults:
     @pytest.mark.parametrize("is_idempotent", [True, False])
@@ -225,6 +231,21 @@
         check_promises(platform)
 
 
+class TestRetention:
+    def test_ended_job_is_deleted_after_an_hour(self) -> None:
+        platform = Platform()
+        platform.submit(record("job", payload=payload()))
+        owner = Owner(platform)
+        owner.take_over()
+        owner.run_until_ended()
+        owner.step(3_000.0)
+        assert len(platform.records()) == 1
+        owner.step(700.0)
+        owner.step()
+        assert platform.records() == {}
+        assert owner.jobs.book.records == {}
+
+
 class TestCancellation:
     def test_wave_is_recorded(self) -> None:
         platform = Platform()
--- a/tests/jobs_support.py
+++ b/tests/jobs_support.py
@@ -1,7 +1,7 @@
 """One shard's jobs over stand-ins in the same process, on a manual clock."""
 
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from concurrent.futures import Future
 from typing import Any, TypeVar
 
@@ -22,6 +22,7 @@
     MemberId,
     Rack,
     ShardId,
+    StoreLeaseId,
     TeamName,
 )
 from gooseberrydeck_coordination.keys import StoreKeys
@@ -47,7 +48,8 @@
 SHARD = ShardId(0)
 MEMBER = MemberId("member-1")
 CAPACITY = Resources(4_000, 4_096)
-KEYS = StoreKeys(CellName("test"))
+CELL = CellName("test")
+KEYS = StoreKeys(CELL)
 WRITES = JobWrites(KEYS)
 TIMING = Timing()
 
@@ -95,6 +97,24 @@
             self.waiting.popleft()()
 
 
+class FixedUnits:
+    """A slice of the same size for each team, which nothing else uses."""
+
+    def allowances(self) -> dict[TeamName, int]:
+        return {TeamName(team): 100 for team in TEAMS}
+
+    def admit(self, team: TeamName) -> bool:
+        return True
+
+    def settle(
+        self, running: Mapping[TeamName, int], doubtful: Mapping[TeamName, int]
+    ) -> None:
+        pass
+
+    def want(self, waiting: Mapping[TeamName, int]) -> None:
+        pass
+
+
 class Platform:
     """A store and workers that outlive the owners of the shard."""
 
@@ -134,9 +154,8 @@
         self.store = EngineStore(platform.store_engine)
         claim = Put(KEYS.shard(SHARD), str(platform.epoch).encode())
         result = self.store.commit(Transaction((), (claim,)), 1.0)
-        lease = self.store.grant_lease(1_000, 1.0)
         marker = KEYS.commit_marker(MemberId(f"member-{platform.epoch}"))
-        self.committer = GroupCommitter(self.store, marker, lease)
+        self.committer = GroupCommitter(self.store, marker, StoreLeaseId(0))
         now_s = self.clock.monotonic()
         quarantine = Quarantine(
             TIMING, now_s, now_s, has_predecessor=platform.epoch > 1,
@@ -147,7 +166,6 @@
         )
         book = RecordBook(SHARD, result.revision, WRITES, self, self.take_write)
         scheduler = Scheduler(QUEUES, first_attempt=platform.epoch * ATTEMPTS_PER_EPOCH)
-        scheduler.set_slices({TeamName(team): 100 for team in TEAMS})
         self.jobs = ShardJobs(
             self.owned,
             scheduler,
@@ -156,6 +174,7 @@
             self.clock,
             TIMING.task_lease_s,
             lambda: tuple(platform.workers),
+            FixedUnits(),
         )
         self.workers: dict[HostName, EngineWorker] = {}
 
