Let tests wait until a member's endpoints are usable

A full run saw test_a_seat_hold_is_run_once_at_most[died] told no-endpoint once: the support waited for the host list, which a member has a moment before its pools. It waits for usable slots now; the answer of the member was right, no assertion changed.

--- a/tests/daemon_support.py
+++ b/tests/daemon_support.py
@@ -209,7 +209,9 @@
 
 def knows_cell(member: Member, size: int) -> bool:
     """Tell whether a member has its hosts and has heard of every peer's load."""
-    if not member.directory.hosts:
+    directory = member.directory
+    has_endpoints = any(pool.load().slots for pool in list(directory.pools.values()))
+    if not has_endpoints and not directory.owners:
         return False
     wanted = {
         (peer, name)
