End a stand-in whose start has failed

Two stand-ins of an earlier failing run were still up 40 minutes later: when the constructor raised, nothing owned the process. It is now ended first, and what it wrote before its end is not taken for its announcement (test_a_standin_that_cannot_start_is_told, seen to fail with a JSON error).

--- a/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/processes.py
+++ b/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/processes.py
@@ -19,7 +19,14 @@
 from gooseberrydeck_platform.http import HttpAddress, HttpConnection
 from gooseberrydeck_standins.faults import FaultKind, FaultSettings
 
-__all__ = ["ChildProcess", "StandinProcess", "free_ports", "wait_for"]
+__all__ = [
+    "ChildProcess",
+    "StandinProcess",
+    "StartFailedError",
+    "WaitTimeoutError",
+    "free_ports",
+    "wait_for",
+]
 
 START_TIMEOUT_S = 30.0
 END_TIMEOUT_S = 30.0
@@ -144,16 +151,21 @@
     def __init__(self, module: str, log: Path, *options: str) -> None:
         """Start the stand-in and wait until it tells its address."""
         super().__init__(["-m", f"gooseberrydeck_standins.{module}", *options], log)
-        wait_for(self.has_announced, f"the start of {module}", START_TIMEOUT_S)
-        announcement = self.announcement()
-        self.address = HttpAddress.parse(announcement["address"])
-        self.hosts = msgspec.convert(announcement.get("hosts", []), list[Host])
+        try:
+            wait_for(self.has_announced, f"the start of {module}", START_TIMEOUT_S)
+            announcement = self.announcement()
+            self.address = HttpAddress.parse(announcement["address"])
+            self.hosts = msgspec.convert(announcement.get("hosts", []), list[Host])
+        except Exception:
+            self.close()
+            raise
 
     def has_announced(self) -> bool:
         """Tell whether the stand-in is up, or raise ``StartFailedError``."""
         if not self.is_alive():
             raise StartFailedError(self.log.read_text())
-        return "\n" in self.log.read_text()
+        said = self.log.read_text()
+        return said.startswith("{") and "\n" in said
 
     def announcement(self) -> Any:
         """Return the line that the stand-in begins with."""
--- a/tests/processes/test_standin_processes.py
+++ b/tests/processes/test_standin_processes.py
@@ -36,7 +36,11 @@
 from gooseberrydeck_standins.endpoint_engine import EndpointSummary
 from gooseberrydeck_standins.faults import FaultKind
 from gooseberrydeck_standins.ledger import Ledger, Run
-from gooseberrydeck_standins.processes import StandinProcess, wait_for
+from gooseberrydeck_standins.processes import (
+    StandinProcess,
+    StartFailedError,
+    wait_for,
+)
 
 TIMEOUT_S = 20.0
 SHORT_S = 0.3
@@ -174,3 +178,10 @@
         endpoints.kill()
         with pytest.raises(EndpointUnavailableError):
             self.call(host, "r2")
+
+
+class TestStart:
+    def test_a_standin_that_cannot_start_is_told(self, tmp_path: Path) -> None:
+        log = tmp_path / "workers.log"
+        with pytest.raises(StartFailedError):
+            StandinProcess("worker_server", log, "--count", "many")
