Run the tests in four processes

Cause: whole runs had grown to 244 s in one process, most of it waiting in tests that start members. Ruled out: shorter tests, since each starts its own cell on purpose.

--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,7 @@
 	$(BIN)/mypy
 
 unit: $(VENV)/.synced
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n 4
 
 format: $(VENV)/.synced
 	$(BIN)/ruff format .
