Run jobs and keep team limits in every member

Cause: the limits task, the usage exchange and the jobs side were built and tested by themselves, but no member ran them. The owner now takes its rules first, and reads a job again whose queue it does not know yet. A shard's endpoints no longer count as workers that have yet to be linked, which held up every takeover. The shared test configuration had teams without limits, which the checks refuse; its requests waited until their deadline. Ruled out: a lost record (all were in the store) and slices that stayed away. Not mended: an end is seen at the next renewal only, so tasks of 0.3 s hold their units for about 4 s.

--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/composition.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/composition.py
@@ -1,6 +1,8 @@
 """The composition root: build every part of a member and wire them together."""
 
+import random
 import time
+from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 
 import structlog
@@ -9,7 +11,7 @@
 from gooseberrydeck_coordination.ids import ServiceName, ShardId
 from gooseberrydeck_coordination.keys import StoreKeys
 from gooseberrydeck_coordination.store import Store
-from gooseberrydeck_daemon.controllers.ownership import OwnershipSide
+from gooseberrydeck_daemon.controllers.ownership import OwnershipSide, ShardSettled
 from gooseberrydeck_daemon.controllers.ownership.side import first_holder
 from gooseberrydeck_daemon.dispatch import Dispatcher
 from gooseberrydeck_daemon.dispatch.budgets import RetryBudgets
@@ -40,6 +42,8 @@
 from gooseberrydeck_daemon.http.health import Health
 from gooseberrydeck_daemon.http.services import ServiceHandler
 from gooseberrydeck_daemon.idempotency import IdempotencyGuard, RecordsTask
+from gooseberrydeck_daemon.jobs.side import JobsSide
+from gooseberrydeck_daemon.limits import LimitsSide
 from gooseberrydeck_daemon.metrics import CounterMetrics, StatsdTask
 from gooseberrydeck_daemon.operators import OperatorsSide
 from gooseberrydeck_daemon.peers import MessageRegistry, PeerNetwork
@@ -47,6 +51,7 @@
 from gooseberrydeck_daemon.reports.recorder import BurnFilter
 from gooseberrydeck_daemon.settings import Settings
 from gooseberrydeck_daemon.tasks import Runnable, Supervisor
+from gooseberrydeck_daemon.usage import UsageSummary, UsageTable, UsageTask
 from gooseberrydeck_daemon.views import (
     ConfigurationHolder,
     MembershipView,
@@ -59,10 +64,13 @@
 from gooseberrydeck_platform.host_list_http import HttpHostList
 from gooseberrydeck_platform.hosts import Host, HostList
 from gooseberrydeck_platform.http import HttpAddress
+from gooseberrydeck_platform.worker_http import HttpWorker
+from gooseberrydeck_platform.workers import Worker
 
 __all__ = ["Member", "Platform", "compose"]
 
 CALL_THREADS = 512
+WORKER_THREADS = 32
 DEFAULT_RETRY_SHARE = 0.1
 MAX_TASKS = 32
 DRAIN_GRACE_S = 1.0
@@ -77,15 +85,21 @@
     """The adapters to the platform that a member works through."""
 
     def __init__(
-        self, hosts: HostList, connect: EndpointFactory, store: Store | None = None
+        self,
+        hosts: HostList,
+        connect: EndpointFactory,
+        store: Store | None = None,
+        connect_worker: Callable[[Host], Worker] = HttpWorker,
     ) -> None:
         """Use ``hosts``, and ``connect`` for connections to endpoints.
 
-        Without a store, the member follows no operators, and ownership is fixed.
+        Without a store, the member follows no operators, runs no jobs, knows no
+        limits, and ownership is fixed.
         """
         self.hosts = hosts
         self.store = store
         self.connect = connect
+        self.connect_worker = connect_worker
 
 
 class Member:
@@ -105,18 +119,20 @@
         self.network = self.build_network()
         self.executor = ThreadPoolExecutor(CALL_THREADS, thread_name_prefix="call")
         self.loads = LoadTable()
+        self.limits = self.build_limits(platform)
         self.directory = EndpointDirectory(
             settings.member,
             self.ownership,
             self.configuration,
             platform.connect,
             self.executor,
-            NoLimits(),
+            NoLimits() if self.limits is None else self.limits.admission,
             settings.overload,
             self.metrics,
         )
         self.dispatcher = self.build_dispatcher()
         self.router = Router()
+        self.jobs: JobsSide | None = None
         self.coordination = self.build_coordination(platform)
         self.operators = self.build_operators(platform)
         self.access = AccessIndex(self.configuration, self.is_configuration_fresh)
@@ -124,6 +140,7 @@
         guard = self.build_guard(platform)
         services = ServiceHandler(self.access, self.dispatcher, guard)
         self.router.add(services.route())
+        self.build_jobs(platform)
         self.callers = self.build_callers()
         self.tasks = self.build_tasks(platform)
 
@@ -197,7 +214,55 @@
 
     def is_shard_idle(self, shard: ShardId) -> bool:
         """Tell whether no call to a worker of a shard is under way."""
-        return True
+        return self.jobs is None or self.jobs.task.is_idle(shard)
+
+    def build_limits(self, platform: Platform) -> LimitsSide | None:
+        """Build what keeps team limits, if there is a store to share them by."""
+        if platform.store is None:
+            return None
+        return LimitsSide(
+            self.settings,
+            platform.store,
+            self.holder,
+            self.configuration,
+            self.network,
+            self.registry,
+            SystemClock(),
+            self.metrics,
+        )
+
+    def build_jobs(self, platform: Platform) -> None:
+        """Build what accepts and runs jobs, if there is a store to keep them."""
+        coordination = self.coordination
+        if platform.store is None or self.limits is None or coordination is None:
+            return
+        self.usage = UsageTable(random.Random())
+        self.registry.register(UsageSummary, self.usage.receive)
+        self.worker_executor = ThreadPoolExecutor(
+            WORKER_THREADS, thread_name_prefix="worker"
+        )
+        self.jobs = JobsSide(
+            self.settings.cell,
+            self.settings.member,
+            platform.store,
+            self.holder.view,
+            self.configuration,
+            self.access,
+            self.network,
+            self.registry,
+            self.limits.admission,
+            self.usage,
+            lambda: self.directory.hosts,
+            platform.connect_worker,
+            self.settings.timing.task_lease_s,
+            self.worker_executor,
+            SystemClock(),
+            self.metrics,
+        )
+        self.jobs.add_routes(self.router)
+        self.jobs.task.on_settled = lambda *settled: coordination.task.post(
+            ShardSettled(*settled)
+        )
 
     def build_operators(self, platform: Platform) -> OperatorsSide | None:
         """Build what follows operators, if there is a store to follow."""
@@ -278,6 +343,18 @@
             tasks.insert(1, self.coordination.task)
         if self.records is not None:
             tasks.append(self.records)
+        if self.limits is not None and self.jobs is not None:
+            tasks.extend(self.limits.tasks())
+            tasks.extend(self.jobs.tasks())
+            tasks.append(
+                UsageTask(
+                    lambda: self.jobs.task.summaries if self.jobs else (),
+                    self.usage,
+                    self.network,
+                    self.membership,
+                    SystemClock(),
+                )
+            )
         if self.operators is not None:
             tasks.extend(self.operators.tasks())
         if self.settings.statsd is not None:
@@ -318,6 +395,8 @@
                 self.coordination.task.leave(LEAVE_TIMEOUT_S)
         self.supervisor.close()
         self.executor.shutdown(wait=False)
+        if self.jobs is not None:
+            self.worker_executor.shutdown(wait=False)
         log.info("member stopped")
 
     def drain(self) -> None:
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/jobs/owner.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/jobs/owner.py
@@ -185,6 +185,17 @@
             had_owner = self.owned.quarantine.has_predecessor
             self.scheduler.resolve_doubts(now_s, had_owner and not is_exact)
 
+    def is_settled(self) -> bool:
+        """Tell whether every worker of the shard is adopted."""
+        return (
+            self.is_loaded
+            and self.is_every_host_linked()
+            and all(
+                link.adoption.state is AdoptionState.ADOPTED
+                for link in self.links.values()
+            )
+        )
+
     def is_every_host_linked(self) -> bool:
         """Tell whether no host of the shard can hold tasks without being linked."""
         if self.clock.monotonic() >= self.owned.quarantine.leases_lapsed_s:
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/jobs/parts.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/jobs/parts.py
@@ -1,6 +1,6 @@
 """What the jobs task needs of the other parts of a member."""
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from concurrent.futures import Executor, Future
 from typing import Any, TypeVar
 
@@ -45,13 +45,24 @@
         connect: Callable[[HostName], Worker],
         units: Callable[[ShardId], UnitsOfShard],
         rules: Callable[[], CellRules],
+        endpoints: Callable[[], Collection[HostName]] = frozenset,
     ) -> None:
-        """Keep the sources; each is asked anew whenever it matters."""
+        """Keep the sources; each is asked anew whenever it matters.
+
+        ``endpoints`` returns the hosts that are certainly no workers.
+        """
         self.view = view
         self.workers = workers
         self.connect = connect
         self.units = units
         self.rules = rules
+        self.endpoints = endpoints
+
+    def workers_of(self, shard: ShardId) -> list[HostName]:
+        """Return the hosts of a shard that may hold tasks."""
+        endpoints = self.endpoints()
+        hosts = self.view().hosts_of(shard)
+        return [host for host in hosts if host not in endpoints]
 
 
 class InboxRunner:
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/jobs/side.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/jobs/side.py
@@ -83,7 +83,12 @@
         marker = f"{keys.commit_marker(member)}-jobs"
         self.commit = CommitTask(store, marker, pacer)
         parts = ShardParts(
-            view, self.workers, self.connect_host, self.units, self.rules
+            view,
+            self.workers,
+            self.connect_host,
+            self.units,
+            self.rules,
+            self.endpoints,
         )
         self.task = JobsTask(
             parts, store, writes, self.commit, executor, clock, task_lease_s, metrics,
@@ -123,6 +128,12 @@
             if host.kind is HostKind.WORKER and host.state is HostState.LIVE
         }
 
+    def endpoints(self) -> frozenset[HostName]:
+        """Return the hosts that the platform lists as endpoints."""
+        return frozenset(
+            host.name for host in self.hosts() if host.kind is HostKind.ENDPOINT
+        )
+
     def connect_host(self, name: HostName) -> Worker:
         """Return the adapter of a worker by its name."""
         return next(self.connect(host) for host in self.hosts() if host.name == name)
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/jobs/task.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/jobs/task.py
@@ -1,13 +1,13 @@
 """The task that owns the jobs of this member's shards."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from concurrent.futures import Executor
 
 import structlog
 
 from gooseberrydeck_coordination.clock import Clock
 from gooseberrydeck_coordination.exceptions import StoreError
-from gooseberrydeck_coordination.ids import ShardId
+from gooseberrydeck_coordination.ids import Epoch, ShardId
 from gooseberrydeck_coordination.ownership import OwnedShard, OwnershipView
 from gooseberrydeck_coordination.store import Store
 from gooseberrydeck_daemon.jobs.answering import Answers
@@ -88,6 +88,16 @@
         self.answers = Answers(self.shards, clock)
         self.last_step_s = float("-inf")
         self.rules: CellRules | None = None
+        self.told_settled: dict[ShardId, tuple[Epoch, bool]] = {}
+        self.on_settled: Callable[[ShardId, Epoch, bool], object] = ignore_settled
+        """Told whenever all workers of an owned shard are adopted, or no longer."""
+
+    def is_idle(self, shard: ShardId) -> bool:
+        """Tell, from any thread, whether no call to a worker is under way."""
+        jobs = self.shards.get(shard)
+        return jobs is None or not any(
+            link.is_busy for link in list(jobs.links.values())
+        )
 
     def receive(self, inbound: Inbound) -> None:
         """Take a peer's message; an inbox that is full drops it."""
@@ -134,6 +144,7 @@
         for shard, jobs in self.shards.items():
             self.scan_if_due(shard, jobs)
             jobs.step()
+        self.tell_settled()
         self.answers.settle()
         self.scan_missing()
         if self.last_step_s - self.summary_s >= SUMMARY_INTERVAL_S:
@@ -173,10 +184,18 @@
             InboxRunner(self.executor, self.inbox.put),
             self.clock,
             self.lease_s,
-            lambda: self.parts.view().hosts_of(shard),
+            lambda: self.parts.workers_of(shard),
             self.parts.units(shard),
         )
 
+    def tell_settled(self) -> None:
+        """Tell ownership which shards a successor may take without waiting."""
+        for shard, jobs in self.shards.items():
+            settled = (jobs.owned.epoch, jobs.is_settled())
+            if self.told_settled.get(shard) != settled:
+                self.told_settled[shard] = settled
+                self.on_settled(shard, *settled)
+
     def follow_rules(self) -> None:
         """Take over a new configuration."""
         rules = self.parts.rules()
@@ -256,13 +275,28 @@
     def take_new(self, jobs: ShardJobs, records: Iterable[JobRecord]) -> None:
         """Take in the records that no message has told of."""
         for record in records:
-            jobs.accept(record)
+            self.accept(jobs, record)
 
     def take_job(self, bound: JobBound) -> None:
         """Take in a job that was bound to a shard."""
         jobs = self.shards.get(bound.shard)
         if jobs is not None:
-            jobs.accept(decode_record(bound.record))
+            self.accept(jobs, decode_record(bound.record))
+
+    def accept(self, jobs: ShardJobs, record: JobRecord) -> None:
+        """Take in a job, or read it again once its queue is known here too.
+
+        The member that accepted the job may have seen a newer configuration; an
+        accepted job must not be refused for that.
+        """
+        self.follow_rules()
+        if self.rules is not None and self.rules.queue(record.spec.queue) is None:
+            self.metrics.count("jobs.queue.unknown")
+            soon_s = self.clock.monotonic() + LOAD_AGAIN_S
+            shard = jobs.owned.shard
+            self.scan_s[shard] = min(self.scan_s.get(shard, soon_s), soon_s)
+            return
+        jobs.accept(record)
 
     def take_write(self, write: ShardWrite) -> None:
         """Take in the outcome of a write; one of an earlier epoch is dropped."""
@@ -271,6 +305,10 @@
             jobs.take_write(write.answer)
 
 
+def ignore_settled(shard: ShardId, epoch: Epoch, is_settled: bool) -> None:
+    """Do nothing with the news about a shard."""
+
+
 def apply_rules(scheduler: Scheduler, rules: CellRules) -> None:
     """Give a scheduler the configuration."""
     scheduler.set_rules(rules.queues.values())
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/limits/__init__.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/limits/__init__.py
@@ -2,10 +2,12 @@
 
 from gooseberrydeck_daemon.limits.admission import TeamAdmission
 from gooseberrydeck_daemon.limits.messages import UnitsAnswer, UnitsRequest
+from gooseberrydeck_daemon.limits.side import LimitsSide
 from gooseberrydeck_daemon.limits.task import LimitsTask, OwnershipSource
 from gooseberrydeck_daemon.limits.watch import SlicesWatch
 
 __all__ = [
+    "LimitsSide",
     "LimitsTask",
     "OwnershipSource",
     "SlicesWatch",
--- /dev/null
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/limits/side.py
@@ -0,0 +1,56 @@
+"""Build the parts of a member that keep team limits and wire them together."""
+
+from gooseberrydeck_coordination.clock import Clock
+from gooseberrydeck_coordination.keys import StoreKeys
+from gooseberrydeck_coordination.store import Store
+from gooseberrydeck_daemon.limits.messages import UnitsAnswer, UnitsRequest
+from gooseberrydeck_daemon.limits.task import LimitsTask, OwnershipSource
+from gooseberrydeck_daemon.limits.watch import SlicesWatch
+from gooseberrydeck_daemon.metrics import Metrics
+from gooseberrydeck_daemon.peers import MessageRegistry
+from gooseberrydeck_daemon.peers.network import Peers
+from gooseberrydeck_daemon.settings import Settings
+from gooseberrydeck_daemon.tasks import Runnable
+from gooseberrydeck_daemon.views import ConfigurationView
+
+__all__ = ["LimitsSide"]
+
+SESSIONS_BEFORE_RAISE = 2
+
+
+class LimitsSide:
+    """The limits task of a member, with its watch and its messages."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        store: Store,
+        ownership: OwnershipSource,
+        configuration: ConfigurationView,
+        network: Peers,
+        registry: MessageRegistry,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        """Build the parts; nothing runs yet."""
+        keys, timing = StoreKeys(settings.cell), settings.timing
+        self.task = LimitsTask(
+            store,
+            clock,
+            keys,
+            settings.shards,
+            # By then every member has seen a lower limit or may not act any more.
+            timing.lengthen(SESSIONS_BEFORE_RAISE * timing.session_ttl_s),
+            ownership,
+            configuration,
+            network,
+            metrics,
+        )
+        self.watch = SlicesWatch(store, keys.slices_prefix, self.task.post, metrics)
+        self.admission = self.task.admission
+        registry.register(UnitsRequest, self.task.receive_request)
+        registry.register(UnitsAnswer)
+
+    def tasks(self) -> list[Runnable]:
+        """Return the tasks to run, in the order in which they start."""
+        return [self.task, self.watch]
--- a/tests/daemon/test_operators.py
+++ b/tests/daemon/test_operators.py
@@ -52,7 +52,9 @@
     def test_member_without_the_store_follows_its_peers(self) -> None:
         with operated_cell("m1", "m2", "m3") as cell:
             cell.publish("m1", EXAMPLE, 0, "a")
-            assert call(cell["m3"], "claim-check", key="demo-radio")[0] == 200
+            wait_until(
+                lambda: call(cell["m3"], "claim-check", key="demo-radio")[0] == 200
+            )
             cell.stores["m3"].fault = CallFault.DOWN
             path = "/v1/keys/radio-1?publication=w"
             status, answer = cell.operate("m1", "DELETE", path)
--- a/tests/daemon_support.py
+++ b/tests/daemon_support.py
@@ -12,7 +12,13 @@
 import msgspec
 import zmq
 
-from gooseberrydeck_configuration.objects import Configuration, Key, Service, Team
+from gooseberrydeck_configuration.objects import (
+    Configuration,
+    Key,
+    Limit,
+    Service,
+    Team,
+)
 from gooseberrydeck_coordination.ids import (
     ConfigurationNumber,
     DataCentre,
@@ -39,6 +45,7 @@
     number=ConfigurationNumber(1),
     teams=(Team(EDITORS), Team(TeamName("others"))),
     keys=(Key(KeyId("k1"), EDITORS, hashlib.sha256(SECRET.encode()).hexdigest()),),
+    limits=(Limit(EDITORS, 1_000), Limit(TeamName("others"), 1_000)),
     services=(
         Service(LOOKUP, teams=(EDITORS,), is_idempotent=True, timeout_ms=30_000),
         Service(SEAT_HOLD, teams=(EDITORS,), timeout_ms=5_000, max_body_bytes=1_000),
