--- a/bench/control_cost.py
+++ b/bench/control_cost.py
@@ -106,7 +106,8 @@
             names = [f"m{number}" for number in range(members)]
             cell.plan_members(*names)
             for name in names:
-                cell.add_member(name, statsd=statsd)
+                host_list = {"address": str(cell.host_list.address)}
+                cell.add_member(name, statsd=statsd, host_list=host_list)
             cell.wait_ready()
             cell.publish(configuration())
             time.sleep(SETTLE_S)
--- a/tests/processes/test_request_faults.py
+++ b/tests/processes/test_request_faults.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from cell_traffic import Traffic, runs_by_tag
+from cell_traffic import Outcome, Traffic, runs_by_tag
 from gooseberrydeck_standins.local_cell import LocalCell
 from gooseberrydeck_standins.processes import wait_for
 from processes_support import CONFIGURATION, HEADERS, PATH, SERVICE
@@ -20,7 +20,7 @@
     with LocalCell(tmp_path) as made:
         for prefix in ("a", "b"):
             made.add_endpoints(SERVICE, 4, "--prefix", prefix)
-        made.plan_members(*MEMBERS)
+        made.plan_members(*MEMBERS, "m4", "m5", "m6")
         for name in MEMBERS:
             made.add_member(name)
         made.wait_ready()
@@ -28,6 +28,10 @@
         yield made
 
 
+def kill_member(cell: LocalCell) -> None:
+    cell.members["m1"].kill()
+
+
 def pause_member(cell: LocalCell) -> None:
     cell.members["m1"].pause()
     time.sleep(3)
@@ -41,6 +45,7 @@
 
 
 FAULTS: dict[str, Callable[[LocalCell], None]] = {
+    "kill -9 of a member": kill_member,
     "a paused member": pause_member,
     "paused endpoints": pause_endpoints,
 }
@@ -58,3 +63,17 @@
                 f"requests are answered again ({case})",
             )
         assert traffic.problems(runs_by_tag(cell)) == []
+
+
+class TestPlannedStops:
+    def test_replacing_every_member_cuts_no_request(self, cell: LocalCell) -> None:
+        with Traffic(cell, PATH, HEADERS) as traffic:
+            for old, new in zip(MEMBERS, ("m4", "m5", "m6"), strict=True):
+                wait_for(lambda: traffic.counts().total() > WARM_ANSWERS, "traffic")
+                member = cell.add_member(new)
+                wait_for(member.is_ready, f"{new} is ready")
+                cell.members[old].terminate()
+                assert cell.members[old].wait() == 0
+        bad = [each for each in traffic.sent if each.outcome is not Outcome.ANSWERED]
+        assert [each for each in bad if each.outcome is not Outcome.NOT_SENT] == []
+        assert traffic.problems(runs_by_tag(cell)) == []
