--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/__main__.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/__main__.py
@@ -8,11 +8,12 @@
 
 from gooseberrydeck_daemon.checks.settings import check_settings
 from gooseberrydeck_daemon.composition import compose
-from gooseberrydeck_daemon.exceptions import SettingsInvalidError, TaskCrashedError
+from gooseberrydeck_daemon.exceptions import SettingsInvalidError
 from gooseberrydeck_daemon.logs import configure_logs
 from gooseberrydeck_daemon.settings import LogFormat
 from gooseberrydeck_daemon.settings_file import load_settings
 from gooseberrydeck_daemon.signals import handle_termination
+from gooseberrydeck_service.exceptions import TaskCrashedError
 
 __all__ = ["main"]
 
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/composition.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/composition.py
@@ -38,6 +38,7 @@
     build_chain,
 )
 from gooseberrydeck_daemon.http.access import AccessIndex
+from gooseberrydeck_daemon.http.channels import ProblemChannel
 from gooseberrydeck_daemon.http.filters import GetResponse
 from gooseberrydeck_daemon.http.health import Health
 from gooseberrydeck_daemon.http.services import ServiceHandler
@@ -50,7 +51,6 @@
 from gooseberrydeck_daemon.peers.security import CurveKeys
 from gooseberrydeck_daemon.reports.recorder import BurnFilter
 from gooseberrydeck_daemon.settings import Settings
-from gooseberrydeck_daemon.tasks import Runnable, Supervisor
 from gooseberrydeck_daemon.usage import UsageSummary, UsageTable, UsageTask
 from gooseberrydeck_daemon.views import (
     ConfigurationHolder,
@@ -66,6 +66,7 @@
 from gooseberrydeck_platform.http import HttpAddress
 from gooseberrydeck_platform.worker_http import HttpWorker
 from gooseberrydeck_platform.workers import Worker
+from gooseberrydeck_service.tasks import Runnable, Supervisor
 
 __all__ = ["Member", "Platform", "compose"]
 
@@ -326,7 +327,9 @@
             burn = self.operators.burn
             get_response = BurnFilter(get_response, self.access, burn)
         application = Application(get_response, self.health, self.metrics)
-        return HttpServer("callers", application, self.settings.address, listener)
+        return HttpServer(
+            "callers", application, self.settings.address, listener, ProblemChannel
+        )
 
     def build_tasks(self, platform: Platform) -> list[Runnable]:
         """Return the tasks in the order in which they start."""
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/controllers/configuration/task.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/controllers/configuration/task.py
@@ -33,8 +33,8 @@
 )
 from gooseberrydeck_daemon.metrics import Metrics
 from gooseberrydeck_daemon.peers import Inbound, Peers
-from gooseberrydeck_daemon.tasks import Task
 from gooseberrydeck_daemon.views import MembershipView
+from gooseberrydeck_service.tasks import Task
 
 __all__ = ["ConfigurationSink", "ConfigurationTask", "decode_configuration_record"]
 
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/controllers/ownership/task.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/controllers/ownership/task.py
@@ -32,8 +32,8 @@
 )
 from gooseberrydeck_daemon.metrics import Metrics
 from gooseberrydeck_daemon.peers import Inbound, PeerError, Peers
-from gooseberrydeck_daemon.tasks import Task
 from gooseberrydeck_platform.hosts import Host
+from gooseberrydeck_service.tasks import Task
 
 __all__ = ["OwnershipTask"]
 
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/dispatch/directory.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/dispatch/directory.py
@@ -12,10 +12,10 @@
 from gooseberrydeck_daemon.dispatch.slots import EndpointFactory, EndpointSlots
 from gooseberrydeck_daemon.metrics import Metrics
 from gooseberrydeck_daemon.settings import OverloadSettings
-from gooseberrydeck_daemon.tasks import Task
 from gooseberrydeck_daemon.views import ConfigurationView, OwnershipView
 from gooseberrydeck_platform.exceptions import HostListUnavailableError
 from gooseberrydeck_platform.hosts import Host, HostKind, HostList, HostState
+from gooseberrydeck_service.tasks import Task
 
 __all__ = ["EndpointDirectory", "HostListTask", "PoolTask"]
 
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/dispatch/gossip.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/dispatch/gossip.py
@@ -10,8 +10,8 @@
 from gooseberrydeck_daemon.dispatch.messages import LoadSummary
 from gooseberrydeck_daemon.dispatch.pools import PoolLoad
 from gooseberrydeck_daemon.peers import Peers
-from gooseberrydeck_daemon.tasks import Task
 from gooseberrydeck_daemon.views import MembershipView
+from gooseberrydeck_service.tasks import Task
 
 __all__ = ["GossipTask"]
 
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/http/__init__.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/http/__init__.py
@@ -3,9 +3,9 @@
 from gooseberrydeck_daemon.http.application import Application, build_chain
 from gooseberrydeck_daemon.http.problems import ProblemError, ProblemType
 from gooseberrydeck_daemon.http.requests import Request
-from gooseberrydeck_daemon.http.responses import Response
 from gooseberrydeck_daemon.http.router import Route, Router
-from gooseberrydeck_daemon.http.server import HttpServer
+from gooseberrydeck_service.http_server import HttpServer
+from gooseberrydeck_service.responses import Response
 
 __all__ = [
     "Application",
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/http/application.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/http/application.py
@@ -16,9 +16,9 @@
 )
 from gooseberrydeck_daemon.http.health import Health
 from gooseberrydeck_daemon.http.requests import Request
-from gooseberrydeck_daemon.http.responses import status_line
 from gooseberrydeck_daemon.http.router import Router
 from gooseberrydeck_daemon.metrics import Metrics
+from gooseberrydeck_service.responses import status_line
 
 __all__ = ["Application", "Chain", "build_chain"]
 
--- /dev/null
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/http/channels.py
@@ -0,0 +1,37 @@
+"""Connections whose failures are problem details."""
+
+from waitress.channel import HTTPChannel
+from waitress.task import ErrorTask
+
+from gooseberrydeck_daemon.http.problems import ProblemError, ProblemType
+from gooseberrydeck_service.responses import status_line
+
+__all__ = ["ProblemChannel"]
+
+PROBLEMS_BY_STATUS = {
+    413: ProblemType.BODY_TOO_LARGE,
+    431: ProblemType.HEADERS_TOO_LARGE,
+    500: ProblemType.INTERNAL,
+    501: ProblemType.NOT_IMPLEMENTED,
+}
+
+
+class ProblemTask(ErrorTask):  # type: ignore[misc]
+    """Answer requests that waitress could not parse with problem details."""
+
+    def execute(self) -> None:
+        """Write the problem and close the connection."""
+        error = self.request.error
+        kind = PROBLEMS_BY_STATUS.get(error.code, ProblemType.BAD_REQUEST)
+        response = ProblemError(kind, error.body).to_response()
+        self.status = status_line(response.status)
+        self.response_headers.append(("Content-Type", response.content_type))
+        self.set_close_on_finish()
+        self.content_length = len(response.body)
+        self.write(response.body)
+
+
+class ProblemChannel(HTTPChannel):  # type: ignore[misc]
+    """A client's connection whose failures are problem details."""
+
+    error_task_class = ProblemTask
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/http/filters.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/http/filters.py
@@ -18,9 +18,9 @@
     problem_of_dispatch,
 )
 from gooseberrydeck_daemon.http.requests import Request
-from gooseberrydeck_daemon.http.responses import Response
 from gooseberrydeck_daemon.http.router import Router
 from gooseberrydeck_daemon.metrics import Metrics
+from gooseberrydeck_service.responses import Response
 
 __all__ = [
     "AdmitFilter",
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/http/health.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/http/health.py
@@ -3,7 +3,7 @@
 import threading
 
 from gooseberrydeck_daemon.http.requests import Request
-from gooseberrydeck_daemon.http.responses import Response, json_response
+from gooseberrydeck_service.responses import Response, json_response
 
 __all__ = ["Health"]
 
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/http/problems.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/http/problems.py
@@ -8,7 +8,7 @@
 
 from gooseberrydeck_daemon.dispatch.exceptions import DispatchError, Outcome, Reason
 from gooseberrydeck_daemon.exceptions import DaemonError
-from gooseberrydeck_daemon.http.responses import Response
+from gooseberrydeck_service.responses import Response
 
 __all__ = ["PROBLEM_JSON", "ProblemError", "ProblemType", "problem_of_dispatch"]
 
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/http/router.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/http/router.py
@@ -6,7 +6,7 @@
 
 from gooseberrydeck_daemon.http.problems import ProblemError, ProblemType
 from gooseberrydeck_daemon.http.requests import Request
-from gooseberrydeck_daemon.http.responses import Response
+from gooseberrydeck_service.responses import Response
 
 __all__ = ["Handler", "Prepare", "Route", "Router"]
 
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/http/services.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/http/services.py
@@ -9,10 +9,10 @@
 from gooseberrydeck_daemon.http.access import AccessIndex
 from gooseberrydeck_daemon.http.problems import ProblemError, ProblemType
 from gooseberrydeck_daemon.http.requests import Request
-from gooseberrydeck_daemon.http.responses import Response
 from gooseberrydeck_daemon.http.router import Route
 from gooseberrydeck_daemon.idempotency import IdempotencyGuard, KeyedRequest
 from gooseberrydeck_platform.endpoints import EndpointAnswer
+from gooseberrydeck_service.responses import Response
 
 __all__ = ["ServiceHandler", "team_allowed"]
 
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/idempotency/task.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/idempotency/task.py
@@ -24,8 +24,8 @@
     compare_absent,
 )
 from gooseberrydeck_daemon.metrics import Metrics
-from gooseberrydeck_daemon.tasks import Task
 from gooseberrydeck_daemon.views import MembershipView
+from gooseberrydeck_service.tasks import Task
 
 __all__ = ["QueuedWrite", "RecordsTask"]
 
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/jobs/committing.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/jobs/committing.py
@@ -13,7 +13,7 @@
 from gooseberrydeck_coordination.ids import StoreLeaseId
 from gooseberrydeck_coordination.store import Store
 from gooseberrydeck_daemon.jobs.records import WriteDone
-from gooseberrydeck_daemon.tasks import Task
+from gooseberrydeck_service.tasks import Task
 
 __all__ = ["CommitTask", "PendingWrite"]
 
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/jobs/handlers.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/jobs/handlers.py
@@ -14,7 +14,6 @@
 from gooseberrydeck_daemon.http.access import AccessIndex
 from gooseberrydeck_daemon.http.problems import ProblemError, ProblemType
 from gooseberrydeck_daemon.http.requests import Request
-from gooseberrydeck_daemon.http.responses import Response, json_response
 from gooseberrydeck_daemon.http.router import Route
 from gooseberrydeck_daemon.http.services import team_allowed
 from gooseberrydeck_daemon.jobs.acceptance import JobAcceptor
@@ -33,6 +32,7 @@
 from gooseberrydeck_daemon.peers.exceptions import PeerError
 from gooseberrydeck_daemon.peers.network import Peers
 from gooseberrydeck_scheduling import JobRecord, decode_record, encode_record
+from gooseberrydeck_service.responses import Response, json_response
 
 __all__ = ["JobsHandler"]
 
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/jobs/side.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/jobs/side.py
@@ -32,12 +32,12 @@
 from gooseberrydeck_daemon.metrics import Metrics
 from gooseberrydeck_daemon.peers import MessageRegistry
 from gooseberrydeck_daemon.peers.network import Peers
-from gooseberrydeck_daemon.tasks import Runnable
 from gooseberrydeck_daemon.usage import UsageTable
 from gooseberrydeck_daemon.views import ConfigurationView
 from gooseberrydeck_platform.hosts import Host, HostKind, HostState
 from gooseberrydeck_platform.workers import Worker
 from gooseberrydeck_scheduling import WorkerInfo
+from gooseberrydeck_service.tasks import Runnable
 
 __all__ = ["JobsSide"]
 
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/jobs/task.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/jobs/task.py
@@ -30,13 +30,13 @@
 from gooseberrydeck_daemon.jobs.summaries import summarize
 from gooseberrydeck_daemon.metrics import Metrics
 from gooseberrydeck_daemon.peers import Inbound
-from gooseberrydeck_daemon.tasks import Task
 from gooseberrydeck_daemon.usage import ShardUsage, UsageTable
 from gooseberrydeck_scheduling import (
     JobRecord,
     Scheduler,
     decode_record,
 )
+from gooseberrydeck_service.tasks import Task
 
 __all__ = ["JobsTask"]
 
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/limits/side.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/limits/side.py
@@ -10,8 +10,8 @@
 from gooseberrydeck_daemon.peers import MessageRegistry
 from gooseberrydeck_daemon.peers.network import Peers
 from gooseberrydeck_daemon.settings import Settings
-from gooseberrydeck_daemon.tasks import Runnable
 from gooseberrydeck_daemon.views import ConfigurationView
+from gooseberrydeck_service.tasks import Runnable
 
 __all__ = ["LimitsSide"]
 
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/limits/task.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/limits/task.py
@@ -39,8 +39,8 @@
 )
 from gooseberrydeck_daemon.metrics import Metrics
 from gooseberrydeck_daemon.peers import Inbound, Peers
-from gooseberrydeck_daemon.tasks import Task
 from gooseberrydeck_daemon.views import ConfigurationView
+from gooseberrydeck_service.tasks import Task
 
 __all__ = ["LimitsTask", "OwnershipSource"]
 
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/metrics.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/metrics.py
@@ -6,7 +6,7 @@
 
 import statsd
 
-from gooseberrydeck_daemon.tasks import Task
+from gooseberrydeck_service.tasks import Task
 
 __all__ = ["CounterMetrics", "Metrics", "StatsdTask"]
 
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/operators/application.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/operators/application.py
@@ -12,7 +12,6 @@
 from gooseberrydeck_daemon.dispatch.exceptions import Outcome
 from gooseberrydeck_daemon.http.problems import ProblemError
 from gooseberrydeck_daemon.http.requests import Request
-from gooseberrydeck_daemon.http.responses import Response, status_line
 from gooseberrydeck_daemon.http.router import Router
 from gooseberrydeck_daemon.metrics import Metrics
 from gooseberrydeck_daemon.operators.problems import (
@@ -20,6 +19,7 @@
     OperatorProblemError,
 )
 from gooseberrydeck_daemon.settings import OperatorKey
+from gooseberrydeck_service.responses import Response, status_line
 
 __all__ = [
     "AuthenticateOperatorFilter",
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/operators/configuration.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/operators/configuration.py
@@ -35,7 +35,6 @@
 from gooseberrydeck_daemon.controllers.configuration import decode_configuration_record
 from gooseberrydeck_daemon.dispatch.exceptions import Outcome
 from gooseberrydeck_daemon.http.requests import Request
-from gooseberrydeck_daemon.http.responses import Response, json_response
 from gooseberrydeck_daemon.http.router import Handler, Route, Router
 from gooseberrydeck_daemon.operators.application import OPERATOR_KEY
 from gooseberrydeck_daemon.operators.parameters import (
@@ -48,6 +47,7 @@
     OperatorProblemError,
 )
 from gooseberrydeck_daemon.operators.publishing import ConfigurationService, header_of
+from gooseberrydeck_service.responses import Response, json_response
 
 __all__ = ["ConfigurationHandler"]
 
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/operators/listener.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/operators/listener.py
@@ -18,8 +18,8 @@
     FetchConfiguration,
     FreshnessRule,
 )
+from gooseberrydeck_daemon.http.channels import ProblemChannel
 from gooseberrydeck_daemon.http.router import Router
-from gooseberrydeck_daemon.http.server import HttpServer
 from gooseberrydeck_daemon.metrics import Metrics
 from gooseberrydeck_daemon.operators.application import (
     OperatorsApplication,
@@ -35,9 +35,10 @@
 from gooseberrydeck_daemon.reports.snapshots import ReportWriter, SnapshotReader
 from gooseberrydeck_daemon.reports.usage import UsageSource
 from gooseberrydeck_daemon.settings import Settings
-from gooseberrydeck_daemon.tasks import Runnable
 from gooseberrydeck_daemon.views import ConfigurationHolder, MembershipView
 from gooseberrydeck_platform.hosts import Host, HostKind, HostState
+from gooseberrydeck_service.http_server import HttpServer
+from gooseberrydeck_service.tasks import Runnable
 
 __all__ = ["OperatorsSide", "capacity_of", "configuration_keys"]
 
@@ -127,7 +128,11 @@
         )
         self.application = OperatorsApplication(chain, metrics)
         self.server = HttpServer(
-            "operators", self.application, settings.address, listener
+            "operators",
+            self.application,
+            settings.address,
+            listener,
+            ProblemChannel,
         )
 
     def register_messages(self, registry: MessageRegistry) -> None:
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/operators/problems.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/operators/problems.py
@@ -8,7 +8,7 @@
 from gooseberrydeck_daemon.dispatch.exceptions import Outcome
 from gooseberrydeck_daemon.exceptions import DaemonError
 from gooseberrydeck_daemon.http.problems import PROBLEM_JSON, TYPE_PREFIX
-from gooseberrydeck_daemon.http.responses import Response
+from gooseberrydeck_service.responses import Response
 
 __all__ = ["OperatorProblem", "OperatorProblemError"]
 
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/operators/reports.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/operators/reports.py
@@ -6,7 +6,6 @@
 from gooseberrydeck_coordination.clock import Clock
 from gooseberrydeck_coordination.exceptions import StoreError
 from gooseberrydeck_daemon.http.requests import Request
-from gooseberrydeck_daemon.http.responses import Response, json_response
 from gooseberrydeck_daemon.http.router import Route, Router
 from gooseberrydeck_daemon.operators.problems import (
     OperatorProblem,
@@ -26,6 +25,7 @@
     packing_report,
     share_report,
 )
+from gooseberrydeck_service.responses import Response, json_response
 
 __all__ = ["ReportsHandler"]
 
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/operators/views.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/operators/views.py
@@ -15,13 +15,13 @@
 )
 from gooseberrydeck_coordination.ids import HostName, JobId, MemberId
 from gooseberrydeck_daemon.http.requests import Request
-from gooseberrydeck_daemon.http.responses import Response, json_response
 from gooseberrydeck_daemon.http.router import Route, Router
 from gooseberrydeck_daemon.operators.parameters import number_parameter
 from gooseberrydeck_daemon.operators.problems import (
     OperatorProblem,
     OperatorProblemError,
 )
+from gooseberrydeck_service.responses import Response, json_response
 
 __all__ = ["CellViews", "Drainer", "JobFilter", "JobsView", "ViewsHandler"]
 
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/reports/recorder.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/reports/recorder.py
@@ -5,8 +5,8 @@
 from gooseberrydeck_coordination.ids import ServiceName
 from gooseberrydeck_daemon.http.access import AccessIndex
 from gooseberrydeck_daemon.http.requests import Request
-from gooseberrydeck_daemon.http.responses import Response
 from gooseberrydeck_daemon.reports.accumulator import BurnAccumulator
+from gooseberrydeck_service.responses import Response
 
 __all__ = ["BurnFilter"]
 
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/usage/task.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/usage/task.py
@@ -6,10 +6,10 @@
 
 from gooseberrydeck_coordination.clock import Clock
 from gooseberrydeck_daemon.peers import Peers
-from gooseberrydeck_daemon.tasks import Task
 from gooseberrydeck_daemon.usage.messages import ShardUsage, UsageSummary
 from gooseberrydeck_daemon.usage.table import UsageTable
 from gooseberrydeck_daemon.views import MembershipView
+from gooseberrydeck_service.tasks import Task
 
 __all__ = ["UsageTask"]
 
--- /dev/null
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/placement.py
@@ -0,0 +1,176 @@
+"""Choosing the worker of a task."""
+
+from collections.abc import Iterable
+
+from gooseberrydeck_coordination.resources import Resources
+from gooseberrydeck_fleet.ids import StepRef, WorkerId
+from gooseberrydeck_fleet.ledger import Ledger
+from gooseberrydeck_fleet.state import Step, Task, Worker
+
+__all__ = ["Placer", "Reservation"]
+
+FAR_PENALTY = 10.0
+"""Ranks a worker far from the data behind every near one; ranks are below 2."""
+
+DISTURBANCE_PENALTY = 5.0
+"""Ranks workers on which tasks that serve and tasks that fill would meet last."""
+
+
+class Reservation:
+    """Room that is being freed for one step, until a time."""
+
+    __slots__ = ("amount", "step", "until_s")
+
+    def __init__(self, step: StepRef, amount: Resources, until_s: float) -> None:
+        """Hold ``amount`` for ``step`` until ``until_s``."""
+        self.step = step
+        self.amount = amount
+        self.until_s = until_s
+
+
+class Placer:
+    """Tell which workers could run a step, and which of them is best now."""
+
+    def __init__(self, ledger: Ledger) -> None:
+        """Look at one ledger."""
+        self.ledger = ledger
+        self.reservations: dict[WorkerId, list[Reservation]] = {}
+
+    def usable(self, step: Step, now_s: float) -> list[Worker]:
+        """Return the workers that may run a step when they have room."""
+        service = step.job.queue.service
+        label = step.spec.required_label
+        health = self.ledger.health
+        return [
+            worker
+            for worker in self.ledger.workers.values()
+            if worker.can_start
+            and worker.entry.service == service
+            and (not label or label in worker.entry.labels)
+            and step.spec.room.fits_in(worker.entry.capacity)
+            and health.is_usable(worker.id, now_s)
+        ]
+
+    def free_for(self, worker: Worker, step: Step) -> Resources:
+        """Return a worker's free room, less what is held for other steps."""
+        free = worker.free
+        for reservation in self.reservations.get(worker.id, ()):
+            if reservation.step != step.ref:
+                free = free - reservation.amount
+        return free
+
+    def slots(self, worker: Worker, step: Step) -> int:
+        """Return how many tasks of a step a worker has room for."""
+        free = self.free_for(worker, step)
+        need = step.spec.room
+        count = step.spec.count
+        for left, each in (
+            (free.cpu_millis, need.cpu_millis),
+            (free.memory_mib, need.memory_mib),
+            (free.accelerators, need.accelerators),
+        ):
+            if left < 0:
+                return 0
+            if each:
+                count = min(count, left // each)
+        if step.spec.uses_leftover:
+            count = min(count, self.leftover_slots(worker, step))
+        if step.spec.max_per_worker:
+            count = min(count, step.spec.max_per_worker - self.running_of(worker, step))
+        return max(0, count)
+
+    def leftover_slots(self, worker: Worker, step: Step) -> int:
+        """Return how many tasks could work with the processors left unused."""
+        cpu = step.spec.resources.cpu_millis
+        if not cpu:
+            return step.spec.count
+        filled = sum(
+            run.usage.cpu_millis
+            for run in worker.runs.values()
+            if run.task.step.spec.uses_leftover
+        )
+        return max(0, worker.free.cpu_millis - filled) // cpu
+
+    def running_of(self, worker: Worker, step: Step) -> int:
+        """Return how many runs of a step a worker has."""
+        return sum(1 for run in worker.runs.values() if run.task.step is step)
+
+    def choose(self, workers: Iterable[Worker], task: Task) -> Worker | None:
+        """Return the best worker with room for a task, or None."""
+        best: Worker | None = None
+        best_rank = 0.0
+        step = task.step
+        for worker in workers:
+            if worker.id in task.failed_on or self.slots(worker, step) < 1:
+                continue
+            rank = self.rank(worker, step)
+            if best is None or rank < best_rank:
+                best, best_rank = worker, rank
+        return best
+
+    def rank(self, worker: Worker, step: Step) -> float:
+        """Return how well a worker suits a step; the lowest rank is best.
+
+        Packs tightly, so that large tasks and gangs find whole workers.
+        """
+        free = worker.free
+        capacity = worker.entry.capacity
+        rank = (free.cpu_millis - step.spec.room.cpu_millis) / max(
+            1, capacity.cpu_millis
+        )
+        if step.spec.data_rack and step.spec.data_rack != worker.entry.rack:
+            rank += FAR_PENALTY
+        if self.would_disturb(worker, step):
+            rank += DISTURBANCE_PENALTY
+        return rank
+
+    def would_disturb(self, worker: Worker, step: Step) -> bool:
+        """Tell whether tasks that fill and tasks with a target would meet."""
+        spec = step.spec
+        if spec.uses_leftover:
+            return any(run.task.step.spec.target_s for run in worker.runs.values())
+        if spec.target_s:
+            return any(run.task.step.spec.uses_leftover for run in worker.runs.values())
+        return False
+
+    def choose_rack(
+        self, workers: Iterable[Worker], step: Step, wanted: int
+    ) -> list[Worker]:
+        """Return workers that have room for ``wanted`` tasks, of one rack if needed."""
+        workers = list(workers)
+        if not step.spec.same_rack:
+            return workers
+        by_rack: dict[str, list[Worker]] = {}
+        for worker in workers:
+            by_rack.setdefault(worker.entry.rack, []).append(worker)
+        fitting = [
+            rack
+            for rack in by_rack.values()
+            if sum(self.slots(worker, step) for worker in rack) >= wanted
+        ]
+        if not fitting:
+            return workers
+        return min(
+            fitting, key=lambda rack: sum(worker.free.cpu_millis for worker in rack)
+        )
+
+    def reserve(self, worker: Worker, reservation: Reservation) -> None:
+        """Hold room that is being freed on a worker."""
+        self.reservations.setdefault(worker.id, []).append(reservation)
+
+    def use_reservation(self, worker: Worker, step: Step) -> None:
+        """Drop a reservation that a start has used."""
+        held = self.reservations.get(worker.id, [])
+        for reservation in held:
+            if reservation.step == step.ref:
+                held.remove(reservation)
+                return
+
+    def expire(self, now_s: float) -> None:
+        """Drop reservations whose time is over."""
+        for worker, held in list(self.reservations.items()):
+            kept = [each for each in held if each.until_s > now_s]
+            if kept:
+                self.reservations[worker] = kept
+            else:
+                del self.reservations[worker]
--- /dev/null
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/quotas.py
@@ -0,0 +1,58 @@
+"""What teams have running, against what they may."""
+
+from collections.abc import Mapping
+
+from gooseberrydeck_coordination.ids import TeamName
+from gooseberrydeck_coordination.resources import NOTHING, Resources
+
+__all__ = ["Quotas"]
+
+
+class Quotas:
+    """Count every run from before its start until its end is listed."""
+
+    def __init__(self) -> None:
+        """Begin with nothing running and no limits."""
+        self.used: dict[TeamName, Resources] = {}
+        self.maximum: dict[TeamName, Resources] = {}
+        self.weights: dict[TeamName, float] = {}
+
+    def set_teams(
+        self, maximum: Mapping[TeamName, Resources], weights: Mapping[TeamName, float]
+    ) -> None:
+        """Replace the limits; a resource whose limit is zero has none."""
+        self.maximum = dict(maximum)
+        self.weights = dict(weights)
+
+    def add(self, team: TeamName, amount: Resources) -> None:
+        """Count a run that is about to start."""
+        self.used[team] = self.used.get(team, NOTHING) + amount
+
+    def subtract(self, team: TeamName, amount: Resources) -> None:
+        """Stop counting a run that has ended."""
+        self.used[team] = self.used.get(team, NOTHING) - amount
+
+    def allows(self, team: TeamName, amount: Resources) -> bool:
+        """Tell whether a team may have ``amount`` more running."""
+        return self.count_allowed(team, amount, 1) == 1
+
+    def count_allowed(self, team: TeamName, amount: Resources, wanted: int) -> int:
+        """Return how many runs of ``amount`` a team may add, up to ``wanted``."""
+        maximum = self.maximum.get(team)
+        if maximum is None:
+            return wanted
+        used = self.used.get(team, NOTHING)
+        allowed = wanted
+        for limit, taken, each in (
+            (maximum.cpu_millis, used.cpu_millis, amount.cpu_millis),
+            (maximum.memory_mib, used.memory_mib, amount.memory_mib),
+            (maximum.accelerators, used.accelerators, amount.accelerators),
+        ):
+            if limit and each:
+                allowed = min(allowed, max(0, limit - taken) // each)
+        return allowed
+
+    def share(self, team: TeamName) -> float:
+        """Return the processors that a team uses for its weight."""
+        used = self.used.get(team, NOTHING)
+        return used.cpu_millis / max(self.weights.get(team, 1.0), 0.001)
--- /dev/null
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
@@ -0,0 +1,695 @@
+"""The scheduler of a fleet: events in, commands out."""
+
+from collections.abc import Iterable, Mapping
+
+from gooseberrydeck_coordination.ids import JobId, QueueName
+from gooseberrydeck_fleet.advice import Advice, advice_duration_s
+from gooseberrydeck_fleet.commands import (
+    AskAdvice,
+    Changes,
+    Command,
+    JobEnding,
+    PaceRun,
+    ProgressWrite,
+    StartRun,
+    StopRun,
+)
+from gooseberrydeck_fleet.ends import EndHandler, LossReason
+from gooseberrydeck_fleet.holds import HoldHandler, StrayRun
+from gooseberrydeck_fleet.ids import StepRef, TaskRef, WorkerId
+from gooseberrydeck_fleet.intent import Intent, Queue
+from gooseberrydeck_fleet.ledger import Ledger
+from gooseberrydeck_fleet.pacing import Pacer
+from gooseberrydeck_fleet.placement import Placer
+from gooseberrydeck_fleet.preempting import Preempter
+from gooseberrydeck_fleet.progress import Progress, encode_progress
+from gooseberrydeck_fleet.registrations import Registration
+from gooseberrydeck_fleet.settings import Timing
+from gooseberrydeck_fleet.state import (
+    Job,
+    Run,
+    RunState,
+    Step,
+    StopReason,
+    Task,
+    Worker,
+)
+from gooseberrydeck_fleet.work import EndedJob, JobRecord, JobState
+from gooseberrydeck_fleet.worker_calls import HoldReply, StartOutcome, StartRequest
+
+__all__ = ["Scheduler"]
+
+START_VALID_S = 1.5
+"""A start that arrives later is refused by its worker, so that its fate is known."""
+
+LEASE_MARGIN_S = 0.2
+"""Kept between the lease that is asked for and the longest that a worker grants."""
+
+LAPSE_MARGIN_S = 0.2
+"""Waited beyond the computed end of all leases of a worker that is out of reach."""
+
+STOP_REPEAT_S = 0.7
+"""A stop whose run is still listed is sent again after this long."""
+
+ADVICE_RETRY_S = 0.1
+"""Pause after a question about advice failed."""
+
+ADVICE_TIMEOUT_MARGIN_S = 1.0
+"""Added to the expected duration of a question; covers others before it."""
+
+ADVICE_ALLOWED_SHARE = 0.35
+"""Assumed share of the workers that a policy allows, for how many to ask about."""
+
+CHEAP_ADVICE_SHARE = 0.5
+"""Asking about every worker is fine while it costs less than this of one decision."""
+
+MAX_ADVICE_WORKERS = 100
+"""The service takes no more workers in one question."""
+
+STALL_S = 2.5
+"""A run whose progress stands still for longer is taken for stuck."""
+
+FINAL_KEPT_S = 5.0
+"""Margin over the promised time for which ended jobs are still answered for."""
+
+
+class Scheduler:
+    """Decide what runs where; calls nothing and reads no clock.
+
+    ``now_s`` is monotonic and ``wall_s`` is Unix time. Commands that ``decide`` returns
+    are counted as carried out; what came of them is told by the ``*_answered`` and
+    ``*_failed`` methods.
+    """
+
+    def __init__(self, token: int, timing: Timing) -> None:
+        """Begin empty, as the holder with the given fencing token."""
+        self.timing = timing
+        self.ledger = Ledger(token)
+        self.ends = EndHandler(self.ledger)
+        self.holds = HoldHandler(self.ledger, self.ends)
+        self.placer = Placer(self.ledger)
+        self.preempter = Preempter(self.placer, self.ends, timing.task_stop_s)
+        self.pacer = Pacer()
+        self.queues: dict[QueueName, Queue] = {}
+        self.strays: list[StrayRun] = []
+        self.ended: dict[JobId, tuple[JobState, float]] = {}
+        self.advice_lanes = 1
+        self.asking: dict[StepRef, bool] = {}
+        self.commands: list[Command] = []
+        self.storing: set[JobId] = set()
+        self.is_frozen = False
+
+    # Configuration and membership.
+
+    def set_intent(self, intent: Intent) -> None:
+        """Take over a version of the configuration."""
+        self.queues = {queue.name: queue for queue in intent.queues}
+        self.ledger.quotas.set_teams(
+            {team.name: team.maximum for team in intent.teams},
+            {team.name: team.weight for team in intent.teams},
+        )
+        for job in self.ledger.jobs.values():
+            job.queue = self.queues.get(job.record.queue, job.queue)
+
+    def set_advice_lanes(self, lanes: int) -> None:
+        """Set how many questions about advice can be asked at once."""
+        self.advice_lanes = max(1, lanes)
+
+    def worker_registered(
+        self, entry: Registration, now_s: float, unknown_until_s: float = 0.0
+    ) -> bool:
+        """Take in a worker's entry; return whether the worker was not known.
+
+        Until ``unknown_until_s`` something may run there that an earlier holder
+        started, unless the worker is heard before.
+        """
+        worker = self.ledger.workers.get(entry.worker)
+        if worker is None:
+            worker = Worker(entry, max(now_s, unknown_until_s))
+            self.ledger.workers[entry.worker] = worker
+            return True
+        if entry.capacity != worker.entry.capacity:
+            worker.free = worker.free + (entry.capacity - worker.entry.capacity)
+        worker.entry = entry
+        worker.is_listed = True
+        return False
+
+    def worker_unregistered(self, worker_id: WorkerId, now_s: float) -> None:
+        """Take in that a worker's entry was removed; it may still be at work."""
+        worker = self.ledger.workers.get(worker_id)
+        if worker is not None and worker.is_listed:
+            worker.is_listed = False
+            worker.unlisted_since_s = now_s
+
+    # Jobs.
+
+    def accept(
+        self, record: JobRecord, revision: int, is_doubtful: bool = False
+    ) -> bool:
+        """Take in a job from the store; return False if its queue is not known.
+
+        A doubtful job may have runs that are not known yet.
+        """
+        known = self.ledger.jobs.get(record.id)
+        if known is not None:
+            self.update(known, record, revision)
+            return True
+        queue = self.queues.get(record.queue)
+        if queue is None:
+            return False
+        job = Job(record, queue, revision)
+        job.is_doubtful = is_doubtful
+        self.ledger.jobs[record.id] = job
+        if not job.has_times:
+            self.open_steps(job.open_occurrence())
+        if record.is_cancelled:
+            self.ends.finish(job, JobState.CANCELLED)
+        return True
+
+    def update(self, job: Job, record: JobRecord, revision: int) -> None:
+        """Take in a change of a job's record: only its cancellation changes it."""
+        job.record = record
+        job.revision = revision
+        if record.is_cancelled and not job.state.is_final:
+            self.ends.finish(job, JobState.CANCELLED)
+
+    def restore(self, job_id: JobId, progress: Progress, revision: int) -> None:
+        """Take in what an earlier holder stored of a job's ends."""
+        job = self.ledger.jobs.get(job_id)
+        if job is None:
+            return
+        job.progress_revision = revision
+        for stored in progress.steps:
+            while job.next_occurrence <= stored.occurrence:
+                self.open_steps(job.open_occurrence())
+            step = job.steps[StepRef(job_id, stored.occurrence, stored.step)]
+            for task in step.tasks:
+                index = task.ref.index
+                task.failures.update(stored.failures.get(index, ()))
+                task.checkpoint = stored.checkpoints.get(index, "")
+                if stored.done >> index & 1 and not task.is_done:
+                    task.is_done = True
+                    step.left -= 1
+                    step.begun = True
+                if len(task.failures) >= job.queue.max_attempts:
+                    self.ends.finish(job, JobState.FAILED)
+            self.ledger.mark_begun(job)
+        self.ends.finish_if_complete(job)
+        self.ledger.changed.discard(job_id)
+
+    def open_steps(self, steps: Iterable[Step]) -> None:
+        """Let steps be served once what they wait for is done."""
+        for step in steps:
+            step.job.open_steps[step.ref] = step
+
+    def state_of(self, job_id: JobId) -> JobState | None:
+        """Return a job's state as far as it is stored; None if it is not known."""
+        job = self.ledger.jobs.get(job_id)
+        if job is None:
+            ended = self.ended.get(job_id)
+            return None if ended is None else ended[0]
+        is_stored = job_id not in self.ledger.changed and job_id not in self.storing
+        if job.state.is_final and not is_stored and not job.record.is_cancelled:
+            return JobState.RUNNING
+        return job.state
+
+    def count_waiting(self) -> dict[QueueName, int]:
+        """Return by queue how many jobs have not begun."""
+        counts: dict[QueueName, int] = {}
+        for job in self.ledger.jobs.values():
+            if job.state is JobState.QUEUED:
+                counts[job.record.queue] = counts.get(job.record.queue, 0) + 1
+        return counts
+
+    # Answers of workers.
+
+    def lease_until_ms(self, worker: Worker, now_s: float) -> int:
+        """Return the lease to ask for, on the worker's clock, and count it."""
+        lease_s = self.timing.task_lease_s - LEASE_MARGIN_S
+        until_ms = worker.clock_at(now_s) + int(lease_s * 1000)
+        worker.grant(until_ms)
+        return until_ms
+
+    def hold_answered(
+        self, worker_id: WorkerId, reply: HoldReply, now_s: float
+    ) -> list[Run]:
+        """Take in a worker's lists; return the runs that have ended."""
+        worker = self.ledger.workers.get(worker_id)
+        if worker is None:
+            return []
+        ended, strays = self.holds.answered(worker, reply, now_s)
+        self.strays.extend(strays)
+        self.clear_doubts(now_s)
+        return ended
+
+    def worker_silent(self, worker_id: WorkerId) -> None:
+        """Take in that a worker did not answer; it gets nothing until it does."""
+        worker = self.ledger.workers.get(worker_id)
+        if worker is not None:
+            worker.is_reachable = False
+
+    def worker_gone(self, worker_id: WorkerId, now_s: float) -> list[Run]:
+        """Take in that a worker's process has ended; return the runs that it had."""
+        worker = self.ledger.workers.get(worker_id)
+        if worker is None:
+            return []
+        lost = self.holds.lose_runs(worker, LossReason.WORKER_GONE)
+        worker.is_reachable = False
+        worker.is_adopted = True
+        worker.lapse_s = now_s
+        worker.lease_until_ms = 0
+        if not worker.is_listed:
+            del self.ledger.workers[worker_id]
+        self.clear_doubts(now_s)
+        return lost
+
+    def start_answered(
+        self,
+        worker_id: WorkerId,
+        task_ref: TaskRef,
+        number: int,
+        outcome: StartOutcome,
+        now_s: float,
+    ) -> None:
+        """Take in how a worker answered a start."""
+        run = self.find_run(worker_id, task_ref, number)
+        if run is None:
+            return
+        if outcome is StartOutcome.STARTED:
+            if run.state in (RunState.STARTING, RunState.UNCERTAIN):
+                run.state = RunState.RUNNING
+                run.started_s = run.progress_changed_s = now_s
+            self.ledger.mark_begun(run.task.step.job)
+            return
+        if outcome is StartOutcome.SUPERSEDED and run.state is not RunState.STARTING:
+            # A repeated start of a run that has ended meanwhile: its end is listed.
+            run.state = RunState.STOPPING
+            return
+        step = run.task.step
+        if outcome is StartOutcome.BAD_TICKET:
+            step.advice.drop(worker_id)
+        if outcome is StartOutcome.SHED:
+            self.ledger.health.set_aside(worker_id, now_s)
+        self.ends.lost(run, LossReason.NEVER_STARTED)
+
+    def start_unanswered(
+        self, worker_id: WorkerId, task_ref: TaskRef, number: int, was_sent: bool
+    ) -> None:
+        """Take in that a start had no answer, or was not even sent."""
+        run = self.find_run(worker_id, task_ref, number)
+        if run is None:
+            return
+        if not was_sent and run.state is RunState.STARTING:
+            self.ends.lost(run, LossReason.NEVER_STARTED)
+        elif run.state is RunState.STARTING:
+            run.state = RunState.UNCERTAIN
+
+    def find_run(self, worker_id: WorkerId, task: TaskRef, number: int) -> Run | None:
+        """Return a run that is counted on a worker."""
+        worker = self.ledger.workers.get(worker_id)
+        return None if worker is None else worker.runs.get((task, number))
+
+    def clear_doubts(self, now_s: float) -> None:
+        """Let earlier jobs start again once every worker has told what it runs."""
+        if any(not worker.is_adopted for worker in self.ledger.workers.values()):
+            return
+        for job in self.ledger.jobs.values():
+            job.is_doubtful = False
+
+    # Advice.
+
+    def advice_answered(
+        self, ref: StepRef, advice: Advice | None, asked_s: float, now_s: float
+    ) -> None:
+        """Take in an answer about a step; None if there was none."""
+        self.asking.pop(ref, None)
+        job = self.ledger.jobs.get(ref.job)
+        step = job.steps.get(ref) if job is not None else None
+        if step is None:
+            return
+        if advice is None:
+            step.advice.failed(now_s + ADVICE_RETRY_S)
+            return
+        policy = step.job.queue.advice
+        valid_s = policy.valid_s if policy is not None else 0.0
+        lives = {worker.id: worker.born_ms for worker in self.ledger.workers.values()}
+        step.advice.answered(advice, lives, asked_s, valid_s)
+
+    # Decisions.
+
+    def decide(self, now_s: float, wall_s: float) -> list[Command]:
+        """Return what has to be done now."""
+        self.placer.expire(now_s)
+        self.expire_workers(now_s)
+        self.expire_ended(now_s)
+        if not self.is_frozen:
+            self.open_due(wall_s)
+            self.stop_stalled(now_s)
+            self.serve_steps(now_s)
+            self.pace(now_s)
+        self.send_stops(now_s)
+        commands = self.commands
+        self.commands = []
+        return commands
+
+    def expire_workers(self, now_s: float) -> None:
+        """Give up what runs on workers that were out of reach until it lapsed."""
+        for worker in list(self.ledger.workers.values()):
+            if worker.is_reachable or now_s < worker.lapse_s + LAPSE_MARGIN_S:
+                continue
+            if worker.runs or not worker.is_adopted:
+                self.holds.lose_runs(worker, LossReason.LEASE_LAPSED)
+                worker.is_adopted = True
+                self.clear_doubts(now_s)
+            if not worker.is_listed:
+                del self.ledger.workers[worker.id]
+
+    def expire_ended(self, now_s: float) -> None:
+        """Forget ended jobs that nobody may ask for any more."""
+        kept_s = self.timing.status_s + FINAL_KEPT_S
+        for job_id, (_, ended_s) in list(self.ended.items()):
+            if now_s - ended_s <= kept_s:
+                break
+            del self.ended[job_id]
+
+    def open_due(self, wall_s: float) -> None:
+        """Open the occurrences whose time has come."""
+        for job in self.ledger.jobs.values():
+            while (
+                job.has_times
+                and not job.state.is_final
+                and job.next_occurrence < job.occurrences
+                and job.occurrence_due_s(job.next_occurrence) <= wall_s
+            ):
+                self.open_steps(job.open_occurrence())
+
+    def stop_stalled(self, now_s: float) -> None:
+        """Stop runs that make no progress, to run them elsewhere."""
+        for worker in self.ledger.workers.values():
+            if not worker.is_reachable:
+                continue
+            for run in worker.runs.values():
+                if is_stalled(run, now_s):
+                    self.ends.request_stop(run, StopReason.STALLED)
+                    self.ledger.health.set_aside(worker.id, now_s)
+
+    def serve_steps(self, now_s: float) -> None:
+        """Start what can start, the most urgent first."""
+        blocked: set[tuple[str, int]] = set()
+        for step in self.steps_in_order():
+            waiting = step.waiting_tasks()
+            if not waiting:
+                continue
+            team = step.job.record.team
+            # Smaller work of the same team must not overtake within its limit.
+            if (team, step.job.queue.priority) in blocked:
+                continue
+            allowed = self.ledger.quotas.count_allowed(
+                team, step.spec.resources, len(waiting)
+            )
+            if allowed < len(waiting):
+                for priority in range(step.job.queue.priority + 1, 8):
+                    blocked.add((team, priority))
+            if step.spec.is_gang:
+                if allowed == step.spec.count and len(waiting) == allowed:
+                    self.serve_gang(step, now_s)
+            elif allowed:
+                self.serve(step, waiting[:allowed], now_s)
+
+    def steps_in_order(self) -> list[Step]:
+        """Return the open steps by priority and then by the time they are due."""
+        found: list[tuple[int, float, StepRef, Step]] = []
+        for job in self.ledger.jobs.values():
+            if job.is_doubtful or job.state.is_final:
+                continue
+            for ref, step in list(job.open_steps.items()):
+                if step.is_done:
+                    del job.open_steps[ref]
+                elif is_ready(step):
+                    found.append((job.queue.priority, job.due_s, ref, step))
+        found.sort(key=lambda entry: entry[:3])
+        return [entry[3] for entry in found]
+
+    def serve(self, step: Step, waiting: list[Task], now_s: float) -> None:
+        """Start waiting tasks of a step where there is room and a ticket."""
+        usable = self.placer.usable(step, now_s)
+        permitted = self.permitted(step, usable, now_s)
+        candidates = self.placer.choose_rack(permitted, step, len(waiting))
+        left = []
+        for task in waiting:
+            worker = self.placer.choose(candidates, task)
+            if worker is None:
+                left.append(task)
+                continue
+            self.start(task, worker, self.ledger.numbers.next(), now_s)
+        if not left:
+            return
+        if step.job.queue.priority == 0 and permitted:
+            self.preempter.make_room(step, permitted, len(left), now_s)
+        self.ask(step, usable, len(left), now_s)
+
+    def serve_gang(self, step: Step, now_s: float) -> None:
+        """Start all tasks of a gang at once, or none."""
+        usable = self.placer.usable(step, now_s)
+        permitted = self.permitted(step, usable, now_s)
+        candidates = self.placer.choose_rack(permitted, step, step.spec.count)
+        if sum(self.placer.slots(each, step) for each in candidates) < step.spec.count:
+            self.ask(step, usable, step.spec.count, now_s)
+            return
+        number = self.ledger.numbers.next()
+        for task in step.tasks:
+            worker = self.placer.choose(candidates, task)
+            if worker is None:
+                # A member may avoid a worker on which it failed.
+                task.failed_on.clear()
+                worker = self.placer.choose(candidates, task)
+            if worker is not None:
+                self.start(task, worker, number, now_s)
+
+    def permitted(
+        self, step: Step, workers: list[Worker], now_s: float
+    ) -> list[Worker]:
+        """Return the workers for which a start would be allowed now."""
+        if step.job.queue.advice is None:
+            return workers
+        return [
+            worker
+            for worker in workers
+            if step.advice.ticket(worker.id, worker.born_ms, now_s) is not None
+        ]
+
+    def start(self, task: Task, worker: Worker, number: int, now_s: float) -> None:
+        """Count a run and send its start."""
+        run = self.ledger.add_run(task, worker, number, now_s)
+        self.placer.use_reservation(worker, task.step)
+        until_ms = worker.clock_at(now_s) + int(START_VALID_S * 1000)
+        run.start_until_ms = until_ms
+        worker.grant(until_ms)
+        ticket = None
+        if task.step.job.queue.advice is not None:
+            ticket = task.step.advice.ticket(worker.id, worker.born_ms, now_s)
+        request = StartRequest(
+            task.ref,
+            number,
+            task.step.job.record.work.payload,
+            until_ms,
+            task.checkpoint,
+            ticket or "",
+        )
+        self.commands.append(StartRun(worker.id, request))
+
+    def ask(self, step: Step, usable: list[Worker], wanted: int, now_s: float) -> None:
+        """Ask which workers may run a step, if the answer could help it now."""
+        policy = step.job.queue.advice
+        book = step.advice
+        if policy is None or book.pending or now_s < book.retry_s:
+            return
+        is_urgent = step.job.queue.priority == 0
+        if not self.has_lane(is_urgent):
+            return
+        workers = self.workers_to_ask(step, usable, wanted, now_s)
+        if not workers:
+            return
+        book.asked(workers)
+        self.asking[step.ref] = is_urgent
+        duration_s = advice_duration_s(policy, len(workers))
+        self.commands.append(
+            AskAdvice(
+                step.ref,
+                tuple(workers),
+                is_urgent,
+                2 * duration_s + ADVICE_TIMEOUT_MARGIN_S,
+            )
+        )
+
+    def has_lane(self, is_urgent: bool) -> bool:
+        """Tell whether a question can be asked now; half the lanes wait for urgent."""
+        if len(self.asking) >= self.advice_lanes:
+            return False
+        if is_urgent:
+            return True
+        slow = sum(1 for urgent in self.asking.values() if not urgent)
+        return slow < max(1, self.advice_lanes // 2)
+
+    def workers_to_ask(
+        self, step: Step, usable: list[Worker], wanted: int, now_s: float
+    ) -> list[WorkerId]:
+        """Return the workers worth asking about, those already allowed first."""
+        policy = step.job.queue.advice
+        book = step.advice
+        if policy is None:
+            return []
+        open_workers = [
+            worker
+            for worker in usable
+            if worker.id not in book.rejected
+            and book.ticket(worker.id, worker.born_ms, now_s) is None
+        ]
+        all_s = policy.per_worker_s * len(open_workers)
+        if (
+            step.job.queue.priority == 0
+            and all_s <= CHEAP_ADVICE_SHARE * policy.decide_s
+        ):
+            return [worker.id for worker in open_workers[:MAX_ADVICE_WORKERS]]
+        ranked = sorted(
+            ((self.placer.slots(worker, step), worker) for worker in open_workers),
+            key=lambda pair: (pair[1].id not in book.allowed, -pair[0]),
+        )
+        chosen: list[WorkerId] = []
+        expected = 0.0
+        for slots, worker in ranked:
+            if slots < 1:
+                continue
+            share = 1.0 if worker.id in book.allowed else ADVICE_ALLOWED_SHARE
+            expected += share * slots
+            chosen.append(worker.id)
+            if expected >= 1.3 * wanted or len(chosen) == MAX_ADVICE_WORKERS:
+                break
+        return chosen
+
+    def pace(self, now_s: float) -> None:
+        """Slow down tasks that fill where they harm tasks with a target."""
+        for worker in self.ledger.workers.values():
+            if worker.is_reachable:
+                for run, percent in self.pacer.adjust(worker, now_s):
+                    self.commands.append(
+                        PaceRun(worker.id, run.task.ref, run.number, percent)
+                    )
+
+    def send_stops(self, now_s: float) -> None:
+        """Send stops, and repeat those that had no effect yet."""
+        for worker in self.ledger.workers.values():
+            for run in worker.runs.values():
+                if (
+                    run.state is RunState.STOPPING
+                    and now_s - run.stop_sent_s >= STOP_REPEAT_S
+                ):
+                    run.stop_sent_s = now_s
+                    reason = run.stop_reason or StopReason.SURPLUS
+                    self.commands.append(
+                        StopRun(worker.id, run.task.ref, run.number, reason)
+                    )
+        for stray in self.strays:
+            report = stray.report
+            self.commands.append(
+                StopRun(stray.worker.id, report.task, report.run, StopReason.SURPLUS)
+            )
+        self.strays.clear()
+
+    # What has to be stored.
+
+    def take_changes(self, limit: int, wall_s: float) -> Changes:
+        """Return what has changed since the last call, for up to ``limit`` jobs."""
+        progress = []
+        endings = []
+        jobs = self.ledger.jobs
+        numbers = {
+            worker.id: (worker.born_ms, worker.listed_number)
+            for worker in self.ledger.workers.values()
+        }
+        finished, changed = self.ledger.finished, self.ledger.changed
+        for job_id in list(finished | changed)[:limit]:
+            job = jobs.get(job_id)
+            if job is not None and job_id in finished:
+                ended = EndedJob(job.state, wall_s, job.record.team)
+                endings.append(JobEnding(job_id, ended, job.progress_revision))
+            elif job is not None:
+                value = encode_progress(job.to_progress())
+                progress.append(ProgressWrite(job_id, value, job.progress_revision))
+            finished.discard(job_id)
+            changed.discard(job_id)
+        if finished or changed:
+            # Not everything is taken: the ends behind the rest must stay listed.
+            numbers = {}
+        self.storing = {each.job for each in [*progress, *endings]}
+        return Changes(tuple(progress), tuple(endings), numbers)
+
+    def changes_failed(self, changes: Changes) -> None:
+        """Take in that nothing of some changes was stored, or that it is unknown."""
+        self.storing = set()
+        self.ledger.changed.update(write.job for write in changes.progress)
+        self.ledger.finished.update(ending.job for ending in changes.endings)
+        self.ledger.changed.update(ending.job for ending in changes.endings)
+
+    def changes_stored(
+        self, changes: Changes, revisions: Mapping[JobId, int], now_s: float
+    ) -> None:
+        """Take in that some changes are stored."""
+        self.storing = set()
+        for job_id, revision in revisions.items():
+            job = self.ledger.jobs.get(job_id)
+            if job is not None:
+                job.progress_revision = revision
+        for ending in changes.endings:
+            self.ledger.jobs.pop(ending.job, None)
+            self.ended[ending.job] = (ending.ended.state, now_s)
+
+    def revisions_read(
+        self, revisions: Mapping[JobId, int], ended: Iterable[JobId], now_s: float
+    ) -> None:
+        """Take in what the store has, after a commit that was refused."""
+        for job_id, revision in revisions.items():
+            job = self.ledger.jobs.get(job_id)
+            if job is not None:
+                job.progress_revision = revision
+        for job_id in ended:
+            job = self.ledger.jobs.pop(job_id, None)
+            self.ledger.finished.discard(job_id)
+            self.ledger.changed.discard(job_id)
+            if job is not None:
+                self.ended[job_id] = (job.state, now_s)
+
+    # Which workers a successor has to ask.
+
+    def workers_to_record(self) -> list[Registration] | None:
+        """Return the workers that may run something, if that has changed."""
+        workers = self.ledger.workers.values()
+        if all(worker.is_recorded or not worker.is_listed for worker in workers):
+            return None
+        return [worker.entry for worker in workers]
+
+    def workers_recorded(self, entries: Iterable[Registration]) -> None:
+        """Take in that workers are recorded: they may be given work."""
+        for entry in entries:
+            worker = self.ledger.workers.get(entry.worker)
+            if worker is not None:
+                worker.is_recorded = True
+
+
+def is_ready(step: Step) -> bool:
+    """Tell whether everything that a step waits for is done."""
+    ref = step.ref
+    return all(
+        step.job.steps[StepRef(ref.job, ref.occurrence, earlier)].is_done
+        for earlier in step.spec.after
+    )
+
+
+def is_stalled(run: Run, now_s: float) -> bool:
+    """Tell whether a run should have made progress and has not."""
+    spec = run.task.step.spec
+    if run.state is not RunState.RUNNING or spec.uses_leftover or spec.is_gang:
+        return False
+    if spec.is_standing and run.progress >= 100:
+        return False
+    return now_s - run.progress_changed_s > STALL_S
--- /dev/null
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
@@ -0,0 +1,346 @@
+"""Workers, jobs and runs, as the scheduler knows them."""
+
+from enum import Enum
+
+from gooseberrydeck_coordination.ids import JobId, TeamName
+from gooseberrydeck_coordination.resources import Resources
+from gooseberrydeck_fleet.advice import AdviceBook
+from gooseberrydeck_fleet.ids import StepRef, TaskRef, WorkerId
+from gooseberrydeck_fleet.intent import Queue
+from gooseberrydeck_fleet.progress import Progress, StepProgress
+from gooseberrydeck_fleet.registrations import Registration
+from gooseberrydeck_fleet.work import JobRecord, JobState, StepSpec
+
+__all__ = ["Job", "Run", "RunState", "Step", "StopReason", "Task", "Worker"]
+
+CLOCK_DRIFT = 0.02
+"""How much slower than true time a worker's clock may go; promised by the platform."""
+
+
+class RunState(Enum):
+    """What is known of a run.
+
+    An uncertain run may have started or may start later: its start was not answered.
+    A doubtful stop is one that the worker has not confirmed yet.
+    """
+
+    STARTING = "starting"
+    UNCERTAIN = "uncertain"
+    RUNNING = "running"
+    STOPPING = "stopping"
+
+
+class StopReason(Enum):
+    """Why a run is told to stop."""
+
+    CANCELLED = "cancelled"
+    PREEMPTED = "preempted"
+    GANG_FAILED = "gang_failed"
+    DRAINING = "draining"
+    STALLED = "stalled"
+    SURPLUS = "surplus"
+    START_UNCERTAIN = "start_uncertain"
+
+
+class Run:
+    """One start of a task on a worker; it holds its room until its end is listed."""
+
+    __slots__ = (
+        "checkpoint",
+        "load",
+        "number",
+        "pace",
+        "progress",
+        "progress_changed_s",
+        "room",
+        "start_until_ms",
+        "started_s",
+        "state",
+        "stop_confirmed",
+        "stop_reason",
+        "stop_sent_s",
+        "task",
+        "team",
+        "usage",
+        "worker",
+    )
+
+    def __init__(
+        self,
+        task: "Task",
+        number: int,
+        worker: "Worker",
+        team: TeamName,
+        room: Resources,
+        usage: Resources,
+        now_s: float,
+    ) -> None:
+        """Begin as a run whose start is on its way."""
+        self.task = task
+        self.number = number
+        self.worker = worker
+        self.team = team
+        self.room = room
+        self.usage = usage
+        self.state = RunState.STARTING
+        self.started_s = now_s
+        self.start_until_ms = 0
+        self.progress = 0.0
+        self.progress_changed_s = now_s
+        self.load = 0.0
+        self.pace = 100
+        self.checkpoint = ""
+        self.stop_reason: StopReason | None = None
+        self.stop_sent_s = 0.0
+        self.stop_confirmed = False
+
+
+class Task:
+    """One task of a step; it has several runs at once only if copies are allowed."""
+
+    __slots__ = (
+        "checkpoint",
+        "failed_on",
+        "failures",
+        "is_done",
+        "ref",
+        "runs",
+        "step",
+    )
+
+    def __init__(self, step: "Step", index: int) -> None:
+        """Begin without a run."""
+        self.step = step
+        self.ref = TaskRef(*step.ref, index)
+        self.runs: list[Run] = []
+        self.is_done = False
+        self.failures: set[int] = set()
+        self.failed_on: set[WorkerId] = set()
+        self.checkpoint = ""
+
+    @property
+    def is_waiting(self) -> bool:
+        """Tell whether the task has neither ended well nor a run."""
+        return not self.is_done and not self.runs
+
+
+class Step:
+    """One occurrence of a step of a job."""
+
+    __slots__ = (
+        "advice",
+        "begun",
+        "is_open",
+        "job",
+        "left",
+        "ref",
+        "spec",
+        "tasks",
+        "waiting_since_s",
+    )
+
+    def __init__(self, job: "Job", occurrence: int, number: int) -> None:
+        """Begin with no task started."""
+        self.job = job
+        self.spec: StepSpec = job.record.work.steps[number]
+        self.ref = StepRef(job.id, occurrence, number)
+        self.tasks = [Task(self, index) for index in range(self.spec.count)]
+        self.left = self.spec.count
+        self.advice = AdviceBook()
+        self.is_open = False
+        self.begun = False
+        self.waiting_since_s = 0.0
+
+    @property
+    def is_done(self) -> bool:
+        """Tell whether every task has ended well."""
+        return self.left == 0
+
+    def waiting_tasks(self) -> list[Task]:
+        """Return the tasks that could be started."""
+        return [task for task in self.tasks if not task.is_done and not task.runs]
+
+
+class Job:
+    """An accepted job that has not ended in the store."""
+
+    __slots__ = (
+        "due_s",
+        "id",
+        "is_doubtful",
+        "next_occurrence",
+        "open_steps",
+        "progress_revision",
+        "queue",
+        "record",
+        "revision",
+        "runs",
+        "state",
+        "steps",
+    )
+
+    def __init__(self, record: JobRecord, queue: Queue, revision: int) -> None:
+        """Begin with no occurrence opened."""
+        self.id: JobId = record.id
+        self.record = record
+        self.queue = queue
+        self.revision = revision
+        self.state = JobState.QUEUED
+        self.steps: dict[StepRef, Step] = {}
+        self.open_steps: dict[StepRef, Step] = {}
+        self.runs: dict[tuple[TaskRef, int], Run] = {}
+        self.next_occurrence = 0
+        self.progress_revision = 0
+        self.is_doubtful = False
+        self.due_s = record.accepted_s + self.allowance_s()
+
+    @property
+    def occurrences(self) -> int:
+        """Return how many times the steps run."""
+        return max(1, self.record.work.occurrences)
+
+    @property
+    def has_times(self) -> bool:
+        """Tell whether the job runs at given times."""
+        return self.record.work.occurrences > 0
+
+    def allowance_s(self) -> float:
+        """Return how long one occurrence may take and still be on time."""
+        longest: list[float] = []
+        for step in self.record.work.steps:
+            before = max((longest[earlier] for earlier in step.after), default=0.0)
+            longest.append(before + step.estimate_s)
+        return self.queue.stretch * max(longest, default=0.0) + self.queue.slack_s
+
+    def occurrence_due_s(self, occurrence: int) -> float:
+        """Return the wall-clock time from which an occurrence may start."""
+        if not self.has_times:
+            return 0.0
+        work = self.record.work
+        return work.first_due_s + occurrence * work.interval_s
+
+    def open_occurrence(self) -> list[Step]:
+        """Add the steps of the next occurrence and return them."""
+        occurrence = self.next_occurrence
+        self.next_occurrence += 1
+        added = [
+            Step(self, occurrence, number)
+            for number in range(len(self.record.work.steps))
+        ]
+        for step in added:
+            self.steps[step.ref] = step
+        if self.has_times:
+            self.due_s = self.occurrence_due_s(occurrence) + self.allowance_s()
+        return added
+
+    def is_complete(self) -> bool:
+        """Tell whether every task of every occurrence has ended well."""
+        return self.next_occurrence == self.occurrences and all(
+            step.is_done for step in self.steps.values()
+        )
+
+    def to_progress(self) -> Progress:
+        """Return what the store has to keep of the ends so far."""
+        steps = []
+        for step in self.steps.values():
+            done = sum(1 << task.ref.index for task in step.tasks if task.is_done)
+            failures = {
+                task.ref.index: sorted(task.failures)
+                for task in step.tasks
+                if task.failures and not task.is_done
+            }
+            checkpoints = {
+                task.ref.index: task.checkpoint
+                for task in step.tasks
+                if task.checkpoint and not task.is_done
+            }
+            if done or failures or checkpoints:
+                ref = step.ref
+                steps.append(
+                    StepProgress(ref.occurrence, ref.step, done, failures, checkpoints)
+                )
+        return Progress(steps)
+
+
+class Worker:
+    """A worker's life, its room and the runs that hold it."""
+
+    __slots__ = (
+        "born_ms",
+        "clock_ms",
+        "clock_read_s",
+        "entry",
+        "free",
+        "heard_s",
+        "id",
+        "is_adopted",
+        "is_listed",
+        "is_reachable",
+        "is_recorded",
+        "lapse_s",
+        "lease_until_ms",
+        "listed_number",
+        "runs",
+        "unlisted_since_s",
+    )
+
+    def __init__(self, entry: Registration, lapse_s: float) -> None:
+        """Begin unadopted: what runs there is unknown until ``lapse_s`` at most."""
+        self.id = entry.worker
+        self.entry = entry
+        self.free = entry.capacity
+        self.runs: dict[tuple[TaskRef, int], Run] = {}
+        self.born_ms = 0
+        self.is_adopted = False
+        self.is_reachable = False
+        self.is_recorded = False
+        self.is_listed = True
+        self.unlisted_since_s = 0.0
+        self.heard_s = 0.0
+        self.clock_ms = 0
+        self.clock_read_s = 0.0
+        self.lease_until_ms = 0
+        self.lapse_s = lapse_s
+        self.listed_number = 0
+
+    @property
+    def can_start(self) -> bool:
+        """Tell whether new runs may be sent here."""
+        return (
+            self.is_adopted
+            and self.is_recorded
+            and self.is_reachable
+            and self.is_listed
+            and not self.entry.is_draining
+        )
+
+    def clock_at(self, now_s: float) -> int:
+        """Return a lower bound of the worker's clock, in milliseconds."""
+        return int(self.clock_ms + (now_s - self.clock_read_s) * 1000)
+
+    def heard(self, clock_ms: int, now_s: float) -> None:
+        """Take in an answer that carries the worker's clock."""
+        self.clock_ms = clock_ms
+        self.clock_read_s = now_s
+        self.heard_s = now_s
+        self.update_lapse()
+
+    def grant(self, lease_until_ms: int) -> None:
+        """Note that a lease until a time on the worker's clock is being sent."""
+        self.lease_until_ms = max(self.lease_until_ms, lease_until_ms)
+        self.update_lapse()
+
+    def update_lapse(self) -> None:
+        """Compute when everything there has certainly ended, by our clock."""
+        left_ms = max(0, self.lease_until_ms - self.clock_ms)
+        self.lapse_s = self.clock_read_s + left_ms / 1000 / (1 - CLOCK_DRIFT)
+
+    def add(self, run: Run) -> None:
+        """Let a run hold its room."""
+        self.runs[run.task.ref, run.number] = run
+        self.free = self.free - run.room
+
+    def remove(self, run: Run) -> None:
+        """Free a run's room."""
+        if self.runs.pop((run.task.ref, run.number), None) is not None:
+            self.free = self.free + run.room
--- /dev/null
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/work.py
@@ -0,0 +1,121 @@
+"""Jobs as callers submit them and as the store keeps them."""
+
+from enum import Enum
+
+import msgspec
+
+from gooseberrydeck_coordination.ids import JobId, QueueName, TeamName
+from gooseberrydeck_coordination.resources import Resources
+
+__all__ = [
+    "EndedJob",
+    "InvalidWorkError",
+    "JobRecord",
+    "JobState",
+    "StepSpec",
+    "WorkSpec",
+    "check_work",
+]
+
+MAX_STEPS = 1_000
+"""More steps than this are taken for a mistake of the caller."""
+
+MAX_TASKS = 100_000
+"""The largest number of tasks that one job may have."""
+
+
+class InvalidWorkError(Exception):
+    """The work that a caller describes cannot be run by anybody."""
+
+
+class JobState(Enum):
+    """Where a job stands; the last three are final."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    COMPLETED = "completed"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+    @property
+    def is_final(self) -> bool:
+        """Tell whether the state can no longer change."""
+        return self not in (JobState.QUEUED, JobState.RUNNING)
+
+
+class StepSpec(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Some tasks that are alike.
+
+    ``after`` numbers the earlier steps that must be done first. The tasks of a gang
+    run only together. ``data_rack`` is where the input is. ``uses_leftover`` tasks get
+    the processor time that others leave unused. Of a standing step, ``max_away``
+    tasks may be kept from working at the same time.
+    """
+
+    count: int = 1
+    resources: Resources = Resources()
+    estimate_s: float = 0.0
+    after: tuple[int, ...] = ()
+    saves_progress: bool = False
+    is_gang: bool = False
+    same_rack: bool = False
+    required_label: str = ""
+    data_rack: str = ""
+    max_per_worker: int = 0
+    is_speculative: bool = False
+    is_standing: bool = False
+    image: str = ""
+    target_s: float = 0.0
+    uses_leftover: bool = False
+    max_away: int = 0
+
+    @property
+    def room(self) -> Resources:
+        """Return what a task takes of a worker's capacity."""
+        if self.uses_leftover:
+            return Resources(0, self.resources.memory_mib, self.resources.accelerators)
+        return self.resources
+
+
+class WorkSpec(msgspec.Struct, frozen=True, omit_defaults=True):
+    """What a caller asks for; with ``occurrences`` the steps run that many times."""
+
+    payload: str = ""
+    steps: tuple[StepSpec, ...] = ()
+    occurrences: int = 0
+    first_due_s: float = 0.0
+    interval_s: float = 0.0
+
+
+class JobRecord(msgspec.Struct, frozen=True, omit_defaults=True):
+    """An accepted job; ``accepted_s`` is wall-clock time."""
+
+    id: JobId
+    queue: QueueName
+    team: TeamName
+    work: WorkSpec
+    accepted_s: float
+    is_cancelled: bool = False
+
+
+class EndedJob(msgspec.Struct, frozen=True):
+    """What is kept of a job that has ended."""
+
+    state: JobState
+    ended_s: float
+    team: TeamName = TeamName("")
+
+
+def check_work(work: WorkSpec) -> None:
+    """Raise ``InvalidWorkError`` if the steps make no sense."""
+    if not 1 <= len(work.steps) <= MAX_STEPS:
+        raise InvalidWorkError("a job has between 1 and 1000 steps")
+    if sum(step.count for step in work.steps) > MAX_TASKS:
+        raise InvalidWorkError("too many tasks")
+    for number, step in enumerate(work.steps):
+        if step.count < 1:
+            raise InvalidWorkError(f"step {number} has no tasks")
+        if any(not 0 <= earlier < number for earlier in step.after):
+            raise InvalidWorkError(
+                f"step {number} waits for a step that is not earlier"
+            )
--- /dev/null
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/__init__.py
@@ -0,0 +1,1 @@
+"""The member process: callers' HTTP, readiness, metrics and a share of the work."""
--- /dev/null
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/callers.py
@@ -0,0 +1,262 @@
+"""The callers' HTTP interface."""
+
+import time
+from collections.abc import Callable, Iterable
+from typing import Any, Protocol
+
+import msgspec
+import structlog
+
+from gooseberrydeck_coordination.exceptions import (
+    StoreError,
+    StoreOutcomeUnknownError,
+)
+from gooseberrydeck_coordination.ids import JobId, QueueName, TeamName
+from gooseberrydeck_fleet.intent import Queue
+from gooseberrydeck_fleet.work import (
+    InvalidWorkError,
+    JobRecord,
+    JobState,
+    WorkSpec,
+    check_work,
+)
+from gooseberrydeck_member.configuration import ConfigurationHolder
+from gooseberrydeck_member.jobs import JobStore
+from gooseberrydeck_member.observability import Metrics
+from gooseberrydeck_service.responses import status_line
+
+__all__ = ["Answer", "Call", "CallerApplication", "Codec", "Directory"]
+
+log = structlog.get_logger(__name__)
+
+ANSWER_MARGIN_S = 0.25
+"""Kept of the caller's time for the way back and a slow host."""
+
+STORE_SHARE = 0.6
+"""Share of the caller's time for the own store connection; the rest is for a peer."""
+
+RETRY_AFTER_S = 1
+"""When to come back after a refusal: the store's and our own faults pass in seconds."""
+
+StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+
+
+class Codec(Protocol):
+    """Translates callers' bodies and headers."""
+
+    def decode_work(self, body: bytes) -> WorkSpec:
+        """Return the work that a body describes, or raise ``InvalidWorkError``."""
+
+    def encode_state(self, state: JobState) -> bytes:
+        """Return the body that tells a job's state."""
+
+    def encode_waiting(self, count: int) -> bytes:
+        """Return the body that tells how many jobs have not begun."""
+
+    def time_left_s(self, environ: dict[str, object]) -> float:
+        """Return how long the caller waits for the answer, in seconds."""
+
+
+class Directory(Protocol):
+    """What the holder of the shard knows, wherever it is."""
+
+    def state(self, job: JobId, timeout_s: float) -> JobState | None:
+        """Return a job's state; None if it is not known there or nobody answers."""
+
+    def waiting(self, timeout_s: float) -> dict[QueueName, int] | None:
+        """Return the waiting counts by queue; None if nobody answers."""
+
+    def relay(self, call: "Call", timeout_s: float) -> "Answer | None":
+        """Let a peer answer a call; None if no peer answers."""
+
+
+class Call(msgspec.Struct, frozen=True):
+    """A caller's request; ``deadline_s`` is monotonic."""
+
+    method: str
+    host: str
+    path: str
+    key: str
+    body: bytes
+    deadline_s: float
+    is_relayed: bool = False
+
+
+class Answer(msgspec.Struct, frozen=True):
+    """What the caller gets."""
+
+    status: int
+    body: bytes = b"{}"
+    retry_after_s: int | None = None
+
+
+class CallerApplication:
+    """Answer submissions, cancellations and questions about jobs and queues."""
+
+    def __init__(
+        self,
+        configuration: ConfigurationHolder,
+        jobs: JobStore,
+        directory: Directory,
+        codec: Codec,
+        metrics: Metrics,
+    ) -> None:
+        """Answer by the configuration in force."""
+        self.configuration = configuration
+        self.jobs = jobs
+        self.directory = directory
+        self.codec = codec
+        self.metrics = metrics
+        self.is_stopping = False
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Answer one request, as WSGI wants it."""
+        begun_s = time.monotonic()
+        call = self.read(environ, begun_s)
+        operation = call.method if call.method in ("GET", "POST", "DELETE") else "other"
+        answer = self.answer(call)
+        seconds = time.monotonic() - begun_s
+        self.metrics.requests.labels(operation, str(answer.status)).inc()
+        self.metrics.request_seconds.labels(operation).observe(seconds)
+        if operation != "GET" or answer.status >= 400:
+            log.info(
+                "answered",
+                operation=operation,
+                path=call.path,
+                status=answer.status,
+                seconds=round(seconds, 4),
+                configuration=self.configuration.version,
+                configuration_age_s=round(begun_s - self.configuration.confirmed_s, 3),
+                relayed=call.is_relayed,
+            )
+        headers = [
+            ("Content-Type", "application/json"),
+            ("Content-Length", str(len(answer.body))),
+        ]
+        if answer.retry_after_s is not None:
+            headers.append(("Retry-After", str(answer.retry_after_s)))
+        if self.is_stopping and not call.is_relayed:
+            headers.append(("Connection", "close"))
+        start_response(status_line(answer.status), headers)
+        return [answer.body]
+
+    def read(self, environ: dict[str, Any], begun_s: float) -> Call:
+        """Return the request that WSGI describes."""
+        length = int(environ.get("CONTENT_LENGTH") or 0)
+        scheme, _, key = environ.get("HTTP_AUTHORIZATION", "").partition(" ")
+        return Call(
+            method=environ["REQUEST_METHOD"],
+            host=environ.get("HTTP_HOST", ""),
+            path=environ.get("PATH_INFO", ""),
+            key=key.strip() if scheme.lower() == "bearer" else "",
+            body=environ["wsgi.input"].read(length) if length else b"",
+            deadline_s=begun_s + self.codec.time_left_s(environ) - ANSWER_MARGIN_S,
+            is_relayed="HTTP_X_RELAYED" in environ,
+        )
+
+    def answer(self, call: Call) -> Answer:
+        """Authenticate a call, and carry it out."""
+        intent = self.configuration.intent
+        if intent is None:
+            return Answer(503, retry_after_s=RETRY_AFTER_S)
+        queue = intent.find_queue(call.host, call.path)
+        if queue is None:
+            return Answer(404)
+        team = intent.find_team(call.key)
+        if team is None and not queue.is_open:
+            return Answer(401)
+        job = JobId(call.path[len(queue.path_prefix) :])
+        if call.method == "GET":
+            return self.state(job, call) if job else self.waiting(queue, call)
+        if not job or "/" in job:
+            return Answer(404)
+        if call.method == "POST":
+            team_name = team.name if team is not None else TeamName("")
+            return self.submit(queue, team_name, job, call)
+        if call.method == "DELETE":
+            return self.cancel(job, call)
+        return Answer(405)
+
+    def submit(self, queue: Queue, team: TeamName, job: JobId, call: Call) -> Answer:
+        """Store a job; what cannot be stored here is passed to a peer."""
+        try:
+            work = self.codec.decode_work(call.body)
+            check_work(work)
+        except InvalidWorkError as error:
+            log.info("job refused", job=job, reason=str(error))
+            return Answer(400)
+        record = JobRecord(job, queue.name, team, work, time.time())
+        unknown = False
+        try:
+            self.jobs.accept(record, self.store_deadline(call))
+        except StoreOutcomeUnknownError as error:
+            unknown = True
+            reason = str(error)
+        except StoreError as error:
+            reason = str(error)
+        else:
+            return Answer(200)
+        relayed = self.relay(call)
+        log.warning(
+            "job not stored here",
+            job=job,
+            reason=reason,
+            may_be_stored=unknown,
+            peer_status=None if relayed is None else relayed.status,
+        )
+        if relayed is not None and (relayed.status == 200 or not unknown):
+            return relayed
+        # The peer may have stored the job although its answer was lost.
+        if unknown or (relayed is None and not call.is_relayed):
+            return Answer(504)
+        return Answer(503, retry_after_s=RETRY_AFTER_S)
+
+    def cancel(self, job: JobId, call: Call) -> Answer:
+        """Mark a job as cancelled."""
+        try:
+            state = self.jobs.cancel(job, self.store_deadline(call))
+        except StoreError as error:
+            relayed = self.relay(call)
+            log.warning("job not cancelled here", job=job, reason=str(error))
+            return relayed or Answer(503, retry_after_s=RETRY_AFTER_S)
+        return Answer(410) if state is None else Answer(200)
+
+    def state(self, job: JobId, call: Call) -> Answer:
+        """Tell a job's state, by the holder or else by the store."""
+        state = self.directory.state(job, self.question_timeout(call))
+        if state is None:
+            try:
+                state = self.jobs.state(job, self.store_deadline(call))
+            except StoreError as error:
+                relayed = self.relay(call)
+                log.warning("job not found here", job=job, reason=str(error))
+                return relayed or Answer(503, retry_after_s=RETRY_AFTER_S)
+        if state is None:
+            return Answer(410)
+        return Answer(200, self.codec.encode_state(state))
+
+    def waiting(self, queue: Queue, call: Call) -> Answer:
+        """Tell how many of a queue's jobs have not begun."""
+        counts = self.directory.waiting(self.question_timeout(call))
+        if counts is None:
+            return Answer(503, retry_after_s=RETRY_AFTER_S)
+        return Answer(200, self.codec.encode_waiting(counts.get(queue.name, 0)))
+
+    def relay(self, call: Call) -> Answer | None:
+        """Let a peer answer, once."""
+        left_s = call.deadline_s - time.monotonic()
+        if call.is_relayed or left_s <= 0:
+            return None
+        return self.directory.relay(call, left_s)
+
+    def store_deadline(self, call: Call) -> float:
+        """Return until when the own store connection is tried."""
+        now_s = time.monotonic()
+        share = 1.0 if call.is_relayed else STORE_SHARE
+        return now_s + share * (call.deadline_s - now_s)
+
+    def question_timeout(self, call: Call) -> float:
+        """Return how long the holder is waited for."""
+        return max(0.05, min(0.6, 0.4 * (call.deadline_s - time.monotonic())))
--- /dev/null
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/cell.py
@@ -0,0 +1,135 @@
+"""What a member knows of the others: who holds the shard, and who lives."""
+
+import threading
+import time
+from concurrent.futures import TimeoutError as FutureTimeoutError
+
+import msgspec
+import structlog
+
+from gooseberrydeck_coordination.ids import JobId, QueueName
+from gooseberrydeck_fleet.work import JobState
+from gooseberrydeck_member.callers import Answer, Call
+from gooseberrydeck_member.holding import HoldingLostError
+from gooseberrydeck_member.peer_messages import (
+    Announcement,
+    Beat,
+    StateQuestion,
+)
+from gooseberrydeck_member.peers import PeerClient, PeerFailedError
+from gooseberrydeck_member.scheduler_task import SchedulerTask
+
+__all__ = ["Cell"]
+
+log = structlog.get_logger(__name__)
+
+MEMBER_TTL_S = 1.5
+"""A member that has not told the holder for longer that it lives is left out."""
+
+MIN_RELAY_S = 0.1
+"""With less time left a caller's request is not passed on."""
+
+
+class Cell:
+    """Shared by the threads of a member; each method is safe in all of them."""
+
+    def __init__(self, member: str, address: str, peers: PeerClient) -> None:
+        """Begin without a holder."""
+        self.member = member
+        self.address = address
+        self.peers = peers
+        self.lock = threading.Lock()
+        self.holder_address = ""
+        self.holder_token = 0
+        self.scheduler: SchedulerTask | None = None
+        self.heard: dict[str, tuple[str, float]] = {}
+        self.roster: tuple[str, ...] = ()
+
+    def set_holder(self, token: int, address: str) -> bool:
+        """Take in who holds the shard; an older token is ignored."""
+        with self.lock:
+            if token < self.holder_token:
+                return False
+            if token > self.holder_token or address != self.holder_address:
+                log.info("holder known", token=token, address=address)
+            self.holder_token = token
+            self.holder_address = address
+            return True
+
+    def heard_from(self, beat: Beat) -> None:
+        """Note that a member lives."""
+        with self.lock:
+            self.heard[beat.member] = (beat.address, time.monotonic())
+
+    def members(self) -> tuple[str, ...]:
+        """Return the addresses of the others that told lately that they live."""
+        oldest_s = time.monotonic() - MEMBER_TTL_S
+        with self.lock:
+            for member, (_, heard_s) in list(self.heard.items()):
+                if heard_s < oldest_s:
+                    del self.heard[member]
+            return tuple(sorted(address for address, _ in self.heard.values()))
+
+    def set_roster(self, addresses: tuple[str, ...]) -> None:
+        """Take over the holder's list of members."""
+        self.roster = addresses
+
+    def others(self) -> list[str]:
+        """Return where other members were last known to be, the holder first."""
+        known = [self.holder_address, *self.members(), *self.roster]
+        unique = dict.fromkeys(address for address in known if address)
+        unique.pop(self.address, None)
+        return list(unique)
+
+    def announce(self, token: int) -> None:
+        """Tell every known member that this one holds the shard."""
+        news = Announcement(token, self.member, self.address)
+        for address in self.others():
+            try:
+                self.peers.announce(address, news, 0.3)
+            except PeerFailedError as error:
+                log.info("announcement failed", address=address, reason=str(error))
+
+    # The interface that callers' requests need.
+
+    def state(self, job: JobId, timeout_s: float) -> JobState | None:
+        """Return a job's state; None if it is not known or nobody answers."""
+        scheduler = self.scheduler
+        try:
+            if scheduler is not None:
+                return scheduler.query_state(job, timeout_s)
+            if not self.holder_address:
+                return None
+            question = StateQuestion(job)
+            return self.peers.state(self.holder_address, question, timeout_s).state
+        except (PeerFailedError, HoldingLostError, FutureTimeoutError) as error:
+            log.info("holder does not tell", job=job, reason=repr(error))
+            return None
+
+    def waiting(self, timeout_s: float) -> dict[QueueName, int] | None:
+        """Return the waiting counts by queue; None if nobody answers."""
+        scheduler = self.scheduler
+        try:
+            if scheduler is not None:
+                return scheduler.query_waiting(timeout_s)
+            if not self.holder_address:
+                return None
+            return self.peers.waiting(self.holder_address, timeout_s).waiting
+        except (PeerFailedError, HoldingLostError, FutureTimeoutError) as error:
+            log.info("holder does not tell", reason=repr(error))
+            return None
+
+    def relay(self, call: Call, timeout_s: float) -> Answer | None:
+        """Let the first peer that is reached answer a call."""
+        end_s = time.monotonic() + timeout_s
+        for address in self.others():
+            left_s = end_s - time.monotonic()
+            if left_s < MIN_RELAY_S:
+                return None
+            try:
+                # Monotonic times mean nothing to a peer: it is told what is left.
+                relayed = msgspec.structs.replace(call, deadline_s=left_s)
+                return self.peers.call(address, "/relay", relayed, Answer, left_s)
+            except PeerFailedError as error:
+                log.info("relay failed", address=address, reason=str(error))
+        return None
--- /dev/null
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/commits.py
@@ -0,0 +1,87 @@
+"""Writing the scheduler's changes under the condition that the shard is held."""
+
+import msgspec
+
+from gooseberrydeck_coordination.exceptions import StoreError
+from gooseberrydeck_coordination.ids import JobId, Revision
+from gooseberrydeck_coordination.store import (
+    Compare,
+    Delete,
+    Operation,
+    Put,
+    Store,
+    Transaction,
+)
+from gooseberrydeck_fleet.commands import Changes
+from gooseberrydeck_member.holding import Holding, HoldingLostError, unchanged
+from gooseberrydeck_member.keys import SHARD, ended_key, job_key, progress_key
+
+__all__ = ["MAX_JOBS_IN_COMMIT", "CommitOutcome", "commit_changes"]
+
+MAX_JOBS_IN_COMMIT = 6
+"""Each job takes up to five of the 32 entries that a transaction may have."""
+
+
+class CommitOutcome(msgspec.Struct, frozen=True):
+    """The result of a commit.
+
+    ``revisions`` are those of the jobs' progress, whether or not it was ``stored``.
+    """
+
+    stored: bool
+    revisions: dict[JobId, int] = {}
+    ended: frozenset[JobId] = frozenset()
+    reason: str = ""
+
+
+def commit_changes(
+    store: Store, holding: Holding, changes: Changes, timeout_s: float
+) -> CommitOutcome:
+    """Store changes; raise ``HoldingLostError`` if the shard is not held any more."""
+    try:
+        result = store.commit(build_transaction(holding, changes), timeout_s)
+        if result.succeeded:
+            revision = int(result.revision)
+            written = {write.job: revision for write in changes.progress}
+            ended = frozenset(ending.job for ending in changes.endings)
+            return CommitOutcome(True, written, ended)
+        return refresh(store, holding, changes, timeout_s)
+    except StoreError as error:
+        return CommitOutcome(False, reason=f"{type(error).__name__}: {error}")
+
+
+def build_transaction(holding: Holding, changes: Changes) -> Transaction:
+    """Return one transaction for all changes."""
+    compares: list[Compare] = [holding.guard()]
+    operations: list[Operation] = []
+    for write in changes.progress:
+        key = progress_key(write.job)
+        compares.append(unchanged(key, Revision(write.revision)))
+        operations.append(Put(key, write.value))
+    for ending in changes.endings:
+        key = progress_key(ending.job)
+        compares.append(unchanged(key, Revision(ending.progress_revision)))
+        if ending.progress_revision:
+            operations.append(Delete(key))
+        operations.append(Put(ended_key(ending.job), msgspec.json.encode(ending.ended)))
+        operations.append(Delete(job_key(ending.job)))
+    return Transaction(tuple(compares), tuple(operations))
+
+
+def refresh(
+    store: Store, holding: Holding, changes: Changes, timeout_s: float
+) -> CommitOutcome:
+    """Find out why a transaction was refused: an earlier try may have been applied."""
+    shard = store.read(SHARD, timeout_s)
+    if shard is None or holding.held is None:
+        raise HoldingLostError("the shard has no record")
+    if shard.mod_revision != holding.held.revision:
+        raise HoldingLostError("another member has claimed the shard")
+    revisions: dict[JobId, int] = {}
+    ended: set[JobId] = set()
+    for job in [each.job for each in [*changes.progress, *changes.endings]]:
+        entry = store.read(progress_key(job), timeout_s)
+        revisions[job] = 0 if entry is None else int(entry.mod_revision)
+        if store.read(ended_key(job), timeout_s) is not None:
+            ended.add(job)
+    return CommitOutcome(False, revisions, frozenset(ended), "stale revisions")
--- /dev/null
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/composition.py
@@ -0,0 +1,232 @@
+"""The composition root: builds the parts of a member and wires them."""
+
+import secrets
+import signal
+import threading
+import time
+from collections.abc import Iterable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import structlog
+
+from gooseberrydeck_adapter import (
+    CallerCodec,
+    HttpAdviser,
+    HttpStore,
+    HttpWorker,
+    decode_intent,
+    decode_registration,
+    load_settings,
+)
+from gooseberrydeck_adapter.configuration import CONFIGURATION_KEY
+from gooseberrydeck_adapter.discovery import REGISTRATIONS
+from gooseberrydeck_coordination.ids import MemberId
+from gooseberrydeck_fleet.registrations import Registration
+from gooseberrydeck_fleet.settings import MemberSettings, SettingsError
+from gooseberrydeck_fleet.worker_calls import WorkerCalls
+from gooseberrydeck_member.advice_lanes import AdviceLanes
+from gooseberrydeck_member.authority import Authority
+from gooseberrydeck_member.callers import CallerApplication, StartResponse
+from gooseberrydeck_member.cell import Cell
+from gooseberrydeck_member.configuration import ConfigurationHolder
+from gooseberrydeck_member.control import ControlTask
+from gooseberrydeck_member.holding import Holding
+from gooseberrydeck_member.jobs import JobStore
+from gooseberrydeck_member.observability import Metrics
+from gooseberrydeck_member.peer_server import PeerApplication
+from gooseberrydeck_member.peers import PeerClient
+from gooseberrydeck_member.scheduler_task import SchedulerTask
+from gooseberrydeck_service.http_server import HttpServer
+from gooseberrydeck_service.tasks import Supervisor
+
+__all__ = ["Member"]
+
+log = structlog.get_logger(__name__)
+
+CALLER_THREADS = 24
+"""Callers served at once; each may wait for a slow store."""
+
+PEER_THREADS = 16
+"""Peers served at once; a question about advice takes up to a second."""
+
+MAX_CONNECTIONS = 2_000
+"""Callers' connections, within the descriptors that a small host allows."""
+
+MAX_BODY_BYTES = 262_144
+"""The largest body that the platform lets callers send."""
+
+LINGER_S = 3.0
+"""How long a stopping member goes on answering; the balancer takes two seconds."""
+
+SETTINGS_POLL_S = 2.0
+"""How often the settings file is looked at; it may change without a signal."""
+
+
+class Listener(msgspec.Struct, frozen=True):
+    """The bounds of one listener."""
+
+    port: int
+    threads: int
+    max_connections: int = MAX_CONNECTIONS
+    max_body_bytes: int = MAX_BODY_BYTES
+
+
+class ReadinessApplication:
+    """Tell the balancer whether callers may be sent here."""
+
+    def __init__(self, configuration: ConfigurationHolder) -> None:
+        """Be ready once there is a configuration, until the member stops."""
+        self.configuration = configuration
+        self.is_stopping = False
+
+    def __call__(
+        self, _environ: dict[str, Any], start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Answer 200 or 503."""
+        is_ready = self.configuration.intent is not None and not self.is_stopping
+        status = "200 OK" if is_ready else "503 Service Unavailable"
+        start_response(status, [("Content-Length", "0")])
+        return [b""]
+
+
+class Member:
+    """One run of the member process."""
+
+    def __init__(self, path: Path, settings: MemberSettings) -> None:
+        """Build everything; nothing listens before."""
+        self.path = path
+        self.settings = settings
+        self.incarnation = secrets.token_hex(8)
+        self.address = f"{settings.address}:{settings.peer_port}"
+        self.metrics = Metrics()
+        self.store = HttpStore(settings.store)
+        self.control_store = HttpStore(settings.store)
+        self.peers = PeerClient()
+        self.cell = Cell(settings.name, self.address, self.peers)
+        self.configuration = ConfigurationHolder(decode_intent)
+        self.configuration.listeners.append(self.intent_changed)
+        self.adviser = HttpAdviser(settings.adviser) if settings.adviser else None
+        self.holding = Holding(
+            self.control_store,
+            MemberId(settings.name),
+            self.address,
+            self.incarnation,
+        )
+        self.control = ControlTask(
+            self.control_store,
+            self.holding,
+            self.cell,
+            self.peers,
+            self.configuration,
+            CONFIGURATION_KEY,
+            settings.timing,
+            self.build_scheduler,
+            self.metrics,
+        )
+        self.callers = CallerApplication(
+            self.configuration,
+            JobStore(self.store),
+            self.cell,
+            CallerCodec(),
+            self.metrics,
+        )
+        self.peer_application = PeerApplication(
+            self.cell, self.configuration, self.adviser, self.metrics, self.incarnation
+        )
+        self.peer_application.callers = self.callers
+        self.readiness = ReadinessApplication(self.configuration)
+        self.stop_requested = threading.Event()
+        self.reload_requested = threading.Event()
+
+    def build_scheduler(self, authority: Authority, was_silent: bool) -> SchedulerTask:
+        """Build the task that schedules while this member holds the shard."""
+        return SchedulerTask(
+            HttpStore(self.settings.store),
+            self.holding,
+            authority,
+            self.settings.timing,
+            AdviceLanes(self.adviser, self.peers),
+            self.connect_worker,
+            decode_registration,
+            REGISTRATIONS,
+            self.metrics,
+            was_silent,
+        )
+
+    def connect_worker(self, entry: Registration) -> WorkerCalls:
+        """Return the calls to a worker."""
+        return HttpWorker(entry.worker, entry.address)
+
+    def intent_changed(self, intent: object) -> None:
+        """Hand a new configuration to the scheduler, if it runs here."""
+        scheduler = self.cell.scheduler
+        if scheduler is not None:
+            scheduler.set_intent(intent)  # type: ignore[arg-type]
+
+    def run(self) -> None:
+        """Serve until told to stop."""
+        signal.signal(signal.SIGTERM, lambda *_: self.stop_requested.set())
+        signal.signal(signal.SIGINT, lambda *_: self.stop_requested.set())
+        signal.signal(signal.SIGHUP, lambda *_: self.reload_requested.set())
+        settings = self.settings
+        log.info("start", incarnation=self.incarnation, address=self.address)
+        peers = HttpServer(
+            "peers",
+            self.peer_application,
+            settings.address,
+            Listener(settings.peer_port, PEER_THREADS),
+        )
+        callers = HttpServer(
+            "callers",
+            self.callers,
+            settings.callers.host,
+            Listener(settings.callers.port, CALLER_THREADS),
+        )
+        ready = HttpServer(
+            "readiness",
+            self.readiness,
+            settings.readiness.host,
+            Listener(settings.readiness.port, 1),
+        )
+        supervisor = Supervisor(max_tasks=4)
+        for task in (peers, callers, ready, self.control):
+            supervisor.start(task)
+        self.serve(supervisor)
+        self.shut_down()
+        supervisor.stop(("control", "callers"))
+        log.info("stop")
+        supervisor.close()
+
+    def serve(self, supervisor: Supervisor) -> None:
+        """Wait for a signal or a crash, and look at the settings file meanwhile."""
+        looked_s = time.monotonic()
+        while not self.stop_requested.wait(0.1) and supervisor.ended.empty():
+            is_due = time.monotonic() - looked_s > SETTINGS_POLL_S
+            if self.reload_requested.is_set() or is_due:
+                looked_s = time.monotonic()
+                by_signal = self.reload_requested.is_set()
+                self.reload_requested.clear()
+                self.reload(by_signal)
+
+    def reload(self, by_signal: bool) -> None:
+        """Take over changed settings; addresses stay until the next start."""
+        try:
+            settings = load_settings(self.path)
+        except SettingsError as error:
+            log.error("settings rejected", reason=str(error))
+            return
+        if settings == self.settings and not by_signal:
+            return
+        log.info("reload", by_signal=by_signal, changed=settings != self.settings)
+        self.settings = settings
+        self.control.timing = settings.timing
+
+    def shut_down(self) -> None:
+        """Hand the shard over and answer until the balancer has noticed."""
+        log.info("stopping", linger_s=LINGER_S)
+        self.readiness.is_stopping = True
+        self.callers.is_stopping = True
+        self.control.hand_over()
+        time.sleep(min(LINGER_S, 0.6 * self.settings.timing.stop_grace_s))
--- /dev/null
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/observability.py
@@ -0,0 +1,117 @@
+"""Structured logs that never block, and metrics."""
+
+import logging
+import queue
+import sys
+import threading
+
+import prometheus_client
+import structlog
+
+__all__ = ["LogWriter", "Metrics", "configure_logs"]
+
+MAX_QUEUED_LINES = 2_000
+"""Lines that wait for standard output; further ones are dropped and counted."""
+
+LATENCY_BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0)
+"""Histogram bounds: from one store call to the longest time that a caller waits."""
+
+
+class LogWriter:
+    """Write lines to standard output from a thread of its own."""
+
+    def __init__(self) -> None:
+        """Start the thread."""
+        self.lines: queue.Queue[str] = queue.Queue(MAX_QUEUED_LINES)
+        self.dropped = 0
+        self.thread = threading.Thread(target=self.run, daemon=True, name="log")
+        self.thread.start()
+
+    def msg(self, line: str) -> None:
+        """Queue a line, or drop it if the output does not keep up."""
+        try:
+            self.lines.put_nowait(line)
+        except queue.Full:
+            self.dropped += 1
+
+    debug = info = warning = error = critical = msg
+
+    def run(self) -> None:
+        """Write what is queued, and how many lines were dropped."""
+        reported = 0
+        while True:
+            lines = [self.lines.get()]
+            while not self.lines.empty():
+                lines.append(self.lines.get())
+            if self.dropped > reported:
+                lines.append(f'{{"event":"log lines dropped","total":{self.dropped}}}')
+                reported = self.dropped
+            sys.stdout.write("\n".join(lines) + "\n")
+            sys.stdout.flush()
+
+
+def configure_logs(member: str) -> LogWriter:
+    """Write log lines as JSON to standard output."""
+    writer = LogWriter()
+    structlog.configure(
+        processors=[
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso"),
+            structlog.processors.format_exc_info,
+            lambda _logger, _name, event: {**event, "member": member},
+            structlog.processors.JSONRenderer(),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
+        logger_factory=lambda *_: writer,
+        cache_logger_on_first_use=True,
+    )
+    logging.getLogger("waitress").setLevel(logging.ERROR)
+    logging.getLogger("waitress.queue").setLevel(logging.CRITICAL)
+    return writer
+
+
+class Metrics:
+    """Counters and latency histograms, in the text format of Prometheus."""
+
+    def __init__(self) -> None:
+        """Register the metrics in a registry of their own."""
+        registry = prometheus_client.CollectorRegistry()
+        self.registry = registry
+        self.requests = prometheus_client.Counter(
+            "gooseberrydeck_requests",
+            "Callers' requests by operation and status",
+            ["operation", "status"],
+            registry=registry,
+        )
+        self.request_seconds = prometheus_client.Histogram(
+            "gooseberrydeck_request_seconds",
+            "Time to answer a caller",
+            ["operation"],
+            registry=registry,
+            buckets=LATENCY_BUCKETS_S,
+        )
+        self.calls = prometheus_client.Counter(
+            "gooseberrydeck_platform_calls",
+            "Calls to the platform by kind and outcome",
+            ["kind", "outcome"],
+            registry=registry,
+        )
+        self.queue_seconds = prometheus_client.Histogram(
+            "gooseberrydeck_step_wait_seconds",
+            "Time from when a step could start until its first start",
+            registry=registry,
+            buckets=LATENCY_BUCKETS_S,
+        )
+        self.run_ends = prometheus_client.Counter(
+            "gooseberrydeck_run_ends",
+            "Ends of runs by how they ended",
+            ["kind"],
+            registry=registry,
+        )
+        self.takeovers = prometheus_client.Counter(
+            "gooseberrydeck_takeovers", "Claims of the shard", registry=registry
+        )
+
+    def render(self) -> bytes:
+        """Return all metrics as text."""
+        return bytes(prometheus_client.generate_latest(self.registry))
--- /dev/null
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/peer_server.py
@@ -0,0 +1,158 @@
+"""What a member answers to its peers, and its metrics."""
+
+import time
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import msgspec
+import structlog
+
+from gooseberrydeck_coordination.ids import JobId
+from gooseberrydeck_fleet.advice import AdviceFailedError, Adviser
+from gooseberrydeck_fleet.ids import StepRef
+from gooseberrydeck_member.callers import Call, CallerApplication
+from gooseberrydeck_member.cell import Cell
+from gooseberrydeck_member.configuration import ConfigurationHolder
+from gooseberrydeck_member.observability import Metrics
+from gooseberrydeck_member.peer_messages import (
+    AdviceQuestion,
+    Announcement,
+    Beat,
+    BeatReply,
+    StateQuestion,
+    StateReply,
+    WaitingReply,
+)
+from gooseberrydeck_service.responses import status_line
+
+__all__ = ["PeerApplication"]
+
+log = structlog.get_logger(__name__)
+
+QUERY_TIMEOUT_S = 0.5
+"""For a question to the scheduler's thread."""
+
+StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+
+
+class PeerApplication:
+    """Answer the messages of ``peer_messages``."""
+
+    def __init__(
+        self,
+        cell: Cell,
+        configuration: ConfigurationHolder,
+        adviser: Adviser | None,
+        metrics: Metrics,
+        incarnation: str,
+    ) -> None:
+        """Answer for one run of a member; ``callers`` is set before it serves."""
+        self.cell = cell
+        self.configuration = configuration
+        self.adviser = adviser
+        self.metrics = metrics
+        self.incarnation = incarnation
+        self.callers: CallerApplication | None = None
+        self.handlers: dict[str, Callable[[bytes], object | None]] = {
+            "/beat": self.beat,
+            "/announce": self.announced,
+            "/state": self.state,
+            "/waiting": self.waiting,
+            "/advise": self.advise,
+            "/relay": self.relay,
+        }
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Answer one request, as WSGI wants it."""
+        path = environ.get("PATH_INFO", "")
+        if path == "/metrics":
+            text = self.metrics.render()
+            start_response("200 OK", [("Content-Type", "text/plain; version=0.0.4")])
+            return [text]
+        handler = self.handlers.get(path)
+        length = int(environ.get("CONTENT_LENGTH") or 0)
+        body = environ["wsgi.input"].read(length) if length else b""
+        status, reply = 404, None
+        if handler is not None:
+            try:
+                reply = handler(body)
+                status = 503 if reply is None else 200
+            except msgspec.MsgspecError as error:
+                log.warning("unreadable message", path=path, reason=str(error))
+                status = 400
+        content = msgspec.json.encode(reply)
+        headers = [
+            ("Content-Type", "application/json"),
+            ("Content-Length", str(len(content))),
+        ]
+        start_response(status_line(status), headers)
+        return [content]
+
+    def beat(self, body: bytes) -> BeatReply:
+        """Answer a member that tells that it lives."""
+        beat = msgspec.json.decode(body, type=Beat)
+        scheduler = self.cell.scheduler
+        if scheduler is None or scheduler.stopping.is_set():
+            return BeatReply(False, self.cell.holder_token, self.incarnation)
+        self.cell.heard_from(beat)
+        configuration = self.configuration
+        is_newer = configuration.version > beat.version
+        return BeatReply(
+            True,
+            int(scheduler.token),
+            self.incarnation,
+            configuration.version,
+            time.monotonic() - configuration.confirmed_s,
+            scheduler.authority.age_s(),
+            configuration.value if is_newer else b"",
+            self.cell.members(),
+        )
+
+    def announced(self, body: bytes) -> bool:
+        """Take in that a member has claimed the shard."""
+        news = msgspec.json.decode(body, type=Announcement)
+        scheduler = self.cell.scheduler
+        if scheduler is not None and news.token > scheduler.token:
+            log.warning("superseded", token=scheduler.token, by=news.member)
+            scheduler.lose()
+        self.cell.set_holder(news.token, news.address)
+        return True
+
+    def state(self, body: bytes) -> StateReply | None:
+        """Tell a job's state, if this member holds the shard."""
+        question = msgspec.json.decode(body, type=StateQuestion)
+        if self.cell.scheduler is None:
+            return None
+        job = JobId(question.job)
+        return StateReply(self.cell.state(job, QUERY_TIMEOUT_S))
+
+    def waiting(self, _body: bytes) -> WaitingReply | None:
+        """Tell how many jobs wait, if this member holds the shard."""
+        if self.cell.scheduler is None:
+            return None
+        return WaitingReply(self.cell.waiting(QUERY_TIMEOUT_S))
+
+    def advise(self, body: bytes) -> object | None:
+        """Ask the advice service on the holder's behalf."""
+        question = msgspec.json.decode(body, type=AdviceQuestion)
+        if self.adviser is None:
+            return None
+        step = StepRef(question.job, question.occurrence, question.step)
+        try:
+            return self.adviser.ask(step, question.workers, question.timeout_s)
+        except AdviceFailedError as error:
+            log.info("advice failed", job=step.job, reason=str(error))
+            return None
+
+    def relay(self, body: bytes) -> object | None:
+        """Answer a caller's request that a peer could not serve."""
+        call = msgspec.json.decode(body, type=Call)
+        if self.callers is None:
+            return None
+        # The peers' clocks differ: the time left starts here.
+        left_s = min(2.0, max(0.1, call.deadline_s))
+        deadline_s = time.monotonic() + left_s
+        relayed = msgspec.structs.replace(call, deadline_s=deadline_s, is_relayed=True)
+        return self.callers.answer(relayed)
--- /dev/null
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/peers.py
@@ -0,0 +1,138 @@
+"""Calls between members."""
+
+import threading
+from collections.abc import Mapping
+from typing import TypeVar
+
+import msgspec
+
+from gooseberrydeck_fleet.advice import Advice, AdviceFailedError
+from gooseberrydeck_fleet.ids import StepRef, WorkerId
+from gooseberrydeck_member.peer_messages import (
+    AdviceQuestion,
+    Announcement,
+    Beat,
+    BeatReply,
+    StateQuestion,
+    StateReply,
+    WaitingReply,
+)
+from gooseberrydeck_platform.http import (
+    HttpAddress,
+    HttpError,
+    HttpNotSentError,
+    HttpResponse,
+)
+from gooseberrydeck_platform.http_pool import HttpPool
+
+__all__ = ["PeerClient", "PeerFailedError", "PeerGoneError", "RELAYED_HEADER"]
+
+ReplyT = TypeVar("ReplyT")
+
+RELAYED_HEADER = "X-Relayed"
+"""Marks a caller's request that another member passes on; it is passed on once."""
+
+
+class PeerFailedError(Exception):
+    """A peer gave no usable answer."""
+
+
+class PeerGoneError(PeerFailedError):
+    """Nothing listens at the peer's address: its process has ended."""
+
+
+class PeerClient:
+    """Call other members over kept-alive connections."""
+
+    def __init__(self) -> None:
+        """Connect at the first call."""
+        self.lock = threading.Lock()
+        self.pools: dict[str, HttpPool] = {}
+
+    def pool(self, address: str) -> HttpPool:
+        """Return the connections to a peer."""
+        with self.lock:
+            pool = self.pools.get(address)
+            if pool is None:
+                pool = HttpPool([HttpAddress.parse(address)])
+                self.pools[address] = pool
+            return pool
+
+    def request(
+        self,
+        address: str,
+        method: str,
+        path: str,
+        body: bytes,
+        headers: Mapping[str, str],
+        timeout_s: float,
+    ) -> HttpResponse:
+        """Make a call, or raise ``PeerFailedError``."""
+        pool = self.pool(address)
+        try:
+            return pool.request(method, path, body, headers, timeout_s)
+        except HttpNotSentError as error:
+            pool.close()
+            if isinstance(error.__cause__, ConnectionRefusedError):
+                raise PeerGoneError(str(error)) from error
+            raise PeerFailedError(str(error)) from error
+        except HttpError as error:
+            pool.close()
+            raise PeerFailedError(str(error)) from error
+
+    def call(
+        self,
+        address: str,
+        path: str,
+        message: object,
+        reply: type[ReplyT],
+        timeout_s: float,
+    ) -> ReplyT:
+        """Send a message and return the reply, or raise ``PeerFailedError``."""
+        body = msgspec.json.encode(message)
+        headers = {"Content-Type": "application/json"}
+        answer = self.request(address, "POST", path, body, headers, timeout_s)
+        if answer.status != 200:
+            raise PeerFailedError(f"{address}{path}: status {answer.status}")
+        try:
+            return msgspec.json.decode(answer.body, type=reply)
+        except msgspec.MsgspecError as error:
+            raise PeerFailedError(f"{address}{path}: {error}") from error
+
+    def beat(self, address: str, beat: Beat, timeout_s: float) -> BeatReply:
+        """Tell the holder that this member lives."""
+        return self.call(address, "/beat", beat, BeatReply, timeout_s)
+
+    def announce(self, address: str, news: Announcement, timeout_s: float) -> None:
+        """Tell a peer who holds the shard."""
+        self.call(address, "/announce", news, bool, timeout_s)
+
+    def state(
+        self, address: str, question: StateQuestion, timeout_s: float
+    ) -> StateReply:
+        """Ask the holder for a job's state."""
+        return self.call(address, "/state", question, StateReply, timeout_s)
+
+    def waiting(self, address: str, timeout_s: float) -> WaitingReply:
+        """Ask the holder how many jobs wait."""
+        return self.call(address, "/waiting", None, WaitingReply, timeout_s)
+
+    def advise(
+        self,
+        address: str,
+        step: StepRef,
+        workers: tuple[WorkerId, ...],
+        timeout_s: float,
+    ) -> Advice:
+        """Let a peer ask the advice service, or raise ``AdviceFailedError``."""
+        question = AdviceQuestion(*step, workers, timeout_s)
+        try:
+            return self.call(address, "/advise", question, Advice, timeout_s + 0.2)
+        except PeerFailedError as error:
+            raise AdviceFailedError(str(error)) from error
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        with self.lock:
+            for pool in self.pools.values():
+                pool.close()
--- /dev/null
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
@@ -0,0 +1,643 @@
+"""The task that runs the scheduler while this member holds the shard."""
+
+import queue
+import threading
+import time
+from collections.abc import Callable
+from concurrent.futures import Future, ThreadPoolExecutor
+
+import msgspec
+import structlog
+
+from gooseberrydeck_coordination.exceptions import StoreError
+from gooseberrydeck_coordination.ids import JobId, QueueName
+from gooseberrydeck_coordination.store import EventKind, Put, Store, Transaction
+from gooseberrydeck_fleet.advice import Advice
+from gooseberrydeck_fleet.commands import (
+    AskAdvice,
+    Changes,
+    Command,
+    PaceRun,
+    StartRun,
+    StopRun,
+)
+from gooseberrydeck_fleet.ids import StepRef, WorkerId
+from gooseberrydeck_fleet.intent import Intent
+from gooseberrydeck_fleet.progress import decode_progress
+from gooseberrydeck_fleet.registrations import Registration
+from gooseberrydeck_fleet.scheduler import Scheduler
+from gooseberrydeck_fleet.settings import Timing
+from gooseberrydeck_fleet.work import JobRecord, JobState
+from gooseberrydeck_fleet.worker_calls import StartOutcome, WorkerCalls
+from gooseberrydeck_member.advice_lanes import AdviceAnswered, AdviceLanes
+from gooseberrydeck_member.authority import AUTHORITY_S, Authority
+from gooseberrydeck_member.commits import (
+    MAX_JOBS_IN_COMMIT,
+    CommitOutcome,
+    commit_changes,
+)
+from gooseberrydeck_member.holding import Holding, HoldingLostError
+from gooseberrydeck_member.keys import JOBS, PROGRESS, WORKERS
+from gooseberrydeck_member.observability import Metrics
+from gooseberrydeck_member.store_follower import (
+    PrefixChanged,
+    PrefixRead,
+    StoreFollower,
+)
+from gooseberrydeck_member.worker_lines import (
+    CallFailed,
+    HoldAnswered,
+    StartAnswered,
+    WorkerLines,
+)
+
+__all__ = ["SchedulerTask"]
+
+log = structlog.get_logger(__name__)
+
+STORE_TIMEOUT_S = 1.0
+"""For one call; a slow store answers within a few hundred milliseconds."""
+
+TICK_S = 0.05
+"""How often time-outs are looked at when no message comes."""
+
+COMMIT_WINDOW_S = 0.02
+"""How long ends are gathered into one transaction."""
+
+COMMIT_RETRY_S = 0.15
+"""Pause after a failed commit."""
+
+HOLD_WAIT_S = 1.0
+"""How long a worker may wait for an end; leases are extended as often."""
+
+UNSTORED_HOLD_S = 0.2
+"""Time between looks at a worker whose ends cannot be stored now."""
+
+HOLD_RETRY_S = 0.25
+"""Time between looks at a worker that does not answer."""
+
+GONE_AFTER_REFUSALS = 2
+"""Connections refused in a row after which a worker's process has ended."""
+
+RETIRED_HOLD_S = 2.0
+"""Time between looks at a worker whose entry was removed and that holds nothing."""
+
+
+class Query(msgspec.Struct):
+    """A question of another thread; ``job`` None asks for the waiting counts."""
+
+    job: JobId | None
+    answer: Future
+
+
+class CommitDone(msgspec.Struct, frozen=True):
+    """A commit has ended; None if the holding was lost."""
+
+    changes: Changes
+    outcome: CommitOutcome | None
+    detail: str = ""
+
+
+class WorkersRecorded(msgspec.Struct, frozen=True):
+    """The workers of a record that was written; none if it was not."""
+
+    entries: tuple[Registration, ...]
+
+
+class WorkerLine:
+    """What the task keeps of each worker beside the scheduler's own books."""
+
+    __slots__ = ("acknowledged", "born_ms", "due_s", "is_calling", "refusals")
+
+    def __init__(self) -> None:
+        """Begin with a hold due at once."""
+        self.due_s = 0.0
+        self.is_calling = False
+        self.refusals = 0
+        self.acknowledged = 0
+        self.born_ms = 0
+
+
+class SchedulerTask:
+    """Owns the scheduler, its workers' lines and its commits."""
+
+    def __init__(
+        self,
+        store: Store,
+        holding: Holding,
+        authority: Authority,
+        timing: Timing,
+        lanes: AdviceLanes,
+        connect: Callable[[Registration], WorkerCalls],
+        decode_registration: Callable[[str, bytes], Registration | None],
+        registrations: str,
+        metrics: Metrics,
+        was_silent: bool,
+    ) -> None:
+        """Prepare to schedule; ``was_silent`` tells that the former holder may live."""
+        if holding.held is None:
+            raise HoldingLostError("the shard is not held")
+        self.name = "scheduler"
+        self.store = store
+        self.holding = holding
+        self.authority = authority
+        self.lanes = lanes
+        self.connect = connect
+        self.decode_registration = decode_registration
+        self.registrations = registrations
+        self.metrics = metrics
+        self.token = holding.held.record.token
+        self.inbox: queue.SimpleQueue[object] = queue.SimpleQueue()
+        self.scheduler = Scheduler(self.token, timing)
+        self.lines_of: dict[WorkerId, WorkerLine] = {}
+        self.lines = WorkerLines(self.token, self.inbox.put, authority.may_act)
+        self.committer = ThreadPoolExecutor(1, "commit")
+        self.commit_running = False
+        self.commit_due_s = 0.0
+        self.stopping = threading.Event()
+        self.lost = threading.Event()
+        self.followers = [
+            StoreFollower(store, JOBS, self.inbox.put),
+            StoreFollower(store, registrations, self.inbox.put),
+        ]
+        self.followers_pool = ThreadPoolExecutor(len(self.followers), "follow")
+        quarantine_s = timing.task_lease_s / 0.98
+        self.quarantine_s = quarantine_s + (AUTHORITY_S if was_silent else 0.0)
+        self.claimed_s = time.monotonic()
+        self.unplaced: dict[JobId, tuple[JobRecord, int]] = {}
+        self.known_workers: dict[WorkerId, Registration] = {}
+        self.record_due_s = 0.0
+        self.has_begun = False
+
+    # The interface to other threads.
+
+    def set_intent(self, intent: Intent) -> None:
+        """Post a new version of the configuration."""
+        self.inbox.put(intent)
+
+    def query_state(self, job: JobId, timeout_s: float) -> JobState | None:
+        """Return a job's state as far as it is stored, or raise ``TimeoutError``."""
+        return self.query(job, timeout_s)
+
+    def query_waiting(self, timeout_s: float) -> dict[QueueName, int]:
+        """Return by queue how many jobs have not begun, or raise ``TimeoutError``."""
+        return self.query(None, timeout_s)
+
+    def query(self, job: JobId | None, timeout_s: float):  # type: ignore[no-untyped-def]
+        """Ask the task's own thread."""
+        answer: Future = Future()
+        self.inbox.put(Query(job, answer))
+        return answer.result(timeout_s)
+
+    def stop(self) -> None:
+        """Ask the task to end, and send no more orders."""
+        self.authority.revoke()
+        self.stopping.set()
+        self.inbox.put(None)
+
+    # The task's own thread.
+
+    def run(self) -> None:
+        """Take over what is stored, and then schedule until stopped."""
+        try:
+            if self.begin():
+                while not self.stopping.is_set():
+                    self.run_once()
+        finally:
+            self.end()
+
+    def begin(self) -> bool:
+        """Read the jobs, their progress and the workers; False if stopped before."""
+        while not self.stopping.is_set():
+            try:
+                self.load()
+            except StoreError as error:
+                log.warning("takeover delayed", token=self.token, reason=str(error))
+                self.stopping.wait(COMMIT_RETRY_S)
+                continue
+            for follower in self.followers:
+                self.followers_pool.submit(follower.run)
+            self.has_begun = True
+            return True
+        return False
+
+    def load(self) -> None:
+        """Take in everything that the store keeps."""
+        workers = self.store.read(WORKERS, STORE_TIMEOUT_S)
+        registered = self.store.read_prefix(self.registrations, STORE_TIMEOUT_S)
+        jobs = self.store.read_prefix(JOBS, STORE_TIMEOUT_S)
+        progress = self.store.read_prefix(PROGRESS, STORE_TIMEOUT_S)
+        while self.drain_intents():
+            pass
+        if workers is not None:
+            for entry in msgspec.json.decode(workers.value, type=list[Registration]):
+                self.known_workers[entry.worker] = entry
+        now_s = time.monotonic()
+        listed = {entry.key for entry in registered.entries}
+        for entry in registered.entries:
+            self.registration_changed(entry.key, entry.value, now_s)
+        for worker, entry in self.known_workers.items():
+            if self.registrations + worker not in listed:
+                self.add_worker(entry, now_s)
+                self.scheduler.worker_unregistered(worker, now_s)
+        for entry in jobs.entries:
+            self.job_stored(entry.value, int(entry.mod_revision), is_doubtful=True)
+        for entry in progress.entries:
+            job = JobId(entry.key.removeprefix(PROGRESS))
+            self.scheduler.restore(
+                job, decode_progress(entry.value), int(entry.mod_revision)
+            )
+        self.scheduler.clear_doubts(now_s)
+        self.followers[0].start_at(jobs.revision)
+        self.followers[1].start_at(registered.revision)
+        log.info(
+            "shard taken over",
+            token=self.token,
+            jobs=len(jobs.entries),
+            workers=len(self.lines_of),
+            seconds=round(time.monotonic() - self.claimed_s, 3),
+        )
+
+    def drain_intents(self) -> bool:
+        """Take in what was posted before the start; return whether there was any."""
+        try:
+            message = self.inbox.get_nowait()
+        except queue.Empty:
+            return False
+        self.handle(message, time.monotonic())
+        return True
+
+    def run_once(self) -> None:
+        """Handle the messages that are there, decide, and carry it out."""
+        try:
+            message = self.inbox.get(timeout=TICK_S)
+        except queue.Empty:
+            message = None
+        now_s = time.monotonic()
+        while message is not None:
+            self.handle(message, now_s)
+            try:
+                message = self.inbox.get_nowait()
+            except queue.Empty:
+                break
+        now_s = time.monotonic()
+        if self.authority.may_act():
+            self.scheduler.set_advice_lanes(self.lanes.count())
+            for command in self.scheduler.decide(now_s, time.time()):
+                self.carry_out(command)
+        self.hold_due(now_s)
+        self.commit_due(now_s)
+
+    def handle(self, message: object, now_s: float) -> None:
+        """Take in one message."""
+        if isinstance(message, HoldAnswered):
+            self.hold_answered(message, now_s)
+        elif isinstance(message, StartAnswered):
+            self.start_answered(message, now_s)
+        elif isinstance(message, CallFailed):
+            self.call_failed(message, now_s)
+        elif isinstance(message, AdviceAnswered):
+            self.advice_answered(message, now_s)
+        elif isinstance(message, CommitDone):
+            self.commit_done(message, now_s)
+        elif isinstance(message, WorkersRecorded):
+            self.commit_running = False
+            self.scheduler.workers_recorded(message.entries)
+        elif isinstance(message, PrefixChanged):
+            self.prefix_changed(message, now_s)
+        elif isinstance(message, PrefixRead):
+            self.prefix_read(message, now_s)
+        elif isinstance(message, Intent):
+            self.intent_changed(message)
+        elif isinstance(message, Query):
+            self.answer(message)
+
+    def answer(self, query: Query) -> None:
+        """Answer a question of another thread."""
+        if not self.has_begun:
+            query.answer.set_exception(HoldingLostError("not taken over yet"))
+        elif query.job is None:
+            query.answer.set_result(self.scheduler.count_waiting())
+        else:
+            query.answer.set_result(self.scheduler.state_of(query.job))
+
+    def intent_changed(self, intent: Intent) -> None:
+        """Act by another version of the configuration."""
+        self.scheduler.set_intent(intent)
+        for record, revision in list(self.unplaced.values()):
+            if self.scheduler.accept(record, revision):
+                del self.unplaced[record.id]
+
+    # Jobs.
+
+    def job_stored(self, value: bytes, revision: int, is_doubtful: bool) -> None:
+        """Take in a job's record."""
+        record = msgspec.json.decode(value, type=JobRecord)
+        if not self.scheduler.accept(record, revision, is_doubtful):
+            # The accepting member has a configuration that is not here yet.
+            self.unplaced[record.id] = (record, revision)
+
+    def prefix_changed(self, message: PrefixChanged, now_s: float) -> None:
+        """Take in changes that the store reports."""
+        for event in message.batch.events:
+            key, value = event.entry.key, event.entry.value
+            is_put = event.kind is EventKind.PUT
+            if message.prefix == JOBS:
+                if is_put:
+                    self.job_stored(value, int(event.entry.mod_revision), False)
+            elif is_put:
+                self.registration_changed(key, value, now_s)
+            else:
+                self.registration_removed(key, now_s)
+
+    def prefix_read(self, message: PrefixRead, now_s: float) -> None:
+        """Take in all entries, after changes may have been missed."""
+        if message.prefix == JOBS:
+            for entry in message.entries:
+                self.job_stored(entry.value, int(entry.mod_revision), False)
+            return
+        listed = {entry.key for entry in message.entries}
+        for entry in message.entries:
+            self.registration_changed(entry.key, entry.value, now_s)
+        for worker in list(self.lines_of):
+            if self.registrations + worker not in listed:
+                self.registration_removed(self.registrations + worker, now_s)
+
+    # Workers.
+
+    def registration_changed(self, key: str, value: bytes, now_s: float) -> None:
+        """Take in a worker's entry."""
+        entry = self.decode_registration(key, value)
+        if entry is None:
+            log.warning("unreadable worker entry", key=key, size=len(value))
+            return
+        worker = self.scheduler.ledger.workers.get(entry.worker)
+        if worker is not None and worker.entry.is_draining != entry.is_draining:
+            log.info(
+                "worker drains" if entry.is_draining else "worker is ready",
+                worker=entry.worker,
+                remaining_s=entry.remaining_s,
+                runs=len(worker.runs),
+            )
+        self.add_worker(entry, now_s)
+
+    def add_worker(self, entry: Registration, now_s: float) -> None:
+        """Schedule on a worker, at its present address."""
+        known = self.scheduler.ledger.workers.get(entry.worker)
+        moved = known is not None and known.entry.address != entry.address
+        # What an earlier holder started can run on the workers that it knew.
+        unknown_until_s = self.claimed_s + self.quarantine_s
+        is_new = self.scheduler.worker_registered(entry, now_s, unknown_until_s)
+        if is_new or moved:
+            self.lines.connect(entry.worker, self.connect(entry))
+        if entry.worker not in self.lines_of:
+            self.lines_of[entry.worker] = WorkerLine()
+
+    def registration_removed(self, key: str, now_s: float) -> None:
+        """Take in that a worker's entry is gone."""
+        worker = WorkerId(key.removeprefix(self.registrations))
+        log.info("worker entry removed", worker=worker)
+        self.scheduler.worker_unregistered(worker, now_s)
+
+    def hold_due(self, now_s: float) -> None:
+        """Look at the workers that are due."""
+        for worker_id, line in list(self.lines_of.items()):
+            if line.is_calling or line.due_s > now_s:
+                continue
+            worker = self.scheduler.ledger.workers.get(worker_id)
+            if worker is None:
+                del self.lines_of[worker_id]
+                continue
+            until_ms = None
+            if worker.born_ms:
+                until_ms = self.scheduler.lease_until_ms(worker, now_s)
+            is_acknowledged = line.acknowledged >= worker.listed_number
+            wait_s = HOLD_WAIT_S if worker.born_ms and is_acknowledged else 0.0
+            line.is_calling = True
+            self.lines.hold(worker_id, line.acknowledged, until_ms, wait_s)
+
+    def hold_answered(self, message: HoldAnswered, now_s: float) -> None:
+        """Take in a worker's lists."""
+        line = self.lines_of.get(message.worker)
+        worker = self.scheduler.ledger.workers.get(message.worker)
+        if line is None or worker is None:
+            return
+        line.is_calling = False
+        line.refusals = 0
+        reply = message.reply
+        if not worker.is_reachable:
+            log.info("worker answers", worker=worker.id, runs=len(reply.runs))
+        if line.born_ms != reply.born_ms:
+            line.born_ms = reply.born_ms
+            line.acknowledged = 0
+        before = worker.listed_number if worker.born_ms == reply.born_ms else 0
+        self.scheduler.hold_answered(message.worker, reply, now_s)
+        for end in reply.ends:
+            if end.number > before:
+                self.metrics.run_ends.labels(end.kind.value).inc()
+        has_unstored = worker.listed_number > line.acknowledged
+        line.due_s = now_s + UNSTORED_HOLD_S if has_unstored else now_s
+        if not worker.is_listed and not worker.runs:
+            line.due_s = now_s + RETIRED_HOLD_S
+
+    def call_failed(self, message: CallFailed, now_s: float) -> None:
+        """Take in that a worker did not answer as it should."""
+        failure = message.failure
+        if failure.is_fenced:
+            log.warning("fenced", worker=message.worker, token=self.token)
+            self.lose()
+            return
+        worker = self.scheduler.ledger.workers.get(message.worker)
+        line = self.lines_of.get(message.worker)
+        if worker is None or line is None:
+            return
+        if worker.is_reachable:
+            log.warning(
+                "worker does not answer",
+                worker=worker.id,
+                reason=failure.detail,
+                runs=len(worker.runs),
+                silent_s=round(now_s - worker.heard_s, 3),
+            )
+        self.scheduler.worker_silent(message.worker)
+        if not message.is_hold:
+            return
+        line.is_calling = False
+        line.due_s = now_s + HOLD_RETRY_S
+        line.refusals = line.refusals + 1 if failure.is_gone else 0
+        if line.refusals == GONE_AFTER_REFUSALS:
+            lost = self.scheduler.worker_gone(message.worker, now_s)
+            log.warning("worker is gone", worker=worker.id, lost_runs=len(lost))
+
+    # Commands.
+
+    def carry_out(self, command: Command) -> None:
+        """Send an order or a question."""
+        if isinstance(command, StartRun):
+            request = command.request
+            log.info(
+                "start",
+                job=request.task.job,
+                task=request.task[1:],
+                run=request.run,
+                worker=command.worker,
+                resumes=bool(request.checkpoint),
+            )
+            self.lines.start(command)
+        elif isinstance(command, StopRun):
+            log.info(
+                "stop",
+                job=command.task.job,
+                task=command.task[1:],
+                run=command.run,
+                worker=command.worker,
+                reason=command.reason.value,
+            )
+            self.lines.stop(command)
+        elif isinstance(command, PaceRun):
+            self.lines.pace(command)
+        elif isinstance(command, AskAdvice):
+            self.lanes.ask(command, self.inbox.put)
+
+    def start_answered(self, message: StartAnswered, now_s: float) -> None:
+        """Take in what came of a start."""
+        if message.outcome is None:
+            log.warning(
+                "start unanswered",
+                job=message.task.job,
+                task=message.task[1:],
+                run=message.run,
+                worker=message.worker,
+                was_sent=message.was_sent,
+            )
+            self.scheduler.start_unanswered(
+                message.worker, message.task, message.run, message.was_sent
+            )
+            self.scheduler.worker_silent(message.worker)
+            return
+        if message.outcome is not StartOutcome.STARTED:
+            log.info(
+                "start refused",
+                job=message.task.job,
+                task=message.task[1:],
+                run=message.run,
+                worker=message.worker,
+                outcome=message.outcome.value,
+            )
+        self.scheduler.start_answered(
+            message.worker, message.task, message.run, message.outcome, now_s
+        )
+
+    def advice_answered(self, message: AdviceAnswered, now_s: float) -> None:
+        """Take in an answer about a step, or that there was none."""
+        advice: Advice | None = message.advice
+        ref: StepRef = message.step
+        if advice is None:
+            log.info("advice failed", job=ref.job, step=ref[1:], reason=message.detail)
+        self.scheduler.advice_answered(ref, advice, message.asked_s, now_s)
+
+    # Commits.
+
+    def commit_due(self, now_s: float) -> None:
+        """Store what has changed, one commit at a time."""
+        if self.commit_running or now_s < self.commit_due_s:
+            return
+        ledger = self.scheduler.ledger
+        if not ledger.changed and not ledger.finished:
+            self.acknowledge(self.scheduler.take_changes(0, 0.0), now_s)
+            self.record_workers(now_s)
+            return
+        if self.commit_due_s == 0.0:
+            self.commit_due_s = now_s + COMMIT_WINDOW_S
+            return
+        self.commit_due_s = 0.0
+        changes = self.scheduler.take_changes(MAX_JOBS_IN_COMMIT, time.time())
+        self.commit_running = True
+        self.committer.submit(self.commit, changes)
+
+    def commit(self, changes: Changes) -> None:
+        """Write changes, in the executor."""
+        try:
+            outcome = commit_changes(self.store, self.holding, changes, STORE_TIMEOUT_S)
+        except HoldingLostError as error:
+            self.inbox.put(CommitDone(changes, None, str(error)))
+        else:
+            self.inbox.put(CommitDone(changes, outcome))
+
+    def commit_done(self, message: CommitDone, now_s: float) -> None:
+        """Take in how a commit ended."""
+        self.commit_running = False
+        outcome = message.outcome
+        if outcome is None:
+            log.warning("holding lost", token=self.token, reason=message.detail)
+            self.lose()
+            return
+        if outcome.stored:
+            self.scheduler.changes_stored(message.changes, outcome.revisions, now_s)
+            self.acknowledge(message.changes, now_s)
+            for ending in message.changes.endings:
+                state = ending.ended.state.value
+                log.info("job ended", job=ending.job, state=state)
+            return
+        log.warning(
+            "commit failed",
+            jobs=len(message.changes.progress) + len(message.changes.endings),
+            reason=outcome.reason,
+        )
+        self.commit_due_s = now_s + COMMIT_RETRY_S
+        self.scheduler.changes_failed(message.changes)
+        self.scheduler.revisions_read(outcome.revisions, outcome.ended, now_s)
+
+    def acknowledge(self, changes: Changes, now_s: float) -> None:
+        """Let workers forget the ends that are stored."""
+        for worker_id, (born_ms, number) in changes.numbers.items():
+            line = self.lines_of.get(worker_id)
+            if line is None or line.born_ms != born_ms or number <= line.acknowledged:
+                continue
+            line.acknowledged = number
+            if not line.is_calling:
+                line.due_s = now_s
+
+    def record_workers(self, now_s: float) -> None:
+        """Store which workers may run something, before they are given work."""
+        entries = self.scheduler.workers_to_record()
+        if entries is None or now_s < self.record_due_s:
+            return
+        self.record_due_s = now_s + COMMIT_RETRY_S
+        self.commit_running = True
+        self.committer.submit(self.write_workers, entries)
+
+    def write_workers(self, entries: list[Registration]) -> None:
+        """Write the workers' record, in the executor."""
+        try:
+            record = Put(WORKERS, msgspec.json.encode(entries))
+            transaction = Transaction((self.holding.guard(),), (record,))
+            stored = self.store.commit(transaction, STORE_TIMEOUT_S).succeeded
+        except (StoreError, HoldingLostError) as error:
+            log.warning("workers not recorded", reason=str(error))
+            stored = False
+        self.inbox.put(WorkersRecorded(tuple(entries) if stored else ()))
+
+    # Losing the shard.
+
+    def lose(self) -> None:
+        """Stop acting: another member schedules now."""
+        self.authority.revoke()
+        self.lost.set()
+        self.stopping.set()
+
+    def end(self) -> None:
+        """Release threads; calls that wait end by themselves."""
+        self.authority.revoke()
+        for follower in self.followers:
+            follower.stop()
+        self.followers_pool.shutdown(wait=False, cancel_futures=True)
+        self.lines.close()
+        self.committer.shutdown(wait=False, cancel_futures=True)
+        while True:
+            try:
+                message = self.inbox.get_nowait()
+            except queue.Empty:
+                return
+            if isinstance(message, Query):
+                message.answer.set_exception(HoldingLostError("not the holder"))
--- /dev/null
+++ b/packages/gooseberrydeck-service/src/gooseberrydeck_service/__init__.py
@@ -0,0 +1,1 @@
+"""Tasks and HTTP listeners that every process of ours is built from."""
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/http/server.py
+++ b/packages/gooseberrydeck-service/src/gooseberrydeck_service/http_server.py
@@ -7,10 +7,6 @@
 
 from waitress.channel import HTTPChannel
 from waitress.server import TcpWSGIServer, create_server
-from waitress.task import ErrorTask
-
-from gooseberrydeck_daemon.http.problems import ProblemError, ProblemType
-from gooseberrydeck_daemon.http.responses import status_line
 
 __all__ = ["HttpServer", "ListenerBounds", "WsgiApplication"]
 
@@ -21,35 +17,6 @@
 LOOP_TIMEOUT_S = 1.0
 FLUSH_TIMEOUT_S = 0.05
 
-PROBLEMS_BY_STATUS = {
-    413: ProblemType.BODY_TOO_LARGE,
-    431: ProblemType.HEADERS_TOO_LARGE,
-    500: ProblemType.INTERNAL,
-    501: ProblemType.NOT_IMPLEMENTED,
-}
-
-
-class ProblemTask(ErrorTask):  # type: ignore[misc]
-    """Answer requests that waitress could not parse with problem details."""
-
-    def execute(self) -> None:
-        """Write the problem and close the connection."""
-        error = self.request.error
-        kind = PROBLEMS_BY_STATUS.get(error.code, ProblemType.BAD_REQUEST)
-        response = ProblemError(kind, error.body).to_response()
-        self.status = status_line(response.status)
-        self.response_headers.append(("Content-Type", response.content_type))
-        self.set_close_on_finish()
-        self.content_length = len(response.body)
-        self.write(response.body)
-
-
-class ProblemChannel(HTTPChannel):  # type: ignore[misc]
-    """A client's connection whose failures are problem details."""
-
-    error_task_class = ProblemTask
-
-
 WsgiApplication = Callable[
     [Mapping[str, Any], Callable[[str, list[tuple[str, str]]], Any]], Iterable[bytes]
 ]
@@ -84,8 +51,12 @@
         application: WsgiApplication,
         address: str,
         listener: ListenerBounds,
+        channel_class: type[HTTPChannel] = HTTPChannel,
     ) -> None:
-        """Bind the port; ``port`` is then the one that clients connect to."""
+        """Bind the port; ``port`` is then the one that clients connect to.
+
+        ``channel_class`` answers the requests that cannot be parsed.
+        """
         self.name = name
         self.map: dict[int, Any] = {}
         self.server: TcpWSGIServer = create_server(
@@ -106,7 +77,7 @@
             ident=None,
             clear_untrusted_proxy_headers=True,
         )
-        self.server.channel_class = ProblemChannel
+        self.server.channel_class = channel_class
         self.port: int = self.server.effective_port
         self.stopping = threading.Event()
 
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/tasks.py
+++ b/packages/gooseberrydeck-service/src/gooseberrydeck_service/tasks.py
@@ -9,7 +9,7 @@
 
 import structlog
 
-from gooseberrydeck_daemon.exceptions import TaskCrashedError
+from gooseberrydeck_service.exceptions import TaskCrashedError
 
 __all__ = ["Runnable", "Supervisor", "Task"]
 
--- a/tests/daemon/test_jobs_http.py
+++ b/tests/daemon/test_jobs_http.py
@@ -38,7 +38,6 @@
 from gooseberrydeck_daemon.http.access import AccessIndex
 from gooseberrydeck_daemon.http.problems import ProblemError, ProblemType
 from gooseberrydeck_daemon.http.requests import Request
-from gooseberrydeck_daemon.http.responses import Response
 from gooseberrydeck_daemon.http.router import Router
 from gooseberrydeck_daemon.jobs.handlers import JobsHandler
 from gooseberrydeck_daemon.jobs.side import JobsSide
@@ -49,6 +48,7 @@
 from gooseberrydeck_daemon.usage import UsageTable
 from gooseberrydeck_daemon.views import ConfigurationHolder
 from gooseberrydeck_platform.hosts import Host, HostKind, HostState
+from gooseberrydeck_service.responses import Response
 from gooseberrydeck_standins.engine_store import EngineStore
 from gooseberrydeck_standins.engine_worker import EngineWorker
 from gooseberrydeck_standins.faults import CallFault
--- a/tests/daemon/test_peer_network.py
+++ b/tests/daemon/test_peer_network.py
@@ -26,8 +26,8 @@
 from gooseberrydeck_daemon.peers.messages import Frame, Kind
 from gooseberrydeck_daemon.peers.security import CurveKeys
 from gooseberrydeck_daemon.settings import PeerAddress
-from gooseberrydeck_daemon.tasks import Supervisor
 from gooseberrydeck_daemon.views import StaticMembership
+from gooseberrydeck_service.tasks import Supervisor
 
 M1, M2 = MemberId("m1"), MemberId("m2")
 KEYS = CurveKeys(PUBLIC_KEY, SECRET_KEY)
--- a/tests/daemon/test_tasks.py
+++ b/tests/daemon/test_tasks.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from gooseberrydeck_daemon.exceptions import TaskCrashedError
-from gooseberrydeck_daemon.tasks import Supervisor, Task
+from gooseberrydeck_service.exceptions import TaskCrashedError
+from gooseberrydeck_service.tasks import Supervisor, Task
 
 
 class Adder(Task[int]):
