Do not wait at a takeover for workers that have left

Also the lease that it waited for was the platform's longest, not the one that holders ask for. Change: departed workers leave the record; the wait is the real lease; a former holder that confirms its end shortens it.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
@@ -37,7 +37,7 @@
 from gooseberrydeck_fleet.work import EndedJob, JobRecord, JobState
 from gooseberrydeck_fleet.worker_calls import HoldReply, StartOutcome, StartRequest
 
-__all__ = ["Scheduler"]
+__all__ = ["MAX_TASK_LEASE_S", "Scheduler"]
 
 START_VALID_S = 1.5
 """A start that arrives later is refused by its worker, so that its fate is known."""
@@ -45,6 +45,10 @@
 LEASE_MARGIN_S = 0.2
 """Kept between the lease that is asked for and the longest that a worker grants."""
 
+MAX_TASK_LEASE_S = 4.2
+"""A task that lasts must run again 6 s after its worker went dark: the lease, its
+drift, and the questions and the start that follow have to fit in."""
+
 LAPSE_MARGIN_S = 0.2
 """Waited beyond the computed end of all leases of a worker that is out of reach."""
 
@@ -97,6 +101,7 @@
         self.asking: dict[StepRef, bool] = {}
         self.commands: list[Command] = []
         self.storing: set[JobId] = set()
+        self.recorded: set[WorkerId] = set()
         self.is_frozen = False
 
     # Configuration and membership.
@@ -141,6 +146,12 @@
             worker.is_listed = False
             worker.unlisted_since_s = now_s
 
+    def predecessor_stopped(self, lapse_s: float) -> None:
+        """Take in that nothing an earlier holder started lasts beyond a time."""
+        for worker in self.ledger.workers.values():
+            if not worker.is_adopted:
+                worker.lapse_s = min(worker.lapse_s, lapse_s)
+
     # Jobs.
 
     def accept(
@@ -225,7 +236,7 @@
 
     def lease_until_ms(self, worker: Worker, now_s: float) -> int:
         """Return the lease to ask for, on the worker's clock, and count it."""
-        lease_s = self.timing.task_lease_s - LEASE_MARGIN_S
+        lease_s = min(MAX_TASK_LEASE_S, self.timing.task_lease_s - LEASE_MARGIN_S)
         until_ms = worker.clock_at(now_s) + int(lease_s * 1000)
         worker.grant(until_ms)
         return until_ms
@@ -248,6 +259,19 @@
         if worker is not None:
             worker.is_reachable = False
 
+    def has_left(self, worker_id: WorkerId) -> bool:
+        """Tell whether a silent worker has ended its planned departure.
+
+        Its entry is removed when it has left, and everything on it has ended then.
+        """
+        worker = self.ledger.workers.get(worker_id)
+        return (
+            worker is not None
+            and worker.entry.is_draining
+            and not worker.is_listed
+            and not worker.is_reachable
+        )
+
     def worker_gone(self, worker_id: WorkerId, now_s: float) -> list[Run]:
         """Take in that a worker's process has ended; return the runs that it had."""
         worker = self.ledger.workers.get(worker_id)
@@ -341,6 +365,7 @@
         """Return what has to be done now."""
         self.placer.expire(now_s)
         self.expire_workers(now_s)
+        self.forget_departed()
         self.expire_ended(now_s)
         if not self.is_frozen:
             self.open_due(wall_s)
@@ -364,6 +389,17 @@
             if not worker.is_listed:
                 del self.ledger.workers[worker.id]
 
+    def forget_departed(self) -> None:
+        """Drop workers that have left and had nothing to do."""
+        for worker in list(self.ledger.workers.values()):
+            if (
+                not worker.is_listed
+                and not worker.is_reachable
+                and worker.is_adopted
+                and not worker.runs
+            ):
+                del self.ledger.workers[worker.id]
+
     def expire_ended(self, now_s: float) -> None:
         """Forget ended jobs that nobody may ask for any more."""
         kept_s = self.timing.status_s + FINAL_KEPT_S
@@ -663,17 +699,17 @@
 
     def workers_to_record(self) -> list[Registration] | None:
         """Return the workers that may run something, if that has changed."""
-        workers = self.ledger.workers.values()
-        if all(worker.is_recorded or not worker.is_listed for worker in workers):
+        workers = self.ledger.workers
+        is_complete = all(each.is_recorded for each in workers.values())
+        if is_complete and self.recorded <= workers.keys():
             return None
-        return [worker.entry for worker in workers]
+        return [worker.entry for worker in workers.values()]
 
     def workers_recorded(self, entries: Iterable[Registration]) -> None:
         """Take in that workers are recorded: they may be given work."""
-        for entry in entries:
-            worker = self.ledger.workers.get(entry.worker)
-            if worker is not None:
-                worker.is_recorded = True
+        self.recorded = {entry.worker for entry in entries}
+        for worker in self.ledger.workers.values():
+            worker.is_recorded = worker.id in self.recorded
 
 
 def is_ready(step: Step) -> bool:
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/cell.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/cell.py
@@ -26,6 +26,9 @@
 MEMBER_TTL_S = 1.5
 """A member that has not told the holder for longer that it lives is left out."""
 
+ANNOUNCE_TIMEOUT_S = 0.3
+"""For one announcement; they are made one after the other."""
+
 MIN_RELAY_S = 0.1
 """With less time left a caller's request is not passed on."""
 
@@ -81,14 +84,17 @@
         unique.pop(self.address, None)
         return list(unique)
 
-    def announce(self, token: int) -> None:
+    def announce(self, token: int, former: str) -> None:
         """Tell every known member that this one holds the shard."""
         news = Announcement(token, self.member, self.address)
         for address in self.others():
             try:
-                self.peers.announce(address, news, 0.3)
+                self.peers.announce(address, news, ANNOUNCE_TIMEOUT_S)
             except PeerFailedError as error:
                 log.info("announcement failed", address=address, reason=str(error))
+                continue
+            if address == former and self.scheduler is not None:
+                self.scheduler.predecessor_stopped()
 
     # The interface that callers' requests need.
 
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/control.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/control.py
@@ -250,7 +250,7 @@
             former_revision=seen.revision,
         )
         if won:
-            self.begin_leading(was_silent, sent_s)
+            self.begin_leading(was_silent, sent_s, seen.record.address)
 
     def claim_delay_s(self) -> float:
         """Return how long to let others go first."""
@@ -262,7 +262,7 @@
 
     # Leading.
 
-    def begin_leading(self, was_silent: bool, sent_s: float) -> None:
+    def begin_leading(self, was_silent: bool, sent_s: float, former: str) -> None:
         """Start the scheduler, and tell the others."""
         held = self.holding.held
         intent = self.configuration.intent
@@ -277,7 +277,7 @@
         self.cell.scheduler = scheduler
         self.metrics.takeovers.inc()
         self.runner.submit(self.run_scheduler, scheduler)
-        self.runner.submit(self.cell.announce, token)
+        self.runner.submit(self.cell.announce, token, former)
 
     def run_scheduler(self, scheduler: SchedulerTask) -> None:
         """Run the scheduler's task; a crash gives the shard up."""
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
@@ -25,8 +25,9 @@
 from gooseberrydeck_fleet.intent import Intent
 from gooseberrydeck_fleet.progress import decode_progress
 from gooseberrydeck_fleet.registrations import Registration
-from gooseberrydeck_fleet.scheduler import Scheduler
+from gooseberrydeck_fleet.scheduler import MAX_TASK_LEASE_S, Scheduler
 from gooseberrydeck_fleet.settings import Timing
+from gooseberrydeck_fleet.state import CLOCK_DRIFT
 from gooseberrydeck_fleet.work import JobRecord, JobState
 from gooseberrydeck_fleet.worker_calls import StartOutcome, WorkerCalls
 from gooseberrydeck_member.advice_lanes import AdviceAnswered, AdviceLanes
@@ -99,9 +100,13 @@
 
 
 class WorkersRecorded(msgspec.Struct, frozen=True):
-    """The workers of a record that was written; none if it was not."""
+    """The workers of a record that was written; None if it was not."""
 
-    entries: tuple[Registration, ...]
+    entries: tuple[Registration, ...] | None
+
+
+class PredecessorStopped(msgspec.Struct, frozen=True):
+    """The former holder has confirmed that it sends no more orders."""
 
 
 class WorkerLine:
@@ -161,7 +166,7 @@
             StoreFollower(store, registrations, self.inbox.put),
         ]
         self.followers_pool = ThreadPoolExecutor(len(self.followers), "follow")
-        quarantine_s = timing.task_lease_s / 0.98
+        quarantine_s = MAX_TASK_LEASE_S / (1 - CLOCK_DRIFT)
         self.quarantine_s = quarantine_s + (AUTHORITY_S if was_silent else 0.0)
         self.claimed_s = time.monotonic()
         self.unplaced: dict[JobId, tuple[JobRecord, int]] = {}
@@ -189,6 +194,10 @@
         self.inbox.put(Query(job, answer))
         return answer.result(timeout_s)
 
+    def predecessor_stopped(self) -> None:
+        """Post that the former holder has confirmed that it sends no more orders."""
+        self.inbox.put(PredecessorStopped())
+
     def stop(self) -> None:
         """Ask the task to end, and send no more orders."""
         self.authority.revoke()
@@ -300,9 +309,13 @@
             self.advice_answered(message, now_s)
         elif isinstance(message, CommitDone):
             self.commit_done(message, now_s)
+        elif isinstance(message, PredecessorStopped):
+            lapse_s = now_s + MAX_TASK_LEASE_S / (1 - CLOCK_DRIFT)
+            self.scheduler.predecessor_stopped(lapse_s)
         elif isinstance(message, WorkersRecorded):
             self.commit_running = False
-            self.scheduler.workers_recorded(message.entries)
+            if message.entries is not None:
+                self.scheduler.workers_recorded(message.entries)
         elif isinstance(message, PrefixChanged):
             self.prefix_changed(message, now_s)
         elif isinstance(message, PrefixRead):
@@ -465,9 +478,16 @@
         line.is_calling = False
         line.due_s = now_s + HOLD_RETRY_S
         line.refusals = line.refusals + 1 if failure.is_gone else 0
-        if line.refusals == GONE_AFTER_REFUSALS:
+        has_left = self.scheduler.has_left(message.worker) and bool(worker.runs)
+        if line.refusals == GONE_AFTER_REFUSALS or has_left:
             lost = self.scheduler.worker_gone(message.worker, now_s)
-            log.warning("worker is gone", worker=worker.id, lost_runs=len(lost))
+            log.warning(
+                "worker is gone",
+                worker=worker.id,
+                lost_runs=len(lost),
+                has_left=has_left,
+                refusals=line.refusals,
+            )
 
     # Commands.
 
@@ -616,7 +636,7 @@
         except (StoreError, HoldingLostError) as error:
             log.warning("workers not recorded", reason=str(error))
             stored = False
-        self.inbox.put(WorkersRecorded(tuple(entries) if stored else ()))
+        self.inbox.put(WorkersRecorded(tuple(entries) if stored else None))
 
     # Losing the shard.
 
