Let a task return to a worker on which it failed

Cause: a task that had failed on every worker was never placed again; a standing task then waited for ever. Found by the new tests of the fleet. Change: such a worker is avoided for 3 s and ranked last afterwards.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/ends.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/ends.py
@@ -80,7 +80,7 @@
         if step.spec.is_gang and kind is not EndKind.STOPPED:
             self.stop_gang(step)
         elif run is not None and run.stop_reason is StopReason.STALLED:
-            task.failed_on.add(worker)
+            task.failed_on[worker] = now_s
 
     def keep_checkpoint(self, task: Task, checkpoint: str) -> None:
         """Let the next run resume; what one member of a gang saved is for all."""
@@ -91,9 +91,9 @@
 
     def failed(self, task: Task, run: int, worker: WorkerId, now_s: float) -> None:
         """Count a failure of a task, and of its worker unless others saw the same."""
-        if not task.failed_on - {worker}:
+        if not task.failed_on.keys() - {worker}:
             self.ledger.health.failed(worker, now_s)
-        task.failed_on.add(worker)
+        task.failed_on[worker] = now_s
         step = task.step
         if step.spec.is_standing or task.is_done:
             return
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/placement.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/placement.py
@@ -12,6 +12,12 @@
 FAR_PENALTY = 10.0
 """Ranks a worker far from the data behind every near one; ranks are below 2."""
 
+FAILED_PENALTY = 20.0
+"""Ranks a worker on which the task has failed behind all others."""
+
+AVOID_FAILED_S = 3.0
+"""How long a task waits for another worker rather than return where it failed."""
+
 DISTURBANCE_PENALTY = 5.0
 """Ranks workers on which tasks that serve and tasks that fill would meet last."""
 
@@ -95,15 +101,22 @@
         """Return how many runs of a step a worker has."""
         return sum(1 for run in worker.runs.values() if run.task.step is step)
 
-    def choose(self, workers: Iterable[Worker], task: Task) -> Worker | None:
+    def choose(
+        self, workers: Iterable[Worker], task: Task, now_s: float
+    ) -> Worker | None:
         """Return the best worker with room for a task, or None."""
         best: Worker | None = None
         best_rank = 0.0
         step = task.step
         for worker in workers:
-            if worker.id in task.failed_on or self.slots(worker, step) < 1:
+            if self.slots(worker, step) < 1:
                 continue
             rank = self.rank(worker, step)
+            failed_s = task.failed_on.get(worker.id)
+            if failed_s is not None:
+                if now_s - failed_s < AVOID_FAILED_S:
+                    continue
+                rank += FAILED_PENALTY
             if best is None or rank < best_rank:
                 best, best_rank = worker, rank
         return best
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
@@ -473,7 +473,7 @@
         candidates = self.placer.choose_rack(permitted, step, len(waiting))
         left = []
         for task in waiting:
-            worker = self.placer.choose(candidates, task)
+            worker = self.placer.choose(candidates, task, now_s)
             if worker is None:
                 left.append(task)
                 continue
@@ -494,11 +494,11 @@
             return
         number = self.ledger.numbers.next()
         for task in step.tasks:
-            worker = self.placer.choose(candidates, task)
+            worker = self.placer.choose(candidates, task, now_s)
             if worker is None:
                 # A member may avoid a worker on which it failed.
                 task.failed_on.clear()
-                worker = self.placer.choose(candidates, task)
+                worker = self.placer.choose(candidates, task, now_s)
             if worker is not None:
                 self.start(task, worker, number, now_s)
 
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
@@ -115,7 +115,7 @@
         self.runs: list[Run] = []
         self.is_done = False
         self.failures: set[int] = set()
-        self.failed_on: set[WorkerId] = set()
+        self.failed_on: dict[WorkerId, float] = {}
         self.checkpoint = ""
 
     @property
--- /dev/null
+++ b/tests/fleet/test_faults.py
@@ -0,0 +1,316 @@
+"""Workers that go dark, restart, leave or lose answers; successors of a scheduler."""
+
+from collections.abc import Callable
+
+from fleet_support import SLOW, URGENT, Fleet, intent, queue, task_resources
+from gooseberrydeck_coordination.ids import Epoch
+from gooseberrydeck_coordination.resources import Resources
+from gooseberrydeck_fleet.work import JobState, StepSpec
+from gooseberrydeck_fleet.worker_calls import (
+    StartOutcome,
+    StartRequest,
+    WorkerReply,
+)
+from gooseberrydeck_standins.fleet_worker import FleetWorkerEngine, RunPlan
+
+ONE = task_resources()
+STANDING_AGAIN_S = 6.0
+"""A standing task must run again this long after its worker went dark."""
+
+
+class TestDarkWorkers:
+    def test_task_runs_elsewhere_only_after_its_lease_has_lapsed(self) -> None:
+        fleet = Fleet(workers=2)
+        job = fleet.submit("a", StepSpec(1, ONE, is_standing=True))
+        fleet.run_for(0.5)
+        _, _, first = fleet.starts[0]
+        fleet.cut.add(first)
+        cut_s = fleet.now_s
+        while len(fleet.starts) < 2:
+            assert fleet.now_s - cut_s < STANDING_AGAIN_S
+            fleet.run_for(0.05)
+        fleet.engines[first].advance()
+        assert fleet.engines[first].runs == {}
+        assert len(fleet.running(job)) == 1
+
+    def test_clock_of_a_worker_may_be_slow(self) -> None:
+        fleet = Fleet(workers=2)
+        fleet.submit("a", StepSpec(1, ONE, is_standing=True))
+        fleet.run_for(0.5)
+        _, _, first = fleet.starts[0]
+        engine = fleet.engines[first]
+        cut_s = fleet.now_s
+        fleet.cut.add(first)
+        while len(fleet.starts) < 2:
+            fleet.run_for(0.05)
+        worker_elapsed_s = (fleet.now_s - cut_s) * 0.98
+        assert engine.lease_until_s <= cut_s - engine.began_s + worker_elapsed_s
+
+    def test_refused_connection_frees_the_tasks_at_once(self) -> None:
+        fleet = Fleet(workers=2)
+        fleet.submit("a", StepSpec(1, ONE, is_standing=True))
+        fleet.run_for(0.5)
+        _, _, first = fleet.starts[0]
+        fleet.cut.add(first)
+        fleet.scheduler.worker_gone(first, fleet.now_s)
+        fleet.run_for(0.1)
+        assert len(fleet.starts) == 2
+
+    def test_restarted_worker_has_forgotten_its_runs(self) -> None:
+        fleet = Fleet(workers=1)
+        job = fleet.submit("a", StepSpec(1, ONE, is_standing=True))
+        fleet.run_for(0.5)
+        worker = next(iter(fleet.engines))
+        fleet.engines[worker] = FleetWorkerEngine(
+            fleet.clock, fleet.capacity, fleet.plan, born_ms=2
+        )
+        fleet.acknowledged[worker] = 0
+        fleet.run_for(0.2)
+        assert len(fleet.running(job)) == 1
+
+    def test_departed_worker_is_forgotten(self) -> None:
+        fleet = Fleet(workers=1)
+        leaving = fleet.add_worker("leaving")
+        fleet.run_for(0.2)
+        fleet.scheduler.worker_unregistered(leaving, fleet.now_s)
+        fleet.cut.add(leaving)
+        fleet.run_for(0.1)
+        assert leaving not in fleet.scheduler.ledger.workers
+        assert leaving not in fleet.scheduler.recorded
+
+    def test_silent_worker_that_drained_and_lost_its_entry_has_left(self) -> None:
+        fleet = Fleet(workers=1)
+        leaving = fleet.add_worker("leaving", is_draining=True)
+        fleet.run_for(0.2)
+        assert not fleet.scheduler.has_left(leaving)
+        fleet.scheduler.worker_unregistered(leaving, fleet.now_s)
+        assert not fleet.scheduler.has_left(leaving)
+        fleet.scheduler.worker_silent(leaving)
+        assert fleet.scheduler.has_left(leaving)
+
+
+class TestLostAnswers:
+    def test_unanswered_start_that_arrived_runs_once(self) -> None:
+        fleet = Fleet(workers=3)
+        fleet.mute_starts.update(fleet.engines)
+        job = fleet.submit("a", StepSpec(3, ONE))
+        fleet.run_for(2.0)
+        assert fleet.state(job) is JobState.COMPLETED
+        assert len(fleet.starts) == 3
+
+    def test_unanswered_start_that_was_lost_is_made_again_when_it_is_too_late(
+        self,
+    ) -> None:
+        fleet = Fleet(workers=1)
+        worker = next(iter(fleet.engines))
+        engine = fleet.engines[worker]
+        arrives = engine.start
+        engine.start = lose_one(engine)  # type: ignore[method-assign]
+        fleet.mute_starts.add(worker)
+        job = fleet.submit("a", StepSpec(1, ONE))
+        fleet.run_for(1.2)
+        assert len(fleet.starts) == 1
+        engine.start = arrives  # type: ignore[method-assign]
+        fleet.run_for(2.0)
+        assert len(fleet.starts) == 2
+        assert fleet.state(job) is JobState.COMPLETED
+
+
+def lose_one(
+    engine: FleetWorkerEngine,
+) -> Callable[[StartRequest, Epoch], tuple[StartOutcome, WorkerReply]]:
+    """Return a start that never arrives; the fleet loses its answer as well."""
+    return lambda _request, _token: (StartOutcome.STARTED, engine.reply())
+
+
+class TestLimits:
+    def test_room_of_a_stopping_run_is_not_given_away(self) -> None:
+        fleet = Fleet(workers=1)
+        job = fleet.submit("long", StepSpec(4, task_resources(8)), seconds=60)
+        fleet.run_for(0.5)
+        record = fleet.records[job]
+        fleet.scheduler.accept(
+            type(record)(record.id, record.queue, record.team, record.work, 0.0, True),
+            2,
+        )
+        fleet.submit("next", StepSpec(4, task_resources(8)))
+        fleet.run_for(3.0)
+        assert fleet.violations() == []
+        assert len(fleet.starts) == 8
+
+    def test_team_never_has_more_running_than_its_maximum(self) -> None:
+        fleet = Fleet()
+        fleet.scheduler.set_intent(intent(maximum=Resources(10_000, 0, 0)))
+        job = fleet.submit("a", StepSpec(8, task_resources(3)))
+        for _ in range(60):
+            fleet.run_for(0.05)
+            assert len(fleet.running(job)) <= 3
+        fleet.run_for(2.0)
+        assert fleet.state(job) is JobState.COMPLETED
+
+    def test_lowered_maximum_holds_for_new_starts(self) -> None:
+        fleet = Fleet()
+        job = fleet.submit("a", StepSpec(4, ONE), StepSpec(8, ONE, after=(0,)))
+        fleet.run_for(0.3)
+        fleet.scheduler.set_intent(intent(maximum=Resources(2_000, 0, 0), version=2))
+        fleet.run_for(1.3)
+        assert len(fleet.running(job)) == 2
+
+    def test_runs_of_a_dark_worker_still_count(self) -> None:
+        fleet = Fleet(workers=2)
+        fleet.scheduler.set_intent(intent(maximum=Resources(1_000, 0, 0)))
+        fleet.submit("a", StepSpec(1, ONE, is_standing=True))
+        fleet.run_for(0.3)
+        fleet.cut.add(fleet.starts[0][2])
+        job = fleet.submit("b", StepSpec(1, ONE))
+        fleet.run_for(1.0)
+        assert fleet.running(job) == []
+
+
+class TestTakeover:
+    def test_successor_adopts_what_runs(self) -> None:
+        fleet = Fleet()
+        job = fleet.submit("a", StepSpec(6, ONE), seconds=2.0)
+        fleet.run_for(0.5)
+        fleet.take_over()
+        fleet.run_for(2.5)
+        assert fleet.state(job) is JobState.COMPLETED
+        assert len(fleet.starts) == 6
+
+    def test_nothing_earlier_starts_while_a_worker_has_not_told(self) -> None:
+        fleet = Fleet(workers=3)
+        job = fleet.submit("a", StepSpec(1, ONE, is_standing=True))
+        fleet.run_for(0.3)
+        fleet.cut.add(fleet.starts[0][2])
+        fleet.take_over()
+        later = fleet.submit("b", StepSpec(1, ONE))
+        fleet.run_for(1.0)
+        assert len(fleet.starts) == 2
+        assert fleet.state(later) is JobState.RUNNING
+        fleet.run_for(4.0)
+        assert len(fleet.starts) == 3
+        assert fleet.state(job) is JobState.RUNNING
+
+    def test_end_that_was_not_stored_is_listed_again(self) -> None:
+        fleet = Fleet()
+        fleet.commits = False
+        job = fleet.submit("a", StepSpec(2, ONE))
+        fleet.run_for(1.5)
+        assert fleet.state(job) is JobState.RUNNING
+        fleet.take_over()
+        fleet.commits = True
+        fleet.run_for(0.5)
+        assert fleet.state(job) is JobState.COMPLETED
+        assert len(fleet.starts) == 2
+
+    def test_stored_failure_that_is_listed_again_counts_once(self) -> None:
+        fleet = Fleet()
+        fleet.scheduler.set_intent(intent(queue(SLOW, 2, attempts=2)))
+        fleet.intent = intent(queue(SLOW, 2, attempts=2))
+        job = fleet.submit(
+            "a",
+            StepSpec(1, ONE),
+            plan=lambda _: RunPlan(0.2, ONE, fails=len(fleet.starts) == 1),
+        )
+        while not fleet.progress:
+            fleet.run_for(0.05)
+        value = fleet.progress[job]
+        fleet.take_over()
+        fleet.progress[job] = value
+        fleet.run_for(2.0)
+        assert fleet.state(job) is JobState.COMPLETED
+
+    def test_former_scheduler_is_refused(self) -> None:
+        fleet = Fleet()
+        fleet.token += 1
+        fleet.run_for(0.1)
+        fleet.token -= 1
+        job = fleet.submit("a", StepSpec(1, ONE))
+        worker = next(iter(fleet.engines.values()))
+        assert worker.token == fleet.token + 1
+        assert fleet.running(job) == []
+
+    def test_run_numbers_rise_across_holders(self) -> None:
+        fleet = Fleet()
+        before = fleet.scheduler.ledger.numbers.next()
+        fleet.take_over()
+        assert fleet.scheduler.ledger.numbers.next() > before
+
+
+class TestStoreOutage:
+    def test_final_state_is_shown_only_when_it_is_stored(self) -> None:
+        fleet = Fleet()
+        job = fleet.submit("a", StepSpec(1, ONE), seconds=0.2)
+        fleet.commits = False
+        fleet.run_for(1.0)
+        assert fleet.state(job) is JobState.RUNNING
+        fleet.commits = True
+        fleet.run_for(0.1)
+        assert fleet.state(job) is JobState.COMPLETED
+
+    def test_next_step_does_not_wait_for_the_store(self) -> None:
+        fleet = Fleet()
+        fleet.commits = False
+        fleet.submit("a", StepSpec(1, ONE), StepSpec(1, ONE, after=(0,)), seconds=0.2)
+        fleet.run_for(0.5)
+        assert [task.step for _, task, _ in fleet.starts] == [0, 1]
+
+    def test_refused_commit_is_made_again_with_what_the_store_has(self) -> None:
+        fleet = Fleet()
+        fleet.commits = False
+        job = fleet.submit("a", StepSpec(2, ONE), seconds=0.2)
+        fleet.run_for(1.0)
+        changes = fleet.scheduler.take_changes(10, 0.0)
+        fleet.scheduler.changes_failed(changes)
+        fleet.scheduler.revisions_read({job: 7}, (), fleet.now_s)
+        again = fleet.scheduler.take_changes(10, 0.0)
+        assert [each.progress_revision for each in again.endings] == [7]
+
+    def test_ending_that_was_stored_after_all_is_not_repeated(self) -> None:
+        fleet = Fleet()
+        fleet.commits = False
+        job = fleet.submit("a", StepSpec(1, ONE), seconds=0.2)
+        fleet.run_for(1.0)
+        changes = fleet.scheduler.take_changes(10, 0.0)
+        fleet.scheduler.changes_failed(changes)
+        fleet.scheduler.revisions_read({}, (job,), fleet.now_s)
+        assert fleet.scheduler.take_changes(10, 0.0).is_empty
+        assert fleet.state(job) is JobState.COMPLETED
+
+
+class TestPreemption:
+    def test_urgent_step_stops_the_least_work_that_saves_its_progress(self) -> None:
+        fleet = Fleet(workers=1)
+        step = StepSpec(4, task_resources(8), saves_progress=True)
+        slow = fleet.submit("slow", step, seconds=5.0)
+        fleet.run_for(1.0)
+        urgent = fleet.submit(
+            "urgent", StepSpec(1, task_resources(8)), queue_name=URGENT
+        )
+        fleet.run_for(0.5)
+        assert [reason for _, _, reason in fleet.stops] == ["preempted"]
+        assert len(fleet.running(urgent)) == 1
+        fleet.run_for(9.0)
+        assert fleet.state(slow) is JobState.COMPLETED
+        assert fleet.violations() == []
+
+    def test_work_that_cannot_resume_is_left_alone(self) -> None:
+        fleet = Fleet(workers=1)
+        fleet.submit("slow", StepSpec(4, task_resources(8)), seconds=2.0)
+        fleet.run_for(0.5)
+        fleet.submit("urgent", StepSpec(1, ONE), queue_name=URGENT)
+        fleet.run_for(1.0)
+        assert fleet.stops == []
+
+    def test_room_that_is_being_freed_is_kept_for_the_urgent_step(self) -> None:
+        fleet = Fleet(workers=1)
+        step = StepSpec(4, task_resources(8), saves_progress=True)
+        fleet.submit("slow", step, seconds=9.0)
+        fleet.run_for(0.5)
+        urgent = fleet.submit(
+            "urgent", StepSpec(1, task_resources(8)), queue_name=URGENT
+        )
+        fleet.run_for(0.05)
+        fleet.submit("other", StepSpec(4, task_resources(2)), seconds=9.0)
+        fleet.run_for(0.5)
+        assert len(fleet.running(urgent)) == 1
--- /dev/null
+++ b/tests/fleet_support.py
@@ -0,0 +1,289 @@
+"""A scheduler with workers in memory, driven by a manual clock."""
+
+from collections.abc import Callable
+
+from gooseberrydeck_coordination.clock import ManualClock
+from gooseberrydeck_coordination.ids import (
+    DataCentre,
+    Epoch,
+    JobId,
+    QueueName,
+    Rack,
+    ServiceName,
+    TeamName,
+)
+from gooseberrydeck_coordination.resources import NOTHING, Resources
+from gooseberrydeck_fleet.advice import Advice
+from gooseberrydeck_fleet.commands import AskAdvice, Command, StartRun, StopRun
+from gooseberrydeck_fleet.ids import TaskRef, WorkerId
+from gooseberrydeck_fleet.intent import AdvicePolicy, Intent, Queue, Team
+from gooseberrydeck_fleet.progress import decode_progress
+from gooseberrydeck_fleet.registrations import Registration
+from gooseberrydeck_fleet.scheduler import Scheduler
+from gooseberrydeck_fleet.settings import Timing
+from gooseberrydeck_fleet.work import JobRecord, JobState, StepSpec, WorkSpec
+from gooseberrydeck_fleet.worker_calls import StartRequest, WorkerFencedError
+from gooseberrydeck_platform.http import HttpAddress
+from gooseberrydeck_standins.fleet_worker import FleetWorkerEngine, RunPlan
+
+SERVICE = ServiceName("desk")
+TEAM = TeamName("editors")
+URGENT = QueueName("urgent")
+SLOW = QueueName("slow")
+CORE = 1_000
+HOST = Resources(32 * CORE, 65_536, 0)
+STEP_S = 0.05
+
+
+def task_resources(cores: float = 1.0, memory_mib: int = 100) -> Resources:
+    """Return the amounts of a task."""
+    return Resources(int(cores * CORE), memory_mib, 0)
+
+
+def queue(
+    name: QueueName,
+    priority: int,
+    advice: AdvicePolicy | None = None,
+    attempts: int = 3,
+) -> Queue:
+    """Return a queue of the service."""
+    return Queue(
+        name,
+        "desk.example",
+        f"/{name}/",
+        SERVICE,
+        0.25,
+        1.5,
+        priority,
+        attempts,
+        advice,
+        False,
+    )
+
+
+def intent(*queues: Queue, maximum: Resources = NOTHING, version: int = 1) -> Intent:
+    """Return a configuration with one team."""
+    team = Team(TEAM, frozenset({"key"}), 1.0, maximum)
+    return Intent(version, queues or (queue(URGENT, 0), queue(SLOW, 2)), (team,))
+
+
+def registration(
+    name: str,
+    capacity: Resources = HOST,
+    rack: str = "r1",
+    is_draining: bool = False,
+    labels: frozenset[str] = frozenset({"a"}),
+) -> Registration:
+    """Return a worker's entry."""
+    return Registration(
+        WorkerId(name),
+        SERVICE,
+        HttpAddress("127.0.0.1", 1),
+        DataCentre("centre"),
+        Rack(rack),
+        labels,
+        "a",
+        capacity,
+        is_draining,
+    )
+
+
+class Fleet:
+    """A scheduler, its workers, and a network that carries what is not cut."""
+
+    def __init__(self, workers: int = 4, capacity: Resources = HOST) -> None:
+        """Begin with a configuration and idle workers that have been heard."""
+        self.clock = ManualClock()
+        self.timing = Timing()
+        self.capacity = capacity
+        self.engines: dict[WorkerId, FleetWorkerEngine] = {}
+        self.cut: set[WorkerId] = set()
+        self.mute_starts: set[WorkerId] = set()
+        self.plans: dict[JobId, Callable[[StartRequest], RunPlan]] = {}
+        self.specs: dict[JobId, WorkSpec] = {}
+        self.records: dict[JobId, JobRecord] = {}
+        self.progress: dict[JobId, bytes] = {}
+        self.acknowledged: dict[WorkerId, int] = {}
+        self.starts: list[tuple[float, TaskRef, WorkerId]] = []
+        self.stops: list[tuple[float, TaskRef, str]] = []
+        self.questions: list[AskAdvice] = []
+        self.allowed: Callable[[WorkerId], bool] = lambda _worker: True
+        self.token = 0
+        self.commits = True
+        self.intent = intent()
+        self.scheduler = self.new_scheduler()
+        for number in range(workers):
+            self.add_worker(f"w{number}")
+        self.run_for(0.2)
+
+    @property
+    def now_s(self) -> float:
+        """Return the manual time."""
+        return self.clock.now_s
+
+    def new_scheduler(self) -> Scheduler:
+        """Return an empty scheduler with the next token."""
+        self.token += 1
+        scheduler = Scheduler(self.token, self.timing)
+        scheduler.set_intent(self.intent)
+        scheduler.set_advice_lanes(6)
+        return scheduler
+
+    def add_worker(self, name: str, **entry: object) -> WorkerId:
+        """Add an idle worker."""
+        worker = WorkerId(name)
+        capacity = entry.setdefault("capacity", self.capacity)
+        assert isinstance(capacity, Resources)
+        self.engines[worker] = FleetWorkerEngine(self.clock, capacity, self.plan)
+        self.acknowledged[worker] = 0
+        self.scheduler.worker_registered(
+            registration(name, **entry),
+            self.now_s,  # type: ignore[arg-type]
+        )
+        return worker
+
+    def plan(self, request: StartRequest) -> RunPlan:
+        """Return how a run goes."""
+        return self.plans[request.task.job](request)
+
+    def submit(
+        self,
+        name: str,
+        *steps: StepSpec,
+        queue_name: QueueName = SLOW,
+        seconds: float = 1.0,
+        plan: Callable[[StartRequest], RunPlan] | None = None,
+        work: WorkSpec | None = None,
+    ) -> JobId:
+        """Accept a job whose tasks take ``seconds`` each."""
+        job = JobId(name)
+        spec = work or WorkSpec(steps=steps)
+
+        def healthy(request: StartRequest) -> RunPlan:
+            step = spec.steps[request.task.step]
+            gang = step.count if step.is_gang else 0
+            return RunPlan(
+                seconds, step.room, is_standing=step.is_standing, gang_size=gang
+            )
+
+        self.plans[job] = plan or healthy
+        self.specs[job] = spec
+        self.records[job] = JobRecord(job, queue_name, TEAM, spec, self.clock.wall())
+        assert self.scheduler.accept(self.records[job], 1)
+        return job
+
+    def run_for(self, seconds: float) -> None:
+        """Let time pass in small steps."""
+        for _ in range(round(seconds / STEP_S)):
+            self.clock.advance(STEP_S)
+            self.step()
+
+    def step(self) -> None:
+        """Let every worker report, and carry out what is decided."""
+        for worker in list(self.engines):
+            self.hold(worker)
+        for command in self.scheduler.decide(self.now_s, self.clock.wall()):
+            self.carry_out(command)
+        self.commit()
+
+    def hold(self, worker_id: WorkerId) -> None:
+        """Look at a worker that can be reached."""
+        worker = self.scheduler.ledger.workers.get(worker_id)
+        if worker is None:
+            return
+        if worker_id in self.cut:
+            self.scheduler.worker_silent(worker_id)
+            return
+        until_ms = None
+        if worker.born_ms:
+            until_ms = self.scheduler.lease_until_ms(worker, self.now_s)
+        try:
+            reply = self.engines[worker_id].hold(
+                Epoch(self.token), self.acknowledged[worker_id], until_ms
+            )
+        except WorkerFencedError:
+            return
+        self.scheduler.hold_answered(worker_id, reply, self.now_s)
+
+    def carry_out(self, command: Command) -> None:
+        """Send an order or answer a question at once."""
+        if isinstance(command, StartRun):
+            self.carry_out_start(command)
+        elif isinstance(command, StopRun):
+            self.stops.append((self.now_s, command.task, command.reason.value))
+            if command.worker not in self.cut:
+                engine = self.engines[command.worker]
+                engine.stop(command.task, command.run, Epoch(self.token))
+        elif isinstance(command, AskAdvice):
+            self.questions.append(command)
+            tickets = {each: "t" for each in command.workers if self.allowed(each)}
+            self.scheduler.advice_answered(
+                command.step, Advice(tickets, 2.5), self.now_s, self.now_s
+            )
+
+    def carry_out_start(self, command: StartRun) -> None:
+        """Send a start; its answer is lost on the way from a mute worker."""
+        request = command.request
+        self.starts.append((self.now_s, request.task, command.worker))
+        if command.worker in self.cut:
+            self.scheduler.start_unanswered(
+                command.worker, request.task, request.run, True
+            )
+            return
+        outcome, _ = self.engines[command.worker].start(request, Epoch(self.token))
+        if command.worker in self.mute_starts:
+            self.scheduler.start_unanswered(
+                command.worker, request.task, request.run, True
+            )
+        else:
+            self.scheduler.start_answered(
+                command.worker, request.task, request.run, outcome, self.now_s
+            )
+
+    def commit(self) -> None:
+        """Store what has changed, unless the store is away."""
+        if not self.commits:
+            return
+        changes = self.scheduler.take_changes(100, self.clock.wall())
+        for write in changes.progress:
+            self.progress[write.job] = write.value
+        for ending in changes.endings:
+            self.records.pop(ending.job, None)
+            self.progress.pop(ending.job, None)
+        self.scheduler.changes_stored(changes, {}, self.now_s)
+        for worker, (born_ms, number) in changes.numbers.items():
+            if self.engines[worker].born_ms == born_ms:
+                self.acknowledged[worker] = number
+        entries = self.scheduler.workers_to_record()
+        if entries is not None:
+            self.scheduler.workers_recorded(entries)
+
+    def take_over(self) -> None:
+        """Let a successor with the next token read the store and ask the workers."""
+        former = self.scheduler
+        self.scheduler = self.new_scheduler()
+        until_s = self.now_s + 4.3
+        for worker in former.ledger.workers.values():
+            self.scheduler.worker_registered(worker.entry, self.now_s, until_s)
+            self.acknowledged[worker.id] = 0
+        for record in self.records.values():
+            self.scheduler.accept(record, 1, is_doubtful=True)
+        for job, value in self.progress.items():
+            self.scheduler.restore(job, decode_progress(value), 1)
+
+    def state(self, job: JobId) -> JobState | None:
+        """Return a job's state as callers see it."""
+        return self.scheduler.state_of(job)
+
+    def running(self, job: JobId) -> list[TaskRef]:
+        """Return the tasks of a job that workers have at work."""
+        return [
+            task
+            for engine in self.engines.values()
+            for task in engine.runs
+            if task.job == job
+        ]
+
+    def violations(self) -> list[str]:
+        """Return what the workers saw that must never happen."""
+        return [each for engine in self.engines.values() for each in engine.violations]
