Say ready only when every peer has answered

Cause: a new member said that it was ready once it knew the owners of shards, before its connections to them were up, and refused what it had to forward. Ruled out: the other direction (peers that do not reach the new member): the refusals were all peer-not-reached at the new member.

--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/composition.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/composition.py
@@ -13,6 +13,7 @@
 from gooseberrydeck_coordination.store import Store
 from gooseberrydeck_daemon.controllers.ownership import OwnershipSide, ShardSettled
 from gooseberrydeck_daemon.controllers.ownership.side import first_holder
+from gooseberrydeck_daemon.controllers.reachability import ReachabilityTask
 from gooseberrydeck_daemon.dispatch import Dispatcher
 from gooseberrydeck_daemon.dispatch.budgets import RetryBudgets
 from gooseberrydeck_daemon.dispatch.directory import (
@@ -200,6 +201,9 @@
         if platform.store is None:
             return None
         self.holder.listeners.append(self.directory.follow_ownership)
+        self.reachability = ReachabilityTask(
+            self.network, self.membership, SystemClock(), self.health.ready.set
+        )
         return OwnershipSide(
             self.settings,
             platform.store,
@@ -208,7 +212,7 @@
             self.registry,
             lambda: self.configuration.current.number,
             self.is_shard_idle,
-            self.health.ready.set,
+            self.reachability.owners_known,
             SystemClock(),
             self.metrics,
         )
@@ -344,6 +348,7 @@
         ]
         if self.coordination is not None:
             tasks.insert(1, self.coordination.task)
+            tasks.append(self.reachability)
         if self.records is not None:
             tasks.append(self.records)
         if self.limits is not None and self.jobs is not None:
--- /dev/null
+++ b/tests/daemon/test_reachability.py
@@ -0,0 +1,84 @@
+"""Tests of when a starting member says that it is ready."""
+
+from concurrent.futures import Future
+from typing import Any
+
+from gooseberrydeck_coordination.clock import ManualClock
+from gooseberrydeck_coordination.ids import MemberId
+from gooseberrydeck_daemon.controllers.reachability import (
+    MAX_WAIT_S,
+    ReachabilityTask,
+)
+from gooseberrydeck_daemon.peers import PeerMessage, PeerNotReachedError
+from gooseberrydeck_daemon.settings import PeerAddress
+from gooseberrydeck_daemon.views import StaticMembership
+
+PEERS = [PeerAddress(MemberId(name), "127.0.0.1", 1) for name in ("m1", "m2")]
+
+
+class FakePeers:
+    """Keep what is asked, for the test to answer."""
+
+    def __init__(self) -> None:
+        self.asks: list[tuple[MemberId, Future[Any]]] = []
+
+    def send(self, member: MemberId, message: PeerMessage) -> bool:
+        return True
+
+    def ask(
+        self, member: MemberId, message: PeerMessage, timeout_s: float
+    ) -> Future[Any]:
+        future: Future[Any] = Future()
+        self.asks.append((member, future))
+        return future
+
+
+class TestReachability:
+    def setup_method(self) -> None:
+        self.peers = FakePeers()
+        self.clock = ManualClock()
+        self.ready: list[bool] = []
+        self.task = ReachabilityTask(
+            self.peers,
+            StaticMembership(PEERS, MemberId("m3")),
+            self.clock,
+            lambda: self.ready.append(True),
+        )
+
+    def begin(self) -> None:
+        self.task.owners_known()
+        self.task.run_once(0)
+
+    def test_asks_nobody_before_the_owners_are_known(self) -> None:
+        self.task.tick()
+        assert self.peers.asks == []
+
+    def test_waits_until_every_peer_has_answered(self) -> None:
+        self.begin()
+        for _, future in self.peers.asks[:1]:
+            future.set_result(None)
+        self.task.tick()
+        assert self.ready == []
+        self.peers.asks[1][1].set_result(None)
+        self.task.tick()
+        assert self.ready == [True]
+
+    def test_asks_again_a_peer_that_was_not_reached(self) -> None:
+        self.begin()
+        for _, future in self.peers.asks[:2]:
+            future.set_exception(PeerNotReachedError("no connection"))
+        self.task.tick()
+        assert len(self.peers.asks) == 4
+
+    def test_does_not_wait_for_a_dead_peer_for_ever(self) -> None:
+        self.begin()
+        self.clock.advance(MAX_WAIT_S)
+        self.task.tick()
+        assert self.ready == [True]
+
+    def test_becomes_ready_only_once(self) -> None:
+        self.begin()
+        self.clock.advance(MAX_WAIT_S)
+        self.task.tick()
+        self.begin()
+        assert self.ready == [True]
