Look for workers once a decision and schedule on large hosts

Cause: on 176 workers the scheduler's thread took more than its host had (0.43 of 0.516 cores): starts waited longer than they are valid (5,334 'expired' in 12 s). A profile showed the list of usable workers, computed for each step. Ruled out: the store and the advice service (no refusals in the log). Change: ready workers are computed once a pass, tickets are looked up directly, time-outs of runs are looked at ten times a second, stops are kept in a set; small hosts claim the shard 0.3 s later.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/ends.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/ends.py
@@ -127,6 +127,7 @@
             run.stop_reason = reason
         if run.state in (RunState.RUNNING, RunState.UNCERTAIN, RunState.STARTING):
             run.state = RunState.STOPPING
+            self.ledger.stopping.add(run)
 
     def finish_if_complete(self, job: Job) -> None:
         """Complete a job of which every task has ended well."""
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/ledger.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/ledger.py
@@ -36,6 +36,7 @@
         self.workers: dict[WorkerId, Worker] = {}
         self.quotas = Quotas()
         self.health = HealthBook()
+        self.stopping: set[Run] = set()
         self.changed: set[JobId] = set()
         self.finished: set[JobId] = set()
 
@@ -65,6 +66,7 @@
         job = run.task.step.job
         if job.runs.pop((run.task.ref, run.number), None) is None:
             return
+        self.stopping.discard(run)
         run.task.runs.remove(run)
         run.worker.remove(run)
         self.quotas.subtract(run.team, run.usage)
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/placement.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/placement.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 
+from gooseberrydeck_coordination.ids import ServiceName
 from gooseberrydeck_coordination.resources import Resources
 from gooseberrydeck_fleet.ids import StepRef, WorkerId
 from gooseberrydeck_fleet.ledger import Ledger
@@ -41,20 +42,49 @@
         """Look at one ledger."""
         self.ledger = ledger
         self.reservations: dict[WorkerId, list[Reservation]] = {}
+        self.ready: dict[ServiceName, dict[WorkerId, Worker]] = {}
+
+    def begin_pass(self) -> None:
+        """Forget which workers were ready at the last decision."""
+        self.ready.clear()
+
+    def ready_workers(
+        self, service: ServiceName, now_s: float
+    ) -> dict[WorkerId, Worker]:
+        """Return the workers of a service that take work, computed once a pass."""
+        ready = self.ready.get(service)
+        if ready is None:
+            health = self.ledger.health
+            ready = self.ready[service] = {
+                worker.id: worker
+                for worker in self.ledger.workers.values()
+                if worker.can_start
+                and worker.entry.service == service
+                and health.is_usable(worker.id, now_s)
+            }
+        return ready
 
     def usable(self, step: Step, now_s: float) -> list[Worker]:
         """Return the workers that may run a step when they have room."""
-        service = step.job.queue.service
+        room = step.spec.room
         label = step.spec.required_label
-        health = self.ledger.health
         return [
             worker
-            for worker in self.ledger.workers.values()
-            if worker.can_start
-            and worker.entry.service == service
-            and (not label or label in worker.entry.labels)
-            and step.spec.room.fits_in(worker.entry.capacity)
-            and health.is_usable(worker.id, now_s)
+            for worker in self.ready_workers(step.job.queue.service, now_s).values()
+            if (not label or label in worker.entry.labels)
+            and room.fits_in(worker.entry.capacity)
+        ]
+
+    def permitted(self, step: Step, now_s: float) -> list[Worker]:
+        """Return the workers on which a start of a step would be allowed now."""
+        if step.job.queue.advice is None:
+            return self.usable(step, now_s)
+        ready = self.ready_workers(step.job.queue.service, now_s)
+        return [
+            ready[worker]
+            for worker in step.advice.tickets
+            if worker in ready
+            and step.advice.ticket(worker, ready[worker].born_ms, now_s) is not None
         ]
 
     def free_for(self, worker: Worker, step: Step) -> Resources:
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
@@ -70,6 +70,9 @@
 MAX_ADVICE_WORKERS = 100
 """The service takes no more workers in one question."""
 
+HOUSEKEEPING_S = 0.1
+"""Time between two looks at every worker and run."""
+
 STALL_S = 2.5
 """A run whose progress stands still for longer is taken for stuck."""
 
@@ -102,6 +105,7 @@
         self.commands: list[Command] = []
         self.storing: set[JobId] = set()
         self.recorded: set[WorkerId] = set()
+        self.housekeeping_s = 0.0
         self.is_frozen = False
 
     # Configuration and membership.
@@ -307,7 +311,7 @@
             return
         if outcome is StartOutcome.SUPERSEDED and run.state is not RunState.STARTING:
             # A repeated start of a run that has ended meanwhile: its end is listed.
-            run.state = RunState.STOPPING
+            self.ends.request_stop(run, StopReason.START_UNCERTAIN)
             return
         step = run.task.step
         if outcome is StartOutcome.BAD_TICKET:
@@ -363,20 +367,28 @@
 
     def decide(self, now_s: float, wall_s: float) -> list[Command]:
         """Return what has to be done now."""
-        self.placer.expire(now_s)
-        self.expire_workers(now_s)
-        self.forget_departed()
-        self.expire_ended(now_s)
+        self.placer.begin_pass()
+        if now_s >= self.housekeeping_s:
+            self.housekeeping_s = now_s + HOUSEKEEPING_S
+            self.keep_house(now_s)
         if not self.is_frozen:
             self.open_due(wall_s)
-            self.stop_stalled(now_s)
             self.serve_steps(now_s)
-            self.pace(now_s)
         self.send_stops(now_s)
         commands = self.commands
         self.commands = []
         return commands
 
+    def keep_house(self, now_s: float) -> None:
+        """Look at every worker and run; what depends on time alone can wait a little."""
+        self.placer.expire(now_s)
+        self.expire_workers(now_s)
+        self.forget_departed()
+        self.expire_ended(now_s)
+        if not self.is_frozen:
+            self.stop_stalled(now_s)
+            self.pace(now_s)
+
     def expire_workers(self, now_s: float) -> None:
         """Give up what runs on workers that were out of reach until it lapsed."""
         for worker in list(self.ledger.workers.values()):
@@ -468,8 +480,7 @@
 
     def serve(self, step: Step, waiting: list[Task], now_s: float) -> None:
         """Start waiting tasks of a step where there is room and a ticket."""
-        usable = self.placer.usable(step, now_s)
-        permitted = self.permitted(step, usable, now_s)
+        permitted = self.placer.permitted(step, now_s)
         candidates = self.placer.choose_rack(permitted, step, len(waiting))
         left = []
         for task in waiting:
@@ -482,15 +493,14 @@
             return
         if step.job.queue.priority == 0 and permitted:
             self.preempter.make_room(step, permitted, len(left), now_s)
-        self.ask(step, usable, len(left), now_s)
+        self.ask(step, len(left), now_s)
 
     def serve_gang(self, step: Step, now_s: float) -> None:
         """Start all tasks of a gang at once, or none."""
-        usable = self.placer.usable(step, now_s)
-        permitted = self.permitted(step, usable, now_s)
+        permitted = self.placer.permitted(step, now_s)
         candidates = self.placer.choose_rack(permitted, step, step.spec.count)
         if sum(self.placer.slots(each, step) for each in candidates) < step.spec.count:
-            self.ask(step, usable, step.spec.count, now_s)
+            self.ask(step, step.spec.count, now_s)
             return
         number = self.ledger.numbers.next()
         for task in step.tasks:
@@ -502,18 +512,6 @@
             if worker is not None:
                 self.start(task, worker, number, now_s)
 
-    def permitted(
-        self, step: Step, workers: list[Worker], now_s: float
-    ) -> list[Worker]:
-        """Return the workers for which a start would be allowed now."""
-        if step.job.queue.advice is None:
-            return workers
-        return [
-            worker
-            for worker in workers
-            if step.advice.ticket(worker.id, worker.born_ms, now_s) is not None
-        ]
-
     def start(self, task: Task, worker: Worker, number: int, now_s: float) -> None:
         """Count a run and send its start."""
         run = self.ledger.add_run(task, worker, number, now_s)
@@ -534,7 +532,7 @@
         )
         self.commands.append(StartRun(worker.id, request))
 
-    def ask(self, step: Step, usable: list[Worker], wanted: int, now_s: float) -> None:
+    def ask(self, step: Step, wanted: int, now_s: float) -> None:
         """Ask which workers may run a step, if the answer could help it now."""
         policy = step.job.queue.advice
         book = step.advice
@@ -543,6 +541,7 @@
         is_urgent = step.job.queue.priority == 0
         if not self.has_lane(is_urgent):
             return
+        usable = self.placer.usable(step, now_s)
         workers = self.workers_to_ask(step, usable, wanted, now_s)
         if not workers:
             return
@@ -614,17 +613,13 @@
 
     def send_stops(self, now_s: float) -> None:
         """Send stops, and repeat those that had no effect yet."""
-        for worker in self.ledger.workers.values():
-            for run in worker.runs.values():
-                if (
-                    run.state is RunState.STOPPING
-                    and now_s - run.stop_sent_s >= STOP_REPEAT_S
-                ):
-                    run.stop_sent_s = now_s
-                    reason = run.stop_reason or StopReason.SURPLUS
-                    self.commands.append(
-                        StopRun(worker.id, run.task.ref, run.number, reason)
-                    )
+        for run in self.ledger.stopping:
+            if now_s - run.stop_sent_s >= STOP_REPEAT_S:
+                run.stop_sent_s = now_s
+                reason = run.stop_reason or StopReason.SURPLUS
+                self.commands.append(
+                    StopRun(run.worker.id, run.task.ref, run.number, reason)
+                )
         for stray in self.strays:
             report = stray.report
             self.commands.append(
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/cell.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/cell.py
@@ -45,7 +45,7 @@
         self.holder_address = ""
         self.holder_token = 0
         self.scheduler: SchedulerTask | None = None
-        self.heard: dict[str, tuple[str, float]] = {}
+        self.heard: dict[str, tuple[float, str, float]] = {}
         self.roster: tuple[str, ...] = ()
 
     def set_holder(self, token: int, address: str) -> bool:
@@ -62,16 +62,23 @@
     def heard_from(self, beat: Beat) -> None:
         """Note that a member lives."""
         with self.lock:
-            self.heard[beat.member] = (beat.address, time.monotonic())
+            self.heard[beat.member] = (
+                -beat.processors,
+                beat.address,
+                time.monotonic(),
+            )
 
     def members(self) -> tuple[str, ...]:
-        """Return the addresses of the others that told lately that they live."""
+        """Return where the others are that told lately that they live.
+
+        The largest hosts come first, so that they claim the shard first.
+        """
         oldest_s = time.monotonic() - MEMBER_TTL_S
         with self.lock:
-            for member, (_, heard_s) in list(self.heard.items()):
+            for member, (_, _, heard_s) in list(self.heard.items()):
                 if heard_s < oldest_s:
                     del self.heard[member]
-            return tuple(sorted(address for address, _ in self.heard.values()))
+            return tuple(address for _, address, _ in sorted(self.heard.values()))
 
     def set_roster(self, addresses: tuple[str, ...]) -> None:
         """Take over the holder's list of members."""
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/composition.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/composition.py
@@ -124,6 +124,7 @@
             settings.timing,
             self.build_scheduler,
             self.metrics,
+            settings.processor_share,
         )
         self.callers = CallerApplication(
             self.configuration,
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/control.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/control.py
@@ -54,6 +54,12 @@
 RANK_DELAY_S = 0.06
 """Head start of each claimant before the next; a claim takes two store calls."""
 
+SMALL_HOST_DELAY_S = 0.3
+"""Head start of hosts with a whole processor before smaller ones."""
+
+SMALL_HOST_PROCESSORS = 1.0
+"""A scheduler of 176 workers takes up to half a processor; less leaves no room."""
+
 MAX_RANK = 8
 """Ranks beyond this wait no longer, so that a takeover stays quick."""
 
@@ -72,8 +78,9 @@
         timing: Timing,
         build_scheduler: Callable[[Authority, bool], SchedulerTask],
         metrics: Metrics,
+        processors: float,
     ) -> None:
-        """Begin as a follower that knows no holder."""
+        """Begin as a follower that knows no holder, on a host of some processors."""
         self.name = "control"
         self.store = store
         self.holding = holding
@@ -84,6 +91,7 @@
         self.timing = timing
         self.build_scheduler = build_scheduler
         self.metrics = metrics
+        self.processors = processors
         self.stopping = threading.Event()
         self.may_claim = True
         self.no_claim_before_s = 0.0
@@ -158,6 +166,7 @@
             self.cell.address,
             self.holding.incarnation,
             self.configuration.version,
+            self.processors,
         )
         sent_s = time.monotonic()
         try:
@@ -253,12 +262,14 @@
             self.begin_leading(was_silent, sent_s, seen.record.address)
 
     def claim_delay_s(self) -> float:
-        """Return how long to let others go first."""
+        """Return how long to let others go first: larger hosts, then by the roster."""
         roster = self.cell.roster
+        is_small = self.processors < SMALL_HOST_PROCESSORS
+        delay_s = SMALL_HOST_DELAY_S if is_small else 0.0
         if self.cell.address in roster:
             rank = min(MAX_RANK, roster.index(self.cell.address))
-            return rank * RANK_DELAY_S
-        return self.random.random() * RANK_DELAY_S * 2
+            return delay_s + rank * RANK_DELAY_S
+        return delay_s + self.random.random() * RANK_DELAY_S * 2
 
     # Leading.
 
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/observability.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/observability.py
@@ -5,6 +5,7 @@
 import sys
 import threading
 
+import msgspec
 import prometheus_client
 import structlog
 
@@ -50,6 +51,11 @@
             sys.stdout.flush()
 
 
+def encode_line(event: dict[str, object], **_options: object) -> str:
+    """Return an event as a line of JSON; what JSON cannot hold is shown by ``repr``."""
+    return msgspec.json.encode(event, enc_hook=repr).decode()
+
+
 def configure_logs(member: str) -> LogWriter:
     """Write log lines as JSON to standard output."""
     writer = LogWriter()
@@ -59,7 +65,7 @@
             structlog.processors.TimeStamper(fmt="iso"),
             structlog.processors.format_exc_info,
             lambda _logger, _name, event: {**event, "member": member},
-            structlog.processors.JSONRenderer(),
+            structlog.processors.JSONRenderer(serializer=encode_line),
         ],
         wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
         logger_factory=lambda *_: writer,
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/peer_messages.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/peer_messages.py
@@ -24,13 +24,14 @@
     address: str
     incarnation: str
     version: int
+    processors: float = 1.0
 
 
 class BeatReply(msgspec.Struct, frozen=True, omit_defaults=True):
     """The holder's answer; ``is_holder`` is false after it lost the shard.
 
     Ages are in seconds, as of the answer. ``configuration`` is sent if it is newer than
-    the asking member's.
+    the asking member's. ``members`` are in the order in which they should claim.
     """
 
     is_holder: bool
