--- a/packages/gooseberrydeck-platform/src/gooseberrydeck_platform/http.py
+++ b/packages/gooseberrydeck-platform/src/gooseberrydeck_platform/http.py
@@ -179,7 +179,9 @@
         """Return the request as bytes, or raise ``HttpNotSentError``."""
         self.client.parts.clear()
         try:
-            self.client.putrequest(method, path, skip_accept_encoding=True)
+            self.client.putrequest(
+                method, path, skip_host="Host" in headers, skip_accept_encoding=True
+            )
             for name, value in headers.items():
                 self.client.putheader(name, value)
             if body or method != "GET":
--- a/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/http_service.py
+++ b/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/http_service.py
@@ -31,11 +31,13 @@
 
 
 class Call(msgspec.Struct, frozen=True):
-    """A call that has arrived."""
+    """A call that has arrived; ``headers`` has the names as WSGI spells them."""
 
     method: str
     path: str
     body: bytes
+    query: str = ""
+    headers: dict[str, str] = {}
 
 
 class Reply(msgspec.Struct, frozen=True):
@@ -74,6 +76,8 @@
             environ["REQUEST_METHOD"],
             environ["PATH_INFO"],
             environ["wsgi.input"].read(),
+            environ.get("QUERY_STRING", ""),
+            {key: environ[key] for key in environ if key.startswith("HTTP_")},
         )
         reply = application.handle(call)
         status = f"{reply.status} {REASONS.get(reply.status, 'Other')}"
--- a/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/processes.py
+++ b/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/processes.py
@@ -149,8 +149,12 @@
     """A stand-in in a process of its own, started by ``python -m``."""
 
     def __init__(self, module: str, log: Path, *options: str) -> None:
-        """Start the stand-in and wait until it tells its address."""
-        super().__init__(["-m", f"gooseberrydeck_standins.{module}", *options], log)
+        """Start the stand-in and wait until it tells its address.
+
+        A ``module`` without a package is one of this package.
+        """
+        name = module if "." in module else f"gooseberrydeck_standins.{module}"
+        super().__init__(["-m", name, *options], log)
         try:
             wait_for(self.has_announced, f"the start of {module}", START_TIMEOUT_S)
             announcement = self.announcement()
--- /dev/null
+++ b/tests/adapter/test_adapter.py
@@ -0,0 +1,430 @@
+"""Contract tests of the adapter against the stand-ins of the platform."""
+
+import platform
+import subprocess
+import sys
+import threading
+from collections.abc import Callable, Iterator
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from gooseberrydeck_adapter import (
+    CallerCodec,
+    HttpAdviser,
+    HttpStore,
+    HttpWorker,
+    decode_intent,
+    decode_registration,
+)
+from gooseberrydeck_adapter.configuration import ConfigurationUnreadableError
+from gooseberrydeck_adapter.names import parse_task_name, task_name
+from gooseberrydeck_adapter.settings import decode_settings
+from gooseberrydeck_adapter_standins.advice import AdviceApplication
+from gooseberrydeck_adapter_standins.local_platform import (
+    default_configuration,
+    job_body,
+)
+from gooseberrydeck_adapter_standins.store import PlatformStoreApplication
+from gooseberrydeck_adapter_standins.worker import WorkerApplication, plan_of
+from gooseberrydeck_coordination.clock import ManualClock
+from gooseberrydeck_coordination.exceptions import (
+    StoreCompactedError,
+    StoreLeaseLostError,
+    StoreOutcomeUnknownError,
+    StoreRequestRefusedError,
+    StoreUnavailableError,
+)
+from gooseberrydeck_coordination.ids import Epoch, JobId, Revision
+from gooseberrydeck_coordination.resources import Resources
+from gooseberrydeck_coordination.store import (
+    Compare,
+    CompareTarget,
+    Delete,
+    EventKind,
+    Put,
+    Transaction,
+)
+from gooseberrydeck_fleet.advice import AdviceFailedError
+from gooseberrydeck_fleet.ids import StepRef, TaskRef, WorkerId
+from gooseberrydeck_fleet.settings import SettingsError
+from gooseberrydeck_fleet.work import InvalidWorkError, JobState
+from gooseberrydeck_fleet.worker_calls import (
+    EndKind,
+    StartOutcome,
+    StartRequest,
+    WorkerFencedError,
+    WorkerGoneError,
+    WorkerReplacedError,
+    WorkerSilentError,
+)
+from gooseberrydeck_platform.http import HttpAddress
+from gooseberrydeck_standins.faults import FaultKind
+from gooseberrydeck_standins.fleet_worker import FleetWorkerEngine
+from gooseberrydeck_standins.http_service import StandinServer
+from gooseberrydeck_standins.processes import free_ports
+from gooseberrydeck_standins.store_engine import StoreEngine
+
+ROOT = Path(__file__).parents[2]
+TIMEOUT_S = 2.0
+TASK = TaskRef(JobId("5c0e7a21d94b36f8"), 0, 1, 17)
+WORKER = WorkerId("w1")
+TOKEN = Epoch(3)
+
+
+def absent(key: str) -> Compare:
+    return Compare(key, CompareTarget.MOD_REVISION, 0)
+
+
+class StoreFixture:
+    """A store over HTTP with its switches."""
+
+    def __init__(self) -> None:
+        self.clock = ManualClock()
+        self.application = PlatformStoreApplication(StoreEngine(self.clock))
+        self.server = StandinServer(self.application)
+        self.store = HttpStore(self.server.address)
+
+
+@pytest.fixture
+def stored() -> Iterator[StoreFixture]:
+    made = StoreFixture()
+    with made.server:
+        yield made
+        made.store.close()
+
+
+class TestStore:
+    def test_transaction_reads_back(self, stored: StoreFixture) -> None:
+        store = stored.store
+        transaction = Transaction((absent("a"),), (Put("a", b"\x00\xff"),))
+        first = store.commit(transaction, TIMEOUT_S)
+        assert first.succeeded
+        assert not store.commit(transaction, TIMEOUT_S).succeeded
+        entry = store.read("a", TIMEOUT_S)
+        assert entry is not None
+        assert (entry.value, entry.mod_revision) == (b"\x00\xff", first.revision)
+        store.commit(Transaction((), (Delete("a"),)), TIMEOUT_S)
+        assert store.read("a", TIMEOUT_S) is None
+
+    def test_range_is_read_page_by_page(self, stored: StoreFixture) -> None:
+        for batch in range(21):
+            keys = [f"p/{batch:02}/{index:02}" for index in range(30)]
+            puts = tuple(Put(key, b"x") for key in keys)
+            stored.store.commit(Transaction((), puts), TIMEOUT_S)
+        snapshot = stored.store.read_prefix("p/", TIMEOUT_S)
+        assert len(snapshot.entries) == 630
+        assert len({entry.key for entry in snapshot.entries}) == 630
+
+    def test_watch_tells_changes_in_order(self, stored: StoreFixture) -> None:
+        store = stored.store
+        first = store.commit(Transaction((), (Put("w/a", b"1"),)), TIMEOUT_S)
+        watch = store.watch("w/", Revision(first.revision + 1), TIMEOUT_S)
+        store.commit(Transaction((), (Put("w/b", b"2"),)), TIMEOUT_S)
+        store.commit(Transaction((), (Delete("w/a"),)), TIMEOUT_S)
+        events = [(event.kind, event.entry.key) for event in next(watch).events]
+        assert events == [(EventKind.PUT, "w/b"), (EventKind.DELETE, "w/a")]
+
+    def test_watch_of_a_forgotten_revision_is_told(self, stored: StoreFixture) -> None:
+        store = stored.store
+        first = store.commit(Transaction((), (Put("a", b"1"),)), TIMEOUT_S)
+        store.commit(Transaction((), (Put("a", b"2"),)), TIMEOUT_S)
+        engine = stored.application.engine
+        engine.compact(engine.revision)
+        with pytest.raises(StoreCompactedError):
+            next(store.watch("a", Revision(first.revision), TIMEOUT_S))
+
+    def test_keys_of_a_lease_end_with_it(self, stored: StoreFixture) -> None:
+        store = stored.store
+        lease = store.grant_lease(1.5, TIMEOUT_S)
+        store.commit(Transaction((), (Put("a", b"", lease),)), TIMEOUT_S)
+        stored.clock.advance(1.0)
+        assert store.keep_lease_alive(lease, TIMEOUT_S) == 1.5
+        stored.clock.advance(1.4)
+        assert store.read("a", TIMEOUT_S) is not None
+        stored.clock.advance(0.2)
+        assert store.read("a", TIMEOUT_S) is None
+        with pytest.raises(StoreLeaseLostError):
+            store.keep_lease_alive(lease, TIMEOUT_S)
+        with pytest.raises(StoreLeaseLostError):
+            store.commit(Transaction((), (Put("a", b"", lease),)), TIMEOUT_S)
+
+    def test_operators_keys_cannot_be_written(self, stored: StoreFixture) -> None:
+        with pytest.raises(StoreRequestRefusedError):
+            stored.store.commit(Transaction((), (Put("op/x", b""),)), TIMEOUT_S)
+
+    def test_too_many_entries_are_refused(self, stored: StoreFixture) -> None:
+        puts = tuple(Put(f"k{number}", b"") for number in range(33))
+        with pytest.raises(StoreRequestRefusedError):
+            stored.store.commit(Transaction((), puts), TIMEOUT_S)
+
+    @pytest.mark.parametrize(
+        ("fault", "error", "has_effect"),
+        [
+            (FaultKind.DOWN, StoreUnavailableError, False),
+            (FaultKind.REFUSE, StoreUnavailableError, False),
+            (FaultKind.ANSWER_LOST, StoreOutcomeUnknownError, True),
+            (FaultKind.FROZEN, StoreOutcomeUnknownError, False),
+        ],
+    )
+    def test_outcome_of_a_failed_call(
+        self,
+        stored: StoreFixture,
+        fault: FaultKind,
+        error: type[Exception],
+        has_effect: bool,
+    ) -> None:
+        stored.application.faults.set(fault, calls=1)
+        with pytest.raises(error):
+            stored.store.commit(Transaction((), (Put("a", b"1"),)), 0.3)
+        assert bool(stored.application.engine.range(b"a")) is has_effect
+        stored.application.faults.clear()
+
+    def test_unreachable_store_has_no_effect(self) -> None:
+        store = HttpStore(HttpAddress("127.0.0.1", free_ports(1)[0]))
+        with pytest.raises(StoreUnavailableError):
+            store.read("a", TIMEOUT_S)
+
+    def test_rates_are_refused_without_effect(self, stored: StoreFixture) -> None:
+        stored.application.writes.per_s = 1
+        store = stored.store
+        store.commit(Transaction((), (Put("a", b"1"),)), TIMEOUT_S)
+        with pytest.raises(StoreUnavailableError):
+            store.commit(Transaction((), (Put("a", b"2"),)), TIMEOUT_S)
+
+
+class WorkerFixture:
+    """A worker over HTTP with its switches."""
+
+    def __init__(self) -> None:
+        self.clock = ManualClock()
+        capacity = Resources(4_000, 1_000)
+        self.engine = FleetWorkerEngine(self.clock, capacity, plan_of, born_ms=77)
+        self.application = WorkerApplication(WORKER, self.engine)
+        self.server = StandinServer(self.application)
+        self.calls = HttpWorker(WORKER, self.server.address)
+
+    def request(self, run: int = 1, until_ms: int = 5_000) -> StartRequest:
+        payload = '{"seconds":1.0,"cpu":1000}'
+        return StartRequest(TASK, run, payload, until_ms)
+
+    def start(self, run: int = 1, until_ms: int = 5_000) -> StartOutcome:
+        request = self.request(run, until_ms)
+        return self.calls.start(request, TOKEN, TIMEOUT_S)[0]
+
+
+@pytest.fixture
+def working() -> Iterator[WorkerFixture]:
+    made = WorkerFixture()
+    with made.server:
+        yield made
+        made.calls.close()
+
+
+class TestWorker:
+    def test_run_is_listed_until_it_ends_and_its_end_until_it_is_acknowledged(
+        self, working: WorkerFixture
+    ) -> None:
+        assert working.start() is StartOutcome.STARTED
+        assert working.start() is StartOutcome.STARTED
+        working.clock.advance(0.5)
+        reply = working.calls.hold(TOKEN, 0, 4_000, 0.0, TIMEOUT_S)
+        assert [(run.task, run.run, run.progress) for run in reply.runs] == [
+            (TASK, 1, 50.0)
+        ]
+        assert reply.born_ms == 77
+        working.clock.advance(0.6)
+        for _ in range(2):
+            reply = working.calls.hold(TOKEN, 0, None, 0.0, TIMEOUT_S)
+            assert [(end.number, end.kind) for end in reply.ends] == [
+                (1, EndKind.SUCCEEDED)
+            ]
+        assert working.calls.hold(TOKEN, 1, None, 0.0, TIMEOUT_S).ends == ()
+
+    def test_stopped_run_resumes_from_its_checkpoint(
+        self, working: WorkerFixture
+    ) -> None:
+        working.start()
+        working.clock.advance(0.4)
+        working.calls.stop(TASK, 1, TOKEN, TIMEOUT_S)
+        working.clock.advance(0.3)
+        end = working.calls.hold(TOKEN, 0, None, 0.0, TIMEOUT_S).ends[0]
+        assert end.kind is EndKind.STOPPED
+        assert float(end.checkpoint) > 0.4
+
+    def test_stop_that_overtakes_its_start_bars_it(
+        self, working: WorkerFixture
+    ) -> None:
+        working.calls.stop(TASK, 1, TOKEN, TIMEOUT_S)
+        assert working.start(run=1) is StartOutcome.SUPERSEDED
+        assert working.start(run=2) is StartOutcome.STARTED
+
+    def test_late_start_is_refused(self, working: WorkerFixture) -> None:
+        working.clock.advance(2.0)
+        assert working.start(until_ms=1_500) is StartOutcome.EXPIRED
+
+    def test_lower_token_is_refused(self, working: WorkerFixture) -> None:
+        working.start()
+        with pytest.raises(WorkerFencedError):
+            working.calls.hold(Epoch(TOKEN - 1), 0, None, 0.0, TIMEOUT_S)
+
+    def test_another_instance_refuses(self, working: WorkerFixture) -> None:
+        other = HttpWorker(WorkerId("w2"), working.server.address)
+        with pytest.raises(WorkerReplacedError):
+            other.hold(TOKEN, 0, None, 0.0, TIMEOUT_S)
+        other.close()
+
+    def test_unhealthy_worker_sheds(self, working: WorkerFixture) -> None:
+        working.application.faults.set(FaultKind.REFUSE)
+        assert working.start() is StartOutcome.SHED
+
+    def test_lost_answer_may_have_had_effect(self, working: WorkerFixture) -> None:
+        working.application.faults.set(FaultKind.ANSWER_LOST, calls=1)
+        with pytest.raises(WorkerSilentError):
+            working.start()
+        assert len(working.engine.runs) == 1
+
+    def test_ended_process_is_told_from_a_silent_one(self) -> None:
+        address = HttpAddress("127.0.0.1", free_ports(1)[0])
+        with pytest.raises(WorkerGoneError):
+            HttpWorker(WORKER, address).hold(TOKEN, 0, None, 0.0, TIMEOUT_S)
+
+    def test_hold_waits_for_an_end(self, working: WorkerFixture) -> None:
+        working.start()
+        timer = threading.Timer(0.1, working.clock.advance, (1.5,))
+        timer.start()
+        reply = working.calls.hold(TOKEN, 0, None, 2.0, TIMEOUT_S)
+        timer.join()
+        assert len(reply.ends) == 1
+
+
+class TestAdvice:
+    def test_allowed_workers_come_with_tickets(self) -> None:
+        application = AdviceApplication(0, 0, share=1.0)
+        with StandinServer(application) as server:
+            adviser = HttpAdviser(server.address)
+            step = StepRef(JobId("a"), 0, 0)
+            advice = adviser.ask(step, (WORKER,), TIMEOUT_S)
+            assert set(advice.tickets) == {WORKER}
+            assert advice.valid_s == 2.5
+            application.faults.set(FaultKind.DOWN)
+            with pytest.raises(AdviceFailedError):
+                adviser.ask(step, (WORKER,), TIMEOUT_S)
+            adviser.pool.close()
+
+
+class TestDecoding:
+    def test_task_names(self) -> None:
+        assert parse_task_name(task_name(TASK)) == TASK
+
+    @pytest.mark.parametrize("name", ["", "a.0.0", "a.0.0.x", "a.b.c.d.e"])
+    def test_strange_task_names(self, name: str) -> None:
+        with pytest.raises(ValueError, match=r"."):
+            parse_task_name(name)
+
+    @pytest.mark.parametrize(
+        "change",
+        [
+            lambda entry: entry.pop("Service"),
+            lambda entry: entry.update(State="resting"),
+            lambda entry: entry.update(Address="nowhere"),
+            lambda entry: entry.update(Capacity=5),
+            lambda entry: entry.update(Capacity={"Cpu": "many", "MemMb": 1}),
+            lambda entry: entry.update(Labels="a"),
+        ],
+    )
+    def test_entry_of_another_writer_names_no_worker(
+        self, change: Callable[[dict[str, object]], object]
+    ) -> None:
+        entry: dict[str, object] = {
+            "Service": "desk",
+            "Address": "127.0.0.1:1",
+            "State": "draining",
+            "RemainingMs": 1_500,
+            "Capacity": {"Cpu": 4_000, "MemMb": 10},
+            "Labels": ["a", "r1-3"],
+            "Unknown": True,
+        }
+        found = decode_registration("servers/w", msgspec.json.encode(entry))
+        assert found is not None
+        assert (found.worker, found.rack, found.remaining_s) == ("w", "r1-3", 1.5)
+        assert found.is_draining
+        change(entry)
+        assert decode_registration("servers/w", msgspec.json.encode(entry)) is None
+
+    def test_bytes_that_are_no_entry(self) -> None:
+        assert decode_registration("servers/w", b"\xff{") is None
+
+    def test_configuration(self) -> None:
+        wire = default_configuration(7, with_advice=True)
+        intent = decode_intent(msgspec.json.encode(wire))
+        queue = intent.find_queue("DESK.example", "/urgent/00")
+        assert intent.version == 7
+        assert queue is not None
+        assert (queue.slack_s, queue.priority) == (0.25, 0)
+        assert queue.advice is not None
+        assert queue.advice.valid_s == 2.5
+        with pytest.raises(ConfigurationUnreadableError):
+            decode_intent(b"{}")
+
+    def test_longest_prefix_wins(self) -> None:
+        wire = default_configuration()
+        wire["Routes"].append(
+            {**wire["Routes"][0], "Name": "x", "Prefix": "/urgent/x/"}
+        )
+        intent = decode_intent(msgspec.json.encode(wire))
+        found = intent.find_queue("desk.example:80", "/urgent/x/1")
+        assert found is not None
+        assert found.name == "x"
+
+    def test_work(self) -> None:
+        codec = CallerCodec()
+        work = codec.decode_work(job_body(steps=2, SavesProgress=True, MaxPerServer=2))
+        assert work.steps[1].after == (0,)
+        assert work.steps[0].saves_progress
+        assert work.steps[0].max_per_worker == 2
+        with pytest.raises(InvalidWorkError):
+            codec.decode_work(b'{"Steps":[{"Count":"x"}]}')
+        states = {codec.encode_state(state) for state in JobState}
+        assert len(states) == len(JobState)
+
+    def test_settings(self) -> None:
+        text = b"""
+NodeName: "n1"
+Ip: "10.0.0.1"
+Zone: "z"
+Listen: {Front: "10.0.0.1:80", Ready: "10.0.0.1:81"}
+PortRange: [7000, 7015]
+platform: {Address: "10.0.0.9:1", TtlMinMs: 1000}
+Bounds: {MaxHoldMs: 10000, status_s: 120, FarX: 1.5}
+Limits: {CpuShare: 0.5, Cores: 2, MemoryMb: 300}
+FieldOfTomorrow: 5
+"""
+        settings = decode_settings(text)
+        assert settings.timing.task_lease_s == 10.0
+        assert settings.timing.far_factor == 1.5
+        assert settings.processor_share == 1.0
+        assert settings.peer_port == 7000
+        with pytest.raises(SettingsError):
+            decode_settings(text.replace(b"PortRange: [7000, 7015]", b""))
+
+
+class TestFolder:
+    def test_standard_librarys_platform_module_imports_from_the_root(self) -> None:
+        code = "import platform; print(platform.python_version())"
+        done = subprocess.run(
+            [sys.executable, "-c", code], cwd=ROOT, capture_output=True, check=True
+        )
+        assert done.stdout.decode().strip() == platform.python_version()
+        assert not (ROOT / "platform" / "__init__.py").exists()
+
+    def test_no_other_package_uses_the_platforms_names(self) -> None:
+        names = ("FencingToken", "run-start", "kv-txn", "ExpectRev", "op/config")
+        found = [
+            (path, name)
+            for path in (ROOT / "packages").rglob("*.py")
+            for name in names
+            if name in path.read_text()
+        ]
+        assert found == []
