Test members as processes, callers, holdings and a state machine of the fleet

Change: 43 tests of callers' answers, claims, authority and commits under store faults; members as processes under eight faults (holder killed, paused, all killed, store down, lost answers, forgotten history, workers killed, members replaced); a hypothesis machine over the scheduler (cuts, lost answers, restarts, store outages, takeovers) that checks room, team limits and that no task runs twice. Removes Holding.confirm, which nothing used.

--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/holding.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/holding.py
@@ -96,14 +96,6 @@
         self.held = ShardView(record, result.revision)
         return True
 
-    def confirm(self, seen: ShardView) -> bool:
-        """Tell whether a record is a claim of this run whose answer was lost."""
-        if seen.record.incarnation != self.incarnation:
-            return False
-        self.held = seen
-        self.lease = StoreLeaseId(0)
-        return True
-
     def guard(self) -> Compare:
         """Return the condition under which the holder may write."""
         if self.held is None:
--- a/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/fleet_worker.py
+++ b/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/fleet_worker.py
@@ -1,5 +1,6 @@
 """A worker of the users' platform in memory: leases, fences, runs, checkpoints."""
 
+import itertools
 from collections.abc import Callable
 
 import msgspec
@@ -19,7 +20,7 @@
     WorkerReply,
 )
 
-__all__ = ["FleetWorkerEngine", "RunPlan"]
+__all__ = ["FleetWorkerEngine", "RunPlan", "RunSpan", "find_double_runs"]
 
 MAX_LISTED_ENDS = 500
 STOP_S = 0.2
@@ -51,6 +52,16 @@
     stops_at_s: float | None = None
 
 
+class RunSpan(msgspec.Struct, frozen=True):
+    """When a run was at work, in wall-clock seconds, and how it ended."""
+
+    task: str
+    run: int
+    began_s: float
+    ended_s: float
+    kind: str
+
+
 class FleetWorkerEngine:
     """One life of a worker; times are those of its clock.
 
@@ -82,6 +93,7 @@
         self.last_number = 0
         self.barred: dict[TaskRef, int] = {}
         self.violations: list[str] = []
+        self.spans: list[RunSpan] = []
 
     def now_s(self) -> float:
         """Return the worker's steady clock."""
@@ -187,6 +199,9 @@
     def end(self, held: HeldRun, kind: EndKind) -> None:
         """List the end of a run."""
         del self.runs[held.task]
+        now_s = self.clock.wall()
+        began_s = now_s - (self.now_s() - held.started_s)
+        self.spans.append(RunSpan(str(held.task), held.run, began_s, now_s, kind.value))
         self.last_number += 1
         self.barred[held.task] = max(self.barred.get(held.task, 0), held.run)
         saved = "" if kind is EndKind.SUCCEEDED else f"{self.work_s(held):.3f}"
@@ -200,3 +215,21 @@
             progress = min(99.0, 100 * self.work_s(held) / held.plan.seconds)
         saved = f"{self.work_s(held):.3f}"
         return RunReport(held.task, held.run, saved, round(progress, 1))
+
+
+def find_double_runs(spans: list[RunSpan]) -> list[str]:
+    """Return the tasks that were at work twice at once, or again after they were done.
+
+    The spans may come from several workers.
+    """
+    found = []
+    by_task: dict[str, list[RunSpan]] = {}
+    for span in sorted(spans, key=lambda span: span.began_s):
+        by_task.setdefault(span.task, []).append(span)
+    for task, runs in by_task.items():
+        for first, second in itertools.pairwise(runs):
+            if second.began_s < first.ended_s:
+                found.append(f"{task} ran twice at once ({first.run}, {second.run})")
+            elif first.kind == EndKind.SUCCEEDED.value:
+                found.append(f"{task} ran again after it was done ({second.run})")
+    return found
--- a/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/processes.py
+++ b/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/processes.py
@@ -184,6 +184,12 @@
         connection.request("PUT", f"{path}/faults", body)
         connection.close()
 
+    def put(self, path: str) -> None:
+        """Ask the stand-in to do what a path names."""
+        connection = HttpConnection(self.address)
+        connection.request("PUT", path)
+        connection.close()
+
     def fetch(self, path: str) -> bytes:
         """Return what the stand-in tells at a path."""
         connection = HttpConnection(self.address)
--- /dev/null
+++ b/tests/fleet/test_machine.py
@@ -0,0 +1,120 @@
+"""A state machine that throws faults at the scheduler and checks its promises."""
+
+from hypothesis import settings, strategies
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from fleet_support import SLOW, URGENT, Fleet, intent, task_resources
+from gooseberrydeck_coordination.ids import JobId
+from gooseberrydeck_coordination.resources import NOTHING, Resources
+from gooseberrydeck_fleet.ids import WorkerId
+from gooseberrydeck_fleet.work import JobState, StepSpec
+from gooseberrydeck_standins.fleet_worker import FleetWorkerEngine
+
+WORKERS = 3
+MAXIMUM = Resources(48_000, 0, 0)
+FINISH_S = 90.0
+
+
+class FleetMachine(RuleBasedStateMachine):
+    """Jobs, cuts, restarts, lost answers, outages and takeovers in any order."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.fleet = Fleet(WORKERS)
+        self.fleet.intent = intent(maximum=MAXIMUM)
+        self.fleet.scheduler.set_intent(self.fleet.intent)
+        self.jobs: list[JobId] = []
+        self.born_ms = 1
+
+    @rule(
+        count=strategies.integers(1, 6),
+        cores=strategies.integers(1, 12),
+        seconds=strategies.floats(0.1, 4.0),
+        is_urgent=strategies.booleans(),
+        steps=strategies.integers(1, 2),
+    )
+    def submit(
+        self, count: int, cores: int, seconds: float, is_urgent: bool, steps: int
+    ) -> None:
+        name = f"j{len(self.jobs)}"
+        specs = [
+            StepSpec(
+                count,
+                task_resources(cores),
+                after=(number - 1,) if number else (),
+                saves_progress=not is_urgent,
+            )
+            for number in range(steps)
+        ]
+        queue_name = URGENT if is_urgent else SLOW
+        self.jobs.append(
+            self.fleet.submit(name, *specs, queue_name=queue_name, seconds=seconds)
+        )
+
+    @rule(seconds=strategies.floats(0.05, 3.0))
+    def wait(self, seconds: float) -> None:
+        self.fleet.run_for(seconds)
+
+    @rule(number=strategies.integers(0, WORKERS - 1))
+    def cut(self, number: int) -> None:
+        self.fleet.cut.add(WorkerId(f"w{number}"))
+
+    @rule()
+    def heal(self) -> None:
+        self.fleet.cut.clear()
+        self.fleet.mute_starts.clear()
+
+    @rule(number=strategies.integers(0, WORKERS - 1))
+    def lose_answers(self, number: int) -> None:
+        self.fleet.mute_starts.add(WorkerId(f"w{number}"))
+
+    @rule(number=strategies.integers(0, WORKERS - 1))
+    def restart_worker(self, number: int) -> None:
+        worker = WorkerId(f"w{number}")
+        self.born_ms += 1
+        former = self.fleet.engines[worker]
+        self.fleet.engines[worker] = FleetWorkerEngine(
+            self.fleet.clock, self.fleet.capacity, self.fleet.plan, born_ms=self.born_ms
+        )
+        self.fleet.engines[worker].violations = former.violations
+        self.fleet.acknowledged[worker] = 0
+
+    @rule()
+    def toggle_store(self) -> None:
+        self.fleet.commits = not self.fleet.commits
+
+    @precondition(lambda self: self.fleet.commits)
+    @rule()
+    def take_over(self) -> None:
+        self.fleet.take_over()
+
+    @invariant()
+    def nothing_forbidden_is_seen(self) -> None:
+        assert self.fleet.violations() == []
+
+    @invariant()
+    def team_stays_within_its_maximum(self) -> None:
+        used = NOTHING
+        for engine in self.fleet.engines.values():
+            used = used + engine.used()
+        assert used.cpu_millis <= MAXIMUM.cpu_millis
+
+    def teardown(self) -> None:
+        """Heal everything: every job must complete, and its parts run once."""
+        self.heal()
+        self.fleet.commits = True
+        waited_s = 0.0
+        while any(not self.is_complete(job) for job in self.jobs):
+            assert waited_s < FINISH_S, "jobs are stuck"
+            self.fleet.run_for(0.5)
+            waited_s += 0.5
+        assert self.fleet.violations() == []
+
+    def is_complete(self, job: JobId) -> bool:
+        """Tell whether a job has completed, under this holder or an earlier one."""
+        state = self.fleet.state(job)
+        return state is JobState.COMPLETED or job not in self.fleet.records
+
+
+TestFleetMachine = FleetMachine.TestCase
+TestFleetMachine.settings = settings(max_examples=60, stateful_step_count=25)
--- a/tests/fleet_support.py
+++ b/tests/fleet_support.py
@@ -24,7 +24,11 @@
 from gooseberrydeck_fleet.work import JobRecord, JobState, StepSpec, WorkSpec
 from gooseberrydeck_fleet.worker_calls import StartRequest, WorkerFencedError
 from gooseberrydeck_platform.http import HttpAddress
-from gooseberrydeck_standins.fleet_worker import FleetWorkerEngine, RunPlan
+from gooseberrydeck_standins.fleet_worker import (
+    FleetWorkerEngine,
+    RunPlan,
+    find_double_runs,
+)
 
 SERVICE = ServiceName("desk")
 TEAM = TeamName("editors")
@@ -286,4 +290,7 @@
 
     def violations(self) -> list[str]:
         """Return what the workers saw that must never happen."""
-        return [each for engine in self.engines.values() for each in engine.violations]
+        engines = self.engines.values()
+        spans = [span for engine in engines for span in engine.spans]
+        seen = [each for engine in engines for each in engine.violations]
+        return seen + find_double_runs(spans)
--- /dev/null
+++ b/tests/member/test_callers.py
@@ -0,0 +1,228 @@
+"""Tests of what callers are told, under faults of the store and of peers."""
+
+from collections.abc import Iterable
+from io import BytesIO
+from typing import Any
+
+import msgspec
+import pytest
+
+from gooseberrydeck_adapter import CallerCodec, decode_intent
+from gooseberrydeck_adapter_standins.local_platform import (
+    default_configuration,
+    job_body,
+)
+from gooseberrydeck_coordination.clock import ManualClock
+from gooseberrydeck_coordination.ids import JobId, QueueName
+from gooseberrydeck_fleet.work import JobRecord, JobState
+from gooseberrydeck_member import jobs as jobs_module
+from gooseberrydeck_member.callers import Answer, Call, CallerApplication
+from gooseberrydeck_member.configuration import ConfigurationHolder
+from gooseberrydeck_member.jobs import JobStore
+from gooseberrydeck_member.keys import job_key
+from gooseberrydeck_member.observability import Metrics
+from gooseberrydeck_standins.engine_store import EngineStore
+from gooseberrydeck_standins.faults import CallFault
+from gooseberrydeck_standins.store_engine import StoreEngine
+
+JOB = JobId("00000000000000aa")
+PATH = f"/slow/{JOB}"
+
+
+class FakeDirectory:
+    """A holder and a peer whose answers the test sets."""
+
+    def __init__(self) -> None:
+        self.states: dict[JobId, JobState] = {}
+        self.counts: dict[QueueName, int] | None = {}
+        self.peer: Answer | None = None
+        self.relayed: list[Call] = []
+
+    def state(self, job: JobId, timeout_s: float) -> JobState | None:
+        return self.states.get(job)
+
+    def waiting(self, timeout_s: float) -> dict[QueueName, int] | None:
+        return self.counts
+
+    def relay(self, call: Call, timeout_s: float) -> Answer | None:
+        self.relayed.append(call)
+        return self.peer
+
+
+class CallersFixture:
+    def setup_method(self) -> None:
+        self.engine = StoreEngine(ManualClock())
+        self.store = EngineStore(self.engine, waits=False)
+        self.configuration = ConfigurationHolder(decode_intent)
+        self.directory = FakeDirectory()
+        self.application = CallerApplication(
+            self.configuration,
+            JobStore(self.store),
+            self.directory,
+            CallerCodec(),
+            Metrics(),
+        )
+        self.publish(default_configuration())
+        self.headers: list[tuple[str, str]] = []
+
+    def publish(self, configuration: dict[str, Any]) -> None:
+        value = msgspec.json.encode(configuration)
+        self.configuration.offer(value, 1.0, "test")
+
+    def call(
+        self,
+        method: str,
+        path: str = PATH,
+        body: bytes = b"",
+        key: str = "key-1",
+        deadline_ms: int = 400,
+    ) -> tuple[int, bytes]:
+        status: list[str] = []
+
+        def start_response(line: str, headers: list[tuple[str, str]]) -> None:
+            status.append(line)
+            self.headers = headers
+
+        environ = {
+            "REQUEST_METHOD": method,
+            "PATH_INFO": path,
+            "HTTP_HOST": "desk.example",
+            "HTTP_AUTHORIZATION": f"Bearer {key}",
+            "HTTP_X_DEADLINE_MS": str(deadline_ms),
+            "CONTENT_LENGTH": str(len(body)),
+            "wsgi.input": BytesIO(body),
+        }
+        chunks: Iterable[bytes] = self.application(environ, start_response)
+        return int(status[0][:3]), b"".join(chunks)
+
+    def submit(self) -> int:
+        return self.call("POST", body=job_body())[0]
+
+
+class TestAccess(CallersFixture):
+    def test_no_configuration_yet(self) -> None:
+        self.application.configuration = ConfigurationHolder(decode_intent)
+        assert self.submit() == 503
+
+    def test_unknown_queue(self) -> None:
+        assert self.call("GET", "/nowhere/")[0] == 404
+
+    def test_unknown_key(self) -> None:
+        assert self.call("POST", body=job_body(), key="other")[0] == 401
+
+    def test_open_queue_needs_no_key(self) -> None:
+        configuration = default_configuration(2)
+        configuration["Routes"][1]["Public"] = True
+        self.publish(configuration)
+        assert self.call("POST", body=job_body(), key="other")[0] == 200
+
+    def test_withdrawn_key(self) -> None:
+        configuration = default_configuration(2)
+        configuration["Tenants"][0]["ApiKeys"] = []
+        self.publish(configuration)
+        assert self.submit() == 401
+
+    def test_configuration_never_goes_back(self) -> None:
+        self.publish(default_configuration(5))
+        self.publish({**default_configuration(4), "Tenants": []})
+        assert self.configuration.version == 5
+        assert self.submit() == 200
+
+
+class TestSubmission(CallersFixture):
+    def test_accepted_job_is_stored(self) -> None:
+        assert self.submit() == 200
+        entry = self.store.read(job_key(JOB), 1.0)
+        assert entry is not None
+        record = msgspec.json.decode(entry.value, type=JobRecord)
+        assert (record.queue, record.team) == ("slow", "editors")
+
+    def test_same_id_again_is_the_same_job(self) -> None:
+        self.submit()
+        first = self.store.read(job_key(JOB), 1.0)
+        assert self.submit() == 200
+        assert self.store.read(job_key(JOB), 1.0) == first
+
+    @pytest.mark.parametrize("body", [b"", b"{", b"{}", b'{"Steps":[]}'])
+    def test_senseless_body(self, body: bytes) -> None:
+        assert self.call("POST", body=body)[0] == 400
+
+    def test_store_that_refuses_leaves_the_job_to_a_peer(self) -> None:
+        self.store.fault = CallFault.DOWN
+        self.directory.peer = Answer(200)
+        assert self.submit() == 200
+        assert len(self.directory.relayed) == 1
+
+    def test_refusal_of_both_says_when_to_come_back(self) -> None:
+        self.store.fault = CallFault.DOWN
+        self.directory.peer = Answer(503, retry_after_s=1)
+        assert self.submit() == 503
+        assert "Retry-After" in dict(self.headers)
+
+    def test_lost_answer_is_settled_by_trying_again(self) -> None:
+        self.store.next_faults.append(CallFault.ANSWER_LOST)
+        assert self.submit() == 200
+        assert self.store.read(job_key(JOB), 1.0) is not None
+
+    def test_unknown_outcome_is_never_said_to_be_a_refusal(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(jobs_module, "RETRY_PAUSE_S", 0.0)
+        self.store.next_faults.append(CallFault.ANSWER_LOST)
+        self.store.fault = CallFault.DOWN
+        for peer in (None, Answer(503, retry_after_s=1)):
+            self.directory.peer = peer
+            self.store.next_faults.append(CallFault.ANSWER_LOST)
+            assert self.submit() == 504
+
+    def test_silent_peer_leaves_the_outcome_unknown(self) -> None:
+        self.store.fault = CallFault.DOWN
+        self.directory.peer = None
+        assert self.submit() == 504
+
+
+class TestQuestions(CallersFixture):
+    def test_holder_tells_the_state(self) -> None:
+        self.directory.states[JOB] = JobState.RUNNING
+        assert self.call("GET") == (200, b'{"State":"running"}')
+
+    def test_store_tells_what_the_holder_does_not_know(self) -> None:
+        assert self.call("GET")[0] == 410
+        self.submit()
+        assert self.call("GET") == (200, b'{"State":"queued"}')
+
+    def test_unreachable_store_is_not_a_missing_job(self) -> None:
+        self.store.fault = CallFault.DOWN
+        assert self.call("GET")[0] == 503
+
+    def test_waiting_counts(self) -> None:
+        self.directory.counts = {QueueName("slow"): 12}
+        assert self.call("GET", "/slow/") == (200, b'{"Waiting":12}')
+        assert self.call("GET", "/urgent/") == (200, b'{"Waiting":0}')
+        self.directory.counts = None
+        assert self.call("GET", "/slow/")[0] == 503
+
+
+class TestCancellation(CallersFixture):
+    def test_cancelled_job_stays_cancelled(self) -> None:
+        self.submit()
+        assert self.call("DELETE")[0] == 200
+        assert self.call("DELETE")[0] == 200
+        assert self.call("GET") == (200, b'{"State":"cancelled"}')
+        assert self.submit() == 200
+        assert self.call("GET") == (200, b'{"State":"cancelled"}')
+
+    def test_unknown_job(self) -> None:
+        assert self.call("DELETE")[0] == 410
+
+    def test_cancellation_that_is_not_stored_is_not_acknowledged(self) -> None:
+        self.submit()
+        self.store.fault = CallFault.DOWN
+        assert self.call("DELETE")[0] == 503
+
+
+class TestStop(CallersFixture):
+    def test_answers_close_their_connections_while_stopping(self) -> None:
+        self.application.is_stopping = True
+        assert self.submit() == 200
+        assert ("Connection", "close") in self.headers
--- /dev/null
+++ b/tests/member/test_holding.py
@@ -0,0 +1,195 @@
+"""Tests of claiming, keeping and losing the shard."""
+
+import pytest
+
+from gooseberrydeck_coordination.clock import ManualClock
+from gooseberrydeck_coordination.exceptions import (
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+)
+from gooseberrydeck_coordination.ids import JobId, MemberId
+from gooseberrydeck_fleet.commands import Changes, JobEnding, ProgressWrite
+from gooseberrydeck_fleet.work import EndedJob, JobState
+from gooseberrydeck_member import authority as authority_module
+from gooseberrydeck_member.authority import AUTHORITY_S, Authority
+from gooseberrydeck_member.commits import (
+    MAX_JOBS_IN_COMMIT,
+    build_transaction,
+    commit_changes,
+)
+from gooseberrydeck_member.holding import Holding, HoldingLostError
+from gooseberrydeck_member.keys import ended_key, job_key, progress_key
+from gooseberrydeck_standins.engine_store import EngineStore
+from gooseberrydeck_standins.faults import CallFault
+from gooseberrydeck_standins.store_engine import StoreEngine
+
+TIMEOUT_S = 1.0
+TTL_S = 2.0
+MAX_ENTRIES = 32
+
+
+class HoldingFixture:
+    def setup_method(self) -> None:
+        self.clock = ManualClock()
+        self.engine = StoreEngine(self.clock)
+        self.store = EngineStore(self.engine, waits=False)
+        self.first = self.holding("m1")
+        self.second = self.holding("m2")
+
+    def holding(self, name: str) -> Holding:
+        return Holding(self.store, MemberId(name), f"{name}:1", f"run-{name}")
+
+    def claim(self, holding: Holding) -> bool:
+        return holding.claim(holding.read(TIMEOUT_S), (), TTL_S, TIMEOUT_S)
+
+
+class TestClaim(HoldingFixture):
+    def test_each_claim_raises_the_token(self) -> None:
+        assert self.claim(self.first)
+        assert self.claim(self.second)
+        assert self.second.read(TIMEOUT_S).record.token == 2
+
+    def test_of_two_claims_of_the_same_record_one_wins(self) -> None:
+        seen = self.first.read(TIMEOUT_S)
+        assert self.first.claim(seen, (), TTL_S, TIMEOUT_S)
+        assert not self.second.claim(seen, (), TTL_S, TIMEOUT_S)
+
+    def test_holder_is_alive_until_its_lease_lapses(self) -> None:
+        self.claim(self.first)
+        self.clock.advance(1.5)
+        self.first.keep(TTL_S, TIMEOUT_S)
+        self.clock.advance(1.5)
+        assert self.second.is_alive(TIMEOUT_S)
+        self.clock.advance(1.0)
+        assert not self.second.is_alive(TIMEOUT_S)
+
+    def test_lease_that_lapsed_without_a_successor_is_granted_anew(self) -> None:
+        self.claim(self.first)
+        self.clock.advance(10.0)
+        self.first.keep(TTL_S, TIMEOUT_S)
+        assert self.second.is_alive(TIMEOUT_S)
+
+    def test_superseded_holder_is_told_when_it_renews(self) -> None:
+        self.claim(self.first)
+        self.clock.advance(10.0)
+        self.claim(self.second)
+        with pytest.raises(HoldingLostError):
+            self.first.keep(TTL_S, TIMEOUT_S)
+
+    def test_released_shard_keeps_its_token(self) -> None:
+        self.claim(self.first)
+        self.first.release(TIMEOUT_S)
+        record = self.second.read(TIMEOUT_S).record
+        assert (record.holder, record.token) == ("", 1)
+        with pytest.raises(HoldingLostError):
+            self.first.guard()
+
+    def test_claim_whose_answer_was_lost_can_be_made_again(self) -> None:
+        seen = self.first.read(TIMEOUT_S)
+        self.store.next_faults.extend([CallFault.NONE, CallFault.ANSWER_LOST])
+        with pytest.raises(StoreOutcomeUnknownError):
+            self.first.claim(seen, (), TTL_S, TIMEOUT_S)
+        assert self.first.held is None
+        record = self.first.read(TIMEOUT_S).record
+        assert record.incarnation == self.first.incarnation
+        assert self.claim(self.first)
+        assert self.first.read(TIMEOUT_S).record.token == 2
+
+
+class TestAuthority:
+    def test_ends_some_time_after_the_last_contact(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        clock = ManualClock()
+        monkeypatch.setattr(authority_module, "boot_time_s", clock.monotonic)
+        authority = Authority()
+        clock.advance(AUTHORITY_S - 0.1)
+        assert authority.may_act()
+        clock.advance(0.2)
+        assert not authority.may_act()
+        authority.confirm(clock.monotonic())
+        assert authority.may_act()
+
+    def test_confirmation_counts_from_when_it_was_asked_for(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        clock = ManualClock()
+        monkeypatch.setattr(authority_module, "boot_time_s", clock.monotonic)
+        authority = Authority()
+        sent_s = clock.monotonic()
+        clock.advance(AUTHORITY_S + 1)
+        authority.confirm(sent_s)
+        assert not authority.may_act()
+
+    def test_revoked_authority_does_not_return(self) -> None:
+        authority = Authority()
+        authority.revoke()
+        authority.confirm(authority_module.boot_time_s())
+        assert not authority.may_act()
+
+
+class TestCommits(HoldingFixture):
+    def setup_method(self) -> None:
+        super().setup_method()
+        self.claim(self.first)
+
+    def progress(self, name: str, revision: int = 0) -> Changes:
+        return Changes((ProgressWrite(JobId(name), b"[]", revision),), (), {})
+
+    def ending(self, name: str, revision: int = 0) -> Changes:
+        ended = EndedJob(JobState.COMPLETED, 1.0)
+        return Changes((), (JobEnding(JobId(name), ended, revision),), {})
+
+    def test_progress_and_ending_are_stored(self) -> None:
+        outcome = commit_changes(self.store, self.first, self.progress("a"), TIMEOUT_S)
+        assert outcome.stored
+        ending = self.ending("a", outcome.revisions[JobId("a")])
+        assert commit_changes(self.store, self.first, ending, TIMEOUT_S).stored
+        assert self.store.read(progress_key(JobId("a")), TIMEOUT_S) is None
+        assert self.store.read(job_key(JobId("a")), TIMEOUT_S) is None
+        assert self.store.read(ended_key(JobId("a")), TIMEOUT_S) is not None
+
+    def test_superseded_holder_stores_nothing(self) -> None:
+        self.claim(self.second)
+        with pytest.raises(HoldingLostError):
+            commit_changes(self.store, self.first, self.progress("a"), TIMEOUT_S)
+        assert self.store.read(progress_key(JobId("a")), TIMEOUT_S) is None
+
+    def test_stale_revision_is_refused_and_told(self) -> None:
+        first = commit_changes(self.store, self.first, self.progress("a"), TIMEOUT_S)
+        again = commit_changes(self.store, self.first, self.progress("a"), TIMEOUT_S)
+        assert not again.stored
+        assert again.revisions == first.revisions
+
+    def test_ending_that_was_stored_before_is_told(self) -> None:
+        commit_changes(self.store, self.first, self.progress("a"), TIMEOUT_S)
+        entry = self.store.read(progress_key(JobId("a")), TIMEOUT_S)
+        assert entry is not None
+        ending = self.ending("a", int(entry.mod_revision))
+        assert commit_changes(self.store, self.first, ending, TIMEOUT_S).stored
+        again = commit_changes(self.store, self.first, ending, TIMEOUT_S)
+        assert not again.stored
+        assert again.ended == {JobId("a")}
+
+    @pytest.mark.parametrize("fault", [CallFault.DOWN, CallFault.REQUEST_LOST])
+    def test_store_that_does_not_answer_is_a_failed_commit(
+        self, fault: CallFault
+    ) -> None:
+        self.store.fault = fault
+        outcome = commit_changes(self.store, self.first, self.progress("a"), TIMEOUT_S)
+        assert not outcome.stored
+        assert outcome.reason
+
+    def test_largest_commit_fits_in_a_transaction(self) -> None:
+        endings = tuple(
+            JobEnding(JobId(str(number)), EndedJob(JobState.FAILED, 1.0), 5)
+            for number in range(MAX_JOBS_IN_COMMIT)
+        )
+        transaction = build_transaction(self.first, Changes((), endings, {}))
+        entries = len(transaction.compares) + len(transaction.operations)
+        assert entries <= MAX_ENTRIES
+
+    def test_unavailable_store_is_told_as_such(self) -> None:
+        self.store.fault = CallFault.DOWN
+        with pytest.raises(StoreUnavailableError):
+            self.first.read(TIMEOUT_S)
--- /dev/null
+++ b/tests/platform_processes/test_members.py
@@ -0,0 +1,179 @@
+"""Tests of members as processes on the stand-ins of the users' platform."""
+
+import time
+from collections.abc import Callable, Iterator
+from pathlib import Path
+
+import pytest
+
+from gooseberrydeck_adapter_standins.local_platform import (
+    LocalPlatform,
+    default_configuration,
+    job_body,
+)
+from gooseberrydeck_standins.faults import FaultKind
+from gooseberrydeck_standins.processes import wait_for
+
+MEMBERS = ("m1", "m2", "m3")
+JOBS = 12
+WAIT_S = 60.0
+
+
+@pytest.fixture
+def cell(tmp_path: Path) -> Iterator[LocalPlatform]:
+    with LocalPlatform(tmp_path) as made:
+        made.publish(default_configuration())
+        made.add_workers(4)
+        for name in MEMBERS:
+            made.add_member(name)
+        made.wait_ready()
+        wait_for(lambda: made.holder() is not None, "a holder", WAIT_S)
+        yield made
+
+
+def path_of(number: int, queue: str = "slow") -> str:
+    return f"/{queue}/{number:016x}"
+
+
+def submit_until_accepted(cell: LocalPlatform, path: str, body: bytes) -> None:
+    """Hand a job in at any member, again and again under the same id."""
+
+    def is_accepted() -> bool:
+        for member in list(cell.members.values()):
+            answer = member.call("POST", path, body) if member.is_alive() else None
+            if answer is not None and answer.status == 200:
+                return True
+        return False
+
+    wait_for(is_accepted, f"{path} is accepted", WAIT_S)
+
+
+def wait_state(cell: LocalPlatform, path: str, state: bytes) -> None:
+    """Wait until some member shows a job in a state."""
+
+    def is_shown() -> bool:
+        for member in list(cell.members.values()):
+            answer = member.call("GET", path) if member.is_alive() else None
+            if answer is not None and state in answer.body:
+                return True
+        return False
+
+    wait_for(is_shown, f"{path} is {state.decode()}", WAIT_S)
+
+
+def kill_holder(cell: LocalPlatform) -> None:
+    holder = cell.holder()
+    assert holder is not None
+    holder.kill()
+
+
+def pause_holder(cell: LocalPlatform) -> None:
+    holder = cell.holder()
+    assert holder is not None
+    holder.pause()
+    wait_for(lambda: cell.holder() is not holder, "a new holder", WAIT_S)
+    holder.resume()
+
+
+def kill_all(cell: LocalPlatform) -> None:
+    for member in cell.members.values():
+        member.kill()
+    for name in MEMBERS:
+        cell.add_member(name)
+
+
+def store_outage(cell: LocalPlatform) -> None:
+    cell.store.set_fault(FaultKind.DOWN)
+    time.sleep(2.0)
+    cell.store.set_fault(FaultKind.NONE)
+
+
+def lost_store_answers(cell: LocalPlatform) -> None:
+    cell.store.set_fault(FaultKind.ANSWER_LOST, calls=10)
+
+
+def forgotten_history(cell: LocalPlatform) -> None:
+    cell.store.put("/compact")
+
+
+def restart_workers(cell: LocalPlatform) -> None:
+    cell.workers[0].kill()
+    cell.add_workers(2)
+
+
+def replace_members(cell: LocalPlatform) -> None:
+    for name in MEMBERS:
+        cell.members[name].terminate()
+        assert cell.members[name].wait() == 0
+        cell.add_member(name)
+        wait_for(cell.members[name].is_ready, f"{name} is ready", WAIT_S)
+
+
+FAULTS: dict[str, Callable[[LocalPlatform], None]] = {
+    "kill -9 of the holder": kill_holder,
+    "a paused holder that wakes up": pause_holder,
+    "kill -9 of every member": kill_all,
+    "the store is down": store_outage,
+    "answers of the store are lost": lost_store_answers,
+    "the store forgets its history": forgotten_history,
+    "workers are killed, others come": restart_workers,
+    "every member is replaced in turn": replace_members,
+}
+
+
+class TestFaults:
+    @pytest.mark.parametrize("case", FAULTS)
+    def test_accepted_jobs_complete_and_nothing_runs_twice(
+        self, cell: LocalPlatform, case: str
+    ) -> None:
+        body = job_body(seconds=0.6, tasks=3, steps=2)
+        for number in range(JOBS):
+            submit_until_accepted(cell, path_of(number), body)
+        FAULTS[case](cell)
+        submit_until_accepted(cell, path_of(JOBS), body)
+        for number in range(JOBS + 1):
+            wait_state(cell, path_of(number), b"completed")
+        assert cell.violations() == []
+
+
+class TestCallers:
+    def test_any_member_answers_for_any_job(self, cell: LocalPlatform) -> None:
+        submit_until_accepted(cell, path_of(1), job_body(seconds=0.2))
+        wait_state(cell, path_of(1), b"completed")
+        for member in cell.members.values():
+            answer = member.call("GET", path_of(1))
+            assert answer is not None
+            assert b"completed" in answer.body
+            missing = member.call("GET", path_of(2))
+            assert missing is not None
+            assert missing.status == 410
+
+    def test_cancelled_job_ends(self, cell: LocalPlatform) -> None:
+        body = job_body(tasks=2, LongRunning=True)
+        submit_until_accepted(cell, path_of(1), body)
+        wait_state(cell, path_of(1), b"running")
+        answer = cell.members["m1"].call("DELETE", path_of(1))
+        assert answer is not None
+        assert answer.status == 200
+        wait_state(cell, path_of(1), b"cancelled")
+
+    def test_withdrawn_key_stops_working_everywhere(self, cell: LocalPlatform) -> None:
+        configuration = default_configuration(2)
+        configuration["Tenants"][0]["ApiKeys"] = ["another"]
+        cell.publish(configuration)
+        for member in cell.members.values():
+            wait_for(
+                lambda member=member: status_of(member.call("GET", "/slow/")) == 401,
+                "the key is refused",
+                WAIT_S,
+            )
+
+    def test_metrics_are_served(self, cell: LocalPlatform) -> None:
+        member = cell.members["m1"]
+        member.call("GET", "/slow/")
+        assert member.status("GET", "/metrics", member.peers) == 200
+
+
+def status_of(answer: object) -> int:
+    """Return the status of an answer, 0 if there was none."""
+    return int(getattr(answer, "status", 0))
