Do not take a refused repeat of a start for one that never ran

Cause: a start without an answer is sent once more under the same run number. Ruled out: a lost end (the worker listed it) and a second holder (one token). Change: a refused repeat leaves the run uncertain until the worker lists it or its clock has passed the start's validity. Before: the new test fails.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
@@ -298,8 +298,12 @@
         number: int,
         outcome: StartOutcome,
         now_s: float,
+        is_repeat: bool = False,
     ) -> None:
-        """Take in how a worker answered a start."""
+        """Take in how a worker answered a start.
+
+        A refusal of a repeated start tells nothing of the first, which may have run.
+        """
         run = self.find_run(worker_id, task_ref, number)
         if run is None:
             return
@@ -309,9 +313,8 @@
                 run.started_s = run.progress_changed_s = now_s
             self.ledger.mark_begun(run.task.step.job)
             return
-        if outcome is StartOutcome.SUPERSEDED and run.state is not RunState.STARTING:
-            # A repeated start of a run that has ended meanwhile: its end is listed.
-            self.ends.request_stop(run, StopReason.START_UNCERTAIN)
+        if is_repeat or run.state is not RunState.STARTING:
+            self.start_unanswered(worker_id, task_ref, number, was_sent=True)
             return
         step = run.task.step
         if outcome is StartOutcome.BAD_TICKET:
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
@@ -39,7 +39,6 @@
     DRAINING = "draining"
     STALLED = "stalled"
     SURPLUS = "surplus"
-    START_UNCERTAIN = "start_uncertain"
 
 
 class Run:
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
@@ -556,7 +556,12 @@
                 outcome=message.outcome.value,
             )
         self.scheduler.start_answered(
-            message.worker, message.task, message.run, message.outcome, now_s
+            message.worker,
+            message.task,
+            message.run,
+            message.outcome,
+            now_s,
+            message.is_repeat,
         )
 
     def advice_answered(self, message: AdviceAnswered, now_s: float) -> None:
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/worker_lines.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/worker_lines.py
@@ -44,7 +44,8 @@
 class StartAnswered(msgspec.Struct, frozen=True):
     """A worker's answer to a start; None if there was none.
 
-    ``was_sent`` is false if the worker certainly saw nothing of it.
+    ``was_sent`` is false if the worker certainly saw nothing of it; ``is_repeat`` tells
+    that an earlier try had no answer.
     """
 
     worker: WorkerId
@@ -52,6 +53,7 @@
     run: int
     outcome: StartOutcome | None
     was_sent: bool = True
+    is_repeat: bool = False
 
 
 class LineFailure(msgspec.Struct, frozen=True):
@@ -135,7 +137,15 @@
             except WorkerCallError:
                 was_sent = True
                 continue
-            self.post(StartAnswered(command.worker, request.task, request.run, outcome))
+            self.post(
+                StartAnswered(
+                    command.worker,
+                    request.task,
+                    request.run,
+                    outcome,
+                    is_repeat=was_sent,
+                )
+            )
             return
         self.post(
             StartAnswered(command.worker, request.task, request.run, None, was_sent)
--- a/tests/fleet/test_faults.py
+++ b/tests/fleet/test_faults.py
@@ -5,6 +5,7 @@
 from fleet_support import SLOW, URGENT, Fleet, intent, queue, task_resources
 from gooseberrydeck_coordination.ids import Epoch
 from gooseberrydeck_coordination.resources import Resources
+from gooseberrydeck_fleet.commands import StartRun
 from gooseberrydeck_fleet.work import JobState, StepSpec
 from gooseberrydeck_fleet.worker_calls import (
     StartOutcome,
@@ -115,6 +116,27 @@
         assert len(fleet.starts) == 2
         assert fleet.state(job) is JobState.COMPLETED
 
+    def test_refusal_of_a_repeated_start_does_not_say_that_nothing_ran(self) -> None:
+        # Found by the bench (huaman-desk-grown, day fresh-6d71): the first start ran
+        # and ended before the second, which was refused as superseded.
+        fleet = Fleet(workers=1)
+        worker = next(iter(fleet.engines))
+        job = fleet.submit("a", StepSpec(1, ONE), seconds=0.3)
+        for command in fleet.scheduler.decide(fleet.now_s, fleet.clock.wall()):
+            assert isinstance(command, StartRun)
+            request = command.request
+        token = Epoch(fleet.token)
+        fleet.engines[worker].start(request, token)
+        fleet.clock.advance(0.4)
+        outcome, _ = fleet.engines[worker].start(request, token)
+        assert outcome is StartOutcome.SUPERSEDED
+        fleet.scheduler.start_answered(
+            worker, request.task, request.run, outcome, fleet.now_s, is_repeat=True
+        )
+        fleet.run_for(2.0)
+        assert fleet.starts == []
+        assert fleet.state(job) is JobState.COMPLETED
+
 
 def lose_one(
     engine: FleetWorkerEngine,
