Prefer fast workers, copy runs of slow ones, and tell the holder of jobs

While the store forgets its history, new jobs reached the scheduler 1.4 s late; a holder that the store turned away was replaced after 1.6 s. Tried and dropped: copies of every task that takes 1.5 times as long as its siblings: 381 runs stopped, 416 core-seconds wasted, no job on time by it. Change: slowness of kinds and workers is learned from siblings and ranks placement; copies only of runs that stand still or sit on slow workers; the accepting member tells the holder at once; shorter lease and time-outs of beats.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/ends.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/ends.py
@@ -40,6 +40,10 @@
             self.apply(task, end, worker, now_s, None)
             return None
         self.ledger.remove_run(run)
+        if end.kind is EndKind.SUCCEEDED and not run.is_learned:
+            kind = run.worker.entry.kind
+            seconds = now_s - run.started_s
+            self.ledger.speeds.observe(worker, kind, seconds, task.step.durations)
         self.apply(task, end, worker, now_s, run)
         return run
 
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/holds.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/holds.py
@@ -11,6 +11,13 @@
 """A worker lists at most this many ends at once; a full list may hide others."""
 
 
+BEHIND_FACTOR = 1.5
+"""A run that takes longer than this times the usual, and has not come far, is slow."""
+
+BEHIND_PERCENT = 50
+"""How far a run must have come not to be behind."""
+
+
 class StrayRun:
     """A run that a worker lists of a job that is not known any more."""
 
@@ -37,6 +44,7 @@
         worker.listed_number = 0
         worker.lease_until_ms = 0
         self.ledger.health.forget(worker.id)
+        self.ledger.speeds.forget(worker.id)
 
     def lose_runs(self, worker: Worker, reason: LossReason) -> list[Run]:
         """Count every run of a worker as ended."""
@@ -79,11 +87,26 @@
             if report.progress != run.progress:
                 run.progress = report.progress
                 run.progress_changed_s = now_s
+                self.learn_slowness(run, now_s)
             run.load = report.load
             run.checkpoint = report.checkpoint or run.checkpoint
             self.ledger.mark_begun(run.task.step.job)
         return strays
 
+    def learn_slowness(self, run: Run, now_s: float) -> None:
+        """Take a run that is far behind for what it will have taken in the end."""
+        durations = run.task.step.durations
+        typical_s = durations.typical_s()
+        elapsed_s = now_s - run.started_s
+        is_late = typical_s is not None and elapsed_s > BEHIND_FACTOR * typical_s
+        if run.is_learned or not is_late or not 0 < run.progress < BEHIND_PERCENT:
+            return
+        # Once is enough: the end of the run would tell the same again.
+        run.is_learned = True
+        seconds = elapsed_s * 100 / run.progress
+        worker = run.worker
+        self.ledger.speeds.observe(worker.id, worker.entry.kind, seconds, durations)
+
     def adopt(self, worker: Worker, report: RunReport, now_s: float) -> Run | None:
         """Count a run that an earlier holder started."""
         task = self.ledger.find_task(report.task)
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/ledger.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/ledger.py
@@ -4,6 +4,7 @@
 from gooseberrydeck_fleet.health import HealthBook
 from gooseberrydeck_fleet.ids import TaskRef, WorkerId
 from gooseberrydeck_fleet.quotas import Quotas
+from gooseberrydeck_fleet.speeds import SpeedBook
 from gooseberrydeck_fleet.state import Job, Run, Step, Task, Worker
 from gooseberrydeck_fleet.work import JobState
 
@@ -36,6 +37,7 @@
         self.workers: dict[WorkerId, Worker] = {}
         self.quotas = Quotas()
         self.health = HealthBook()
+        self.speeds = SpeedBook()
         self.stopping: set[Run] = set()
         self.changed: set[JobId] = set()
         self.finished: set[JobId] = set()
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/placement.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/placement.py
@@ -11,7 +11,10 @@
 __all__ = ["Placer", "Reservation"]
 
 FAR_PENALTY = 10.0
-"""Ranks a worker far from the data behind every near one; ranks are below 2."""
+"""Ranks a worker far from the data behind nearly every near one."""
+
+SLOWNESS_WEIGHT = 3.0
+"""Rank for each e-fold of slowness: a third slower outweighs any packing."""
 
 FAILED_PENALTY = 20.0
 """Ranks a worker on which the task has failed behind all others."""
@@ -161,6 +164,8 @@
         rank = (free.cpu_millis - step.spec.room.cpu_millis) / max(
             1, capacity.cpu_millis
         )
+        slowness = self.ledger.speeds.slowness(worker.id, worker.entry.kind)
+        rank += SLOWNESS_WEIGHT * slowness
         if step.spec.data_rack and step.spec.data_rack != worker.entry.rack:
             rank += FAR_PENALTY
         if self.would_disturb(worker, step):
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
@@ -76,6 +76,18 @@
 STALL_S = 2.5
 """A run whose progress stands still for longer is taken for stuck."""
 
+STRAGGLER_FACTOR = 1.5
+"""A run that takes longer than this times its step's usual time may get a copy."""
+
+SLOWNESS_GAP = 0.6
+"""A copy goes to a worker at least this e-fold faster: nearly twice as fast."""
+
+STANDSTILL_S = 1.3
+"""Longer than workers take to report again; a copy need not wait for more."""
+
+STRAGGLER_LEFT = 0.7
+"""A copy is worth it only if more than this share of the usual time is left."""
+
 FINAL_KEPT_S = 5.0
 """Margin over the promised time for which ended jobs are still answered for."""
 
@@ -450,6 +462,8 @@
         for step in self.steps_in_order():
             waiting = step.waiting_tasks()
             if not waiting:
+                if step.spec.is_speculative and step.job.queue.priority == 0:
+                    self.copy_stragglers(step, now_s)
                 continue
             team = step.job.record.team
             # Smaller work of the same team must not overtake within its limit.
@@ -500,6 +514,44 @@
             self.preempter.make_room(step, permitted, len(left), now_s)
         self.ask(step, len(left), now_s)
 
+    def copy_stragglers(self, step: Step, now_s: float) -> None:
+        """Start copies of tasks whose workers are slow or stand still.
+
+        A task that is merely longer than its siblings gets none: a copy would take as
+        long.
+        """
+        typical_s = step.durations.typical_s()
+        if typical_s is None:
+            return
+        team = step.job.record.team
+        for task in step.tasks:
+            if task.is_done or len(task.runs) != 1:
+                continue
+            run = task.runs[0]
+            if not is_straggler(run, typical_s, now_s):
+                continue
+            candidates = [
+                worker
+                for worker in self.placer.permitted(step, now_s)
+                if self.would_gain(run, worker, now_s)
+            ]
+            worker = self.placer.choose(candidates, task, now_s)
+            if worker is None:
+                self.ask(step, 1, now_s)
+            elif self.ledger.quotas.allows(team, step.spec.resources):
+                self.start(task, worker, self.ledger.numbers.next(), now_s)
+
+    def would_gain(self, run: Run, worker: Worker, now_s: float) -> bool:
+        """Tell whether a worker would do a straggler's work much sooner."""
+        if worker is run.worker:
+            return False
+        if now_s - run.progress_changed_s > STANDSTILL_S:
+            return True
+        speeds = self.ledger.speeds
+        own = speeds.slowness(run.worker.id, run.worker.entry.kind)
+        other = speeds.slowness(worker.id, worker.entry.kind)
+        return own - other > SLOWNESS_GAP
+
     def serve_gang(self, step: Step, now_s: float) -> None:
         """Start all tasks of a gang at once, or none."""
         permitted = self.placer.permitted(step, now_s)
@@ -730,3 +782,16 @@
     if spec.is_standing and run.progress >= 100:
         return False
     return now_s - run.progress_changed_s > STALL_S
+
+
+def is_straggler(run: Run, typical_s: float, now_s: float) -> bool:
+    """Tell whether a copy of a run would probably end before the run does."""
+    elapsed_s = now_s - run.started_s
+    if run.state is not RunState.RUNNING or elapsed_s < STRAGGLER_FACTOR * typical_s:
+        return False
+    if now_s - run.progress_changed_s > STANDSTILL_S:
+        return True
+    seen_s = max(run.progress_changed_s - run.started_s, 0.0)
+    progress = max(run.progress, 1.0) / 100
+    left_s = seen_s / progress - elapsed_s
+    return left_s > STRAGGLER_LEFT * typical_s
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
@@ -9,6 +9,7 @@
 from gooseberrydeck_fleet.intent import Queue
 from gooseberrydeck_fleet.progress import Progress, StepProgress
 from gooseberrydeck_fleet.registrations import Registration
+from gooseberrydeck_fleet.speeds import StepDurations
 from gooseberrydeck_fleet.work import JobRecord, JobState, StepSpec
 
 __all__ = ["Job", "Run", "RunState", "Step", "StopReason", "Task", "Worker"]
@@ -46,6 +47,7 @@
 
     __slots__ = (
         "checkpoint",
+        "is_learned",
         "load",
         "number",
         "pace",
@@ -55,7 +57,6 @@
         "start_until_ms",
         "started_s",
         "state",
-        "stop_confirmed",
         "stop_reason",
         "stop_sent_s",
         "task",
@@ -88,10 +89,11 @@
         self.progress_changed_s = now_s
         self.load = 0.0
         self.pace = 100
-        self.checkpoint = ""
+        self.checkpoint: str = ""
         self.stop_reason: StopReason | None = None
         self.stop_sent_s = 0.0
-        self.stop_confirmed = False
+        # A run that resumes tells nothing of how long the whole takes.
+        self.is_learned = bool(task.checkpoint)
 
 
 class Task:
@@ -115,7 +117,7 @@
         self.is_done = False
         self.failures: set[int] = set()
         self.failed_on: dict[WorkerId, float] = {}
-        self.checkpoint = ""
+        self.checkpoint: str = ""
 
     @property
     def is_waiting(self) -> bool:
@@ -129,6 +131,7 @@
     __slots__ = (
         "advice",
         "begun",
+        "durations",
         "is_open",
         "job",
         "left",
@@ -148,6 +151,7 @@
         self.advice = AdviceBook()
         self.is_open = False
         self.begun = False
+        self.durations = StepDurations()
         self.waiting_since_s = 0.0
 
     @property
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/callers.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/callers.py
@@ -11,7 +11,7 @@
     StoreError,
     StoreOutcomeUnknownError,
 )
-from gooseberrydeck_coordination.ids import JobId, QueueName, TeamName
+from gooseberrydeck_coordination.ids import JobId, QueueName, Revision, TeamName
 from gooseberrydeck_fleet.intent import Queue
 from gooseberrydeck_fleet.work import (
     InvalidWorkError,
@@ -66,6 +66,9 @@
     def waiting(self, timeout_s: float) -> dict[QueueName, int] | None:
         """Return the waiting counts by queue; None if nobody answers."""
 
+    def accepted(self, record: JobRecord, revision: Revision) -> None:
+        """Tell of a stored job, without waiting; the store tells of it later."""
+
     def relay(self, call: "Call", timeout_s: float) -> "Answer | None":
         """Let a peer answer a call; None if no peer answers."""
 
@@ -190,13 +193,15 @@
         record = JobRecord(job, queue.name, team, work, time.time())
         unknown = False
         try:
-            self.jobs.accept(record, self.store_deadline(call))
+            revision = self.jobs.accept(record, self.store_deadline(call))
         except StoreOutcomeUnknownError as error:
             unknown = True
             reason = str(error)
         except StoreError as error:
             reason = str(error)
         else:
+            if revision is not None:
+                self.directory.accepted(record, revision)
             return Answer(200)
         relayed = self.relay(call)
         log.warning(
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/cell.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/cell.py
@@ -2,16 +2,18 @@
 
 import threading
 import time
+from concurrent.futures import ThreadPoolExecutor
 from concurrent.futures import TimeoutError as FutureTimeoutError
 
 import msgspec
 import structlog
 
-from gooseberrydeck_coordination.ids import JobId, QueueName
-from gooseberrydeck_fleet.work import JobState
+from gooseberrydeck_coordination.ids import JobId, QueueName, Revision
+from gooseberrydeck_fleet.work import JobRecord, JobState
 from gooseberrydeck_member.callers import Answer, Call
 from gooseberrydeck_member.holding import HoldingLostError
 from gooseberrydeck_member.peer_messages import (
+    Accepted,
     Announcement,
     Beat,
     StateQuestion,
@@ -29,6 +31,9 @@
 ANNOUNCE_TIMEOUT_S = 0.3
 """For one announcement; they are made one after the other."""
 
+MESSENGER_THREADS = 2
+"""For messages that nobody waits for."""
+
 MIN_RELAY_S = 0.1
 """With less time left a caller's request is not passed on."""
 
@@ -47,6 +52,7 @@
         self.scheduler: SchedulerTask | None = None
         self.heard: dict[str, tuple[float, str, float]] = {}
         self.roster: tuple[str, ...] = ()
+        self.messenger = ThreadPoolExecutor(MESSENGER_THREADS, "tell")
 
     def set_holder(self, token: int, address: str) -> bool:
         """Take in who holds the shard; an older token is ignored."""
@@ -132,6 +138,22 @@
             log.info("holder does not tell", reason=repr(error))
             return None
 
+    def accepted(self, record: JobRecord, revision: Revision) -> None:
+        """Tell the holder of a stored job, without waiting for its answer."""
+        news = Accepted(record, int(revision))
+        scheduler = self.scheduler
+        if scheduler is not None:
+            scheduler.job_accepted(news)
+        elif self.holder_address:
+            self.messenger.submit(self.send_accepted, self.holder_address, news)
+
+    def send_accepted(self, address: str, news: Accepted) -> None:
+        """Send the message; if it is lost, the holder learns from the store."""
+        try:
+            self.peers.call(address, "/accepted", news, bool, ANNOUNCE_TIMEOUT_S)
+        except PeerFailedError as error:
+            log.info("holder not told", job=news.record.id, reason=str(error))
+
     def relay(self, call: Call, timeout_s: float) -> Answer | None:
         """Let the first peer that is reached answer a call."""
         end_s = time.monotonic() + timeout_s
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/control.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/control.py
@@ -27,20 +27,23 @@
 BEAT_S = 0.25
 """Time between two messages to the holder."""
 
-BEAT_TIMEOUT_S = 0.5
+BEAT_TIMEOUT_S = 0.35
 """After which a message to the holder counts as unanswered."""
 
-SILENT_AFTER_S = 0.9
+SILENT_AFTER_S = 0.6
 """Silence after which the store is asked whether the holder lives."""
 
-STORE_SILENT_S = 1.2
-"""A holder without the store for longer may have lost its lease."""
+STORE_SILENT_S = 0.9
+"""A holder without the store for longer may have lost its lease; two renewals."""
 
 KEEP_S = 0.4
 """Time between two renewals of the holder's lease."""
 
-LEASE_TTL_S = 1.5
-"""The holder's lease: three renewals may fail."""
+LEASE_TTL_S = 1.0
+"""The holder's lease, the shortest that the platform grants: one renewal may fail.
+
+A lease that lapses alone ends no holding: it is claimed only from a holder that is
+silent or has lost the store."""
 
 STORE_TIMEOUT_S = 0.6
 """For one call of this task; others wait for it."""
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/jobs.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/jobs.py
@@ -33,8 +33,8 @@
         """Keep jobs in ``store``."""
         self.store = store
 
-    def accept(self, record: JobRecord, deadline_s: float) -> bool:
-        """Store a job and return True; False if its id is in use already.
+    def accept(self, record: JobRecord, deadline_s: float) -> Revision | None:
+        """Store a job and return its revision; None if its id is in use already.
 
         Raise ``StoreUnavailableError`` only if the job was certainly not stored and
         never will be; ``StoreOutcomeUnknownError`` if it may be.
@@ -59,7 +59,7 @@
                     raise
                 time.sleep(RETRY_PAUSE_S)
             else:
-                return result.succeeded
+                return result.revision if result.succeeded else None
 
     def cancel(self, job: JobId, deadline_s: float) -> JobState | None:
         """Mark a job as cancelled and return its state; None if there is no such job.
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/peer_messages.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/peer_messages.py
@@ -4,9 +4,10 @@
 
 from gooseberrydeck_coordination.ids import JobId, QueueName
 from gooseberrydeck_fleet.ids import WorkerId
-from gooseberrydeck_fleet.work import JobState
+from gooseberrydeck_fleet.work import JobRecord, JobState
 
 __all__ = [
+    "Accepted",
     "AdviceQuestion",
     "Announcement",
     "Beat",
@@ -52,6 +53,13 @@
     address: str
 
 
+class Accepted(msgspec.Struct, frozen=True):
+    """Tell the holder of a job that has just been stored."""
+
+    record: JobRecord
+    revision: int
+
+
 class StateQuestion(msgspec.Struct, frozen=True):
     """Ask for the state of a job."""
 
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/peer_server.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/peer_server.py
@@ -15,6 +15,7 @@
 from gooseberrydeck_member.configuration import ConfigurationHolder
 from gooseberrydeck_member.observability import Metrics
 from gooseberrydeck_member.peer_messages import (
+    Accepted,
     AdviceQuestion,
     Announcement,
     Beat,
@@ -56,6 +57,7 @@
         self.handlers: dict[str, Callable[[bytes], object | None]] = {
             "/beat": self.beat,
             "/announce": self.announced,
+            "/accepted": self.accepted,
             "/state": self.state,
             "/waiting": self.waiting,
             "/advise": self.advise,
@@ -120,6 +122,14 @@
         self.cell.set_holder(news.token, news.address)
         return True
 
+    def accepted(self, body: bytes) -> bool:
+        """Take in a job that a peer has stored."""
+        scheduler = self.cell.scheduler
+        if scheduler is None:
+            return False
+        scheduler.job_accepted(msgspec.json.decode(body, type=Accepted))
+        return True
+
     def state(self, body: bytes) -> StateReply | None:
         """Tell a job's state, if this member holds the shard."""
         question = msgspec.json.decode(body, type=StateQuestion)
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
@@ -40,6 +40,7 @@
 from gooseberrydeck_member.holding import Holding, HoldingLostError
 from gooseberrydeck_member.keys import JOBS, PROGRESS, WORKERS
 from gooseberrydeck_member.observability import Metrics
+from gooseberrydeck_member.peer_messages import Accepted
 from gooseberrydeck_member.store_follower import (
     PrefixChanged,
     PrefixRead,
@@ -196,6 +197,10 @@
         self.inbox.put(Query(job, answer))
         return answer.result(timeout_s)
 
+    def job_accepted(self, news: Accepted) -> None:
+        """Post a job that a member has stored."""
+        self.inbox.put(news)
+
     def predecessor_stopped(self) -> None:
         """Post that the former holder has confirmed that it sends no more orders."""
         self.inbox.put(PredecessorStopped())
@@ -311,6 +316,8 @@
             self.advice_answered(message, now_s)
         elif isinstance(message, CommitDone):
             self.commit_done(message, now_s)
+        elif isinstance(message, Accepted):
+            self.job_told(message)
         elif isinstance(message, PredecessorStopped):
             lapse_s = now_s + MAX_TASK_LEASE_S / (1 - CLOCK_DRIFT)
             self.scheduler.predecessor_stopped(lapse_s)
@@ -348,10 +355,21 @@
     def job_stored(self, value: bytes, revision: int, is_doubtful: bool) -> None:
         """Take in a job's record."""
         record = msgspec.json.decode(value, type=JobRecord)
+        self.take_job(record, revision, is_doubtful)
+
+    def take_job(self, record: JobRecord, revision: int, is_doubtful: bool) -> None:
+        """Let a job be scheduled once its queue is known."""
         if not self.scheduler.accept(record, revision, is_doubtful):
             # The accepting member has a configuration that is not here yet.
             self.unplaced[record.id] = (record, revision)
 
+    def job_told(self, news: Accepted) -> None:
+        """Take in a job that a member tells of, unless the store was faster."""
+        job = news.record.id
+        if job in self.scheduler.ledger.jobs or job in self.scheduler.ended:
+            return
+        self.take_job(news.record, news.revision, is_doubtful=False)
+
     def prefix_changed(self, message: PrefixChanged, now_s: float) -> None:
         """Take in changes that the store reports."""
         for event in message.batch.events:
--- /dev/null
+++ b/tests/fleet/test_speeds.py
@@ -0,0 +1,96 @@
+"""Fleets of unlike hosts, hosts that turn slow, and stragglers."""
+
+from fleet_support import URGENT, Fleet, task_resources
+from gooseberrydeck_fleet.ids import WorkerId
+from gooseberrydeck_fleet.speeds import SpeedBook, StepDurations
+from gooseberrydeck_fleet.work import JobState, StepSpec
+from gooseberrydeck_fleet.worker_calls import StartRequest
+from gooseberrydeck_standins.fleet_worker import RunPlan
+
+ONE = task_resources()
+FAST, SLOW_WORKER = WorkerId("fast"), WorkerId("slow")
+
+
+class TestSpeedBook:
+    def test_kind_that_takes_longer_is_learned(self) -> None:
+        book = SpeedBook()
+        for _ in range(60):
+            step = StepDurations()
+            for number in range(3):
+                book.observe(WorkerId(f"a{number}"), "a", 1.0, step)
+                book.observe(WorkerId(f"b{number}"), "b", 1.35, step)
+        slow = book.slowness(WorkerId("b9"), "b")
+        fast = book.slowness(WorkerId("a9"), "a")
+        assert 0.15 < slow - fast < 0.35
+
+    def test_worker_that_turned_slow_is_learned_and_forgotten(self) -> None:
+        book = SpeedBook()
+        for _ in range(8):
+            step = StepDurations()
+            for number in range(4):
+                book.observe(WorkerId(f"w{number}"), "a", 1.0, step)
+            book.observe(SLOW_WORKER, "a", 5.0, step)
+        assert book.slowness(SLOW_WORKER, "a") > 1.0
+        book.forget(SLOW_WORKER)
+        assert book.slowness(SLOW_WORKER, "a") < 0.6
+
+    def test_single_task_tells_nothing(self) -> None:
+        book = SpeedBook()
+        book.observe(SLOW_WORKER, "a", 9.0, StepDurations())
+        assert book.slowness(SLOW_WORKER, "a") == 0
+
+
+class TestPlacementBySpeed:
+    def test_fast_worker_goes_first(self) -> None:
+        fleet = Fleet(workers=2)
+        fleet.scheduler.ledger.speeds.workers[WorkerId("w0")] = 0.3
+        fleet.submit("a", StepSpec(1, ONE))
+        fleet.run_for(0.1)
+        assert fleet.starts[0][2] == "w1"
+
+
+class TestCopies:
+    def straggling(self, is_speculative: bool, hangs: bool) -> Fleet:
+        fleet = Fleet(workers=4)
+
+        def plan(request: StartRequest) -> RunPlan:
+            is_first = len(fleet.starts) == 1
+            return RunPlan(4.0 if is_first else 0.5, ONE, hangs=hangs and is_first)
+
+        step = StepSpec(4, ONE, is_speculative=is_speculative)
+        self.job = fleet.submit("a", step, queue_name=URGENT, plan=plan)
+        fleet.run_for(2.4)
+        return fleet
+
+    def test_run_that_stands_still_gets_a_copy_and_the_first_to_end_counts(
+        self,
+    ) -> None:
+        fleet = self.straggling(is_speculative=True, hangs=True)
+        assert len(fleet.starts) == 5
+        assert fleet.state(self.job) is JobState.COMPLETED
+        fleet.run_for(1.0)
+        assert fleet.running(self.job) == []
+        assert [reason for _, _, reason in fleet.stops] == ["surplus"]
+
+    def test_run_on_a_slow_worker_gets_a_copy(self) -> None:
+        fleet = Fleet(workers=4)
+        slow = fleet.add_worker("slow")
+        fleet.scheduler.ledger.speeds.workers[slow] = 1.0
+        fleet.run_for(0.1)
+
+        def plan(request: StartRequest) -> RunPlan:
+            return RunPlan(4.0 if fleet.starts[-1][2] == slow else 0.5, ONE)
+
+        step = StepSpec(5, ONE, max_per_worker=1, is_speculative=True)
+        job = fleet.submit("a", step, queue_name=URGENT, plan=plan)
+        fleet.run_for(1.8)
+        assert fleet.state(job) is JobState.COMPLETED
+
+    def test_task_that_is_only_longer_gets_no_copy(self) -> None:
+        fleet = self.straggling(is_speculative=True, hangs=False)
+        assert len(fleet.starts) == 4
+
+    def test_step_that_allows_no_copies_gets_none(self) -> None:
+        fleet = self.straggling(is_speculative=False, hangs=True)
+        assert len(fleet.starts) == 4
+        assert fleet.state(self.job) is JobState.RUNNING
--- a/tests/member/test_callers.py
+++ b/tests/member/test_callers.py
@@ -13,7 +13,7 @@
     job_body,
 )
 from gooseberrydeck_coordination.clock import ManualClock
-from gooseberrydeck_coordination.ids import JobId, QueueName
+from gooseberrydeck_coordination.ids import JobId, QueueName, Revision
 from gooseberrydeck_fleet.work import JobRecord, JobState
 from gooseberrydeck_member import jobs as jobs_module
 from gooseberrydeck_member.callers import Answer, Call, CallerApplication
@@ -37,6 +37,7 @@
         self.counts: dict[QueueName, int] | None = {}
         self.peer: Answer | None = None
         self.relayed: list[Call] = []
+        self.told: list[tuple[JobId, Revision]] = []
 
     def state(self, job: JobId, timeout_s: float) -> JobState | None:
         return self.states.get(job)
@@ -44,6 +45,9 @@
     def waiting(self, timeout_s: float) -> dict[QueueName, int] | None:
         return self.counts
 
+    def accepted(self, record: JobRecord, revision: Revision) -> None:
+        self.told.append((record.id, revision))
+
     def relay(self, call: Call, timeout_s: float) -> Answer | None:
         self.relayed.append(call)
         return self.peer
@@ -136,6 +140,7 @@
         assert entry is not None
         record = msgspec.json.decode(entry.value, type=JobRecord)
         assert (record.queue, record.team) == ("slow", "editors")
+        assert self.directory.told == [(JOB, entry.mod_revision)]
 
     def test_same_id_again_is_the_same_job(self) -> None:
         self.submit()
