Ignore news of a job that is older than its end

Cause: the holder is told of a job by the accepting member; the store's watch told of it again, after an outage, when the job had ended and was forgotten: all its tasks ran again. Ruled out: a second holder (one token) and lost ends (ends were stored). The same race existed with the list of jobs that is read after lost history. Before: the new test fails (2 starts). After: it passes; 114 tests of the fleet and the member pass.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
@@ -183,6 +183,9 @@
 
         A doubtful job may have runs that are not known yet.
         """
+        if record.id in self.ended:
+            # The store's news may be older than the end that was stored.
+            return True
         known = self.ledger.jobs.get(record.id)
         if known is not None:
             self.update(known, record, revision)
--- a/tests/fleet/test_faults.py
+++ b/tests/fleet/test_faults.py
@@ -350,6 +350,21 @@
         assert len(fleet.running(slow)) == 3
 
 
+class TestLateNews:
+    def test_ended_job_is_not_started_again_by_older_news_of_it(self) -> None:
+        # Found by the bench (huaman-desk, trouble-3, seed 842429574495): a member told
+        # of the job at once, and the store's watch, after an outage, when it had ended.
+        fleet = Fleet()
+        job = fleet.submit("a", StepSpec(1, ONE), seconds=0.2)
+        record = fleet.records[job]
+        fleet.run_for(1.0)
+        assert fleet.state(job) is JobState.COMPLETED
+        assert fleet.scheduler.accept(record, 1)
+        fleet.run_for(1.0)
+        assert len(fleet.starts) == 1
+        assert fleet.state(job) is JobState.COMPLETED
+
+
 class TestCommitOrder:
     def test_ended_jobs_are_stored_before_the_progress_of_others(self) -> None:
         # Found by the bench (huaman-desk-grown, scale-2): with more changes than one
