Let the in-memory store's watch tell progress five times a second

Cause: test_operators.py took 174 s, 5.2 s in most teardowns: the watcher of team limits stops at the next batch of its watch, and the stand-in told nothing for five seconds, where etcd's gateway (and its stand-in) tells progress each second. Found by a dump of all threads during the teardown. Ruled out: the listeners' shutdown and the wait for owners. Before: 170 s alone. After: with tests/standins and tests/platform in four processes 24 s, 229 passed. No check was changed.

--- a/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/engine_store.py
+++ b/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/engine_store.py
@@ -43,6 +43,9 @@
 
 __all__ = ["EngineStore"]
 
+PROGRESS_S = 0.2
+"""How often a silent watch tells progress; watchers that stop wait for it."""
+
 MAX_WAIT_STEP_S = 0.05
 
 TARGETS = {
@@ -139,9 +142,9 @@
     def wait_for_batch(
         self, begin: bytes, next_revision: int, timeout_s: float
     ) -> WatchBatch:
-        """Return the next changes, or an empty batch after half the timeout."""
+        """Return the next changes, or an empty batch that shows progress."""
         clock = self.engine.clock
-        deadline = clock.monotonic() + timeout_s / 2
+        deadline = clock.monotonic() + min(PROGRESS_S, timeout_s / 2)
         while True:
             batch = self.read_batch(begin, next_revision)
             left = deadline - clock.monotonic()
