Turn to a peer after three tries of the store

Ruled out: followers and commits (their pauses are 0.15 s; 12 commits failed). Change: at most three tries with growing pauses, then a peer answers.

--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/jobs.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/jobs.py
@@ -1,5 +1,6 @@
 """Accepting, cancelling and looking up jobs in the store."""
 
+import itertools
 import time
 
 import msgspec
@@ -21,7 +22,10 @@
 """For one call; leaves time for a second try before the caller gives up."""
 
 RETRY_PAUSE_S = 0.05
-"""Pause after a refusal, so that a busy store is not called in a loop."""
+"""Pause before the second try of a call; it doubles with each further one."""
+
+MAX_TRIES = 3
+"""Tries before the caller turns to a peer: the store may turn only this host away."""
 
 ABSENT = Revision(0)
 
@@ -45,21 +49,23 @@
             (Put(key, msgspec.json.encode(record)),),
         )
         may_be_stored = False
-        while True:
+        for tries in itertools.count(1):
+            is_last = tries == MAX_TRIES or time.monotonic() >= deadline_s
             try:
                 result = self.store.commit(transaction, time_left(deadline_s))
             except StoreOutcomeUnknownError:
                 may_be_stored = True
-                if time.monotonic() >= deadline_s:
+                if is_last:
                     raise
             except StoreUnavailableError as error:
-                if time.monotonic() >= deadline_s or not may_be_stored:
-                    if may_be_stored:
-                        raise StoreOutcomeUnknownError(str(error)) from error
+                if not may_be_stored:
                     raise
-                time.sleep(RETRY_PAUSE_S)
+                if is_last:
+                    raise StoreOutcomeUnknownError(str(error)) from error
             else:
                 return result.revision if result.succeeded else None
+            pause(tries)
+        raise AssertionError("the last try returns or raises")
 
     def cancel(self, job: JobId, deadline_s: float) -> JobState | None:
         """Mark a job as cancelled and return its state; None if there is no such job.
@@ -67,26 +73,36 @@
         A job that has ended stays as it is. Raise a ``StoreError`` if the cancellation
         may not be stored.
         """
-        key = job_key(job)
-        while True:
+        for tries in itertools.count(1):
+            is_last = tries == MAX_TRIES or time.monotonic() >= deadline_s
             try:
-                entry = self.store.read(key, time_left(deadline_s))
-                if entry is None:
-                    return self.final_state(job, deadline_s)
-                record = msgspec.json.decode(entry.value, type=JobRecord)
-                if record.is_cancelled:
-                    return JobState.CANCELLED
-                cancelled = msgspec.structs.replace(record, is_cancelled=True)
-                transaction = Transaction(
-                    (unchanged(key, entry.mod_revision),),
-                    (Put(key, msgspec.json.encode(cancelled)),),
-                )
-                if self.store.commit(transaction, time_left(deadline_s)).succeeded:
-                    return JobState.CANCELLED
+                return self.try_cancel(job, deadline_s)
             except StoreError:
-                if time.monotonic() >= deadline_s:
+                if is_last:
                     raise
-                time.sleep(RETRY_PAUSE_S)
+            pause(tries)
+        raise AssertionError("the last try returns or raises")
+
+    def try_cancel(self, job: JobId, deadline_s: float) -> JobState | None:
+        """Mark a job as cancelled, unless it changes or ends meanwhile."""
+        key = job_key(job)
+        entry = self.store.read(key, time_left(deadline_s))
+        if entry is None:
+            return self.final_state(job, deadline_s)
+        record = msgspec.json.decode(entry.value, type=JobRecord)
+        if record.is_cancelled:
+            return JobState.CANCELLED
+        cancelled = msgspec.structs.replace(record, is_cancelled=True)
+        transaction = Transaction(
+            (unchanged(key, entry.mod_revision),),
+            (Put(key, msgspec.json.encode(cancelled)),),
+        )
+        if self.store.commit(transaction, time_left(deadline_s)).succeeded:
+            return JobState.CANCELLED
+        # The record is written once and cancelled once, so it is one of these now.
+        if self.store.read(key, time_left(deadline_s)) is None:
+            return self.final_state(job, deadline_s)
+        return JobState.CANCELLED
 
     def state(self, job: JobId, deadline_s: float) -> JobState | None:
         """Return a job's state by the store; None if there is no such job."""
@@ -107,6 +123,11 @@
         return msgspec.json.decode(entry.value, type=EndedJob).state
 
 
+def pause(tries: int) -> None:
+    """Wait between two tries, longer each time."""
+    time.sleep(RETRY_PAUSE_S * 2 ** (tries - 1))
+
+
 def time_left(deadline_s: float) -> float:
     """Return the time-out of a call that has to end before a deadline."""
     return min(CALL_TIMEOUT_S, max(0.05, deadline_s - time.monotonic()))
--- a/tests/member/test_callers.py
+++ b/tests/member/test_callers.py
@@ -180,6 +180,17 @@
             self.store.next_faults.append(CallFault.ANSWER_LOST)
             assert self.submit() == 504
 
+    def test_store_that_resets_connections_is_not_called_in_a_loop(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # Found by an incident (lauree-nord, inc-a0b3): 10,900 calls in a day.
+        monkeypatch.setattr(jobs_module, "RETRY_PAUSE_S", 0.0)
+        self.store.next_faults.extend([CallFault.REQUEST_LOST] * 1_000)
+        self.directory.peer = Answer(200)
+        assert self.call("POST", body=job_body(), deadline_ms=3_000)[0] == 200
+        assert 1_000 - len(self.store.next_faults) <= jobs_module.MAX_TRIES
+        assert len(self.directory.relayed) == 1
+
     def test_silent_peer_leaves_the_outcome_unknown(self) -> None:
         self.store.fault = CallFault.DOWN
         self.directory.peer = None
