Extend no lease of a worker that does not answer; add the fault soak

Cause: each look at a silent worker asked for a longer lease, and counted it: what ran there was never taken for lapsed, and never ran elsewhere until the worker came back or its port refused. Ruled out: the store, the advice service and the takeover (one holder). Change: a silent worker gets holds without a lease.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
@@ -259,8 +259,14 @@
 
     # Answers of workers.
 
-    def lease_until_ms(self, worker: Worker, now_s: float) -> int:
-        """Return the lease to ask for, on the worker's clock, and count it."""
+    def lease_until_ms(self, worker: Worker, now_s: float) -> int | None:
+        """Return the lease to ask for, on the worker's clock, and count it.
+
+        A worker that does not answer gets none: the call may arrive all the same, and
+        its runs would never lapse.
+        """
+        if not worker.is_reachable:
+            return None
         lease_s = min(MAX_TASK_LEASE_S, self.timing.task_lease_s - LEASE_MARGIN_S)
         until_ms = worker.clock_at(now_s) + int(lease_s * 1000)
         worker.grant(until_ms)
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
@@ -441,9 +441,7 @@
             if worker is None:
                 del self.lines_of[worker_id]
                 continue
-            until_ms = None
-            if worker.born_ms:
-                until_ms = self.scheduler.lease_until_ms(worker, now_s)
+            until_ms = self.scheduler.lease_until_ms(worker, now_s)
             is_acknowledged = line.acknowledged >= worker.listed_number
             wait_s = HOLD_WAIT_S if worker.born_ms and is_acknowledged else 0.0
             line.is_calling = True
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""The fault soak: real programs as processes, faults injected from outside."""
--- /dev/null
+++ b/soak/proxy.py
@@ -0,0 +1,102 @@
+"""A loopback TCP proxy that delays, resets, silences or cuts one way."""
+
+import select
+import socket
+import struct
+import threading
+import time
+from enum import Enum
+
+from gooseberrydeck_platform.http import HttpAddress
+
+__all__ = ["LinkFault", "Proxy"]
+
+CHUNK_BYTES = 65_536
+POLL_S = 0.05
+DELAY_S = 0.15
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+class LinkFault(Enum):
+    """What a link does to the bytes that pass."""
+
+    NONE = "none"
+    DELAY = "delay"
+    SILENT = "silent"
+    NO_ANSWERS = "no_answers"
+    RESET = "reset"
+
+
+class Proxy:
+    """Forward connections to an address; the fault holds for open ones as well."""
+
+    def __init__(self, target: HttpAddress | None = None) -> None:
+        """Listen on a port of its own; ``target`` may be set later."""
+        self.target = target
+        self.fault = LinkFault.NONE
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        host, port = self.listener.getsockname()
+        self.address = HttpAddress(host, port)
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self) -> None:
+        """Take connections until the listener is closed."""
+        while True:
+            try:
+                client, _ = self.listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self.forward, args=(client,), daemon=True).start()
+
+    def forward(self, client: socket.socket) -> None:
+        """Pass bytes on in both directions, as the fault allows."""
+        try:
+            if self.target is None or self.fault is LinkFault.RESET:
+                raise ConnectionResetError
+            target = (self.target.host, self.target.port)
+            server = socket.create_connection(target, 1.0)
+        except OSError:
+            reset(client)
+            return
+        pairs = {client: server, server: client}
+        try:
+            while self.pass_on(pairs, server):
+                pass
+        except ConnectionError:
+            # One side broke off; closing tells the other, as a real link would.
+            return
+        finally:
+            reset(client)
+            server.close()
+
+    def pass_on(
+        self, pairs: dict[socket.socket, socket.socket], server: socket.socket
+    ) -> bool:
+        """Pass on what is there; return False when the connection has ended."""
+        ready, _, _ = select.select(list(pairs), [], [], POLL_S)
+        fault = self.fault
+        if fault is LinkFault.RESET:
+            return False
+        if fault is LinkFault.SILENT:
+            time.sleep(POLL_S)
+            return True
+        for source in ready:
+            data = source.recv(CHUNK_BYTES)
+            if not data:
+                return False
+            if fault is LinkFault.NO_ANSWERS and source is server:
+                continue
+            if fault is LinkFault.DELAY:
+                time.sleep(DELAY_S)
+            pairs[source].sendall(data)
+        return True
+
+    def close(self) -> None:
+        """Take no more connections."""
+        self.listener.close()
+
+
+def reset(connection: socket.socket) -> None:
+    """Close a connection so that its peer sees a reset."""
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    connection.close()
--- /dev/null
+++ b/tests/fleet/test_advice.py
@@ -0,0 +1,131 @@
+"""Slow advice: who is asked about, how often, and who may ask first."""
+
+import pytest
+
+from fleet_support import SLOW, URGENT, Fleet, intent, queue, task_resources
+from gooseberrydeck_fleet.advice import Advice, AdviceBook
+from gooseberrydeck_fleet.commands import AskAdvice, StartRun
+from gooseberrydeck_fleet.ids import WorkerId
+from gooseberrydeck_fleet.intent import AdvicePolicy
+from gooseberrydeck_fleet.work import JobState, StepSpec
+from gooseberrydeck_fleet.worker_calls import StartOutcome
+
+ONE = task_resources()
+QUICK = AdvicePolicy(0.021, 0.0003, 2.5)
+LONG = AdvicePolicy(0.4, 0.0057, 2.5)
+
+
+def advised_fleet(workers: int = 6) -> Fleet:
+    fleet = Fleet(workers)
+    policies = queue(URGENT, 0, QUICK), queue(SLOW, 2, LONG)
+    fleet.intent = intent(*policies)
+    fleet.scheduler.set_intent(fleet.intent)
+    return fleet
+
+
+class TestAdviceBook:
+    def test_ticket_is_not_used_shortly_before_it_lapses(self) -> None:
+        book = AdviceBook()
+        worker = WorkerId("w")
+        book.asked([worker])
+        book.answered(Advice({worker: "t"}, 2.5), {worker: 7}, 10.0, 0.0)
+        assert book.ticket(worker, 7, 12.0) == "t"
+        assert book.ticket(worker, 7, 12.4) is None
+
+    def test_ticket_belongs_to_one_life_of_a_worker(self) -> None:
+        book = AdviceBook()
+        worker = WorkerId("w")
+        book.asked([worker])
+        book.answered(Advice({worker: "t"}, 2.5), {worker: 7}, 10.0, 0.0)
+        assert book.ticket(worker, 8, 10.1) is None
+
+    def test_worker_that_was_left_out_is_rejected(self) -> None:
+        book = AdviceBook()
+        book.asked([WorkerId("a"), WorkerId("b")])
+        book.answered(Advice({WorkerId("a"): "t"}, 0.0), {}, 10.0, 2.0)
+        assert book.allowed == {"a"}
+        assert book.rejected == {"b"}
+        assert book.ticket(WorkerId("a"), 0, 11.0) == "t"
+
+
+class TestAsking:
+    def test_tasks_start_only_where_the_policy_allows(self) -> None:
+        fleet = advised_fleet()
+        fleet.allowed = lambda worker: worker in ("w1", "w3")
+        job = fleet.submit("a", StepSpec(6, ONE), queue_name=URGENT)
+        fleet.run_for(2.0)
+        assert {worker for _, _, worker in fleet.starts} <= {"w1", "w3"}
+        assert fleet.state(job) is JobState.COMPLETED
+
+    def test_urgent_step_asks_about_every_worker_at_once(self) -> None:
+        fleet = advised_fleet()
+        fleet.submit("a", StepSpec(1, ONE), queue_name=URGENT)
+        fleet.run_for(0.1)
+        assert [len(question.workers) for question in fleet.questions] == [6]
+
+    def test_batch_step_asks_about_as_many_workers_as_it_needs(self) -> None:
+        fleet = advised_fleet(workers=12)
+        fleet.submit("a", StepSpec(1, task_resources(20)))
+        fleet.run_for(0.1)
+        assert len(fleet.questions[0].workers) == 4
+
+    def test_rejected_workers_are_never_asked_about_again(self) -> None:
+        fleet = advised_fleet()
+        fleet.allowed = lambda _worker: False
+        fleet.submit("a", StepSpec(1, ONE), queue_name=URGENT)
+        fleet.run_for(5.0)
+        assert len(fleet.questions) == 1
+
+    def test_nothing_is_asked_while_there_is_no_room(self) -> None:
+        fleet = advised_fleet(workers=1)
+        step = StepSpec(1, task_resources(32))
+        fleet.submit("a", step, seconds=3.0)
+        fleet.run_for(0.2)
+        fleet.submit("b", step)
+        asked = len(fleet.questions)
+        fleet.run_for(2.0)
+        assert len(fleet.questions) == asked
+
+    def test_refused_ticket_is_asked_for_anew(self) -> None:
+        fleet = advised_fleet(workers=1)
+        job = fleet.submit("a", StepSpec(1, ONE), queue_name=URGENT)
+        commands = fleet.scheduler.decide(fleet.now_s, 0.0)
+        for command in commands:
+            fleet.carry_out(command)
+        (start,) = fleet.scheduler.decide(fleet.now_s, 0.0)
+        assert isinstance(start, StartRun)
+        assert start.request.ticket == "t"
+        fleet.scheduler.start_answered(
+            start.worker,
+            start.request.task,
+            start.request.run,
+            StartOutcome.BAD_TICKET,
+            fleet.now_s,
+        )
+        fleet.run_for(2.0)
+        assert len(fleet.questions) == 2
+        assert fleet.state(job) is JobState.COMPLETED
+
+    @pytest.mark.parametrize("lanes", [1, 2, 6])
+    def test_half_of_the_lanes_wait_for_urgent_questions(self, lanes: int) -> None:
+        fleet = advised_fleet()
+        fleet.scheduler.set_advice_lanes(lanes)
+        for number in range(8):
+            fleet.submit(f"slow{number}", StepSpec(1, ONE))
+        asked = fleet.scheduler.decide(fleet.now_s, 0.0)
+        questions = [each for each in asked if isinstance(each, AskAdvice)]
+        assert len(questions) == max(1, lanes // 2)
+        fleet.submit("urgent", StepSpec(1, ONE), queue_name=URGENT)
+        more = fleet.scheduler.decide(fleet.now_s, 0.0)
+        urgent = [each for each in more if isinstance(each, AskAdvice)]
+        assert [each.is_urgent for each in urgent] == [True] * (lanes > 1)
+
+    def test_failed_question_is_asked_again_a_little_later(self) -> None:
+        fleet = advised_fleet()
+        fleet.submit("a", StepSpec(1, ONE), queue_name=URGENT)
+        (question,) = fleet.scheduler.decide(fleet.now_s, 0.0)
+        assert isinstance(question, AskAdvice)
+        now_s = fleet.now_s
+        fleet.scheduler.advice_answered(question.step, None, now_s, now_s)
+        assert fleet.scheduler.decide(now_s + 0.01, 0.0) == []
+        assert len(fleet.scheduler.decide(now_s + 0.2, 0.0)) == 1
--- a/tests/fleet/test_faults.py
+++ b/tests/fleet/test_faults.py
@@ -34,6 +34,18 @@
         assert fleet.engines[first].runs == {}
         assert len(fleet.running(job)) == 1
 
+    def test_calls_to_a_silent_worker_extend_no_lease(self) -> None:
+        # Found by the soak (seed 1): each look at a worker that was gone put the end
+        # of its runs off, so that they never ran elsewhere.
+        fleet = Fleet(workers=1)
+        worker = next(iter(fleet.scheduler.ledger.workers.values()))
+        assert fleet.scheduler.lease_until_ms(worker, fleet.now_s) is not None
+        fleet.scheduler.worker_silent(worker.id)
+        lapse_s = worker.lapse_s
+        fleet.clock.advance(1.0)
+        assert fleet.scheduler.lease_until_ms(worker, fleet.now_s) is None
+        assert worker.lapse_s == lapse_s
+
     def test_clock_of_a_worker_may_be_slow(self) -> None:
         fleet = Fleet(workers=2)
         fleet.submit("a", StepSpec(1, ONE, is_standing=True))
--- a/tests/fleet_support.py
+++ b/tests/fleet_support.py
@@ -195,12 +195,10 @@
         worker = self.scheduler.ledger.workers.get(worker_id)
         if worker is None:
             return
+        until_ms = self.scheduler.lease_until_ms(worker, self.now_s)
         if worker_id in self.cut:
             self.scheduler.worker_silent(worker_id)
             return
-        until_ms = None
-        if worker.born_ms:
-            until_ms = self.scheduler.lease_until_ms(worker, self.now_s)
         try:
             reply = self.engines[worker_id].hold(
                 Epoch(self.token), self.acknowledged[worker_id], until_ms
