--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 UV := $(BIN)/uv
 
-.PHONY: demo test lint format typecheck unit clean
+.PHONY: demo demo-platform soak test lint format typecheck unit clean
 
 $(VENV)/.synced: pyproject.toml $(wildcard packages/*/pyproject.toml)
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -13,6 +13,13 @@
 
 demo: $(VENV)/.synced
 	$(BIN)/python examples/demo.py $(if $(KEEP),--keep)
+	$(if $(KEEP),,$(BIN)/python examples/platform_demo.py)
+
+demo-platform: $(VENV)/.synced
+	$(BIN)/python examples/platform_demo.py
+
+soak: $(VENV)/.synced
+	$(BIN)/python -m soak.run --seeds $(or $(SEEDS),1-50)
 
 test: lint typecheck unit
 
--- /dev/null
+++ b/examples/platform_demo.py
@@ -0,0 +1,103 @@
+"""Show members at work on the stand-ins of the users' platform.
+
+Run it by ``make demo-platform``: quick lookups, a batch of reviews, a gang and a standing
+watcher are submitted, and the member that schedules is killed on the way.
+"""
+
+import tempfile
+import time
+from pathlib import Path
+
+import typer
+
+from gooseberrydeck_adapter_standins.local_platform import (
+    LocalPlatform,
+    default_configuration,
+    job_body,
+)
+from gooseberrydeck_standins.processes import wait_for
+
+MEMBERS = ("entry-1", "entry-2", "entry-3")
+WORKERS = 6
+LOOKUPS = 20
+WAIT_S = 20.0
+
+JOBS = {
+    "/slow/00000000000000b0": ("a batch of reviews", job_body(0.5, 12, steps=2)),
+    "/slow/00000000000000c0": ("a gang", job_body(0.5, 6, Gang=True)),
+    "/slow/00000000000000d0": (
+        "a standing watcher",
+        job_body(tasks=2, LongRunning=True),
+    ),
+}
+
+
+def submit(platform: LocalPlatform, path: str, body: bytes) -> None:
+    """Hand a job in at the members in turn until one accepts it."""
+
+    def is_accepted() -> bool:
+        answers = [
+            member.call("POST", path, body)
+            for member in platform.members.values()
+            if member.is_alive()
+        ]
+        return any(answer is not None and answer.status == 200 for answer in answers)
+
+    wait_for(is_accepted, f"{path} is accepted", WAIT_S)
+
+
+def state(platform: LocalPlatform, path: str) -> str:
+    """Return what some member shows of a job."""
+    for member in platform.members.values():
+        answer = member.call("GET", path) if member.is_alive() else None
+        if answer is not None and answer.status == 200:
+            return answer.body.decode()
+    return "unknown"
+
+
+def main() -> None:
+    """Play the demo and print what happens."""
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        LocalPlatform(Path(folder)) as platform,
+    ):
+        platform.publish(default_configuration(with_advice=True))
+        platform.add_workers(WORKERS)
+        for name in MEMBERS:
+            platform.add_member(name)
+        platform.wait_ready()
+        wait_for(lambda: platform.holder() is not None, "a holder", WAIT_S)
+        for path, (what, body) in JOBS.items():
+            submit(platform, path, body)
+            typer.echo(f"accepted: {what} ({path})")
+        began_s = time.monotonic()
+        lookups = [f"/urgent/{number:016x}" for number in range(1, LOOKUPS + 1)]
+        for number, path in enumerate(lookups):
+            if number == LOOKUPS // 2:
+                holder = platform.holder()
+                if holder is not None:
+                    typer.echo(f"killed: {holder.name}, which scheduled")
+                    holder.kill()
+            submit(platform, path, job_body(0.2, 3))
+        wait_for(
+            lambda: all("completed" in state(platform, path) for path in lookups),
+            "the lookups are completed",
+            WAIT_S,
+        )
+        typer.echo(f"{LOOKUPS} lookups in {time.monotonic() - began_s:.1f} s")
+        for path, (what, _) in JOBS.items():
+            wait_for(
+                lambda path=path: "queued" not in state(platform, path), what, WAIT_S
+            )
+        wait_for(
+            lambda: "completed" in state(platform, "/slow/00000000000000b0"),
+            "the reviews are completed",
+            WAIT_S,
+        )
+        for path, (what, _) in JOBS.items():
+            typer.echo(f"{what}: {state(platform, path)}")
+        typer.echo(f"tasks that ran twice or over room: {platform.violations()}")
+
+
+if __name__ == "__main__":
+    typer.run(main)
