Keep unknown leases after a first answer, and start nothing beside strays

Ruled out: a start by the former holder (fenced) and an unanswered start. Change: the first answer counts with the longest lease; a worker with a stray run gets nothing until it has ended. Before: both new tests fail. After: 143 tests of the fleet and the member pass.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/holds.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/holds.py
@@ -2,7 +2,13 @@
 
 from gooseberrydeck_fleet.ends import EndHandler, LossReason
 from gooseberrydeck_fleet.ledger import Ledger
-from gooseberrydeck_fleet.state import Run, RunState, StopReason, Worker
+from gooseberrydeck_fleet.state import (
+    MAX_TASK_LEASE_S,
+    Run,
+    RunState,
+    StopReason,
+    Worker,
+)
 from gooseberrydeck_fleet.worker_calls import HoldReply, RunReport
 
 __all__ = ["HoldHandler", "StrayRun"]
@@ -61,9 +67,13 @@
             if worker.born_ms:
                 self.new_life(worker, reply.born_ms)
             worker.born_ms = reply.born_ms
+        if not worker.is_adopted:
+            # An earlier holder may have granted its leases just before this answer.
+            worker.grant(reply.clock_ms + int(MAX_TASK_LEASE_S * 1000))
         worker.heard(reply.clock_ms, now_s)
         worker.is_reachable = True
         strays = self.take_runs(worker, reply, now_s)
+        worker.has_strays = bool(strays)
         ended = self.take_ends(worker, reply, now_s)
         if len(reply.ends) < MAX_LISTED_ENDS:
             self.find_missing(worker, reply)
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
@@ -26,6 +26,7 @@
 from gooseberrydeck_fleet.registrations import Registration
 from gooseberrydeck_fleet.settings import Timing
 from gooseberrydeck_fleet.state import (
+    MAX_TASK_LEASE_S,
     Job,
     Run,
     RunState,
@@ -37,7 +38,7 @@
 from gooseberrydeck_fleet.work import EndedJob, JobRecord, JobState
 from gooseberrydeck_fleet.worker_calls import HoldReply, StartOutcome, StartRequest
 
-__all__ = ["MAX_TASK_LEASE_S", "Scheduler"]
+__all__ = ["Scheduler"]
 
 START_VALID_S = 1.5
 """A start that arrives later is refused by its worker, so that its fate is known."""
@@ -45,10 +46,6 @@
 LEASE_MARGIN_S = 0.2
 """Kept between the lease that is asked for and the longest that a worker grants."""
 
-MAX_TASK_LEASE_S = 4.2
-"""A task that lasts must run again 6 s after its worker went dark: the lease, its
-drift, and the questions and the start that follow have to fit in."""
-
 LAPSE_MARGIN_S = 0.2
 """Waited beyond the computed end of all leases of a worker that is out of reach."""
 
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
@@ -12,12 +12,26 @@
 from gooseberrydeck_fleet.speeds import StepDurations
 from gooseberrydeck_fleet.work import JobRecord, JobState, StepSpec
 
-__all__ = ["Job", "Run", "RunState", "Step", "StopReason", "Task", "Worker"]
+__all__ = [
+    "MAX_TASK_LEASE_S",
+    "Job",
+    "Run",
+    "RunState",
+    "Step",
+    "StopReason",
+    "Task",
+    "Worker",
+]
 
 CLOCK_DRIFT = 0.02
 """How much slower than true time a worker's clock may go; promised by the platform."""
 
 
+MAX_TASK_LEASE_S = 4.2
+"""A task that lasts must run again 6 s after its worker went dark: the lease, its
+drift, and the questions and the start that follow have to fit in."""
+
+
 class RunState(Enum):
     """What is known of a run.
 
@@ -274,6 +288,7 @@
         "clock_read_s",
         "entry",
         "free",
+        "has_strays",
         "heard_s",
         "id",
         "is_adopted",
@@ -297,6 +312,7 @@
         self.is_adopted = False
         self.is_reachable = False
         self.is_recorded = False
+        self.has_strays = False
         self.is_listed = True
         self.unlisted_since_s = 0.0
         self.heard_s = 0.0
@@ -308,10 +324,14 @@
 
     @property
     def can_start(self) -> bool:
-        """Tell whether new runs may be sent here."""
+        """Tell whether new runs may be sent here.
+
+        Nobody knows how much room a stray run takes, so none is given away beside one.
+        """
         return (
             self.is_adopted
             and self.is_recorded
+            and not self.has_strays
             and self.is_reachable
             and self.is_listed
             and not self.entry.is_draining
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
@@ -25,9 +25,9 @@
 from gooseberrydeck_fleet.intent import Intent
 from gooseberrydeck_fleet.progress import decode_progress
 from gooseberrydeck_fleet.registrations import Registration
-from gooseberrydeck_fleet.scheduler import MAX_TASK_LEASE_S, Scheduler
+from gooseberrydeck_fleet.scheduler import Scheduler
 from gooseberrydeck_fleet.settings import Timing
-from gooseberrydeck_fleet.state import CLOCK_DRIFT
+from gooseberrydeck_fleet.state import CLOCK_DRIFT, MAX_TASK_LEASE_S
 from gooseberrydeck_fleet.work import JobRecord, JobState
 from gooseberrydeck_fleet.worker_calls import StartOutcome, WorkerCalls
 from gooseberrydeck_member.advice_lanes import AdviceAnswered, AdviceLanes
--- a/tests/fleet/test_faults.py
+++ b/tests/fleet/test_faults.py
@@ -225,6 +225,35 @@
         assert len(fleet.starts) == 3
         assert fleet.state(job) is JobState.RUNNING
 
+    def test_worker_that_falls_silent_after_its_first_answer_keeps_its_leases(
+        self,
+    ) -> None:
+        # Its earlier holder may have extended them just before the takeover.
+        fleet = Fleet(workers=2)
+        fleet.submit("a", StepSpec(1, ONE, is_standing=True))
+        fleet.run_for(0.5)
+        _, _, first = fleet.starts[0]
+        fleet.take_over()
+        fleet.hold(first)
+        fleet.cut.add(first)
+        fleet.scheduler.worker_silent(first)
+        while len(fleet.starts) < 2:
+            fleet.run_for(0.05)
+        fleet.engines[first].advance()
+        assert fleet.engines[first].runs == {}
+        assert fleet.violations() == []
+
+    def test_nothing_starts_beside_a_run_that_nobody_knows(self) -> None:
+        fleet = Fleet(workers=1)
+        job = fleet.submit("a", StepSpec(1, task_resources(32)), seconds=60.0)
+        fleet.run_for(0.3)
+        del fleet.records[job]
+        fleet.take_over()
+        later = fleet.submit("b", StepSpec(1, task_resources(32)), seconds=0.2)
+        fleet.run_for(2.0)
+        assert fleet.violations() == []
+        assert fleet.state(later) is JobState.COMPLETED
+
     def test_end_that_was_not_stored_is_listed_again(self) -> None:
         fleet = Fleet()
         fleet.commits = False
