--- a/examples/platform_demo.py
+++ b/examples/platform_demo.py
@@ -1,7 +1,7 @@
 """Show members at work on the stand-ins of the users' platform.
 
-Run it by ``make demo-platform``: quick lookups, a batch of reviews, a gang and a standing
-watcher are submitted, and the member that schedules is killed on the way.
+Run it by ``make demo-platform``: quick lookups, a batch of reviews, a gang and a
+standing watcher are submitted, and the member that schedules is killed on the way.
 """
 
 import tempfile
