Split the fleet's scheduler, and drop what nothing uses

Change: what has to be stored is in changes.py, questions about advice in questions.py, copies in copying.py. New metrics: waits of jobs by queue, failed commits. No decision was changed.

--- /dev/null
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/changes.py
@@ -0,0 +1,139 @@
+"""What has to be stored of the scheduler's state, and what is stored."""
+
+from collections.abc import Iterable, Mapping
+
+from gooseberrydeck_coordination.ids import JobId
+from gooseberrydeck_fleet.commands import Changes, JobEnding, ProgressWrite
+from gooseberrydeck_fleet.ids import WorkerId
+from gooseberrydeck_fleet.ledger import Ledger
+from gooseberrydeck_fleet.progress import encode_progress
+from gooseberrydeck_fleet.registrations import Registration
+from gooseberrydeck_fleet.work import EndedJob, JobState
+
+__all__ = ["ChangeLog"]
+
+PROGRESS_ENTRIES = 2
+"""Entries of a transaction that the progress of one job takes: condition and write."""
+
+ENDING_ENTRIES = 5
+"""Entries that the end of one job takes at most: a condition, a write, removals."""
+
+
+class ChangeLog:
+    """Hand out changes to be stored, and learn what became of them.
+
+    Ends are acknowledged to workers, and final states shown, only once they are stored.
+    """
+
+    def __init__(self, ledger: Ledger) -> None:
+        """Look at one ledger; nothing has been stored yet."""
+        self.ledger = ledger
+        self.ended: dict[JobId, tuple[JobState, float]] = {}
+        self.storing: set[JobId] = set()
+        self.recorded: set[WorkerId] = set()
+
+    def take(self, max_entries: int, wall_s: float) -> Changes:
+        """Return changes since the last call that take up to some entries to store.
+
+        Jobs that have ended come first, since their callers wait; then those that
+        changed first.
+        """
+        ledger = self.ledger
+        progress: list[ProgressWrite] = []
+        endings: list[JobEnding] = []
+        final = [each for each in ledger.changed if self.is_final(each)]
+        left = max_entries
+        for job_id in dict.fromkeys([*ledger.finished, *final, *ledger.changed]):
+            job = ledger.jobs.get(job_id)
+            needed = ENDING_ENTRIES if job_id in ledger.finished else PROGRESS_ENTRIES
+            if needed > left:
+                break
+            if job is not None and job_id in ledger.finished:
+                ended = EndedJob(job.state, wall_s, job.record.team)
+                endings.append(JobEnding(job_id, ended, job.progress_revision))
+                left -= needed
+            elif job is not None:
+                value = encode_progress(job.to_progress())
+                progress.append(ProgressWrite(job_id, value, job.progress_revision))
+                left -= needed
+            ledger.finished.pop(job_id, None)
+            ledger.changed.pop(job_id, None)
+        self.storing = {write.job for write in progress}
+        self.storing.update(ending.job for ending in endings)
+        numbers: dict[WorkerId, tuple[int, int]] = {}
+        if not ledger.finished and not ledger.changed:
+            # Else some of the ends behind what is left must stay listed.
+            numbers = {
+                worker.id: (worker.born_ms, worker.listed_number)
+                for worker in ledger.workers.values()
+            }
+        return Changes(tuple(progress), tuple(endings), numbers)
+
+    def is_final(self, job_id: JobId) -> bool:
+        """Tell whether a job has its final state."""
+        job = self.ledger.jobs.get(job_id)
+        return job is not None and job.state.is_final
+
+    def failed(self, changes: Changes) -> None:
+        """Take in that nothing of some changes was stored, or that it is unknown."""
+        self.storing = set()
+        for write in changes.progress:
+            self.ledger.changed[write.job] = None
+        for ending in changes.endings:
+            self.ledger.finished[ending.job] = None
+            self.ledger.changed[ending.job] = None
+
+    def stored(
+        self, changes: Changes, revisions: Mapping[JobId, int], now_s: float
+    ) -> None:
+        """Take in that some changes are stored."""
+        self.storing = set()
+        for job_id, revision in revisions.items():
+            job = self.ledger.jobs.get(job_id)
+            if job is not None:
+                job.progress_revision = revision
+        for ending in changes.endings:
+            self.ledger.jobs.pop(ending.job, None)
+            self.ended[ending.job] = (ending.ended.state, now_s)
+
+    def revisions_read(
+        self, revisions: Mapping[JobId, int], ended: Iterable[JobId], now_s: float
+    ) -> None:
+        """Take in what the store has, after a commit that was refused."""
+        for job_id, revision in revisions.items():
+            job = self.ledger.jobs.get(job_id)
+            if job is not None:
+                job.progress_revision = revision
+        for job_id in ended:
+            job = self.ledger.jobs.pop(job_id, None)
+            self.ledger.finished.pop(job_id, None)
+            self.ledger.changed.pop(job_id, None)
+            if job is not None:
+                self.ended[job_id] = (job.state, now_s)
+
+    def is_stored(self, job_id: JobId) -> bool:
+        """Tell whether the store knows all that is known of a job."""
+        return job_id not in self.ledger.changed and job_id not in self.storing
+
+    def forget_ended(self, before_s: float) -> None:
+        """Drop the jobs that ended before a monotonic time."""
+        for job_id, (_, ended_s) in list(self.ended.items()):
+            if ended_s >= before_s:
+                break
+            del self.ended[job_id]
+
+    # Which workers a successor has to ask.
+
+    def workers_to_record(self) -> list[Registration] | None:
+        """Return the workers that may run something, if that has changed."""
+        workers = self.ledger.workers
+        is_complete = all(each.is_recorded for each in workers.values())
+        if is_complete and self.recorded <= workers.keys():
+            return None
+        return [worker.entry for worker in workers.values()]
+
+    def workers_recorded(self, entries: Iterable[Registration]) -> None:
+        """Take in that workers are recorded: they may be given work."""
+        self.recorded = {entry.worker for entry in entries}
+        for worker in self.ledger.workers.values():
+            worker.is_recorded = worker.id in self.recorded
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/ledger.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/ledger.py
@@ -61,7 +61,6 @@
         job.runs[task.ref, number] = run
         worker.add(run)
         self.quotas.add(team, spec.resources)
-        task.step.begun = True
         return run
 
     def remove_run(self, run: Run) -> None:
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/quotas.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/quotas.py
@@ -69,8 +69,3 @@
             (maximum.memory_mib or UNLIMITED) - used.memory_mib,
             (maximum.accelerators or UNLIMITED) - used.accelerators,
         )
-
-    def share(self, team: TeamName) -> float:
-        """Return the processors that a team uses for its weight."""
-        used = self.used.get(team, NOTHING)
-        return used.cpu_millis / max(self.weights.get(team, 1.0), 0.001)
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
@@ -1,19 +1,17 @@
 """The scheduler of a fleet: events in, commands out."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 
 from gooseberrydeck_coordination.ids import JobId, QueueName, TeamName
-from gooseberrydeck_fleet.advice import Advice, advice_duration_s
+from gooseberrydeck_fleet.advice import Advice
+from gooseberrydeck_fleet.changes import ChangeLog
 from gooseberrydeck_fleet.commands import (
-    AskAdvice,
-    Changes,
     Command,
-    JobEnding,
     PaceRun,
-    ProgressWrite,
     StartRun,
     StopRun,
 )
+from gooseberrydeck_fleet.copying import Copier
 from gooseberrydeck_fleet.ends import EndHandler, LossReason
 from gooseberrydeck_fleet.holds import HoldHandler, StrayRun
 from gooseberrydeck_fleet.ids import StepRef, TaskRef, WorkerId
@@ -22,7 +20,8 @@
 from gooseberrydeck_fleet.pacing import Pacer
 from gooseberrydeck_fleet.placement import Placer
 from gooseberrydeck_fleet.preempting import Preempter
-from gooseberrydeck_fleet.progress import Progress, encode_progress
+from gooseberrydeck_fleet.progress import Progress
+from gooseberrydeck_fleet.questions import Questions
 from gooseberrydeck_fleet.registrations import Registration
 from gooseberrydeck_fleet.settings import Timing
 from gooseberrydeck_fleet.state import (
@@ -35,7 +34,7 @@
     Task,
     Worker,
 )
-from gooseberrydeck_fleet.work import EndedJob, JobRecord, JobState
+from gooseberrydeck_fleet.work import JobRecord, JobState
 from gooseberrydeck_fleet.worker_calls import HoldReply, StartOutcome, StartRequest
 
 __all__ = ["Scheduler"]
@@ -52,45 +51,12 @@
 STOP_REPEAT_S = 0.7
 """A stop whose run is still listed is sent again after this long."""
 
-ADVICE_RETRY_S = 0.1
-"""Pause after a question about advice failed."""
-
-ADVICE_TIMEOUT_MARGIN_S = 1.0
-"""Added to the expected duration of a question; covers others before it."""
-
-ADVICE_ALLOWED_SHARE = 0.35
-"""Assumed share of the workers that a policy allows, for how many to ask about."""
-
-CHEAP_ADVICE_SHARE = 0.5
-"""Asking about every worker is fine while it costs less than this of one decision."""
-
-MAX_ADVICE_WORKERS = 100
-"""The service takes no more workers in one question."""
-
 HOUSEKEEPING_S = 0.1
 """Time between two looks at every worker and run."""
 
 STALL_S = 2.5
 """A run whose progress stands still for longer is taken for stuck."""
 
-STRAGGLER_FACTOR = 1.5
-"""A run that takes longer than this times its step's usual time may get a copy."""
-
-SLOWNESS_GAP = 0.6
-"""A copy goes to a worker at least this e-fold faster: nearly twice as fast."""
-
-STANDSTILL_S = 1.3
-"""Longer than workers take to report again; a copy need not wait for more."""
-
-STRAGGLER_LEFT = 0.7
-"""A copy is worth it only if more than this share of the usual time is left."""
-
-PROGRESS_ENTRIES = 2
-"""Entries of a transaction that the progress of one job takes: condition and write."""
-
-ENDING_ENTRIES = 5
-"""Entries that the end of one job takes at most: a condition, a write, removals."""
-
 FINAL_KEPT_S = 5.0
 """Margin over the promised time for which ended jobs are still answered for."""
 
@@ -112,16 +78,13 @@
         self.placer = Placer(self.ledger)
         self.preempter = Preempter(self.placer, self.ends, timing.task_stop_s)
         self.pacer = Pacer()
+        self.changes = ChangeLog(self.ledger)
+        self.questions = Questions(self.placer)
+        self.copier = Copier(self.placer)
         self.queues: dict[QueueName, Queue] = {}
         self.strays: list[StrayRun] = []
-        self.ended: dict[JobId, tuple[JobState, float]] = {}
-        self.advice_lanes = 1
-        self.asking: dict[StepRef, bool] = {}
         self.commands: list[Command] = []
-        self.storing: set[JobId] = set()
-        self.recorded: set[WorkerId] = set()
         self.housekeeping_s = 0.0
-        self.is_frozen = False
 
     # Configuration and membership.
 
@@ -137,7 +100,7 @@
 
     def set_advice_lanes(self, lanes: int) -> None:
         """Set how many questions about advice can be asked at once."""
-        self.advice_lanes = max(1, lanes)
+        self.questions.lanes = max(1, lanes)
 
     def worker_registered(
         self, entry: Registration, now_s: float, unknown_until_s: float = 0.0
@@ -163,7 +126,6 @@
         worker = self.ledger.workers.get(worker_id)
         if worker is not None and worker.is_listed:
             worker.is_listed = False
-            worker.unlisted_since_s = now_s
 
     def predecessor_stopped(self, lapse_s: float) -> None:
         """Take in that nothing an earlier holder started lasts beyond a time."""
@@ -180,7 +142,7 @@
 
         A doubtful job may have runs that are not known yet.
         """
-        if record.id in self.ended:
+        if record.id in self.changes.ended:
             # The store's news may be older than the end that was stored.
             return True
         known = self.ledger.jobs.get(record.id)
@@ -223,7 +185,6 @@
                 if stored.done >> index & 1 and not task.is_done:
                     task.is_done = True
                     step.left -= 1
-                    step.begun = True
                 if len(task.failures) >= job.queue.max_attempts:
                     self.ends.finish(job, JobState.FAILED)
             self.ledger.mark_begun(job)
@@ -239,9 +200,9 @@
         """Return a job's state as far as it is stored; None if it is not known."""
         job = self.ledger.jobs.get(job_id)
         if job is None:
-            ended = self.ended.get(job_id)
+            ended = self.changes.ended.get(job_id)
             return None if ended is None else ended[0]
-        is_stored = job_id not in self.ledger.changed and job_id not in self.storing
+        is_stored = self.changes.is_stored(job_id)
         if job.state.is_final and not is_stored and not job.record.is_cancelled:
             return JobState.RUNNING
         return job.state
@@ -377,18 +338,12 @@
         self, ref: StepRef, advice: Advice | None, asked_s: float, now_s: float
     ) -> None:
         """Take in an answer about a step; None if there was none."""
-        self.asking.pop(ref, None)
+        self.questions.ended(ref)
         job = self.ledger.jobs.get(ref.job)
         step = job.steps.get(ref) if job is not None else None
         if step is None:
             return
-        if advice is None:
-            step.advice.failed(now_s + ADVICE_RETRY_S)
-            return
-        policy = step.job.queue.advice
-        valid_s = policy.valid_s if policy is not None else 0.0
-        lives = {worker.id: worker.born_ms for worker in self.ledger.workers.values()}
-        step.advice.answered(advice, lives, asked_s, valid_s)
+        self.questions.answered(step, advice, asked_s, now_s)
 
     # Decisions.
 
@@ -398,9 +353,8 @@
         if now_s >= self.housekeeping_s:
             self.housekeeping_s = now_s + HOUSEKEEPING_S
             self.keep_house(now_s)
-        if not self.is_frozen:
-            self.open_due(wall_s)
-            self.serve_steps(now_s)
+        self.open_due(wall_s)
+        self.serve_steps(now_s)
         self.send_stops(now_s)
         commands = self.commands
         self.commands = []
@@ -411,10 +365,9 @@
         self.placer.expire(now_s)
         self.expire_workers(now_s)
         self.forget_departed()
-        self.expire_ended(now_s)
-        if not self.is_frozen:
-            self.stop_stalled(now_s)
-            self.pace(now_s)
+        self.changes.forget_ended(now_s - self.timing.status_s - FINAL_KEPT_S)
+        self.stop_stalled(now_s)
+        self.pace(now_s)
 
     def expire_workers(self, now_s: float) -> None:
         """Give up what runs on workers that were out of reach until it lapsed."""
@@ -439,14 +392,6 @@
             ):
                 del self.ledger.workers[worker.id]
 
-    def expire_ended(self, now_s: float) -> None:
-        """Forget ended jobs that nobody may ask for any more."""
-        kept_s = self.timing.status_s + FINAL_KEPT_S
-        for job_id, (_, ended_s) in list(self.ended.items()):
-            if now_s - ended_s <= kept_s:
-                break
-            del self.ended[job_id]
-
     def open_due(self, wall_s: float) -> None:
         """Open the occurrences whose time has come."""
         for job in self.ledger.jobs.values():
@@ -527,42 +472,13 @@
         self.ask(step, len(left), now_s)
 
     def copy_stragglers(self, step: Step, now_s: float) -> None:
-        """Start copies of tasks whose workers are slow or stand still.
-
-        A task that is merely longer than its siblings gets none: a copy would take as
-        long.
-        """
-        typical_s = step.durations.typical_s()
-        if typical_s is None:
-            return
-        team = step.job.record.team
-        for task in step.tasks:
-            if task.is_done or len(task.runs) != 1:
-                continue
-            run = task.runs[0]
-            if not is_straggler(run, typical_s, now_s):
-                continue
-            candidates = [
-                worker
-                for worker in self.placer.permitted(step, now_s)
-                if self.would_gain(run, worker, now_s)
-            ]
-            worker = self.placer.choose(candidates, task, now_s)
+        """Start copies of tasks whose workers are slow or stand still."""
+        for run in self.copier.stragglers(step, now_s):
+            worker = self.copier.choose(run, now_s)
             if worker is None:
                 self.ask(step, 1, now_s)
-            elif self.ledger.quotas.allows(team, step.spec.resources):
-                self.start(task, worker, self.ledger.numbers.next(), now_s)
-
-    def would_gain(self, run: Run, worker: Worker, now_s: float) -> bool:
-        """Tell whether a worker would do a straggler's work much sooner."""
-        if worker is run.worker:
-            return False
-        if now_s - run.progress_changed_s > STANDSTILL_S:
-            return True
-        speeds = self.ledger.speeds
-        own = speeds.slowness(run.worker.id, run.worker.entry.kind)
-        other = speeds.slowness(worker.id, worker.entry.kind)
-        return own - other > SLOWNESS_GAP
+            elif self.ledger.quotas.allows(run.team, run.usage):
+                self.start(run.task, worker, self.ledger.numbers.next(), now_s)
 
     def serve_gang(self, step: Step, now_s: float) -> None:
         """Start all tasks of a gang at once, or none."""
@@ -603,73 +519,9 @@
 
     def ask(self, step: Step, wanted: int, now_s: float) -> None:
         """Ask which workers may run a step, if the answer could help it now."""
-        policy = step.job.queue.advice
-        book = step.advice
-        if policy is None or book.pending or now_s < book.retry_s:
-            return
-        is_urgent = step.job.queue.priority == 0
-        if not self.has_lane(is_urgent):
-            return
-        usable = self.placer.usable(step, now_s)
-        workers = self.workers_to_ask(step, usable, wanted, now_s)
-        if not workers:
-            return
-        book.asked(workers)
-        self.asking[step.ref] = is_urgent
-        duration_s = advice_duration_s(policy, len(workers))
-        self.commands.append(
-            AskAdvice(
-                step.ref,
-                tuple(workers),
-                is_urgent,
-                2 * duration_s + ADVICE_TIMEOUT_MARGIN_S,
-            )
-        )
-
-    def has_lane(self, is_urgent: bool) -> bool:
-        """Tell whether a question can be asked now; half the lanes wait for urgent."""
-        if len(self.asking) >= self.advice_lanes:
-            return False
-        if is_urgent:
-            return True
-        slow = sum(1 for urgent in self.asking.values() if not urgent)
-        return slow < max(1, self.advice_lanes // 2)
-
-    def workers_to_ask(
-        self, step: Step, usable: list[Worker], wanted: int, now_s: float
-    ) -> list[WorkerId]:
-        """Return the workers worth asking about, those already allowed first."""
-        policy = step.job.queue.advice
-        book = step.advice
-        if policy is None:
-            return []
-        open_workers = [
-            worker
-            for worker in usable
-            if worker.id not in book.rejected
-            and book.ticket(worker.id, worker.born_ms, now_s) is None
-        ]
-        all_s = policy.per_worker_s * len(open_workers)
-        if (
-            step.job.queue.priority == 0
-            and all_s <= CHEAP_ADVICE_SHARE * policy.decide_s
-        ):
-            return [worker.id for worker in open_workers[:MAX_ADVICE_WORKERS]]
-        ranked = sorted(
-            ((self.placer.slots(worker, step), worker) for worker in open_workers),
-            key=lambda pair: (pair[1].id not in book.allowed, -pair[0]),
-        )
-        chosen: list[WorkerId] = []
-        expected = 0.0
-        for slots, worker in ranked:
-            if slots < 1:
-                continue
-            share = 1.0 if worker.id in book.allowed else ADVICE_ALLOWED_SHARE
-            expected += share * slots
-            chosen.append(worker.id)
-            if expected >= 1.3 * wanted or len(chosen) == MAX_ADVICE_WORKERS:
-                break
-        return chosen
+        question = self.questions.ask(step, wanted, now_s)
+        if question is not None:
+            self.commands.append(question)
 
     def pace(self, now_s: float) -> None:
         """Slow down tasks that fill where they harm tasks with a target."""
@@ -696,103 +548,6 @@
             )
         self.strays.clear()
 
-    # What has to be stored.
-
-    def take_changes(self, max_entries: int, wall_s: float) -> Changes:
-        """Return changes since the last call that take up to some entries to store.
-
-        Jobs that have ended come first, since their callers wait; then those that
-        changed first.
-        """
-        ledger = self.ledger
-        progress: list[ProgressWrite] = []
-        endings: list[JobEnding] = []
-        final = [each for each in ledger.changed if self.is_final(each)]
-        left = max_entries
-        for job_id in dict.fromkeys([*ledger.finished, *final, *ledger.changed]):
-            job = ledger.jobs.get(job_id)
-            needed = ENDING_ENTRIES if job_id in ledger.finished else PROGRESS_ENTRIES
-            if needed > left:
-                break
-            if job is not None and job_id in ledger.finished:
-                ended = EndedJob(job.state, wall_s, job.record.team)
-                endings.append(JobEnding(job_id, ended, job.progress_revision))
-                left -= needed
-            elif job is not None:
-                value = encode_progress(job.to_progress())
-                progress.append(ProgressWrite(job_id, value, job.progress_revision))
-                left -= needed
-            ledger.finished.pop(job_id, None)
-            ledger.changed.pop(job_id, None)
-        self.storing = {write.job for write in progress}
-        self.storing.update(ending.job for ending in endings)
-        numbers: dict[WorkerId, tuple[int, int]] = {}
-        if not ledger.finished and not ledger.changed:
-            # Else some of the ends behind what is left must stay listed.
-            numbers = {
-                worker.id: (worker.born_ms, worker.listed_number)
-                for worker in ledger.workers.values()
-            }
-        return Changes(tuple(progress), tuple(endings), numbers)
-
-    def is_final(self, job_id: JobId) -> bool:
-        """Tell whether a job has its final state."""
-        job = self.ledger.jobs.get(job_id)
-        return job is not None and job.state.is_final
-
-    def changes_failed(self, changes: Changes) -> None:
-        """Take in that nothing of some changes was stored, or that it is unknown."""
-        self.storing = set()
-        for write in changes.progress:
-            self.ledger.changed[write.job] = None
-        for ending in changes.endings:
-            self.ledger.finished[ending.job] = None
-            self.ledger.changed[ending.job] = None
-
-    def changes_stored(
-        self, changes: Changes, revisions: Mapping[JobId, int], now_s: float
-    ) -> None:
-        """Take in that some changes are stored."""
-        self.storing = set()
-        for job_id, revision in revisions.items():
-            job = self.ledger.jobs.get(job_id)
-            if job is not None:
-                job.progress_revision = revision
-        for ending in changes.endings:
-            self.ledger.jobs.pop(ending.job, None)
-            self.ended[ending.job] = (ending.ended.state, now_s)
-
-    def revisions_read(
-        self, revisions: Mapping[JobId, int], ended: Iterable[JobId], now_s: float
-    ) -> None:
-        """Take in what the store has, after a commit that was refused."""
-        for job_id, revision in revisions.items():
-            job = self.ledger.jobs.get(job_id)
-            if job is not None:
-                job.progress_revision = revision
-        for job_id in ended:
-            job = self.ledger.jobs.pop(job_id, None)
-            self.ledger.finished.pop(job_id, None)
-            self.ledger.changed.pop(job_id, None)
-            if job is not None:
-                self.ended[job_id] = (job.state, now_s)
-
-    # Which workers a successor has to ask.
-
-    def workers_to_record(self) -> list[Registration] | None:
-        """Return the workers that may run something, if that has changed."""
-        workers = self.ledger.workers
-        is_complete = all(each.is_recorded for each in workers.values())
-        if is_complete and self.recorded <= workers.keys():
-            return None
-        return [worker.entry for worker in workers.values()]
-
-    def workers_recorded(self, entries: Iterable[Registration]) -> None:
-        """Take in that workers are recorded: they may be given work."""
-        self.recorded = {entry.worker for entry in entries}
-        for worker in self.ledger.workers.values():
-            worker.is_recorded = worker.id in self.recorded
-
 
 def is_ready(step: Step) -> bool:
     """Tell whether everything that a step waits for is done."""
@@ -811,16 +566,3 @@
     if spec.is_standing and run.progress >= 100:
         return False
     return now_s - run.progress_changed_s > STALL_S
-
-
-def is_straggler(run: Run, typical_s: float, now_s: float) -> bool:
-    """Tell whether a copy of a run would probably end before the run does."""
-    elapsed_s = now_s - run.started_s
-    if run.state is not RunState.RUNNING or elapsed_s < STRAGGLER_FACTOR * typical_s:
-        return False
-    if now_s - run.progress_changed_s > STANDSTILL_S:
-        return True
-    seen_s = max(run.progress_changed_s - run.started_s, 0.0)
-    progress = max(run.progress, 1.0) / 100
-    left_s = seen_s / progress - elapsed_s
-    return left_s > STRAGGLER_LEFT * typical_s
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
@@ -144,7 +144,6 @@
 
     __slots__ = (
         "advice",
-        "begun",
         "durations",
         "is_open",
         "job",
@@ -152,7 +151,6 @@
         "ref",
         "spec",
         "tasks",
-        "waiting_since_s",
     )
 
     def __init__(self, job: "Job", occurrence: int, number: int) -> None:
@@ -164,9 +162,7 @@
         self.left = self.spec.count
         self.advice = AdviceBook()
         self.is_open = False
-        self.begun = False
         self.durations = StepDurations()
-        self.waiting_since_s = 0.0
 
     @property
     def is_done(self) -> bool:
@@ -299,7 +295,6 @@
         "lease_until_ms",
         "listed_number",
         "runs",
-        "unlisted_since_s",
     )
 
     def __init__(self, entry: Registration, lapse_s: float) -> None:
@@ -314,7 +309,6 @@
         self.is_recorded = False
         self.has_strays = False
         self.is_listed = True
-        self.unlisted_since_s = 0.0
         self.heard_s = 0.0
         self.clock_ms = 0
         self.clock_read_s = 0.0
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/composition.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/composition.py
@@ -23,6 +23,7 @@
 from gooseberrydeck_adapter.configuration import CONFIGURATION_KEY
 from gooseberrydeck_adapter.discovery import REGISTRATIONS
 from gooseberrydeck_coordination.ids import MemberId
+from gooseberrydeck_fleet.intent import Intent
 from gooseberrydeck_fleet.registrations import Registration
 from gooseberrydeck_fleet.settings import MemberSettings, SettingsError
 from gooseberrydeck_fleet.worker_calls import WorkerCalls
@@ -160,11 +161,11 @@
         """Return the calls to a worker."""
         return HttpWorker(entry.worker, entry.address)
 
-    def intent_changed(self, intent: object) -> None:
+    def intent_changed(self, intent: Intent) -> None:
         """Hand a new configuration to the scheduler, if it runs here."""
         scheduler = self.cell.scheduler
         if scheduler is not None:
-            scheduler.set_intent(intent)  # type: ignore[arg-type]
+            scheduler.set_intent(intent)
 
     def run(self) -> None:
         """Serve until told to stop."""
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/observability.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/observability.py
@@ -96,15 +96,15 @@
             registry=registry,
             buckets=LATENCY_BUCKETS_S,
         )
-        self.calls = prometheus_client.Counter(
-            "gooseberrydeck_platform_calls",
-            "Calls to the platform by kind and outcome",
-            ["kind", "outcome"],
+        self.commit_failures = prometheus_client.Counter(
+            "gooseberrydeck_commit_failures",
+            "Commits of the scheduler's changes that were not stored",
             registry=registry,
         )
-        self.queue_seconds = prometheus_client.Histogram(
-            "gooseberrydeck_step_wait_seconds",
-            "Time from when a step could start until its first start",
+        self.wait_seconds = prometheus_client.Histogram(
+            "gooseberrydeck_job_wait_seconds",
+            "Time from the acceptance of a job until its first start",
+            ["queue"],
             registry=registry,
             buckets=LATENCY_BUCKETS_S,
         )
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
@@ -21,7 +21,7 @@
     StartRun,
     StopRun,
 )
-from gooseberrydeck_fleet.ids import StepRef, WorkerId
+from gooseberrydeck_fleet.ids import StepRef, TaskRef, WorkerId
 from gooseberrydeck_fleet.intent import Intent
 from gooseberrydeck_fleet.progress import decode_progress
 from gooseberrydeck_fleet.registrations import Registration
@@ -324,7 +324,7 @@
         elif isinstance(message, WorkersRecorded):
             self.commit_running = False
             if message.entries is not None:
-                self.scheduler.workers_recorded(message.entries)
+                self.scheduler.changes.workers_recorded(message.entries)
         elif isinstance(message, PrefixChanged):
             self.prefix_changed(message, now_s)
         elif isinstance(message, PrefixRead):
@@ -366,7 +366,7 @@
     def job_told(self, news: Accepted) -> None:
         """Take in a job that a member tells of, unless the store was faster."""
         job = news.record.id
-        if job in self.scheduler.ledger.jobs or job in self.scheduler.ended:
+        if job in self.scheduler.ledger.jobs or job in self.scheduler.changes.ended:
             return
         self.take_job(news.record, news.revision, is_doubtful=False)
 
@@ -522,6 +522,7 @@
         """Send an order or a question."""
         if isinstance(command, StartRun):
             request = command.request
+            self.observe_wait(request.task)
             log.info(
                 "start",
                 job=request.task.job,
@@ -546,6 +547,13 @@
         elif isinstance(command, AskAdvice):
             self.lanes.ask(command, self.inbox.put)
 
+    def observe_wait(self, task: TaskRef) -> None:
+        """Measure how long a job has waited, at its first start."""
+        job = self.scheduler.ledger.jobs.get(task.job)
+        if job is not None and job.state is JobState.QUEUED and len(job.runs) == 1:
+            waited_s = max(0.0, time.time() - job.record.accepted_s)
+            self.metrics.wait_seconds.labels(job.record.queue).observe(waited_s)
+
     def start_answered(self, message: StartAnswered, now_s: float) -> None:
         """Take in what came of a start."""
         if message.outcome is None:
@@ -596,14 +604,14 @@
             return
         ledger = self.scheduler.ledger
         if not ledger.changed and not ledger.finished:
-            self.acknowledge(self.scheduler.take_changes(0, 0.0), now_s)
+            self.acknowledge(self.scheduler.changes.take(0, 0.0), now_s)
             self.record_workers(now_s)
             return
         if self.commit_due_s == 0.0:
             self.commit_due_s = now_s + COMMIT_WINDOW_S
             return
         self.commit_due_s = 0.0
-        changes = self.scheduler.take_changes(MAX_COMMIT_ENTRIES, time.time())
+        changes = self.scheduler.changes.take(MAX_COMMIT_ENTRIES, time.time())
         self.commit_running = True
         self.committer.submit(self.commit, changes)
 
@@ -625,7 +633,7 @@
             self.lose()
             return
         if outcome.stored:
-            self.scheduler.changes_stored(message.changes, outcome.revisions, now_s)
+            self.scheduler.changes.stored(message.changes, outcome.revisions, now_s)
             self.acknowledge(message.changes, now_s)
             ledger = self.scheduler.ledger
             if ledger.changed or ledger.finished:
@@ -639,9 +647,10 @@
             jobs=len(message.changes.progress) + len(message.changes.endings),
             reason=outcome.reason,
         )
+        self.metrics.commit_failures.inc()
         self.commit_due_s = now_s + COMMIT_RETRY_S
-        self.scheduler.changes_failed(message.changes)
-        self.scheduler.revisions_read(outcome.revisions, outcome.ended, now_s)
+        self.scheduler.changes.failed(message.changes)
+        self.scheduler.changes.revisions_read(outcome.revisions, outcome.ended, now_s)
 
     def acknowledge(self, changes: Changes, now_s: float) -> None:
         """Let workers forget the ends that are stored."""
@@ -655,7 +664,7 @@
 
     def record_workers(self, now_s: float) -> None:
         """Store which workers may run something, before they are given work."""
-        entries = self.scheduler.workers_to_record()
+        entries = self.scheduler.changes.workers_to_record()
         if entries is None or now_s < self.record_due_s:
             return
         self.record_due_s = now_s + COMMIT_RETRY_S
--- a/tests/fleet/test_faults.py
+++ b/tests/fleet/test_faults.py
@@ -89,7 +89,7 @@
         fleet.cut.add(leaving)
         fleet.run_for(0.1)
         assert leaving not in fleet.scheduler.ledger.workers
-        assert leaving not in fleet.scheduler.recorded
+        assert leaving not in fleet.scheduler.changes.recorded
 
     def test_silent_worker_that_drained_and_lost_its_entry_has_left(self) -> None:
         fleet = Fleet(workers=1)
@@ -323,10 +323,10 @@
         fleet.commits = False
         job = fleet.submit("a", StepSpec(2, ONE), seconds=0.2)
         fleet.run_for(1.0)
-        changes = fleet.scheduler.take_changes(10, 0.0)
-        fleet.scheduler.changes_failed(changes)
-        fleet.scheduler.revisions_read({job: 7}, (), fleet.now_s)
-        again = fleet.scheduler.take_changes(10, 0.0)
+        changes = fleet.scheduler.changes.take(10, 0.0)
+        fleet.scheduler.changes.failed(changes)
+        fleet.scheduler.changes.revisions_read({job: 7}, (), fleet.now_s)
+        again = fleet.scheduler.changes.take(10, 0.0)
         assert [each.progress_revision for each in again.endings] == [7]
 
     def test_ending_that_was_stored_after_all_is_not_repeated(self) -> None:
@@ -334,10 +334,10 @@
         fleet.commits = False
         job = fleet.submit("a", StepSpec(1, ONE), seconds=0.2)
         fleet.run_for(1.0)
-        changes = fleet.scheduler.take_changes(10, 0.0)
-        fleet.scheduler.changes_failed(changes)
-        fleet.scheduler.revisions_read({}, (job,), fleet.now_s)
-        assert fleet.scheduler.take_changes(10, 0.0).is_empty
+        changes = fleet.scheduler.changes.take(10, 0.0)
+        fleet.scheduler.changes.failed(changes)
+        fleet.scheduler.changes.revisions_read({}, (job,), fleet.now_s)
+        assert fleet.scheduler.changes.take(10, 0.0).is_empty
         assert fleet.state(job) is JobState.COMPLETED
 
 
@@ -418,7 +418,7 @@
         fleet.run_for(0.6)
         last = fleet.submit("last", StepSpec(1, ONE), seconds=0.1)
         fleet.run_for(0.2)
-        changes = fleet.scheduler.take_changes(31, 0.0)
+        changes = fleet.scheduler.changes.take(31, 0.0)
         assert [ending.job for ending in changes.endings] == [last]
         assert len(changes.progress) == 13
         assert changes.numbers == {}
--- a/tests/fleet_support.py
+++ b/tests/fleet_support.py
@@ -246,19 +246,19 @@
         """Store what has changed, unless the store is away."""
         if not self.commits:
             return
-        changes = self.scheduler.take_changes(100, self.clock.wall())
+        changes = self.scheduler.changes.take(100, self.clock.wall())
         for write in changes.progress:
             self.progress[write.job] = write.value
         for ending in changes.endings:
             self.records.pop(ending.job, None)
             self.progress.pop(ending.job, None)
-        self.scheduler.changes_stored(changes, {}, self.now_s)
+        self.scheduler.changes.stored(changes, {}, self.now_s)
         for worker, (born_ms, number) in changes.numbers.items():
             if self.engines[worker].born_ms == born_ms:
                 self.acknowledged[worker] = number
-        entries = self.scheduler.workers_to_record()
+        entries = self.scheduler.changes.workers_to_record()
         if entries is not None:
-            self.scheduler.workers_recorded(entries)
+            self.scheduler.changes.workers_recorded(entries)
 
     def take_over(self) -> None:
         """Let a successor with the next token read the store and ask the workers."""
--- a/tests/member/test_holding.py
+++ b/tests/member/test_holding.py
@@ -9,8 +9,8 @@
     StoreUnavailableError,
 )
 from gooseberrydeck_coordination.ids import JobId, MemberId
+from gooseberrydeck_fleet.changes import ENDING_ENTRIES
 from gooseberrydeck_fleet.commands import Changes, JobEnding, ProgressWrite
-from gooseberrydeck_fleet.scheduler import ENDING_ENTRIES
 from gooseberrydeck_fleet.work import EndedJob, JobState, StepSpec
 from gooseberrydeck_member import authority as authority_module
 from gooseberrydeck_member.authority import AUTHORITY_S, Authority
@@ -193,7 +193,7 @@
         fleet.run_for(1.0)
         for job in fleet.scheduler.ledger.jobs:
             fleet.scheduler.ledger.changed[job] = None
-        changes = fleet.scheduler.take_changes(MAX_COMMIT_ENTRIES, 0.0)
+        changes = fleet.scheduler.changes.take(MAX_COMMIT_ENTRIES, 0.0)
         transaction = build_transaction(self.first, changes)
         entries = len(transaction.compares) + len(transaction.operations)
         assert MAX_ENTRIES - 2 * ENDING_ENTRIES < entries <= MAX_ENTRIES
