Take the tests' ports below the range of outgoing connections

The test asks the system for a free port, closes it and binds it later; an outgoing connection of another test took it meanwhile. Ruled out: a listener that was left open (the port was drawn afresh). Change: the ports come from free_ports, which draws below that range, as the tests with processes do.

--- a/tests/daemon_support.py
+++ b/tests/daemon_support.py
@@ -3,7 +3,6 @@
 import hashlib
 import http.client
 import json
-import socket
 import threading
 import time
 from collections.abc import Callable, Iterator, Sequence
@@ -34,6 +33,7 @@
 from gooseberrydeck_daemon.settings import Settings
 from gooseberrydeck_platform.endpoints import EndpointAnswer, EndpointRequest
 from gooseberrydeck_platform.hosts import Host, HostKind, HostState
+from gooseberrydeck_standins.processes import free_ports
 
 SECRET = "editors-secret"
 LOOKUP = ServiceName("lookup")
@@ -148,9 +148,8 @@
 
 
 def free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
+    """Return a port that no outgoing connection of another test can take meanwhile."""
+    return free_ports(1)[0]
 
 
 def make_settings(
