Hold the ports that tests take for dead, and pause a paused process once

Ruled out: the pool, which prefers an address only after an answer from it. The port is now bound and never listened on.

The state is now read without consuming it. Before: the new test hung; after: it passes.

--- a/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/processes.py
+++ b/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/processes.py
@@ -104,9 +104,13 @@
         self.process.wait(END_TIMEOUT_S)
 
     def pause(self) -> None:
-        """Stop the process where it is, and wait until it has stopped."""
+        """Stop the process where it is, and wait until it has stopped or ended."""
+        if not self.is_alive():
+            return
         self.process.send_signal(signal.SIGSTOP)
-        os.waitid(os.P_PID, self.process.pid, os.WSTOPPED)
+        # The state is left to be read again: a process that is paused already does
+        # not change it a second time.
+        os.waitid(os.P_PID, self.process.pid, os.WSTOPPED | os.WEXITED | os.WNOWAIT)
 
     def resume(self) -> None:
         """Let a paused process go on."""
--- a/tests/adapter/test_adapter.py
+++ b/tests/adapter/test_adapter.py
@@ -59,12 +59,11 @@
     WorkerReplacedError,
     WorkerSilentError,
 )
-from gooseberrydeck_platform.http import HttpAddress
 from gooseberrydeck_standins.faults import FaultKind
 from gooseberrydeck_standins.fleet_worker import FleetWorkerEngine
 from gooseberrydeck_standins.http_service import StandinServer
-from gooseberrydeck_standins.processes import free_ports
 from gooseberrydeck_standins.store_engine import StoreEngine
+from network_support import refused_address
 
 ROOT = Path(__file__).parents[2]
 TIMEOUT_S = 2.0
@@ -182,9 +181,8 @@
         stored.application.faults.clear()
 
     def test_unreachable_store_has_no_effect(self) -> None:
-        store = HttpStore(HttpAddress("127.0.0.1", free_ports(1)[0]))
-        with pytest.raises(StoreUnavailableError):
-            store.read("a", TIMEOUT_S)
+        with refused_address() as address, pytest.raises(StoreUnavailableError):
+            HttpStore(address).read("a", TIMEOUT_S)
 
     def test_rates_are_refused_without_effect(self, stored: StoreFixture) -> None:
         stored.application.writes.per_s = 1
@@ -286,8 +284,7 @@
         assert len(working.engine.runs) == 1
 
     def test_ended_process_is_told_from_a_silent_one(self) -> None:
-        address = HttpAddress("127.0.0.1", free_ports(1)[0])
-        with pytest.raises(WorkerGoneError):
+        with refused_address() as address, pytest.raises(WorkerGoneError):
             HttpWorker(WORKER, address).hold(TOKEN, 0, None, 0.0, TIMEOUT_S)
 
     def test_hold_waits_for_an_end(self, working: WorkerFixture) -> None:
--- a/tests/ctl/test_ctl.py
+++ b/tests/ctl/test_ctl.py
@@ -7,7 +7,7 @@
 import pytest
 from structlog.testing import capture_logs
 
-from daemon_support import call, free_port
+from daemon_support import call
 from gooseberrydeck_configuration import load_configuration
 from gooseberrydeck_configuration.api import (
     BurnAnswer,
@@ -21,6 +21,7 @@
 from gooseberrydeck_ctl.exceptions import ExitCode
 from gooseberrydeck_ctl.options import ADDRESSES_VARIABLE, KEY_VARIABLE
 from gooseberrydeck_standins.engine_store import CallFault
+from network_support import refused_address
 from operators_support import (
     OPERATOR_SECRET,
     OperatedCell,
@@ -34,8 +35,7 @@
 @pytest.fixture
 def cell(monkeypatch: pytest.MonkeyPatch) -> Iterator[OperatedCell]:
     # Members log to the standard output that commands print to.
-    with capture_logs(), operated_cell("m1") as running:
-        dead = f"127.0.0.1:{free_port()}"
+    with refused_address() as dead, capture_logs(), operated_cell("m1") as running:
         addresses = f"{dead},127.0.0.1:{running.port('m1')}"
         monkeypatch.setenv(ADDRESSES_VARIABLE, addresses)
         monkeypatch.setenv(KEY_VARIABLE, OPERATOR_SECRET)
--- a/tests/platform/test_http.py
+++ b/tests/platform/test_http.py
@@ -14,6 +14,7 @@
     HttpOutcomeUnknownError,
 )
 from gooseberrydeck_platform.http_pool import HttpPool
+from network_support import refused_address
 
 WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole"
 SHORT_S = 0.2
@@ -145,9 +146,7 @@
             assert len(server.requests) == 1
 
     def test_a_refused_connection_is_not_sent(self) -> None:
-        with socket.create_server(("127.0.0.1", 0)) as listener:
-            address = HttpAddress("127.0.0.1", listener.getsockname()[1])
-        with pytest.raises(HttpNotSentError):
+        with refused_address() as address, pytest.raises(HttpNotSentError):
             HttpConnection(address).request("POST", "/", b"body")
 
     def test_a_kept_connection_is_used_again(self) -> None:
@@ -187,9 +186,7 @@
 
 class TestHttpPool:
     def test_the_next_address_is_tried_if_nothing_was_sent(self) -> None:
-        with socket.create_server(("127.0.0.1", 0)) as listener:
-            dead = HttpAddress("127.0.0.1", listener.getsockname()[1])
-        with scripted(answers(WHOLE, WHOLE)) as server:
+        with refused_address() as dead, scripted(answers(WHOLE, WHOLE)) as server:
             pool = HttpPool([dead, server.address])
             assert pool.request("POST", "/").body == b"whole"
             assert pool.preferred == 1
--- /dev/null
+++ b/tests/standins/test_processes.py
@@ -0,0 +1,22 @@
+"""Processes that tests start, pause and end."""
+
+from pathlib import Path
+
+from gooseberrydeck_standins.processes import ChildProcess
+
+SLEEPS = ("-c", "import time; time.sleep(60)")
+
+
+class TestChildProcess:
+    def test_pausing_twice_returns(self, tmp_path: Path) -> None:
+        with ChildProcess(SLEEPS, tmp_path / "log") as process:
+            process.pause()
+            process.pause()
+            assert process.is_alive()
+            process.resume()
+
+    def test_pausing_an_ended_process_returns(self, tmp_path: Path) -> None:
+        with ChildProcess(("-c", ""), tmp_path / "log") as process:
+            process.wait()
+            process.pause()
+            assert not process.is_alive()
