Let a shard that waits for units of a team's limit get them in its turn

By a model of the limits tasks (the new test, with tasks in random order): every move of a team's units voids all other offers, so a slower member kept losing; shards asked again for 2 s after they had been given what they wanted; each retry of one request counted as one more unit wanted, so that one shard took up to 6 units for one request; an answer that came from an older record counted as a member without units, left alone for up to 16 s; units just given were offered on before the work that waited was tried. Ruled out: the back-off alone (a cap of 0.5 s changed nothing), the life of offers (0.6 s for 2 s changed nothing), shards moving away (the same without).

--- a/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/slices/ledger.py
+++ b/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/slices/ledger.py
@@ -174,6 +174,11 @@
             use.offers[request.team] = offer
             return offer
 
+    def is_current(self, request: SliceRequest) -> bool:
+        """Tell whether a request was made for the record that is known here."""
+        with self._lock:
+            return self._is_current(request)
+
     def has_offers(self, team: TeamName) -> bool:
         """Tell whether units of a team are withheld for an offer."""
         with self._lock:
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/limits/admission.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/limits/admission.py
@@ -41,7 +41,9 @@
     def want(self, team: TeamName, shard: ShardId, units: int) -> None:
         """Note that ``units`` of a team wait on a shard."""
         with self.lock:
-            self.wanted[team, shard] += units
+            # The same work is refused again each time that it is tried, so the units
+            # of several refusals are not added up.
+            self.wanted[team, shard] = max(units, self.wanted[team, shard])
 
     def take_wanted(self) -> dict[Slot, int]:
         """Return what has been wanted since the last call, and forget it."""
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/limits/demand.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/limits/demand.py
@@ -1,17 +1,22 @@
 """What is wanted, and which members are worth asking for it."""
 
-from collections.abc import Iterable
+import math
+from collections.abc import Callable, Iterable
 
 import msgspec
 
 from gooseberrydeck_coordination.clock import Clock
-from gooseberrydeck_coordination.ids import MemberId, TeamName
+from gooseberrydeck_coordination.ids import MemberId, ShardId, TeamName
 from gooseberrydeck_daemon.limits.admission import Slot
 
 __all__ = ["AskBudget", "Demand", "DemandBook"]
 
 DEMAND_LIFETIME_S = 2.0
 ASK_PERIOD_S = 0.1
+CLAIM_AFTER_S = 0.5
+"""Wait from which a shard goes before others, long before a request is given up."""
+CLAIM_LIFETIME_S = 3 * ASK_PERIOD_S
+"""How long a shard that does not ask again goes before others: some periods."""
 MAX_ASKED_MEMBERS = 8
 FIRST_BACKOFF_S = 0.5
 MAX_BACKOFF_S = 16.0
@@ -20,11 +25,24 @@
 
 
 class Demand(msgspec.Struct):
-    """Units that a team wants on a shard, and when it was last refused or asked for."""
+    """Units that a team wants on a shard, and when it was last refused or asked for.
+
+    ``since_s`` is when it was first refused after it had last been given units.
+    """
 
     units: int
     refused_at_s: float
     asked_at_s: float | None = None
+    since_s: float | None = None
+    met_at_s: float = -math.inf
+
+
+class Claim(msgspec.Struct, frozen=True):
+    """The shard that has waited longest for units of a team, as far as is known."""
+
+    slot: Slot
+    since_s: float
+    heard_at_s: float
 
 
 class Backoff(msgspec.Struct):
@@ -62,21 +80,69 @@
         self.clock = clock
         self.budget = AskBudget(clock)
         self.demands: dict[Slot, Demand] = {}
+        self.claims: dict[TeamName, Claim] = {}
         self.backoffs: dict[tuple[TeamName, MemberId], Backoff] = {}
 
     def want(self, slot: Slot, units: int) -> None:
         """Note that work was refused."""
         now_s = self.clock.monotonic()
-        demand = self.demands.get(slot)
-        if demand is None:
-            self.demands[slot] = Demand(units, now_s)
-            return
+        demand = self.demands.setdefault(slot, Demand(units, now_s))
         demand.units = max(units, demand.units)
         demand.refused_at_s = now_s
+        if demand.since_s is None:
+            demand.since_s = now_s
 
-    def is_wanted(self, slot: Slot) -> bool:
-        """Tell whether work of the team was refused on the shard of late."""
-        return slot in self.demands
+    def note_met(self, slot: Slot) -> None:
+        """Note that a slot has been given units."""
+        demand = self.demands.get(slot)
+        if demand is not None:
+            demand.since_s = None
+            demand.met_at_s = self.clock.monotonic()
+
+    def note_idle(self, idle_units: Callable[[TeamName, ShardId], int]) -> None:
+        """Note the slots that have as many idle units by now as they want."""
+        for slot, demand in self.demands.items():
+            if demand.since_s is not None and idle_units(*slot) >= demand.units:
+                demand.since_s = None
+
+    def waited_s(self, slot: Slot) -> float:
+        """Return for how long a slot has been wanted without being given units."""
+        demand = self.demands.get(slot)
+        if demand is None or demand.since_s is None:
+            return 0.0
+        return self.clock.monotonic() - demand.since_s
+
+    def is_first(self, slot: Slot, waited_s: float) -> bool:
+        """Tell whether no other slot that asks for the team has waited longer.
+
+        Every move of a team's units voids the offers for all others, so that a member
+        whose calls take longer would never get any.
+        """
+        now_s = self.clock.monotonic()
+        claim = self.claims.get(slot[0])
+        if claim is not None and now_s - claim.heard_at_s > CLAIM_LIFETIME_S:
+            claim = None
+        since_s = now_s - waited_s
+        if claim is not None and claim.slot != slot and claim.since_s < since_s:
+            return False
+        if waited_s >= CLAIM_AFTER_S:
+            self.claims[slot[0]] = Claim(slot, since_s, now_s)
+        elif claim is not None and claim.slot == slot:
+            del self.claims[slot[0]]
+        return True
+
+    def kept_units(self, slot: Slot, idle: int) -> int:
+        """Return how many of a shard's idle units are not for other members.
+
+        Units that have just been given are left to the work that waited for them; half
+        is kept where the team waits for more.
+        """
+        demand = self.demands.get(slot)
+        if demand is None:
+            return 0
+        if self.clock.monotonic() - demand.met_at_s <= ASK_PERIOD_S:
+            return min(idle, demand.units)
+        return (idle + 1) // 2 if demand.since_s is not None else 0
 
     def due(self) -> list[Slot]:
         """Return what to ask for now, and forget what is no longer wanted."""
@@ -87,7 +153,8 @@
         return [
             slot
             for slot, demand in self.demands.items()
-            if demand.asked_at_s is None or now_s - demand.asked_at_s >= ASK_PERIOD_S
+            if demand.since_s is not None
+            and (demand.asked_at_s is None or now_s - demand.asked_at_s >= ASK_PERIOD_S)
         ]
 
     def note_asked(self, slot: Slot) -> int:
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/limits/messages.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/limits/messages.py
@@ -21,15 +21,24 @@
 
 
 class UnitsRequest(PeerMessage, frozen=True):
-    """Ask a member for idle units of several of its shards at once."""
+    """Ask a member for idle units of several of its shards at once.
+
+    The team has waited for ``waited_s`` seconds on the shard that asks.
+    """
 
     requests: tuple[SliceRequest, ...]
+    waited_s: float = 0.0
 
 
 class UnitsAnswer(PeerMessage, frozen=True):
-    """What the asked member gives up; it may be nothing."""
+    """What the asked member gives up; it may be nothing.
+
+    ``is_conclusive`` is false if nothing could be offered whatever is idle: the record
+    has changed since the question was asked, or another shard has waited longer.
+    """
 
     offers: tuple[SliceOffer, ...] = ()
+    is_conclusive: bool = True
 
 
 class PeerAsked(msgspec.Struct, frozen=True):
@@ -39,7 +48,7 @@
 
 
 class MemberOffers(msgspec.Struct, frozen=True):
-    """What one member offered; None if it did not answer in time."""
+    """What one member offered; None if it gave no answer that tells what is idle."""
 
     member: MemberId
     offers: tuple[SliceOffer, ...] | None
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/limits/offers.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/limits/offers.py
@@ -1,7 +1,7 @@
 """Gather the offers of several members, and give offers to them."""
 
 import threading
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from concurrent.futures import Future
 from typing import Any
 
@@ -31,7 +31,9 @@
         """Take the answer of one member, from any thread."""
         offers = None
         if future.exception() is None and isinstance(future.result(), UnitsAnswer):
-            offers = future.result().offers
+            answer = future.result()
+            if answer.offers or answer.is_conclusive:
+                offers = answer.offers
         with self.lock:
             self.answers.append(MemberOffers(member, offers))
             self.missing -= 1
@@ -41,25 +43,31 @@
 
 
 def make_offers(
-    ledger: SliceLedger, demand: DemandBook, requests: Iterable[SliceRequest]
-) -> tuple[SliceOffer, ...]:
-    """Return offers from our shards, together not more than was asked for.
+    ledger: SliceLedger,
+    demand: DemandBook,
+    requests: Sequence[SliceRequest],
+    waited_s: float,
+) -> UnitsAnswer:
+    """Offer units of our shards, together not more than was asked for.
 
-    Where a team waits on the donor's shard too, half of its idle units are kept.
+    What the donor's shard needs itself is kept.
     """
     offers: list[SliceOffer] = []
+    if requests:
+        slot = (requests[0].team, requests[0].recipient)
+        if not demand.is_first(slot, waited_s):
+            return UnitsAnswer(is_conclusive=False)
     for request in requests:
         left = request.units - sum(offer.units for offer in offers)
         if left <= 0:
             break
         slot = (request.team, request.donor)
-        kept = 0
-        if demand.is_wanted(slot):
-            kept = (ledger.idle_units(*slot) + 1) // 2
+        kept = demand.kept_units(slot, ledger.idle_units(*slot))
         offer = ledger.offer(msgspec.structs.replace(request, units=left), kept)
         if offer is not None:
             offers.append(offer)
-    return tuple(offers)
+    is_current = all(ledger.is_current(request) for request in requests)
+    return UnitsAnswer(tuple(offers), is_conclusive=is_current)
 
 
 def trim_offers(offers: Iterable[SliceOffer], units: int) -> list[SliceOffer]:
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/limits/task.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/limits/task.py
@@ -137,6 +137,7 @@
         if self.is_store_paused():
             return
         self.void_old_offers()
+        self.demand.note_idle(self.ledger.idle_units)
         for slot in self.demand.due():
             self.ask_for_units(slot)
 
@@ -186,9 +187,11 @@
         units = max(self.demand.note_asked(slot), allowance)
         by_owner = self.by_owner(self.controller.requests_for(team, recipient, units))
         member = self.ownership.view().member
-        own = MemberOffers(
-            member, make_offers(self.ledger, self.demand, by_owner.pop(member, ()))
+        waited_s = self.demand.waited_s(slot)
+        own_answer = make_offers(
+            self.ledger, self.demand, by_owner.pop(member, ()), waited_s
         )
+        own = MemberOffers(member, own_answer.offers)
         chosen = self.demand.choose(team, by_owner)
         if not chosen:
             self.accept(OffersArrived(slot, units, (own,)))
@@ -200,7 +203,7 @@
             ),
         )
         for peer in chosen:
-            request = UnitsRequest(tuple(by_owner[peer]))
+            request = UnitsRequest(tuple(by_owner[peer]), waited_s)
             future = self.peers.ask(peer, request, ASK_TIMEOUT_S)
             future.add_done_callback(partial(collector.take, peer))
 
@@ -236,6 +239,8 @@
             return
         outcome = self.controller.accept_offers(recipient, held[1], usable)
         self.metrics.count(f"limits.moves.{outcome.value}")
+        if outcome is MoveOutcome.MOVED:
+            self.demand.note_met(arrived.slot)
         if outcome is MoveOutcome.STORE_OUT:
             self.pause_store()
         self.tell_change()
@@ -243,11 +248,12 @@
     def answer_peer(self, inbound: Inbound) -> None:
         """Offer a peer what is idle on our shards."""
         requests: tuple[SliceRequest, ...] = inbound.message.requests
-        offers = make_offers(self.ledger, self.demand, requests)
+        waited_s: float = inbound.message.waited_s
+        answer = make_offers(self.ledger, self.demand, requests, waited_s)
         now_s = self.clock.monotonic()
-        for offer in offers:
+        for offer in answer.offers:
             self.offered_at_s[offer.team] = now_s
-        inbound.answer(UnitsAnswer(offers))
+        inbound.answer(answer)
 
     def void_old_offers(self) -> None:
         """Write records anew whose offers nobody has taken up for too long.
--- a/tests/daemon/test_limits.py
+++ b/tests/daemon/test_limits.py
@@ -1,5 +1,6 @@
 """Tests of the task that moves units of team limits between members."""
 
+import random
 from concurrent.futures import Future
 from itertools import pairwise
 from typing import Any
@@ -27,6 +28,8 @@
 from gooseberrydeck_coordination.timing import Timing
 from gooseberrydeck_daemon.limits import LimitsTask, UnitsRequest
 from gooseberrydeck_daemon.limits.demand import DemandBook
+from gooseberrydeck_daemon.limits.messages import MemberOffers
+from gooseberrydeck_daemon.limits.offers import OfferCollector
 from gooseberrydeck_daemon.metrics import CounterMetrics
 from gooseberrydeck_daemon.peers import Inbound, PeerMessage, PeerSilentError
 from gooseberrydeck_daemon.views import ConfigurationHolder
@@ -37,6 +40,7 @@
 TEAM = TeamName("segreteria")
 KEYS = StoreKeys(CellName("lauree"))
 STEP_S = 0.05
+REQUEST_TIMEOUT_S = 3.0
 CLEAN = Quarantine(Timing(), claimed_s=0.0, has_predecessor=False)
 
 
@@ -92,6 +96,7 @@
         self.names = [MemberId(f"padova-{number}") for number in range(members)]
         self.silent: set[MemberId] = set()
         self.messages = 0
+        self.ending: list[ShardId] = []
         self.owners = {
             ShardId(shard): self.names[shard % members] for shard in range(shards)
         }
@@ -138,6 +143,9 @@
         """Let time pass and every task work off its inbox; records reach all."""
         for _ in range(count):
             self.clock.advance(STEP_S)
+            for shard in self.ending:
+                self.tasks[self.owners[shard]].admission.release(TEAM, shard)
+            self.ending.clear()
             for task in self.tasks.values():
                 while not task.inbox.empty():
                     task.run_once(0.0)
@@ -146,6 +154,16 @@
                 if self.stores[name].fault is CallFault.NONE:
                     task.controller.refresh_all()
 
+    def shuffle(self, draw: random.Random) -> None:
+        """Let the tasks run in another order from now on."""
+        names = list(self.tasks)
+        draw.shuffle(names)
+        self.tasks = {name: self.tasks[name] for name in names}
+
+    def release_at_next_step(self, shard: ShardId) -> None:
+        """End one unit of work when time has passed once more."""
+        self.ending.append(shard)
+
     def running(self) -> int:
         return sum(
             use.running.get(TEAM, 0)
@@ -224,6 +242,43 @@
             cell.step()
         assert cell.messages <= seconds
 
+    @pytest.mark.parametrize("seed", range(6))
+    def test_callers_within_the_limit_are_served_in_time(self, seed: int) -> None:
+        draw = random.Random(seed)
+        cell = Cell(4, 16, 8)
+        cell.step(3)
+        waiting = {caller: ShardId(draw.randrange(16)) for caller in range(4)}
+        since_s = dict.fromkeys(waiting, cell.clock.monotonic())
+        for _ in range(1_200):
+            cell.shuffle(draw)
+            held = [shard for shard in waiting.values() if cell.admit_all(shard, 1)]
+            for caller, shard in list(waiting.items()):
+                now_s = cell.clock.monotonic()
+                if shard in held:
+                    held.remove(shard)
+                    cell.release_at_next_step(shard)
+                    waiting[caller] = ShardId(draw.randrange(16))
+                    since_s[caller] = now_s
+                assert now_s - since_s[caller] < REQUEST_TIMEOUT_S
+            cell.step()
+
+    def test_outdated_question_is_not_taken_for_a_member_without_units(self) -> None:
+        cell = Cell(2, 2, 20)
+        cell.step(3)
+        asker, asked = (cell.tasks[name] for name in cell.names)
+        requests = asker.controller.requests_for(TEAM, ShardId(0), 10)
+        asked.controller.void_offers(TEAM)
+        answers: list[Any] = []
+        message = UnitsRequest(requests)
+        asked.receive_request(Inbound(cell.names[0], message, answers.append))
+        while not asked.inbox.empty():
+            asked.run_once(0.0)
+        future: Future[Any] = Future()
+        future.set_result(answers[0])
+        gathered: list[tuple[MemberOffers, ...]] = []
+        OfferCollector(1, gathered.append).take(cell.names[1], future)
+        assert gathered == [(MemberOffers(cell.names[1], None),)]
+
     def test_lower_limit_is_in_force_at_the_next_tick(self) -> None:
         cell = Cell(4, 4, 80)
         cell.step(3)
