Answer callers while a member stops

No test of processes looked at the statuses of a stopping member, and waitress's traceback was not a structured line. The listener now closes a connection after its answer by itself. Tests: a draining server answers and closes; a stopping member answers 200 to the end; the soak takes status 500 for a broken promise. What libraries log is structured now.

--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/http/channels.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/http/channels.py
@@ -1,9 +1,9 @@
 """Connections whose failures are problem details."""
 
-from waitress.channel import HTTPChannel
 from waitress.task import ErrorTask
 
 from gooseberrydeck_daemon.http.problems import ProblemError, ProblemType
+from gooseberrydeck_service.http_server import DrainableChannel
 from gooseberrydeck_service.responses import status_line
 
 __all__ = ["ProblemChannel"]
@@ -31,7 +31,7 @@
         self.write(response.body)
 
 
-class ProblemChannel(HTTPChannel):  # type: ignore[misc]
+class ProblemChannel(DrainableChannel):
     """A client's connection whose failures are problem details."""
 
     error_task_class = ProblemTask
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/callers.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/callers.py
@@ -110,7 +110,6 @@
         self.directory = directory
         self.codec = codec
         self.metrics = metrics
-        self.is_stopping = False
 
     def __call__(
         self, environ: dict[str, Any], start_response: StartResponse
@@ -140,8 +139,6 @@
         ]
         if answer.retry_after_s is not None:
             headers.append(("Retry-After", str(answer.retry_after_s)))
-        if self.is_stopping and not call.is_relayed:
-            headers.append(("Connection", "close"))
         start_response(status_line(answer.status), headers)
         return [answer.body]
 
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/composition.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/composition.py
@@ -196,7 +196,7 @@
         for task in (peers, callers, ready, self.control):
             supervisor.start(task)
         self.serve(supervisor)
-        self.shut_down()
+        self.shut_down(callers)
         supervisor.stop(("control", "callers"))
         log.info("stop")
         supervisor.close()
@@ -225,10 +225,10 @@
         self.settings = settings
         self.control.timing = settings.timing
 
-    def shut_down(self) -> None:
+    def shut_down(self, callers: HttpServer) -> None:
         """Hand the shard over and answer until the balancer has noticed."""
         log.info("stopping", linger_s=LINGER_S)
         self.readiness.is_stopping = True
-        self.callers.is_stopping = True
+        callers.drain()
         self.control.hand_over()
         time.sleep(min(LINGER_S, 0.6 * self.settings.timing.stop_grace_s))
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/observability.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/observability.py
@@ -51,6 +51,19 @@
             sys.stdout.flush()
 
 
+class StructuredHandler(logging.Handler):
+    """Write what libraries log as structured lines."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write one record."""
+        structlog.get_logger().error(
+            "library error",
+            logger=record.name,
+            message=record.getMessage(),
+            exc_info=record.exc_info,
+        )
+
+
 def encode_line(event: dict[str, object], **_options: object) -> str:
     """Return an event as a line of JSON; what JSON cannot hold is shown by ``repr``."""
     return msgspec.json.encode(event, enc_hook=repr).decode()
@@ -71,7 +84,10 @@
         logger_factory=lambda *_: writer,
         cache_logger_on_first_use=True,
     )
-    logging.getLogger("waitress").setLevel(logging.ERROR)
+    waitress = logging.getLogger("waitress")
+    waitress.setLevel(logging.ERROR)
+    waitress.propagate = False
+    waitress.addHandler(StructuredHandler())
     logging.getLogger("waitress.queue").setLevel(logging.CRITICAL)
     return writer
 
--- a/packages/gooseberrydeck-service/src/gooseberrydeck_service/http_server.py
+++ b/packages/gooseberrydeck-service/src/gooseberrydeck_service/http_server.py
@@ -7,8 +7,9 @@
 
 from waitress.channel import HTTPChannel
 from waitress.server import TcpWSGIServer, create_server
+from waitress.task import WSGITask
 
-__all__ = ["HttpServer", "ListenerBounds", "WsgiApplication"]
+__all__ = ["DrainableChannel", "HttpServer", "ListenerBounds", "WsgiApplication"]
 
 MAX_HEADER_BYTES = 65_536
 CHANNEL_TIMEOUT_S = 60
@@ -22,6 +23,26 @@
 ]
 
 
+class DrainableTask(WSGITask):  # type: ignore[misc]
+    """Close the connection after an answer once the server drains.
+
+    An application cannot ask for that: WSGI reserves the ``Connection`` header.
+    """
+
+    def build_response_header(self) -> bytes:
+        """Return the header of the answer."""
+        if self.channel.server.is_draining:
+            self.set_close_on_finish()
+        header: bytes = super().build_response_header()
+        return header
+
+
+class DrainableChannel(HTTPChannel):  # type: ignore[misc]
+    """A client's connection that closes after an answer once the server drains."""
+
+    task_class = DrainableTask
+
+
 class ListenerBounds(Protocol):
     """The port of a listener and the bounds of what it takes in at once."""
 
@@ -51,7 +72,7 @@
         application: WsgiApplication,
         address: str,
         listener: ListenerBounds,
-        channel_class: type[HTTPChannel] = HTTPChannel,
+        channel_class: type[HTTPChannel] = DrainableChannel,
     ) -> None:
         """Bind the port; ``port`` is then the one that clients connect to.
 
@@ -78,6 +99,7 @@
             clear_untrusted_proxy_headers=True,
         )
         self.server.channel_class = channel_class
+        self.server.is_draining = False
         self.port: int = self.server.effective_port
         self.stopping = threading.Event()
 
@@ -99,6 +121,10 @@
         loop = self.server.asyncore.loop
         loop(timeout=timeout_s, map=self.map, use_poll=True, count=1)
 
+    def drain(self) -> None:
+        """Close each connection after its next answer, so that clients move away."""
+        self.server.is_draining = True
+
     def stop_listening(self) -> None:
         """Take no more connections; the open ones are still served."""
         self.server.del_channel(self.map)
--- a/soak/run.py
+++ b/soak/run.py
@@ -28,6 +28,7 @@
 SUBMIT_EVERY_S = 0.12
 FINAL = (b"completed", b"failed", b"cancelled")
 REFUSED = (429, 503)
+INTERNAL_ERROR = 500
 
 
 class Report(msgspec.Struct):
@@ -52,6 +53,7 @@
         self.accepted: list[str] = []
         self.refused: set[str] = set()
         self.unknown: set[str] = set()
+        self.failed: set[str] = set()
 
     def run(self) -> None:
         """Submit until stopped."""
@@ -73,6 +75,8 @@
         for _ in range(3):
             member = self.cell.member(self.draw.randrange(100))
             answer = member.call("POST", path, body)
+            if answer is not None and answer.status == INTERNAL_ERROR:
+                self.failed.add(path)
             if answer is not None and answer.status == 200:
                 self.accepted.append(path)
                 return
@@ -117,6 +121,7 @@
     while left and time.monotonic() < end_s:
         left = unfinished(cell, left)
     report.broken.extend(f"accepted and not finished: {path}" for path in left)
+    report.broken.extend(f"internal error: {path}" for path in clients.failed)
     report.broken.extend(cell.platform.violations())
     started = {span.task for span in cell.platform.spans()}
     for path in clients.refused:
--- a/tests/platform_processes/test_members.py
+++ b/tests/platform_processes/test_members.py
@@ -121,6 +121,23 @@
 }
 
 
+class TestStopping:
+    def test_stopping_member_answers_until_it_is_gone(
+        self, cell: LocalPlatform
+    ) -> None:
+        member = cell.members[MEMBERS[0]]
+        path = f"/slow/{1:016x}"
+        member.call("POST", path, job_body())
+        member.terminate()
+        statuses = []
+        while member.is_alive():
+            answer = member.call("GET", path)
+            if answer is not None:
+                statuses.append(answer.status)
+        assert member.wait() == 0
+        assert set(statuses) == {200}
+
+
 class TestFaults:
     @pytest.mark.parametrize("case", FAULTS)
     def test_accepted_jobs_complete_and_nothing_runs_twice(
