Let a successor go on with what no dark worker can be running

Cause: after a takeover every earlier job waited until each worker had told what it runs, or until the leases of a silent one had lapsed (4.5 s). Now: steps that became ready before the new holder's eyes and tasks of which it has had a run in hand are not in doubt; a draining worker without an entry that does not answer has left also for a successor (the record of workers is renewed when one drains), and not before the time for which it promised to stay. Ruled out: the takeover itself (31 ms from the claim to the first question).

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/advice.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/advice.py
@@ -56,6 +56,7 @@
         self.rejected: set[WorkerId] = set()
         self.pending: frozenset[WorkerId] = frozenset()
         self.retry_s = 0.0
+        self.answered_s: float | None = None
 
     def ticket(self, worker: WorkerId, born_ms: int, now_s: float) -> str | None:
         """Return a ticket that can still be used, or None."""
@@ -69,9 +70,15 @@
         self.pending = frozenset(workers)
 
     def answered(
-        self, advice: Advice, lives: dict[WorkerId, int], asked_s: float, valid_s: float
+        self,
+        advice: Advice,
+        lives: dict[WorkerId, int],
+        asked_s: float,
+        valid_s: float,
+        now_s: float,
     ) -> None:
         """Take in an answer; tickets hold from when it was asked for, at worst."""
+        self.answered_s = now_s
         expires_s = asked_s + (advice.valid_s or valid_s)
         for worker in self.pending:
             value = advice.tickets.get(worker)
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/ends.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/ends.py
@@ -75,6 +75,8 @@
             else:
                 self.ledger.task_done(task)
             self.stop_surplus(task)
+            if run is not None:
+                self.mark_followers(step)
             self.finish_if_complete(step.job)
             return
         if checkpoint and not task.is_done and checkpoint != task.checkpoint:
@@ -86,6 +88,19 @@
         elif run is not None and run.stop_reason is StopReason.STALLED:
             task.failed_on[worker] = now_s
 
+    def mark_followers(self, step: Step) -> None:
+        """Note that no earlier holder can have started what waits for a step.
+
+        A run of the step was in hand here when it ended, and its worker tells an
+        earlier holder nothing any more.
+        """
+        if not step.job.is_doubtful:
+            return
+        for follower in step.job.steps.values():
+            is_same_occurrence = follower.ref.occurrence == step.ref.occurrence
+            if is_same_occurrence and step.ref.step in follower.spec.after:
+                follower.is_known = True
+
     def keep_checkpoint(self, task: Task, checkpoint: str) -> None:
         """Let the next run resume; what one member of a gang saved is for all."""
         members = task.step.tasks if task.step.spec.is_gang else [task]
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/questions.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/questions.py
@@ -74,7 +74,7 @@
         valid_s = policy.valid_s if policy is not None else 0.0
         workers = self.placer.ledger.workers.values()
         lives = {worker.id: worker.born_ms for worker in workers}
-        step.advice.answered(advice, lives, asked_s, valid_s)
+        step.advice.answered(advice, lives, asked_s, valid_s, now_s)
 
     def has_lane(self, is_urgent: bool) -> bool:
         """Tell whether a question can be asked now; half the lanes wait for urgent."""
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
@@ -115,6 +115,10 @@
             worker = Worker(entry, max(now_s, unknown_until_s))
             self.ledger.workers[entry.worker] = worker
             return True
+        if entry.is_draining != worker.entry.is_draining:
+            # A successor has to know that the worker may leave.
+            worker.is_recorded = False
+            worker.stays_until_s = now_s + (entry.remaining_s or 0.0)
         if entry.capacity != worker.entry.capacity:
             worker.free = worker.free + (entry.capacity - worker.entry.capacity)
         worker.entry = entry
@@ -248,8 +252,8 @@
         if worker is not None:
             worker.is_reachable = False
 
-    def has_left(self, worker_id: WorkerId) -> bool:
-        """Tell whether a silent worker has ended its planned departure.
+    def has_left(self, worker_id: WorkerId, now_s: float) -> bool:
+        """Tell whether a silent worker with unknown runs has ended its departure.
 
         Its entry is removed when it has left, and everything on it has ended then.
         """
@@ -257,8 +261,10 @@
         return (
             worker is not None
             and worker.entry.is_draining
+            and now_s >= worker.stays_until_s
             and not worker.is_listed
             and not worker.is_reachable
+            and (bool(worker.runs) or not worker.is_adopted)
         )
 
     def worker_gone(self, worker_id: WorkerId, now_s: float) -> list[Run]:
@@ -416,7 +422,7 @@
     def serve_steps(self, now_s: float) -> None:
         """Start what can start, the most urgent first."""
         blocked: dict[TeamName, int] = {}
-        for step in self.steps_in_order():
+        for step in self.steps_in_order(now_s):
             waiting = step.waiting_tasks()
             if not waiting:
                 if step.spec.is_speculative and step.job.queue.priority == 0:
@@ -440,16 +446,18 @@
             elif allowed:
                 self.serve(step, waiting[:allowed], now_s)
 
-    def steps_in_order(self) -> list[Step]:
+    def steps_in_order(self, now_s: float) -> list[Step]:
         """Return the open steps by priority and then by the time they are due."""
         found: list[tuple[int, float, StepRef, Step]] = []
         for job in self.ledger.jobs.values():
-            if job.is_doubtful or job.state.is_final:
+            if job.state.is_final:
                 continue
             for ref, step in list(job.open_steps.items()):
                 if step.is_done:
                     del job.open_steps[ref]
                 elif is_ready(step):
+                    if step.ready_s is None:
+                        step.ready_s = now_s
                     found.append((job.queue.priority, job.due_s, ref, step))
         found.sort(key=lambda entry: entry[:3])
         return [entry[3] for entry in found]
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
@@ -118,6 +118,7 @@
         "failed_on",
         "failures",
         "is_done",
+        "is_known",
         "ref",
         "runs",
         "step",
@@ -129,6 +130,8 @@
         self.ref = TaskRef(step.ref.job, step.ref.occurrence, step.ref.step, index)
         self.runs: list[Run] = []
         self.is_done = False
+        # Set once a run was seen that this holder has in hand: see Step.waiting_tasks.
+        self.is_known = False
         self.failures: set[int] = set()
         self.failed_on: dict[WorkerId, float] = {}
         self.checkpoint: str = ""
@@ -145,9 +148,11 @@
     __slots__ = (
         "advice",
         "durations",
+        "is_known",
         "is_open",
         "job",
         "left",
+        "ready_s",
         "ref",
         "spec",
         "tasks",
@@ -162,6 +167,9 @@
         self.left = self.spec.count
         self.advice = AdviceBook()
         self.is_open = False
+        # Set once this holder saw an end that the step waited for.
+        self.is_known = False
+        self.ready_s: float | None = None
         self.durations = StepDurations()
 
     @property
@@ -170,8 +178,18 @@
         return self.left == 0
 
     def waiting_tasks(self) -> list[Task]:
-        """Return the tasks that could be started."""
-        return [task for task in self.tasks if not task.is_done and not task.runs]
+        """Return the tasks that could be started.
+
+        While workers have not told what they run, an earlier holder may have started
+        any task of a doubtful job there, but for those of which this holder has had a
+        run in hand, and those of steps that became ready before its eyes.
+        """
+        may_start_all = self.is_known or not self.job.is_doubtful
+        return [
+            task
+            for task in self.tasks
+            if not task.is_done and not task.runs and (may_start_all or task.is_known)
+        ]
 
 
 class Job:
@@ -295,6 +313,7 @@
         "lease_until_ms",
         "listed_number",
         "runs",
+        "stays_until_s",
     )
 
     def __init__(self, entry: Registration, lapse_s: float) -> None:
@@ -315,6 +334,7 @@
         self.lease_until_ms = 0
         self.lapse_s = lapse_s
         self.listed_number = 0
+        self.stays_until_s = 0.0
 
     @property
     def can_start(self) -> bool:
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
@@ -431,6 +431,7 @@
         worker = WorkerId(key.removeprefix(self.registrations))
         log.info("worker entry removed", worker=worker)
         self.scheduler.worker_unregistered(worker, now_s)
+        self.check_departure(worker, now_s)
 
     def hold_due(self, now_s: float) -> None:
         """Look at the workers that are due."""
@@ -505,16 +506,26 @@
         line.is_calling = False
         line.due_s = now_s + HOLD_RETRY_S
         line.refusals = line.refusals + 1 if failure.is_gone else 0
-        has_left = self.scheduler.has_left(message.worker) and bool(worker.runs)
-        if line.refusals == GONE_AFTER_REFUSALS or has_left:
-            lost = self.scheduler.worker_gone(message.worker, now_s)
-            log.warning(
-                "worker is gone",
-                worker=worker.id,
-                lost_runs=len(lost),
-                has_left=has_left,
-                refusals=line.refusals,
-            )
+        if line.refusals == GONE_AFTER_REFUSALS:
+            self.worker_gone(message.worker, line.refusals, now_s)
+        else:
+            self.check_departure(message.worker, now_s)
+
+    def check_departure(self, worker: WorkerId, now_s: float) -> None:
+        """Take in that a worker has left, if all that is known of it says so."""
+        if self.scheduler.has_left(worker, now_s):
+            self.worker_gone(worker, 0, now_s)
+
+    def worker_gone(self, worker: WorkerId, refusals: int, now_s: float) -> None:
+        """Take in that nothing runs on a worker any more."""
+        lost = self.scheduler.worker_gone(worker, now_s)
+        log.warning(
+            "worker is gone",
+            worker=worker,
+            lost_runs=len(lost),
+            has_left=not refusals,
+            refusals=refusals,
+        )
 
     # Commands.
 
@@ -530,6 +541,7 @@
                 run=request.run,
                 worker=command.worker,
                 resumes=bool(request.checkpoint),
+                **self.ages(request.task),
             )
             self.lines.start(command)
         elif isinstance(command, StopRun):
@@ -547,6 +559,18 @@
         elif isinstance(command, AskAdvice):
             self.lanes.ask(command, self.inbox.put)
 
+    def ages(self, task: TaskRef) -> dict[str, float]:
+        """Return the ages of what let a task start, in seconds."""
+        job = self.scheduler.ledger.jobs[task.job]
+        step = job.steps[StepRef(task.job, task.occurrence, task.step)]
+        now_s = time.monotonic()
+        times = {"ready_age_s": step.ready_s, "advice_age_s": step.advice.answered_s}
+        return {
+            name: round(now_s - at_s, 3)
+            for name, at_s in times.items()
+            if at_s is not None
+        }
+
     def observe_wait(self, task: TaskRef) -> None:
         """Measure how long a job has waited, at its first start."""
         job = self.scheduler.ledger.jobs.get(task.job)
--- a/tests/fleet_support.py
+++ b/tests/fleet_support.py
@@ -77,6 +77,7 @@
     rack: str = "r1",
     is_draining: bool = False,
     labels: frozenset[str] = frozenset({"a"}),
+    remaining_s: float | None = None,
 ) -> Registration:
     """Return a worker's entry."""
     return Registration(
@@ -89,6 +90,7 @@
         "a",
         capacity,
         is_draining,
+        remaining_s,
     )
 
 
