Pass no job on to a peer while the holder does not reach the store either

The holder's word of when it last heard the store comes with each beat; it now decides. Kept because a relay that nobody can serve helps no caller. Failed try, reverted: a gate that stops calls to a store after two failures or at the holder's word, with probes each 0.25 s.

--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/callers.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/callers.py
@@ -69,6 +69,9 @@
     def accepted(self, record: JobRecord, revision: Revision) -> None:
         """Tell of a stored job, without waiting; the store tells of it later."""
 
+    def is_store_out(self) -> bool:
+        """Tell whether the holder does not reach the store either."""
+
     def relay(self, call: "Call", timeout_s: float) -> "Answer | None":
         """Let a peer answer a call; None if no peer answers."""
 
@@ -247,10 +250,12 @@
         return Answer(200, self.codec.encode_waiting(counts.get(queue.name, 0)))
 
     def relay(self, call: Call) -> Answer | None:
-        """Let a peer answer, once."""
+        """Let a peer answer, once, unless it would not reach the store either."""
         left_s = call.deadline_s - time.monotonic()
         if call.is_relayed or left_s <= 0:
             return None
+        if self.directory.is_store_out():
+            return Answer(503, retry_after_s=RETRY_AFTER_S)
         return self.directory.relay(call, left_s)
 
     def store_deadline(self, call: Call) -> float:
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/cell.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/cell.py
@@ -21,10 +21,13 @@
 from gooseberrydeck_member.peers import PeerClient, PeerFailedError
 from gooseberrydeck_member.scheduler_task import SchedulerTask
 
-__all__ = ["Cell"]
+__all__ = ["STORE_SILENT_S", "Cell"]
 
 log = structlog.get_logger(__name__)
 
+STORE_SILENT_S = 0.9
+"""A holder without the store for longer may have lost its lease; two renewals."""
+
 MEMBER_TTL_S = 1.5
 """A member that has not told the holder for longer that it lives is left out."""
 
@@ -49,6 +52,7 @@
         self.lock = threading.Lock()
         self.holder_address = ""
         self.holder_token = 0
+        self.holder_store_age_s = 0.0
         self.scheduler: SchedulerTask | None = None
         self.heard: dict[str, tuple[float, str, float]] = {}
         self.roster: tuple[str, ...] = ()
@@ -65,6 +69,10 @@
             self.holder_address = address
             return True
 
+    def set_store_age(self, age_s: float) -> None:
+        """Take in when the holder last had an answer of the store."""
+        self.holder_store_age_s = age_s
+
     def heard_from(self, beat: Beat) -> None:
         """Note that a member lives."""
         with self.lock:
@@ -154,6 +162,13 @@
         except PeerFailedError as error:
             log.info("holder not told", job=news.record.id, reason=str(error))
 
+    def is_store_out(self) -> bool:
+        """Tell whether the holder does not reach the store either."""
+        scheduler = self.scheduler
+        if scheduler is not None:
+            return scheduler.authority.age_s() > STORE_SILENT_S
+        return self.holder_store_age_s > STORE_SILENT_S
+
     def relay(self, call: Call, timeout_s: float) -> Answer | None:
         """Let the first peer that is reached answer a call."""
         end_s = time.monotonic() + timeout_s
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/control.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/control.py
@@ -12,7 +12,7 @@
 from gooseberrydeck_coordination.store import Store
 from gooseberrydeck_fleet.settings import Timing
 from gooseberrydeck_member.authority import Authority, boot_time_s
-from gooseberrydeck_member.cell import Cell
+from gooseberrydeck_member.cell import STORE_SILENT_S, Cell
 from gooseberrydeck_member.configuration import ConfigurationHolder
 from gooseberrydeck_member.holding import Holding, HoldingLostError, ShardView
 from gooseberrydeck_member.observability import Metrics
@@ -33,9 +33,6 @@
 SILENT_AFTER_S = 0.6
 """Silence after which the store is asked whether the holder lives."""
 
-STORE_SILENT_S = 0.9
-"""A holder without the store for longer may have lost its lease; two renewals."""
-
 KEEP_S = 0.4
 """Time between two renewals of the holder's lease."""
 
@@ -203,6 +200,7 @@
             self.configuration.offer(reply.configuration, confirmed_s, address)
         else:
             self.configuration.confirm(reply.version, confirmed_s)
+        self.cell.set_store_age(reply.store_age_s)
         if reply.store_age_s > STORE_SILENT_S:
             self.look_for_holder()
 
--- a/tests/member/test_callers.py
+++ b/tests/member/test_callers.py
@@ -36,6 +36,7 @@
         self.states: dict[JobId, JobState] = {}
         self.counts: dict[QueueName, int] | None = {}
         self.peer: Answer | None = None
+        self.store_is_out = False
         self.relayed: list[Call] = []
         self.told: list[tuple[JobId, Revision]] = []
 
@@ -48,6 +49,9 @@
     def accepted(self, record: JobRecord, revision: Revision) -> None:
         self.told.append((record.id, revision))
 
+    def is_store_out(self) -> bool:
+        return self.store_is_out
+
     def relay(self, call: Call, timeout_s: float) -> Answer | None:
         self.relayed.append(call)
         return self.peer
@@ -191,6 +195,15 @@
         assert 1_000 - len(self.store.next_faults) <= jobs_module.MAX_TRIES
         assert len(self.directory.relayed) == 1
 
+    def test_nobody_is_asked_while_the_store_is_out_for_all(self) -> None:
+        # Found by the bench (lauree-nord-grown trouble-1): peers that waited for the
+        # store themselves were too busy to answer, and 155 callers got 504.
+        self.store.fault = CallFault.DOWN
+        self.directory.store_is_out = True
+        assert self.submit() == 503
+        assert "Retry-After" in dict(self.headers)
+        assert self.directory.relayed == []
+
     def test_silent_peer_leaves_the_outcome_unknown(self) -> None:
         self.store.fault = CallFault.DOWN
         self.directory.peer = None
