Let repeated tasks of a step that wants one rack return to it

Cause (found by reading): a rack was chosen for the tasks that wait, not for those that run; one repeated task could go to another rack, which makes all of them slow. Workers outside the racks in use rank behind those inside; tasks still spread where there is no room. Test first: it failed before. Also without two parameters that were not used.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/placement.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/placement.py
@@ -11,7 +11,7 @@
 __all__ = ["Placer", "Reservation"]
 
 FAR_PENALTY = 10.0
-"""Ranks a worker far from the data behind nearly every near one."""
+"""Ranks a worker far from the data, or from siblings, behind nearly every near one."""
 
 SLOWNESS_WEIGHT = 3.0
 """Rank for each e-fold of slowness: a third slower outweighs any packing."""
@@ -166,12 +166,22 @@
         )
         slowness = self.ledger.speeds.slowness(worker.id, worker.entry.kind)
         rank += SLOWNESS_WEIGHT * slowness
-        if step.spec.data_rack and step.spec.data_rack != worker.entry.rack:
+        if self.is_far(worker, step):
             rank += FAR_PENALTY
         if self.would_disturb(worker, step):
             rank += DISTURBANCE_PENALTY
         return rank
 
+    def is_far(self, worker: Worker, step: Step) -> bool:
+        """Tell whether a task would be slow for its rack: its data or siblings."""
+        rack = worker.entry.rack
+        if step.spec.data_rack and step.spec.data_rack != rack:
+            return True
+        if not step.spec.same_rack:
+            return False
+        racks = {run.worker.entry.rack for task in step.tasks for run in task.runs}
+        return bool(racks) and rack not in racks
+
     def would_disturb(self, worker: Worker, step: Step) -> bool:
         """Tell whether tasks that fill and tasks with a target would meet."""
         spec = step.spec
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
@@ -126,7 +126,7 @@
         worker.is_listed = True
         return False
 
-    def worker_unregistered(self, worker_id: WorkerId, now_s: float) -> None:
+    def worker_unregistered(self, worker_id: WorkerId) -> None:
         """Take in that a worker's entry was removed; it may still be at work."""
         worker = self.ledger.workers.get(worker_id)
         if worker is not None and worker.is_listed:
@@ -266,7 +266,7 @@
             return []
         ended, strays = self.holds.answered(worker, reply, now_s)
         self.strays.extend(strays)
-        self.clear_doubts(now_s)
+        self.clear_doubts()
         return ended
 
     def worker_silent(self, worker_id: WorkerId) -> None:
@@ -302,7 +302,7 @@
         worker.lease_until_ms = 0
         if not worker.is_listed:
             del self.ledger.workers[worker_id]
-        self.clear_doubts(now_s)
+        self.clear_doubts()
         return lost
 
     def start_answered(
@@ -354,7 +354,7 @@
         worker = self.ledger.workers.get(worker_id)
         return None if worker is None else worker.runs.get((task, number))
 
-    def clear_doubts(self, now_s: float) -> None:
+    def clear_doubts(self) -> None:
         """Let all jobs start once every worker has told what it runs."""
         if not self.are_all_adopted():
             return
@@ -412,7 +412,7 @@
             if worker.runs or not worker.is_adopted:
                 self.holds.lose_runs(worker, LossReason.LEASE_LAPSED)
                 worker.is_adopted = True
-                self.clear_doubts(now_s)
+                self.clear_doubts()
             if not worker.is_listed:
                 del self.ledger.workers[worker.id]
 
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
@@ -261,7 +261,7 @@
         for worker, known in self.known_workers.items():
             if self.registrations + worker not in listed:
                 self.add_worker(known, now_s)
-                self.scheduler.worker_unregistered(worker, now_s)
+                self.scheduler.worker_unregistered(worker)
         for entry in jobs.entries:
             self.job_stored(entry.value, int(entry.mod_revision), is_earlier=True)
         for entry in progress.entries:
@@ -269,7 +269,7 @@
             self.scheduler.restore(
                 job, decode_progress(entry.value), int(entry.mod_revision)
             )
-        self.scheduler.clear_doubts(now_s)
+        self.scheduler.clear_doubts()
         self.followers[0].start_at(jobs.revision)
         self.followers[1].start_at(registered.revision)
         log.info(
@@ -436,7 +436,7 @@
         """Take in that a worker's entry is gone."""
         worker = WorkerId(key.removeprefix(self.registrations))
         log.info("worker entry removed", worker=worker)
-        self.scheduler.worker_unregistered(worker, now_s)
+        self.scheduler.worker_unregistered(worker)
         self.check_departure(worker, now_s)
 
     def hold_due(self, now_s: float) -> None:
--- a/tests/fleet/test_faults.py
+++ b/tests/fleet/test_faults.py
@@ -95,7 +95,7 @@
         fleet = Fleet(workers=1)
         leaving = fleet.add_worker("leaving")
         fleet.run_for(0.2)
-        fleet.scheduler.worker_unregistered(leaving, fleet.now_s)
+        fleet.scheduler.worker_unregistered(leaving)
         fleet.cut.add(leaving)
         fleet.run_for(0.1)
         assert leaving not in fleet.scheduler.ledger.workers
@@ -110,7 +110,7 @@
         worker = fleet.scheduler.ledger.workers[leaving]
         worker.runs.update(fleet.scheduler.ledger.jobs[job].runs)
         assert not fleet.scheduler.has_left(leaving, fleet.now_s)
-        fleet.scheduler.worker_unregistered(leaving, fleet.now_s)
+        fleet.scheduler.worker_unregistered(leaving)
         assert not fleet.scheduler.has_left(leaving, fleet.now_s)
         fleet.scheduler.worker_silent(leaving)
         assert fleet.scheduler.has_left(leaving, fleet.now_s)
@@ -124,7 +124,7 @@
         _, _, leaving = fleet.starts[0]
         entry = registration(str(leaving), is_draining=True, remaining_s=6.0)
         fleet.scheduler.worker_registered(entry, fleet.now_s)
-        fleet.scheduler.worker_unregistered(leaving, fleet.now_s)
+        fleet.scheduler.worker_unregistered(leaving)
         fleet.scheduler.worker_silent(leaving)
         assert not fleet.scheduler.has_left(leaving, fleet.now_s + 5.9)
         assert fleet.scheduler.has_left(leaving, fleet.now_s + 6.0)
@@ -356,7 +356,7 @@
         job = fleet.submit("a", StepSpec(1, ONE))
         fleet.cut.add(leaving)
         fleet.take_over()
-        fleet.scheduler.worker_unregistered(leaving, fleet.now_s)
+        fleet.scheduler.worker_unregistered(leaving)
         fleet.run_for(0.1)
         assert fleet.scheduler.has_left(leaving, fleet.now_s)
         fleet.scheduler.worker_gone(leaving, fleet.now_s)
--- a/tests/fleet/test_steps.py
+++ b/tests/fleet/test_steps.py
@@ -129,6 +129,41 @@
         fleet.run_for(0.1)
         assert fleet.starts[0][2] == near
 
+    def test_tasks_that_want_one_rack_share_it(self) -> None:
+        fleet = Fleet(workers=0, capacity=Resources(4_000, 65_536))
+        for rack in ("r1", "r2"):
+            for number in range(2):
+                fleet.add_worker(f"{rack}-{number}", rack=rack)
+        fleet.run_for(0.1)
+        job = fleet.submit("a", StepSpec(8, ONE, same_rack=True))
+        fleet.run_for(0.1)
+        assert len(fleet.running(job)) == 8
+        assert len({str(worker)[:2] for _, _, worker in fleet.starts}) == 1
+
+    def test_repeated_task_returns_to_the_rack_of_its_siblings(self) -> None:
+        fleet = Fleet(workers=0)
+        used = fleet.add_worker("r1-0", rack="r1", capacity=Resources(4_000, 65_536))
+        fleet.run_for(0.1)
+
+        fleet.submit(
+            "a",
+            StepSpec(4, ONE, same_rack=True),
+            plan=lambda _: RunPlan(
+                0.2 if len(fleet.starts) == 1 else 3.0,
+                ONE,
+                fails=len(fleet.starts) == 1,
+            ),
+        )
+        fleet.run_for(0.1)
+        for number in range(3):
+            fleet.add_worker(
+                f"r2-{number}", rack="r2", capacity=Resources(2_000, 65_536)
+            )
+        sibling = fleet.add_worker("r1-1", rack="r1")
+        fleet.run_for(0.5)
+        assert {worker for _, _, worker in fleet.starts[:4]} == {used}
+        assert fleet.starts[4][2] == sibling
+
     def test_gang_starts_whole_or_not_at_all(self) -> None:
         fleet = Fleet(workers=2, capacity=Resources(2_000, 65_536))
         fleet.submit("small", StepSpec(1, ONE), seconds=2.0)
