--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/placement.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/placement.py
@@ -194,9 +194,12 @@
     def choose_rack(
         self, workers: Iterable[Worker], step: Step, wanted: int
     ) -> list[Worker]:
-        """Return workers that have room for ``wanted`` tasks, of one rack if needed."""
+        """Return workers that have room for ``wanted`` tasks, of one rack if needed.
+
+        Once tasks of the step run, the rank of a worker keeps the others near them.
+        """
         workers = list(workers)
-        if not step.spec.same_rack:
+        if not step.spec.same_rack or any(task.runs for task in step.tasks):
             return workers
         by_rack: dict[str, list[Worker]] = {}
         for worker in workers:
