--- a/tests/fleet/test_faults.py
+++ b/tests/fleet/test_faults.py
@@ -5,7 +5,6 @@
 from fleet_support import (
     HOST,
     SLOW,
-    TEAM,
     URGENT,
     Fleet,
     intent,
@@ -13,10 +12,10 @@
     registration,
     task_resources,
 )
-from gooseberrydeck_coordination.ids import Epoch, JobId
+from gooseberrydeck_coordination.ids import Epoch
 from gooseberrydeck_coordination.resources import Resources
 from gooseberrydeck_fleet.commands import StartRun
-from gooseberrydeck_fleet.work import JobRecord, JobState, StepSpec, WorkSpec
+from gooseberrydeck_fleet.work import JobState, StepSpec
 from gooseberrydeck_fleet.worker_calls import (
     StartOutcome,
     StartRequest,
@@ -311,12 +310,8 @@
         fleet = Fleet(workers=2)
         fleet.cut.add(next(iter(fleet.engines)))
         fleet.take_over()
-        record = JobRecord(
-            JobId("new"), SLOW, TEAM, WorkSpec(steps=(StepSpec(1, ONE),)), 0.0
-        )
         fleet.scheduler.predecessor_may_act(fleet.now_s + 1.5)
-        fleet.scheduler.accept(record, 2)
-        fleet.plans[record.id] = lambda _: RunPlan(1.0, ONE)
+        fleet.submit("new", StepSpec(1, ONE))
         fleet.run_for(1.4)
         assert fleet.starts == []
         fleet.run_for(0.3)
@@ -326,12 +321,8 @@
         fleet = Fleet(workers=2)
         fleet.take_over()
         fleet.run_for(0.1)
-        record = JobRecord(
-            JobId("new"), SLOW, TEAM, WorkSpec(steps=(StepSpec(1, ONE),)), 0.0
-        )
         fleet.scheduler.predecessor_may_act(fleet.now_s + 1.5)
-        fleet.scheduler.accept(record, 2)
-        fleet.plans[record.id] = lambda _: RunPlan(1.0, ONE)
+        fleet.submit("new", StepSpec(1, ONE))
         fleet.run_for(0.1)
         assert len(fleet.starts) == 1
 
@@ -339,12 +330,8 @@
         fleet = Fleet(workers=2)
         fleet.cut.add(next(iter(fleet.engines)))
         fleet.take_over()
-        record = JobRecord(
-            JobId("new"), SLOW, TEAM, WorkSpec(steps=(StepSpec(1, ONE),)), 0.0
-        )
         fleet.scheduler.predecessor_may_act(fleet.now_s + 1.5)
-        fleet.scheduler.accept(record, 2)
-        fleet.plans[record.id] = lambda _: RunPlan(1.0, ONE)
+        fleet.submit("new", StepSpec(1, ONE))
         fleet.scheduler.predecessor_stopped(fleet.now_s + 4.3)
         fleet.run_for(0.1)
         assert len(fleet.starts) == 1
