--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/changes.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/changes.py
@@ -19,24 +19,42 @@
 """Entries that the end of one job takes at most: a condition, a write, removals."""
 
 
+AcknowledgedEnds = dict[WorkerId, tuple[int, int]]
+"""The newest end that a worker's life may forget, by its start in Unix ms."""
+
+
+class PendingAcknowledgement:
+    """Ends that workers may forget once some commits are stored."""
+
+    __slots__ = ("awaited", "ends")
+
+    def __init__(self, ends: AcknowledgedEnds, awaited: set[int]) -> None:
+        """Await the commits with the given sequence numbers."""
+        self.ends = ends
+        self.awaited = awaited
+
+
 class ChangeLog:
     """Hand out changes to be stored, and learn what became of them.
 
     Ends are acknowledged to workers, and final states shown, only once they are stored.
+    Several commits may be out at once, each with other jobs.
     """
 
     def __init__(self, ledger: Ledger) -> None:
         """Look at one ledger; nothing has been stored yet."""
         self.ledger = ledger
         self.ended: dict[JobId, tuple[JobState, float]] = {}
-        self.storing: set[JobId] = set()
+        self.storing: dict[int, frozenset[JobId]] = {}
+        self.pending: list[PendingAcknowledgement] = []
+        self.last_sequence = 0
         self.recorded: set[WorkerId] = set()
 
     def take(self, max_entries: int, wall_s: float) -> Changes:
         """Return changes since the last call that take up to some entries to store.
 
         Jobs that have ended come first, since their callers wait; then those that
-        changed first.
+        changed first. A job of which a commit is out waits for its outcome.
         """
         ledger = self.ledger
         progress: list[ProgressWrite] = []
@@ -44,6 +62,8 @@
         final = [each for each in ledger.changed if self.is_final(each)]
         left = max_entries
         for job_id in dict.fromkeys([*ledger.finished, *final, *ledger.changed]):
+            if self.is_storing(job_id):
+                continue
             job = ledger.jobs.get(job_id)
             needed = ENDING_ENTRIES if job_id in ledger.finished else PROGRESS_ENTRIES
             if needed > left:
@@ -58,16 +78,24 @@
                 left -= needed
             ledger.finished.pop(job_id, None)
             ledger.changed.pop(job_id, None)
-        self.storing = {write.job for write in progress}
-        self.storing.update(ending.job for ending in endings)
-        numbers: dict[WorkerId, tuple[int, int]] = {}
+        self.last_sequence += 1
+        jobs = {write.job for write in progress}
+        jobs.update(ending.job for ending in endings)
+        if jobs:
+            self.storing[self.last_sequence] = frozenset(jobs)
+        numbers: AcknowledgedEnds = {}
         if not ledger.finished and not ledger.changed:
             # Else some of the ends behind what is left must stay listed.
             numbers = {
                 worker.id: (worker.born_ms, worker.listed_number)
                 for worker in ledger.workers.values()
             }
-        return Changes(tuple(progress), tuple(endings), numbers)
+            self.pending.append(PendingAcknowledgement(numbers, set(self.storing)))
+        return Changes(tuple(progress), tuple(endings), numbers, self.last_sequence)
+
+    def is_storing(self, job_id: JobId) -> bool:
+        """Tell whether a commit with a change of a job is out."""
+        return any(job_id in jobs for jobs in self.storing.values())
 
     def is_final(self, job_id: JobId) -> bool:
         """Tell whether a job has its final state."""
@@ -76,7 +104,9 @@
 
     def failed(self, changes: Changes) -> None:
         """Take in that nothing of some changes was stored, or that it is unknown."""
-        self.storing = set()
+        sequence = changes.sequence
+        self.storing.pop(sequence, None)
+        self.pending = [each for each in self.pending if sequence not in each.awaited]
         for write in changes.progress:
             self.ledger.changed[write.job] = None
         for ending in changes.endings:
@@ -85,9 +115,9 @@
 
     def stored(
         self, changes: Changes, revisions: Mapping[JobId, int], now_s: float
-    ) -> None:
-        """Take in that some changes are stored."""
-        self.storing = set()
+    ) -> AcknowledgedEnds:
+        """Take in that some changes are stored; return what workers may forget now."""
+        self.storing.pop(changes.sequence, None)
         for job_id, revision in revisions.items():
             job = self.ledger.jobs.get(job_id)
             if job is not None:
@@ -95,6 +125,20 @@
         for ending in changes.endings:
             self.ledger.jobs.pop(ending.job, None)
             self.ended[ending.job] = (ending.ended.state, now_s)
+        return self.confirm(changes.sequence)
+
+    def confirm(self, sequence: int) -> AcknowledgedEnds:
+        """Return the ends of which nothing is left to be stored after a commit."""
+        ends: AcknowledgedEnds = {}
+        waiting = []
+        for each in self.pending:
+            each.awaited.discard(sequence)
+            if each.awaited:
+                waiting.append(each)
+            else:
+                ends.update(each.ends)
+        self.pending = waiting
+        return ends
 
     def revisions_read(
         self, revisions: Mapping[JobId, int], ended: Iterable[JobId], now_s: float
@@ -113,7 +157,7 @@
 
     def is_stored(self, job_id: JobId) -> bool:
         """Tell whether the store knows all that is known of a job."""
-        return job_id not in self.ledger.changed and job_id not in self.storing
+        return job_id not in self.ledger.changed and not self.is_storing(job_id)
 
     def forget_ended(self, before_s: float) -> None:
         """Drop the jobs that ended before a monotonic time."""
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
@@ -11,11 +11,11 @@
 
 from gooseberrydeck_coordination.exceptions import StoreError
 from gooseberrydeck_coordination.ids import JobId, QueueName
-from gooseberrydeck_coordination.store import EventKind, Put, Store, Transaction
+from gooseberrydeck_coordination.store import EventKind, Store
 from gooseberrydeck_fleet.advice import Advice
+from gooseberrydeck_fleet.changes import AcknowledgedEnds
 from gooseberrydeck_fleet.commands import (
     AskAdvice,
-    Changes,
     Command,
     PaceRun,
     StartRun,
@@ -32,10 +32,10 @@
 from gooseberrydeck_fleet.worker_calls import StartOutcome, WorkerCalls
 from gooseberrydeck_member.advice_lanes import AdviceAnswered, AdviceLanes
 from gooseberrydeck_member.authority import AUTHORITY_S, Authority
-from gooseberrydeck_member.commits import (
-    MAX_COMMIT_ENTRIES,
-    CommitOutcome,
-    commit_changes,
+from gooseberrydeck_member.committer import (
+    CommitDone,
+    Committer,
+    WorkersRecorded,
 )
 from gooseberrydeck_member.holding import Holding, HoldingLostError
 from gooseberrydeck_member.keys import JOBS, PROGRESS, WORKERS
@@ -63,11 +63,11 @@
 TICK_S = 0.05
 """How often time-outs are looked at when no message comes."""
 
-COMMIT_WINDOW_S = 0.02
-"""How long ends are gathered into one transaction."""
+LOAD_CALLS = 4
+"""Reads of a takeover, made at once: a slow store takes a quarter of a second each."""
 
-COMMIT_RETRY_S = 0.15
-"""Pause after a failed commit."""
+LOAD_RETRY_S = 0.15
+"""Pause after a takeover could not read the store."""
 
 HOLD_WAIT_S = 1.0
 """How long a worker may wait for an end; leases are extended as often."""
@@ -96,20 +96,6 @@
     answer: Future[object]
 
 
-class CommitDone(msgspec.Struct, frozen=True):
-    """A commit has ended; None if the holding was lost."""
-
-    changes: Changes
-    outcome: CommitOutcome | None
-    detail: str = ""
-
-
-class WorkersRecorded(msgspec.Struct, frozen=True):
-    """The workers of a record that was written; None if it was not."""
-
-    entries: tuple[Registration, ...] | None
-
-
 class PredecessorStopped(msgspec.Struct, frozen=True):
     """The former holder has confirmed that it sends no more orders."""
 
@@ -161,9 +147,9 @@
         self.scheduler = Scheduler(self.token, timing)
         self.lines_of: dict[WorkerId, WorkerLine] = {}
         self.lines = WorkerLines(self.token, self.inbox.put, authority.may_act)
-        self.committer = ThreadPoolExecutor(1, "commit")
-        self.commit_running = False
-        self.commit_due_s = 0.0
+        self.committer = Committer(
+            store, holding, self.scheduler.changes, metrics, self.inbox.put
+        )
         self.stopping = threading.Event()
         self.lost = threading.Event()
         self.followers = [
@@ -178,7 +164,6 @@
             self.scheduler.predecessor_may_act(self.claimed_s + NOTICE_S)
         self.unplaced: dict[JobId, tuple[JobRecord, int]] = {}
         self.known_workers: dict[WorkerId, Registration] = {}
-        self.record_due_s = 0.0
         self.has_begun = False
 
     # The interface to other threads.
@@ -235,7 +220,7 @@
                 self.load()
             except StoreError as error:
                 log.warning("takeover delayed", token=self.token, reason=str(error))
-                self.stopping.wait(COMMIT_RETRY_S)
+                self.stopping.wait(LOAD_RETRY_S)
                 continue
             for follower in self.followers:
                 self.followers_pool.submit(follower.run)
@@ -245,15 +230,19 @@
 
     def load(self) -> None:
         """Take in everything that the store keeps."""
-        workers = self.store.read(WORKERS, STORE_TIMEOUT_S)
-        registered = self.store.read_prefix(self.registrations, STORE_TIMEOUT_S)
-        jobs = self.store.read_prefix(JOBS, STORE_TIMEOUT_S)
-        progress = self.store.read_prefix(PROGRESS, STORE_TIMEOUT_S)
+        with ThreadPoolExecutor(LOAD_CALLS, "load") as readers:
+            workers_read = readers.submit(self.store.read, WORKERS, STORE_TIMEOUT_S)
+            registered, progress, jobs = readers.map(
+                lambda prefix: self.store.read_prefix(prefix, STORE_TIMEOUT_S),
+                (self.registrations, PROGRESS, JOBS),
+            )
+            workers = workers_read.result()
         while self.drain_intents():
             pass
         if workers is not None:
             recorded = msgspec.json.decode(workers.value, type=list[Registration])
             self.known_workers = {known.worker: known for known in recorded}
+            self.committer.record_revision = workers.mod_revision
         now_s = time.monotonic()
         listed = {entry.key for entry in registered.entries}
         for entry in registered.entries:
@@ -308,7 +297,7 @@
             for command in self.scheduler.decide(now_s, time.time()):
                 self.carry_out(command)
         self.hold_due(now_s)
-        self.commit_due(now_s)
+        self.acknowledge(self.committer.send_due(now_s), now_s)
 
     def handle(self, message: object, now_s: float) -> None:
         """Take in one message."""
@@ -328,9 +317,7 @@
             lapse_s = now_s + MAX_TASK_LEASE_S / (1 - CLOCK_DRIFT)
             self.scheduler.predecessor_stopped(lapse_s)
         elif isinstance(message, WorkersRecorded):
-            self.commit_running = False
-            if message.entries is not None:
-                self.scheduler.changes.workers_recorded(message.entries)
+            self.committer.workers_recorded(message)
         elif isinstance(message, PrefixChanged):
             self.prefix_changed(message, now_s)
         elif isinstance(message, PrefixRead):
@@ -628,63 +615,17 @@
 
     # Commits.
 
-    def commit_due(self, now_s: float) -> None:
-        """Store what has changed, one commit at a time."""
-        if self.commit_running or now_s < self.commit_due_s:
-            return
-        ledger = self.scheduler.ledger
-        if not ledger.changed and not ledger.finished:
-            self.acknowledge(self.scheduler.changes.take(0, 0.0), now_s)
-            self.record_workers(now_s)
-            return
-        if self.commit_due_s == 0.0:
-            self.commit_due_s = now_s + COMMIT_WINDOW_S
-            return
-        self.commit_due_s = 0.0
-        changes = self.scheduler.changes.take(MAX_COMMIT_ENTRIES, time.time())
-        self.commit_running = True
-        self.committer.submit(self.commit, changes)
-
-    def commit(self, changes: Changes) -> None:
-        """Write changes, in the executor."""
-        try:
-            outcome = commit_changes(self.store, self.holding, changes, STORE_TIMEOUT_S)
-        except HoldingLostError as error:
-            self.inbox.put(CommitDone(changes, None, str(error)))
-        else:
-            self.inbox.put(CommitDone(changes, outcome))
-
     def commit_done(self, message: CommitDone, now_s: float) -> None:
         """Take in how a commit ended."""
-        self.commit_running = False
-        outcome = message.outcome
-        if outcome is None:
-            log.warning("holding lost", token=self.token, reason=message.detail)
+        try:
+            self.acknowledge(self.committer.ended(message, now_s), now_s)
+        except HoldingLostError as error:
+            log.warning("holding lost", token=self.token, reason=str(error))
             self.lose()
-            return
-        if outcome.stored:
-            self.scheduler.changes.stored(message.changes, outcome.revisions, now_s)
-            self.acknowledge(message.changes, now_s)
-            ledger = self.scheduler.ledger
-            if ledger.changed or ledger.finished:
-                self.commit_due_s = now_s
-            for ending in message.changes.endings:
-                state = ending.ended.state.value
-                log.info("job ended", job=ending.job, state=state)
-            return
-        log.warning(
-            "commit failed",
-            jobs=len(message.changes.progress) + len(message.changes.endings),
-            reason=outcome.reason,
-        )
-        self.metrics.commit_failures.inc()
-        self.commit_due_s = now_s + COMMIT_RETRY_S
-        self.scheduler.changes.failed(message.changes)
-        self.scheduler.changes.revisions_read(outcome.revisions, outcome.ended, now_s)
 
-    def acknowledge(self, changes: Changes, now_s: float) -> None:
+    def acknowledge(self, ends: AcknowledgedEnds, now_s: float) -> None:
         """Let workers forget the ends that are stored."""
-        for worker_id, (born_ms, number) in changes.numbers.items():
+        for worker_id, (born_ms, number) in ends.items():
             line = self.lines_of.get(worker_id)
             if line is None or line.born_ms != born_ms or number <= line.acknowledged:
                 continue
@@ -692,26 +633,6 @@
             if not line.is_calling:
                 line.due_s = now_s
 
-    def record_workers(self, now_s: float) -> None:
-        """Store which workers may run something, before they are given work."""
-        entries = self.scheduler.changes.workers_to_record()
-        if entries is None or now_s < self.record_due_s:
-            return
-        self.record_due_s = now_s + COMMIT_RETRY_S
-        self.commit_running = True
-        self.committer.submit(self.write_workers, entries)
-
-    def write_workers(self, entries: list[Registration]) -> None:
-        """Write the workers' record, in the executor."""
-        try:
-            record = Put(WORKERS, msgspec.json.encode(entries))
-            transaction = Transaction((self.holding.guard(),), (record,))
-            stored = self.store.commit(transaction, STORE_TIMEOUT_S).succeeded
-        except (StoreError, HoldingLostError) as error:
-            log.warning("workers not recorded", reason=str(error))
-            stored = False
-        self.inbox.put(WorkersRecorded(tuple(entries) if stored else None))
-
     # Losing the shard.
 
     def lose(self) -> None:
@@ -727,7 +648,7 @@
             follower.stop()
         self.followers_pool.shutdown(wait=False, cancel_futures=True)
         self.lines.close()
-        self.committer.shutdown(wait=False, cancel_futures=True)
+        self.committer.close()
         while True:
             try:
                 message = self.inbox.get_nowait()
--- a/tests/fleet_support.py
+++ b/tests/fleet_support.py
@@ -254,8 +254,8 @@
         for ending in changes.endings:
             self.records.pop(ending.job, None)
             self.progress.pop(ending.job, None)
-        self.scheduler.changes.stored(changes, {}, self.now_s)
-        for worker, (born_ms, number) in changes.numbers.items():
+        acknowledged = self.scheduler.changes.stored(changes, {}, self.now_s)
+        for worker, (born_ms, number) in acknowledged.items():
             if self.engines[worker].born_ms == born_ms:
                 self.acknowledged[worker] = number
         entries = self.scheduler.changes.workers_to_record()
