Let a stopping holder ask a peer to claim the shard before it stops

Change: the holder goes on until a peer that it asked has claimed the shard; fencing and the announcement end its orders. If no peer does, it releases the record as before. The time counts within the linger of a stopping member.

--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/cell.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/cell.py
@@ -108,7 +108,10 @@
     def announce(self, token: int, former: str) -> None:
         """Tell every known member that this one holds the shard."""
         news = Announcement(token, self.member, self.address)
-        for address in self.others():
+        # The former holder first: until it knows, what it may start is in doubt.
+        for address in dict.fromkeys([former, *self.others()]):
+            if address in ("", self.address):
+                continue
             try:
                 self.peers.announce(address, news, ANNOUNCE_TIMEOUT_S)
             except PeerFailedError as error:
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/composition.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/composition.py
@@ -138,6 +138,7 @@
             self.cell, self.configuration, self.adviser, self.metrics, self.incarnation
         )
         self.peer_application.callers = self.callers
+        self.peer_application.take_over = self.control.take_over
         self.readiness = ReadinessApplication(self.configuration)
         self.stop_requested = threading.Event()
         self.reload_requested = threading.Event()
@@ -228,7 +229,9 @@
     def shut_down(self, callers: HttpServer) -> None:
         """Hand the shard over and answer until the balancer has noticed."""
         log.info("stopping", linger_s=LINGER_S)
+        begun_s = time.monotonic()
         self.readiness.is_stopping = True
         callers.drain()
         self.control.hand_over()
-        time.sleep(min(LINGER_S, 0.6 * self.settings.timing.stop_grace_s))
+        linger_s = min(LINGER_S, 0.6 * self.settings.timing.stop_grace_s)
+        time.sleep(max(0.0, begun_s + linger_s - time.monotonic()))
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/control.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/control.py
@@ -60,6 +60,12 @@
 SMALL_HOST_PROCESSORS = 1.0
 """A scheduler of 176 workers takes up to half a processor; less leaves no room."""
 
+OFFER_TIMEOUT_S = 1.0
+"""For the claim of a peer that is asked for it: two calls of a slow store."""
+
+MAX_OFFERS = 2
+"""Peers that a stopping holder asks; it has to be gone within the platform's grace."""
+
 MAX_RANK = 8
 """Ranks beyond this wait no longer, so that a takeover stays quick."""
 
@@ -94,6 +100,8 @@
         self.processors = processors
         self.stopping = threading.Event()
         self.may_claim = True
+        # Claims are made by the task's thread, and by peers' that hand over.
+        self.claiming = threading.Lock()
         self.no_claim_before_s = 0.0
         self.answered_s = time.monotonic()
         self.read_due_s = 0.0
@@ -237,12 +245,35 @@
             return
         if self.configuration.intent is None:
             return
-        self.stopping.wait(self.claim_delay_s())
-        fresh = self.holding.read(STORE_TIMEOUT_S)
-        if fresh.revision != seen.revision:
-            self.cell.set_holder(fresh.record.token, fresh.record.address)
-            self.answered_s = time.monotonic()
-            return
+        delay_s = self.claim_delay_s()
+        if delay_s > 0:
+            self.stopping.wait(delay_s)
+            fresh = self.holding.read(STORE_TIMEOUT_S)
+            if fresh.revision != seen.revision:
+                self.cell.set_holder(fresh.record.token, fresh.record.address)
+                self.answered_s = time.monotonic()
+                return
+        with self.claiming:
+            if self.cell.scheduler is None:
+                self.claim_now(seen, was_silent)
+
+    def take_over(self, seen: ShardView) -> bool:
+        """Claim the shard from a holder that asks for it; tell whether that succeeded.
+
+        The holder gives orders until it hears of the claim.
+        """
+        may_claim = self.may_claim and time.monotonic() >= self.no_claim_before_s
+        if not may_claim or self.configuration.intent is None:
+            return False
+        try:
+            with self.claiming:
+                return self.cell.scheduler is None and self.claim_now(seen, True)
+        except StoreError as error:
+            log.warning("shard not taken over", reason=str(error))
+            return False
+
+    def claim_now(self, seen: ShardView, was_silent: bool) -> bool:
+        """Claim the shard as it was seen; tell whether that succeeded."""
         sent_s = boot_time_s()
         members = (*self.cell.others(), self.cell.address)
         ttl_s = max(LEASE_TTL_S, self.timing.min_lease_s)
@@ -250,7 +281,7 @@
             won = self.holding.claim(seen, members, ttl_s, STORE_TIMEOUT_S)
         except StoreOutcomeUnknownError as error:
             log.warning("claim unanswered", reason=str(error))
-            return
+            return False
         log.info(
             "claim",
             won=won,
@@ -261,6 +292,7 @@
         )
         if won:
             self.begin_leading(was_silent, sent_s, seen.record.address)
+        return won
 
     def claim_delay_s(self) -> float:
         """Return how long to let others go first: larger hosts, then by the roster."""
@@ -329,16 +361,38 @@
         log.warning("stepped down", token=scheduler.token)
 
     def hand_over(self) -> None:
-        """Give the shard up before a planned stop."""
+        """Give the shard up before a planned stop.
+
+        The scheduler goes on until a peer has claimed the shard. If no peer does, the
+        record is released, and the next member that looks claims it.
+        """
         self.may_claim = False
         scheduler = self.cell.scheduler
         if scheduler is None:
             return
+        is_claimed = self.offer(scheduler)
         scheduler.stop()
         self.cell.scheduler = None
-        self.cell.set_holder(self.cell.holder_token, "")
-        try:
-            self.holding.release(STORE_TIMEOUT_S)
-        except StoreError as error:
-            log.warning("shard not released", reason=str(error))
-        log.info("shard handed over", token=scheduler.token)
+        if not is_claimed:
+            self.cell.set_holder(self.cell.holder_token, "")
+            try:
+                self.holding.release(STORE_TIMEOUT_S)
+            except StoreError as error:
+                log.warning("shard not released", reason=str(error))
+        log.info("shard handed over", token=scheduler.token, is_claimed=is_claimed)
+
+    def offer(self, scheduler: SchedulerTask) -> bool:
+        """Ask the peer that should claim first to do so; tell whether one has."""
+        held = self.holding.held
+        if held is None:
+            return False
+        for address in self.cell.members()[:MAX_OFFERS]:
+            try:
+                if self.peers.hand_over(address, held, OFFER_TIMEOUT_S):
+                    scheduler.lost.wait(OFFER_TIMEOUT_S)
+                    return True
+            except PeerFailedError as error:
+                log.info("shard not claimed", address=address, reason=str(error))
+            if scheduler.lost.is_set():
+                return True
+        return False
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/peer_messages.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/peer_messages.py
@@ -5,6 +5,7 @@
 from gooseberrydeck_coordination.ids import JobId, QueueName
 from gooseberrydeck_fleet.ids import WorkerId
 from gooseberrydeck_fleet.work import JobRecord, JobState
+from gooseberrydeck_member.holding import ShardView
 
 __all__ = [
     "Accepted",
@@ -12,6 +13,7 @@
     "Announcement",
     "Beat",
     "BeatReply",
+    "HandOver",
     "StateQuestion",
     "StateReply",
     "WaitingReply",
@@ -53,6 +55,15 @@
     address: str
 
 
+class HandOver(msgspec.Struct, frozen=True):
+    """A holder that stops asks a peer to claim the shard, which it holds as ``seen``.
+
+    The reply tells whether the peer has claimed it.
+    """
+
+    seen: ShardView
+
+
 class Accepted(msgspec.Struct, frozen=True):
     """Tell the holder of a job that has just been stored."""
 
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/peer_server.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/peer_server.py
@@ -13,6 +13,7 @@
 from gooseberrydeck_member.callers import Call, CallerApplication
 from gooseberrydeck_member.cell import Cell
 from gooseberrydeck_member.configuration import ConfigurationHolder
+from gooseberrydeck_member.holding import ShardView
 from gooseberrydeck_member.observability import Metrics
 from gooseberrydeck_member.peer_messages import (
     Accepted,
@@ -20,6 +21,7 @@
     Announcement,
     Beat,
     BeatReply,
+    HandOver,
     StateQuestion,
     StateReply,
     WaitingReply,
@@ -47,16 +49,21 @@
         metrics: Metrics,
         incarnation: str,
     ) -> None:
-        """Answer for one run of a member; ``callers`` is set before it serves."""
+        """Answer for one run of a member.
+
+        ``callers`` and ``take_over`` are set before it serves.
+        """
         self.cell = cell
         self.configuration = configuration
         self.adviser = adviser
         self.metrics = metrics
         self.incarnation = incarnation
         self.callers: CallerApplication | None = None
+        self.take_over: Callable[[ShardView], bool] = lambda _seen: False
         self.handlers: dict[str, Callable[[bytes], object | None]] = {
             "/beat": self.beat,
             "/announce": self.announced,
+            "/hand-over": self.handed_over,
             "/accepted": self.accepted,
             "/state": self.state,
             "/waiting": self.waiting,
@@ -122,6 +129,10 @@
         self.cell.set_holder(news.token, news.address)
         return True
 
+    def handed_over(self, body: bytes) -> bool:
+        """Claim the shard from a holder that stops; tell whether that succeeded."""
+        return self.take_over(msgspec.json.decode(body, type=HandOver).seen)
+
     def accepted(self, body: bytes) -> bool:
         """Take in a job that a peer has stored."""
         scheduler = self.cell.scheduler
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/peers.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/peers.py
@@ -8,11 +8,13 @@
 
 from gooseberrydeck_fleet.advice import Advice, AdviceFailedError
 from gooseberrydeck_fleet.ids import StepRef, WorkerId
+from gooseberrydeck_member.holding import ShardView
 from gooseberrydeck_member.peer_messages import (
     AdviceQuestion,
     Announcement,
     Beat,
     BeatReply,
+    HandOver,
     StateQuestion,
     StateReply,
     WaitingReply,
@@ -107,6 +109,10 @@
         """Tell a peer who holds the shard."""
         self.call(address, "/announce", news, bool, timeout_s)
 
+    def hand_over(self, address: str, seen: ShardView, timeout_s: float) -> bool:
+        """Ask a peer to claim the shard; return whether it has."""
+        return self.call(address, "/hand-over", HandOver(seen), bool, timeout_s)
+
     def state(
         self, address: str, question: StateQuestion, timeout_s: float
     ) -> StateReply:
--- /dev/null
+++ b/tests/member/test_hand_over.py
@@ -0,0 +1,166 @@
+"""Tests of handing the shard over before a planned stop."""
+
+import threading
+from dataclasses import dataclass, field
+
+import msgspec
+import pytest
+
+from fleet_support import intent
+from gooseberrydeck_coordination.clock import ManualClock
+from gooseberrydeck_coordination.ids import MemberId
+from gooseberrydeck_fleet.intent import Intent
+from gooseberrydeck_fleet.settings import Timing
+from gooseberrydeck_member.authority import Authority
+from gooseberrydeck_member.cell import Cell
+from gooseberrydeck_member.configuration import ConfigurationHolder
+from gooseberrydeck_member.control import ControlTask
+from gooseberrydeck_member.holding import Holding, ShardView
+from gooseberrydeck_member.observability import Metrics
+from gooseberrydeck_member.peer_messages import Announcement, Beat, HandOver
+from gooseberrydeck_member.peer_server import PeerApplication
+from gooseberrydeck_member.peers import PeerFailedError
+from gooseberrydeck_standins.engine_store import EngineStore
+from gooseberrydeck_standins.faults import CallFault
+from gooseberrydeck_standins.store_engine import StoreEngine
+
+WAIT_S = 20.0
+
+
+class SchedulerStub:
+    """What the control task needs of a scheduler's task."""
+
+    def __init__(self, token: int, authority: Authority) -> None:
+        self.token = token
+        self.authority = authority
+        self.lost = threading.Event()
+        self.stopping = threading.Event()
+        self.began = threading.Event()
+        self.predecessor_has_stopped = threading.Event()
+
+    def set_intent(self, _intent: Intent) -> None:
+        pass
+
+    def run(self) -> None:
+        self.began.set()
+
+    def predecessor_stopped(self) -> None:
+        self.predecessor_has_stopped.set()
+
+    def lose(self) -> None:
+        self.lost.set()
+
+    def stop(self) -> None:
+        self.authority.revoke()
+        self.stopping.set()
+
+
+@dataclass
+class PeersStub:
+    """Carries messages to the members that are reachable."""
+
+    applications: dict[str, PeerApplication] = field(default_factory=dict)
+
+    def application(self, address: str) -> PeerApplication:
+        if address not in self.applications:
+            raise PeerFailedError(f"{address}: not reachable")
+        return self.applications[address]
+
+    def announce(self, address: str, news: Announcement, timeout_s: float) -> None:
+        self.application(address).announced(msgspec.json.encode(news))
+
+    def hand_over(self, address: str, seen: ShardView, timeout_s: float) -> bool:
+        message = msgspec.json.encode(HandOver(seen))
+        return self.application(address).handed_over(message)
+
+
+class MemberParts:
+    """The parts of one member that decide who holds the shard."""
+
+    def __init__(self, name: str, engine: StoreEngine, peers: PeersStub) -> None:
+        self.address = f"{name}:1"
+        self.store = EngineStore(engine, waits=False)
+        self.holding = Holding(self.store, MemberId(name), self.address, f"run-{name}")
+        self.cell = Cell(name, self.address, peers)  # type: ignore[arg-type]
+        configuration = ConfigurationHolder(lambda _value: intent())
+        configuration.offer(b"1", 0.0, "test")
+        self.schedulers: list[SchedulerStub] = []
+        self.control = ControlTask(
+            self.store,
+            self.holding,
+            self.cell,
+            peers,  # type: ignore[arg-type]
+            configuration,
+            "configuration",
+            Timing(),
+            self.build_scheduler,  # type: ignore[arg-type]
+            Metrics(),
+            2.0,
+        )
+        application = PeerApplication(
+            self.cell, configuration, None, Metrics(), f"run-{name}"
+        )
+        application.take_over = self.control.take_over
+        peers.applications[self.address] = application
+
+    def build_scheduler(self, authority: Authority, _was_silent: bool) -> SchedulerStub:
+        held = self.holding.held
+        assert held is not None
+        scheduler = SchedulerStub(int(held.record.token), authority)
+        self.schedulers.append(scheduler)
+        return scheduler
+
+    def hear(self, other: "MemberParts") -> None:
+        self.cell.heard_from(Beat(other.address, other.address, "run", 1, 2.0))
+
+
+class TestHandOver:
+    def setup_method(self) -> None:
+        self.peers = PeersStub()
+        engine = StoreEngine(ManualClock())
+        self.first = MemberParts("m1", engine, self.peers)
+        self.second = MemberParts("m2", engine, self.peers)
+        self.first.control.look_for_holder()
+        self.first.hear(self.second)
+
+    def holder(self) -> str:
+        return self.second.holding.read(1.0).record.holder
+
+    def test_peer_claims_before_the_holder_stops(self) -> None:
+        (former,) = self.first.schedulers
+        self.first.control.hand_over()
+        (successor,) = self.second.schedulers
+        assert successor.token == former.token + 1
+        assert self.holder() == "m2"
+        assert former.lost.is_set()
+        assert former.stopping.is_set()
+        assert successor.predecessor_has_stopped.wait(WAIT_S)
+        assert self.first.cell.holder_address == self.second.address
+
+    def test_shard_is_released_if_no_peer_claims_it(self) -> None:
+        self.peers.applications.pop(self.second.address)
+        self.first.control.hand_over()
+        assert self.first.schedulers[0].stopping.is_set()
+        assert self.holder() == ""
+
+    def test_peer_that_stops_too_claims_nothing(self) -> None:
+        self.second.control.hand_over()
+        self.first.control.hand_over()
+        assert self.second.schedulers == []
+        assert self.holder() == ""
+
+    @pytest.mark.parametrize("fault", [CallFault.DOWN, CallFault.REQUEST_LOST])
+    def test_peer_without_the_store_claims_nothing(self, fault: CallFault) -> None:
+        self.second.store.fault = fault
+        self.first.control.hand_over()
+        self.second.store.fault = CallFault.NONE
+        assert self.second.schedulers == []
+        assert self.holder() == ""
+
+    def test_record_that_has_changed_is_not_claimed(self) -> None:
+        seen = self.first.holding.held
+        assert seen is not None
+        assert self.second.control.take_over(seen)
+        third = MemberParts("m3", StoreEngine(ManualClock()), self.peers)
+        assert not third.control.take_over(seen)
+        assert third.schedulers == []
