Let jobs beyond a team's share go after those within

Cause: the teams' weights were read and never used; order was by priority and due time alone, so a team that sends many times its usual delayed all.

Change: a token bucket a team, filled at its share of jobs a second; within each priority, jobs beyond it go last. A takeover counts jobs as they came.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/quotas.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/quotas.py
@@ -18,14 +18,10 @@
         """Begin with nothing running and no limits."""
         self.used: dict[TeamName, Resources] = {}
         self.maximum: dict[TeamName, Resources] = {}
-        self.weights: dict[TeamName, float] = {}
 
-    def set_teams(
-        self, maximum: Mapping[TeamName, Resources], weights: Mapping[TeamName, float]
-    ) -> None:
+    def set_limits(self, maximum: Mapping[TeamName, Resources]) -> None:
         """Replace the limits; a resource whose limit is zero has none."""
         self.maximum = dict(maximum)
-        self.weights = dict(weights)
 
     def add(self, team: TeamName, amount: Resources) -> None:
         """Count a run that is about to start."""
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
@@ -24,6 +24,7 @@
 from gooseberrydeck_fleet.questions import Questions
 from gooseberrydeck_fleet.registrations import Registration
 from gooseberrydeck_fleet.settings import Timing
+from gooseberrydeck_fleet.shares import ShareBook
 from gooseberrydeck_fleet.state import (
     MAX_TASK_LEASE_S,
     Job,
@@ -81,6 +82,7 @@
         self.changes = ChangeLog(self.ledger)
         self.questions = Questions(self.placer)
         self.copier = Copier(self.placer)
+        self.shares = ShareBook()
         self.queues: dict[QueueName, Queue] = {}
         self.strays: list[StrayRun] = []
         self.commands: list[Command] = []
@@ -92,10 +94,9 @@
     def set_intent(self, intent: Intent) -> None:
         """Take over a version of the configuration."""
         self.queues = {queue.name: queue for queue in intent.queues}
-        self.ledger.quotas.set_teams(
-            {team.name: team.maximum for team in intent.teams},
-            {team.name: team.weight for team in intent.teams},
-        )
+        maximum = {team.name: team.maximum for team in intent.teams}
+        self.ledger.quotas.set_limits(maximum)
+        self.shares.set_rates({team.name: team.weight for team in intent.teams})
         for job in self.ledger.jobs.values():
             job.queue = self.queues.get(job.record.queue, job.queue)
 
@@ -179,6 +180,7 @@
             return False
         job = Job(record, queue, revision)
         job.is_earlier = is_earlier
+        job.is_within_share = self.shares.admits(record.team, record.accepted_s)
         is_safe = self.ledger.is_sole and not is_earlier
         job.is_doubtful = not is_safe and not self.are_all_adopted()
         self.ledger.jobs[record.id] = job
@@ -476,8 +478,8 @@
                 self.serve(step, waiting[:allowed], now_s)
 
     def steps_in_order(self, now_s: float) -> list[Step]:
-        """Return the open steps by priority and then by the time they are due."""
-        found: list[tuple[int, float, StepRef, Step]] = []
+        """Return the open steps by priority, share, and the time they are due."""
+        found: list[tuple[int, bool, float, StepRef, Step]] = []
         for job in self.ledger.jobs.values():
             if job.state.is_final:
                 continue
@@ -487,9 +489,10 @@
                 elif is_ready(step):
                     if step.ready_s is None:
                         step.ready_s = now_s
-                    found.append((job.queue.priority, job.due_s, ref, step))
-        found.sort(key=lambda entry: entry[:3])
-        return [entry[3] for entry in found]
+                    rank = job.queue.priority, not job.is_within_share, job.due_s
+                    found.append((*rank, ref, step))
+        found.sort(key=lambda entry: entry[:4])
+        return [entry[4] for entry in found]
 
     def serve(self, step: Step, waiting: list[Task], now_s: float) -> None:
         """Start waiting tasks of a step where there is room and a ticket."""
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
@@ -200,6 +200,7 @@
         "id",
         "is_doubtful",
         "is_earlier",
+        "is_within_share",
         "next_occurrence",
         "open_steps",
         "progress_revision",
@@ -226,6 +227,7 @@
         self.is_doubtful = False
         # Set if it was stored when this holder took over.
         self.is_earlier = False
+        self.is_within_share = True
         self.due_s = record.accepted_s + self.allowance_s()
 
     @property
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
@@ -251,8 +251,13 @@
             if self.registrations + worker not in listed:
                 self.add_worker(known, now_s)
                 self.scheduler.worker_unregistered(worker)
-        for entry in jobs.entries:
-            self.job_stored(entry.value, int(entry.mod_revision), is_earlier=True)
+        records = [
+            (msgspec.json.decode(entry.value, type=JobRecord), int(entry.mod_revision))
+            for entry in jobs.entries
+        ]
+        # As they came, so that the same jobs lie within their teams' shares.
+        for record, revision in sorted(records, key=lambda each: each[0].accepted_s):
+            self.take_job(record, revision, is_earlier=True)
         for entry in progress.entries:
             job = JobId(entry.key.removeprefix(PROGRESS))
             self.scheduler.restore(
@@ -345,10 +350,10 @@
 
     # Jobs.
 
-    def job_stored(self, value: bytes, revision: int, is_earlier: bool) -> None:
+    def job_stored(self, value: bytes, revision: int) -> None:
         """Take in a job's record."""
         record = msgspec.json.decode(value, type=JobRecord)
-        self.take_job(record, revision, is_earlier)
+        self.take_job(record, revision, is_earlier=False)
 
     def take_job(self, record: JobRecord, revision: int, is_earlier: bool) -> None:
         """Let a job be scheduled once its queue is known."""
@@ -370,7 +375,7 @@
             is_put = event.kind is EventKind.PUT
             if message.prefix == JOBS:
                 if is_put:
-                    self.job_stored(value, int(event.entry.mod_revision), False)
+                    self.job_stored(value, int(event.entry.mod_revision))
             elif is_put:
                 self.registration_changed(key, value, now_s)
             else:
@@ -380,7 +385,7 @@
         """Take in all entries, after changes may have been missed."""
         if message.prefix == JOBS:
             for entry in message.entries:
-                self.job_stored(entry.value, int(entry.mod_revision), False)
+                self.job_stored(entry.value, int(entry.mod_revision))
             return
         listed = {entry.key for entry in message.entries}
         for entry in message.entries:
--- /dev/null
+++ b/tests/fleet/test_shares.py
@@ -0,0 +1,77 @@
+"""Tests of teams that send more than their share."""
+
+import pytest
+
+from fleet_support import TEAM, URGENT, Fleet, intent, task_resources
+from gooseberrydeck_coordination.ids import JobId, TeamName
+from gooseberrydeck_fleet.shares import ShareBook
+from gooseberrydeck_fleet.work import StepSpec
+
+OTHERS = TeamName("others")
+WHOLE = task_resources(cores=32.0)
+
+
+class TestShareBook:
+    def setup_method(self) -> None:
+        self.book = ShareBook()
+        self.book.set_rates({TEAM: 4.0, OTHERS: 0.5})
+
+    def admitted(self, team: TeamName, times: list[float]) -> int:
+        return sum(self.book.admits(team, at_s) for at_s in times)
+
+    @pytest.mark.parametrize(("team", "admitted"), [(TEAM, 4), (OTHERS, 1)])
+    def test_burst_is_admitted_up_to_the_share_of_a_second(
+        self, team: TeamName, admitted: int
+    ) -> None:
+        assert self.admitted(team, [10.0] * 20) == admitted
+
+    def test_jobs_at_the_rate_of_the_share_are_all_admitted(self) -> None:
+        times = [10.0 + number / 4 for number in range(40)]
+        assert self.admitted(TEAM, times) == 40
+
+    def test_sustained_excess_is_admitted_at_the_rate_of_the_share(self) -> None:
+        times = [10.0 + number / 20 for number in range(200)]
+        assert 4 * 10 <= self.admitted(TEAM, times) <= 4 * 11
+
+    def test_one_team_uses_nothing_of_another(self) -> None:
+        self.admitted(TEAM, [10.0] * 100)
+        assert self.book.admits(OTHERS, 10.0)
+
+    def test_jobs_told_in_another_order_refill_nothing(self) -> None:
+        assert self.admitted(TEAM, [10.0, 9.0, 10.0, 9.0, 10.0, 9.0]) == 4
+
+    @pytest.mark.parametrize("team", [TeamName("stranger"), TeamName("open")])
+    def test_team_without_a_share_is_not_held_to_one(self, team: TeamName) -> None:
+        self.book.set_rates({TeamName("open"): 0.0})
+        assert self.admitted(team, [10.0] * 50) == 50
+
+    def test_changed_share_applies_to_jobs_that_follow(self) -> None:
+        self.admitted(TEAM, [10.0] * 8)
+        self.book.set_rates({TEAM: 1.0})
+        assert self.admitted(TEAM, [12.0] * 8) == 1
+
+
+class TestHotTeam:
+    """One team sends many times its usual while the fleet is full."""
+
+    def setup_method(self) -> None:
+        self.fleet = Fleet(workers=1)
+        self.fleet.intent = intent(shares={TEAM: 2.0, OTHERS: 2.0})
+        self.fleet.scheduler.set_intent(self.fleet.intent)
+
+    def submit(self, name: str, team: TeamName) -> JobId:
+        step = StepSpec(1, WHOLE)
+        return self.fleet.submit(name, step, queue_name=URGENT, seconds=0.5, team=team)
+
+    def test_other_teams_go_before_what_lies_beyond_a_share(self) -> None:
+        hot = [self.submit(f"hot{number}", TEAM) for number in range(10)]
+        self.fleet.run_for(0.1)
+        late = self.submit("late", OTHERS)
+        self.fleet.run_for(3.0)
+        order = [task.job for _, task, _ in self.fleet.starts]
+        assert order[:3] == [*hot[:2], late]
+
+    def test_all_of_it_runs_when_there_is_room(self) -> None:
+        hot = [self.submit(f"hot{number}", TEAM) for number in range(10)]
+        self.fleet.run_for(8.0)
+        assert {task.job for _, task, _ in self.fleet.starts} == set(hot)
--- a/tests/fleet_support.py
+++ b/tests/fleet_support.py
@@ -1,6 +1,7 @@
 """A scheduler with workers in memory, driven by a manual clock."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from types import MappingProxyType
 
 from gooseberrydeck_coordination.clock import ManualClock
 from gooseberrydeck_coordination.ids import (
@@ -65,10 +66,18 @@
     )
 
 
-def intent(*queues: Queue, maximum: Resources = NOTHING, version: int = 1) -> Intent:
-    """Return a configuration with one team."""
-    team = Team(TEAM, frozenset({"key"}), 1.0, maximum)
-    return Intent(version, queues or (queue(URGENT, 0), queue(SLOW, 2)), (team,))
+def intent(
+    *queues: Queue,
+    maximum: Resources = NOTHING,
+    version: int = 1,
+    shares: Mapping[TeamName, float] = MappingProxyType({TEAM: 0.0}),
+) -> Intent:
+    """Return a configuration; ``shares`` are by team, zero for none of its own."""
+    teams = tuple(
+        Team(name, frozenset({f"{name}-key"}), share, maximum)
+        for name, share in shares.items()
+    )
+    return Intent(version, queues or (queue(URGENT, 0), queue(SLOW, 2)), teams)
 
 
 def registration(
@@ -160,6 +169,7 @@
         seconds: float = 1.0,
         plan: Callable[[StartRequest], RunPlan] | None = None,
         work: WorkSpec | None = None,
+        team: TeamName = TEAM,
     ) -> JobId:
         """Accept a job whose tasks take ``seconds`` each."""
         job = JobId(name)
@@ -174,7 +184,7 @@
 
         self.plans[job] = plan or healthy
         self.specs[job] = spec
-        self.records[job] = JobRecord(job, queue_name, TEAM, spec, self.clock.wall())
+        self.records[job] = JobRecord(job, queue_name, team, spec, self.clock.wall())
         assert self.scheduler.accept(self.records[job], 1)
         return job
 
