--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
@@ -507,7 +507,7 @@
             self.start(task, worker, self.ledger.numbers.next(), now_s)
         if not left:
             return
-        if step.job.queue.priority == 0 and permitted:
+        if step.job.queue.priority == 0 and step.job.is_within_share and permitted:
             self.preempter.make_room(step, permitted, len(left), now_s)
         self.ask(step, len(left), now_s)
 
--- a/tests/fleet/test_shares.py
+++ b/tests/fleet/test_shares.py
@@ -75,3 +75,18 @@
         hot = [self.submit(f"hot{number}", TEAM) for number in range(10)]
         self.fleet.run_for(8.0)
         assert {task.job for _, task, _ in self.fleet.starts} == set(hot)
+
+    @pytest.mark.parametrize(("share", "stops"), [(2.0, 0), (0.0, 1)])
+    def test_work_beyond_a_share_stops_nothing(self, share: float, stops: int) -> None:
+        self.fleet.scheduler.set_intent(intent(shares={TEAM: share}))
+        for number in range(2):
+            self.submit(f"hot{number}", TEAM)
+        self.fleet.run_for(1.5)
+        saving = StepSpec(1, WHOLE, saves_progress=True)
+        self.fleet.submit("batch", saving, seconds=5.0, team=OTHERS)
+        self.fleet.run_for(0.2)
+        for _ in range(4):
+            self.fleet.scheduler.shares.admits(TEAM, self.fleet.clock.wall())
+        self.submit("excess", TEAM)
+        self.fleet.run_for(0.5)
+        assert len(self.fleet.stops) == stops
