Move work off workers that are about to leave

Cause: runs on a draining worker were left there until it had gone, and their tasks started again from an old checkpoint, or anew, after that.

Change: standing tasks move as soon as another worker may take them (advice is asked before), work that saves its progress stops in time for a last checkpoint, long work that saves nothing starts anew at once, gangs whole.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
@@ -13,6 +13,7 @@
 )
 from gooseberrydeck_fleet.copying import Copier
 from gooseberrydeck_fleet.ends import EndHandler, LossReason
+from gooseberrydeck_fleet.evacuation import Evacuator
 from gooseberrydeck_fleet.holds import HoldHandler, StrayRun
 from gooseberrydeck_fleet.ids import StepRef, TaskRef, WorkerId
 from gooseberrydeck_fleet.intent import Intent, Queue
@@ -83,6 +84,7 @@
         self.questions = Questions(self.placer)
         self.copier = Copier(self.placer)
         self.shares = ShareBook()
+        self.evacuator = Evacuator(self.placer, self.ends, timing.task_stop_s)
         self.queues: dict[QueueName, Queue] = {}
         self.strays: list[StrayRun] = []
         self.commands: list[Command] = []
@@ -115,12 +117,13 @@
         worker = self.ledger.workers.get(entry.worker)
         if worker is None:
             worker = Worker(entry, max(now_s, unknown_until_s))
+            worker.stays_until_s = now_s + (entry.remaining_s or 0.0)
             self.ledger.workers[entry.worker] = worker
             return True
         if entry.is_draining != worker.entry.is_draining:
             # A successor has to know that the worker may leave.
             worker.is_recorded = False
-            worker.stays_until_s = now_s + (entry.remaining_s or 0.0)
+        worker.stays_until_s = now_s + (entry.remaining_s or 0.0)
         if entry.capacity != worker.entry.capacity:
             worker.free = worker.free + (entry.capacity - worker.entry.capacity)
         worker.entry = entry
@@ -404,6 +407,7 @@
             self.become_sole()
         self.changes.forget_ended(now_s - self.timing.status_s - FINAL_KEPT_S)
         self.stop_stalled(now_s)
+        self.evacuate(now_s)
         self.pace(now_s)
 
     def expire_workers(self, now_s: float) -> None:
@@ -440,6 +444,13 @@
             ):
                 self.open_steps(job.open_occurrence())
 
+    def evacuate(self, now_s: float) -> None:
+        """Move work off workers that drain, once it has somewhere to go."""
+        for worker in self.ledger.workers.values():
+            if worker.entry.is_draining and worker.runs and worker.is_reachable:
+                for step in self.evacuator.evacuate(worker, now_s):
+                    self.ask(step, 1, now_s)
+
     def stop_stalled(self, now_s: float) -> None:
         """Stop runs that make no progress, to run them elsewhere."""
         for worker in self.ledger.workers.values():
