Let watches of the store gather changes for 0.2 s

Cause: workers write their entries every 1.5 s each, and each write ended a waiting watch: sixteen calls a second with 24 workers, a call for each write.

--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/store_follower.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/store_follower.py
@@ -17,6 +17,10 @@
 CALL_TIMEOUT_S = 0.8
 """For a read, and for the silence of a watch beyond its own wait."""
 
+GATHER_S = 0.2
+"""Pause after a watch told of changes. Workers write every second or so each, and every
+call of the store costs; a worker that drains may still be given work for two seconds."""
+
 RETRY_S = 0.15
 """Pause after a failed call, so that a store that refuses is not called in a loop."""
 
@@ -80,6 +84,8 @@
             self.revision = batch.revision
             if batch.events:
                 self.post(PrefixChanged(self.prefix, batch))
+                # The next call returns at once if more has changed meanwhile.
+                self.stopping.wait(GATHER_S)
 
     def note_lost(self, error: StoreError) -> None:
         """Log the first of a row of failures."""
--- /dev/null
+++ b/tests/member/test_store_follower.py
@@ -0,0 +1,72 @@
+"""Tests of following a prefix of the store."""
+
+import threading
+
+from gooseberrydeck_coordination.clock import ManualClock
+from gooseberrydeck_coordination.ids import Revision
+from gooseberrydeck_coordination.store import Put, Transaction
+from gooseberrydeck_member.store_follower import (
+    GATHER_S,
+    PrefixChanged,
+    PrefixRead,
+    StoreFollower,
+)
+from gooseberrydeck_standins.engine_store import EngineStore
+from gooseberrydeck_standins.store_engine import StoreEngine
+
+PREFIX = "workers/"
+
+
+class PauseRecorder(threading.Event):
+    """Writes to the store while the follower pauses, and stops it in the end."""
+
+    def __init__(self, store: EngineStore, pauses: int) -> None:
+        super().__init__()
+        self.store = store
+        self.left = pauses
+        self.pauses: list[float | None] = []
+
+    def wait(self, timeout: float | None = None) -> bool:
+        self.pauses.append(timeout)
+        self.left -= 1
+        if self.left <= 0:
+            self.set()
+        for number in range(3):
+            write = Put(f"{PREFIX}{number}", str(self.left).encode())
+            self.store.commit(Transaction((), (write,)), 1.0)
+        return self.is_set()
+
+
+class TestStoreFollower:
+    def setup_method(self) -> None:
+        self.store = EngineStore(StoreEngine(ManualClock()), waits=False)
+        self.messages: list[object] = []
+
+    def follow(self, pauses: int) -> PauseRecorder:
+        write = Put(f"{PREFIX}0", b"first")
+        self.store.commit(Transaction((), (write,)), 1.0)
+        follower = StoreFollower(self.store, PREFIX, self.messages.append)
+        follower.start_at(Revision(0))
+        recorder = PauseRecorder(self.store, pauses)
+        follower.stopping = recorder
+        follower.run()
+        return recorder
+
+    def test_changes_are_gathered_between_two_calls(self) -> None:
+        # Found by the bench (quiet days): workers' entries change every second or so
+        # each, and each change was a call of its own.
+        recorder = self.follow(pauses=4)
+        assert recorder.pauses == [GATHER_S] * 4
+        batches = [each for each in self.messages if isinstance(each, PrefixChanged)]
+        assert [len(each.batch.events) for each in batches] == [1, 3, 3, 3]
+
+    def test_prefix_is_read_before_it_is_watched(self) -> None:
+        def post(message: object) -> None:
+            self.messages.append(message)
+            if isinstance(message, PrefixRead):
+                self.store.commit(Transaction((), (Put(f"{PREFIX}8", b"x"),)), 1.0)
+
+        follower = StoreFollower(self.store, PREFIX, post)
+        follower.stopping = PauseRecorder(self.store, 1)
+        follower.run()
+        assert [type(each) for each in self.messages] == [PrefixRead, PrefixChanged]
