--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/store_follower.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/store_follower.py
@@ -18,8 +18,8 @@
 """For a read, and for the silence of a watch beyond its own wait."""
 
 GATHER_S = 0.2
-"""Pause after a watch told of changes. Workers write every second or so each, and every
-call of the store costs; a worker that drains may still be given work for two seconds."""
+"""Pause after a watch told of changes: workers write every second or so each, and each
+call of the store costs. What it delays may take two seconds by the platform's terms."""
 
 RETRY_S = 0.15
 """Pause after a failed call, so that a store that refuses is not called in a loop."""
