--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/control.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/control.py
@@ -113,9 +113,12 @@
         """Follow or lead until stopped."""
         while not self.stopping.is_set():
             begun_s = time.monotonic()
-            pause_s = BEAT_S
             if self.cell.scheduler is None:
+                known = self.cell.holder_address
                 self.follow()
+                # A holder that the store names may be gone: that shows at once.
+                is_new = self.cell.holder_address not in ("", known)
+                pause_s = 0.0 if is_new else BEAT_S
             else:
                 pause_s = KEEP_S
                 self.lead(self.cell.scheduler)
@@ -215,7 +218,8 @@
     def look_for_holder(self, gone: str = "") -> None:
         """Read who holds the shard, and claim it if nobody does.
 
-        ``gone`` is the address of a holder whose run has certainly ended.
+        ``gone`` is the address of a holder whose run has certainly ended; so has one
+        at this member's own address.
         """
         try:
             seen = self.holding.read(STORE_TIMEOUT_S)
@@ -226,7 +230,7 @@
                 if self.may_claim and time.monotonic() >= self.no_claim_before_s:
                     self.claim(seen, was_silent=False)
                 return
-            if record.holder and record.address != gone:
+            if record.holder and record.address not in (gone, self.cell.address):
                 is_known = record.token <= self.cell.holder_token
                 if not is_known or record.address != self.cell.holder_address:
                     self.cell.set_holder(record.token, record.address)
@@ -234,7 +238,8 @@
                     return
                 if self.holding.is_alive(STORE_TIMEOUT_S):
                     return
-            was_silent = bool(record.holder) and record.address != gone
+            is_gone = record.address in (gone, self.cell.address)
+            was_silent = bool(record.holder) and not is_gone
             self.claim(seen, was_silent)
         except StoreError as error:
             self.note_store_lost(error)
--- a/tests/member/test_hand_over.py
+++ b/tests/member/test_hand_over.py
@@ -17,7 +17,7 @@
 from gooseberrydeck_member.control import ControlTask
 from gooseberrydeck_member.holding import Holding, ShardView
 from gooseberrydeck_member.observability import Metrics
-from gooseberrydeck_member.peer_messages import Announcement, Beat, HandOver
+from gooseberrydeck_member.peer_messages import Announcement, Beat, BeatReply, HandOver
 from gooseberrydeck_member.peer_server import PeerApplication
 from gooseberrydeck_member.peers import PeerFailedError
 from gooseberrydeck_standins.engine_store import EngineStore
@@ -69,18 +69,41 @@
     def announce(self, address: str, news: Announcement, timeout_s: float) -> None:
         self.application(address).announced(msgspec.json.encode(news))
 
+    def beat(self, address: str, beat: Beat, timeout_s: float) -> BeatReply:
+        return self.application(address).beat(msgspec.json.encode(beat))
+
     def hand_over(self, address: str, seen: ShardView, timeout_s: float) -> bool:
         message = msgspec.json.encode(HandOver(seen))
         return self.application(address).handed_over(message)
 
 
+class PauseLog(threading.Event):
+    """Ends a control task after some rounds, and notes where it paused."""
+
+    def __init__(self, rounds: int) -> None:
+        super().__init__()
+        self.left = rounds
+        self.waits: list[float | None] = []
+
+    def is_set(self) -> bool:
+        self.left -= 1
+        return self.left < 0
+
+    def wait(self, timeout: float | None = None) -> bool:
+        self.waits.append(timeout)
+        return False
+
+
 class MemberParts:
     """The parts of one member that decide who holds the shard."""
 
-    def __init__(self, name: str, engine: StoreEngine, peers: PeersStub) -> None:
+    def __init__(
+        self, name: str, engine: StoreEngine, peers: PeersStub, run: str = "first"
+    ) -> None:
         self.address = f"{name}:1"
+        run = f"{name}-{run}"
         self.store = EngineStore(engine, waits=False)
-        self.holding = Holding(self.store, MemberId(name), self.address, f"run-{name}")
+        self.holding = Holding(self.store, MemberId(name), self.address, run)
         self.cell = Cell(name, self.address, peers)  # type: ignore[arg-type]
         configuration = ConfigurationHolder(lambda _value: intent())
         configuration.offer(b"1", 0.0, "test")
@@ -97,9 +120,7 @@
             Metrics(),
             2.0,
         )
-        application = PeerApplication(
-            self.cell, configuration, None, Metrics(), f"run-{name}"
-        )
+        application = PeerApplication(self.cell, configuration, None, Metrics(), run)
         application.take_over = self.control.take_over
         peers.applications[self.address] = application
 
@@ -164,3 +185,34 @@
         third = MemberParts("m3", StoreEngine(ManualClock()), self.peers)
         assert not third.control.take_over(seen)
         assert third.schedulers == []
+
+
+class TestRestart:
+    """Every process is killed and starts again; the record names one of them."""
+
+    def setup_method(self) -> None:
+        self.peers = PeersStub()
+        self.engine = StoreEngine(ManualClock())
+        MemberParts("m1", self.engine, self.peers).control.look_for_holder()
+
+    def test_former_holder_claims_without_waiting_for_its_lease(self) -> None:
+        again = MemberParts("m1", self.engine, self.peers, run="second")
+        again.control.look_for_holder()
+        assert [scheduler.token for scheduler in again.schedulers] == [2]
+
+    def test_other_member_claims_as_soon_as_the_holder_answers_as_another_run(
+        self,
+    ) -> None:
+        MemberParts("m1", self.engine, self.peers, run="second")
+        other = MemberParts("m2", self.engine, self.peers)
+        other.control.follow()
+        assert other.schedulers == []
+        other.control.follow()
+        assert [scheduler.token for scheduler in other.schedulers] == [2]
+
+    def test_member_asks_a_holder_that_it_has_just_learned_of_at_once(self) -> None:
+        other = MemberParts("m2", self.engine, self.peers)
+        pauses = PauseLog(rounds=3)
+        other.control.stopping = pauses
+        other.control.run()
+        assert len(pauses.waits) < 3
