--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
@@ -23,7 +23,6 @@
 )
 from gooseberrydeck_fleet.ids import StepRef, TaskRef, WorkerId
 from gooseberrydeck_fleet.intent import Intent
-from gooseberrydeck_fleet.progress import decode_progress
 from gooseberrydeck_fleet.registrations import Registration
 from gooseberrydeck_fleet.scheduler import Scheduler
 from gooseberrydeck_fleet.settings import Timing
@@ -39,7 +38,7 @@
 )
 from gooseberrydeck_member.hold_plan import AnswerLosses, WorkerLine
 from gooseberrydeck_member.holding import Holding, HoldingLostError
-from gooseberrydeck_member.keys import JOBS, PROGRESS, WORKERS
+from gooseberrydeck_member.keys import JOBS
 from gooseberrydeck_member.observability import Metrics
 from gooseberrydeck_member.peer_messages import Accepted
 from gooseberrydeck_member.store_follower import (
@@ -47,6 +46,7 @@
     PrefixRead,
     StoreFollower,
 )
+from gooseberrydeck_member.stored_state import read_stored_state
 from gooseberrydeck_member.worker_lines import (
     CallFailed,
     HoldAnswered,
@@ -64,9 +64,6 @@
 TICK_S = 0.05
 """How often time-outs are looked at when no message comes."""
 
-LOAD_CALLS = 4
-"""Reads of a takeover, made at once: a slow store takes a quarter of a second each."""
-
 LOAD_RETRY_S = 0.15
 """Pause after a takeover could not read the store."""
 
@@ -148,7 +145,6 @@
         if was_silent:
             self.scheduler.predecessor_may_act(self.claimed_s + NOTICE_S)
         self.unplaced: dict[JobId, tuple[JobRecord, int]] = {}
-        self.known_workers: dict[WorkerId, Registration] = {}
         self.has_begun = False
 
     # The interface to other threads.
@@ -215,46 +211,29 @@
 
     def load(self) -> None:
         """Take in everything that the store keeps."""
-        with ThreadPoolExecutor(LOAD_CALLS, "load") as readers:
-            workers_read = readers.submit(self.store.read, WORKERS, STORE_TIMEOUT_S)
-            registered, progress, jobs = readers.map(
-                lambda prefix: self.store.read_prefix(prefix, STORE_TIMEOUT_S),
-                (self.registrations, PROGRESS, JOBS),
-            )
-            workers = workers_read.result()
+        stored = read_stored_state(self.store, self.registrations, STORE_TIMEOUT_S)
         while self.drain_intents():
             pass
-        if workers is not None:
-            recorded = msgspec.json.decode(workers.value, type=list[Registration])
-            self.known_workers = {known.worker: known for known in recorded}
-            self.committer.record_revision = workers.mod_revision
+        self.committer.record_revision = stored.workers_revision
         now_s = time.monotonic()
-        listed = {entry.key for entry in registered.entries}
-        for entry in registered.entries:
+        listed = {entry.key for entry in stored.registered.entries}
+        for entry in stored.registered.entries:
             self.registration_changed(entry.key, entry.value, now_s)
-        for worker, known in self.known_workers.items():
+        for worker, known in stored.workers.items():
             if self.registrations + worker not in listed:
                 self.add_worker(known, now_s)
                 self.scheduler.worker_unregistered(worker)
-        records = [
-            (msgspec.json.decode(entry.value, type=JobRecord), int(entry.mod_revision))
-            for entry in jobs.entries
-        ]
-        # As they came, so that the same jobs lie within their teams' shares.
-        for record, revision in sorted(records, key=lambda each: each[0].accepted_s):
+        for record, revision in stored.jobs:
             self.take_job(record, revision, is_earlier=True)
-        for entry in progress.entries:
-            job = JobId(entry.key.removeprefix(PROGRESS))
-            self.scheduler.restore(
-                job, decode_progress(entry.value), int(entry.mod_revision)
-            )
+        for job, (progress, revision) in stored.progress.items():
+            self.scheduler.restore(job, progress, revision)
         self.scheduler.clear_doubts()
-        self.followers[0].start_at(jobs.revision)
-        self.followers[1].start_at(registered.revision)
+        self.followers[0].start_at(stored.jobs_revision)
+        self.followers[1].start_at(stored.registered.revision)
         log.info(
             "shard taken over",
             token=self.token,
-            jobs=len(jobs.entries),
+            jobs=len(stored.jobs),
             workers=len(self.lines_of),
             seconds=round(time.monotonic() - self.claimed_s, 3),
         )
--- /dev/null
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/stored_state.py
@@ -0,0 +1,72 @@
+"""What a new holder of the shard reads from the store."""
+
+from collections.abc import Mapping
+from concurrent.futures import ThreadPoolExecutor
+
+import msgspec
+
+from gooseberrydeck_coordination.ids import JobId, Revision
+from gooseberrydeck_coordination.store import Snapshot, Store
+from gooseberrydeck_fleet.ids import WorkerId
+from gooseberrydeck_fleet.progress import Progress, decode_progress
+from gooseberrydeck_fleet.registrations import Registration
+from gooseberrydeck_fleet.work import JobRecord
+from gooseberrydeck_member.keys import JOBS, PROGRESS, WORKERS
+
+__all__ = ["StoredState", "read_stored_state"]
+
+READS = 4
+"""Made at once: a slow store takes a quarter of a second for each."""
+
+
+class StoredState(msgspec.Struct, frozen=True):
+    """Jobs with their revisions, in the order in which they were accepted.
+
+    ``workers`` are those on which an earlier holder may have started something, as of
+    ``workers_revision``; ``registered`` are the workers' own entries.
+    """
+
+    jobs: tuple[tuple[JobRecord, int], ...]
+    jobs_revision: Revision
+    progress: Mapping[JobId, tuple[Progress, int]]
+    workers: Mapping[WorkerId, Registration]
+    workers_revision: Revision
+    registered: Snapshot
+
+
+def read_stored_state(
+    store: Store, registrations: str, timeout_s: float
+) -> StoredState:
+    """Read everything below the given prefixes, or raise a ``StoreError``.
+
+    The shard must be held: then nobody else writes progress or the workers' record.
+    """
+    with ThreadPoolExecutor(READS, "load") as readers:
+        workers_read = readers.submit(store.read, WORKERS, timeout_s)
+        registered, progress, jobs = readers.map(
+            lambda prefix: store.read_prefix(prefix, timeout_s),
+            (registrations, PROGRESS, JOBS),
+        )
+        workers = workers_read.result()
+    records = [
+        (msgspec.json.decode(entry.value, type=JobRecord), int(entry.mod_revision))
+        for entry in jobs.entries
+    ]
+    recorded: list[Registration] = []
+    if workers is not None:
+        recorded = msgspec.json.decode(workers.value, type=list[Registration])
+    return StoredState(
+        # As they came, so that the same jobs lie within their teams' shares.
+        jobs=tuple(sorted(records, key=lambda each: each[0].accepted_s)),
+        jobs_revision=jobs.revision,
+        progress={
+            JobId(entry.key.removeprefix(PROGRESS)): (
+                decode_progress(entry.value),
+                int(entry.mod_revision),
+            )
+            for entry in progress.entries
+        },
+        workers={entry.worker: entry for entry in recorded},
+        workers_revision=Revision(0) if workers is None else workers.mod_revision,
+        registered=registered,
+    )
