Let jobs that can still be on time go before those that cannot

Cause: in bursts the order by due time served first what was late already, so that every job after it became late as well.

Change: within a priority and a share, steps go last whose job cannot be on time even if it takes only 0.7 of the estimate of what is left. All run in the end; what stands is never late.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
@@ -392,7 +392,7 @@
             self.housekeeping_s = now_s + HOUSEKEEPING_S
             self.keep_house(now_s)
         self.open_due(wall_s)
-        self.serve_steps(now_s)
+        self.serve_steps(now_s, wall_s)
         self.send_stops(now_s)
         commands = self.commands
         self.commands = []
@@ -461,10 +461,10 @@
                     self.ends.request_stop(run, StopReason.STALLED)
                     self.ledger.health.set_aside(worker.id, now_s)
 
-    def serve_steps(self, now_s: float) -> None:
+    def serve_steps(self, now_s: float, wall_s: float) -> None:
         """Start what can start, the most urgent first."""
         blocked: dict[TeamName, int] = {}
-        for step in self.steps_in_order(now_s):
+        for step in self.steps_in_order(now_s, wall_s):
             waiting = step.waiting_tasks()
             if not waiting:
                 if step.spec.is_speculative and step.job.queue.priority == 0:
@@ -488,9 +488,13 @@
             elif allowed:
                 self.serve(step, waiting[:allowed], now_s)
 
-    def steps_in_order(self, now_s: float) -> list[Step]:
-        """Return the open steps by priority, share, and the time they are due."""
-        found: list[tuple[int, bool, float, StepRef, Step]] = []
+    def steps_in_order(self, now_s: float, wall_s: float) -> list[Step]:
+        """Return the open steps by priority, share, and the time they are due.
+
+        Those of jobs that can still be on time go before those that cannot: else a
+        burst makes every job after it late.
+        """
+        found: list[tuple[int, bool, bool, float, StepRef, Step]] = []
         for job in self.ledger.jobs.values():
             if job.state.is_final:
                 continue
@@ -500,10 +504,12 @@
                 elif is_ready(step):
                     if step.ready_s is None:
                         step.ready_s = now_s
-                    rank = job.queue.priority, not job.is_within_share, job.due_s
+                    is_beyond = not job.is_within_share
+                    is_late = job.will_be_late(step, wall_s)
+                    rank = job.queue.priority, is_beyond, is_late, job.due_s
                     found.append((*rank, ref, step))
-        found.sort(key=lambda entry: entry[:4])
-        return [entry[4] for entry in found]
+        found.sort(key=lambda entry: entry[:5])
+        return [entry[5] for entry in found]
 
     def serve(self, step: Step, waiting: list[Task], now_s: float) -> None:
         """Start waiting tasks of a step where there is room and a ticket."""
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
@@ -27,6 +27,9 @@
 """How much slower than true time a worker's clock may go; promised by the platform."""
 
 
+CERTAIN_SHARE = 0.7
+"""Share of a job's estimated work that it takes at least; estimates are off by half."""
+
 MAX_TASK_LEASE_S = 4.2
 """A task that lasts must run again 6 s after its worker went dark: the lease, its
 drift, and the questions and the start that follow have to fit in."""
@@ -248,6 +251,27 @@
             longest.append(before + step.estimate_s)
         return self.queue.stretch * max(longest, default=0.0) + self.queue.slack_s
 
+    def will_be_late(self, step: Step, wall_s: float) -> bool:
+        """Tell whether the job cannot be on time if a step starts now.
+
+        Estimates are rough: it is given up on only if a part of what they say is left
+        would be too much. A step that stands is never late.
+        """
+        if step.spec.is_standing:
+            return False
+        left_s = CERTAIN_SHARE * self.chain_left_s(step)
+        return wall_s + left_s > self.due_s
+
+    def chain_left_s(self, step: Step) -> float:
+        """Return the estimate of the longest chain of work from a step on."""
+        specs = self.record.work.steps
+        longest: dict[int, float] = {step.ref.step: step.spec.estimate_s}
+        for number in range(step.ref.step + 1, len(specs)):
+            before = [longest[each] for each in specs[number].after if each in longest]
+            if before:
+                longest[number] = max(before) + specs[number].estimate_s
+        return max(longest.values())
+
     def occurrence_due_s(self, occurrence: int) -> float:
         """Return the wall-clock time from which an occurrence may start."""
         if not self.has_times:
