Record workers while commits are out

Cause (found by reading): workers were recorded, and so given work, only in a moment without a commit out; with a slow store and many ends there is none. Now the record has its own time, ten looks a second at most. The test fails without it.

--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/committer.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/committer.py
@@ -47,6 +47,11 @@
 """Pause after a failed commit."""
 
 
+RECORD_INTERVAL_S = 0.1
+"""Between two looks at whether the workers' record has to change; a new worker waits
+that much for its first task."""
+
+
 class CommitDone(msgspec.Struct, frozen=True):
     """A commit has ended; ``outcome`` is None if the shard was lost."""
 
@@ -97,10 +102,10 @@
 
     def send_due(self, now_s: float) -> AcknowledgedEnds:
         """Send what is due; return the ends that need no transaction."""
+        self.record_workers(now_s)
         if self.is_idle():
             if self.out:
                 return {}
-            self.record_workers(now_s)
             return self.changes.stored(self.changes.take(0, 0.0), {}, now_s)
         if self.out >= self.max_out or now_s < self.due_s:
             return {}
@@ -161,10 +166,10 @@
         """Store which workers may run something, before they are given work."""
         if self.is_recording or now_s < self.record_due_s:
             return
+        self.record_due_s = now_s + RECORD_INTERVAL_S
         entries = self.changes.workers_to_record()
         if entries is None:
             return
-        self.record_due_s = now_s + COMMIT_RETRY_S
         self.is_recording = True
         self.executor.submit(self.write_workers, entries, self.record_revision)
 
--- a/tests/member/test_committer.py
+++ b/tests/member/test_committer.py
@@ -15,6 +15,7 @@
 from gooseberrydeck_member.committer import (
     COMMIT_RETRY_S,
     OVERLAP_WINDOW_S,
+    RECORD_INTERVAL_S,
     CommitDone,
     Committer,
     WorkersRecorded,
@@ -149,6 +150,21 @@
         assert late.entries is None
         assert self.stored() == ["w1", "w2"]
 
+    def test_new_worker_is_recorded_while_commits_are_out(self) -> None:
+        # With a slow store and many ends some commit is always out.
+        self.end_job("a")
+        self.store.open.clear()
+        self.send()
+        assert self.store.entered.acquire(timeout=WAIT_S)
+        worker = self.fleet.add_worker("new")
+        self.now_s += RECORD_INTERVAL_S
+        self.committer.send_due(self.now_s)
+        self.store.open.set()
+        messages = [self.messages.get(timeout=WAIT_S) for _ in range(2)]
+        (recorded,) = [each for each in messages if isinstance(each, WorkersRecorded)]
+        self.committer.workers_recorded(recorded)
+        assert self.fleet.scheduler.ledger.workers[worker].is_recorded
+
     def test_refused_write_learns_the_revision_for_the_next(self) -> None:
         self.write("w1", revision=Revision(0))
         refused = self.write("w2", revision=Revision(0))
