--- a/tests/fleet/test_faults.py
+++ b/tests/fleet/test_faults.py
@@ -5,6 +5,7 @@
 from fleet_support import (
     HOST,
     SLOW,
+    TEAM,
     URGENT,
     Fleet,
     intent,
@@ -470,6 +471,8 @@
 class TestPreemption:
     def test_urgent_step_stops_the_least_work_that_saves_its_progress(self) -> None:
         fleet = Fleet(workers=1)
+        # Work beyond a share preempts nothing; this is about work within.
+        fleet.scheduler.set_intent(intent(shares={TEAM: 10.0}))
         step = StepSpec(4, task_resources(8), saves_progress=True)
         slow = fleet.submit("slow", step, seconds=5.0)
         fleet.run_for(1.0)
@@ -493,6 +496,8 @@
 
     def test_room_that_is_being_freed_is_kept_for_the_urgent_step(self) -> None:
         fleet = Fleet(workers=1)
+        # Work beyond a share preempts nothing; this is about work within.
+        fleet.scheduler.set_intent(intent(shares={TEAM: 10.0}))
         step = StepSpec(4, task_resources(8), saves_progress=True)
         fleet.submit("slow", step, seconds=9.0)
         fleet.run_for(0.5)
