End the task of a refused start when its job is cancelled

Cause: start_refused of a cancelled job lowered the count of unfinished tasks but left the task pending in the record, so the next owner counted it again and the job never ended. Ruled out: the count itself, which is right until a takeover. Change: the task ends as cancelled, as on every other path.

--- a/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/engine.py
+++ b/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/engine.py
@@ -16,7 +16,7 @@
 )
 from gooseberrydeck_scheduling.exceptions import DuplicateJobError, JobRefusedError
 from gooseberrydeck_scheduling.explaining import explain_wait
-from gooseberrydeck_scheduling.jobs import JobRecord, JobSpec
+from gooseberrydeck_scheduling.jobs import JobRecord, JobSpec, TaskState
 from gooseberrydeck_scheduling.outcomes import Outcomes
 from gooseberrydeck_scheduling.placement import BestFit
 from gooseberrydeck_scheduling.rules import QueueRules, SchedulerSettings
@@ -211,7 +211,7 @@
             state.health.failed(running.host, job.id, job.family, now_s)
             state.apply_health_changes()
         if job.is_ending:
-            job.unfinished -= 1
+            self.outcomes.finish_task(job, running.index, TaskState.CANCELLED)
             state.finish_if_done(job, now_s)
         elif job.spec.is_gang:
             self.outcomes.requeue_gang(job, running.index, now_s, now_s)
