Reserve the ports of child processes until their test process ends

Ruled out: outgoing connections, whose range is above these ports. Change: a chosen port is locked by a file for as long as the choosing process lives.

--- a/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/processes.py
+++ b/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/processes.py
@@ -1,5 +1,6 @@
 """Child processes of tests, benchmarks and the demo."""
 
+import fcntl
 import json
 import os
 import random
@@ -7,6 +8,7 @@
 import socket
 import subprocess
 import sys
+import tempfile
 import time
 from collections.abc import Callable, Sequence
 from pathlib import Path
@@ -34,6 +36,7 @@
 POLL_S = 0.02
 LOOPBACK = "127.0.0.1"
 PORT_RANGE = (20_000, 32_000)
+PORT_LOCKS = Path(tempfile.gettempdir()) / f"gooseberrydeck-ports-{os.getuid()}"
 
 
 class WaitTimeoutError(Exception):
@@ -60,7 +63,7 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return TCP ports that are currently free.
+    """Return free TCP ports, reserved until this process ends.
 
     They are below the system's ephemeral range, so that no outgoing connection takes
     one of them before its listener is up.
@@ -68,11 +71,30 @@
     found: list[int] = []
     while len(found) < count:
         port = random.SystemRandom().randrange(*PORT_RANGE)
-        if port not in found and is_free(port):
+        if reserve_port(port):
             found.append(port)
     return found
 
 
+def reserve_port(port: int) -> bool:
+    """Reserve a free port until this process ends; return False if it is taken.
+
+    Another process that chooses a port could otherwise take it before the child process
+    that it is meant for listens on it. The lock is released with this process.
+    """
+    PORT_LOCKS.mkdir(exist_ok=True)
+    lock = os.open(PORT_LOCKS / str(port), os.O_RDWR | os.O_CREAT)
+    try:
+        fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except BlockingIOError:
+        os.close(lock)
+        return False
+    if not is_free(port):
+        os.close(lock)
+        return False
+    return True
+
+
 def is_free(port: int) -> bool:
     """Return True if a port can be bound."""
     try:
