Give shards sooner to members that start slowly with their cell

Cause: members that start later than cold_start_s find every shard claimed, and a surplus moves only after imbalance_hold_s (30 s). Ruled out: claims at the same time, which the store settles. A quick move by the owner's age alone shuffled shards after a restart (test_shards_are_shared_from_the_start_and_move_slowly) and was dropped. Change: an owner whose shards never moved hands a surplus over after cold_start_s during its first formation_s.

--- a/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/shards.py
+++ b/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/shards.py
@@ -23,6 +23,9 @@
     "shard_of",
 ]
 
+FIRST_EPOCH = Epoch(1)
+"""The epoch of a shard that has had only one owner."""
+
 
 class ShardRecord(msgspec.Struct, frozen=True):
     """The owner of a shard, and what a later owner needs to compute its waits.
@@ -54,7 +57,7 @@
     """
     if former is None:
         return ShardRecord(
-            owner, Epoch(1), float(timing.session_ttl_s), timing.task_lease_s
+            owner, FIRST_EPOCH, float(timing.session_ttl_s), timing.task_lease_s
         )
     wait_ttl_s, wait_lease_s = former.session_ttl_s, former.task_lease_s
     if not former.is_settled:
@@ -112,7 +115,8 @@
     Members that have read the same state compute the same plan, so claims seldom
     conflict; the store rejects all but one of those that do. After
     ``Timing.fallback_claim_s``, any member may claim a shard that its planned member
-    did not claim. Surplus shards move slowly, one at a time in the whole cell.
+    did not claim. Surplus shards move one at a time in the whole cell, and slowly once
+    the cell has formed.
     """
 
     def __init__(
@@ -128,6 +132,7 @@
         self.last_read_s = float("-inf")
         self.claims_from_s = float("-inf")
         self.first_claims_from_s: float | None = None
+        self.formation_until_s = float("-inf")
 
     def observe(
         self,
@@ -140,6 +145,7 @@
             # Wait for members that start at the same time, so that the shards are
             # shared evenly from the start.
             self.first_claims_from_s = now_s + self.timing.cold_start_s
+            self.formation_until_s = now_s + self.timing.formation_s
         if now_s - self.last_read_s > self.timing.session_ttl_s:
             # After an outage of the store every session may have expired. Owners need
             # time to reopen their sessions before others may claim their shards.
@@ -184,16 +190,22 @@
         now_s = self.clock.monotonic()
         if self.surplus_since_s is None:
             return None
-        if now_s - self.surplus_since_s < self.timing.imbalance_hold_s:
-            return None
-        # Hand over further shards at the shorter ``move_interval_s``.
-        waited_s = self.timing.imbalance_hold_s - self.timing.move_interval_s
-        self.surplus_since_s = now_s - max(0.0, waited_s)
-        own = [
-            shard
+        own = {
+            shard: record
             for shard, record in shards.items()
             if record.owner.member == self.member and not record.is_released
-        ]
+        }
+        # Members that start with the cell but later than ``cold_start_s`` find all
+        # shards claimed, and should get theirs soon.
+        is_forming = now_s < self.formation_until_s and all(
+            record.epoch == FIRST_EPOCH for record in own.values()
+        )
+        timing = self.timing
+        hold_s = timing.cold_start_s if is_forming else timing.imbalance_hold_s
+        if now_s - self.surplus_since_s < hold_s:
+            return None
+        # Hand over further shards at the shorter ``move_interval_s``.
+        self.surplus_since_s = now_s - max(0.0, hold_s - timing.move_interval_s)
         return max(own, default=None)
 
     def _claimable_from_s(
--- a/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/timing.py
+++ b/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/timing.py
@@ -25,6 +25,7 @@
     cold_start_s: float = 2.0
     fallback_claim_s: float = 3.0
     move_interval_s: float = 5.0
+    formation_s: float = 20.0
     imbalance_hold_s: float = 30.0
     forget_member_s: float = 60.0
 
--- a/tests/coordination/test_ownership_scenarios.py
+++ b/tests/coordination/test_ownership_scenarios.py
@@ -295,6 +295,16 @@
         cluster.advance(8.0)
         assert owned_shard_counts(cluster) == {"m0": 2, "m1": 2, "m2": 2, "m3": 2}
 
+    def test_members_that_start_slowly_get_their_shards_soon(self) -> None:
+        # Without a quick move, the late members would wait for ``imbalance_hold_s``.
+        cluster = FakeCluster(members=2, shards=4, workers_per_shard=1)
+        cluster.advance(4.0)
+        assert owned_shard_counts(cluster) == {"m0": 2, "m1": 2}
+        for name in ("m2", "m3"):
+            cluster.start(name)
+        cluster.advance(20.0)
+        assert set(owned_shard_counts(cluster).values()) == {1}
+
     def test_shards_are_shared_from_the_start_and_move_slowly(self) -> None:
         cluster = FakeCluster(members=4, shards=8, workers_per_shard=1)
         cluster.advance(10.0)
