--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/advice_requests.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/advice_requests.py
@@ -6,6 +6,7 @@
 
 from gooseberrydeck_fleet.advice import Advice, advice_duration_s
 from gooseberrydeck_fleet.commands import AskAdvice
+from gooseberrydeck_fleet.configuration import AdvicePolicy
 from gooseberrydeck_fleet.ids import StepRef, WorkerId
 from gooseberrydeck_fleet.placement import Placer
 from gooseberrydeck_fleet.state import Step, Worker
@@ -22,9 +23,10 @@
 """Assumed share of workers that a policy allows; determines how many to ask about."""
 
 CHEAP_ADVICE_SHARE = 0.5
-"""Advice on all workers is requested if their part of the cost is at most this share.
+"""A request names more workers than it needs up to this share of its fixed cost.
 
-The share is relative to the fixed cost of a request, ``AdvicePolicy.decide_s``.
+The fixed cost is ``AdvicePolicy.decide_s``. What a request finds out about a worker
+stays valid, and saves later requests.
 """
 
 MAX_ADVICE_WORKERS = 100
@@ -115,25 +117,34 @@
             if worker.id not in cache.rejected
             and cache.ticket(worker.id, worker.born_ms, now_s) is None
         ]
-        all_s = policy.per_worker_s * len(open_workers)
-        if (
-            step.job.queue.priority == 0
-            and all_s <= CHEAP_ADVICE_SHARE * policy.decide_s
-        ):
-            return [worker.id for worker in open_workers[:MAX_ADVICE_WORKERS]]
+        cheap = cheap_workers(policy)
+        if step.job.queue.priority == 0 and len(open_workers) <= cheap:
+            return [worker.id for worker in open_workers]
         ranked = sorted(
             self.placer.with_room(open_workers, step),
             key=lambda pair: (pair[1].id not in cache.allowed, -pair[0]),
         )
-        chosen: list[WorkerId] = []
+        chosen: dict[WorkerId, None] = {}
         expected = 0.0
-        for slots, worker in ranked:
+        for slots, worker in ranked[:MAX_ADVICE_WORKERS]:
             share = 1.0 if worker.id in cache.allowed else ADVICE_ALLOWED_SHARE
             expected += share * slots
-            chosen.append(worker.id)
-            if (
-                expected >= CAPACITY_MARGIN * wanted
-                or len(chosen) == MAX_ADVICE_WORKERS
-            ):
+            chosen[worker.id] = None
+            if expected >= CAPACITY_MARGIN * wanted and len(chosen) >= cheap:
                 break
-        return chosen
+        if chosen:
+            # Workers without room are added, since the request is sent anyway.
+            unknown = (each.id for each in open_workers if each.id not in cache.allowed)
+            for worker_id in unknown:
+                if len(chosen) >= cheap:
+                    break
+                chosen[worker_id] = None
+        return list(chosen)
+
+
+def cheap_workers(policy: AdvicePolicy) -> int:
+    """Return how many workers a request may name at little extra cost."""
+    if not policy.per_worker_s:
+        return MAX_ADVICE_WORKERS
+    count = CHEAP_ADVICE_SHARE * policy.decide_s / policy.per_worker_s
+    return min(MAX_ADVICE_WORKERS, int(count))
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
@@ -18,7 +18,7 @@
 from gooseberrydeck_fleet.progress import Progress
 from gooseberrydeck_fleet.registrations import Registration
 from gooseberrydeck_fleet.run_ends import LossReason, RunEndHandler
-from gooseberrydeck_fleet.serving import StepServer
+from gooseberrydeck_fleet.serving import LongWait, StepServer
 from gooseberrydeck_fleet.settings import Timing
 from gooseberrydeck_fleet.shares import ShareTracker
 from gooseberrydeck_fleet.speculation import Speculator
@@ -93,6 +93,7 @@
         self.queues: dict[QueueName, Queue] = {}
         self.periodic_jobs: dict[JobId, Job] = {}
         self.orphaned_runs: list[OrphanedRun] = []
+        self.long_waits: list[LongWait] = []
         self.next_housekeeping_s = 0.0
 
     # Configuration and membership.
@@ -396,6 +397,7 @@
             self.changes.forget_ended(now_s - self.timing.status_s - ENDED_JOB_MARGIN_S)
             self.housekeeper.run(now_s)
             self.server.review(now_s)
+            self.long_waits += self.server.take_long_waits(now_s)
         self.open_due_occurrences(wall_s)
         self.server.run(now_s, wall_s)
         self.send_stops(now_s)
@@ -406,6 +408,11 @@
         """Return True if ``decide`` should be called again without a pause."""
         return self.server.has_backlog
 
+    def take_long_waits(self) -> list[LongWait]:
+        """Return the steps that have waited long since the last call, each once."""
+        waits, self.long_waits = self.long_waits, []
+        return waits
+
     def open_due_occurrences(self, wall_s: float) -> None:
         """Open the occurrences of periodic jobs that are due."""
         for job in list(self.periodic_jobs.values()):
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/serving.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/serving.py
@@ -21,7 +21,7 @@
 from gooseberrydeck_fleet.waiting import Rank, WaitingSteps
 from gooseberrydeck_fleet.worker_calls import StartRequest
 
-__all__ = ["StepServer"]
+__all__ = ["LongWait", "StepServer"]
 
 START_VALID_S = 1.5
 """Validity of a start request.
@@ -43,6 +43,31 @@
 """The most urgent waiting steps, tried again at each review: runs that can be preempted
 may have started meanwhile."""
 
+LONG_WAIT_S = 5.0
+"""A step that waits longer than this is reported, with what it waits for."""
+
+MAX_LONG_WAITS = 50
+"""Steps checked for long waits, in order; bounds the lines that are logged."""
+
+
+class LongWait(NamedTuple):
+    """What keeps a step waiting, in numbers of workers and of tasks.
+
+    ``slots`` is how many tasks fit on the ``permitted`` workers now, ``quota`` how many
+    the team's limit admits.
+    """
+
+    step: StepRef
+    waited_s: float
+    waiting_tasks: int
+    is_gang: bool
+    usable: int
+    allowed: int
+    rejected: int
+    permitted: int
+    slots: int
+    quota: int
+
 
 class FreedWorker(NamedTuple):
     """A worker with more free capacity than before a pass."""
@@ -105,6 +130,37 @@
         for step in self.waiting.speculative_steps():
             self.start_copies(step, now_s)
 
+    def take_long_waits(self, now_s: float) -> list[LongWait]:
+        """Return the steps that have waited long, each once."""
+        waits = []
+        for rank in self.waiting.after(None, MAX_LONG_WAITS):
+            step = self.waiting.steps[rank[-1]]
+            ready_s = step.ready_s
+            if step.is_wait_reported or ready_s is None:
+                continue
+            if now_s - ready_s >= LONG_WAIT_S:
+                step.is_wait_reported = True
+                waits.append(self.describe_wait(step, now_s - ready_s, now_s))
+        return waits
+
+    def describe_wait(self, step: Step, waited_s: float, now_s: float) -> LongWait:
+        """Return what keeps a step waiting."""
+        permitted = self.placer.permitted(step, now_s)
+        team = step.job.record.team
+        waiting = len(step.waiting_tasks())
+        return LongWait(
+            step.ref,
+            waited_s,
+            waiting,
+            step.spec.is_gang,
+            len(self.placer.usable(step)),
+            len(step.advice.allowed),
+            len(step.advice.rejected),
+            len(permitted),
+            sum(slots for slots, _ in self.placer.with_room(permitted, step)),
+            self.ledger.quotas.count_allowed(team, step.spec.resources, waiting),
+        )
+
     def retry_at(self, step: Step, at_s: float) -> None:
         """Try a step again at a monotonic time."""
         heapq.heappush(self.retries, (at_s, step.ref))
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
@@ -167,6 +167,7 @@
         "durations",
         "is_open",
         "is_safe_to_start",
+        "is_wait_reported",
         "job",
         "ready_s",
         "ref",
@@ -191,6 +192,7 @@
         self.ready_s: float | None = None
         self.durations = StepDurations()
         self.tried_in_pass = 0
+        self.is_wait_reported = False
 
     @property
     def is_done(self) -> bool:
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
@@ -293,6 +293,13 @@
             self.scheduler.set_max_advice_requests(self.advice_pool.capacity())
             for command in self.scheduler.decide(now_s, time.time()):
                 self.execute(command)
+        for wait in self.scheduler.take_long_waits():
+            log.info(
+                "step waits",
+                job=wait.step.job,
+                step=wait.step[1:],
+                **dict(zip(wait._fields[1:], wait[1:], strict=True)),
+            )
         self.poll_due_workers(now_s)
         self.acknowledge(self.committer.send_due(now_s), now_s)
 
