Let a request wait for the next owner of its endpoints

Cause: while a member hands its shards over, an owner refuses forwarded requests with ownership-moved at once. Change: such a refusal is tried again every 50 ms, for 3 s at most, without spending attempts or budget.

--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/dispatch/dispatcher.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/dispatch/dispatcher.py
@@ -41,6 +41,13 @@
 HOP_MARGIN_S = 0.01
 MAX_ATTEMPTS = 3
 
+MOVE_WAIT_S = 3.0
+"""How long a request waits for the next owner of its endpoints: a release, a claim and
+the news of it, each up to one round of the store."""
+
+MOVE_CHECK_INTERVAL_S = 0.05
+"""Interval of attempts while ownership moves."""
+
 RETRIED_REASONS = frozenset(
     {
         Reason.OWNERSHIP_MOVED,
@@ -97,16 +104,36 @@
     def run_with_retries(self, request: ServiceRequest) -> EndpointResponse:
         """Run a request, retrying failures that are safe to retry."""
         attempt = 1
+        wait_until_s = min(request.deadline_s, time.monotonic() + MOVE_WAIT_S)
         while True:
             try:
                 return self.run_once(request, has_retry_token=attempt > 1)
             except DispatchError as error:
+                if self.may_wait_for_owner(request, error, wait_until_s):
+                    self.metrics.count("dispatch.waits.ownership")
+                    time.sleep(MOVE_CHECK_INTERVAL_S)
+                    continue
                 if not self.should_retry(request, error, attempt):
                     raise
             attempt += 1
             request.is_retry = True
             self.metrics.count("dispatch.retries")
 
+    def may_wait_for_owner(
+        self, request: ServiceRequest, error: DispatchError, until_s: float
+    ) -> bool:
+        """Return True if a request that did not run should wait for another owner.
+
+        It was refused by an owner that hands its shards over, so this spends neither an
+        attempt nor a token of the retry budget.
+        """
+        return (
+            error.reason is Reason.OWNERSHIP_MOVED
+            and error.outcome is Outcome.NOT_RUN
+            and time.monotonic() + MOVE_CHECK_INTERVAL_S < until_s
+            and not request.is_caller_gone()
+        )
+
     def should_retry(
         self, request: ServiceRequest, error: DispatchError, attempt: int
     ) -> bool:
--- a/tests/daemon/test_draining.py
+++ b/tests/daemon/test_draining.py
@@ -17,6 +17,7 @@
     wait_until,
 )
 from gooseberrydeck_daemon.composition import Member
+from gooseberrydeck_daemon.dispatch.dispatcher import MAX_ATTEMPTS
 from gooseberrydeck_platform.endpoints import EndpointRequest, EndpointResponse
 from gooseberrydeck_platform.hosts import HostState
 
@@ -72,6 +73,20 @@
         assert responses[0][0] == 200
         assert len(endpoints.runs) == 1
 
+    def test_request_waits_until_another_owner_takes_it(self) -> None:
+        # Otherwise every request between a release and the next claim is refused.
+        names = ("m1", "m2")
+        host = endpoint_host(next(host_names_owned_by("m2", names)))
+        responses: list[tuple[int, dict[str, str], bytes]] = []
+        with running_cell([host], FakeEndpoints(), names) as cell:
+            cell["m2"].dispatcher.is_draining = True
+            waiting = start_thread(lambda: responses.append(call(cell["m1"])))
+            waits = cell["m1"].metrics.counts
+            wait_until(lambda: waits["dispatch.waits.ownership"] > MAX_ATTEMPTS)
+            cell["m2"].dispatcher.is_draining = False
+            waiting.join()
+        assert responses[0][0] == 200
+
 
 def send_request(member: Member) -> socket.socket:
     """Send a request and return its connection, without reading the response."""
