Block a team's less urgent steps only while a step waits for the team's limit

Cause: a step with more tasks than its team's limit admits at once blocked every less urgent step of the team, also while it started nothing for want of workers. Ruled out: advice (no request is in flight for the blocked step), stale limits (the steps that block are listed with the team's usage in a trial with more log lines). Before: three new tests fail.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/quotas.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/quotas.py
@@ -40,10 +40,21 @@
 
     def count_allowed(self, team: TeamName, amount: Resources, wanted: int) -> int:
         """Return how many runs of ``amount`` a team may start, up to ``wanted``."""
+        return self.count_beside(
+            self.used.get(team, NO_RESOURCES), team, amount, wanted
+        )
+
+    def count_admitted(self, team: TeamName, amount: Resources, wanted: int) -> int:
+        """Return how many runs of ``amount`` a team's whole limit admits."""
+        return self.count_beside(NO_RESOURCES, team, amount, wanted)
+
+    def count_beside(
+        self, used: Resources, team: TeamName, amount: Resources, wanted: int
+    ) -> int:
+        """Return how many runs of ``amount`` a team's limit admits beside ``used``."""
         maximum = self.maximum.get(team)
         if maximum is None:
             return wanted
-        used = self.used.get(team, NO_RESOURCES)
         allowed = wanted
         for limit, taken, each in (
             (maximum.cpu_millis, used.cpu_millis, amount.cpu_millis),
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/serving.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/serving.py
@@ -127,9 +127,22 @@
         self.last_reviewed = order[-1] if len(order) == REVIEW_STEPS else None
         for rank in order + self.waiting.after(None, REVIEW_URGENT_STEPS):
             self.waiting.due.add(rank[-1])
+        self.review_limits()
         for step in self.waiting.speculative_steps():
             self.start_copies(step, now_s)
 
+    def review_limits(self) -> None:
+        """Let the steps of a team go on if no step waits for its limit any more."""
+        waiting = self.waiting
+        for team, priority in list(self.blocked.items()):
+            steps = (waiting.steps[ref] for ref in waiting.by_team.get(team, ()))
+            if not any(
+                step.job.queue.priority == priority and self.waits_for_limit(step)
+                for step in steps
+            ):
+                del self.blocked[team]
+                waiting.team_freed(team)
+
     def take_long_waits(self, now_s: float) -> list[LongWait]:
         """Return the steps that have waited long, each once."""
         waits = []
@@ -276,17 +289,33 @@
         allowed = self.ledger.quotas.count_allowed(
             team, step.spec.resources, len(waiting)
         )
-        if allowed < len(waiting):
-            if priority == 0:
-                self.preemptor.free_quota(step, len(waiting) - allowed)
-            self.blocked[team] = min(self.blocked.get(team, priority), priority)
+        if allowed < len(waiting) and priority == 0:
+            self.preemptor.free_quota(step, len(waiting) - allowed)
         if step.spec.is_gang:
             if allowed == step.spec.count and len(waiting) == allowed:
                 self.start_gang(step, now_s)
         elif allowed:
             self.start_tasks(step, waiting[:allowed], now_s)
+        if self.waits_for_limit(step):
+            self.blocked[team] = min(self.blocked.get(team, priority), priority)
         self.waiting.started(step)
 
+    def waits_for_limit(self, step: Step) -> bool:
+        """Return True if a step could start more if its team had less running.
+
+        A step that lacks workers leaves the rest of the limit to others, and so does
+        one that the limit never admits.
+        """
+        if not step.has_waiting_tasks():
+            return False
+        team, amount = step.job.record.team, step.spec.resources
+        wanted = step.spec.count if step.spec.is_gang else 1
+        quotas = self.ledger.quotas
+        return (
+            quotas.count_allowed(team, amount, wanted) < wanted
+            and quotas.count_admitted(team, amount, wanted) == wanted
+        )
+
     def start_tasks(self, step: Step, waiting: list[Task], now_s: float) -> None:
         """Start waiting tasks of a step on permitted workers with free capacity."""
         permitted = self.placer.permitted(step, now_s)
--- a/tests/fleet/test_decision_load.py
+++ b/tests/fleet/test_decision_load.py
@@ -155,6 +155,36 @@
         self.fleet.run_for(0.2)
         assert self.fleet.running(small)
 
+    def test_urgent_step_that_lacks_workers_does_not_hold_up_its_team(self) -> None:
+        # It may start two more tasks by the limit, but only one worker has its label.
+        self.fleet.add_worker("special", labels=frozenset({"special"}))
+        wide = StepSpec(4, HALF, required_label="special")
+        self.fleet.submit("wide", wide, queue_name=URGENT, seconds=HOUR_S)
+        raised = make_configuration(maximum=Resources(96_000, 0, 0), version=2)
+        self.fleet.scheduler.set_configuration(raised)
+        self.fleet.submit("wider", wide, queue_name=URGENT, seconds=HOUR_S)
+        self.fleet.submit(
+            "widest",
+            StepSpec(8, HALF, required_label="special"),
+            queue_name=URGENT,
+        )
+        small = self.fleet.submit("small", StepSpec(1, HALF))
+        self.fleet.run_for(0.5)
+        assert self.fleet.running(small)
+
+    @pytest.mark.parametrize("is_gang", [True, False])
+    def test_step_beyond_the_whole_limit_does_not_hold_up_its_team(
+        self, is_gang: bool
+    ) -> None:
+        count, need = (3, HALF) if is_gang else (1, task_resources(cores=33.0))
+        self.fleet.add_worker("large", capacity=task_resources(cores=64.0))
+        step = StepSpec(count, need, is_gang=is_gang)
+        never = self.fleet.submit("never", step, queue_name=URGENT)
+        small = self.fleet.submit("small", StepSpec(1, HALF))
+        self.fleet.run_for(0.5)
+        assert self.fleet.running(small)
+        assert not self.fleet.running(never)
+
     def test_raised_limit_takes_effect_at_once(self) -> None:
         self.fleet.submit("running", StepSpec(2, HALF), seconds=HOUR_S)
         self.fleet.run_for(0.2)
