Forget steps that ended while waiting for advice; pause a holder without authority

A step that ended while it waited for a request for advice stayed in the set of those steps for ever. And a scheduler with work left over asked for messages without a pause also while it may not decide, so a holder that had lost its authority used a whole processor until it stepped down. Change: steps that no longer wait leave the set; the task pauses unless it may act. Before: the new tests fail. After: they pass.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/serving.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/serving.py
@@ -191,6 +191,7 @@
 
     def collect_advice_requests(self) -> None:
         """Mark as due as many steps as may request advice now, in order."""
+        self.awaiting_advice &= self.waiting.ranks.keys()
         if not self.awaiting_advice or not self.advice_requests.has_capacity(True):
             return
         left = self.advice_requests.free_requests()
@@ -213,6 +214,8 @@
         self.placer.refresh(now_s)
         self.collect_due(now_s)
         self.collect_freed()
+        # Steps that no longer wait may be due too.
+        waiting.due &= waiting.ranks.keys()
         self.placer.checked = 0
         is_complete = True
         order = waiting.order if self.freed else waiting.in_order(waiting.due)
@@ -236,7 +239,6 @@
         for worker in self.ledger.freed.values():
             self.freed[worker.id] = FreedWorker(worker, self.passes)
         self.ledger.freed.clear()
-        self.waiting.due &= self.waiting.ranks.keys()
         self.drop_full_workers()
 
     def drop_full_workers(self) -> None:
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
@@ -276,9 +276,7 @@
     def run_once(self) -> None:
         """Handle queued messages, execute the scheduler's commands and poll workers."""
         try:
-            # Without a pause if the last decision left work.
-            wait_s = 0.0 if self.scheduler.has_backlog else TICK_S
-            message = self.inbox.get(wait_s > 0, timeout=wait_s)
+            message = self.inbox.get(timeout=self.pause_s())
         except queue.Empty:
             message = None
         now_s = time.monotonic()
@@ -303,6 +301,11 @@
         self.poll_due_workers(now_s)
         self.acknowledge(self.committer.send_due(now_s), now_s)
 
+    def pause_s(self) -> float:
+        """Return how long to wait for a message: not at all with work left over."""
+        has_work = self.scheduler.has_backlog and self.authority.may_act()
+        return 0.0 if has_work else TICK_S
+
     def handle(self, message: object, now_s: float) -> None:
         """Dispatch a message to its handler."""
         if isinstance(message, PollSucceeded):
--- a/tests/fleet/test_decision_load.py
+++ b/tests/fleet/test_decision_load.py
@@ -18,6 +18,7 @@
 from gooseberrydeck_coordination.ids import JobId, TeamName
 from gooseberrydeck_coordination.resources import Resources
 from gooseberrydeck_fleet.configuration import AdvicePolicy
+from gooseberrydeck_fleet.ids import StepRef
 from gooseberrydeck_fleet.serving import MAX_CHECKS
 from gooseberrydeck_fleet.work import JobState, StepSpec
 from gooseberrydeck_fleet.worker_calls import EndKind
@@ -213,3 +214,21 @@
         ]
         fleet.run_for(0.3 * jobs + 2.0)
         assert all(fleet.state(name) is JobState.COMPLETED for name in names)
+
+    def test_steps_that_have_ended_are_not_remembered(self) -> None:
+        fleet = Fleet(workers=1)
+        policy = AdvicePolicy(decide_s=0.05, per_worker_s=0.01, valid_s=2.5)
+        fleet.configuration = make_configuration(queue(SLOW, 2, policy))
+        fleet.scheduler.set_configuration(fleet.configuration)
+        fleet.scheduler.set_max_advice_requests(1)
+        fleet.scheduler.advice_requests.in_flight[StepRef(JobId("x"), 0, 0)] = False
+        job = fleet.submit("waits", StepSpec(1, HALF))
+        fleet.run_for(0.2)
+        server = fleet.scheduler.server
+        assert len(server.awaiting_advice) == 1
+        fleet.scheduler.ends.finish(
+            fleet.scheduler.ledger.jobs[job], JobState.CANCELLED
+        )
+        fleet.run_for(0.2)
+        assert not server.awaiting_advice
+        assert not server.waiting.due
--- /dev/null
+++ b/tests/member/test_scheduler_task.py
@@ -0,0 +1,68 @@
+"""Tests of the pace of the scheduler's task."""
+
+from collections.abc import Iterator
+
+import pytest
+
+from fleet_support import Fleet
+from gooseberrydeck_coordination.clock import ManualClock
+from gooseberrydeck_coordination.ids import JobId, MemberId
+from gooseberrydeck_fleet.ids import StepRef
+from gooseberrydeck_fleet.registrations import Registration
+from gooseberrydeck_fleet.worker_calls import WorkerCalls
+from gooseberrydeck_member.advice_pool import AdvicePool
+from gooseberrydeck_member.authority import Authority, boottime_clock_s
+from gooseberrydeck_member.observability import Metrics
+from gooseberrydeck_member.peers import PeerClient
+from gooseberrydeck_member.scheduler_task import TICK_S, SchedulerTask
+from gooseberrydeck_member.shard_lock import ShardLock
+from gooseberrydeck_standins.engine_store import EngineStore
+from gooseberrydeck_standins.store_engine import StoreEngine
+
+TIMEOUT_S = 1.0
+
+
+def connect(_entry: Registration) -> WorkerCalls:
+    raise NotImplementedError
+
+
+@pytest.fixture
+def task() -> Iterator[SchedulerTask]:
+    store = EngineStore(StoreEngine(ManualClock()), waits=False)
+    shard_lock = ShardLock(store, MemberId("m1"), "m1:1", "run-1")
+    assert shard_lock.claim(shard_lock.read(TIMEOUT_S), (), 2.0, TIMEOUT_S)
+    authority = Authority()
+    authority.confirm(boottime_clock_s())
+    task = SchedulerTask(
+        store,
+        shard_lock,
+        authority,
+        Fleet(workers=0).timing,
+        AdvicePool(None, PeerClient()),
+        connect,
+        lambda _key, _value: None,
+        "servers/",
+        Metrics(),
+        was_silent=False,
+    )
+    yield task
+    task.shut_down()
+
+
+class TestPause:
+    def test_task_waits_for_a_message_if_nothing_is_left(
+        self, task: SchedulerTask
+    ) -> None:
+        assert task.pause_s() == TICK_S
+
+    def test_task_goes_on_at_once_if_a_decision_left_work(
+        self, task: SchedulerTask
+    ) -> None:
+        task.scheduler.server.waiting.due.add(StepRef(JobId("j"), 0, 0))
+        assert task.pause_s() == 0.0
+
+    def test_task_without_authority_does_not_spin(self, task: SchedulerTask) -> None:
+        # It decides nothing, so the work that is left stays.
+        task.scheduler.server.waiting.due.add(StepRef(JobId("j"), 0, 0))
+        task.authority.revoke()
+        assert task.pause_s() == TICK_S
