Log what tells the causes of a repeated task apart

Now 'run ended' and 'stop' say whether the job is known (and whether it has ended), 'job announced' gives the notification's revision beside the one read at the takeover, 'shard taken over' that revision and the version of the configuration, and jobs without a configured queue have a line when they are put aside and when they are added. No decision changes.

tests/member and the members' process tests: 108 passed.

--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
@@ -14,7 +14,7 @@
 import structlog
 
 from gooseberrydeck_coordination.exceptions import StoreError
-from gooseberrydeck_coordination.ids import JobId, QueueName
+from gooseberrydeck_coordination.ids import JobId, QueueName, Revision
 from gooseberrydeck_coordination.store import EventKind, Store
 from gooseberrydeck_fleet.advice import Advice
 from gooseberrydeck_fleet.changes import AcknowledgedEnds
@@ -158,6 +158,8 @@
         if was_silent:
             self.scheduler.predecessor_may_act(self.claimed_s + SUPERSEDED_NOTICE_S)
         self.jobs_without_queue: dict[JobId, tuple[JobRecord, int]] = {}
+        self.jobs_revision = Revision(0)
+        self.configuration_version = 0
         self.is_loaded = False
 
     # Methods for other threads.
@@ -238,6 +240,7 @@
     def load(self) -> None:
         """Restore jobs, progress and workers from the store."""
         stored = read_stored_state(self.store, self.registrations, STORE_TIMEOUT_S)
+        self.jobs_revision = stored.jobs_revision
         while self.handle_queued_message():
             pass
         self.committer.record_revision = stored.workers_revision
@@ -260,6 +263,9 @@
             "shard taken over",
             token=self.token,
             jobs=len(stored.jobs),
+            jobs_revision=stored.jobs_revision,
+            jobs_with_progress=len(stored.progress),
+            configuration=self.configuration_version,
             workers=len(self.poll_states),
             seconds=round(time.monotonic() - self.claimed_s, 3),
         )
@@ -347,10 +353,17 @@
 
     def configuration_changed(self, configuration: FleetConfiguration) -> None:
         """Apply a new configuration and add the jobs whose queue was unknown."""
+        self.configuration_version = configuration.version
         self.scheduler.set_configuration(configuration)
         for record, revision in list(self.jobs_without_queue.values()):
             if self.scheduler.accept(record, revision):
                 del self.jobs_without_queue[record.id]
+                log.info(
+                    "queue of job configured",
+                    job=record.id,
+                    queue=record.queue,
+                    configuration=self.configuration_version,
+                )
 
     # Jobs.
 
@@ -366,11 +379,30 @@
         if not self.scheduler.accept(record, revision, predates_takeover):
             # The accepting member has a newer configuration than this one.
             self.jobs_without_queue[record.id] = (record, revision)
+            log.warning(
+                "queue of job not configured",
+                job=record.id,
+                queue=record.queue,
+                revision=revision,
+                predates_takeover=predates_takeover,
+                configuration=self.configuration_version,
+            )
 
     def job_announced(self, notification: JobAccepted) -> None:
         """Add a job announced by a member, unless it is known from the store."""
         job = notification.record.id
-        if job in self.scheduler.ledger.jobs or job in self.scheduler.changes.ended:
+        is_known = job in self.scheduler.ledger.jobs
+        has_ended = job in self.scheduler.changes.ended
+        log.info(
+            "job announced",
+            job=job,
+            revision=notification.revision,
+            jobs_revision=self.jobs_revision,
+            is_loaded=self.is_loaded,
+            is_known=is_known,
+            has_ended=has_ended,
+        )
+        if is_known or has_ended:
             return
         self.add_job(
             notification.record, notification.revision, predates_takeover=False
@@ -482,6 +514,8 @@
                     worker=message.worker,
                     kind=end.kind.value,
                     number=end.number,
+                    is_job_known=end.task.job in self.scheduler.ledger.jobs,
+                    has_job_ended=end.task.job in self.scheduler.changes.ended,
                 )
         has_unstored = worker.last_end_number > poll_state.acknowledged
         poll_state.due_s = now_s + UNSTORED_POLL_INTERVAL_S if has_unstored else now_s
@@ -577,6 +611,7 @@
                 run=command.run,
                 worker=command.worker,
                 reason=command.reason.value,
+                is_job_known=command.task.job in self.scheduler.ledger.jobs,
             )
             self.dispatcher.stop(command)
         elif isinstance(command, ThrottleRun):
