Ignore notifications of jobs that were stored before the takeover

Cause: a holder remembers the jobs that ended under itself only. To a successor, a notification of a job that ended under its predecessor looked like a new job. A notification handled before the stored jobs were loaded did the same, or made a job of the predecessor a new one, which doesn't wait until the workers have reported.

The successor has read all jobs that were stored up to a revision, after its claim, when only it could still end one. A notification carries the revision of its job: if that is not newer, the job is either known from the store or has ended, so the notification tells nothing.

--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
@@ -389,10 +389,15 @@
             )
 
     def job_announced(self, notification: JobAccepted) -> None:
-        """Add a job announced by a member, unless it is known from the store."""
+        """Add a job announced by a member, unless it is known from the store.
+
+        All jobs stored up to ``jobs_revision`` have been read, so an unknown one among
+        them has ended.
+        """
         job = notification.record.id
         is_known = job in self.scheduler.ledger.jobs
         has_ended = job in self.scheduler.changes.ended
+        is_late = notification.revision <= self.jobs_revision
         log.info(
             "job announced",
             job=job,
@@ -402,7 +407,7 @@
             is_known=is_known,
             has_ended=has_ended,
         )
-        if is_known or has_ended:
+        if is_known or has_ended or is_late:
             return
         self.add_job(
             notification.record, notification.revision, predates_takeover=False
--- /dev/null
+++ b/tests/member/test_takeover.py
@@ -0,0 +1,165 @@
+"""Tests of what a new holder takes from the store and from late notifications."""
+
+from collections.abc import Iterator
+
+import msgspec
+import pytest
+
+from fleet_support import (
+    SLOW,
+    TEAM,
+    Fleet,
+    make_configuration,
+    registration,
+    task_resources,
+)
+from gooseberrydeck_coordination.clock import ManualClock
+from gooseberrydeck_coordination.ids import JobId, MemberId
+from gooseberrydeck_coordination.store import Put, Transaction
+from gooseberrydeck_fleet.commands import Changes, JobEnding
+from gooseberrydeck_fleet.registrations import Registration
+from gooseberrydeck_fleet.work import EndedJob, JobRecord, JobState, StepSpec, WorkSpec
+from gooseberrydeck_fleet.worker_calls import WorkerCalls, WorkerSilentError
+from gooseberrydeck_member.advice_pool import AdvicePool
+from gooseberrydeck_member.authority import Authority, boottime_clock_s
+from gooseberrydeck_member.commits import commit_changes
+from gooseberrydeck_member.jobs import JobStore
+from gooseberrydeck_member.keys import WORKERS_KEY
+from gooseberrydeck_member.observability import Metrics
+from gooseberrydeck_member.peer_messages import JobAccepted
+from gooseberrydeck_member.peers import PeerClient
+from gooseberrydeck_member.scheduler_task import SchedulerTask
+from gooseberrydeck_member.shard_lock import ShardLock
+from gooseberrydeck_standins.engine_store import EngineStore
+from gooseberrydeck_standins.store_engine import StoreEngine
+
+TIMEOUT_S = 1.0
+NO_DEADLINE_S = float("inf")
+JOB = JobId("0123456789abcdef")
+
+
+class SilentWorker:
+    """A worker that answers no call."""
+
+    def poll(self, *_arguments: object) -> None:
+        raise WorkerSilentError("silent")
+
+    start = stop = throttle = poll
+
+    def close(self) -> None:
+        """Do nothing."""
+
+
+def connect(_entry: Registration) -> WorkerCalls:
+    return SilentWorker()  # type: ignore[return-value]
+
+
+class Successor:
+    """A store with one job, and a holder that takes over from another one."""
+
+    def __init__(self) -> None:
+        self.store = EngineStore(StoreEngine(ManualClock()), waits=False)
+        self.jobs = JobStore(self.store)
+        self.predecessor = self.claim("m1")
+        work = WorkSpec(steps=(StepSpec(1, task_resources()),))
+        self.record = JobRecord(JOB, SLOW, TEAM, work, 1.0)
+        self.tasks: list[SchedulerTask] = []
+
+    def claim(self, name: str) -> ShardLock:
+        shard_lock = ShardLock(self.store, MemberId(name), f"{name}:1", f"run-{name}")
+        assert shard_lock.claim(shard_lock.read(TIMEOUT_S), (), 2.0, TIMEOUT_S)
+        return shard_lock
+
+    def accept(self) -> JobAccepted:
+        """Store the job and return the notification of it."""
+        revision = self.jobs.accept(self.record, NO_DEADLINE_S)
+        assert revision is not None
+        return JobAccepted(self.record, int(revision))
+
+    def end(self) -> None:
+        """Store the job's end, as the predecessor does."""
+        ended = EndedJob(JobState.COMPLETED, 2.0)
+        changes = Changes((), (JobEnding(JOB, ended, 0),), {})
+        assert commit_changes(self.store, self.predecessor, changes, TIMEOUT_S).stored
+
+    def record_worker(self) -> None:
+        """Store a worker that the predecessor may have started tasks on."""
+        value = msgspec.json.encode([registration("w0")])
+        put = Put(WORKERS_KEY, value)
+        assert self.store.commit(Transaction((), (put,)), TIMEOUT_S).succeeded
+
+    def take_over(self, *notifications: JobAccepted) -> SchedulerTask:
+        """Claim the shard and load the stored state.
+
+        The notifications arrive between the claim and the end of loading.
+        """
+        authority = Authority()
+        authority.confirm(boottime_clock_s())
+        task = SchedulerTask(
+            self.store,
+            self.claim("m2"),
+            authority,
+            Fleet(workers=0).timing,
+            AdvicePool(None, PeerClient()),
+            connect,
+            lambda _key, _value: None,
+            "servers/",
+            Metrics(),
+            was_silent=False,
+        )
+        self.tasks.append(task)
+        task.set_configuration(make_configuration())
+        for notification in notifications:
+            task.job_accepted(notification)
+        assert task.take_over()
+        return task
+
+
+@pytest.fixture
+def successor() -> Iterator[Successor]:
+    case = Successor()
+    yield case
+    for task in case.tasks:
+        task.shut_down()
+
+
+class TestLateNotifications:
+    # A notification of a job that had ended under the predecessor started it again.
+    def test_notification_older_than_the_takeover_starts_nothing(
+        self, successor: Successor
+    ) -> None:
+        notification = successor.accept()
+        successor.end()
+        task = successor.take_over()
+        task.handle(notification, 0.0)
+        assert JOB not in task.scheduler.ledger.jobs
+
+    # The same notification, handled before the stored jobs had been read.
+    def test_notification_before_loading_starts_nothing(
+        self, successor: Successor
+    ) -> None:
+        notification = successor.accept()
+        successor.end()
+        task = successor.take_over(notification)
+        assert JOB not in task.scheduler.ledger.jobs
+
+    def test_notification_newer_than_the_takeover_adds_the_job(
+        self, successor: Successor
+    ) -> None:
+        task = successor.take_over()
+        task.handle(successor.accept(), 0.0)
+        assert JOB in task.scheduler.ledger.jobs
+
+
+class TestNotificationsWhileLoading:
+    # A job announced while the stored state was being loaded counted as new, so its
+    # tasks started beside the predecessor's runs on workers that had not reported.
+    def test_announced_job_of_the_predecessor_waits_for_the_workers(
+        self, successor: Successor
+    ) -> None:
+        successor.record_worker()
+        notification = successor.accept()
+        task = successor.take_over(notification)
+        job = task.scheduler.ledger.jobs[JOB]
+        assert job.predates_takeover
+        assert job.may_have_unknown_runs
