Handle notifications after the stored state is loaded

Cause: notifications that arrived between the claim and the end of loading were handled before the stored workers were registered. A new job is held back while the predecessor may act and workers haven't reported, but with no worker registered all of them had.

They wait for the end of loading now, when the workers are known.

--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
@@ -159,6 +159,7 @@
             self.scheduler.predecessor_may_act(self.claimed_s + SUPERSEDED_NOTICE_S)
         self.jobs_without_queue: dict[JobId, tuple[JobRecord, int]] = {}
         self.jobs_revision = Revision(0)
+        self.early_notifications: list[JobAccepted] = []
         self.configuration_version = 0
         self.is_loaded = False
 
@@ -234,6 +235,9 @@
             for follower in self.followers:
                 self.followers_pool.submit(follower.run)
             self.is_loaded = True
+            for notification in self.early_notifications:
+                self.job_announced(notification)
+            self.early_notifications.clear()
             return True
         return False
 
@@ -394,6 +398,10 @@
         All jobs stored up to ``jobs_revision`` have been read, so an unknown one among
         them has ended.
         """
+        if not self.is_loaded:
+            # Whether the job has to wait for workers depends on those in the store.
+            self.early_notifications.append(notification)
+            return
         job = notification.record.id
         is_known = job in self.scheduler.ledger.jobs
         has_ended = job in self.scheduler.changes.ended
@@ -403,7 +411,6 @@
             job=job,
             revision=notification.revision,
             jobs_revision=self.jobs_revision,
-            is_loaded=self.is_loaded,
             is_known=is_known,
             has_ended=has_ended,
         )
--- a/tests/member/test_takeover.py
+++ b/tests/member/test_takeover.py
@@ -36,6 +36,8 @@
 TIMEOUT_S = 1.0
 NO_DEADLINE_S = float("inf")
 JOB = JobId("0123456789abcdef")
+NEWER_REVISION = 1_000
+"""A revision that the store doesn't reach in these tests."""
 
 
 class SilentWorker:
@@ -88,7 +90,9 @@
         put = Put(WORKERS_KEY, value)
         assert self.store.commit(Transaction((), (put,)), TIMEOUT_S).succeeded
 
-    def take_over(self, *notifications: JobAccepted) -> SchedulerTask:
+    def take_over(
+        self, *notifications: JobAccepted, was_silent: bool = False
+    ) -> SchedulerTask:
         """Claim the shard and load the stored state.
 
         The notifications arrive between the claim and the end of loading.
@@ -105,7 +109,7 @@
             lambda _key, _value: None,
             "servers/",
             Metrics(),
-            was_silent=False,
+            was_silent=was_silent,
         )
         self.tasks.append(task)
         task.set_configuration(make_configuration())
@@ -163,3 +167,13 @@
         job = task.scheduler.ledger.jobs[JOB]
         assert job.predates_takeover
         assert job.may_have_unknown_runs
+
+    # Such a job was not held back even if it was new and the predecessor still acted,
+    # because no worker was registered yet that had to report.
+    def test_new_job_announced_while_loading_waits_for_the_workers(
+        self, successor: Successor
+    ) -> None:
+        successor.record_worker()
+        notification = JobAccepted(successor.record, NEWER_REVISION)
+        task = successor.take_over(notification, was_silent=True)
+        assert task.scheduler.ledger.jobs[JOB].may_have_unknown_runs
