--- /dev/null
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/job_intake.py
@@ -0,0 +1,129 @@
+"""Jobs that become known to the scheduler: new ones and a predecessor's."""
+
+from collections.abc import Iterable
+
+from gooseberrydeck_coordination.ids import JobId, QueueName
+from gooseberrydeck_fleet.changes import ChangeLog
+from gooseberrydeck_fleet.configuration import FleetConfiguration, Queue
+from gooseberrydeck_fleet.ids import StepRef
+from gooseberrydeck_fleet.ledger import Ledger
+from gooseberrydeck_fleet.progress import Progress
+from gooseberrydeck_fleet.run_ends import RunEndHandler
+from gooseberrydeck_fleet.shares import ShareTracker
+from gooseberrydeck_fleet.state import Job, Step
+from gooseberrydeck_fleet.takeover import Takeover
+from gooseberrydeck_fleet.work import JobRecord, JobState
+
+__all__ = ["JobIntake"]
+
+
+class JobIntake:
+    """Add jobs to the ledger, with their progress, and open their occurrences."""
+
+    def __init__(
+        self,
+        ledger: Ledger,
+        ends: RunEndHandler,
+        changes: ChangeLog,
+        takeover: Takeover,
+        shares: ShareTracker,
+    ) -> None:
+        """Create an intake without queues for one ledger."""
+        self.ledger = ledger
+        self.ends = ends
+        self.changes = changes
+        self.takeover = takeover
+        self.shares = shares
+        self.queues: dict[QueueName, Queue] = {}
+        self.periodic_jobs: dict[JobId, Job] = {}
+
+    def set_configuration(self, configuration: FleetConfiguration) -> None:
+        """Apply the queues and shares of a version of the configuration.
+
+        Jobs of a queue that is no longer configured keep that queue's old settings.
+        """
+        self.queues = {queue.name: queue for queue in configuration.queues}
+        self.shares.set_rates({team.name: team.weight for team in configuration.teams})
+        for job in self.ledger.jobs.values():
+            job.queue = self.queues.get(job.record.queue, job.queue)
+
+    def accept(
+        self, record: JobRecord, revision: int, predates_takeover: bool = False
+    ) -> bool:
+        """Add or update a stored job; return False if its queue is not configured.
+
+        A job that predates the takeover may have runs that are unknown until every
+        worker has reported. The same holds for a new job while a predecessor is still
+        active, because the predecessor is notified of it too.
+        """
+        if record.id in self.changes.ended:
+            # The notification may be older than the stored end of the job.
+            return True
+        known = self.ledger.jobs.get(record.id)
+        if known is not None:
+            self.update(known, record, revision)
+            return True
+        queue = self.queues.get(record.queue)
+        if queue is None:
+            return False
+        job = Job(record, queue, revision)
+        job.predates_takeover = predates_takeover
+        job.is_within_share = self.shares.admits(record.team, record.accepted_s)
+        self.takeover.hold_if_unsafe(job)
+        self.ledger.jobs[record.id] = job
+        if job.is_periodic:
+            self.periodic_jobs[record.id] = job
+        else:
+            self.open_steps(job, job.open_occurrence())
+        if record.is_cancelled:
+            self.ends.finish(job, JobState.CANCELLED)
+        return True
+
+    def update(self, job: Job, record: JobRecord, revision: int) -> None:
+        """Apply a changed job record; cancellation is the only possible change."""
+        job.record = record
+        job.revision = revision
+        if record.is_cancelled and not job.state.is_final:
+            self.ends.finish(job, JobState.CANCELLED)
+
+    def restore(self, job_id: JobId, progress: Progress, revision: int) -> None:
+        """Restore the progress of a job that a predecessor stored."""
+        job = self.ledger.jobs.get(job_id)
+        if job is None:
+            return
+        job.progress_revision = revision
+        for stored in progress.steps:
+            while job.next_occurrence <= stored.occurrence:
+                self.open_steps(job, job.open_occurrence())
+            step = job.steps[StepRef(job_id, stored.occurrence, stored.step)]
+            for task in step.tasks:
+                index = task.ref.number
+                task.failures.update(stored.failures.get(index, ()))
+                task.checkpoint = stored.checkpoints.get(index, "")
+                if stored.done >> index & 1 and not task.is_done:
+                    task.is_done = True
+                    step.remaining_tasks -= 1
+                if len(task.failures) >= job.queue.max_attempts:
+                    self.ends.finish(job, JobState.FAILED)
+            self.ledger.mark_running(job)
+        self.ends.finish_if_complete(job)
+        self.ledger.touch(job)
+        self.ledger.changed.pop(job_id, None)
+
+    def open_steps(self, job: Job, steps: Iterable[Step]) -> None:
+        """Add steps to the open steps, which start once their dependencies are done."""
+        for step in steps:
+            job.open_steps[step.ref] = step
+        self.ledger.touch(job)
+
+    def open_due_occurrences(self, wall_s: float) -> None:
+        """Open the occurrences of periodic jobs that are due."""
+        for job in list(self.periodic_jobs.values()):
+            while (
+                not job.state.is_final
+                and job.next_occurrence < job.occurrences
+                and job.occurrence_due_s(job.next_occurrence) <= wall_s
+            ):
+                self.open_steps(job, job.open_occurrence())
+            if job.state.is_final or job.next_occurrence == job.occurrences:
+                del self.periodic_jobs[job.id]
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
@@ -1,16 +1,15 @@
 """The scheduler of a fleet, a state machine that turns events into commands."""
 
-from collections.abc import Iterable
-
 from gooseberrydeck_coordination.ids import JobId, QueueName
 from gooseberrydeck_fleet.advice import Advice
 from gooseberrydeck_fleet.advice_requests import AdviceRequests
 from gooseberrydeck_fleet.changes import ChangeLog
 from gooseberrydeck_fleet.commands import Command, CommandQueue, StopRun
-from gooseberrydeck_fleet.configuration import FleetConfiguration, Queue
+from gooseberrydeck_fleet.configuration import FleetConfiguration
 from gooseberrydeck_fleet.evacuation import Evacuator
 from gooseberrydeck_fleet.housekeeping import Housekeeper
 from gooseberrydeck_fleet.ids import StepRef, TaskRef, WorkerId
+from gooseberrydeck_fleet.job_intake import JobIntake
 from gooseberrydeck_fleet.ledger import Ledger
 from gooseberrydeck_fleet.placement import Placer
 from gooseberrydeck_fleet.poll_replies import OrphanedRun, PollReplyHandler
@@ -24,10 +23,8 @@
 from gooseberrydeck_fleet.speculation import Speculator
 from gooseberrydeck_fleet.state import (
     MAX_TASK_LEASE_S,
-    Job,
     Run,
     RunState,
-    Step,
     StopReason,
     Worker,
 )
@@ -69,8 +66,11 @@
         self.preemptor = Preemptor(self.placer, self.ends, timing.task_stop_s)
         self.changes = ChangeLog(self.ledger)
         self.advice_requests = AdviceRequests(self.placer)
-        self.shares = ShareTracker()
         self.takeover = Takeover(self.ledger)
+        self.shares = ShareTracker()
+        self.intake = JobIntake(
+            self.ledger, self.ends, self.changes, self.takeover, self.shares
+        )
         self.commands = CommandQueue()
         self.server = StepServer(
             self.ledger,
@@ -90,8 +90,6 @@
             self.server.ask,
             self.commands,
         )
-        self.queues: dict[QueueName, Queue] = {}
-        self.periodic_jobs: dict[JobId, Job] = {}
         self.orphaned_runs: list[OrphanedRun] = []
         self.long_waits: list[LongWait] = []
         self.next_housekeeping_s = 0.0
@@ -99,16 +97,10 @@
     # Configuration and membership.
 
     def set_configuration(self, configuration: FleetConfiguration) -> None:
-        """Apply a version of the configuration.
-
-        Jobs of a queue that is no longer configured keep that queue's old settings.
-        """
-        self.queues = {queue.name: queue for queue in configuration.queues}
+        """Apply a version of the configuration."""
         maximum = {team.name: team.maximum for team in configuration.teams}
         self.ledger.quotas.set_limits(maximum)
-        self.shares.set_rates({team.name: team.weight for team in configuration.teams})
-        for job in self.ledger.jobs.values():
-            job.queue = self.queues.get(job.record.queue, job.queue)
+        self.intake.set_configuration(configuration)
         self.server.limits_changed()
 
     def set_max_advice_requests(self, max_in_flight: int) -> None:
@@ -167,71 +159,12 @@
     def accept(
         self, record: JobRecord, revision: int, predates_takeover: bool = False
     ) -> bool:
-        """Add or update a stored job; return False if its queue is not configured.
-
-        A job that predates the takeover may have runs that are unknown until every
-        worker has reported. The same holds for a new job while a predecessor is still
-        active, because the predecessor is notified of it too.
-        """
-        if record.id in self.changes.ended:
-            # The notification may be older than the stored end of the job.
-            return True
-        known = self.ledger.jobs.get(record.id)
-        if known is not None:
-            self.update(known, record, revision)
-            return True
-        queue = self.queues.get(record.queue)
-        if queue is None:
-            return False
-        job = Job(record, queue, revision)
-        job.predates_takeover = predates_takeover
-        job.is_within_share = self.shares.admits(record.team, record.accepted_s)
-        self.takeover.hold_if_unsafe(job)
-        self.ledger.jobs[record.id] = job
-        if job.is_periodic:
-            self.periodic_jobs[record.id] = job
-        else:
-            self.open_steps(job, job.open_occurrence())
-        if record.is_cancelled:
-            self.ends.finish(job, JobState.CANCELLED)
-        return True
-
-    def update(self, job: Job, record: JobRecord, revision: int) -> None:
-        """Apply a changed job record; cancellation is the only possible change."""
-        job.record = record
-        job.revision = revision
-        if record.is_cancelled and not job.state.is_final:
-            self.ends.finish(job, JobState.CANCELLED)
+        """Add or update a stored job; return False if its queue is not configured."""
+        return self.intake.accept(record, revision, predates_takeover)
 
     def restore(self, job_id: JobId, progress: Progress, revision: int) -> None:
         """Restore the progress of a job that a predecessor stored."""
-        job = self.ledger.jobs.get(job_id)
-        if job is None:
-            return
-        job.progress_revision = revision
-        for stored in progress.steps:
-            while job.next_occurrence <= stored.occurrence:
-                self.open_steps(job, job.open_occurrence())
-            step = job.steps[StepRef(job_id, stored.occurrence, stored.step)]
-            for task in step.tasks:
-                index = task.ref.number
-                task.failures.update(stored.failures.get(index, ()))
-                task.checkpoint = stored.checkpoints.get(index, "")
-                if stored.done >> index & 1 and not task.is_done:
-                    task.is_done = True
-                    step.remaining_tasks -= 1
-                if len(task.failures) >= job.queue.max_attempts:
-                    self.ends.finish(job, JobState.FAILED)
-            self.ledger.mark_running(job)
-        self.ends.finish_if_complete(job)
-        self.ledger.touch(job)
-        self.ledger.changed.pop(job_id, None)
-
-    def open_steps(self, job: Job, steps: Iterable[Step]) -> None:
-        """Add steps to the open steps, which start once their dependencies are done."""
-        for step in steps:
-            job.open_steps[step.ref] = step
-        self.ledger.touch(job)
+        self.intake.restore(job_id, progress, revision)
 
     def state_of(self, job_id: JobId) -> JobState | None:
         """Return the stored state of a job, or None if the job is unknown.
@@ -398,7 +331,7 @@
             self.housekeeper.run(now_s)
             self.server.review(now_s)
             self.long_waits += self.server.take_long_waits(now_s)
-        self.open_due_occurrences(wall_s)
+        self.intake.open_due_occurrences(wall_s)
         self.server.run(now_s, wall_s)
         self.send_stops(now_s)
         return self.commands.take_all()
@@ -413,18 +346,6 @@
         waits, self.long_waits = self.long_waits, []
         return waits
 
-    def open_due_occurrences(self, wall_s: float) -> None:
-        """Open the occurrences of periodic jobs that are due."""
-        for job in list(self.periodic_jobs.values()):
-            while (
-                not job.state.is_final
-                and job.next_occurrence < job.occurrences
-                and job.occurrence_due_s(job.next_occurrence) <= wall_s
-            ):
-                self.open_steps(job, job.open_occurrence())
-            if job.state.is_final or job.next_occurrence == job.occurrences:
-                del self.periodic_jobs[job.id]
-
     def send_stops(self, now_s: float) -> None:
         """Queue stop commands, and repeat those that had no effect so far."""
         for run in self.ledger.stopping:
