Keep the progress, ends and runs of jobs whose queue is not configured

Cause: a holder whose configuration lacked a job's queue put the job aside. Its stored progress was not restored, its runs were stopped as surplus, and its ends were acknowledged without any effect. Once a newer configuration came, the job was added as a new one that has no progress and waits for no worker.

Such a job is in the ledger from the beginning now, with settings that start nothing and fail nothing: no worker serves its queue.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/configuration.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/configuration.py
@@ -5,7 +5,23 @@
 from gooseberrydeck_coordination.ids import QueueName, ServiceName, TeamName
 from gooseberrydeck_coordination.resources import Resources
 
-__all__ = ["AdvicePolicy", "FleetConfiguration", "Queue", "Team"]
+__all__ = [
+    "UNSERVED",
+    "AdvicePolicy",
+    "FleetConfiguration",
+    "Queue",
+    "Team",
+    "unconfigured_queue",
+]
+
+UNLIMITED_ATTEMPTS = 1 << 30
+"""Attempts of a job whose queue, and so their limit, is unknown."""
+
+LAST_PRIORITY = 1 << 30
+"""Jobs of this priority hold up no others."""
+
+UNSERVED = ServiceName("")
+"""A service without workers."""
 
 
 class AdvicePolicy(msgspec.Struct, frozen=True):
@@ -35,6 +51,25 @@
     is_open: bool
 
 
+def unconfigured_queue(name: QueueName) -> Queue:
+    """Return the settings for jobs of a queue that the configuration doesn't hold yet.
+
+    No worker serves the queue, so that its jobs start nothing and none of them fails.
+    """
+    return Queue(
+        name=name,
+        host="",
+        path_prefix="",
+        service=UNSERVED,
+        slack_s=0.0,
+        stretch=1.0,
+        priority=LAST_PRIORITY,
+        max_attempts=UNLIMITED_ATTEMPTS,
+        advice=None,
+        is_open=False,
+    )
+
+
 class Team(msgspec.Struct, frozen=True):
     """A team that submits jobs; a resource with a ``maximum`` of zero is unlimited."""
 
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/job_intake.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/job_intake.py
@@ -4,7 +4,11 @@
 
 from gooseberrydeck_coordination.ids import JobId, QueueName
 from gooseberrydeck_fleet.changes import ChangeLog
-from gooseberrydeck_fleet.configuration import FleetConfiguration, Queue
+from gooseberrydeck_fleet.configuration import (
+    FleetConfiguration,
+    Queue,
+    unconfigured_queue,
+)
 from gooseberrydeck_fleet.ids import StepRef
 from gooseberrydeck_fleet.ledger import Ledger
 from gooseberrydeck_fleet.progress import Progress
@@ -41,17 +45,28 @@
         """Apply the queues and shares of a version of the configuration.
 
         Jobs of a queue that is no longer configured keep that queue's old settings.
+        Jobs whose queue was not configured before may start now, or may turn out to
+        have used up their attempts.
         """
         self.queues = {queue.name: queue for queue in configuration.queues}
         self.shares.set_rates({team.name: team.weight for team in configuration.teams})
-        for job in self.ledger.jobs.values():
-            job.queue = self.queues.get(job.record.queue, job.queue)
+        for job in list(self.ledger.jobs.values()):
+            queue = self.queues.get(job.record.queue)
+            if queue is not None:
+                was_unconfigured = job.has_unconfigured_queue
+                job.queue = queue
+                if was_unconfigured:
+                    job.compute_due()
+                    self.ends.fail_if_exhausted(job)
 
     def accept(
         self, record: JobRecord, revision: int, predates_takeover: bool = False
     ) -> bool:
         """Add or update a stored job; return False if its queue is not configured.
 
+        Such a job starts nothing until the queue is configured, but its runs and ends
+        count.
+
         A job that predates the takeover may have runs that are unknown until every
         worker has reported. The same holds for a new job while a predecessor is still
         active, because the predecessor is notified of it too.
@@ -62,10 +77,8 @@
         known = self.ledger.jobs.get(record.id)
         if known is not None:
             self.update(known, record, revision)
-            return True
-        queue = self.queues.get(record.queue)
-        if queue is None:
-            return False
+            return not known.has_unconfigured_queue
+        queue = self.queues.get(record.queue) or unconfigured_queue(record.queue)
         job = Job(record, queue, revision)
         job.predates_takeover = predates_takeover
         job.is_within_share = self.shares.admits(record.team, record.accepted_s)
@@ -77,7 +90,7 @@
             self.open_steps(job, job.open_occurrence())
         if record.is_cancelled:
             self.ends.finish(job, JobState.CANCELLED)
-        return True
+        return not job.has_unconfigured_queue
 
     def update(self, job: Job, record: JobRecord, revision: int) -> None:
         """Apply a changed job record; cancellation is the only possible change."""
@@ -103,9 +116,8 @@
                 if stored.done >> index & 1 and not task.is_done:
                     task.is_done = True
                     step.remaining_tasks -= 1
-                if len(task.failures) >= job.queue.max_attempts:
-                    self.ends.finish(job, JobState.FAILED)
             self.ledger.mark_running(job)
+        self.ends.fail_if_exhausted(job)
         self.ends.finish_if_complete(job)
         self.ledger.touch(job)
         self.ledger.changed.pop(job_id, None)
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/run_ends.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/run_ends.py
@@ -128,6 +128,15 @@
         if len(counted.failures) >= job.queue.max_attempts and not job.state.is_final:
             self.finish(job, JobState.FAILED)
 
+    def fail_if_exhausted(self, job: Job) -> None:
+        """Fail a job if one of its tasks has used up its attempts."""
+        if not job.state.is_final and any(
+            not task.is_done and len(task.failures) >= job.queue.max_attempts
+            for step in job.steps.values()
+            for task in step.tasks
+        ):
+            self.finish(job, JobState.FAILED)
+
     def stop_gang(self, step: Step) -> None:
         """Stop all runs of a gang after one of its members has ended."""
         for task in step.tasks:
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
@@ -23,6 +23,7 @@
 from gooseberrydeck_fleet.speculation import Speculator
 from gooseberrydeck_fleet.state import (
     MAX_TASK_LEASE_S,
+    Job,
     Run,
     RunState,
     StopReason,
@@ -162,6 +163,10 @@
         """Add or update a stored job; return False if its queue is not configured."""
         return self.intake.accept(record, revision, predates_takeover)
 
+    def jobs_without_queue(self) -> list[Job]:
+        """Return the jobs whose queue is not configured."""
+        return [job for job in self.ledger.jobs.values() if job.has_unconfigured_queue]
+
     def restore(self, job_id: JobId, progress: Progress, revision: int) -> None:
         """Restore the progress of a job that a predecessor stored."""
         self.intake.restore(job_id, progress, revision)
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
@@ -5,7 +5,7 @@
 from gooseberrydeck_coordination.ids import JobId, TeamName
 from gooseberrydeck_coordination.resources import Resources
 from gooseberrydeck_fleet.advice import AdviceCache
-from gooseberrydeck_fleet.configuration import Queue
+from gooseberrydeck_fleet.configuration import UNSERVED, Queue
 from gooseberrydeck_fleet.ids import StepRef, TaskRef, WorkerId
 from gooseberrydeck_fleet.progress import Progress, StepProgress
 from gooseberrydeck_fleet.registrations import Registration
@@ -262,7 +262,13 @@
         # True if the job was stored before this scheduler took over.
         self.predates_takeover = False
         self.is_within_share = True
-        self.due_s = record.accepted_s + self.allowance_s()
+        self.due_s = 0.0
+        self.compute_due()
+
+    @property
+    def has_unconfigured_queue(self) -> bool:
+        """Return True if the settings of the job's queue are not known yet."""
+        return self.queue.service == UNSERVED
 
     @property
     def occurrences(self) -> int:
@@ -327,10 +333,16 @@
         ]
         for step in added:
             self.steps[step.ref] = step
-        if self.is_periodic:
-            self.due_s = self.occurrence_due_s(occurrence) + self.allowance_s()
+        self.compute_due()
         return added
 
+    def compute_due(self) -> None:
+        """Set when the newest occurrence is due to end, by the queue's settings."""
+        begins_s = self.record.accepted_s
+        if self.is_periodic and self.next_occurrence:
+            begins_s = self.occurrence_due_s(self.next_occurrence - 1)
+        self.due_s = begins_s + self.allowance_s()
+
     def is_complete(self) -> bool:
         """Return True if every task of every occurrence has succeeded."""
         return self.next_occurrence == self.occurrences and all(
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
@@ -157,7 +157,6 @@
         self.claimed_s = time.monotonic()
         if was_silent:
             self.scheduler.predecessor_may_act(self.claimed_s + SUPERSEDED_NOTICE_S)
-        self.jobs_without_queue: dict[JobId, tuple[JobRecord, int]] = {}
         self.jobs_revision = Revision(0)
         self.early_notifications: list[JobAccepted] = []
         self.configuration_version = 0
@@ -356,16 +355,16 @@
             query.result.set_result(self.scheduler.state_of(query.job))
 
     def configuration_changed(self, configuration: FleetConfiguration) -> None:
-        """Apply a new configuration and add the jobs whose queue was unknown."""
+        """Apply a new configuration, which may hold queues that jobs wait for."""
         self.configuration_version = configuration.version
+        waiting = self.scheduler.jobs_without_queue()
         self.scheduler.set_configuration(configuration)
-        for record, revision in list(self.jobs_without_queue.values()):
-            if self.scheduler.accept(record, revision):
-                del self.jobs_without_queue[record.id]
+        for job in waiting:
+            if not job.has_unconfigured_queue:
                 log.info(
                     "queue of job configured",
-                    job=record.id,
-                    queue=record.queue,
+                    job=job.id,
+                    queue=job.record.queue,
                     configuration=self.configuration_version,
                 )
 
@@ -379,10 +378,9 @@
     def add_job(
         self, record: JobRecord, revision: int, predates_takeover: bool
     ) -> None:
-        """Add a job to the scheduler, or keep it until its queue is known."""
+        """Add a job to the scheduler."""
         if not self.scheduler.accept(record, revision, predates_takeover):
             # The accepting member has a newer configuration than this one.
-            self.jobs_without_queue[record.id] = (record, revision)
             log.warning(
                 "queue of job not configured",
                 job=record.id,
