Keep what workers report of jobs that the holder doesn't know

Cause: an end of a job that the holder didn't know had no effect, and was acknowledged to the worker with the next batch all the same, so that nobody could learn of it later. Its runs were stopped as surplus. But a job that is not known need not have ended: a predecessor that still acted may have started it after the successor had read the stored jobs, and the watch may be cut, late or compacted.

Ends of unknown jobs are kept now, and no end from the first of them on is acknowledged; runs go on and nothing starts beside them. The holder looks the job up in the store, where it is open, has ended or never was: an open one is added with its progress and waits until all workers have reported, since a predecessor has started it; for the others runs are stopped and ends dropped, as before. The same happens if the watch delivers the job first. While the store doesn't answer the ends stay with the worker. Log line 'job looked up' and metric gooseberrydeck_job_lookups give the outcomes.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/changes.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/changes.py
@@ -8,7 +8,7 @@
 from gooseberrydeck_fleet.ledger import Ledger
 from gooseberrydeck_fleet.progress import encode_progress
 from gooseberrydeck_fleet.registrations import Registration
-from gooseberrydeck_fleet.work import EndedJob, JobState
+from gooseberrydeck_fleet.work import EndedJob
 
 __all__ = ["ChangeLog"]
 
@@ -44,7 +44,7 @@
     def __init__(self, ledger: Ledger) -> None:
         """Create a log for the changes of one ledger."""
         self.ledger = ledger
-        self.ended: dict[JobId, tuple[JobState, float]] = {}
+        self.ended = ledger.ended
         self.in_flight: dict[int, frozenset[JobId]] = {}
         self.pending: list[PendingAcknowledgement] = []
         self.last_sequence = 0
@@ -87,7 +87,7 @@
         if not ledger.finished and not ledger.changed:
             # Otherwise workers must keep reporting the ends behind unstored changes.
             acknowledged_ends = {
-                worker.id: (worker.born_ms, worker.last_end_number)
+                worker.id: (worker.born_ms, worker.acknowledgeable_end)
                 for worker in ledger.workers.values()
             }
             self.pending.append(
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/job_intake.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/job_intake.py
@@ -11,6 +11,7 @@
 )
 from gooseberrydeck_fleet.ids import StepRef
 from gooseberrydeck_fleet.ledger import Ledger
+from gooseberrydeck_fleet.poll_replies import PollReplyHandler
 from gooseberrydeck_fleet.progress import Progress
 from gooseberrydeck_fleet.run_ends import RunEndHandler
 from gooseberrydeck_fleet.shares import ShareTracker
@@ -31,6 +32,7 @@
         changes: ChangeLog,
         takeover: Takeover,
         shares: ShareTracker,
+        poll_replies: PollReplyHandler,
     ) -> None:
         """Create an intake without queues for one ledger."""
         self.ledger = ledger
@@ -38,6 +40,7 @@
         self.changes = changes
         self.takeover = takeover
         self.shares = shares
+        self.poll_replies = poll_replies
         self.queues: dict[QueueName, Queue] = {}
         self.periodic_jobs: dict[JobId, Job] = {}
 
@@ -80,7 +83,9 @@
             return not known.has_unconfigured_queue
         queue = self.queues.get(record.queue) or unconfigured_queue(record.queue)
         job = Job(record, queue, revision)
-        job.predates_takeover = predates_takeover
+        # Only a predecessor can have started a job that is not known yet.
+        was_started = record.id in self.poll_replies.unknown_jobs
+        job.predates_takeover = predates_takeover or was_started
         job.is_within_share = self.shares.admits(record.team, record.accepted_s)
         self.takeover.hold_if_unsafe(job)
         self.ledger.jobs[record.id] = job
@@ -90,6 +95,8 @@
             self.open_steps(job, job.open_occurrence())
         if record.is_cancelled:
             self.ends.finish(job, JobState.CANCELLED)
+        if was_started:
+            self.poll_replies.apply_unknown(record.id)
         return not job.has_unconfigured_queue
 
     def update(self, job: Job, record: JobRecord, revision: int) -> None:
@@ -104,6 +111,7 @@
         job = self.ledger.jobs.get(job_id)
         if job is None:
             return
+        was_changed = job_id in self.ledger.changed
         job.progress_revision = revision
         for stored in progress.steps:
             while job.next_occurrence <= stored.occurrence:
@@ -112,7 +120,8 @@
             for task in step.tasks:
                 index = task.ref.number
                 task.failures.update(stored.failures.get(index, ()))
-                task.checkpoint = stored.checkpoints.get(index, "")
+                if not task.is_done and not task.checkpoint:
+                    task.checkpoint = stored.checkpoints.get(index, "")
                 if stored.done >> index & 1 and not task.is_done:
                     task.is_done = True
                     step.remaining_tasks -= 1
@@ -120,7 +129,8 @@
         self.ends.fail_if_exhausted(job)
         self.ends.finish_if_complete(job)
         self.ledger.touch(job)
-        self.ledger.changed.pop(job_id, None)
+        if not was_changed:
+            self.ledger.changed.pop(job_id, None)
 
     def open_steps(self, job: Job, steps: Iterable[Step]) -> None:
         """Add steps to the open steps, which start once their dependencies are done."""
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/ledger.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/ledger.py
@@ -37,6 +37,9 @@
         """Create an empty ledger for a fencing token."""
         self.run_numbers = RunNumbers(token)
         self.jobs: dict[JobId, Job] = {}
+        # Jobs that have ended, with their state if it is known, and when that was
+        # learned in monotonic seconds.
+        self.ended: dict[JobId, tuple[JobState | None, float]] = {}
         self.workers: dict[WorkerId, Worker] = {}
         # False while a predecessor may not know yet that it has been replaced.
         self.is_sole_scheduler = True
@@ -64,6 +67,10 @@
         """Have the next scheduling pass evaluate all jobs again."""
         self.touched.update(dict.fromkeys(self.jobs))
 
+    def knows(self, job: JobId) -> bool:
+        """Return True if a job is open, or is known to have ended."""
+        return job in self.jobs or job in self.ended
+
     def find_task(self, ref: TaskRef) -> Task | None:
         """Return a task, or None if its job is unknown or has no such task."""
         job = self.jobs.get(ref.job)
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/poll_replies.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/poll_replies.py
@@ -1,5 +1,6 @@
 """Reconciliation of the ledger with the runs and ends that workers report."""
 
+from gooseberrydeck_coordination.ids import JobId
 from gooseberrydeck_fleet.ledger import Ledger
 from gooseberrydeck_fleet.run_ends import LossReason, RunEndHandler
 from gooseberrydeck_fleet.state import (
@@ -9,6 +10,7 @@
     StopReason,
     Worker,
 )
+from gooseberrydeck_fleet.unknown_jobs import UnknownJobs
 from gooseberrydeck_fleet.worker_calls import PollReply, RunReport
 
 __all__ = ["OrphanedRun", "PollReplyHandler"]
@@ -41,16 +43,20 @@
 class PollReplyHandler:
     """Apply the replies of workers to the ledger."""
 
-    def __init__(self, ledger: Ledger, ends: RunEndHandler) -> None:
-        """Create a handler for one ledger."""
+    def __init__(
+        self, ledger: Ledger, ends: RunEndHandler, unknown_jobs: UnknownJobs
+    ) -> None:
+        """Create a handler that keeps reports of unknown jobs in ``unknown_jobs``."""
         self.ledger = ledger
         self.ends = ends
+        self.unknown_jobs = unknown_jobs
 
     def worker_restarted(self, worker: Worker, born_ms: int) -> None:
         """Reset the state of a restarted worker and record its runs as lost."""
         self.lose_runs(worker, LossReason.WORKER_GONE)
         worker.born_ms = born_ms
         worker.last_end_number = 0
+        worker.unresolved_ends.clear()
         worker.lease_until_ms = 0
         self.ledger.health.forget(worker.id)
         self.ledger.speeds.forget(worker.id)
@@ -80,7 +86,6 @@
         worker.record_reply(reply.clock_ms, now_s)
         worker.is_reachable = True
         orphaned_runs = self.update_runs(worker, reply, now_s)
-        worker.has_orphaned_runs = bool(orphaned_runs)
         ended = self.apply_ends(worker, reply, now_s)
         if len(reply.ends) < MAX_REPORTED_ENDS:
             self.remove_missing_runs(worker, reply)
@@ -90,10 +95,17 @@
     def update_runs(
         self, worker: Worker, reply: PollReply, now_s: float
     ) -> list[OrphanedRun]:
-        """Update reported runs, adopt a predecessor's, and return the orphaned ones."""
+        """Update reported runs, adopt a predecessor's, and return the orphaned ones.
+
+        Runs of unknown jobs are neither; they are kept until the job is known.
+        """
         orphaned_runs = []
+        unknown = []
         for report in reply.runs:
             run = worker.runs.get((report.task, report.run))
+            if run is None and not self.ledger.knows(report.task.job):
+                unknown.append(report)
+                continue
             if run is None:
                 run = self.adopt(worker, report, now_s)
             if run is None:
@@ -108,6 +120,8 @@
             run.load = report.load
             run.checkpoint = report.checkpoint or run.checkpoint
             self.ledger.mark_running(run.task.step.job)
+        self.unknown_jobs.replace_runs(worker, unknown, now_s)
+        worker.has_orphaned_runs = bool(orphaned_runs or unknown)
         return orphaned_runs
 
     def observe_slow_run(self, run: Run, now_s: float) -> None:
@@ -156,11 +170,29 @@
             if end.number <= worker.last_end_number:
                 continue
             worker.last_end_number = end.number
+            if not self.ledger.knows(end.task.job):
+                self.unknown_jobs.add_end(worker, end, now_s)
+                continue
             run = self.ends.run_ended(worker.id, end, now_s)
             if run is not None:
                 ended.append(run)
         return ended
 
+    def apply_unknown(self, job: JobId) -> None:
+        """Apply the reports of a job that has just become known."""
+        ends, runs = self.unknown_jobs.take(job)
+        for reported in runs:
+            worker = reported.worker
+            if self.ledger.workers.get(worker.id) is worker:
+                self.adopt(worker, reported.report, reported.received_s)
+        for each in ends:
+            self.ends.run_ended(each.worker.id, each.end, each.received_s)
+
+    def drop_unknown(self, job: JobId) -> list[OrphanedRun]:
+        """Forget the reports of a job that has ended, and return its runs."""
+        _, runs = self.unknown_jobs.take(job)
+        return [OrphanedRun(each.worker, each.report) for each in runs]
+
     def remove_missing_runs(self, worker: Worker, reply: PollReply) -> None:
         """Remove runs that a worker reports neither as running nor as ended.
 
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
@@ -30,6 +30,7 @@
     Worker,
 )
 from gooseberrydeck_fleet.takeover import Takeover
+from gooseberrydeck_fleet.unknown_jobs import UnknownJobs
 from gooseberrydeck_fleet.work import JobRecord, JobState
 from gooseberrydeck_fleet.worker_calls import PollReply, StartOutcome
 
@@ -62,7 +63,8 @@
         self.timing = timing
         self.ledger = Ledger(token)
         self.ends = RunEndHandler(self.ledger)
-        self.poll_replies = PollReplyHandler(self.ledger, self.ends)
+        self.unknown_jobs = UnknownJobs()
+        self.poll_replies = PollReplyHandler(self.ledger, self.ends, self.unknown_jobs)
         self.placer = Placer(self.ledger)
         self.preemptor = Preemptor(self.placer, self.ends, timing.task_stop_s)
         self.changes = ChangeLog(self.ledger)
@@ -70,7 +72,12 @@
         self.takeover = Takeover(self.ledger)
         self.shares = ShareTracker()
         self.intake = JobIntake(
-            self.ledger, self.ends, self.changes, self.takeover, self.shares
+            self.ledger,
+            self.ends,
+            self.changes,
+            self.takeover,
+            self.shares,
+            self.poll_replies,
         )
         self.commands = CommandQueue()
         self.server = StepServer(
@@ -171,6 +178,45 @@
         """Restore the progress of a job that a predecessor stored."""
         self.intake.restore(job_id, progress, revision)
 
+    # Jobs that only workers have reported.
+
+    def take_lookups(self) -> list[JobId]:
+        """Return the unknown jobs to look up in the store now.
+
+        The caller answers each with ``job_found``, ``job_absent`` or ``lookup_failed``.
+        """
+        return self.unknown_jobs.take_lookups()
+
+    def job_found(
+        self,
+        record: JobRecord,
+        revision: int,
+        progress: Progress | None,
+        progress_revision: int,
+    ) -> None:
+        """Add a job that was looked up, unless it has become known meanwhile."""
+        self.unknown_jobs.lookup_completed(record.id)
+        if self.ledger.knows(record.id):
+            return
+        self.accept(record, revision, predates_takeover=True)
+        if progress is not None:
+            self.restore(record.id, progress, progress_revision)
+
+    def job_absent(self, job: JobId, state: JobState | None, now_s: float) -> None:
+        """Stop the runs and forget the ends of a job that is not in the store.
+
+        ``state`` is how the job has ended, or None if that is not stored any more.
+        """
+        self.unknown_jobs.lookup_completed(job)
+        if self.ledger.knows(job):
+            return
+        self.ledger.ended[job] = (state, now_s)
+        self.orphaned_runs.extend(self.poll_replies.drop_unknown(job))
+
+    def lookup_failed(self, job: JobId) -> None:
+        """Have a job looked up again."""
+        self.unknown_jobs.lookup_completed(job)
+
     def state_of(self, job_id: JobId) -> JobState | None:
         """Return the stored state of a job, or None if the job is unknown.
 
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
@@ -394,6 +394,7 @@
         "lease_until_ms",
         "preemptible_runs",
         "runs",
+        "unresolved_ends",
     )
 
     def __init__(self, entry: Registration, lease_expiry_s: float) -> None:
@@ -415,8 +416,17 @@
         self.lease_until_ms = 0
         self.lease_expiry_s = lease_expiry_s
         self.last_end_number = 0
+        # Numbers of ends whose job is not known.
+        self.unresolved_ends: set[int] = set()
         self.available_until_s = 0.0
 
+    @property
+    def acknowledgeable_end(self) -> int:
+        """Return the number of the newest end such that all up to it have counted."""
+        if self.unresolved_ends:
+            return min(self.unresolved_ends) - 1
+        return self.last_end_number
+
     @property
     def can_start(self) -> bool:
         """Return True if new runs may start on the worker.
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/observability.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/observability.py
@@ -135,6 +135,12 @@
             ["kind"],
             registry=registry,
         )
+        self.job_lookups = prometheus_client.Counter(
+            "gooseberrydeck_job_lookups",
+            "Lookups of jobs that only workers have reported, by what was found",
+            ["outcome"],
+            registry=registry,
+        )
         self.takeovers = prometheus_client.Counter(
             "gooseberrydeck_takeovers", "Claims of the shard", registry=registry
         )
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
@@ -40,6 +40,12 @@
     Committer,
     WorkersRecorded,
 )
+from gooseberrydeck_member.job_lookups import (
+    JobAbsent,
+    JobFound,
+    JobLookups,
+    LookupFailed,
+)
 from gooseberrydeck_member.keys import JOB_PREFIX
 from gooseberrydeck_member.observability import Metrics
 from gooseberrydeck_member.peer_messages import JobAccepted
@@ -145,6 +151,7 @@
         self.committer = Committer(
             store, shard_lock, self.scheduler.changes, metrics, self.inbox.put
         )
+        self.lookups = JobLookups(store, self.inbox.put)
         self.stopping = threading.Event()
         self.lost = threading.Event()
         self.followers = [
@@ -307,6 +314,8 @@
                 step=wait.step[1:],
                 **dict(zip(wait._fields[1:], wait[1:], strict=True)),
             )
+        for job in self.scheduler.take_lookups():
+            self.lookups.look_up(job)
         self.poll_due_workers(now_s)
         self.acknowledge(self.committer.send_due(now_s), now_s)
 
@@ -329,6 +338,8 @@
             self.handle_commit_result(message, now_s)
         elif isinstance(message, JobAccepted):
             self.job_announced(message)
+        elif isinstance(message, JobFound | JobAbsent | LookupFailed):
+            self.job_looked_up(message, now_s)
         elif isinstance(message, PredecessorStopped):
             expiry_s = now_s + MAX_TASK_LEASE_S / (1 - CLOCK_DRIFT)
             self.scheduler.predecessor_stopped(expiry_s)
@@ -418,6 +429,35 @@
             notification.record, notification.revision, predates_takeover=False
         )
 
+    def job_looked_up(
+        self, result: JobFound | JobAbsent | LookupFailed, now_s: float
+    ) -> None:
+        """Apply the lookup of a job that only workers have reported."""
+        if isinstance(result, LookupFailed):
+            self.scheduler.lookup_failed(result.job)
+            return
+        if isinstance(result, JobAbsent):
+            job, outcome = result.job, "absent"
+            if result.state is not None:
+                outcome = result.state.value
+            self.scheduler.job_absent(job, result.state, now_s)
+        else:
+            job, outcome = result.record.id, "open"
+            self.scheduler.job_found(
+                result.record,
+                result.revision,
+                result.progress,
+                result.progress_revision,
+            )
+        self.metrics.job_lookups.labels(outcome).inc()
+        log.info(
+            "job looked up",
+            job=job,
+            outcome=outcome,
+            revision=result.revision if isinstance(result, JobFound) else None,
+            jobs_revision=self.jobs_revision,
+        )
+
     def prefix_changed(self, message: PrefixChanged, now_s: float) -> None:
         """Apply changes of jobs or worker registrations reported by the store."""
         for event in message.batch.events:
@@ -733,6 +773,7 @@
         self.followers_pool.shutdown(wait=False, cancel_futures=True)
         self.dispatcher.close()
         self.committer.close()
+        self.lookups.close()
         while True:
             try:
                 message = self.inbox.get_nowait()
--- a/tests/fleet_support.py
+++ b/tests/fleet_support.py
@@ -132,6 +132,8 @@
         self.allowed: Callable[[WorkerId], bool] = lambda _worker: True
         self.token = 0
         self.is_store_available = True
+        self.can_look_up_jobs = True
+        self.wall_offset_s = 0.0
         self.configuration = make_configuration()
         self.scheduler = self.new_scheduler()
         for number in range(workers):
@@ -204,12 +206,41 @@
 
     def step(self) -> None:
         """Poll every worker, execute the scheduler's commands and store changes."""
-        for worker in list(self.engines):
-            self.poll(worker)
-        for command in self.scheduler.decide(self.now_s, self.clock.wall()):
+        self.poll_all()
+        if self.can_look_up_jobs and self.is_store_available:
+            for job in self.scheduler.take_lookups():
+                self.look_up(job)
+        wall_s = self.clock.wall() + self.wall_offset_s
+        for command in self.scheduler.decide(self.now_s, wall_s):
             self.execute(command)
         self.commit()
 
+    def poll_all(self) -> None:
+        """Poll every worker."""
+        for worker in list(self.engines):
+            self.poll(worker)
+
+    def look_up(self, job: JobId) -> None:
+        """Answer a lookup of an unknown job from the store."""
+        record = self.records.get(job)
+        if record is None:
+            self.scheduler.job_absent(job, None, self.now_s)
+            return
+        progress = self.progress.get(job)
+        decoded = None if progress is None else decode_progress(progress)
+        self.scheduler.job_found(record, 1, decoded, 1)
+
+    def restart_worker(self, worker: WorkerId) -> None:
+        """Replace a worker by one that has just started under the same id."""
+        former = self.engines[worker]
+        engine = FleetWorkerEngine(
+            self.clock, self.capacity, self.plan, born_ms=former.born_ms + 1
+        )
+        engine.violations = former.violations
+        engine.spans = former.spans
+        self.engines[worker] = engine
+        self.acknowledged[worker] = 0
+
     def poll(self, worker_id: WorkerId) -> None:
         """Poll a worker, unless it is unreachable."""
         worker = self.scheduler.ledger.workers.get(worker_id)
--- a/tests/member/test_takeover.py
+++ b/tests/member/test_takeover.py
@@ -20,14 +20,26 @@
 from gooseberrydeck_coordination.store import Put, Transaction
 from gooseberrydeck_fleet.commands import Changes, JobEnding, ProgressWrite
 from gooseberrydeck_fleet.configuration import FleetConfiguration
-from gooseberrydeck_fleet.ids import TaskRef
+from gooseberrydeck_fleet.ids import TaskRef, WorkerId
 from gooseberrydeck_fleet.progress import Progress, StepProgress, encode_progress
 from gooseberrydeck_fleet.registrations import Registration
 from gooseberrydeck_fleet.work import EndedJob, JobRecord, JobState, StepSpec, WorkSpec
-from gooseberrydeck_fleet.worker_calls import WorkerCalls, WorkerSilentError
+from gooseberrydeck_fleet.worker_calls import (
+    EndKind,
+    EndReport,
+    PollReply,
+    WorkerCalls,
+    WorkerSilentError,
+)
 from gooseberrydeck_member.advice_pool import AdvicePool
 from gooseberrydeck_member.authority import Authority, boottime_clock_s
 from gooseberrydeck_member.commits import commit_changes
+from gooseberrydeck_member.job_lookups import (
+    JobAbsent,
+    JobFound,
+    JobLookups,
+    LookupFailed,
+)
 from gooseberrydeck_member.jobs import JobStore
 from gooseberrydeck_member.keys import WORKERS_KEY
 from gooseberrydeck_member.observability import Metrics
@@ -35,7 +47,9 @@
 from gooseberrydeck_member.peers import PeerClient
 from gooseberrydeck_member.scheduler_task import SchedulerTask
 from gooseberrydeck_member.shard_lock import ShardLock
+from gooseberrydeck_member.worker_dispatcher import PollSucceeded
 from gooseberrydeck_standins.engine_store import EngineStore
+from gooseberrydeck_standins.faults import CallFault
 from gooseberrydeck_standins.store_engine import StoreEngine
 
 TIMEOUT_S = 1.0
@@ -208,3 +222,54 @@
         assert ledger.jobs[JOB].predates_takeover
         is_done = [ledger.find_task(TaskRef(JOB, 0, 0, n)) for n in range(2)]
         assert [each is not None and each.is_done for each in is_done] == [True, False]
+
+
+class TestLookups:
+    def read(self, successor: Successor) -> JobFound | JobAbsent:
+        results: list[object] = []
+        lookups = JobLookups(successor.store, results.append)
+        lookups.closed.set()
+        lookups.run(JOB)
+        (result,) = results
+        assert isinstance(result, JobFound | JobAbsent)
+        return result
+
+    def test_open_job_is_found_with_its_progress(self, successor: Successor) -> None:
+        revision = successor.accept().revision
+        successor.progress()
+        result = self.read(successor)
+        assert isinstance(result, JobFound)
+        assert (result.record, result.revision) == (successor.record, revision)
+        assert result.progress is not None
+        assert [step.done for step in result.progress.steps] == [1]
+
+    def test_state_of_an_ended_job_is_found(self, successor: Successor) -> None:
+        successor.accept()
+        successor.end()
+        assert self.read(successor) == JobAbsent(JOB, JobState.COMPLETED)
+
+    def test_job_that_was_never_stored_is_absent(self, successor: Successor) -> None:
+        assert self.read(successor) == JobAbsent(JOB, None)
+
+    def test_store_failure_is_reported(self, successor: Successor) -> None:
+        successor.store.fault = CallFault.DOWN
+        results: list[object] = []
+        lookups = JobLookups(successor.store, results.append)
+        lookups.closed.set()
+        lookups.run(JOB)
+        assert results == [LookupFailed(JOB)]
+
+    # The end of a job that was stored after the successor had read the jobs, and that
+    # its watch had not delivered yet.
+    def test_job_of_a_reported_end_is_added_from_the_store(
+        self, successor: Successor
+    ) -> None:
+        successor.record_worker()
+        task = successor.take_over()
+        successor.accept()
+        end = EndReport(1, TaskRef(JOB, 0, 0, 0), 1_000_001, EndKind.SUCCEEDED, "")
+        task.handle(PollSucceeded(WorkerId("w0"), PollReply(10, 1, (), (end,))), 0.0)
+        assert task.scheduler.take_lookups() == [JOB]
+        task.handle(task.lookups.read(JOB), 0.0)
+        job = task.scheduler.ledger.jobs[JOB]
+        assert job.to_progress().steps[0].done == 1
