Open occurrences that workers report before they are due here

Cause: the same class as the unknown jobs. A task of an occurrence that the successor had not opened was the task of nobody: its run was stopped as surplus, and its end acknowledged without any effect.

A report of a worker opens the occurrences up to its own.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/job_intake.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/job_intake.py
@@ -1,7 +1,5 @@
 """Jobs that become known to the scheduler: new ones and a predecessor's."""
 
-from collections.abc import Iterable
-
 from gooseberrydeck_coordination.ids import JobId, QueueName
 from gooseberrydeck_fleet.changes import ChangeLog
 from gooseberrydeck_fleet.configuration import (
@@ -15,7 +13,7 @@
 from gooseberrydeck_fleet.progress import Progress
 from gooseberrydeck_fleet.run_ends import RunEndHandler
 from gooseberrydeck_fleet.shares import ShareTracker
-from gooseberrydeck_fleet.state import Job, Step
+from gooseberrydeck_fleet.state import Job
 from gooseberrydeck_fleet.takeover import Takeover
 from gooseberrydeck_fleet.work import JobRecord, JobState
 
@@ -92,7 +90,7 @@
         if job.is_periodic:
             self.periodic_jobs[record.id] = job
         else:
-            self.open_steps(job, job.open_occurrence())
+            self.ledger.open_occurrence(job)
         if record.is_cancelled:
             self.ends.finish(job, JobState.CANCELLED)
         if was_started:
@@ -115,7 +113,7 @@
         job.progress_revision = revision
         for stored in progress.steps:
             while job.next_occurrence <= stored.occurrence:
-                self.open_steps(job, job.open_occurrence())
+                self.ledger.open_occurrence(job)
             step = job.steps[StepRef(job_id, stored.occurrence, stored.step)]
             for task in step.tasks:
                 index = task.ref.number
@@ -132,12 +130,6 @@
         if not was_changed:
             self.ledger.changed.pop(job_id, None)
 
-    def open_steps(self, job: Job, steps: Iterable[Step]) -> None:
-        """Add steps to the open steps, which start once their dependencies are done."""
-        for step in steps:
-            job.open_steps[step.ref] = step
-        self.ledger.touch(job)
-
     def open_due_occurrences(self, wall_s: float) -> None:
         """Open the occurrences of periodic jobs that are due."""
         for job in list(self.periodic_jobs.values()):
@@ -146,6 +138,6 @@
                 and job.next_occurrence < job.occurrences
                 and job.occurrence_due_s(job.next_occurrence) <= wall_s
             ):
-                self.open_steps(job, job.open_occurrence())
+                self.ledger.open_occurrence(job)
             if job.state.is_final or job.next_occurrence == job.occurrences:
                 del self.periodic_jobs[job.id]
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/ledger.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/ledger.py
@@ -71,6 +71,23 @@
         """Return True if a job is open, or is known to have ended."""
         return job in self.jobs or job in self.ended
 
+    def open_occurrence(self, job: Job) -> None:
+        """Open a job's next occurrence; its steps start once what they need is done."""
+        for step in job.open_occurrence():
+            job.open_steps[step.ref] = step
+        self.touch(job)
+
+    def open_reported(self, ref: TaskRef) -> None:
+        """Open the occurrences of a job up to that of a task that a worker reports.
+
+        A predecessor whose clock was ahead may have opened them.
+        """
+        job = self.jobs.get(ref.job)
+        if job is None or job.state.is_final:
+            return
+        while job.next_occurrence <= ref.occurrence < job.occurrences:
+            self.open_occurrence(job)
+
     def find_task(self, ref: TaskRef) -> Task | None:
         """Return a task, or None if its job is unknown or has no such task."""
         job = self.jobs.get(ref.job)
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/poll_replies.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/poll_replies.py
@@ -147,6 +147,7 @@
 
     def adopt(self, worker: Worker, report: RunReport, now_s: float) -> Run | None:
         """Add a run that a predecessor started; return None if its task is unknown."""
+        self.ledger.open_reported(report.task)
         task = self.ledger.find_task(report.task)
         if task is None:
             return None
@@ -173,6 +174,7 @@
             if not self.ledger.knows(end.task.job):
                 self.unknown_jobs.add_end(worker, end, now_s)
                 continue
+            self.ledger.open_reported(end.task)
             run = self.ends.run_ended(worker.id, end, now_s)
             if run is not None:
                 ended.append(run)
@@ -186,6 +188,7 @@
             if self.ledger.workers.get(worker.id) is worker:
                 self.adopt(worker, reported.report, reported.received_s)
         for each in ends:
+            self.ledger.open_reported(each.end.task)
             self.ends.run_ended(each.worker.id, each.end, each.received_s)
 
     def drop_unknown(self, job: JobId) -> list[OrphanedRun]:
--- a/tests/fleet/test_unknown_jobs.py
+++ b/tests/fleet/test_unknown_jobs.py
@@ -1,7 +1,10 @@
 """Tests of what workers report of jobs that the scheduler doesn't know yet."""
 
+import pytest
+
 from fleet_support import Fleet, task_resources
-from gooseberrydeck_fleet.work import JobRecord, JobState, StepSpec
+from gooseberrydeck_coordination.ids import JobId
+from gooseberrydeck_fleet.work import JobRecord, JobState, StepSpec, WorkSpec
 
 ONE = task_resources()
 
@@ -146,3 +149,27 @@
         case.fleet.run_for(0.5)
         assert case.fleet.state(case.job) is JobState.COMPLETED
         assert len(case.fleet.starts) == 2
+
+
+class TestOccurrences:
+    # A successor whose clock is behind had not opened an occurrence that its
+    # predecessor had started, and took its runs and ends for those of no task.
+    @pytest.mark.parametrize("seconds", [0.2, 3.0])
+    def test_occurrence_opened_by_a_predecessor_is_known(self, seconds: float) -> None:
+        fleet = Fleet()
+        work = WorkSpec(
+            steps=(StepSpec(1, ONE),),
+            occurrences=2,
+            first_due_s=fleet.clock.wall() + 0.1,
+            interval_s=0.1,
+        )
+        job = fleet.submit("a", work=work, seconds=seconds)
+        fleet.is_store_available = False
+        fleet.run_for(0.3)
+        assert len(fleet.starts) == 2
+        fleet.is_store_available = True
+        fleet.wall_offset_s = -60.0
+        fleet.take_over()
+        fleet.run_for(4.0)
+        assert fleet.state(JobId(job)) is JobState.COMPLETED
+        assert len(fleet.starts) == 2
