Decide on announced jobs in the scheduler

The rule that an announced job which is not newer than the jobs read at the takeover has ended belongs with the other decisions on jobs, where a state machine can play it. The support of the fleet's tests can store a job that the scheduler doesn't learn of. No decision changes; tests/fleet and tests/member: 278 passed.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/job_intake.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/job_intake.py
@@ -39,6 +39,8 @@
         self.takeover = takeover
         self.shares = shares
         self.poll_replies = poll_replies
+        # All jobs stored up to this revision were read when the shard was taken over.
+        self.jobs_revision = 0
         self.queues: dict[QueueName, Queue] = {}
         self.periodic_jobs: dict[JobId, Job] = {}
 
@@ -97,6 +99,16 @@
             self.poll_replies.apply_unknown(record.id)
         return not job.has_unconfigured_queue
 
+    def accept_announced(self, record: JobRecord, revision: int) -> bool:
+        """Add a job that a member announces; return False if that tells nothing new.
+
+        An unknown job that is not newer than the jobs read at the takeover has ended.
+        """
+        if self.ledger.knows(record.id) or revision <= self.jobs_revision:
+            return False
+        self.accept(record, revision)
+        return True
+
     def update(self, job: Job, record: JobRecord, revision: int) -> None:
         """Apply a changed job record; cancellation is the only possible change."""
         job.record = record
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
@@ -170,6 +170,19 @@
         """Add or update a stored job; return False if its queue is not configured."""
         return self.intake.accept(record, revision, predates_takeover)
 
+    @property
+    def jobs_revision(self) -> int:
+        """The revision up to which all stored jobs were read at the takeover."""
+        return self.intake.jobs_revision
+
+    def jobs_read(self, revision: int) -> None:
+        """Record that all jobs stored up to a revision have been read."""
+        self.intake.jobs_revision = revision
+
+    def accept_announced(self, record: JobRecord, revision: int) -> bool:
+        """Add a job that a member announces; return False if that tells nothing new."""
+        return self.intake.accept_announced(record, revision)
+
     def jobs_without_queue(self) -> list[Job]:
         """Return the jobs whose queue is not configured."""
         return [job for job in self.ledger.jobs.values() if job.has_unconfigured_queue]
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
@@ -14,7 +14,7 @@
 import structlog
 
 from gooseberrydeck_coordination.exceptions import StoreError
-from gooseberrydeck_coordination.ids import JobId, QueueName, Revision
+from gooseberrydeck_coordination.ids import JobId, QueueName
 from gooseberrydeck_coordination.store import EventKind, Store
 from gooseberrydeck_fleet.advice import Advice
 from gooseberrydeck_fleet.changes import AcknowledgedEnds
@@ -164,7 +164,6 @@
         self.claimed_s = time.monotonic()
         if was_silent:
             self.scheduler.predecessor_may_act(self.claimed_s + SUPERSEDED_NOTICE_S)
-        self.jobs_revision = Revision(0)
         self.early_notifications: list[JobAccepted] = []
         self.configuration_version = 0
         self.is_loaded = False
@@ -250,7 +249,7 @@
     def load(self) -> None:
         """Restore jobs, progress and workers from the store."""
         stored = read_stored_state(self.store, self.registrations, STORE_TIMEOUT_S)
-        self.jobs_revision = stored.jobs_revision
+        self.scheduler.jobs_read(int(stored.jobs_revision))
         while self.handle_queued_message():
             pass
         self.committer.record_revision = stored.workers_revision
@@ -391,43 +390,37 @@
     ) -> None:
         """Add a job to the scheduler."""
         if not self.scheduler.accept(record, revision, predates_takeover):
-            # The accepting member has a newer configuration than this one.
-            log.warning(
-                "queue of job not configured",
-                job=record.id,
-                queue=record.queue,
-                revision=revision,
-                predates_takeover=predates_takeover,
-                configuration=self.configuration_version,
-            )
+            self.report_unconfigured_queue(record, revision)
 
-    def job_announced(self, notification: JobAccepted) -> None:
-        """Add a job announced by a member, unless it is known from the store.
+    def report_unconfigured_queue(self, record: JobRecord, revision: int) -> None:
+        """Log a job whose queue only the accepting member's configuration holds."""
+        log.warning(
+            "queue of job not configured",
+            job=record.id,
+            queue=record.queue,
+            revision=revision,
+            jobs_revision=self.scheduler.jobs_revision,
+            configuration=self.configuration_version,
+        )
 
-        All jobs stored up to ``jobs_revision`` have been read, so an unknown one among
-        them has ended.
-        """
+    def job_announced(self, notification: JobAccepted) -> None:
+        """Add a job announced by a member, unless it is known from the store."""
         if not self.is_loaded:
             # Whether the job has to wait for workers depends on those in the store.
             self.early_notifications.append(notification)
             return
-        job = notification.record.id
-        is_known = job in self.scheduler.ledger.jobs
-        has_ended = job in self.scheduler.changes.ended
-        is_late = notification.revision <= self.jobs_revision
+        record, revision = notification.record, notification.revision
+        is_new = self.scheduler.accept_announced(record, revision)
         log.info(
             "job announced",
-            job=job,
-            revision=notification.revision,
-            jobs_revision=self.jobs_revision,
-            is_known=is_known,
-            has_ended=has_ended,
-        )
-        if is_known or has_ended or is_late:
-            return
-        self.add_job(
-            notification.record, notification.revision, predates_takeover=False
+            job=record.id,
+            revision=revision,
+            jobs_revision=self.scheduler.jobs_revision,
+            is_new=is_new,
+            has_ended=record.id in self.scheduler.changes.ended,
         )
+        if is_new and record.queue not in self.scheduler.intake.queues:
+            self.report_unconfigured_queue(record, revision)
 
     def job_looked_up(
         self, result: JobFound | JobAbsent | LookupFailed, now_s: float
@@ -455,7 +448,7 @@
             job=job,
             outcome=outcome,
             revision=result.revision if isinstance(result, JobFound) else None,
-            jobs_revision=self.jobs_revision,
+            jobs_revision=self.scheduler.jobs_revision,
         )
 
     def prefix_changed(self, message: PrefixChanged, now_s: float) -> None:
--- a/tests/fleet_support.py
+++ b/tests/fleet_support.py
@@ -124,6 +124,7 @@
         self.plans: dict[JobId, Callable[[StartRequest], RunPlan]] = {}
         self.specs: dict[JobId, WorkSpec] = {}
         self.records: dict[JobId, JobRecord] = {}
+        self.revisions: dict[JobId, int] = {}
         self.progress: dict[JobId, bytes] = {}
         self.acknowledged: dict[WorkerId, int] = {}
         self.starts: list[tuple[float, TaskRef, WorkerId]] = []
@@ -180,7 +181,31 @@
         work: WorkSpec | None = None,
         team: TeamName = TEAM,
     ) -> JobId:
-        """Submit a job whose tasks take ``seconds`` each."""
+        """Store a job whose tasks take ``seconds`` each, and announce it."""
+        record = self.store(
+            name,
+            *steps,
+            queue_name=queue_name,
+            seconds=seconds,
+            plan=plan,
+            work=work,
+            team=team,
+        )
+        self.scheduler.accept(record, self.revisions[record.id])
+        assert record.id in self.scheduler.ledger.jobs
+        return record.id
+
+    def store(
+        self,
+        name: str,
+        *steps: StepSpec,
+        queue_name: QueueName = SLOW,
+        seconds: float = 1.0,
+        plan: Callable[[StartRequest], RunPlan] | None = None,
+        work: WorkSpec | None = None,
+        team: TeamName = TEAM,
+    ) -> JobRecord:
+        """Store a job that the scheduler doesn't learn of yet."""
         job = JobId(name)
         spec = work or WorkSpec(steps=steps)
 
@@ -194,9 +219,8 @@
         self.plans[job] = plan or healthy
         self.specs[job] = spec
         self.records[job] = JobRecord(job, queue_name, team, spec, self.clock.wall())
-        self.scheduler.accept(self.records[job], 1)
-        assert job in self.scheduler.ledger.jobs
-        return job
+        self.revisions[job] = len(self.revisions) + 1
+        return self.records[job]
 
     def run_for(self, seconds: float) -> None:
         """Advance the clock in small steps and run the scheduler after each."""
@@ -322,8 +346,10 @@
         for worker in former.ledger.workers.values():
             self.scheduler.worker_registered(worker.entry, self.now_s, until_s)
             self.acknowledged[worker.id] = 0
-        for record in self.records.values():
-            self.scheduler.accept(record, 1, predates_takeover=True)
+        self.scheduler.jobs_read(len(self.revisions))
+        for job, record in self.records.items():
+            revision = self.revisions[job]
+            self.scheduler.accept(record, revision, predates_takeover=True)
         for job, value in self.progress.items():
             self.scheduler.restore(job, decode_progress(value), 1)
 
