Read the shard's record at each renewal of the holder's lease

Seen by callers: a task runs twice around a change of the holder, if a former holder reaches the store but no worker that its successor has reached. It goes on starting tasks, and its authority never expires.

Cause: a claim writes the claimant's lease to shards/0000/alive and leaves the former lease in force, so the former holder's renewals went on succeeding and confirmed its authority. Only a failed commit, a worker or an announcement told it. A claim that doesn't wait for the lease to lapse meets this: a hand-over, a claim from a holder whose port refuses connections or that has lost the store, a claim carried out late, and a renewal between a claimant's check of the lease and its claim.

Evidence: test_holder_superseded_while_its_lease_is_alive_fails_to_renew_it failed before ("DID NOT RAISE ShardLostError"). Not shown to be what the users saw.

Why it works: the authority is confirmed only by a call that found the record unchanged, so its last confirmation is older than the successor's claim. Quarantines and SUPERSEDED_NOTICE_S assume that.

--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/shard_lock.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/shard_lock.py
@@ -120,6 +120,7 @@
         try:
             if self.lease:
                 self.store.keep_lease_alive(self.lease, timeout_s)
+                self.check_held(timeout_s)
                 return
         except StoreLeaseLostError:
             self.lease = StoreLeaseId(0)
@@ -134,6 +135,15 @@
             raise ShardLostError("another member has claimed the shard")
         self.lease = lease
 
+    def check_held(self, timeout_s: float) -> None:
+        """Raise ``ShardLostError`` if the record is not this member's claim any more.
+
+        A claim by another member leaves this member's lease in force.
+        """
+        held = self.held
+        if held is None or self.read(timeout_s).revision != held.revision:
+            raise ShardLostError("another member has claimed the shard")
+
     def release(self, timeout_s: float) -> None:
         """Release the shard, so that any member can claim it without waiting."""
         if self.held is None:
--- a/tests/member/test_holding.py
+++ b/tests/member/test_holding.py
@@ -78,6 +78,15 @@
         with pytest.raises(ShardLostError):
             self.first.renew_lease(TTL_S, TIMEOUT_S)
 
+    def test_holder_superseded_while_its_lease_is_alive_fails_to_renew_it(
+        self,
+    ) -> None:
+        # A holder that does not learn of its successor goes on starting tasks.
+        self.claim(self.first)
+        self.claim(self.second)
+        with pytest.raises(ShardLostError):
+            self.first.renew_lease(TTL_S, TIMEOUT_S)
+
     def test_released_shard_keeps_its_token(self) -> None:
         self.claim(self.first)
         self.first.release(TIMEOUT_S)
