Name former holders that may still act in the shard's record

Seen by callers: a task runs twice after a silent holder was replaced, if its successor held the shard only briefly or had to repeat its claim.

Cause: the wait for a silent holder (its authority of 8 s, and word that it has stopped) was known only to the process whose claim was answered. It was dropped where the response to a claim was lost and the record already named the claimant, where another member claimed over such a claim, and where the successor was killed, stopped or handed over within 8 s. The next scheduler took itself for the only one and waited 4.3 s for workers that it couldn't reach, on which the silent holder may start tasks for 8 s. The silent holder wasn't told either. Besides, a slow announcement of an earlier holding could report to the scheduler of a later one in the same process.

Evidence: of TestActivePredecessors, test_claim_repeated_after_a_lost_response_..., test_claim_over_an_unconfirmed_claim_... and test_successor_of_a_short_holding_... failed before (was_silent False). The tests of expiry, of several predecessors and of earlier announcements use what is new. Not shown to be what the users saw.

Why it works: the record carries the addresses until a claimant has known the record's token for 8 s on its own clock, which is later than the claim that followed the silent holder's last confirmation. A scheduler counts them as stopped once all have replied. The cost: a takeover within 8 s of one from a silent holder, or of a hand-over, waits for workers that it can't reach until 12.3 s in place of 4.3 s, unless the former holders reply. Other takeovers wait as before.

--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/cell.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/cell.py
@@ -55,6 +55,7 @@
         self.lock = threading.Lock()
         self.holder_address = ""
         self.holder_token = 0
+        self.token_known_since_s = time.monotonic()
         self.holder_store_age_s = 0.0
         self.scheduler: SchedulerTask | None = None
         self.last_heartbeats: dict[str, tuple[float, str, float]] = {}
@@ -68,10 +69,19 @@
                 return False
             if token > self.holder_token or address != self.holder_address:
                 log.info("holder known", token=token, address=address)
+            if token > self.holder_token:
+                self.token_known_since_s = time.monotonic()
             self.holder_token = token
             self.holder_address = address
             return True
 
+    def token_age_s(self, token: int) -> float:
+        """Return for how long a fencing token has at least been in use, in seconds."""
+        with self.lock:
+            if token > self.holder_token:
+                return 0.0
+            return time.monotonic() - self.token_known_since_s
+
     def set_holder_store_age(self, age_s: float) -> None:
         """Record the age of the holder's last store response, in seconds."""
         self.holder_store_age_s = age_s
@@ -110,11 +120,22 @@
         unique.pop(self.address, None)
         return list(unique)
 
-    def announce(self, token: int, predecessor: str) -> None:
-        """Announce to every known member that this one holds the shard."""
+    def announce(
+        self,
+        scheduler: SchedulerTask,
+        former_holder: str,
+        active_predecessors: tuple[str, ...],
+    ) -> None:
+        """Announce to every known member that this one holds the shard.
+
+        Reports to the scheduler when all active predecessors have replied.
+        """
+        token = int(scheduler.token)
         announcement = HolderAnnouncement(token, self.member, self.address)
-        # The predecessor comes first: it may start tasks until it is told.
-        for address in dict.fromkeys([predecessor, *self.peer_addresses()]):
+        unanswered = set(active_predecessors)
+        # Predecessors come first: they may start tasks until they are told.
+        first = [*active_predecessors, former_holder]
+        for address in dict.fromkeys([*first, *self.peer_addresses()]):
             if address in ("", self.address):
                 continue
             try:
@@ -122,8 +143,10 @@
             except PeerCallError as error:
                 log.info("announcement failed", address=address, reason=str(error))
                 continue
-            if address == predecessor and self.scheduler is not None:
-                self.scheduler.predecessor_stopped()
+            if unanswered:
+                unanswered.discard(address)
+                if not unanswered:
+                    scheduler.predecessor_stopped()
 
     # Methods of HolderDirectory.
 
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/control.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/control.py
@@ -11,14 +11,23 @@
 from gooseberrydeck_coordination.exceptions import StoreError, StoreOutcomeUnknownError
 from gooseberrydeck_coordination.store import Store
 from gooseberrydeck_fleet.settings import Timing
-from gooseberrydeck_member.authority import Authority, boottime_clock_s
+from gooseberrydeck_member.authority import (
+    AUTHORITY_TIMEOUT_S,
+    Authority,
+    boottime_clock_s,
+)
 from gooseberrydeck_member.cell import STORE_SILENCE_LIMIT_S, Cell
 from gooseberrydeck_member.configuration import ConfigurationCache
 from gooseberrydeck_member.observability import Metrics
 from gooseberrydeck_member.peer_messages import Heartbeat, HeartbeatReply
 from gooseberrydeck_member.peers import PeerCallError, PeerClient, PeerRefusedError
 from gooseberrydeck_member.scheduler_task import SchedulerTask
-from gooseberrydeck_member.shard_lock import ShardLock, ShardLostError, ShardView
+from gooseberrydeck_member.shard_lock import (
+    ShardLock,
+    ShardLostError,
+    ShardRecord,
+    ShardView,
+)
 
 __all__ = ["ControlTask"]
 
@@ -238,7 +247,8 @@
             self.report_store_recovery()
             record = seen.record
             if record.incarnation == self.shard_lock.incarnation and record.holder:
-                # This process made the claim, but the store's response was lost.
+                # This process made the claim, but the store's response was lost. The
+                # record names the predecessors that may still act.
                 if self.may_claim and time.monotonic() >= self.claim_blocked_until_s:
                     self.claim(seen, was_silent=False)
                 return
@@ -299,9 +309,12 @@
         """
         sent_s = boottime_clock_s()
         members = (*self.cell.peer_addresses(), self.cell.address)
+        predecessors = self.active_predecessors(seen.record, was_silent)
         ttl_s = max(LEASE_TTL_S, self.timing.min_lease_s)
         try:
-            won = self.shard_lock.claim(seen, members, ttl_s, STORE_TIMEOUT_S)
+            won = self.shard_lock.claim(
+                seen, members, ttl_s, STORE_TIMEOUT_S, predecessors
+            )
         except StoreOutcomeUnknownError as error:
             log.warning("no response to claim; outcome unknown", reason=str(error))
             return False
@@ -312,11 +325,27 @@
             former=seen.record.holder,
             was_silent=was_silent,
             former_revision=seen.revision,
+            active_predecessors=predecessors,
         )
         if won:
-            self.start_scheduler(was_silent, sent_s, seen.record.address)
+            self.start_scheduler(predecessors, sent_s, seen.record.address)
         return won
 
+    def active_predecessors(
+        self, record: ShardRecord, was_silent: bool
+    ) -> tuple[str, ...]:
+        """Return the addresses of former holders that may act after a claim.
+
+        Those before the last holder may have outlived it. Their authority was confirmed
+        last before the record's token was in use.
+        """
+        former = [record.address] if was_silent else []
+        if self.cell.token_age_s(int(record.token)) < AUTHORITY_TIMEOUT_S:
+            former.extend(record.active_predecessors)
+        unique = dict.fromkeys(former)
+        unique.pop(self.cell.address, None)
+        return tuple(unique)
+
     def claim_delay_s(self) -> float:
         """Return the delay before a claim, by host size and position in the roster.
 
@@ -333,7 +362,7 @@
     # Leading.
 
     def start_scheduler(
-        self, was_silent: bool, sent_s: float, predecessor: str
+        self, active_predecessors: tuple[str, ...], sent_s: float, former_holder: str
     ) -> None:
         """Start the scheduler and announce this member as the holder."""
         held = self.shard_lock.held
@@ -342,14 +371,15 @@
             return
         authority = Authority()
         authority.confirm(sent_s)
-        scheduler = self.build_scheduler(authority, was_silent)
+        scheduler = self.build_scheduler(authority, bool(active_predecessors))
         scheduler.set_configuration(configuration)
-        token = int(held.record.token)
-        self.cell.set_holder(token, self.cell.address)
+        self.cell.set_holder(int(held.record.token), self.cell.address)
         self.cell.scheduler = scheduler
         self.metrics.takeovers.inc()
         self.executor.submit(self.run_scheduler, scheduler)
-        self.executor.submit(self.cell.announce, token, predecessor)
+        self.executor.submit(
+            self.cell.announce, scheduler, former_holder, active_predecessors
+        )
 
     def run_scheduler(self, scheduler: SchedulerTask) -> None:
         """Run the scheduler's task; give up the shard if it crashes."""
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/shard_lock.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/shard_lock.py
@@ -24,7 +24,8 @@
     """The holder of the shard, its address for peers, and its fencing token.
 
     ``incarnation`` identifies a process of the member. ``holder`` is empty after the
-    holder has released the shard.
+    holder has released the shard. ``active_predecessors`` are the addresses of former
+    holders that may still have been acting when the shard was claimed.
     """
 
     token: Epoch
@@ -32,6 +33,7 @@
     address: str = ""
     incarnation: str = ""
     members: tuple[str, ...] = ()
+    active_predecessors: tuple[str, ...] = ()
 
 
 class ShardView(msgspec.Struct, frozen=True):
@@ -72,12 +74,18 @@
         return self.store.read(ALIVE_KEY, timeout_s) is not None
 
     def claim(
-        self, seen: ShardView, members: tuple[str, ...], ttl_s: float, timeout_s: float
+        self,
+        seen: ShardView,
+        members: tuple[str, ...],
+        ttl_s: float,
+        timeout_s: float,
+        active_predecessors: tuple[str, ...] = (),
     ) -> bool:
         """Claim the shard with the next fencing token.
 
         Returns False if the record is no longer the one in ``seen``. ``members`` are
-        the peers' addresses, stored for members that cannot read the store. Raises a
+        the peers' addresses, stored for members that cannot read the store, and
+        ``active_predecessors`` are stored for the next claimant. Raises a
         ``StoreError`` if the claim may not have been stored.
         """
         lease = self.store.grant_lease(ttl_s, timeout_s)
@@ -87,6 +95,7 @@
             self.address,
             self.incarnation,
             members,
+            active_predecessors,
         )
         transaction = Transaction(
             (mod_revision_equals(SHARD_KEY, seen.revision),),
@@ -148,7 +157,12 @@
         """Release the shard, so that any member can claim it without waiting."""
         if self.held is None:
             return
-        record = ShardRecord(self.held.record.token, members=self.held.record.members)
+        held = self.held.record
+        record = ShardRecord(
+            held.token,
+            members=held.members,
+            active_predecessors=held.active_predecessors,
+        )
         transaction = Transaction(
             (self.ownership_condition(),),
             (Put(SHARD_KEY, msgspec.json.encode(record)),),
--- a/tests/member/test_hand_over.py
+++ b/tests/member/test_hand_over.py
@@ -11,7 +11,7 @@
 from gooseberrydeck_coordination.ids import MemberId
 from gooseberrydeck_fleet.configuration import FleetConfiguration
 from gooseberrydeck_fleet.settings import Timing
-from gooseberrydeck_member.authority import Authority
+from gooseberrydeck_member.authority import AUTHORITY_TIMEOUT_S, Authority
 from gooseberrydeck_member.cell import Cell
 from gooseberrydeck_member.configuration import ConfigurationCache
 from gooseberrydeck_member.control import ControlTask
@@ -35,8 +35,9 @@
 class SchedulerStub:
     """The part of ``SchedulerTask`` that the control task uses."""
 
-    def __init__(self, token: int, authority: Authority) -> None:
+    def __init__(self, token: int, authority: Authority, was_silent: bool) -> None:
         self.token = token
+        self.was_silent = was_silent
         self.authority = authority
         self.lost = threading.Event()
         self.stopping = threading.Event()
@@ -135,10 +136,10 @@
         application.take_over = self.control.take_over
         peers.applications[self.address] = application
 
-    def build_scheduler(self, authority: Authority, _was_silent: bool) -> SchedulerStub:
+    def build_scheduler(self, authority: Authority, was_silent: bool) -> SchedulerStub:
         held = self.shard_lock.held
         assert held is not None
-        scheduler = SchedulerStub(int(held.record.token), authority)
+        scheduler = SchedulerStub(int(held.record.token), authority, was_silent)
         self.schedulers.append(scheduler)
         return scheduler
 
@@ -202,6 +203,109 @@
         assert third.schedulers == []
 
 
+class TestActivePredecessors:
+    """A holder is silent, but may still act on workers that others can't reach."""
+
+    def setup_method(self) -> None:
+        self.clock = ManualClock()
+        self.engine = StoreEngine(self.clock)
+        self.peers = PeersStub()
+        self.silent = self.make_member("silent")
+        self.silent.control.find_holder()
+        self.application = self.peers.applications.pop(self.silent.address)
+        self.member = self.make_member("m1")
+        self.other = self.make_member("m2")
+
+    def make_member(self, name: str) -> MemberParts:
+        member = MemberParts(name, self.engine, self.peers)
+        # The first in the roster claims without a delay.
+        member.cell.set_roster((member.address,))
+        return member
+
+    def claim_from_silent_holder(self, *faults: CallFault) -> None:
+        """Claim from the holder, whose lease has lapsed.
+
+        ``faults`` apply to the calls of the claim.
+        """
+        self.clock.advance(10.0)
+        self.member.control.find_holder()
+        # Before the claim come two reads: of the record and of the lease.
+        self.member.store.next_faults.extend([CallFault.NONE, CallFault.NONE, *faults])
+        self.member.control.find_holder()
+
+    def lose_claim_response(self) -> None:
+        self.claim_from_silent_holder(CallFault.NONE, CallFault.ANSWER_LOST)
+        assert self.member.schedulers == []
+
+    def test_silent_holder_is_waited_for(self) -> None:
+        self.claim_from_silent_holder()
+        (scheduler,) = self.member.schedulers
+        assert scheduler.was_silent
+        assert not scheduler.predecessor_stop_reported.is_set()
+
+    def test_claim_repeated_after_a_lost_response_waits_for_the_silent_holder(
+        self,
+    ) -> None:
+        # The record names this process then, so the silent holder counted as stopped.
+        self.lose_claim_response()
+        self.peers.applications[self.silent.address] = self.application
+        self.member.control.find_holder()
+        (scheduler,) = self.member.schedulers
+        assert scheduler.was_silent
+        assert scheduler.predecessor_stop_reported.wait(WAIT_S)
+        assert self.silent.schedulers[0].lost.is_set()
+
+    def test_claim_over_an_unconfirmed_claim_waits_for_the_silent_holder(self) -> None:
+        # The claimant replies that it isn't the holder, so it counted as the last one.
+        self.lose_claim_response()
+        self.other.control.follow()
+        self.other.control.follow()
+        (scheduler,) = self.other.schedulers
+        assert scheduler.was_silent
+
+    def test_successor_of_a_short_holding_waits_for_the_silent_holder(self) -> None:
+        # A holder that was killed or stopped early took the wait with it.
+        self.claim_from_silent_holder()
+        self.member.control.hand_over()
+        self.other.control.find_holder()
+        (scheduler,) = self.other.schedulers
+        assert scheduler.was_silent
+
+    def test_silent_holder_is_not_waited_for_after_its_authority_has_expired(
+        self,
+    ) -> None:
+        self.claim_from_silent_holder()
+        self.other.control.find_holder()
+        self.other.cell.token_known_since_s -= AUTHORITY_TIMEOUT_S
+        self.member.control.hand_over()
+        self.other.control.find_holder()
+        (scheduler,) = self.other.schedulers
+        assert not scheduler.was_silent
+
+    def test_predecessors_have_stopped_once_all_of_them_have_replied(self) -> None:
+        self.claim_from_silent_holder()
+        (scheduler,) = self.member.schedulers
+        predecessors = (self.other.address, self.silent.address)
+        announce = self.member.cell.announce
+        announce(scheduler, "", predecessors)  # type: ignore[arg-type]
+        assert not scheduler.predecessor_stop_reported.is_set()
+        self.peers.applications[self.silent.address] = self.application
+        announce(scheduler, "", predecessors)  # type: ignore[arg-type]
+        assert scheduler.predecessor_stop_reported.is_set()
+
+    def test_reply_to_an_earlier_announcement_does_not_count_for_a_later_holding(
+        self,
+    ) -> None:
+        # Announcements take up to 0.3 s for each member that doesn't reply.
+        self.claim_from_silent_holder()
+        earlier = SchedulerStub(1, Authority(), was_silent=True)
+        predecessors = (self.other.address,)
+        self.member.cell.announce(earlier, "", predecessors)  # type: ignore[arg-type]
+        (scheduler,) = self.member.schedulers
+        assert earlier.predecessor_stop_reported.is_set()
+        assert not scheduler.predecessor_stop_reported.is_set()
+
+
 class TestRestart:
     """All members are killed and restarted; the record still names one of them."""
 
