Take a holder for stopped only with the token that it was asked about

Seen by callers: a task runs twice right after a restart of members or a claim, while the store is slow: two schedulers act, and the newer one believes to be alone.

Cause: a member that replies "not the holder" counts as stopped, and its address was looked up in a record that is read later. (1) A claimant replied so until the store's response to its claim came, though others can read the claim before; (2) a former holder that had restarted could claim between its reply and the reading of the record. The other member then claimed from the new holder as from one that had stopped.

Evidence: test_claimant_is_not_taken_for_a_holder_that_has_stopped (1) and test_restarted_holder_that_claims_meanwhile_is_not_taken_for_the_former (2) failed before: the other member had a scheduler. Not shown to be what the users saw.

Why it works: a member doesn't reply to heartbeats while its claim is in flight, and a reply or a refused connection concerns the claims up to the token known when the heartbeat was sent. Any later claim has a higher token.

--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/cell.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/cell.py
@@ -58,6 +58,8 @@
         self.token_known_since_s = time.monotonic()
         self.holder_store_age_s = 0.0
         self.scheduler: SchedulerTask | None = None
+        # True while a claim may be stored whose scheduler isn't set yet.
+        self.is_claiming = False
         self.last_heartbeats: dict[str, tuple[float, str, float]] = {}
         self.roster: tuple[str, ...] = ()
         self.notifier = ThreadPoolExecutor(NOTIFIER_THREADS, "tell")
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/control.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/control.py
@@ -187,6 +187,8 @@
 
     def follow(self) -> None:
         """Send a heartbeat to the holder; look for another one if it is gone."""
+        # The token is read first, so that it isn't newer than the address.
+        token = self.cell.holder_token
         address = self.cell.holder_address
         if not address or address == self.cell.address:
             self.find_holder()
@@ -203,7 +205,7 @@
             reply = self.peers.send_heartbeat(address, heartbeat, HEARTBEAT_TIMEOUT_S)
         except PeerRefusedError as error:
             log.warning("holder is gone", address=address, reason=str(error))
-            self.find_holder(gone=address)
+            self.find_holder(gone_token=token)
         except PeerCallError as error:
             silent_s = time.monotonic() - self.last_holder_reply_s
             if silent_s > HOLDER_SILENCE_LIMIT_S:
@@ -215,14 +217,14 @@
                 )
                 self.find_holder()
         else:
-            self.handle_heartbeat_reply(reply, address, sent_s)
+            self.handle_heartbeat_reply(reply, token, address, sent_s)
 
     def handle_heartbeat_reply(
-        self, reply: HeartbeatReply, address: str, sent_s: float
+        self, reply: HeartbeatReply, token: int, address: str, sent_s: float
     ) -> None:
         """Apply the holder's reply, or look for a new holder if it lost the shard."""
         if not reply.is_holder:
-            self.find_holder(gone=address)
+            self.find_holder(gone_token=token)
             return
         self.last_holder_reply_s = time.monotonic()
         self.cell.set_holder(reply.token, address)
@@ -236,11 +238,12 @@
         if reply.store_age_s > STORE_SILENCE_LIMIT_S:
             self.find_holder()
 
-    def find_holder(self, gone: str = "") -> None:
+    def find_holder(self, gone_token: int = 0) -> None:
         """Read the holder from the store, and claim the shard if it has none.
 
-        ``gone`` is the address of a holder whose process has certainly ended. A holder
-        at this member's own address was an earlier process, which has ended too.
+        The holder with ``gone_token`` has certainly stopped; its member may have
+        claimed the shard again since. A holder at this member's own address was an
+        earlier process, which has ended too.
         """
         try:
             seen = self.shard_lock.read(STORE_TIMEOUT_S)
@@ -252,7 +255,8 @@
                 if self.may_claim and time.monotonic() >= self.claim_blocked_until_s:
                     self.claim(seen, was_silent=False)
                 return
-            if record.holder and record.address not in (gone, self.cell.address):
+            is_gone = record.token <= gone_token or record.address == self.cell.address
+            if record.holder and not is_gone:
                 is_known = record.token <= self.cell.holder_token
                 if not is_known or record.address != self.cell.holder_address:
                     self.cell.set_holder(record.token, record.address)
@@ -260,7 +264,6 @@
                     return
                 if self.shard_lock.is_alive(STORE_TIMEOUT_S):
                     return
-            is_gone = record.address in (gone, self.cell.address)
             was_silent = bool(record.holder) and not is_gone
             self.claim(seen, was_silent)
         except StoreError as error:
@@ -311,24 +314,27 @@
         members = (*self.cell.peer_addresses(), self.cell.address)
         predecessors = self.active_predecessors(seen.record, was_silent)
         ttl_s = max(LEASE_TTL_S, self.timing.min_lease_s)
+        self.cell.is_claiming = True
         try:
             won = self.shard_lock.claim(
                 seen, members, ttl_s, STORE_TIMEOUT_S, predecessors
             )
+            log.info(
+                "claim",
+                won=won,
+                token=seen.record.token + 1,
+                former=seen.record.holder,
+                was_silent=was_silent,
+                former_revision=seen.revision,
+                active_predecessors=predecessors,
+            )
+            if won:
+                self.start_scheduler(predecessors, sent_s, seen.record.address)
         except StoreOutcomeUnknownError as error:
             log.warning("no response to claim; outcome unknown", reason=str(error))
             return False
-        log.info(
-            "claim",
-            won=won,
-            token=seen.record.token + 1,
-            former=seen.record.holder,
-            was_silent=was_silent,
-            former_revision=seen.revision,
-            active_predecessors=predecessors,
-        )
-        if won:
-            self.start_scheduler(predecessors, sent_s, seen.record.address)
+        finally:
+            self.cell.is_claiming = False
         return won
 
     def active_predecessors(
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/peer_server.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/peer_server.py
@@ -99,10 +99,17 @@
         start_response(status_line(status), headers)
         return [content]
 
-    def handle_heartbeat(self, body: bytes) -> HeartbeatReply:
-        """Record a heartbeat and reply with the holder's state."""
+    def handle_heartbeat(self, body: bytes) -> HeartbeatReply | None:
+        """Record a heartbeat and reply with the holder's state.
+
+        Returns None while it is unknown whether this member has claimed the shard.
+        """
         heartbeat = msgspec.json.decode(body, type=Heartbeat)
+        # Read before the scheduler, which is set before a claim counts as done.
+        is_claiming = self.cell.is_claiming
         scheduler = self.cell.scheduler
+        if scheduler is None and is_claiming:
+            return None
         if scheduler is None or scheduler.stopping.is_set():
             return HeartbeatReply(False, self.cell.holder_token, self.incarnation)
         self.cell.record_heartbeat(heartbeat)
--- a/tests/member/test_hand_over.py
+++ b/tests/member/test_hand_over.py
@@ -1,6 +1,7 @@
 """Tests of the hand-over of the shard before a planned stop, and of restarts."""
 
 import threading
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import msgspec
@@ -9,6 +10,7 @@
 from fleet_support import make_configuration
 from gooseberrydeck_coordination.clock import ManualClock
 from gooseberrydeck_coordination.ids import MemberId
+from gooseberrydeck_coordination.store import Entry, Transaction, TransactionResult
 from gooseberrydeck_fleet.configuration import FleetConfiguration
 from gooseberrydeck_fleet.settings import Timing
 from gooseberrydeck_member.authority import AUTHORITY_TIMEOUT_S, Authority
@@ -80,9 +82,12 @@
     def send_heartbeat(
         self, address: str, heartbeat: Heartbeat, timeout_s: float
     ) -> HeartbeatReply:
-        return self.application(address).handle_heartbeat(
+        reply = self.application(address).handle_heartbeat(
             msgspec.json.encode(heartbeat)
         )
+        if reply is None:
+            raise PeerCallError(f"{address}: status 503")
+        return reply
 
     def hand_over(self, address: str, seen: ShardView, timeout_s: float) -> bool:
         message = msgspec.json.encode(HandOver(seen))
@@ -203,6 +208,42 @@
         assert third.schedulers == []
 
 
+class TestClaimInFlight:
+    """A claim is stored, but the claimant hasn't received the response yet."""
+
+    def setup_method(self) -> None:
+        self.peers = PeersStub()
+        engine = StoreEngine(ManualClock())
+        self.member = MemberParts("m1", engine, self.peers)
+        self.other = MemberParts("m2", engine, self.peers)
+        self.other.cell.set_roster((self.other.address,))
+        self.commit = self.member.store.commit
+
+    def commit_and_run(
+        self, others: Callable[[], None]
+    ) -> Callable[[Transaction, float], TransactionResult]:
+        """Return a commit method that runs ``others`` before it responds."""
+
+        def commit(transaction: Transaction, timeout_s: float) -> TransactionResult:
+            result = self.commit(transaction, timeout_s)
+            others()
+            return result
+
+        return commit
+
+    def test_claimant_is_not_taken_for_a_holder_that_has_stopped(self) -> None:
+        # With a slow store a member reads the claim before its claimant is answered,
+        # asks the claimant, and claims from it as from a holder that stopped.
+        def follow() -> None:
+            self.other.control.follow()
+            self.other.control.follow()
+
+        self.member.store.commit = self.commit_and_run(follow)  # type: ignore[method-assign]
+        self.member.control.find_holder()
+        assert self.other.schedulers == []
+        assert len(self.member.schedulers) == 1
+
+
 class TestActivePredecessors:
     """A holder is silent, but may still act on workers that others can't reach."""
 
@@ -329,6 +370,27 @@
         other.control.follow()
         assert [scheduler.token for scheduler in other.schedulers] == [2]
 
+    def test_restarted_holder_that_claims_meanwhile_is_not_taken_for_the_former(
+        self,
+    ) -> None:
+        # With a slow store the former holder, back as a new process, claims between its
+        # reply to a heartbeat and the reading of the record.
+        again = MemberParts("m1", self.engine, self.peers, run="second")
+        other = MemberParts("m2", self.engine, self.peers)
+        other.cell.set_roster((other.address,))
+        other.control.follow()
+        read = other.store.read
+
+        def read_late(key: str, timeout_s: float) -> Entry | None:
+            if not again.schedulers:
+                again.control.find_holder()
+            return read(key, timeout_s)
+
+        other.store.read = read_late  # type: ignore[method-assign]
+        other.control.follow()
+        assert [scheduler.token for scheduler in again.schedulers] == [2]
+        assert other.schedulers == []
+
     def test_newly_found_holder_is_contacted_at_once(self) -> None:
         other = MemberParts("m2", self.engine, self.peers)
         recorder = WaitRecorder(rounds=3)
