Start no scheduler for a claim that was superseded before its response

Cause: an announcement that finds no scheduler is answered as if the member had stopped. If the member's own claim was still in flight, its scheduler started afterwards.

Evidence: test_claimant_that_was_superseded_meanwhile_starts_nothing failed before (the scheduler wasn't marked as superseded). Not shown to be what the users saw.

Why it works: the announcement records the newest token before it looks for a scheduler, and a claimant sets its scheduler before it compares the newest token, so that one of the two finds the other.

--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/control.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/control.py
@@ -379,13 +379,19 @@
         authority.confirm(sent_s)
         scheduler = self.build_scheduler(authority, bool(active_predecessors))
         scheduler.set_configuration(configuration)
-        self.cell.set_holder(int(held.record.token), self.cell.address)
         self.cell.scheduler = scheduler
+        # Checked after the scheduler is set: an announcement that finds none to stop
+        # has recorded a newer token before.
+        is_newest = self.cell.set_holder(int(held.record.token), self.cell.address)
+        if not is_newest:
+            log.warning("superseded before the start", token=scheduler.token)
+            scheduler.mark_shard_lost()
         self.metrics.takeovers.inc()
         self.executor.submit(self.run_scheduler, scheduler)
-        self.executor.submit(
-            self.cell.announce, scheduler, former_holder, active_predecessors
-        )
+        if is_newest:
+            self.executor.submit(
+                self.cell.announce, scheduler, former_holder, active_predecessors
+            )
 
     def run_scheduler(self, scheduler: SchedulerTask) -> None:
         """Run the scheduler's task; give up the shard if it crashes."""
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/peer_server.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/peer_server.py
@@ -129,11 +129,12 @@
     def handle_announcement(self, body: bytes) -> bool:
         """Record a new holder, and stop scheduling if it supersedes this member."""
         announcement = msgspec.json.decode(body, type=HolderAnnouncement)
+        # Recorded first: a claimant that has no scheduler yet checks the newest token.
+        self.cell.set_holder(announcement.token, announcement.address)
         scheduler = self.cell.scheduler
         if scheduler is not None and announcement.token > scheduler.token:
             log.warning("superseded", token=scheduler.token, by=announcement.member)
             scheduler.mark_shard_lost()
-        self.cell.set_holder(announcement.token, announcement.address)
         return True
 
     def handle_hand_over(self, body: bytes) -> bool:
--- a/tests/member/test_hand_over.py
+++ b/tests/member/test_hand_over.py
@@ -243,6 +243,20 @@
         assert self.other.schedulers == []
         assert len(self.member.schedulers) == 1
 
+    def test_claimant_that_was_superseded_meanwhile_starts_nothing(self) -> None:
+        # The successor's announcement finds no scheduler to stop, and the reply counts
+        # as a confirmation that this member starts no tasks.
+        def take_over() -> None:
+            seen = self.other.shard_lock.read(1.0)
+            assert self.other.control.take_over(seen)
+            assert self.other.schedulers[0].predecessor_stop_reported.wait(WAIT_S)
+
+        self.member.store.commit = self.commit_and_run(take_over)  # type: ignore[method-assign]
+        self.member.control.find_holder()
+        (scheduler,) = self.member.schedulers
+        assert scheduler.lost.is_set()
+        assert self.member.cell.holder_address == self.other.address
+
 
 class TestActivePredecessors:
     """A holder is silent, but may still act on workers that others can't reach."""
