Hold jobs accepted while a predecessor acted until every worker has reported

Seen by callers: a task runs twice after a takeover from a holder that still acts, if one worker is reachable for the former holder but not for its successor.

Cause: become_sole_scheduler released the held jobs that didn't predate the takeover. A job accepted while the predecessor acted may have a run on a worker that hasn't reported yet; the predecessor's stop says nothing about that.

Why it works: such a job is treated like those that predate the takeover: it starts once every worker has reported, or the leases of the others have lapsed. Jobs accepted after the predecessor stopped start at once, as before.

Two tests said otherwise and were wrong: one let a held job start after 1.5 s, one when the predecessor was reported as stopped, both with a worker that hadn't reported. They now require that the job waits for that worker's leases, and that a later job doesn't.

The cost: with a worker dark at such a takeover, jobs accepted in its first 1.5 s wait up to 12.3 s (4.3 s after the predecessor's reply), like older ones.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/takeover.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/takeover.py
@@ -43,16 +43,14 @@
     def become_sole_scheduler(self) -> None:
         """Mark this scheduler as the only active one.
 
-        Tasks whose runs are known now can have no other runs, and jobs accepted since
-        the takeover have no runs that this scheduler doesn't know.
+        Tasks whose runs are known now can have no other runs. Other tasks of a job that
+        was accepted before this moment may have, on workers that haven't reported.
         """
         self.ledger.is_sole_scheduler = True
         for worker in self.ledger.workers.values():
             for run in worker.runs.values():
                 run.task.is_safe_to_start = True
-        for job in list(self.held.values()):
-            if not job.predates_takeover:
-                self.release(job)
+        for job in self.held.values():
             self.ledger.touch(job)
 
     def hold_if_unsafe(self, job: Job) -> None:
