Bind commits to the holding in which their changes were made

Seen by callers: nothing so far; a change may be stored that a later holder doesn't know.

Cause: the condition on the shard's record was evaluated when a thread of the committer came to the commit. If the process had lost the shard and claimed it again by then, the changes of the earlier holding were stored under the condition of the later one, beside another holder's in between. The pause before a second claim (LeaseMs) makes this rare.

Evidence: both tests of TestLaterHolding failed before (the end of a job and a record of workers were stored). Not shown to be what the users saw.

Why it works: a committer belongs to one holding and takes its condition when it is built. The tests of commits pass the condition in place of the lock, otherwise unchanged.

--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/commits.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/commits.py
@@ -14,11 +14,7 @@
 )
 from gooseberrydeck_fleet.commands import Changes
 from gooseberrydeck_member.keys import SHARD_KEY, ended_key, job_key, progress_key
-from gooseberrydeck_member.shard_lock import (
-    ShardLock,
-    ShardLostError,
-    mod_revision_equals,
-)
+from gooseberrydeck_member.shard_lock import ShardLostError, mod_revision_equals
 
 __all__ = ["MAX_COMMIT_ENTRIES", "CommitOutcome", "commit_changes"]
 
@@ -41,28 +37,28 @@
 
 
 def commit_changes(
-    store: Store, shard_lock: ShardLock, changes: Changes, timeout_s: float
+    store: Store, ownership: Compare, changes: Changes, timeout_s: float
 ) -> CommitOutcome:
-    """Store changes in one transaction.
+    """Store changes in one transaction, under the condition ``ownership``.
 
     Store errors are reported in the outcome. Raises ``ShardLostError`` if the shard is
     no longer held.
     """
     try:
-        result = store.commit(build_transaction(shard_lock, changes), timeout_s)
+        result = store.commit(build_transaction(ownership, changes), timeout_s)
         if result.succeeded:
             revision = int(result.revision)
             written = {write.job: revision for write in changes.progress}
             ended = frozenset(ending.job for ending in changes.endings)
             return CommitOutcome(True, written, ended)
-        return read_current_state(store, shard_lock, changes, timeout_s)
+        return read_current_state(store, ownership, changes, timeout_s)
     except StoreError as error:
         return CommitOutcome(False, reason=f"{type(error).__name__}: {error}")
 
 
-def build_transaction(shard_lock: ShardLock, changes: Changes) -> Transaction:
-    """Return a transaction for all changes, conditional on the held shard."""
-    compares: list[Compare] = [shard_lock.ownership_condition()]
+def build_transaction(ownership: Compare, changes: Changes) -> Transaction:
+    """Return a transaction for all changes, under the condition ``ownership``."""
+    compares: list[Compare] = [ownership]
     operations: list[Operation] = []
     for write in changes.progress:
         key = progress_key(write.job)
@@ -79,17 +75,15 @@
 
 
 def read_current_state(
-    store: Store, shard_lock: ShardLock, changes: Changes, timeout_s: float
+    store: Store, ownership: Compare, changes: Changes, timeout_s: float
 ) -> CommitOutcome:
     """Read the current state after a transaction was refused.
 
     An earlier attempt may have been applied although its response was lost.
     """
     shard = store.read(SHARD_KEY, timeout_s)
-    if shard is None or shard_lock.held is None:
-        raise ShardLostError("the shard's record is missing, or the shard was released")
-    if shard.mod_revision != shard_lock.held.revision:
-        raise ShardLostError("another member has claimed the shard")
+    if shard is None or shard.mod_revision != ownership.expected:
+        raise ShardLostError("the shard was claimed again or released")
     revisions: dict[JobId, int] = {}
     ended: set[JobId] = set()
     jobs = [write.job for write in changes.progress]
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/committer.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/committer.py
@@ -92,9 +92,14 @@
         metrics: Metrics,
         post: Callable[[object], None],
     ) -> None:
-        """Start without transactions; ``post`` receives the result of each."""
+        """Start without transactions; ``post`` receives the result of each.
+
+        Raises ``ShardLostError`` if the shard is not held.
+        """
         self.store = store
-        self.shard_lock = shard_lock
+        # The process may claim the shard again while a late thread of this committer
+        # runs, so the condition is that of the present holding.
+        self.ownership = shard_lock.ownership_condition()
         self.changes = changes
         self.metrics = metrics
         self.post = post
@@ -138,7 +143,7 @@
         """Commit changes and post the result."""
         try:
             outcome = commit_changes(
-                self.store, self.shard_lock, changes, STORE_TIMEOUT_S
+                self.store, self.ownership, changes, STORE_TIMEOUT_S
             )
         except ShardLostError as error:
             self.post(CommitDone(changes, None, str(error)))
@@ -195,7 +200,7 @@
             # The condition on the revision keeps a late write from replacing a newer
             # record.
             conditions = (
-                self.shard_lock.ownership_condition(),
+                self.ownership,
                 mod_revision_equals(WORKERS_KEY, revision),
             )
             result = self.store.commit(
@@ -206,7 +211,7 @@
             else:
                 present = self.store.read(WORKERS_KEY, STORE_TIMEOUT_S)
                 revision = Revision(0) if present is None else present.mod_revision
-        except (StoreError, ShardLostError) as error:
+        except StoreError as error:
             log.warning("cannot store record of workers", reason=str(error))
         self.post(WorkersRecorded(written, revision))
 
--- a/tests/member/test_committer.py
+++ b/tests/member/test_committer.py
@@ -8,7 +8,7 @@
 
 from fleet_support import Fleet, registration, task_resources
 from gooseberrydeck_coordination.clock import ManualClock
-from gooseberrydeck_coordination.ids import MemberId, Revision
+from gooseberrydeck_coordination.ids import JobId, MemberId, Revision
 from gooseberrydeck_coordination.store import Transaction, TransactionResult
 from gooseberrydeck_fleet.registrations import Registration
 from gooseberrydeck_fleet.work import StepSpec
@@ -20,7 +20,7 @@
     Committer,
     WorkersRecorded,
 )
-from gooseberrydeck_member.keys import WORKERS_KEY
+from gooseberrydeck_member.keys import WORKERS_KEY, ended_key
 from gooseberrydeck_member.observability import Metrics
 from gooseberrydeck_member.shard_lock import ShardLock, ShardLostError
 from gooseberrydeck_standins.engine_store import EngineStore
@@ -52,14 +52,14 @@
         self.fleet = Fleet()
         self.fleet.is_store_available = False
         self.store = GatedStore(StoreEngine(ManualClock()))
-        shard_lock = ShardLock(self.store, MemberId("m1"), "m1:1", "run-1")
-        assert shard_lock.claim(shard_lock.read(TIMEOUT_S), (), 2.0, TIMEOUT_S)
+        self.shard_lock = ShardLock(self.store, MemberId("m1"), "m1:1", "run-1")
+        self.claim(self.shard_lock)
         while self.store.entered.acquire(blocking=False):
             pass
         self.messages: queue.SimpleQueue[object] = queue.SimpleQueue()
         self.committer = Committer(
             self.store,
-            shard_lock,
+            self.shard_lock,
             self.fleet.scheduler.changes,
             Metrics(),
             self.messages.put,
@@ -70,6 +70,9 @@
         self.store.gate.set()
         self.committer.close()
 
+    def claim(self, shard_lock: ShardLock) -> None:
+        assert shard_lock.claim(shard_lock.read(TIMEOUT_S), (), 2.0, TIMEOUT_S)
+
     def complete_job(self, name: str) -> None:
         self.fleet.submit(name, StepSpec(1, TASK_RESOURCES), seconds=0.1)
         self.fleet.run_for(0.3)
@@ -119,14 +122,33 @@
         assert {"a", "b"} <= self.fleet.scheduler.changes.ended.keys()
 
     def test_loss_of_the_shard_is_raised(self) -> None:
-        other = ShardLock(self.store, MemberId("m2"), "m2:1", "run-2")
-        assert other.claim(other.read(TIMEOUT_S), (), 2.0, TIMEOUT_S)
+        self.claim(ShardLock(self.store, MemberId("m2"), "m2:1", "run-2"))
         self.complete_job("a")
         self.send()
         with pytest.raises(ShardLostError):
             self.committer.commit_completed(self.next_result(), self.now_s)
 
 
+class TestLaterHolding(CommitterFixture):
+    """The same process has lost the shard and claimed it again."""
+
+    def test_change_of_an_earlier_holding_is_not_stored(self) -> None:
+        # The condition was evaluated when a thread of the executor came to it.
+        self.complete_job("a")
+        changes = self.fleet.scheduler.changes.take_batch(10, 0.0)
+        self.claim(ShardLock(self.store, MemberId("m2"), "m2:1", "run-2"))
+        self.claim(self.shard_lock)
+        self.committer.commit(changes)
+        assert self.next_result().outcome is None
+        assert self.store.read(ended_key(JobId("a")), TIMEOUT_S) is None
+
+    def test_record_of_workers_of_an_earlier_holding_is_not_stored(self) -> None:
+        self.claim(ShardLock(self.store, MemberId("m2"), "m2:1", "run-2"))
+        self.claim(self.shard_lock)
+        self.committer.write_workers([registration("w1")], Revision(0))
+        assert self.store.read(WORKERS_KEY, TIMEOUT_S) is None
+
+
 class TestWorkersRecord(CommitterFixture):
     def write_record(self, *names: str, revision: Revision) -> WorkersRecorded:
         entries = [registration(name) for name in names]
--- a/tests/member/test_holding.py
+++ b/tests/member/test_holding.py
@@ -143,6 +143,7 @@
     def setup_method(self) -> None:
         super().setup_method()
         self.claim(self.first)
+        self.held = self.first.ownership_condition()
 
     def progress(self, name: str, revision: int = 0) -> Changes:
         return Changes((ProgressWrite(JobId(name), b"[]", revision),), (), {})
@@ -152,10 +153,10 @@
         return Changes((), (JobEnding(JobId(name), ended, revision),), {})
 
     def test_progress_and_ending_are_stored(self) -> None:
-        outcome = commit_changes(self.store, self.first, self.progress("a"), TIMEOUT_S)
+        outcome = commit_changes(self.store, self.held, self.progress("a"), TIMEOUT_S)
         assert outcome.stored
         ending = self.ending("a", outcome.revisions[JobId("a")])
-        assert commit_changes(self.store, self.first, ending, TIMEOUT_S).stored
+        assert commit_changes(self.store, self.held, ending, TIMEOUT_S).stored
         assert self.store.read(progress_key(JobId("a")), TIMEOUT_S) is None
         assert self.store.read(job_key(JobId("a")), TIMEOUT_S) is None
         assert self.store.read(ended_key(JobId("a")), TIMEOUT_S) is not None
@@ -163,29 +164,29 @@
     def test_superseded_holder_stores_nothing(self) -> None:
         self.claim(self.second)
         with pytest.raises(ShardLostError):
-            commit_changes(self.store, self.first, self.progress("a"), TIMEOUT_S)
+            commit_changes(self.store, self.held, self.progress("a"), TIMEOUT_S)
         assert self.store.read(progress_key(JobId("a")), TIMEOUT_S) is None
 
     def test_stale_revision_is_refused_with_the_current_revision(self) -> None:
-        first = commit_changes(self.store, self.first, self.progress("a"), TIMEOUT_S)
-        again = commit_changes(self.store, self.first, self.progress("a"), TIMEOUT_S)
+        first = commit_changes(self.store, self.held, self.progress("a"), TIMEOUT_S)
+        again = commit_changes(self.store, self.held, self.progress("a"), TIMEOUT_S)
         assert not again.stored
         assert again.revisions == first.revisions
 
     def test_repeated_ending_is_reported_as_already_stored(self) -> None:
-        commit_changes(self.store, self.first, self.progress("a"), TIMEOUT_S)
+        commit_changes(self.store, self.held, self.progress("a"), TIMEOUT_S)
         entry = self.store.read(progress_key(JobId("a")), TIMEOUT_S)
         assert entry is not None
         ending = self.ending("a", int(entry.mod_revision))
-        assert commit_changes(self.store, self.first, ending, TIMEOUT_S).stored
-        again = commit_changes(self.store, self.first, ending, TIMEOUT_S)
+        assert commit_changes(self.store, self.held, ending, TIMEOUT_S).stored
+        again = commit_changes(self.store, self.held, ending, TIMEOUT_S)
         assert not again.stored
         assert again.ended == {JobId("a")}
 
     @pytest.mark.parametrize("fault", [CallFault.DOWN, CallFault.REQUEST_LOST])
     def test_unreachable_store_is_a_failed_commit(self, fault: CallFault) -> None:
         self.store.fault = fault
-        outcome = commit_changes(self.store, self.first, self.progress("a"), TIMEOUT_S)
+        outcome = commit_changes(self.store, self.held, self.progress("a"), TIMEOUT_S)
         assert not outcome.stored
         assert outcome.reason
 
@@ -201,7 +202,7 @@
         for job in fleet.scheduler.ledger.jobs:
             fleet.scheduler.ledger.changed[job] = None
         changes = fleet.scheduler.changes.take_batch(MAX_COMMIT_ENTRIES, 0.0)
-        transaction = build_transaction(self.first, changes)
+        transaction = build_transaction(self.held, changes)
         entries = len(transaction.compares) + len(transaction.operations)
         assert MAX_ENTRIES - 2 * ENDING_ENTRIES < entries <= MAX_ENTRIES
 
