Repeat the announcement to former holders that may still act

Seen by callers: after a takeover from a holder that is silent for a moment, tasks that were waiting stand still up to 12.3 s if a worker is dark.

Cause: the former holder was told once, with a timeout of 0.3 s. If it was frozen, cut off or just restarting, the successor never learned that it had stopped.

Evidence: test_silent_holder_is_told_as_soon_as_it_can_be_reached failed before (no report within 2 s; the holder could be reached after the first try).

Why it works: the announcement is repeated until all former holders have replied, for the 8 s within which they may act. A new process at the address replies as well: the one that held the shard has ended. Each try costs a peer call, four a second at most.

--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/cell.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/cell.py
@@ -10,6 +10,7 @@
 
 from gooseberrydeck_coordination.ids import JobId, QueueName, Revision
 from gooseberrydeck_fleet.work import JobRecord, JobState
+from gooseberrydeck_member.authority import AUTHORITY_TIMEOUT_S
 from gooseberrydeck_member.callers import CallerRequest, CallerResponse
 from gooseberrydeck_member.peer_messages import (
     Heartbeat,
@@ -34,6 +35,9 @@
 ANNOUNCE_TIMEOUT_S = 0.3
 """Timeout of one announcement; they are sent one after another."""
 
+ANNOUNCE_INTERVAL_S = 0.25
+"""Pause before the announcement to predecessors that did not reply is repeated."""
+
 NOTIFIER_THREADS = 2
 """Threads for messages that are sent without waiting for a reply."""
 
@@ -130,25 +134,33 @@
     ) -> None:
         """Announce to every known member that this one holds the shard.
 
-        Reports to the scheduler when all active predecessors have replied.
+        Repeats it for active predecessors, and reports to the scheduler when all of
+        them have replied.
         """
         token = int(scheduler.token)
         announcement = HolderAnnouncement(token, self.member, self.address)
         unanswered = set(active_predecessors)
         # Predecessors come first: they may start tasks until they are told.
         first = [*active_predecessors, former_holder]
-        for address in dict.fromkeys([*first, *self.peer_addresses()]):
-            if address in ("", self.address):
-                continue
-            try:
-                self.peers.announce(address, announcement, ANNOUNCE_TIMEOUT_S)
-            except PeerCallError as error:
-                log.info("announcement failed", address=address, reason=str(error))
-                continue
-            if unanswered:
-                unanswered.discard(address)
-                if not unanswered:
-                    scheduler.predecessor_stopped()
+        addresses = dict.fromkeys([*first, *self.peer_addresses()])
+        addresses.pop("", None)
+        addresses.pop(self.address, None)
+        end_s = time.monotonic() + AUTHORITY_TIMEOUT_S
+        while addresses:
+            for address in addresses:
+                try:
+                    self.peers.announce(address, announcement, ANNOUNCE_TIMEOUT_S)
+                except PeerCallError as error:
+                    log.info("announcement failed", address=address, reason=str(error))
+                    continue
+                if unanswered:
+                    unanswered.discard(address)
+                    if not unanswered:
+                        scheduler.predecessor_stopped()
+            is_late = time.monotonic() > end_s
+            if is_late or scheduler.stopping.wait(ANNOUNCE_INTERVAL_S):
+                return
+            addresses = dict.fromkeys(unanswered)
 
     # Methods of HolderDirectory.
 
--- a/tests/member/test_hand_over.py
+++ b/tests/member/test_hand_over.py
@@ -1,5 +1,6 @@
 """Tests of the hand-over of the shard before a planned stop, and of restarts."""
 
+import queue
 import threading
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -68,9 +69,11 @@
     """A peer client that calls reachable members directly."""
 
     applications: dict[str, PeerApplication] = field(default_factory=dict)
+    missed: queue.SimpleQueue[str] = field(default_factory=queue.SimpleQueue)
 
     def application(self, address: str) -> PeerApplication:
         if address not in self.applications:
+            self.missed.put(address)
             raise PeerCallError(f"{address}: not reachable")
         return self.applications[address]
 
@@ -271,6 +274,11 @@
         self.member = self.make_member("m1")
         self.other = self.make_member("m2")
 
+    def teardown_method(self) -> None:
+        for member in (self.silent, self.member, self.other):
+            for scheduler in member.schedulers:
+                scheduler.stop()
+
     def make_member(self, name: str) -> MemberParts:
         member = MemberParts(name, self.engine, self.peers)
         # The first in the roster claims without a delay.
@@ -337,11 +345,20 @@
         (scheduler,) = self.other.schedulers
         assert not scheduler.was_silent
 
+    def test_silent_holder_is_told_as_soon_as_it_can_be_reached(self) -> None:
+        # A killed process is back within seconds, and its reply ends the wait.
+        self.claim_from_silent_holder()
+        (scheduler,) = self.member.schedulers
+        assert self.peers.missed.get(timeout=WAIT_S) == self.silent.address
+        self.peers.applications[self.silent.address] = self.application
+        assert scheduler.predecessor_stop_reported.wait(WAIT_S)
+
     def test_predecessors_have_stopped_once_all_of_them_have_replied(self) -> None:
         self.claim_from_silent_holder()
         (scheduler,) = self.member.schedulers
         predecessors = (self.other.address, self.silent.address)
         announce = self.member.cell.announce
+        scheduler.stop()
         announce(scheduler, "", predecessors)  # type: ignore[arg-type]
         assert not scheduler.predecessor_stop_reported.is_set()
         self.peers.applications[self.silent.address] = self.application
