--- a/tests/member/test_takeover.py
+++ b/tests/member/test_takeover.py
@@ -101,13 +101,18 @@
         """Store that the job's first task is done, as the predecessor does."""
         value = encode_progress(Progress([StepProgress(0, 0, done=1)]))
         changes = Changes((ProgressWrite(JOB, value, 0),), (), {})
-        assert commit_changes(self.store, self.predecessor, changes, TIMEOUT_S).stored
+        self.commit(changes)
 
     def end(self) -> None:
         """Store the job's end, as the predecessor does."""
         ended = EndedJob(JobState.COMPLETED, 2.0)
         changes = Changes((), (JobEnding(JOB, ended, 0),), {})
-        assert commit_changes(self.store, self.predecessor, changes, TIMEOUT_S).stored
+        self.commit(changes)
+
+    def commit(self, changes: Changes) -> None:
+        """Store changes of the predecessor."""
+        ownership = self.predecessor.ownership_condition()
+        assert commit_changes(self.store, ownership, changes, TIMEOUT_S).stored
 
     def record_worker(self) -> None:
         """Store a worker that the predecessor may have started tasks on."""
