Test that no task runs twice while two schedulers act

The order of claim, loading, word to the first holder, submissions, replies, losses and stops is drawn by seed; the successor can't reach some workers.

Not drawn: a watch that is behind after loading, a job that predates the takeover and is announced before loading, speculative steps, workers that restart.

--- /dev/null
+++ b/tests/fleet/test_two_holders.py
@@ -0,0 +1,255 @@
+"""Tests of a scheduler that acts beside its predecessor, in an order drawn by seed."""
+
+import random
+
+import pytest
+
+from fleet_support import (
+    HOST,
+    SLOW,
+    TEAM,
+    make_configuration,
+    registration,
+    task_resources,
+)
+from gooseberrydeck_coordination.clock import ManualClock
+from gooseberrydeck_coordination.ids import Epoch, JobId
+from gooseberrydeck_fleet.commands import StartRun, StopRun
+from gooseberrydeck_fleet.ids import WorkerId
+from gooseberrydeck_fleet.progress import decode_progress
+from gooseberrydeck_fleet.scheduler import Scheduler
+from gooseberrydeck_fleet.settings import Timing
+from gooseberrydeck_fleet.work import JobRecord, StepSpec, WorkSpec
+from gooseberrydeck_fleet.worker_calls import (
+    PollReply,
+    StartRequest,
+    WorkerFencedError,
+)
+from gooseberrydeck_standins.fleet_worker import (
+    FleetWorkerEngine,
+    RunPlan,
+    RunSpan,
+    find_duplicate_runs,
+)
+
+SEEDS = 100
+"""Drawn orders, each with and without word to the first holder."""
+
+STEP_S = 0.05
+NOTICE_S = 1.5
+LEASE_S = 4.3
+"""Time until all leases that a predecessor granted have expired."""
+
+WATCHED_S = 4.1
+"""Time observed after the takeover: until the successor may rely on expired leases."""
+
+LOSS = 0.1
+
+
+class ActingHolder:
+    """A scheduler with its own view of the workers; replies are late or lost."""
+
+    def __init__(self, cell: "ContestedCell", token: int) -> None:
+        self.cell = cell
+        self.token = Epoch(token)
+        self.scheduler = Scheduler(token, Timing())
+        self.scheduler.set_configuration(make_configuration())
+        self.reachable = set(cell.engines)
+        self.acknowledged = dict.fromkeys(cell.engines, 0)
+        self.replies: list[tuple[float, WorkerId, PollReply]] = []
+        self.is_acting = True
+
+    def step(self) -> None:
+        """Poll workers, execute commands and store changes, until fenced off."""
+        rng, now_s = self.cell.random, self.cell.clock.now_s
+        try:
+            for worker in self.cell.engines:
+                if rng.random() < 0.7:
+                    self.poll(worker)
+            due = [each for each in self.replies if each[0] <= now_s]
+            self.replies = [each for each in self.replies if each[0] > now_s]
+            for _, worker, reply in due:
+                self.scheduler.poll_answered(worker, reply, now_s)
+            for command in self.scheduler.decide(now_s, now_s):
+                if isinstance(command, StartRun):
+                    self.start(command)
+                elif isinstance(command, StopRun) and command.worker in self.reachable:
+                    engine = self.cell.engines[command.worker]
+                    engine.stop(command.task, command.run, self.token)
+        except WorkerFencedError:
+            self.is_acting = False
+        else:
+            self.commit()
+
+    def poll(self, worker_id: WorkerId) -> None:
+        """Poll a worker; the reply comes later."""
+        worker = self.scheduler.ledger.workers[worker_id]
+        rng, now_s = self.cell.random, self.cell.clock.now_s
+        until_ms = self.scheduler.lease_until_ms(worker, now_s)
+        if worker_id not in self.reachable:
+            self.scheduler.worker_silent(worker_id)
+            return
+        acknowledged = self.acknowledged[worker_id]
+        reply = self.cell.engines[worker_id].poll(self.token, acknowledged, until_ms)
+        if rng.random() >= LOSS:
+            delay_s = rng.choice((0.0, 0.0, 0.05, 0.2, 0.6))
+            self.replies.append((now_s + delay_s, worker_id, reply))
+
+    def start(self, command: StartRun) -> None:
+        """Send a start request, which may be lost."""
+        worker, request = command.worker, command.request
+        if worker not in self.reachable or self.cell.random.random() < LOSS / 2:
+            self.scheduler.start_unanswered(worker, request.task, request.run, True)
+            return
+        outcome, _ = self.cell.engines[worker].start(request, self.token)
+        now_s = self.cell.clock.now_s
+        self.scheduler.start_answered(worker, request.task, request.run, outcome, now_s)
+
+    def commit(self) -> None:
+        """Store changes, which the store refuses once a successor has claimed."""
+        log, now_s = self.scheduler.changes, self.cell.clock.now_s
+        changes = log.take_batch(100, now_s)
+        if self.token < self.cell.token:
+            self.is_acting = changes.is_empty or self.cell.random.random() < 0.7
+            log.commit_failed(changes)
+            return
+        for write in changes.progress:
+            self.cell.progress[write.job] = write.value
+        for ending in changes.endings:
+            self.cell.records.pop(ending.job, None)
+            self.cell.progress.pop(ending.job, None)
+        ends = log.commit_succeeded(changes, {}, now_s)
+        self.acknowledged.update({each: number for each, (_, number) in ends.items()})
+        entries = log.workers_to_record()
+        if entries is not None:
+            log.workers_recorded(entries)
+
+
+class ContestedCell:
+    """Workers, the stored jobs, and a holder that is replaced by another one."""
+
+    def __init__(self, seed: int) -> None:
+        self.random = random.Random(seed)
+        self.clock = ManualClock()
+        self.token = 1
+        self.records: dict[JobId, JobRecord] = {}
+        self.progress: dict[JobId, bytes] = {}
+        self.plans: dict[JobId, list[RunPlan]] = {}
+        self.engines = {
+            WorkerId(f"w{number}"): FleetWorkerEngine(self.clock, HOST, self.plan)
+            for number in range(self.random.randint(2, 4))
+        }
+        self.first = ActingHolder(self, 1)
+        for worker in self.engines:
+            entry = registration(worker)
+            self.first.scheduler.worker_registered(entry, self.clock.now_s)
+
+    def plan(self, request: StartRequest) -> RunPlan:
+        """Return the simulated course of a run."""
+        return self.plans[request.task.job][request.task.step]
+
+    def submit(self) -> JobRecord:
+        """Store a job of up to three steps, some of which are gangs."""
+        rng = self.random
+        job = JobId(f"j{len(self.plans)}")
+        steps: list[StepSpec] = []
+        for number in range(rng.randint(1, 3)):
+            is_gang = rng.random() < 0.3
+            count = rng.randint(2, 3) if is_gang else rng.randint(1, 2)
+            after = tuple(each for each in range(number) if rng.random() < 0.7)
+            resources = task_resources(rng.choice((1, 14)))
+            steps.append(StepSpec(count, resources, after=after, is_gang=is_gang))
+        self.plans[job] = [
+            RunPlan(
+                rng.uniform(0.3, 2.5),
+                step.allocation,
+                fails=not step.is_gang and rng.random() < 0.1,
+            )
+            for step in steps
+        ]
+        work = WorkSpec(steps=tuple(steps))
+        self.records[job] = JobRecord(job, SLOW, TEAM, work, self.clock.now_s)
+        return self.records[job]
+
+    def step(self, *holders: ActingHolder) -> None:
+        """Advance the clock, and run the holders in any order."""
+        self.clock.advance(STEP_S)
+        for engine in self.engines.values():
+            engine.advance()
+        for holder in self.random.sample(holders, len(holders)):
+            if holder.is_acting:
+                holder.step()
+
+    def run_first_holder(self) -> None:
+        """Run the first holder alone for up to three seconds."""
+        for _ in range(self.random.randint(4, 60)):
+            if self.random.random() < 0.08:
+                assert self.first.scheduler.accept(self.submit(), 1)
+            self.step(self.first)
+
+    def replace_holder(self, is_told: bool) -> None:
+        """Run both holders until the first one stops, and the second one on.
+
+        The first one learns of its successor from it, or else by ``NOTICE_S``.
+        """
+        rng, claimed_s = self.random, self.clock.now_s
+        self.token = 2
+        second = ActingHolder(self, 2)
+        second.scheduler.predecessor_may_act(claimed_s + NOTICE_S)
+        dark = rng.choice((0, 1, 1, 2))
+        second.reachable -= set(rng.sample(list(self.engines), dark))
+        stop_s = claimed_s + (rng.choice((0.0, 0.2, 0.8)) if is_told else 1.45)
+        load_s = claimed_s + rng.choice((0.0, 0.05, 0.3))
+        is_loaded = is_stop_known = False
+        while self.clock.now_s < claimed_s + WATCHED_S:
+            now_s = self.clock.now_s
+            if rng.random() < 0.12:
+                record = self.submit()
+                if self.first.is_acting and rng.random() < 0.8:
+                    self.first.scheduler.accept(record, 1)
+                if is_loaded or rng.random() < 0.5:
+                    second.scheduler.accept(record, 1)
+            if not is_loaded and now_s >= load_s:
+                is_loaded = True
+                self.load(second.scheduler, claimed_s + LEASE_S)
+            if now_s >= stop_s:
+                self.first.is_acting = False
+                if is_told and not is_stop_known:
+                    is_stop_known = True
+                    second.scheduler.predecessor_stopped(now_s + LEASE_S)
+            self.step(self.first, *([second] if is_loaded else []))
+
+    def load(self, scheduler: Scheduler, lease_expiry_s: float) -> None:
+        """Load the stored state into a successor's scheduler."""
+        for worker in self.engines:
+            entry = registration(worker)
+            scheduler.worker_registered(entry, self.clock.now_s, lease_expiry_s)
+        for record in self.records.values():
+            scheduler.accept(record, 1, predates_takeover=True)
+        for job, value in self.progress.items():
+            scheduler.restore(job, decode_progress(value), 1)
+        scheduler.release_held_jobs()
+
+    def duplicate_runs(self) -> list[str]:
+        """Describe the tasks that ran twice, or again after they were done."""
+        spans: list[RunSpan] = []
+        wall_s = self.clock.wall()
+        for engine in self.engines.values():
+            spans += engine.spans
+            for active in engine.runs.values():
+                began_s = wall_s - engine.now_s() + active.started_s
+                spans.append(
+                    RunSpan(str(active.task), active.run, began_s, wall_s, "running")
+                )
+        return find_duplicate_runs(spans)
+
+
+class TestTwoHolders:
+    # Jobs accepted while the first holder acted started beside its unreported runs.
+    @pytest.mark.parametrize("is_told", [True, False])
+    @pytest.mark.parametrize("seed", range(SEEDS))
+    def test_no_task_runs_twice(self, seed: int, is_told: bool) -> None:
+        cell = ContestedCell(seed)
+        cell.run_first_holder()
+        cell.replace_holder(is_told)
+        assert cell.duplicate_runs() == []
