Start dependents beside a predecessor only if all runs of the step are known

Seen by callers: a task of a step that comes after a gang, or after a speculative step, runs twice around a change of the holder.

Cause: a run that was known here when it ended was taken to show that no predecessor has seen the step's end. One end stands for a whole gang, and for all copies of a task: the predecessor may have seen another member's or copy's end on a worker that its successor can't reach, and have started the dependent step there.

Evidence: test_end_of_one_gang_member_does_not_start_dependents_beside_a_predecessor and test_end_of_one_copy_does_not_start_dependents_beside_a_predecessor failed before (one more start). Not shown to be what the users saw.

Why it works: a worker that has listed a run here reports its end to no predecessor. If that holds for all members of a gang, no predecessor knows the end. Copies may be unknown until every worker has reported, so a speculative step doesn't mark its dependents; they start then, like other steps of the job.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/run_ends.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/run_ends.py
@@ -76,7 +76,7 @@
                 self.ledger.task_done(task)
             self.stop_surplus(task)
             if run is not None:
-                self.mark_dependents(step)
+                self.mark_dependents(task)
             self.finish_if_complete(step.job)
             return
         if checkpoint and not task.is_done and checkpoint != task.checkpoint:
@@ -88,14 +88,21 @@
         elif run is not None and run.stop_reason is StopReason.STALLED:
             task.failed_on[worker] = now_s
 
-    def mark_dependents(self, step: Step) -> None:
-        """Mark the steps that depend on a step as safe to start.
+    def mark_dependents(self, task: Task) -> None:
+        """Mark the steps that depend on a task as safe to start.
 
-        A run of the step was known here when it ended, after any predecessor had
-        stopped acting, so no predecessor can have started the dependent steps.
+        The task's run was known here before it ended, and its worker refuses the polls
+        of any predecessor since, so none can have started the dependent steps. That
+        doesn't hold if an unknown run, of another gang member or a copy, may have ended
+        for it.
         """
+        step = task.step
         if not step.job.may_have_unknown_runs or not self.ledger.is_sole_scheduler:
             return
+        others = [each for each in step.tasks if each is not task]
+        is_gang_known = all(other.runs for other in others)
+        if step.spec.is_speculative or (step.spec.is_gang and not is_gang_known):
+            return
         for dependent in step.job.steps.values():
             is_same_occurrence = dependent.ref.occurrence == step.ref.occurrence
             if is_same_occurrence and step.ref.step in dependent.spec.after:
--- a/tests/fleet/test_faults.py
+++ b/tests/fleet/test_faults.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable
 
+import msgspec
+
 from fleet_support import (
     HOST,
     SLOW,
@@ -297,6 +299,67 @@
         fleet.run_for(2.0)
         assert len(fleet.starts) >= 3
 
+    def test_end_of_one_gang_member_does_not_start_dependents_beside_a_predecessor(
+        self,
+    ) -> None:
+        # The end of the other member may have told the predecessor that the gang is
+        # done, on a worker that its successor can't reach.
+        fleet = Fleet(workers=2)
+        gang = StepSpec(2, task_resources(20), is_gang=True)
+        fleet.submit("a", gang, StepSpec(1, ONE, after=(0,)), seconds=1.0)
+        fleet.run_for(0.3)
+        dark, reached = (worker for _, _, worker in fleet.starts)
+        former, token = fleet.scheduler, Epoch(fleet.token)
+        fleet.unreachable.add(dark)
+        fleet.take_over()
+        fleet.scheduler.predecessor_may_act(fleet.now_s + 1.5)
+        fleet.run_for(0.2)
+        fleet.clock.advance(0.8)
+        former.worker_silent(reached)
+        reply = fleet.engines[dark].poll(token, 0, None)
+        former.poll_answered(dark, reply, fleet.now_s)
+        for command in former.decide(fleet.now_s, fleet.clock.wall()):
+            assert isinstance(command, StartRun)
+            fleet.engines[dark].start(command.request, token)
+        assert len(fleet.engines[dark].runs) == 1
+        fleet.scheduler.predecessor_stopped(fleet.now_s + 4.3)
+        fleet.run_for(1.0)
+        assert len(fleet.starts) == 2
+
+    def test_end_of_one_copy_does_not_start_dependents_beside_a_predecessor(
+        self,
+    ) -> None:
+        # As above: a copy that the successor doesn't know may have ended before.
+        def plan(request: StartRequest) -> RunPlan:
+            requests.append(request)
+            return RunPlan(2.0 if len(requests) == 1 else 0.5, ONE)
+
+        requests: list[StartRequest] = []
+        fleet = Fleet(workers=2)
+        steps = StepSpec(1, ONE, is_speculative=True), StepSpec(1, ONE, after=(0,))
+        fleet.submit("a", *steps, plan=plan)
+        fleet.run_for(0.3)
+        _, _, reached = fleet.starts[0]
+        (dark,) = fleet.engines.keys() - {reached}
+        former, token = fleet.scheduler, Epoch(fleet.token)
+        copy = msgspec.structs.replace(requests[0], run=requests[0].run + 1)
+        fleet.engines[dark].start(copy, token)
+        fleet.unreachable.add(dark)
+        fleet.take_over()
+        fleet.scheduler.predecessor_may_act(fleet.now_s + 1.5)
+        fleet.run_for(0.2)
+        fleet.clock.advance(0.4)
+        former.worker_silent(reached)
+        reply = fleet.engines[dark].poll(token, 0, None)
+        former.poll_answered(dark, reply, fleet.now_s)
+        for command in former.decide(fleet.now_s, fleet.clock.wall()):
+            if isinstance(command, StartRun):
+                fleet.engines[dark].start(command.request, token)
+        assert [task.step for task in fleet.engines[dark].runs] == [1]
+        fleet.scheduler.predecessor_stopped(fleet.now_s + 4.3)
+        fleet.run_for(2.0)
+        assert len(fleet.starts) == 1
+
     def test_failed_adopted_run_is_repeated_before_every_worker_has_reported(
         self,
     ) -> None:
