--- a/tests/fleet/test_two_holders.py
+++ b/tests/fleet/test_two_holders.py
@@ -1,6 +1,7 @@
 """Tests of a scheduler that acts beside its predecessor, in an order drawn by seed."""
 
 import random
+from enum import Enum
 
 import pytest
 
@@ -33,7 +34,7 @@
 )
 
 SEEDS = 100
-"""Drawn orders, each with and without word to the first holder."""
+"""Drawn orders for each end of the first holder."""
 
 STEP_S = 0.05
 NOTICE_S = 1.5
@@ -46,6 +47,17 @@
 LOSS = 0.1
 
 
+class FirstHolderEnd(Enum):
+    """How the first holder stops."""
+
+    KILLED = "killed"
+    TOLD = "told"
+    """It learns of its successor, which learns of that."""
+
+    SILENT = "silent"
+    """It stops by ``NOTICE_S`` without a word."""
+
+
 class ActingHolder:
     """A scheduler with its own view of the workers; replies are late or lost."""
 
@@ -187,15 +199,20 @@
                 assert self.first.scheduler.accept(self.submit(), 1)
             self.step(self.first)
 
-    def replace_holder(self, is_told: bool) -> None:
-        """Run both holders until the first one stops, and the second one on.
-
-        The first one learns of its successor from it, or else by ``NOTICE_S``.
-        """
+    def replace_holder(self, first_end: FirstHolderEnd) -> None:
+        """Run both holders until the first one stops, and the second one on."""
         rng, claimed_s = self.random, self.clock.now_s
+        is_told = first_end is FirstHolderEnd.TOLD
         self.token = 2
         second = ActingHolder(self, 2)
-        second.scheduler.predecessor_may_act(claimed_s + NOTICE_S)
+        if first_end is FirstHolderEnd.KILLED:
+            self.first.is_acting = False
+        else:
+            second.scheduler.predecessor_may_act(claimed_s + NOTICE_S)
+        for record in self.records.values():
+            # Announced late, by a member that has waited for the store.
+            if rng.random() < 0.2:
+                second.scheduler.accept(record, 1)
         dark = rng.choice((0, 1, 1, 2))
         second.reachable -= set(rng.sample(list(self.engines), dark))
         stop_s = claimed_s + (rng.choice((0.0, 0.2, 0.8)) if is_told else 1.45)
@@ -246,10 +263,10 @@
 
 class TestTwoHolders:
     # Jobs accepted while the first holder acted started beside its unreported runs.
-    @pytest.mark.parametrize("is_told", [True, False])
+    @pytest.mark.parametrize("first_end", FirstHolderEnd)
     @pytest.mark.parametrize("seed", range(SEEDS))
-    def test_no_task_runs_twice(self, seed: int, is_told: bool) -> None:
+    def test_no_task_runs_twice(self, seed: int, first_end: FirstHolderEnd) -> None:
         cell = ContestedCell(seed)
         cell.run_first_holder()
-        cell.replace_holder(is_told)
+        cell.replace_holder(first_end)
         assert cell.duplicate_runs() == []
