Acknowledge run ends only to the process that listed them

What a caller would see: a task whose end a worker had listed as done was started again, after the worker had crashed and started again under its id.

Cause: every poll carried the number of the last stored end, also the polls after a failure. The first poll that reached the worker's new process thus acknowledged ends that this process hadn't had yet. It listed none of its own ends up to that number, and its runs counted as not listed.

Evidence: test_new_process_forgets_no_end_unseen failed before, with the stand-in worker keeping the highest number that it was sent: "AssertionError: assert 2 == 1" for the starts of the task, after refused connections and after polls without a response. How the users' workers treat a number ahead of their ends isn't known; PROTOCOL.md permits both.

Why the mend works: a number is sent only while the last poll of the worker succeeded and its registration is of no later process, so any failure of the former process withholds it until a process has replied and is known. It is sent until one poll with it has a response, and the worker holds such a poll for 0.2 s instead of 1 s, so a number is rarely in flight when a process ends. A poll that was in flight then may still reach the new process late; that is not closed here.

--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
@@ -85,6 +85,11 @@
 superseded: the longest wait for a worker's response plus the interval between two
 renewals of its lease."""
 
+ACKNOWLEDGING_POLL_WAIT_S = 0.2
+"""How long a worker may hold a poll open that acknowledges run ends. Short, because the
+number must not reach the process that follows if the worker restarts meanwhile; not 0,
+so that a busy worker is not polled more often."""
+
 UNSTORED_POLL_INTERVAL_S = 0.2
 """Interval between polls of a worker whose reported run ends are not yet stored."""
 
@@ -527,8 +532,13 @@
             until_ms = self.scheduler.lease_until_ms(worker, now_s)
             is_acknowledged = poll_state.acknowledged >= worker.last_end_number
             wait_s = POLL_WAIT_S if worker.born_ms and is_acknowledged else 0.0
+            last_seen = 0
+            if worker.is_reachable:
+                last_seen = poll_state.last_seen(worker.entry.born_ms)
+            if last_seen:
+                wait_s = min(wait_s, ACKNOWLEDGING_POLL_WAIT_S)
             poll_state.poll_sent(now_s)
-            self.dispatcher.poll(worker_id, poll_state.acknowledged, until_ms, wait_s)
+            self.dispatcher.poll(worker_id, last_seen, until_ms, wait_s)
 
     def handle_poll_success(self, message: PollSucceeded, now_s: float) -> None:
         """Apply the runs and run ends that a worker reports."""
@@ -541,9 +551,7 @@
             self.response_lost(now_s)
         if not worker.is_reachable:
             log.info("worker answers", worker=worker.id, runs=len(reply.runs))
-        if poll_state.born_ms != reply.born_ms:
-            poll_state.born_ms = reply.born_ms
-            poll_state.acknowledged = 0
+        poll_state.reply_received(reply.born_ms, message.last_seen)
         before = worker.last_end_number if worker.born_ms == reply.born_ms else 0
         self.scheduler.poll_answered(message.worker, reply, now_s)
         for end in reply.ends:
@@ -740,13 +748,8 @@
         """
         for worker_id, (born_ms, number) in ends.items():
             poll_state = self.poll_states.get(worker_id)
-            if (
-                poll_state is None
-                or poll_state.born_ms != born_ms
-                or number <= poll_state.acknowledged
-            ):
+            if poll_state is None or not poll_state.ends_stored(born_ms, number):
                 continue
-            poll_state.acknowledged = number
             if not poll_state.calls_in_flight:
                 poll_state.due_s = now_s
 
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/worker_dispatcher.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/worker_dispatcher.py
@@ -43,10 +43,14 @@
 
 
 class PollSucceeded(msgspec.Struct, frozen=True):
-    """The runs and run ends reported by a worker."""
+    """The runs and run ends reported by a worker.
+
+    ``last_seen`` is the number of the end that the poll acknowledged.
+    """
 
     worker: WorkerId
     reply: PollReply
+    last_seen: int = 0
 
 
 class StartCompleted(msgspec.Struct, frozen=True):
@@ -137,7 +141,7 @@
         except WorkerCallError as error:
             self.post(CallFailed(worker, True, to_call_failure(error), sent_s))
         else:
-            self.post(PollSucceeded(worker, reply))
+            self.post(PollSucceeded(worker, reply, last_seen))
 
     def start(self, command: StartRun) -> None:
         """Send a start command."""
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/worker_polling.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/worker_polling.py
@@ -44,13 +44,16 @@
     """State of the polls to one worker.
 
     ``acknowledged`` is the number of the last run end that is stored, so that the
-    worker may discard it. ``born_ms`` identifies the worker's process.
+    worker may discard it, and ``discarded`` that of the last one that the worker has
+    certainly discarded. ``born_ms`` identifies the worker's process, which numbers its
+    ends anew: a number that reached another process would hide that process' ends.
     """
 
     __slots__ = (
         "acknowledged",
         "born_ms",
         "calls_in_flight",
+        "discarded",
         "due_s",
         "failures",
         "hedge_due_s",
@@ -65,8 +68,34 @@
         self.failures = 0
         self.refusals = 0
         self.acknowledged = 0
+        self.discarded = 0
         self.born_ms = 0
 
+    def last_seen(self, registered_born_ms: int) -> int:
+        """Return the number of the last end to acknowledge, or 0 for none.
+
+        Nothing is acknowledged twice, nor after a failure until the worker has replied
+        again, nor if the worker's registration is that of a later process.
+        """
+        is_same_process = not self.failures and registered_born_ms <= self.born_ms
+        is_pending = self.acknowledged > self.discarded
+        return self.acknowledged if is_same_process and is_pending else 0
+
+    def reply_received(self, born_ms: int, last_seen: int) -> None:
+        """Record the process that replied to a poll, and the ends that it discarded."""
+        if self.born_ms != born_ms:
+            self.born_ms = born_ms
+            self.acknowledged = self.discarded = 0
+        else:
+            self.discarded = max(self.discarded, last_seen)
+
+    def ends_stored(self, born_ms: int, number: int) -> bool:
+        """Record that ends are stored; return whether any remain to acknowledge."""
+        if self.born_ms != born_ms or number <= self.acknowledged:
+            return False
+        self.acknowledged = number
+        return True
+
     def is_due(self, now_s: float, is_lossy: bool) -> bool:
         """Return whether to send a poll, or a hedged poll if ``is_lossy``."""
         if not self.calls_in_flight:
--- a/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/fleet_worker.py
+++ b/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/fleet_worker.py
@@ -93,6 +93,7 @@
         self.runs: dict[TaskRef, ActiveRun] = {}
         self.ends: list[EndReport] = []
         self.last_number = 0
+        self.last_seen = 0
         self.rejected_up_to: dict[TaskRef, int] = {}
         self.violations: list[str] = []
         self.spans: list[RunSpan] = []
@@ -124,13 +125,15 @@
     ) -> PollReply:
         """Extend the lease and return the active runs and the unseen ends.
 
-        Ends up to number ``last_seen`` are acknowledged and dropped.
+        Ends up to number ``last_seen`` are acknowledged and dropped. An end that is
+        acknowledged before it happens is never listed, as the platform permits.
         """
         self.advance()
         self.check_fence(token)
         if lease_until_ms is not None:
             self.extend(lease_until_ms)
-        self.ends = [end for end in self.ends if end.number > last_seen]
+        self.last_seen = max(self.last_seen, last_seen)
+        self.ends = [end for end in self.ends if end.number > self.last_seen]
         runs = tuple(self.report(active) for active in self.runs.values())
         ends = tuple(self.ends[:MAX_LISTED_ENDS])
         return PollReply(self.reply().clock_ms, self.born_ms, runs, ends)
--- /dev/null
+++ b/tests/member/test_worker_lives.py
@@ -0,0 +1,264 @@
+"""Tests of polls to a worker whose process ends and starts again under its id."""
+
+from types import SimpleNamespace
+
+import pytest
+
+from fleet_support import SLOW, TEAM, Fleet, registration, task_resources
+from gooseberrydeck_coordination.clock import ManualClock
+from gooseberrydeck_coordination.ids import Epoch, JobId, MemberId
+from gooseberrydeck_fleet.commands import StartRun, StopRun
+from gooseberrydeck_fleet.ids import TaskRef, WorkerId
+from gooseberrydeck_fleet.registrations import Registration
+from gooseberrydeck_fleet.work import JobRecord, JobState, StepSpec, WorkSpec
+from gooseberrydeck_fleet.worker_calls import (
+    PollReply,
+    StartOutcome,
+    StartRequest,
+    WorkerCallError,
+    WorkerCalls,
+    WorkerGoneError,
+    WorkerReply,
+    WorkerSilentError,
+)
+from gooseberrydeck_member import worker_dispatcher
+from gooseberrydeck_member.advice_pool import AdvicePool
+from gooseberrydeck_member.authority import Authority, boottime_clock_s
+from gooseberrydeck_member.observability import Metrics
+from gooseberrydeck_member.peers import PeerClient
+from gooseberrydeck_member.scheduler_task import (
+    ACKNOWLEDGING_POLL_WAIT_S,
+    POLL_WAIT_S,
+    SchedulerTask,
+)
+from gooseberrydeck_member.shard_lock import ShardLock
+from gooseberrydeck_member.worker_dispatcher import WorkerDispatcher
+from gooseberrydeck_standins.engine_store import EngineStore
+from gooseberrydeck_standins.fleet_worker import FleetWorkerEngine, RunPlan
+from gooseberrydeck_standins.store_engine import StoreEngine
+
+WORKER = WorkerId("w0")
+ONE = task_resources()
+TIMEOUT_S = 1.0
+STEP_S = 0.05
+
+
+class EngineCalls:
+    """Calls to an in-memory worker, which is replaced when its process restarts."""
+
+    def __init__(self, clock: ManualClock) -> None:
+        """Create a worker that responds."""
+        self.clock = clock
+        self.engine = self.new_engine(born_ms=1_000)
+        self.failure: WorkerCallError | None = None
+        self.seconds = 0.2
+        self.last_seen: list[int] = []
+        self.waits_s: list[float] = []
+        self.starts: list[StartRequest] = []
+
+    def new_engine(self, born_ms: int) -> FleetWorkerEngine:
+        """Return a new process of the worker."""
+        return FleetWorkerEngine(
+            self.clock,
+            Fleet(workers=0).capacity,
+            lambda _request: RunPlan(self.seconds, ONE),
+            born_ms=born_ms,
+        )
+
+    def restart(self, born_ms: int) -> None:
+        """Replace the worker's process by a new one that responds."""
+        self.engine = self.new_engine(born_ms)
+        self.failure = None
+
+    def poll(
+        self,
+        token: Epoch,
+        last_seen: int,
+        lease_until_ms: int | None,
+        wait_s: float,
+        timeout_s: float,
+    ) -> PollReply:
+        """Poll the worker at once."""
+        self.last_seen.append(last_seen)
+        self.waits_s.append(wait_s)
+        if self.failure is not None:
+            raise self.failure
+        return self.engine.poll(token, last_seen, lease_until_ms)
+
+    def start(
+        self, request: StartRequest, token: Epoch, timeout_s: float
+    ) -> tuple[StartOutcome, WorkerReply]:
+        """Start a run at once."""
+        self.starts.append(request)
+        if self.failure is not None:
+            raise self.failure
+        return self.engine.start(request, token)
+
+    def stop(
+        self, task: TaskRef, run: int, token: Epoch, timeout_s: float
+    ) -> WorkerReply:
+        """Stop a run at once."""
+        return self.engine.stop(task, run, token)
+
+    def throttle(
+        self, task: TaskRef, run: int, percent: int, token: Epoch, timeout_s: float
+    ) -> WorkerReply:
+        """Do nothing."""
+        return self.engine.reply()
+
+    def close(self) -> None:
+        """Do nothing."""
+
+
+class InlineDispatcher(WorkerDispatcher):
+    """Execute calls in the calling thread."""
+
+    def poll(
+        self, worker: WorkerId, last_seen: int, until_ms: int | None, wait_s: float
+    ) -> None:
+        """Execute a poll at once."""
+        self.execute_poll(worker, last_seen, until_ms, wait_s)
+
+    def start(self, command: StartRun) -> None:
+        """Execute a start at once."""
+        self.execute_start(command)
+
+    def stop(self, command: StopRun) -> None:
+        """Execute a stop at once."""
+        self.execute_stop(command)
+
+
+class PolledWorker:
+    """A scheduler task with one in-memory worker, driven by a manual clock."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        """Create a task whose worker has reported."""
+        self.clock = ManualClock()
+        clock = SimpleNamespace(monotonic=self.clock.monotonic)
+        monkeypatch.setattr(worker_dispatcher, "time", clock)
+        self.calls = EngineCalls(self.clock)
+        self.messages: list[object] = []
+        self.task = self.new_task()
+        self.is_store_available = True
+        self.task.scheduler.set_configuration(Fleet(workers=0).configuration)
+        self.register()
+        self.run_for(2 * STEP_S)
+
+    @property
+    def now_s(self) -> float:
+        """Return the time of the manual clock."""
+        return self.clock.now_s
+
+    def new_task(self) -> SchedulerTask:
+        """Return a scheduler task that makes its calls in the calling thread."""
+        store = EngineStore(StoreEngine(ManualClock()), waits=False)
+        shard_lock = ShardLock(store, MemberId("m1"), "m1:1", "run-1")
+        assert shard_lock.claim(shard_lock.read(TIMEOUT_S), (), 2.0, TIMEOUT_S)
+        authority = Authority()
+        authority.confirm(boottime_clock_s())
+        task = SchedulerTask(
+            store,
+            shard_lock,
+            authority,
+            Fleet(workers=0).timing,
+            AdvicePool(None, PeerClient()),
+            self.connect,
+            lambda _key, _value: registration(WORKER),
+            "servers/",
+            Metrics(),
+            was_silent=False,
+        )
+        task.dispatcher = InlineDispatcher(
+            task.token, self.messages.append, lambda: True
+        )
+        return task
+
+    def connect(self, _entry: Registration) -> WorkerCalls:
+        """Return the worker's calls."""
+        return self.calls
+
+    def register(self) -> None:
+        """Register the worker."""
+        self.task.registration_changed(f"servers/{WORKER}", b"", self.now_s)
+
+    def submit(self, name: str) -> JobId:
+        """Submit a job with one task."""
+        job = JobId(name)
+        work = WorkSpec(steps=(StepSpec(1, ONE),))
+        record = JobRecord(job, SLOW, TEAM, work, self.clock.wall())
+        assert self.task.scheduler.accept(record, 1)
+        return job
+
+    def deliver(self) -> None:
+        """Handle the results of calls."""
+        while self.messages:
+            self.task.handle(self.messages.pop(0), self.now_s)
+
+    def poll(self) -> None:
+        """Send the polls that are due."""
+        self.task.poll_due_workers(self.now_s)
+
+    def run_for(self, seconds: float) -> None:
+        """Advance the clock in small steps and run the task after each."""
+        for _ in range(round(seconds / STEP_S)):
+            self.clock.advance(STEP_S)
+            self.poll()
+            self.deliver()
+            for command in self.task.scheduler.decide(self.now_s, self.clock.wall()):
+                self.task.execute(command)
+            self.deliver()
+            self.commit()
+
+    def commit(self) -> None:
+        """Store all changes and acknowledge the stored ends."""
+        log = self.task.scheduler.changes
+        if self.is_store_available:
+            changes = log.take_batch(100, self.clock.wall())
+            ends = log.commit_succeeded(changes, {}, self.now_s)
+            self.task.acknowledge(ends, self.now_s)
+        entries = log.workers_to_record()
+        if entries is not None:
+            log.workers_recorded(entries)
+
+    def complete(self, name: str) -> None:
+        """Run a job to its end."""
+        job = self.submit(name)
+        self.run_for(1.0)
+        assert self.task.scheduler.state_of(job) is JobState.COMPLETED
+
+
+@pytest.fixture
+def polled(monkeypatch: pytest.MonkeyPatch) -> PolledWorker:
+    return PolledWorker(monkeypatch)
+
+
+class TestAcknowledgementAfterRestart:
+    @pytest.mark.parametrize(
+        "failure", [WorkerGoneError("refused"), WorkerSilentError("timed out")]
+    )
+    def test_new_process_forgets_no_end_unseen(
+        self, polled: PolledWorker, failure: WorkerCallError
+    ) -> None:
+        # Guards against tasks that run twice because the number of a former process'
+        # end made the new process forget its own end of that number.
+        polled.complete("before")
+        polled.calls.failure = failure
+        polled.run_for(1.0)
+        polled.calls.restart(born_ms=9_000)
+        polled.run_for(1.0)
+        polled.calls.starts.clear()
+        job = polled.submit("after")
+        polled.run_for(4.0)
+        assert len(polled.calls.starts) == 1
+        assert polled.task.scheduler.state_of(job) is JobState.COMPLETED
+
+    def test_end_is_acknowledged_once_and_only_in_a_short_poll(
+        self, polled: PolledWorker
+    ) -> None:
+        # Guards against numbers that are in flight whenever the worker's process ends.
+        polled.calls.last_seen.clear()
+        polled.calls.waits_s.clear()
+        polled.complete("a")
+        polls = zip(polled.calls.last_seen, polled.calls.waits_s, strict=True)
+        assert [each for each in polls if each[0]] == [(1, ACKNOWLEDGING_POLL_WAIT_S)]
+        assert polled.calls.waits_s[-1] == POLL_WAIT_S
--- a/tests/member/test_worker_polling.py
+++ b/tests/member/test_worker_polling.py
@@ -85,3 +85,50 @@
         self.poll_state.poll_lost()
         assert self.poll_state.calls_in_flight == 1
         assert not self.poll_state.poll_succeeded()
+
+
+class TestAcknowledgement:
+    def setup_method(self) -> None:
+        self.poll_state = WorkerPollState()
+        self.answer(born_ms=1_000)
+        assert self.poll_state.ends_stored(1_000, 57)
+
+    def answer(self, born_ms: int, last_seen: int = 0) -> None:
+        self.poll_state.poll_sent(100.0)
+        self.poll_state.poll_succeeded()
+        self.poll_state.reply_received(born_ms, last_seen)
+
+    def test_stored_end_is_acknowledged_until_it_is_discarded(self) -> None:
+        assert self.poll_state.last_seen(1_000) == 57
+        self.answer(1_000)
+        assert self.poll_state.last_seen(1_000) == 57
+        self.answer(1_000, last_seen=57)
+        assert self.poll_state.last_seen(1_000) == 0
+
+    def test_later_end_is_acknowledged_as_well(self) -> None:
+        self.answer(1_000, last_seen=57)
+        assert self.poll_state.ends_stored(1_000, 58)
+        assert self.poll_state.last_seen(1_000) == 58
+
+    @pytest.mark.parametrize("is_gone", [False, True])
+    def test_nothing_is_acknowledged_between_a_failure_and_a_reply(
+        self, is_gone: bool
+    ) -> None:
+        # Guards against a number that reaches the process after a restart.
+        self.poll_state.poll_sent(101.0)
+        self.poll_state.poll_failed(102.0, is_gone=is_gone)
+        assert self.poll_state.last_seen(1_000) == 0
+        self.answer(1_000)
+        assert self.poll_state.last_seen(1_000) == 57
+
+    def test_nothing_is_acknowledged_to_another_process(self) -> None:
+        self.answer(2_000)
+        assert self.poll_state.last_seen(2_000) == 0
+        assert not self.poll_state.ends_stored(1_000, 58)
+
+    def test_nothing_is_acknowledged_once_a_later_process_is_registered(self) -> None:
+        # Guards against a restart that no poll has noticed yet.
+        assert self.poll_state.last_seen(2_000) == 0
+
+    def test_registration_without_a_start_time_is_no_restart(self) -> None:
+        assert self.poll_state.last_seen(0) == 57
