Let the simulated fleet acknowledge ends as the scheduler's task does

What a caller would see: nothing.

The fleet now keeps the polls' state in WorkerPollState, like the scheduler's task. A restart fails the poll in flight and keeps the spans of the runs whose ends were acknowledged, so that a repeat of them counts as a violation.

--- a/tests/fleet/test_faults.py
+++ b/tests/fleet/test_faults.py
@@ -90,10 +90,7 @@
         job = fleet.submit("a", StepSpec(1, ONE, is_standing=True))
         fleet.run_for(0.5)
         worker = next(iter(fleet.engines))
-        fleet.engines[worker] = FleetWorkerEngine(
-            fleet.clock, fleet.capacity, fleet.plan, born_ms=2
-        )
-        fleet.acknowledged[worker] = 0
+        fleet.restart_worker(worker, born_ms=2)
         fleet.run_for(0.2)
         assert len(fleet.running(job)) == 1
 
--- a/tests/fleet/test_machine.py
+++ b/tests/fleet/test_machine.py
@@ -8,7 +8,6 @@
 from gooseberrydeck_coordination.resources import NO_RESOURCES, Resources
 from gooseberrydeck_fleet.ids import WorkerId
 from gooseberrydeck_fleet.work import JobState, StepSpec
-from gooseberrydeck_standins.fleet_worker import FleetWorkerEngine
 
 WORKERS = 3
 MAXIMUM = Resources(48_000, 0, 0)
@@ -72,12 +71,7 @@
     def restart_worker(self, number: int) -> None:
         worker = WorkerId(f"w{number}")
         self.born_ms += 1
-        former = self.fleet.engines[worker]
-        self.fleet.engines[worker] = FleetWorkerEngine(
-            self.fleet.clock, self.fleet.capacity, self.fleet.plan, born_ms=self.born_ms
-        )
-        self.fleet.engines[worker].violations = former.violations
-        self.fleet.acknowledged[worker] = 0
+        self.fleet.restart_worker(worker, self.born_ms)
 
     @rule()
     def toggle_store(self) -> None:
--- a/tests/fleet/test_unknown_jobs.py
+++ b/tests/fleet/test_unknown_jobs.py
@@ -30,7 +30,7 @@
     @property
     def acknowledged(self) -> int:
         """The number of ends that workers have forgotten."""
-        return sum(self.fleet.acknowledged.values())
+        return sum(each.acknowledged for each in self.fleet.poll_states.values())
 
 
 class TestJobsThatBecomeKnownLater:
@@ -143,7 +143,7 @@
         case = Case(0.5)
         case.fleet.run_for(0.5)
         for worker in case.fleet.engines:
-            case.fleet.restart_worker(worker)
+            case.fleet.restart_worker(worker, born_ms=2)
         case.fleet.run_for(0.2)
         case.learn_job()
         case.fleet.run_for(0.5)
--- a/tests/fleet_support.py
+++ b/tests/fleet_support.py
@@ -29,6 +29,7 @@
 from gooseberrydeck_fleet.settings import Timing
 from gooseberrydeck_fleet.work import JobRecord, JobState, StepSpec, WorkSpec
 from gooseberrydeck_fleet.worker_calls import StartRequest, WorkerFencedError
+from gooseberrydeck_member.worker_polling import WorkerPollState
 from gooseberrydeck_platform.http import HttpAddress
 from gooseberrydeck_standins.fleet_worker import (
     FleetWorkerEngine,
@@ -126,7 +127,7 @@
         self.records: dict[JobId, JobRecord] = {}
         self.revisions: dict[JobId, int] = {}
         self.progress: dict[JobId, bytes] = {}
-        self.acknowledged: dict[WorkerId, int] = {}
+        self.poll_states: dict[WorkerId, WorkerPollState] = {}
         self.starts: list[tuple[float, TaskRef, WorkerId]] = []
         self.stops: list[tuple[float, TaskRef, str]] = []
         self.advice_requests: list[AskAdvice] = []
@@ -160,13 +161,29 @@
         capacity = entry.setdefault("capacity", self.capacity)
         assert isinstance(capacity, Resources)
         self.engines[worker] = FleetWorkerEngine(self.clock, capacity, self.plan)
-        self.acknowledged[worker] = 0
+        self.poll_states[worker] = WorkerPollState()
         self.scheduler.worker_registered(
             registration(name, **entry),
             self.now_s,  # type: ignore[arg-type]
         )
         return worker
 
+    def restart_worker(self, worker: WorkerId, born_ms: int) -> None:
+        """Replace a worker's process by a new one that knows nothing.
+
+        The poll that the former process held open fails. Runs may be repeated unless
+        their ends were acknowledged.
+        """
+        former = self.engines[worker]
+        engine = FleetWorkerEngine(
+            self.clock, former.capacity, self.plan, born_ms=born_ms
+        )
+        engine.violations = former.violations
+        unseen = max(0, former.last_number - former.last_seen)
+        engine.spans = former.spans[: len(former.spans) - unseen]
+        self.engines[worker] = engine
+        self.poll_failed(worker)
+
     def plan(self, request: StartRequest) -> RunPlan:
         """Return the simulated course of a run."""
         return self.plans[request.task.job](request)
@@ -254,34 +271,33 @@
         decoded = None if progress is None else decode_progress(progress)
         self.scheduler.job_found(record, 1, decoded, 1)
 
-    def restart_worker(self, worker: WorkerId) -> None:
-        """Replace a worker by one that has just started under the same id."""
-        former = self.engines[worker]
-        engine = FleetWorkerEngine(
-            self.clock, self.capacity, self.plan, born_ms=former.born_ms + 1
-        )
-        engine.violations = former.violations
-        engine.spans = former.spans
-        self.engines[worker] = engine
-        self.acknowledged[worker] = 0
-
     def poll(self, worker_id: WorkerId) -> None:
-        """Poll a worker, unless it is unreachable."""
+        """Poll a worker; the poll fails if it is unreachable."""
         worker = self.scheduler.ledger.workers.get(worker_id)
         if worker is None:
             return
         until_ms = self.scheduler.lease_until_ms(worker, self.now_s)
         if worker_id in self.unreachable:
-            self.scheduler.worker_silent(worker_id)
+            self.poll_failed(worker_id)
             return
+        poll_state = self.poll_states[worker_id]
+        last_seen = poll_state.last_seen(worker.entry.born_ms)
+        poll_state.poll_sent(self.now_s)
         try:
-            reply = self.engines[worker_id].poll(
-                Epoch(self.token), self.acknowledged[worker_id], until_ms
-            )
+            reply = self.engines[worker_id].poll(Epoch(self.token), last_seen, until_ms)
         except WorkerFencedError:
             return
+        poll_state.poll_succeeded()
+        poll_state.reply_received(reply.born_ms, last_seen)
         self.scheduler.poll_answered(worker_id, reply, self.now_s)
 
+    def poll_failed(self, worker_id: WorkerId) -> None:
+        """Let a poll of a worker fail."""
+        poll_state = self.poll_states[worker_id]
+        poll_state.poll_sent(self.now_s)
+        poll_state.poll_failed(self.now_s, is_gone=False)
+        self.scheduler.worker_silent(worker_id)
+
     def execute(self, command: Command) -> None:
         """Execute a command; advice is answered immediately."""
         if isinstance(command, StartRun):
@@ -329,8 +345,7 @@
             self.progress.pop(ending.job, None)
         acknowledged = self.scheduler.changes.commit_succeeded(changes, {}, self.now_s)
         for worker, (born_ms, number) in acknowledged.items():
-            if self.engines[worker].born_ms == born_ms:
-                self.acknowledged[worker] = number
+            self.poll_states[worker].ends_stored(born_ms, number)
         entries = self.scheduler.changes.workers_to_record()
         if entries is not None:
             self.scheduler.changes.workers_recorded(entries)
@@ -345,7 +360,7 @@
         until_s = self.now_s + 4.3
         for worker in former.ledger.workers.values():
             self.scheduler.worker_registered(worker.entry, self.now_s, until_s)
-            self.acknowledged[worker.id] = 0
+            self.poll_states[worker.id] = WorkerPollState()
         self.scheduler.jobs_read(len(self.revisions))
         for job, record in self.records.items():
             revision = self.revisions[job]
