Ignore a reply of a worker's former process that was overtaken

What a caller would see: a task that ran on a worker was started a second time there or elsewhere, shortly after the worker had started again under its id, while responses were being lost.

Cause: two polls may be in flight to a worker. If the former process' reply to the first arrived after the new process' reply to the second, the other start time counted as one more restart: the runs of the new process were recorded as lost and their tasks started again.

Evidence: test_overtaken_reply_is_ignored failed before with "AssertionError: assert 2 == 1" for the starts of the task.

Why the mend works: a process that has replied has replaced the former one, so a poll that is sent afterwards can't reach that. A reply with another start time counts as a restart only if its poll was sent after the present process' first reply. The start times aren't compared, since the worker's time of day may be set back between two starts; a new process is recognized by the reply to the next poll at the latest.

--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
@@ -549,9 +549,19 @@
         reply = message.reply
         if poll_state.poll_succeeded() and poll_state.born_ms == reply.born_ms:
             self.response_lost(now_s)
+        if poll_state.is_overtaken(reply.born_ms, message.sent_s):
+            log.info(
+                "reply of a former process ignored",
+                worker=worker.id,
+                born_ms=reply.born_ms,
+                current_born_ms=poll_state.born_ms,
+                runs=len(reply.runs),
+                ends=len(reply.ends),
+            )
+            return
         if not worker.is_reachable:
             log.info("worker answers", worker=worker.id, runs=len(reply.runs))
-        poll_state.reply_received(reply.born_ms, message.last_seen)
+        poll_state.reply_received(reply.born_ms, message.last_seen, now_s)
         before = worker.last_end_number if worker.born_ms == reply.born_ms else 0
         self.scheduler.poll_answered(message.worker, reply, now_s)
         for end in reply.ends:
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/worker_dispatcher.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/worker_dispatcher.py
@@ -45,12 +45,14 @@
 class PollSucceeded(msgspec.Struct, frozen=True):
     """The runs and run ends reported by a worker.
 
-    ``last_seen`` is the number of the end that the poll acknowledged.
+    ``last_seen`` is the number of the end that the poll acknowledged, and ``sent_s``
+    the monotonic time at which it was sent.
     """
 
     worker: WorkerId
     reply: PollReply
-    last_seen: int = 0
+    last_seen: int
+    sent_s: float
 
 
 class StartCompleted(msgspec.Struct, frozen=True):
@@ -141,7 +143,7 @@
         except WorkerCallError as error:
             self.post(CallFailed(worker, True, to_call_failure(error), sent_s))
         else:
-            self.post(PollSucceeded(worker, reply, last_seen))
+            self.post(PollSucceeded(worker, reply, last_seen, sent_s))
 
     def start(self, command: StartRun) -> None:
         """Send a start command."""
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/worker_polling.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/worker_polling.py
@@ -52,6 +52,7 @@
     __slots__ = (
         "acknowledged",
         "born_ms",
+        "born_seen_s",
         "calls_in_flight",
         "discarded",
         "due_s",
@@ -70,6 +71,7 @@
         self.acknowledged = 0
         self.discarded = 0
         self.born_ms = 0
+        self.born_seen_s = 0.0
 
     def last_seen(self, registered_born_ms: int) -> int:
         """Return the number of the last end to acknowledge, or 0 for none.
@@ -81,10 +83,19 @@
         is_pending = self.acknowledged > self.discarded
         return self.acknowledged if is_same_process and is_pending else 0
 
-    def reply_received(self, born_ms: int, last_seen: int) -> None:
+    def is_overtaken(self, born_ms: int, sent_s: float) -> bool:
+        """Return True if a reply may be that of a former process.
+
+        A poll that was sent after the present process had replied reaches no former
+        one. The start times don't tell, since a worker's time of day may be set back.
+        """
+        return self.born_ms not in (0, born_ms) and sent_s <= self.born_seen_s
+
+    def reply_received(self, born_ms: int, last_seen: int, now_s: float) -> None:
         """Record the process that replied to a poll, and the ends that it discarded."""
         if self.born_ms != born_ms:
             self.born_ms = born_ms
+            self.born_seen_s = now_s
             self.acknowledged = self.discarded = 0
         else:
             self.discarded = max(self.discarded, last_seen)
--- a/tests/member/test_worker_lives.py
+++ b/tests/member/test_worker_lives.py
@@ -33,6 +33,7 @@
 )
 from gooseberrydeck_member.shard_lock import ShardLock
 from gooseberrydeck_member.worker_dispatcher import WorkerDispatcher
+from gooseberrydeck_member.worker_polling import HEDGE_DELAY_S, HEDGE_LOSS_THRESHOLD
 from gooseberrydeck_standins.engine_store import EngineStore
 from gooseberrydeck_standins.fleet_worker import FleetWorkerEngine, RunPlan
 from gooseberrydeck_standins.store_engine import StoreEngine
@@ -204,11 +205,15 @@
             self.clock.advance(STEP_S)
             self.poll()
             self.deliver()
-            for command in self.task.scheduler.decide(self.now_s, self.clock.wall()):
-                self.task.execute(command)
-            self.deliver()
+            self.execute_commands()
             self.commit()
 
+    def execute_commands(self) -> None:
+        """Execute the scheduler's commands."""
+        for command in self.task.scheduler.decide(self.now_s, self.clock.wall()):
+            self.task.execute(command)
+        self.deliver()
+
     def commit(self) -> None:
         """Store all changes and acknowledge the stored ends."""
         log = self.task.scheduler.changes
@@ -262,3 +267,56 @@
         polls = zip(polled.calls.last_seen, polled.calls.waits_s, strict=True)
         assert [each for each in polls if each[0]] == [(1, ACKNOWLEDGING_POLL_WAIT_S)]
         assert polled.calls.waits_s[-1] == POLL_WAIT_S
+
+
+class TestRepliesOfFormerProcess:
+    def hold_poll_across_restart(self, polled: PolledWorker, born_ms: int) -> object:
+        """Restart the worker while a poll and a hedged poll are in flight.
+
+        Return the reply of the former process, which has not arrived.
+        """
+        for _ in range(HEDGE_LOSS_THRESHOLD):
+            polled.task.response_losses.record_loss(polled.now_s)
+        polled.clock.advance(STEP_S)
+        polled.poll()
+        overtaken = polled.messages.pop()
+        polled.calls.restart(born_ms)
+        polled.clock.advance(HEDGE_DELAY_S)
+        polled.poll()
+        polled.deliver()
+        return overtaken
+
+    # A step of the worker's time of day may give the later process the smaller time.
+    @pytest.mark.parametrize("born_ms", [9_000, 500])
+    def test_overtaken_reply_is_ignored(
+        self, polled: PolledWorker, born_ms: int
+    ) -> None:
+        # Guards against a reply of a former process that counts as another restart,
+        # after which the runs of the present process are started a second time.
+        overtaken = self.hold_poll_across_restart(polled, born_ms)
+        polled.calls.seconds = 2.0
+        polled.submit("a")
+        polled.run_for(0.5)
+        assert len(polled.calls.starts) == 1
+        polled.task.handle(overtaken, polled.now_s)
+        polled.execute_commands()
+        assert len(polled.calls.starts) == 1
+        worker = polled.task.scheduler.ledger.workers[WORKER]
+        assert worker.born_ms == born_ms
+        polled.run_for(2.0)
+        assert len(polled.calls.starts) == 1
+
+    @pytest.mark.parametrize("born_ms", [9_000, 500])
+    def test_process_that_answers_a_later_poll_is_a_restart(
+        self, polled: PolledWorker, born_ms: int
+    ) -> None:
+        polled.calls.restart(born_ms)
+        polled.run_for(0.1)
+        assert polled.task.scheduler.ledger.workers[WORKER].born_ms == born_ms
+
+    def test_polling_goes_on_after_an_ignored_reply(self, polled: PolledWorker) -> None:
+        overtaken = self.hold_poll_across_restart(polled, 9_000)
+        polled.task.handle(overtaken, polled.now_s)
+        polled.calls.last_seen.clear()
+        polled.run_for(0.2)
+        assert len(polled.calls.last_seen) == 4
