Let the leases of cut off workers of the simulated fleet expire in time

What a caller would see: nothing; tests/fleet/test_machine.py could fail without a fault in the scheduler.

Cause: a simulated worker advanced only when it was polled, so the runs of a worker that was cut off lasted beyond their lease, until the cut ended. Their tasks had rightly been started elsewhere by then, and counted as running twice and beyond the team's maximum.

Evidence: hypothesis found it in a trial with 400 examples in place of 60; the same steps (store off, six tasks of 12 cores, waits of 2.62 and 1.70 s, cut of w0, wait of 1.73 s, three small jobs, wait of 2.79 s) fail on as well, "ran twice at once (1000005, 1000010)", and pass now.

Why the mend works: runs end when the lease does, polled or not. The checks are as they were.

--- a/tests/fleet_support.py
+++ b/tests/fleet_support.py
@@ -247,6 +247,7 @@
 
     def step(self) -> None:
         """Poll every worker, execute the scheduler's commands and store changes."""
+        self.expire_leases()
         self.poll_all()
         if self.can_look_up_jobs and self.is_store_available:
             for job in self.scheduler.take_lookups():
@@ -271,6 +272,12 @@
         decoded = None if progress is None else decode_progress(progress)
         self.scheduler.job_found(record, 1, decoded, 1)
 
+    def expire_leases(self) -> None:
+        """End the runs of workers whose leases have expired, polled or not."""
+        for engine in self.engines.values():
+            if engine.runs and engine.lease_until_s <= engine.now_s():
+                engine.advance()
+
     def poll(self, worker_id: WorkerId) -> None:
         """Poll a worker; the poll fails if it is unreachable."""
         worker = self.scheduler.ledger.workers.get(worker_id)
