Acknowledge ends in every poll of a process that answers

A worker that lists ends which can't be acknowledged responds at once, so it is polled after a pause.

--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
@@ -85,13 +85,9 @@
 superseded: the longest wait for a worker's response plus the interval between two
 renewals of its lease."""
 
-ACKNOWLEDGING_POLL_WAIT_S = 0.2
-"""How long a worker may hold a poll open that acknowledges run ends. Short, because the
-number must not reach the process that follows if the worker restarts meanwhile; not 0,
-so that a busy worker is not polled more often."""
-
 UNSTORED_POLL_INTERVAL_S = 0.2
-"""Interval between polls of a worker whose reported run ends are not yet stored."""
+"""Interval between polls of a worker that lists run ends which can't be acknowledged
+yet, mostly because they are not stored."""
 
 GONE_REFUSAL_THRESHOLD = 2
 """Consecutive refused connections after which a worker's process counts as ended."""
@@ -535,8 +531,6 @@
             last_seen = 0
             if worker.is_reachable:
                 last_seen = poll_state.last_seen(worker.entry.born_ms)
-            if last_seen:
-                wait_s = min(wait_s, ACKNOWLEDGING_POLL_WAIT_S)
             poll_state.poll_sent(now_s)
             self.dispatcher.poll(worker_id, last_seen, until_ms, wait_s)
 
@@ -561,7 +555,7 @@
             return
         if not worker.is_reachable:
             log.info("worker answers", worker=worker.id, runs=len(reply.runs))
-        poll_state.reply_received(reply.born_ms, message.last_seen, now_s)
+        poll_state.reply_received(reply.born_ms, now_s)
         before = worker.last_end_number if worker.born_ms == reply.born_ms else 0
         self.scheduler.poll_answered(message.worker, reply, now_s)
         for end in reply.ends:
@@ -578,8 +572,9 @@
                     is_job_known=end.task.job in self.scheduler.ledger.jobs,
                     has_job_ended=end.task.job in self.scheduler.changes.ended,
                 )
-        has_unstored = worker.last_end_number > poll_state.acknowledged
-        poll_state.due_s = now_s + UNSTORED_POLL_INTERVAL_S if has_unstored else now_s
+        # The worker responds at once while it lists ends.
+        lists_ends = worker.last_end_number > poll_state.last_seen(worker.entry.born_ms)
+        poll_state.due_s = now_s + UNSTORED_POLL_INTERVAL_S if lists_ends else now_s
         if not worker.is_registered and not worker.runs:
             poll_state.due_s = now_s + RETIRED_POLL_INTERVAL_S
 
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/worker_dispatcher.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/worker_dispatcher.py
@@ -45,13 +45,11 @@
 class PollSucceeded(msgspec.Struct, frozen=True):
     """The runs and run ends reported by a worker.
 
-    ``last_seen`` is the number of the end that the poll acknowledged, and ``sent_s``
-    the monotonic time at which it was sent.
+    ``sent_s`` is the monotonic time at which the poll was sent.
     """
 
     worker: WorkerId
     reply: PollReply
-    last_seen: int
     sent_s: float
 
 
@@ -143,7 +141,7 @@
         except WorkerCallError as error:
             self.post(CallFailed(worker, True, to_call_failure(error), sent_s))
         else:
-            self.post(PollSucceeded(worker, reply, last_seen, sent_s))
+            self.post(PollSucceeded(worker, reply, sent_s))
 
     def start(self, command: StartRun) -> None:
         """Send a start command."""
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/worker_polling.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/worker_polling.py
@@ -44,9 +44,8 @@
     """State of the polls to one worker.
 
     ``acknowledged`` is the number of the last run end that is stored, so that the
-    worker may discard it, and ``discarded`` that of the last one that the worker has
-    certainly discarded. ``born_ms`` identifies the worker's process, which numbers its
-    ends anew: a number that reached another process would hide that process' ends.
+    worker may discard it. ``born_ms`` identifies the worker's process, which numbers
+    its ends anew: a number that reached another process would hide that process' ends.
     """
 
     __slots__ = (
@@ -54,7 +53,6 @@
         "born_ms",
         "born_seen_s",
         "calls_in_flight",
-        "discarded",
         "due_s",
         "failures",
         "hedge_due_s",
@@ -69,19 +67,17 @@
         self.failures = 0
         self.refusals = 0
         self.acknowledged = 0
-        self.discarded = 0
         self.born_ms = 0
         self.born_seen_s = 0.0
 
     def last_seen(self, registered_born_ms: int) -> int:
         """Return the number of the last end to acknowledge, or 0 for none.
 
-        Nothing is acknowledged twice, nor after a failure until the worker has replied
-        again, nor if the worker's registration is that of a later process.
+        Nothing is acknowledged after a failure until the worker has replied again, nor
+        if the worker's registration is that of a later process.
         """
         is_same_process = not self.failures and registered_born_ms <= self.born_ms
-        is_pending = self.acknowledged > self.discarded
-        return self.acknowledged if is_same_process and is_pending else 0
+        return self.acknowledged if is_same_process else 0
 
     def is_overtaken(self, born_ms: int, sent_s: float) -> bool:
         """Return True if a reply may be that of a former process.
@@ -91,14 +87,12 @@
         """
         return self.born_ms not in (0, born_ms) and sent_s <= self.born_seen_s
 
-    def reply_received(self, born_ms: int, last_seen: int, now_s: float) -> None:
-        """Record the process that replied to a poll, and the ends that it discarded."""
+    def reply_received(self, born_ms: int, now_s: float) -> None:
+        """Record the process that replied to a poll."""
         if self.born_ms != born_ms:
             self.born_ms = born_ms
             self.born_seen_s = now_s
-            self.acknowledged = self.discarded = 0
-        else:
-            self.discarded = max(self.discarded, last_seen)
+            self.acknowledged = 0
 
     def ends_stored(self, born_ms: int, number: int) -> bool:
         """Record that ends are stored; return whether any remain to acknowledge."""
