Wait for the lease of a worker that refuses connections

Cause: two refused connections counted as the end of the worker's process, so that its runs were lost and started elsewhere at once. But a cut may refuse connections too, while the worker runs on; it lists its ends when it is back.

A refused connection now counts as silence: tasks start elsewhere once the lease has lapsed, within the 6 s in which a long-running task has to run again, which a silent worker keeps as well. A process counts as ended if it has restarted under its id (another start time), another process answers at its address (421, twice), or it has left as announced. The cost: tasks of a worker that crashed and doesn't come back wait for up to 4.3 s.

WorkerGoneError is named WorkerRefusedError, for what it says.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/worker_calls.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/worker_calls.py
@@ -18,7 +18,7 @@
     "WorkerCallError",
     "WorkerCalls",
     "WorkerFencedError",
-    "WorkerGoneError",
+    "WorkerRefusedError",
     "WorkerNotReachedError",
     "WorkerReplacedError",
     "WorkerReply",
@@ -34,8 +34,8 @@
     """The worker has seen a higher fencing token: another member schedules it now."""
 
 
-class WorkerGoneError(WorkerCallError):
-    """The worker's process has ended: nothing listens at its address."""
+class WorkerRefusedError(WorkerCallError):
+    """The connection was refused: the worker's process has ended, or it is cut off."""
 
 
 class WorkerReplacedError(WorkerCallError):
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
@@ -89,8 +89,10 @@
 """Interval between polls of a worker that lists run ends which can't be acknowledged
 yet, mostly because they are not stored."""
 
-GONE_REFUSAL_THRESHOLD = 2
-"""Consecutive refused connections after which a worker's process counts as ended."""
+REPLACED_THRESHOLD = 2
+"""Consecutive answers of another process after which a worker's process counts as
+ended. A refused connection doesn't show that: a cut network may refuse connections to a
+worker that runs on."""
 
 RETIRED_POLL_INTERVAL_S = 2.0
 """Interval between polls of an unregistered worker that runs nothing."""
@@ -595,7 +597,8 @@
             return
         if (
             message.is_poll
-            and not failure.is_gone
+            and not failure.is_refused
+            and not failure.is_replaced
             and worker.last_reply_s > message.sent_s
         ):
             poll_state.poll_lost()
@@ -612,9 +615,10 @@
         self.scheduler.worker_silent(message.worker)
         if not message.is_poll:
             return
-        poll_state.poll_failed(now_s, failure.is_gone)
-        if poll_state.refusals == GONE_REFUSAL_THRESHOLD:
-            self.worker_gone(message.worker, poll_state.refusals, now_s)
+        is_refused = failure.is_refused or failure.is_replaced
+        poll_state.poll_failed(now_s, is_refused, failure.is_replaced)
+        if poll_state.replacements == REPLACED_THRESHOLD:
+            self.worker_gone(message.worker, False, now_s)
         else:
             self.check_departure(message.worker, now_s)
 
@@ -629,17 +633,19 @@
     def check_departure(self, worker: WorkerId, now_s: float) -> None:
         """Remove a silent worker's runs if it has completed its departure."""
         if self.scheduler.has_left(worker, now_s):
-            self.worker_gone(worker, 0, now_s)
+            self.worker_gone(worker, True, now_s)
 
-    def worker_gone(self, worker: WorkerId, refusals: int, now_s: float) -> None:
-        """Mark all runs of a worker whose process has ended as lost."""
+    def worker_gone(self, worker: WorkerId, has_left: bool, now_s: float) -> None:
+        """Mark all runs of a worker whose process has ended as lost.
+
+        It has left as announced, or else another process answers in its place.
+        """
         lost = self.scheduler.worker_gone(worker, now_s)
         log.warning(
             "worker is gone",
             worker=worker,
             lost_runs=len(lost),
-            has_left=not refusals,
-            refusals=refusals,
+            has_left=has_left,
         )
 
     # Commands.
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/worker_dispatcher.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/worker_dispatcher.py
@@ -15,8 +15,8 @@
     WorkerCallError,
     WorkerCalls,
     WorkerFencedError,
-    WorkerGoneError,
     WorkerNotReachedError,
+    WorkerRefusedError,
     WorkerReplacedError,
 )
 
@@ -71,11 +71,13 @@
 class CallFailure(msgspec.Struct, frozen=True):
     """The reason of a failed call.
 
-    ``is_gone`` means that the worker's process has ended, ``is_fenced`` that the worker
-    has seen a higher token. With neither, the worker did not respond.
+    ``is_replaced`` means that another process answers in the worker's place,
+    ``is_refused`` that the connection was refused, and ``is_fenced`` that the worker
+    has seen a higher token. With none of them, the worker did not respond.
     """
 
-    is_gone: bool = False
+    is_replaced: bool = False
+    is_refused: bool = False
     is_fenced: bool = False
     detail: str = ""
 
@@ -162,7 +164,11 @@
                 outcome, _ = calls.start(request, self.token, COMMAND_TIMEOUT_S)
             except WorkerNotReachedError:
                 break
-            except (WorkerGoneError, WorkerReplacedError, WorkerFencedError) as error:
+            except (
+                WorkerRefusedError,
+                WorkerReplacedError,
+                WorkerFencedError,
+            ) as error:
                 failure = CallFailed(command.worker, False, to_call_failure(error))
                 self.post(failure)
                 break
@@ -224,7 +230,8 @@
 def to_call_failure(error: WorkerCallError) -> CallFailure:
     """Return the failure that an exception of a worker call stands for."""
     return CallFailure(
-        is_gone=isinstance(error, WorkerGoneError | WorkerReplacedError),
+        is_replaced=isinstance(error, WorkerReplacedError),
+        is_refused=isinstance(error, WorkerRefusedError),
         is_fenced=isinstance(error, WorkerFencedError),
         detail=f"{type(error).__name__}: {error}",
     )
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/worker_polling.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/worker_polling.py
@@ -56,7 +56,7 @@
         "due_s",
         "failures",
         "hedge_due_s",
-        "refusals",
+        "replacements",
     )
 
     def __init__(self) -> None:
@@ -65,7 +65,7 @@
         self.hedge_due_s = 0.0
         self.calls_in_flight = 0
         self.failures = 0
-        self.refusals = 0
+        self.replacements = 0
         self.acknowledged = 0
         self.born_ms = 0
         self.born_seen_s = 0.0
@@ -116,19 +116,21 @@
         """Record a response; return whether the previous response was lost."""
         self.calls_in_flight -= 1
         was_lost = self.failures == 1
-        self.failures = self.refusals = 0
+        self.failures = self.replacements = 0
         return was_lost
 
-    def poll_failed(self, now_s: float, is_gone: bool) -> None:
-        """Record a failed poll; a first failure is retried at once unless ``is_gone``.
+    def poll_failed(
+        self, now_s: float, is_refused: bool, is_replaced: bool = False
+    ) -> None:
+        """Record a failed poll; a first failure is retried at once unless refused.
 
-        ``is_gone`` says that the connection was refused or that another process
-        responded.
+        ``is_refused`` says that the connection or the call was refused, ``is_replaced``
+        that it was by another process that has taken the worker's place.
         """
         self.calls_in_flight -= 1
         self.failures += 1
-        self.refusals = self.refusals + 1 if is_gone else 0
-        is_first = self.failures == 1 and not is_gone
+        self.replacements = self.replacements + 1 if is_replaced else 0
+        is_first = self.failures == 1 and not is_refused
         self.due_s = now_s if is_first else now_s + POLL_RETRY_DELAY_S
 
     def poll_lost(self) -> None:
