--- a/tests/fleet_support.py
+++ b/tests/fleet_support.py
@@ -250,8 +250,7 @@
         self.expire_leases()
         self.poll_all()
         if self.can_look_up_jobs and self.is_store_available:
-            for job in self.scheduler.take_lookups():
-                self.look_up(job)
+            self.answer_lookups()
         wall_s = self.clock.wall() + self.wall_offset_s
         for command in self.scheduler.decide(self.now_s, wall_s):
             self.execute(command)
@@ -262,6 +261,11 @@
         for worker in list(self.engines):
             self.poll(worker)
 
+    def answer_lookups(self) -> None:
+        """Answer the lookups of unknown jobs that are due."""
+        for job in self.scheduler.take_lookups():
+            self.look_up(job)
+
     def look_up(self, job: JobId) -> None:
         """Answer a lookup of an unknown job from the store."""
         record = self.records.get(job)
