Play gangs in the in-memory workers

Cause: `RunPlan.gang_size` was read by nothing, so no test without network played a gang's real life: a member ended by itself.

Change: workers that share a `GangRegistry` run the members of a gang together, from the moment when all members of one run are present. A gang whose members resume from different checkpoints is listed as a violation.

Workers advance only when they are called. Every run therefore ends at the first event that was due, at that time, and not when its worker is called next. Before, a run that was done on an unreachable worker was listed as lapsed if nobody called the worker until then.

`find_duplicate_runs`: the success of one member counts for its gang. A success whose worker lost its lease or crashed before the end was acknowledged counts for nothing, as in the users' rule (TWICE). It was counted before, which the lapsed ends above mostly hid. `Fleet` now also keeps the spans of workers that restarted, and checks runs in progress.

--- a/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/fleet_worker.py
+++ b/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/fleet_worker.py
@@ -1,6 +1,7 @@
 """In-memory worker of the users' platform: leases, fences, runs, checkpoints."""
 
 import itertools
+import math
 from collections.abc import Callable
 
 import msgspec
@@ -19,6 +20,7 @@
     WorkerFencedError,
     WorkerReply,
 )
+from gooseberrydeck_standins.gangs import DueEnd, Gang, GangRegistry
 
 __all__ = ["FleetWorkerEngine", "RunPlan", "RunSpan", "find_duplicate_runs"]
 
@@ -26,6 +28,12 @@
 STOP_S = 0.2
 """Time that a run takes to stop, well below the guaranteed time-out."""
 
+CRASHED = "crashed"
+"""Kind of the span of a run that ended with its worker."""
+
+RUNNING = "running"
+"""Kind of the span of a run in progress."""
+
 
 class RunPlan(msgspec.Struct, frozen=True):
     """Behaviour of a run.
@@ -42,25 +50,81 @@
     gang_size: int = 0
 
 
-class ActiveRun(msgspec.Struct):
-    """A run in progress; ``done_s`` is the work its checkpoint already contained."""
-
-    task: TaskRef
-    run: int
-    plan: RunPlan
-    started_s: float
-    done_s: float = 0.0
-    stops_at_s: float | None = None
-
-
 class RunSpan(msgspec.Struct, frozen=True):
-    """Start and end of a run in wall-clock seconds, and how it ended."""
+    """Start and end of a run in wall-clock seconds, and how it ended.
+
+    ``gang`` names the step of a gang. A span is void if its worker's lease lapsed, or
+    its worker crashed, before the end was acknowledged: the end then counts for
+    nothing, and the task has to run again.
+    """
 
     task: str
     run: int
     began_s: float
     ended_s: float
     kind: str
+    gang: str = ""
+    is_void: bool = False
+
+
+class ActiveRun:
+    """A run in progress; ``done_s`` is the work its checkpoint already contained."""
+
+    def __init__(
+        self, engine: "FleetWorkerEngine", request: StartRequest, plan: RunPlan
+    ) -> None:
+        """Create a run that starts now."""
+        self.engine = engine
+        self.task = request.task
+        self.run = request.run
+        self.plan = plan
+        self.joined_s = engine.clock.monotonic()
+        self.began_wall_s = engine.clock.wall()
+        self.done_s = float(request.checkpoint) if request.checkpoint else 0.0
+        self.stops_at_s: float | None = None
+        self.gang: Gang | None = None
+
+    @property
+    def work_began_s(self) -> float | None:
+        """Return when the work began, or None while members of the gang are absent."""
+        return self.joined_s if self.gang is None else self.gang.began_s
+
+    def work_s(self, at_s: float) -> float:
+        """Return the seconds of work that the run has done at a time."""
+        began_s = self.work_began_s
+        if self.plan.hangs or began_s is None:
+            return self.done_s
+        return self.done_s + at_s - began_s
+
+    def work_ends_s(self, began_s: float) -> float | None:
+        """Return when the work is done if it began at ``began_s``, or None if never."""
+        if self.plan.is_standing or self.plan.hangs:
+            return None
+        return began_s + max(0.0, self.plan.seconds - self.done_s)
+
+    def next_end(self) -> DueEnd:
+        """Return the first end, apart from the success of a gang."""
+        due = DueEnd(self.engine.lease_ends_s, EndKind.LAPSED)
+        if self.stops_at_s is not None and self.stops_at_s <= due.at_s:
+            due = DueEnd(self.stops_at_s, EndKind.STOPPED)
+        began_s = self.work_began_s
+        at_s = None if began_s is None else self.work_ends_s(began_s)
+        if at_s is None or at_s >= due.at_s:
+            return due
+        if self.plan.fails:
+            return DueEnd(at_s, EndKind.FAILED)
+        return due if self.gang is not None else DueEnd(at_s, EndKind.SUCCEEDED)
+
+    def end(self, kind: EndKind, at_s: float) -> None:
+        """End the run at a time that may have passed."""
+        self.engine.end(self, kind, at_s)
+
+    def span(self, kind: str, ended_s: float, is_void: bool = False) -> RunSpan:
+        """Return the span of the run until ``ended_s``."""
+        gang = "" if self.gang is None else str(self.task.step_ref)
+        return RunSpan(
+            str(self.task), self.run, self.began_wall_s, ended_s, kind, gang, is_void
+        )
 
 
 class FleetWorkerEngine:
@@ -79,14 +143,20 @@
         max_lease_s: float = 6.0,
         enforces_capacity: bool = False,
         born_ms: int = 1,
+        gangs: GangRegistry | None = None,
     ) -> None:
-        """Create an idle worker; ``plan_of`` returns the behaviour of a run."""
+        """Create an idle worker; ``plan_of`` returns the behaviour of a run.
+
+        Gangs may have members on all workers that share the registry ``gangs``, by
+        default on this one only.
+        """
         self.clock = clock
         self.capacity = capacity
         self.plan_of = plan_of
         self.max_lease_s = max_lease_s
         self.enforces_capacity = enforces_capacity
         self.born_ms = born_ms
+        self.gangs = gangs or GangRegistry()
         self.began_s = clock.monotonic()
         self.token = 0
         self.lease_until_s = 0.0
@@ -102,6 +172,11 @@
         """Return the monotonic time since the worker was created, in seconds."""
         return self.clock.monotonic() - self.began_s
 
+    @property
+    def lease_ends_s(self) -> float:
+        """Return when the lease ends, on the worker's clock."""
+        return self.began_s + self.lease_until_s
+
     def reply(self) -> WorkerReply:
         """Return the fields that every reply contains."""
         return WorkerReply(int(self.now_s() * 1000), self.born_ms)
@@ -164,19 +239,32 @@
             if self.enforces_capacity:
                 return StartOutcome.NO_ROOM
             self.violations.append(f"over capacity by {request.task}")
-        done_s = float(request.checkpoint) if request.checkpoint else 0.0
-        self.runs[request.task] = ActiveRun(
-            request.task, request.run, plan, self.now_s(), done_s
-        )
+        started = ActiveRun(self, request, plan)
+        if plan.gang_size:
+            self.join_gang(started)
+        self.runs[request.task] = started
         return StartOutcome.STARTED
 
+    def join_gang(self, started: ActiveRun) -> None:
+        """Add a run to its gang, whose members must all resume from one checkpoint."""
+        task = started.task
+        gang = self.gangs.find(
+            task.step_ref, started.run, started.plan.gang_size, started.joined_s
+        )
+        for member in gang.members.values():
+            if member.done_s != started.done_s:
+                self.violations.append(f"checkpoint of {task} is not that of its gang")
+                break
+        started.gang = gang
+        gang.join(task, started)
+
     def stop(self, task: TaskRef, run: int, token: Epoch) -> WorkerReply:
         """Stop a run; if its start has not arrived yet, reject that start later."""
         self.advance()
         self.check_fence(token)
         active = self.runs.get(task)
         if active is not None and active.run == run and active.stops_at_s is None:
-            active.stops_at_s = self.now_s() + STOP_S
+            active.stops_at_s = self.clock.monotonic() + STOP_S
         elif active is None:
             self.rejected_up_to[task] = max(self.rejected_up_to.get(task, 0), run)
         return self.reply()
@@ -189,67 +277,98 @@
         return total
 
     def advance(self) -> None:
-        """End the runs that are due: stopped, then expired, then completed ones."""
-        now_s = self.now_s()
+        """End the runs whose end was due, each at the time when it was due."""
+        now_s = self.clock.monotonic()
         for active in list(self.runs.values()):
-            if active.stops_at_s is not None and active.stops_at_s <= now_s:
-                self.end(active, EndKind.STOPPED)
-        if self.lease_until_s <= now_s:
-            for active in list(self.runs.values()):
-                self.end(active, EndKind.LAPSED)
-        for active in list(self.runs.values()):
-            if active.plan.is_standing or active.plan.hangs:
+            if active.gang is not None:
+                active.gang.settle(now_s)
                 continue
-            if self.work_s(active) >= active.plan.seconds:
-                kind = EndKind.FAILED if active.plan.fails else EndKind.SUCCEEDED
-                self.end(active, kind)
-
-    def work_s(self, active: ActiveRun) -> float:
-        """Return the seconds of work that a run has done."""
-        if active.plan.hangs:
-            return active.done_s
-        return active.done_s + self.now_s() - active.started_s
-
-    def end(self, active: ActiveRun, kind: EndKind) -> None:
-        """Remove a run and add its end report and span."""
+            due = active.next_end()
+            if due.at_s <= now_s:
+                self.end(active, due.kind, due.at_s)
+        if self.lease_ends_s <= now_s:
+            self.void_ends()
+
+    def end(self, active: ActiveRun, kind: EndKind, at_s: float | None = None) -> None:
+        """Remove a run that ended at ``at_s``, now by default, and report its end."""
+        if at_s is None:
+            at_s = self.clock.monotonic()
         del self.runs[active.task]
-        now_s = self.clock.wall()
-        began_s = now_s - (self.now_s() - active.started_s)
-        self.spans.append(
-            RunSpan(str(active.task), active.run, began_s, now_s, kind.value)
-        )
+        ended_s = self.clock.wall() - (self.clock.monotonic() - at_s)
+        self.spans.append(active.span(kind.value, ended_s))
         self.last_number += 1
         self.rejected_up_to[active.task] = max(
             self.rejected_up_to.get(active.task, 0), active.run
         )
-        saved = "" if kind is EndKind.SUCCEEDED else f"{self.work_s(active):.3f}"
+        saved = "" if kind is EndKind.SUCCEEDED else f"{active.work_s(at_s):.3f}"
         self.ends.append(
             EndReport(self.last_number, active.task, active.run, kind, saved)
         )
 
+    def void_ends(self) -> None:
+        """Mark the ends as void that nobody has acknowledged."""
+        for end in self.ends:
+            place = end.number - 1
+            self.spans[place] = msgspec.structs.replace(self.spans[place], is_void=True)
+
+    def crash(self) -> None:
+        """Lose all runs and all ends; the gangs of the runs break up."""
+        self.advance()
+        self.void_ends()
+        now_s = self.clock.monotonic()
+        for active in list(self.runs.values()):
+            if active.gang is not None:
+                active.gang.remove(self.runs, now_s)
+            self.spans.append(active.span(CRASHED, self.clock.wall(), is_void=True))
+        self.runs.clear()
+        self.ends.clear()
+
+    def open_spans(self) -> list[RunSpan]:
+        """Return the spans of the runs in progress, which have not ended yet."""
+        return [active.span(RUNNING, math.inf) for active in self.runs.values()]
+
     def report(self, active: ActiveRun) -> RunReport:
         """Return the report of an active run."""
+        work_s = active.work_s(self.clock.monotonic())
         if active.plan.is_standing:
             progress = 100.0
         else:
-            progress = min(99.0, 100 * self.work_s(active) / active.plan.seconds)
-        saved = f"{self.work_s(active):.3f}"
-        return RunReport(active.task, active.run, saved, round(progress, 1))
+            progress = min(99.0, 100 * work_s / active.plan.seconds)
+        return RunReport(active.task, active.run, f"{work_s:.3f}", round(progress, 1))
 
 
 def find_duplicate_runs(spans: list[RunSpan]) -> list[str]:
     """Describe each task that ran twice concurrently or again after it succeeded.
 
-    The spans may come from several workers.
+    The success of any member of a gang counts for all members. The spans may come from
+    several workers.
     """
     found = []
     by_task: dict[str, list[RunSpan]] = {}
+    by_gang: dict[str, list[RunSpan]] = {}
     for span in sorted(spans, key=lambda span: span.began_s):
         by_task.setdefault(span.task, []).append(span)
+        if span.gang:
+            by_gang.setdefault(span.gang, []).append(span)
     for task, runs in by_task.items():
         for first, second in itertools.pairwise(runs):
             if second.began_s < first.ended_s:
                 found.append(f"{task} ran twice at once ({first.run}, {second.run})")
-            elif first.kind == EndKind.SUCCEEDED.value:
+            elif counts_as_done(first):
                 found.append(f"{task} ran again after it was done ({second.run})")
+    for runs in by_gang.values():
+        done = [run for run in runs if counts_as_done(run)]
+        first_done = min(done, key=lambda run: run.ended_s, default=None)
+        found += [
+            f"{run.task} ran again after its gang was done ({run.run})"
+            for run in runs
+            if first_done is not None
+            and run.run != first_done.run
+            and run.began_s >= first_done.ended_s
+        ]
     return found
+
+
+def counts_as_done(span: RunSpan) -> bool:
+    """Return True if a run succeeded and its end was, or still can be, acknowledged."""
+    return span.kind == EndKind.SUCCEEDED.value and not span.is_void
--- a/tests/fleet/test_two_holders.py
+++ b/tests/fleet/test_two_holders.py
@@ -254,7 +254,7 @@
         for engine in self.engines.values():
             spans += engine.spans
             for active in engine.runs.values():
-                began_s = wall_s - engine.now_s() + active.started_s
+                began_s = active.began_wall_s
                 spans.append(
                     RunSpan(str(active.task), active.run, began_s, wall_s, "running")
                 )
--- a/tests/fleet_support.py
+++ b/tests/fleet_support.py
@@ -36,6 +36,7 @@
     RunPlan,
     find_duplicate_runs,
 )
+from gooseberrydeck_standins.gangs import GangRegistry
 
 SERVICE = ServiceName("desk")
 TEAM = TeamName("editors")
@@ -120,6 +121,8 @@
         self.timing = Timing()
         self.capacity = capacity
         self.engines: dict[WorkerId, FleetWorkerEngine] = {}
+        self.crashed_engines: list[FleetWorkerEngine] = []
+        self.gangs = GangRegistry()
         self.unreachable: set[WorkerId] = set()
         self.lost_start_replies: set[WorkerId] = set()
         self.plans: dict[JobId, Callable[[StartRequest], RunPlan]] = {}
@@ -160,7 +163,9 @@
         worker = WorkerId(name)
         capacity = entry.setdefault("capacity", self.capacity)
         assert isinstance(capacity, Resources)
-        self.engines[worker] = FleetWorkerEngine(self.clock, capacity, self.plan)
+        self.engines[worker] = FleetWorkerEngine(
+            self.clock, capacity, self.plan, gangs=self.gangs
+        )
         self.poll_states[worker] = WorkerPollState()
         self.scheduler.worker_registered(
             registration(name, **entry),
@@ -171,17 +176,18 @@
     def restart_worker(self, worker: WorkerId, born_ms: int) -> None:
         """Replace a worker's process by a new one that knows nothing.
 
-        The poll that the former process held open fails. Runs may be repeated unless
-        their ends were acknowledged.
+        The poll that the former process held open fails.
         """
         former = self.engines[worker]
-        engine = FleetWorkerEngine(
-            self.clock, former.capacity, self.plan, born_ms=born_ms
+        former.crash()
+        self.crashed_engines.append(former)
+        self.engines[worker] = FleetWorkerEngine(
+            self.clock,
+            former.capacity,
+            self.plan,
+            born_ms=born_ms,
+            gangs=self.gangs,
         )
-        engine.violations = former.violations
-        unseen = max(0, former.last_number - former.last_seen)
-        engine.spans = former.spans[: len(former.spans) - unseen]
-        self.engines[worker] = engine
         self.poll_failed(worker)
 
     def plan(self, request: StartRequest) -> RunPlan:
@@ -394,7 +400,9 @@
 
     def violations(self) -> list[str]:
         """Return the violated guarantees that the workers observed."""
-        engines = self.engines.values()
-        spans = [span for engine in engines for span in engine.spans]
-        seen = [each for engine in engines for each in engine.violations]
+        engines = [*self.engines.values(), *self.crashed_engines]
+        for engine in engines:
+            engine.advance()
+        spans = [span for each in engines for span in each.spans + each.open_spans()]
+        seen = [violation for each in engines for violation in each.violations]
         return seen + find_duplicate_runs(spans)
