Let the workers' HTTP stand-in play gangs

Cause: the stand-in read no gang from a job's payload, so the soak and the process tests could play none.

Change: `gang` in the payload is the number of members; the workers of one process share their gangs, and one lock, since a call to one worker may end members on another. One adapter test plays a gang on two workers over HTTP.

--- a/tests/adapter/test_adapter.py
+++ b/tests/adapter/test_adapter.py
@@ -70,6 +70,7 @@
 TASK = TaskRef(JobId("5c0e7a21d94b36f8"), 0, 1, 17)
 WORKER = WorkerId("w1")
 TOKEN = Epoch(3)
+HOST = Resources(4_000, 1_000)
 
 
 def compare_absent(key: str) -> Compare:
@@ -207,10 +208,7 @@
 
     def __init__(self) -> None:
         self.clock = ManualClock()
-        capacity = Resources(4_000, 1_000)
-        self.engine = FleetWorkerEngine(
-            self.clock, capacity, decode_run_plan, born_ms=77
-        )
+        self.engine = FleetWorkerEngine(self.clock, HOST, decode_run_plan, born_ms=77)
         self.application = WorkerApplication(WORKER, self.engine)
         self.server = StandinServer(self.application)
         self.calls = HttpWorker(WORKER, self.server.address)
@@ -252,6 +250,32 @@
             ]
         assert worker_fixture.calls.poll(TOKEN, 1, None, 0.0, TIMEOUT_S).ends == ()
 
+    def test_gang_with_a_member_on_each_of_two_workers_is_done_together(
+        self, worker_fixture: WorkerFixture
+    ) -> None:
+        clock, application = worker_fixture.clock, worker_fixture.application
+        engine = FleetWorkerEngine(
+            clock, HOST, decode_run_plan, gangs=worker_fixture.engine.gangs
+        )
+        payload = '{"seconds":1.0,"gang":2}'
+        other_task = TASK._replace(number=TASK.number + 1)
+        with StandinServer(
+            WorkerApplication(WORKER, engine, application.lock)
+        ) as server:
+            other = HttpWorker(WORKER, server.address)
+            request = StartRequest(TASK, 1, payload, 5_000)
+            worker_fixture.calls.start(request, TOKEN, TIMEOUT_S)
+            clock.advance(1.5)
+            reply = worker_fixture.calls.poll(TOKEN, 0, 5_000, 0.0, TIMEOUT_S)
+            assert [run.progress for run in reply.runs] == [0.0]
+            request = StartRequest(other_task, 1, payload, 5_000)
+            other.start(request, TOKEN, TIMEOUT_S)
+            clock.advance(1.1)
+            for calls in (worker_fixture.calls, other):
+                reply = calls.poll(TOKEN, 0, None, 0.0, TIMEOUT_S)
+                assert [end.kind for end in reply.ends] == [EndKind.SUCCEEDED]
+            other.close()
+
     def test_stopped_run_resumes_from_its_checkpoint(
         self, worker_fixture: WorkerFixture
     ) -> None:
