Restart all members of a gang from one checkpoint

Cause: when a member was lost (its worker crashed, or its lease expired while it was unreachable), its last report became the checkpoint of that member only, after the ends of the others had set a newer one for all. The next run of the gang then carried two checkpoints, which the users' protocol forbids, or a checkpoint that was some seconds old.

Change: the report of a lost member counts for the whole gang, and only if no member has ended before.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/run_ends.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/run_ends.py
@@ -50,11 +50,16 @@
     def run_lost(self, run: Run, reason: LossReason) -> None:
         """Remove a run that has certainly ended without a reported end."""
         task = run.task
-        self.ledger.remove_run(run)
+        step = task.step
         if run.checkpoint and reason is not LossReason.NEVER_STARTED:
-            task.checkpoint = run.checkpoint
-        if task.step.spec.is_gang:
-            self.stop_gang(task.step)
+            if not step.spec.is_gang:
+                task.checkpoint = run.checkpoint
+            elif not task.is_done and all(member.runs for member in step.tasks):
+                # Members that have ended before gave a newer one for the whole gang.
+                self.save_checkpoint(task, run.checkpoint)
+        self.ledger.remove_run(run)
+        if step.spec.is_gang:
+            self.stop_gang(step)
 
     def apply_end(
         self,
