Keep a late end of a gang's former run apart from its current run

Cause: an end that a worker reported late, after its leases had lapsed and the gang had been started again, stopped the current run: the gang ran a third time. A late success, on the other hand, let the current run go on, although its work was done, and kept the job from completing until it ended.

Change: the end of a member stops only the members with its run number; a success stops those with another number.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/run_ends.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/run_ends.py
@@ -59,7 +59,7 @@
                 self.save_checkpoint(task, run.checkpoint)
         self.ledger.remove_run(run)
         if step.spec.is_gang:
-            self.stop_gang(step)
+            self.stop_gang(step, run.number)
 
     def apply_end(
         self,
@@ -79,7 +79,7 @@
                 self.ledger.step_done(step)
             else:
                 self.ledger.task_done(task)
-            self.stop_surplus(task)
+            self.stop_surplus(task, end.run)
             if run is not None:
                 self.mark_dependents(task)
             self.finish_if_complete(step.job)
@@ -89,7 +89,7 @@
         if kind is EndKind.FAILED:
             self.count_failure(task, end.run, worker, now_s)
         if step.spec.is_gang and kind is not EndKind.STOPPED:
-            self.stop_gang(step)
+            self.stop_gang(step, end.run)
         elif run is not None and run.stop_reason is StopReason.STALLED:
             task.failed_on[worker] = now_s
 
@@ -149,19 +149,26 @@
         ):
             self.finish(job, JobState.FAILED)
 
-    def stop_gang(self, step: Step) -> None:
-        """Stop all runs of a gang after one of its members has ended."""
+    def stop_gang(self, step: Step, number: int) -> None:
+        """Stop the members of a gang's run ``number`` after one of them has ended."""
         for task in step.tasks:
             for run in task.runs:
-                self.request_stop(run, StopReason.GANG_FAILED)
+                if run.number == number:
+                    self.request_stop(run, StopReason.GANG_FAILED)
 
-    def stop_surplus(self, task: Task) -> None:
-        """Stop the remaining runs of a task that is done."""
-        # The members of a gang end together without a stop request.
-        if task.step.spec.is_gang:
+    def stop_surplus(self, task: Task, number: int) -> None:
+        """Stop the remaining runs of a task, or of a gang, that is done.
+
+        The members of the gang's run ``number`` end together without a stop request.
+        """
+        if not task.step.spec.is_gang:
+            for run in task.runs:
+                self.request_stop(run, StopReason.SURPLUS)
             return
-        for run in task.runs:
-            self.request_stop(run, StopReason.SURPLUS)
+        for member in task.step.tasks:
+            for run in member.runs:
+                if run.number != number:
+                    self.request_stop(run, StopReason.SURPLUS)
 
     def request_stop(self, run: Run, reason: StopReason) -> None:
         """Mark a run as stopping; the scheduler sends and repeats the stop request."""
--- a/tests/fleet/test_gangs.py
+++ b/tests/fleet/test_gangs.py
@@ -135,6 +135,45 @@
         self.fleet.run_for(LAPSE_S)
         self.assert_ran_once(job)
 
+    def test_gang_restarts_as_a_whole_once_the_lease_of_a_member_has_expired(
+        self,
+    ) -> None:
+        # Regression (this test): the lapsed end that the worker reported when it was
+        # reachable again stopped the gang's next run.
+        job = self.fleet.submit("a", GANG, seconds=7.0)
+        self.fleet.run_for(0.5)
+        self.fleet.unreachable.add(self.worker_of(1))
+        self.fleet.run_for(LAPSE_S)
+        self.fleet.unreachable.clear()
+        self.fleet.run_for(9.0)
+        self.assert_restarted_as_a_whole(job)
+
+    def test_late_end_of_a_gang_whose_leases_had_all_lapsed_is_applied(self) -> None:
+        job = self.submit()
+        self.fleet.unreachable.update(self.fleet.engines)
+        self.fleet.run_for(LAPSE_S)
+        assert len(self.fleet.starts) == MEMBERS
+        self.fleet.unreachable.clear()
+        self.fleet.run_for(1.0)
+        assert self.fleet.state(job) is JobState.COMPLETED
+        assert self.fleet.running(job) == []
+        assert self.fleet.violations() == []
+
+    def test_late_end_of_a_gang_stops_the_run_that_repeats_it(self) -> None:
+        job = self.submit()
+        for number in range(MEMBERS):
+            self.fleet.unreachable.add(self.worker_of(number))
+        self.fleet.run_for(1.0)
+        for number in range(3):
+            self.fleet.add_worker(f"spare{number}")
+        self.fleet.run_for(LAPSE_S - 1.0)
+        assert len(self.fleet.starts) == 2 * MEMBERS
+        self.fleet.unreachable.clear()
+        self.fleet.run_for(0.5)
+        assert self.fleet.state(job) is JobState.COMPLETED
+        assert self.fleet.running(job) == []
+        assert self.fleet.violations() == []
+
 
 class TestLostReplies(GangFixture):
     @pytest.mark.parametrize("silent", [("w1",), ("w0", "w1", "w2", "w3")])
