Let FleetMachine submit gangs

Cause: the stateful test drew no gangs, so no fault in their accounting could show there.

Change: half of the drawn jobs are gangs, no larger than their team's maximum allows at once. Restarts of workers fall between two polls and keep the spans of the former incarnation, and workers advance to the present before the team's use is summed, so an unreachable worker counts no run that has ended.

--- a/tests/fleet/test_machine.py
+++ b/tests/fleet/test_machine.py
@@ -3,7 +3,15 @@
 from hypothesis import settings, strategies
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
-from fleet_support import SLOW, URGENT, Fleet, make_configuration, task_resources
+from fleet_support import (
+    CORE,
+    SLOW,
+    STEP_S,
+    URGENT,
+    Fleet,
+    make_configuration,
+    task_resources,
+)
 from gooseberrydeck_coordination.ids import JobId
 from gooseberrydeck_coordination.resources import NO_RESOURCES, Resources
 from gooseberrydeck_fleet.ids import WorkerId
@@ -15,7 +23,7 @@
 
 
 class FleetMachine(RuleBasedStateMachine):
-    """Jobs, partitions, restarts, lost replies, outages and takeovers in any order."""
+    """Jobs, gangs, partitions, restarts, lost replies, outages and takeovers."""
 
     def __init__(self) -> None:
         super().__init__()
@@ -31,17 +39,28 @@
         seconds=strategies.floats(0.1, 4.0),
         is_urgent=strategies.booleans(),
         steps=strategies.integers(1, 2),
+        is_gang=strategies.booleans(),
     )
     def submit(
-        self, count: int, cores: int, seconds: float, is_urgent: bool, steps: int
+        self,
+        count: int,
+        cores: int,
+        seconds: float,
+        is_urgent: bool,
+        steps: int,
+        is_gang: bool,
     ) -> None:
         name = f"j{len(self.jobs)}"
+        if is_gang:
+            # A gang that its team may never run at once would never start.
+            cores = min(cores, MAXIMUM.cpu_millis // CORE // count)
         specs = [
             StepSpec(
                 count,
                 task_resources(cores),
                 after=(number - 1,) if number else (),
                 saves_progress=not is_urgent,
+                is_gang=is_gang,
             )
             for number in range(steps)
         ]
@@ -67,11 +86,14 @@
     def lose_answers(self, number: int) -> None:
         self.fleet.lost_start_replies.add(WorkerId(f"w{number}"))
 
-    @rule(number=strategies.integers(0, WORKERS - 1))
-    def restart_worker(self, number: int) -> None:
-        worker = WorkerId(f"w{number}")
+    @rule(
+        number=strategies.integers(0, WORKERS - 1),
+        since_poll_s=strategies.floats(0.0, STEP_S),
+    )
+    def restart_worker(self, number: int, since_poll_s: float) -> None:
+        self.fleet.clock.advance(since_poll_s)
         self.born_ms += 1
-        self.fleet.restart_worker(worker, self.born_ms)
+        self.fleet.restart_worker(WorkerId(f"w{number}"), self.born_ms)
 
     @rule()
     def toggle_store(self) -> None:
@@ -90,6 +112,7 @@
     def team_stays_within_its_maximum(self) -> None:
         used = NO_RESOURCES
         for engine in self.fleet.engines.values():
+            engine.advance()
             used = used + engine.used()
         assert used.cpu_millis <= MAXIMUM.cpu_millis
 
--- a/tests/fleet_support.py
+++ b/tests/fleet_support.py
@@ -173,9 +173,11 @@
         )
         return worker
 
-    def restart_worker(self, worker: WorkerId, born_ms: int) -> None:
+    def restart_worker(self, worker: WorkerId, born_ms: int = 0) -> None:
         """Replace a worker's process by a new one that knows nothing.
 
+        Without ``born_ms``, it starts a millisecond after the former one.
+
         The poll that the former process held open fails.
         """
         former = self.engines[worker]
@@ -185,7 +187,7 @@
             self.clock,
             former.capacity,
             self.plan,
-            born_ms=born_ms,
+            born_ms=born_ms or former.born_ms + 1,
             gangs=self.gangs,
         )
         self.poll_failed(worker)
