--- a/tests/fleet/test_faults.py
+++ b/tests/fleet/test_faults.py
@@ -237,6 +237,22 @@
         fleet.run_for(1.0)
         assert fleet.running(job) == []
 
+    # A job accepted after a takeover starts at once, although runs of its team on a
+    # worker that has not reported may use up the team's maximum.
+    def test_unknown_runs_of_a_predecessor_count_against_the_maximum(self) -> None:
+        fleet = Fleet(workers=3)
+        fleet.configuration = make_configuration(maximum=Resources(48_000, 0, 0))
+        fleet.scheduler.set_configuration(fleet.configuration)
+        fleet.submit("a", StepSpec(6, task_resources(8)), seconds=9.0)
+        fleet.run_for(0.5)
+        _, _, worker = fleet.starts[0]
+        fleet.take_over()
+        fleet.unreachable.add(worker)
+        fleet.submit("b", StepSpec(4, task_resources(8)), seconds=9.0)
+        fleet.run_for(1.0)
+        used = sum(engine.used().cpu_millis for engine in fleet.engines.values())
+        assert used <= 48_000
+
 
 class TestTakeover:
     def test_successor_adopts_runs(self) -> None:
