Keep a departed worker until the runs of unknown jobs there have lapsed

Cause: forget_departed looks at the known runs of a worker only. A worker that listed nothing but a run of an unknown job was forgotten, and with it the run.

Evidence: test_run_of_an_unknown_job_counts_until_its_lease_has_lapsed failed before ('ran twice at once').

Such a worker stays until its lease has lapsed, when its unknown runs are dropped as well, and is polled as often as one with runs.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/housekeeping.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/housekeeping.py
@@ -67,7 +67,7 @@
                 or now_s < worker.lease_expiry_s + LEASE_EXPIRY_MARGIN_S
             ):
                 continue
-            if worker.runs or not worker.has_reported:
+            if worker.runs or worker.has_orphaned_runs or not worker.has_reported:
                 self.poll_replies.lose_runs(worker, LossReason.LEASE_LAPSED)
                 worker.has_reported = True
                 self.takeover.release_held_jobs()
@@ -82,6 +82,7 @@
                 and not worker.is_reachable
                 and worker.has_reported
                 and not worker.runs
+                and not worker.has_orphaned_runs
             ):
                 del self.ledger.workers[worker.id]
 
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/poll_replies.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/poll_replies.py
@@ -65,6 +65,8 @@
 
     def lose_runs(self, worker: Worker, reason: LossReason) -> list[Run]:
         """Record every run of a worker as lost, and return these runs."""
+        self.unknown_jobs.replace_runs(worker, [], 0.0)
+        worker.has_orphaned_runs = False
         runs = list(worker.runs.values())
         for run in runs:
             self.ends.run_lost(run, reason)
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
@@ -577,7 +577,8 @@
         # The worker responds at once while it lists ends.
         lists_ends = worker.last_end_number > poll_state.last_seen(worker.entry.born_ms)
         poll_state.due_s = now_s + UNSTORED_POLL_INTERVAL_S if lists_ends else now_s
-        if not worker.is_registered and not worker.runs:
+        runs_nothing = not worker.runs and not worker.has_orphaned_runs
+        if not worker.is_registered and runs_nothing:
             poll_state.due_s = now_s + RETIRED_POLL_INTERVAL_S
 
     def handle_call_failure(self, message: CallFailed, now_s: float) -> None:
--- a/tests/fleet/test_unknown_jobs.py
+++ b/tests/fleet/test_unknown_jobs.py
@@ -173,3 +173,18 @@
         fleet.run_for(4.0)
         assert fleet.state(JobId(job)) is JobState.COMPLETED
         assert len(fleet.starts) == 2
+
+
+class TestDepartedWorkers:
+    # A worker that lists only a run of an unknown job was forgotten when its
+    # registration was removed, so that the job seemed to have no runs.
+    def test_run_of_an_unknown_job_counts_until_its_lease_has_lapsed(self) -> None:
+        case = Case(3.0, StepSpec(1, ONE))
+        case.fleet.run_for(0.2)
+        ((_, _, worker),) = case.fleet.starts
+        case.fleet.unreachable.add(worker)
+        case.fleet.scheduler.worker_unregistered(worker)
+        case.fleet.run_for(0.3)
+        case.learn_job()
+        case.fleet.run_for(6.0)
+        assert case.fleet.violations() == []
