Report a lookup of an unreadable job as failed

Evidence: test_unreadable_job_is_reported_as_a_failed_lookup failed before.

The failure is logged with its type and the lookup repeated, as for an error of the store.

--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/job_lookups.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/job_lookups.py
@@ -71,14 +71,17 @@
     def run(self, job: JobId) -> None:
         """Look up a job and post the result."""
         try:
-            self.post(self.read(job))
-        except StoreError as error:
-            log.info("job not looked up", job=job, reason=str(error))
+            result: JobFound | JobAbsent = self.read(job)
+        except (StoreError, msgspec.MsgspecError, ValueError) as error:
+            reason = f"{type(error).__name__}: {error}"
+            log.warning("job not looked up", job=job, reason=reason)
             self.closed.wait(RETRY_DELAY_S)
             self.post(LookupFailed(job))
+        else:
+            self.post(result)
 
     def read(self, job: JobId) -> JobFound | JobAbsent:
-        """Read a job, or raise a ``StoreError``.
+        """Read a job; raise a ``StoreError``, or a ``ValueError`` if it is unreadable.
 
         The end is read first: it is stored in the transaction that removes the job, so
         a job without either had no run that the reports could be of.
--- a/tests/member/test_takeover.py
+++ b/tests/member/test_takeover.py
@@ -41,7 +41,7 @@
     LookupFailed,
 )
 from gooseberrydeck_member.jobs import JobStore
-from gooseberrydeck_member.keys import WORKERS_KEY
+from gooseberrydeck_member.keys import WORKERS_KEY, job_key
 from gooseberrydeck_member.observability import Metrics
 from gooseberrydeck_member.peer_messages import JobAccepted
 from gooseberrydeck_member.peers import PeerClient
@@ -279,3 +279,16 @@
         task.handle(task.lookups.read(JOB), 0.0)
         job = task.scheduler.ledger.jobs[JOB]
         assert job.to_progress().steps[0].done == 1
+
+    # A record that can't be decoded left its lookup unanswered, so that no end of the
+    # worker was acknowledged any more.
+    def test_unreadable_job_is_reported_as_a_failed_lookup(
+        self, successor: Successor
+    ) -> None:
+        put = Put(job_key(JOB), b"\xff")
+        assert successor.store.commit(Transaction((), (put,)), TIMEOUT_S).succeeded
+        results: list[object] = []
+        lookups = JobLookups(successor.store, results.append)
+        lookups.closed.set()
+        lookups.run(JOB)
+        assert results == [LookupFailed(JOB)]
