Treat a job that the watch has passed as known

Cause: a notification was compared with the jobs read at the takeover, and with the ended jobs that are still remembered.

Evidence: test_notification_that_the_watch_has_passed_starts_nothing failed before.

The watch delivers every stored job, so the revision up to which jobs are known rises with it.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/job_intake.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/job_intake.py
@@ -39,7 +39,7 @@
         self.takeover = takeover
         self.shares = shares
         self.poll_replies = poll_replies
-        # All jobs stored up to this revision were read when the shard was taken over.
+        # All jobs stored up to this revision have been read or watched.
         self.jobs_revision = 0
         self.queues: dict[QueueName, Queue] = {}
         self.periodic_jobs: dict[JobId, Job] = {}
@@ -80,7 +80,7 @@
         known = self.ledger.jobs.get(record.id)
         if known is not None:
             if predates_takeover and not known.predates_takeover:
-                # It was announced before the stored state was loaded.
+                # A job announced before the stored state is loaded is no new one.
                 known.predates_takeover = True
                 self.takeover.hold_if_unsafe(known)
             self.update(known, record, revision)
@@ -106,7 +106,7 @@
     def accept_announced(self, record: JobRecord, revision: int) -> bool:
         """Add a job that a member announces; return False if that tells nothing new.
 
-        An unknown job that is not newer than the jobs read at the takeover has ended.
+        An unknown job that is not newer than those read or watched has ended.
         """
         if self.ledger.knows(record.id) or revision <= self.jobs_revision:
             return False
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
@@ -172,12 +172,12 @@
 
     @property
     def jobs_revision(self) -> int:
-        """The revision up to which all stored jobs were read at the takeover."""
+        """The revision up to which all stored jobs have been read or watched."""
         return self.intake.jobs_revision
 
     def jobs_read(self, revision: int) -> None:
-        """Record that all jobs stored up to a revision have been read."""
-        self.intake.jobs_revision = revision
+        """Record that all jobs stored up to a revision have been read or watched."""
+        self.intake.jobs_revision = max(self.intake.jobs_revision, revision)
 
     def accept_announced(self, record: JobRecord, revision: int) -> bool:
         """Add a job that a member announces; return False if that tells nothing new."""
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
@@ -259,7 +259,8 @@
         self.next_occurrence = 0
         self.progress_revision = 0
         self.may_have_unknown_runs = False
-        # True if the job was stored before this scheduler took over.
+        # True if a predecessor may have started the job: it was stored before this
+        # scheduler took over, or workers reported it first.
         self.predates_takeover = False
         self.is_within_share = True
         self.due_s = 0.0
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
@@ -81,9 +81,10 @@
 """How long a worker may hold a poll open; also the interval of lease extensions."""
 
 SUPERSEDED_NOTICE_S = 1.5
-"""Time within which a predecessor that is still running learns that it has been
-superseded: the longest wait for a worker's response plus the interval between two
-renewals of its lease."""
+"""Time within which a predecessor that is still running usually learns that it has been
+superseded, from a worker's response or at the next renewal of its lease. One that
+reaches neither the store nor a worker that its successor has reached may act longer, up
+to ``AUTHORITY_TIMEOUT_S``."""
 
 UNSTORED_POLL_INTERVAL_S = 0.2
 """Interval between polls of a worker that lists run ends which can't be acknowledged
@@ -445,6 +446,8 @@
                 result.progress,
                 result.progress_revision,
             )
+            if result.record.queue not in self.scheduler.intake.queues:
+                self.report_unconfigured_queue(result.record, result.revision)
         self.metrics.job_lookups.labels(outcome).inc()
         log.info(
             "job looked up",
@@ -466,6 +469,8 @@
                 self.registration_changed(key, value, now_s)
             else:
                 self.registration_removed(key, now_s)
+        if message.prefix == JOB_PREFIX:
+            self.scheduler.jobs_read(int(message.batch.revision))
 
     def prefix_read(self, message: PrefixRead, now_s: float) -> None:
         """Apply a complete read of a prefix, made when watch events may be missing."""
--- a/tests/member/test_takeover.py
+++ b/tests/member/test_takeover.py
@@ -16,8 +16,15 @@
     task_resources,
 )
 from gooseberrydeck_coordination.clock import ManualClock
-from gooseberrydeck_coordination.ids import JobId, MemberId
-from gooseberrydeck_coordination.store import Put, Transaction
+from gooseberrydeck_coordination.ids import JobId, MemberId, Revision
+from gooseberrydeck_coordination.store import (
+    Entry,
+    EventKind,
+    Put,
+    Transaction,
+    WatchBatch,
+    WatchEvent,
+)
 from gooseberrydeck_fleet.commands import Changes, JobEnding, ProgressWrite
 from gooseberrydeck_fleet.configuration import FleetConfiguration
 from gooseberrydeck_fleet.ids import TaskRef, WorkerId
@@ -41,12 +48,13 @@
     LookupFailed,
 )
 from gooseberrydeck_member.jobs import JobStore
-from gooseberrydeck_member.keys import WORKERS_KEY, job_key
+from gooseberrydeck_member.keys import JOB_PREFIX, WORKERS_KEY, job_key
 from gooseberrydeck_member.observability import Metrics
 from gooseberrydeck_member.peer_messages import JobAccepted
 from gooseberrydeck_member.peers import PeerClient
 from gooseberrydeck_member.scheduler_task import SchedulerTask
 from gooseberrydeck_member.shard_lock import ShardLock
+from gooseberrydeck_member.store_follower import PrefixChanged
 from gooseberrydeck_member.worker_dispatcher import PollSucceeded
 from gooseberrydeck_standins.engine_store import EngineStore
 from gooseberrydeck_standins.faults import CallFault
@@ -292,3 +300,21 @@
         lookups.closed.set()
         lookups.run(JOB)
         assert results == [LookupFailed(JOB)]
+
+
+class TestForgottenJobs:
+    # A notification that came after its job had ended here and been forgotten started
+    # the job again.
+    def test_notification_that_the_watch_has_passed_starts_nothing(
+        self, successor: Successor
+    ) -> None:
+        task = successor.take_over()
+        notification = successor.accept()
+        revision = Revision(notification.revision)
+        value = msgspec.json.encode(successor.record)
+        entry = Entry(job_key(JOB), value, revision, 1)
+        batch = WatchBatch((WatchEvent(EventKind.PUT, entry),), revision)
+        task.handle(PrefixChanged(JOB_PREFIX, batch), 0.0)
+        task.scheduler.ledger.jobs.clear()
+        task.handle(notification, 0.0)
+        assert JOB not in task.scheduler.ledger.jobs
--- a/tests/member/test_worker_lives.py
+++ b/tests/member/test_worker_lives.py
@@ -337,8 +337,13 @@
         polled.calls.failure = failure
         return other
 
-    def test_one_refused_poll_loses_no_run(self, polled: PolledWorker) -> None:
-        other = self.cut_running_task(polled, WorkerRefusedError("refused"))
+    @pytest.mark.parametrize(
+        "failure", [WorkerRefusedError("refused"), WorkerReplacedError("replaced")]
+    )
+    def test_one_refused_poll_loses_no_run(
+        self, polled: PolledWorker, failure: WorkerCallError
+    ) -> None:
+        other = self.cut_running_task(polled, failure)
         polled.run_for(STEP_S)
         polled.calls.failure = None
         polled.run_for(2.0)
@@ -352,8 +357,8 @@
         polled.run_for(POLL_RETRY_DELAY_S + 3 * STEP_S)
         assert len(other.starts) == 1
 
-    # Two refused connections counted as the end of the worker's process, so its tasks
-    # ran twice if a cut refused connections to a worker that ran on.
+    # Guards against tasks that run twice because a cut refuses connections to a worker
+    # that runs on.
     @pytest.mark.parametrize(
         "failure", [WorkerRefusedError("refused"), WorkerSilentError("timed out")]
     )
--- a/tests/member/test_worker_polling.py
+++ b/tests/member/test_worker_polling.py
@@ -79,6 +79,10 @@
         assert self.poll_state.replacements == 2
         self.poll_state.poll_failed(101.0, is_refused=True)
         assert self.poll_state.replacements == 0
+        self.poll_state.poll_failed(101.0, is_refused=True, is_replaced=True)
+        self.poll_state.poll_sent(101.0)
+        self.poll_state.poll_succeeded()
+        assert self.poll_state.replacements == 0
 
     def test_lost_poll_leaves_the_hedged_poll_in_flight(self) -> None:
         self.poll_state.poll_sent(100.5)
@@ -93,13 +97,13 @@
         self.answer(born_ms=1_000)
         assert self.poll_state.ends_stored(1_000, 57)
 
-    def answer(self, born_ms: int, last_seen: int = 0) -> None:
+    def answer(self, born_ms: int) -> None:
         self.poll_state.poll_sent(100.0)
         self.poll_state.poll_succeeded()
         self.poll_state.reply_received(born_ms, 100.0)
 
     def test_later_end_is_acknowledged_as_well(self) -> None:
-        self.answer(1_000, last_seen=57)
+        self.answer(1_000)
         assert self.poll_state.ends_stored(1_000, 58)
         assert self.poll_state.last_seen(1_000) == 58
 
