Log restarts of workers, lost runs and gaps in the numbers of ends

No behaviour changes.

"worker restarted" names both start times, the last end of the former process that was seen and that was acknowledged, the ends that the new one lists, and what may still be on its way: polls in flight or failed, starts without a response. Each has a counter.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/run_ends.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/run_ends.py
@@ -1,14 +1,15 @@
 """Effects of the ends of runs on tasks, steps and jobs."""
 
 from enum import Enum
+from typing import NamedTuple
 
-from gooseberrydeck_fleet.ids import WorkerId
+from gooseberrydeck_fleet.ids import TaskRef, WorkerId
 from gooseberrydeck_fleet.ledger import Ledger
 from gooseberrydeck_fleet.state import Job, Run, RunState, Step, StopReason, Task
 from gooseberrydeck_fleet.work import JobState
 from gooseberrydeck_fleet.worker_calls import EndKind, EndReport
 
-__all__ = ["RunEndHandler", "LossReason"]
+__all__ = ["LossReason", "LostRun", "RunEndHandler"]
 
 
 class LossReason(Enum):
@@ -20,12 +21,22 @@
     NOT_LISTED = "not_listed"
 
 
+class LostRun(NamedTuple):
+    """A run that counts as ended although its worker did not report the end."""
+
+    task: TaskRef
+    run: int
+    worker: WorkerId
+    reason: LossReason
+
+
 class RunEndHandler:
     """Update tasks, steps and jobs as runs end."""
 
     def __init__(self, ledger: Ledger) -> None:
         """Create a handler for one ledger."""
         self.ledger = ledger
+        self.lost_runs: list[LostRun] = []
 
     def run_ended(self, worker: WorkerId, end: EndReport, now_s: float) -> Run | None:
         """Apply an end that a worker reported and return the run, if it was known."""
@@ -51,6 +62,7 @@
         """Remove a run that has certainly ended without a reported end."""
         task = run.task
         step = task.step
+        self.lost_runs.append(LostRun(task.ref, run.number, run.worker.id, reason))
         if run.checkpoint and reason is not LossReason.NEVER_STARTED:
             if not step.spec.is_gang:
                 task.checkpoint = run.checkpoint
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
@@ -16,7 +16,7 @@
 from gooseberrydeck_fleet.preemption import Preemptor
 from gooseberrydeck_fleet.progress import Progress
 from gooseberrydeck_fleet.registrations import Registration
-from gooseberrydeck_fleet.run_ends import LossReason, RunEndHandler
+from gooseberrydeck_fleet.run_ends import LossReason, LostRun, RunEndHandler
 from gooseberrydeck_fleet.serving import LongWait, StepServer
 from gooseberrydeck_fleet.settings import Timing
 from gooseberrydeck_fleet.shares import ShareTracker
@@ -410,6 +410,11 @@
         waits, self.long_waits = self.long_waits, []
         return waits
 
+    def take_lost_runs(self) -> list[LostRun]:
+        """Return the runs that were lost since the last call, each once."""
+        lost, self.ends.lost_runs = self.ends.lost_runs, []
+        return lost
+
     def send_stops(self, now_s: float) -> None:
         """Queue stop commands, and repeat those that had no effect so far."""
         for run in self.ledger.stopping:
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/observability.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/observability.py
@@ -135,6 +135,23 @@
             ["kind"],
             registry=registry,
         )
+        self.run_losses = prometheus_client.Counter(
+            "gooseberrydeck_run_losses",
+            "Runs that count as ended although no end was reported, by the reason",
+            ["reason"],
+            registry=registry,
+        )
+        self.worker_restarts = prometheus_client.Counter(
+            "gooseberrydeck_worker_restarts",
+            "Workers whose process was started again under its id, by what showed it",
+            ["source"],
+            registry=registry,
+        )
+        self.end_gaps = prometheus_client.Counter(
+            "gooseberrydeck_end_gaps",
+            "Gaps in the numbers of the ends that a worker's process has listed",
+            registry=registry,
+        )
         self.job_lookups = prometheus_client.Counter(
             "gooseberrydeck_job_lookups",
             "Lookups of jobs that only workers have reported, by what was found",
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
@@ -30,9 +30,9 @@
 from gooseberrydeck_fleet.registrations import Registration
 from gooseberrydeck_fleet.scheduler import Scheduler
 from gooseberrydeck_fleet.settings import Timing
-from gooseberrydeck_fleet.state import CLOCK_DRIFT, MAX_TASK_LEASE_S
+from gooseberrydeck_fleet.state import CLOCK_DRIFT, MAX_TASK_LEASE_S, RunState, Worker
 from gooseberrydeck_fleet.work import JobRecord, JobState
-from gooseberrydeck_fleet.worker_calls import StartOutcome, WorkerCalls
+from gooseberrydeck_fleet.worker_calls import PollReply, StartOutcome, WorkerCalls
 from gooseberrydeck_member.advice_pool import AdviceCompleted, AdvicePool
 from gooseberrydeck_member.authority import AUTHORITY_TIMEOUT_S, Authority
 from gooseberrydeck_member.committer import (
@@ -317,11 +317,25 @@
                 step=wait.step[1:],
                 **dict(zip(wait._fields[1:], wait[1:], strict=True)),
             )
+        self.report_lost_runs()
         for job in self.scheduler.take_lookups():
             self.lookups.look_up(job)
         self.poll_due_workers(now_s)
         self.acknowledge(self.committer.send_due(now_s), now_s)
 
+    def report_lost_runs(self) -> None:
+        """Log and count the runs that have ended without a reported end."""
+        for lost in self.scheduler.take_lost_runs():
+            self.metrics.run_losses.labels(lost.reason.value).inc()
+            log.info(
+                "run lost",
+                job=lost.task.job,
+                task=lost.task[1:],
+                run=lost.run,
+                worker=lost.worker,
+                reason=lost.reason.value,
+            )
+
     def pause_s(self) -> float:
         """Return how long to wait for a message: not at all with work left over."""
         has_work = self.scheduler.has_backlog and self.authority.may_act()
@@ -507,6 +521,8 @@
         """Register a worker with the scheduler and connect to its current address."""
         known = self.scheduler.ledger.workers.get(entry.worker)
         moved = known is not None and known.entry.address != entry.address
+        if known is not None and known.entry.born_ms not in (0, entry.born_ms):
+            self.report_restart(known, "registration", entry.born_ms)
         # Runs started by a predecessor may still be active on the workers it knew.
         unknown_until_s = self.claimed_s + self.quarantine_s
         is_new = self.scheduler.worker_registered(entry, now_s, unknown_until_s)
@@ -548,6 +564,7 @@
         if poll_state is None or worker is None:
             return
         reply = message.reply
+        failed_polls = poll_state.failures
         if poll_state.poll_succeeded() and poll_state.born_ms == reply.born_ms:
             self.response_lost(now_s)
         if poll_state.is_overtaken(reply.born_ms, message.sent_s):
@@ -562,8 +579,13 @@
             return
         if not worker.is_reachable:
             log.info("worker answers", worker=worker.id, runs=len(reply.runs))
+        is_restart = worker.born_ms not in (0, reply.born_ms)
+        if is_restart:
+            self.report_restart(worker, "reply", reply.born_ms, reply, failed_polls)
         poll_state.reply_received(reply.born_ms, now_s)
         before = worker.last_end_number if worker.born_ms == reply.born_ms else 0
+        if is_restart or worker.born_ms == reply.born_ms:
+            self.report_gap(worker.id, reply, before)
         self.scheduler.poll_answered(message.worker, reply, now_s)
         for end in reply.ends:
             if end.number > before:
@@ -586,6 +608,55 @@
         if not worker.is_registered and runs_nothing:
             poll_state.due_s = now_s + RETIRED_POLL_INTERVAL_S
 
+    def report_restart(
+        self,
+        worker: Worker,
+        source: str,
+        born_ms: int,
+        reply: PollReply | None = None,
+        failed_polls: int = 0,
+    ) -> None:
+        """Log and count that a worker's process was started again under its id."""
+        self.metrics.worker_restarts.labels(source).inc()
+        poll_state = self.poll_states[worker.id]
+        numbers = [end.number for end in reply.ends] if reply is not None else []
+        unanswered = (RunState.STARTING, RunState.UNCERTAIN)
+        runs = worker.runs.values()
+        log.warning(
+            "worker restarted",
+            worker=worker.id,
+            source=source,
+            born_ms=born_ms,
+            former_born_ms=worker.born_ms or worker.entry.born_ms,
+            former_last_end=worker.last_end_number,
+            former_acknowledged=poll_state.acknowledged,
+            first_end=min(numbers, default=None),
+            last_end=max(numbers, default=None),
+            polls_in_flight=poll_state.calls_in_flight,
+            failed_polls=failed_polls or poll_state.failures,
+            unanswered_starts=sum(run.state in unanswered for run in runs),
+            runs=len(runs),
+        )
+
+    def report_gap(self, worker: WorkerId, reply: PollReply, last_number: int) -> None:
+        """Log and count a gap after ``last_number`` in the numbers of listed ends.
+
+        An acknowledgement meant for another process may have hidden the missing ends.
+        """
+        expected = last_number + 1
+        for end in reply.ends:
+            if end.number > expected:
+                self.metrics.end_gaps.inc()
+                log.error(
+                    "gap in the ends of a worker",
+                    worker=worker,
+                    born_ms=reply.born_ms,
+                    expected=expected,
+                    listed=end.number,
+                    acknowledged=self.poll_states[worker].acknowledged,
+                )
+            expected = max(expected, end.number + 1)
+
     def handle_call_failure(self, message: CallFailed, now_s: float) -> None:
         """Mark a worker as unreachable, or give up the shard if it was fenced off.
 
--- a/tests/member/test_worker_lives.py
+++ b/tests/member/test_worker_lives.py
@@ -3,6 +3,7 @@
 from types import SimpleNamespace
 
 import pytest
+from structlog.testing import capture_logs
 
 from fleet_support import SLOW, TEAM, Fleet, registration, task_resources
 from gooseberrydeck_coordination.clock import ManualClock
@@ -239,6 +240,11 @@
         if entries is not None:
             log.workers_recorded(entries)
 
+    def count(self, metric: str, **labels: str) -> float | None:
+        """Return the value of one of the task's counters."""
+        registry = self.task.metrics.registry
+        return registry.get_sample_value(f"gooseberrydeck_{metric}_total", labels)
+
     def complete(self, name: str) -> None:
         """Run a job to its end."""
         job = self.submit(name)
@@ -251,6 +257,39 @@
     return PolledWorker(monkeypatch)
 
 
+class TestRestartReports:
+    def test_restart_is_logged_with_what_may_be_on_its_way(
+        self, polled: PolledWorker
+    ) -> None:
+        polled.complete("before")
+        polled.calls.seconds = 60.0
+        polled.submit("a")
+        polled.run_for(0.5)
+        polled.calls.restart(born_ms=9_000)
+        with capture_logs() as lines:
+            polled.run_for(0.5)
+            polled.task.report_lost_runs()
+        restart = next(each for each in lines if each["event"] == "worker restarted")
+        assert restart["former_born_ms"] == 1_000
+        assert restart["born_ms"] == 9_000
+        assert restart["former_last_end"] == restart["former_acknowledged"] == 1
+        assert restart["runs"] == 1
+        assert polled.count("worker_restarts", source="reply") == 1
+        assert polled.count("run_losses", reason="worker_gone") == 1
+        assert "gap in the ends of a worker" not in {each["event"] for each in lines}
+
+    def test_hidden_ends_are_logged(self, polled: PolledWorker) -> None:
+        polled.submit("a")
+        polled.run_for(0.1)
+        polled.calls.engine.poll(Epoch(polled.task.token), 1, None)
+        with capture_logs() as lines:
+            polled.run_for(4.0)
+            polled.task.report_lost_runs()
+        (lost,) = [each for each in lines if each["event"] == "run lost"]
+        assert lost["reason"] == "not_listed"
+        assert polled.count("end_gaps") == 1
+
+
 class TestAcknowledgementAfterRestart:
     @pytest.mark.parametrize(
         "failure", [WorkerRefusedError("refused"), WorkerSilentError("timed out")]
