Take a worker's report as complete only without hidden ends

Callers would see: tasks that had ended start again after a change of the holder (TWICE), or beyond their attempts (BUDGET), if a worker had more than 500 ends that nobody had acknowledged, as after an outage of the store.

Cause: a worker lists 500 ends at a time (PROTOCOL, Running tasks).

Ruled out: runs that are missing from a full list were already left alone.

Why it works: a worker counts as silent until a list with fewer than 500 ends has come. Each list is stored, acknowledged and so followed by the next. If the worker becomes unreachable meanwhile, its leases have to lapse as before.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/poll_replies.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/poll_replies.py
@@ -91,7 +91,7 @@
         ended = self.apply_ends(worker, reply, now_s)
         if len(reply.ends) < MAX_REPORTED_ENDS:
             self.remove_missing_runs(worker, reply)
-        worker.has_reported = True
+            worker.has_reported = True
         return ended, orphaned_runs
 
     def update_runs(
--- a/tests/fleet/test_faults.py
+++ b/tests/fleet/test_faults.py
@@ -512,6 +512,22 @@
         assert fleet.state(job) is JobState.COMPLETED
         assert len(fleet.starts) == 2
 
+    # A worker lists 500 ends at a time. The first list counted as a whole report, so
+    # that tasks of which the next list had the end started again.
+    def test_worker_has_reported_only_once_it_has_listed_all_its_ends(self) -> None:
+        fleet = Fleet(workers=1)
+        fleet.is_store_available = False
+        for number in range(55):
+            fleet.submit(f"a{number}", StepSpec(10, ONE), seconds=0.1)
+        fleet.run_for(5.0)
+        assert len(fleet.starts) > 500
+        fleet.is_store_available = True
+        fleet.take_over()
+        fleet.run_for(2.0)
+        assert fleet.records == {}
+        assert len(fleet.starts) == 550
+        assert fleet.violations() == []
+
     def test_stored_failure_that_is_reported_again_counts_once(self) -> None:
         fleet = Fleet()
         fleet.scheduler.set_configuration(
