Poll a recorded worker whose registration can't be read

Cause: the successor adds the workers of the predecessor's record only if no registration has their key.

Change: what counts is whether the worker was added. It is polled as a worker without registration: it gets no new runs until a readable entry arrives.

Evidence: test_recorded_worker_has_to_report_before_jobs_start failed before (the job was free to start, the worker not polled). tests/member/ test_takeover.py: 14 passed.

--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
@@ -258,11 +258,11 @@
             pass
         self.committer.record_revision = stored.workers_revision
         now_s = time.monotonic()
-        listed = {entry.key for entry in stored.registered.entries}
         for entry in stored.registered.entries:
             self.registration_changed(entry.key, entry.value, now_s)
         for worker, known in stored.workers.items():
-            if self.registrations + worker not in listed:
+            # Its registration is gone or unreadable, but it may have runs.
+            if worker not in self.poll_states:
                 self.add_worker(known, now_s)
                 self.scheduler.worker_unregistered(worker)
         for record, revision in stored.jobs:
--- a/tests/member/test_takeover.py
+++ b/tests/member/test_takeover.py
@@ -128,6 +128,11 @@
         put = Put(WORKERS_KEY, value)
         assert self.store.commit(Transaction((), (put,)), TIMEOUT_S).succeeded
 
+    def spoil_registration(self) -> None:
+        """Replace the registration of the recorded worker by unreadable bytes."""
+        put = Put("servers/w0", b"?")
+        assert self.store.commit(Transaction((), (put,)), TIMEOUT_S).succeeded
+
     def take_over(
         self,
         *notifications: JobAccepted,
@@ -237,6 +242,22 @@
         assert [each is not None and each.is_done for each in is_done] == [True, False]
 
 
+class TestUnreadableRegistrations:
+    # A worker whose registration was unreadable at the takeover was not polled, so jobs
+    # started again beside or after their runs there.
+    def test_recorded_worker_has_to_report_before_jobs_start(
+        self, successor: Successor
+    ) -> None:
+        successor.record_worker()
+        successor.spoil_registration()
+        successor.accept()
+        task = successor.take_over()
+        ledger = task.scheduler.ledger
+        assert ledger.jobs[JOB].may_have_unknown_runs
+        assert WorkerId("w0") in task.poll_states
+        assert not ledger.workers[WorkerId("w0")].is_registered
+
+
 class TestLookups:
     def read(self, successor: Successor) -> JobFound | JobAbsent:
         results: list[object] = []
