Wait for the store before tasks of a silent worker start elsewhere

Callers would see a task run twice at once, or again after its end was taken note of. A holder that reaches neither the store nor a worker may act for 8 s (AUTHORITY_TIMEOUT_S), but takes the worker's leases for lapsed 4.5 s after its last reply. A successor that claimed meanwhile and reaches the worker extends these leases, so the runs go on there while the predecessor starts their tasks on a worker that only it reaches. No hold of the successor helps: it knows the runs, and they are sound.

Now the leases of an unreachable worker count as lapsed only if the store has confirmed the holder since they expired: a successor can't have extended them then. With a store that answers, this takes until the next renewal, up to 0.4 s and two store calls, of which 0.2 s are the margin that was waited before. While the store is down, tasks of a worker that crashes then wait for it; the holder stops after 8 s anyway.

Ruled out: a shorter authority. It would stop all starts of a holder during each outage of the store, of which most have no successor.

The drivers of test_two_holders.py, fleet_support.py and test_worker_lives.py report the store's confirmation, as the task does.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/housekeeping.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/housekeeping.py
@@ -60,11 +60,16 @@
         self.throttle_runs(now_s)
 
     def expire_workers(self, now_s: float) -> None:
-        """Count runs as lost on unreachable workers whose leases have expired."""
+        """Count runs as lost on unreachable workers whose leases have expired.
+
+        A successor would extend the leases, so none may have claimed before they
+        expired.
+        """
         for worker in list(self.ledger.workers.values()):
             if (
                 worker.is_reachable
                 or now_s < worker.lease_expiry_s + LEASE_EXPIRY_MARGIN_S
+                or self.ledger.authority_confirmed_s < worker.lease_expiry_s
             ):
                 continue
             if worker.runs or worker.has_orphaned_runs or not worker.has_reported:
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
@@ -158,6 +158,13 @@
         """Mark the predecessor as stopped; its leases expire by ``lease_expiry_s``."""
         self.takeover.predecessor_stopped(lease_expiry_s)
 
+    def authority_confirmed(self, at_s: float) -> None:
+        """Record that this scheduler had no successor at a monotonic time.
+
+        A later successor may extend the leases of workers that don't answer here.
+        """
+        self.ledger.authority_confirmed_s = at_s
+
     def release_held_jobs(self) -> None:
         """Let all jobs start tasks if every worker has reported its runs."""
         self.takeover.release_held_jobs()
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
@@ -306,6 +306,7 @@
             except queue.Empty:
                 break
         now_s = time.monotonic()
+        self.scheduler.authority_confirmed(now_s - self.authority.age_s())
         if self.authority.may_act():
             self.scheduler.set_max_advice_requests(self.advice_pool.capacity())
             for command in self.scheduler.decide(now_s, time.time()):
--- a/tests/fleet/test_two_holders.py
+++ b/tests/fleet/test_two_holders.py
@@ -82,6 +82,8 @@
             self.replies = [each for each in self.replies if each[0] > now_s]
             for _, worker, reply in due:
                 self.scheduler.poll_answered(worker, reply, now_s)
+            if self.token == self.cell.token:
+                self.scheduler.authority_confirmed(now_s)
             for command in self.scheduler.decide(now_s, now_s):
                 if isinstance(command, StartRun):
                     self.start(command)
--- a/tests/fleet_support.py
+++ b/tests/fleet_support.py
@@ -260,6 +260,8 @@
         if self.can_look_up_jobs and self.is_store_available:
             self.answer_lookups()
         wall_s = self.clock.wall() + self.wall_offset_s
+        if self.is_store_available:
+            self.scheduler.authority_confirmed(self.now_s)
         for command in self.scheduler.decide(self.now_s, wall_s):
             self.execute(command)
         self.commit()
--- a/tests/member/test_scheduler_task.py
+++ b/tests/member/test_scheduler_task.py
@@ -1,5 +1,6 @@
 """Tests of the scheduler's task: its pace, and loading the stored state."""
 
+import time
 from collections.abc import Iterator
 
 import msgspec
@@ -83,6 +84,17 @@
         assert task.pause_s() == TICK_S
 
 
+class TestAuthority:
+    def test_scheduler_knows_when_the_store_confirmed_it(
+        self, task: SchedulerTask
+    ) -> None:
+        task.authority.confirmed_s -= 3.0
+        expected_s = time.monotonic() - task.authority.age_s()
+        task.run_once()
+        confirmed_s = task.scheduler.ledger.authority_confirmed_s
+        assert confirmed_s == pytest.approx(expected_s, abs=0.01)
+
+
 class TestLoading:
     def test_job_announced_while_loading_is_held_like_other_stored_jobs(
         self, task: SchedulerTask
--- a/tests/member/test_worker_lives.py
+++ b/tests/member/test_worker_lives.py
@@ -224,7 +224,8 @@
             self.commit()
 
     def execute_commands(self) -> None:
-        """Execute the scheduler's commands."""
+        """Execute the scheduler's commands, with the store's confirmation."""
+        self.task.scheduler.authority_confirmed(self.now_s)
         for command in self.task.scheduler.decide(self.now_s, self.clock.wall()):
             self.task.execute(command)
         self.deliver()
