Count the runs that a predecessor may have against teams' maxima

Cause: runs on a worker that had not reported counted as nothing. Tasks that they may belong to are held back, but the team's limit knew only known runs.

Ruled out: the workers' capacity (nothing starts on a worker before it has reported), runs on workers that reported and became silent (they are known).

Why it works: until the workers have reported or their leases have lapsed, the smaller of two bounds counts, for each resource: - the tasks of held jobs, ended ones included, that aren't done, whose run isn't known and which a predecessor may have started; two runs each where copies are allowed; one more occurrence than has been opened here; - the capacity of the workers that have not reported, which is no bound for the processors of best-effort tasks, and the only bound while a predecessor may act, since it may know jobs that are not known here. What known runs leave of a worker that lists runs of unknown jobs counts against every limit. All starts, copies too, ask Quotas.count_allowed. Steps of a team whose unknown usage has shrunk are tried again. Known runs are not preempted for usage that may turn out to be none. Steps that can't run at once are added up: that is too much at most until the leases have lapsed.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/ledger.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/ledger.py
@@ -22,13 +22,17 @@
 
     def __init__(self, token: int) -> None:
         """Start above every number that was used with a lower token."""
-        self.last = token * RUNS_PER_TOKEN
+        self.before_first = self.last = token * RUNS_PER_TOKEN
 
     def next(self) -> int:
         """Return the next run number."""
         self.last += 1
         return self.last
 
+    def is_own(self, number: int) -> bool:
+        """Return True if a run is not one of a predecessor."""
+        return number > self.before_first
+
 
 class Ledger:
     """All jobs, workers and runs, and the jobs with changes to store."""
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/quotas.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/quotas.py
@@ -14,17 +14,22 @@
 class Quotas:
     """The resource usage of each team.
 
-    A run counts from before its start request is sent until its end is reported.
+    A run counts from before its start request is sent until its end is reported. What
+    unknown runs may use counts as well, but stops no known runs.
     """
 
     def __init__(self) -> None:
         """Create quotas without usage and limits."""
         self.used: dict[TeamName, Resources] = {}
         self.maximum: dict[TeamName, Resources] = {}
+        self.has_limits = False
+        self.unknown: Mapping[TeamName, Resources] = {}
+        self.unknown_of_any_team = NO_RESOURCES
 
     def set_limits(self, maximum: Mapping[TeamName, Resources]) -> None:
         """Replace the limits of all teams; zero means that a resource is unlimited."""
         self.maximum = dict(maximum)
+        self.has_limits = any(each != NO_RESOURCES for each in maximum.values())
 
     def add(self, team: TeamName, amount: Resources) -> None:
         """Add the usage of a run that is about to start."""
@@ -34,15 +39,35 @@
         """Subtract the usage of a run that has ended."""
         self.used[team] = self.used.get(team, NO_RESOURCES) - amount
 
+    def set_unknown(
+        self, amounts: Mapping[TeamName, Resources], of_any_team: Resources
+    ) -> set[TeamName]:
+        """Replace what unknown runs may use, by team, and of each team not named.
+
+        Returns the teams for which that is less than before.
+        """
+        if amounts == self.unknown and of_any_team == self.unknown_of_any_team:
+            return set()
+        before = {team: self.unknown_usage(team) for team in self.maximum}
+        self.unknown, self.unknown_of_any_team = amounts, of_any_team
+        return {
+            team
+            for team, usage in before.items()
+            if not usage.fits_in(self.unknown_usage(team))
+        }
+
+    def unknown_usage(self, team: TeamName) -> Resources:
+        """Return the most that unknown runs of a team may use."""
+        return self.unknown.get(team, self.unknown_of_any_team)
+
     def allows(self, team: TeamName, amount: Resources) -> bool:
         """Return True if a team may use ``amount`` in addition."""
         return self.count_allowed(team, amount, 1) == 1
 
     def count_allowed(self, team: TeamName, amount: Resources, wanted: int) -> int:
         """Return how many runs of ``amount`` a team may start, up to ``wanted``."""
-        return self.count_beside(
-            self.used.get(team, NO_RESOURCES), team, amount, wanted
-        )
+        used = self.used.get(team, NO_RESOURCES) + self.unknown_usage(team)
+        return self.count_beside(used, team, amount, wanted)
 
     def count_admitted(self, team: TeamName, amount: Resources, wanted: int) -> int:
         """Return how many runs of ``amount`` a team's whole limit admits."""
@@ -66,7 +91,7 @@
         return allowed
 
     def remaining(self, team: TeamName) -> Resources | None:
-        """Return the unused part of a team's limit, or None if it has no limit.
+        """Return what known runs leave of a team's limit, or None if it has no limit.
 
         A resource without a limit counts as ``UNLIMITED``.
         """
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
@@ -396,13 +396,17 @@
 
     def decide(self, now_s: float, wall_s: float) -> list[Command]:
         """Return the commands to execute now."""
-        if now_s >= self.next_housekeeping_s:
+        is_review_due = now_s >= self.next_housekeeping_s
+        if is_review_due:
             self.next_housekeeping_s = now_s + HOUSEKEEPING_S
             self.changes.forget_ended(now_s - self.timing.status_s - ENDED_JOB_MARGIN_S)
             self.housekeeper.run(now_s)
+        self.intake.open_due_occurrences(wall_s)
+        # After all that changes which runs may be unknown, before anything starts.
+        self.takeover.update_unknown_usage()
+        if is_review_due:
             self.server.review(now_s)
             self.long_waits += self.server.take_long_waits(now_s)
-        self.intake.open_due_occurrences(wall_s)
         self.server.run(now_s, wall_s)
         self.send_stops(now_s)
         return self.commands.take_all()
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/takeover.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/takeover.py
@@ -3,6 +3,7 @@
 from gooseberrydeck_coordination.ids import JobId
 from gooseberrydeck_fleet.ledger import Ledger
 from gooseberrydeck_fleet.state import Job
+from gooseberrydeck_fleet.unknown_usage import UnknownUsage
 
 __all__ = ["Takeover"]
 
@@ -18,6 +19,7 @@
         """Create the state of a scheduler without a predecessor."""
         self.ledger = ledger
         self.held: dict[JobId, Job] = {}
+        self.unknown_usage = UnknownUsage(ledger)
         self.predecessor_acts_until_s = 0.0
 
     def predecessor_may_act(self, until_s: float) -> None:
@@ -59,11 +61,13 @@
         if not is_safe and not self.have_all_reported():
             job.may_have_unknown_runs = True
             self.held[job.id] = job
+            self.unknown_usage.job_held(job)
 
     def release(self, job: Job) -> None:
         """Let a job start all of its tasks."""
         job.may_have_unknown_runs = False
         self.held.pop(job.id, None)
+        self.unknown_usage.job_released(job)
         self.ledger.touch(job)
 
     def release_held_jobs(self) -> None:
@@ -73,6 +77,10 @@
         for job in list(self.held.values()):
             self.release(job)
 
+    def update_unknown_usage(self) -> None:
+        """Count the runs that held jobs may have against their teams' limits."""
+        self.unknown_usage.update(self.held)
+
     def have_all_reported(self) -> bool:
         """Return True if every worker has reported its runs."""
         return all(worker.has_reported for worker in self.ledger.workers.values())
--- a/tests/fleet_support.py
+++ b/tests/fleet_support.py
@@ -28,7 +28,11 @@
 from gooseberrydeck_fleet.scheduler import Scheduler
 from gooseberrydeck_fleet.settings import Timing
 from gooseberrydeck_fleet.work import JobRecord, JobState, StepSpec, WorkSpec
-from gooseberrydeck_fleet.worker_calls import StartRequest, WorkerFencedError
+from gooseberrydeck_fleet.worker_calls import (
+    StartOutcome,
+    StartRequest,
+    WorkerFencedError,
+)
 from gooseberrydeck_member.worker_polling import WorkerPollState
 from gooseberrydeck_platform.http import HttpAddress
 from gooseberrydeck_standins.fleet_worker import (
@@ -127,12 +131,14 @@
         self.lost_start_replies: set[WorkerId] = set()
         self.plans: dict[JobId, Callable[[StartRequest], RunPlan]] = {}
         self.specs: dict[JobId, WorkSpec] = {}
+        self.teams: dict[JobId, TeamName] = {}
         self.records: dict[JobId, JobRecord] = {}
         self.revisions: dict[JobId, int] = {}
         self.progress: dict[JobId, bytes] = {}
         self.poll_states: dict[WorkerId, WorkerPollState] = {}
         self.starts: list[tuple[float, TaskRef, WorkerId]] = []
         self.stops: list[tuple[float, TaskRef, str]] = []
+        self.starts_beyond_maximum: list[str] = []
         self.advice_requests: list[AskAdvice] = []
         self.allowed: Callable[[WorkerId], bool] = lambda _worker: True
         self.token = 0
@@ -243,6 +249,7 @@
 
         self.plans[job] = plan or healthy
         self.specs[job] = spec
+        self.teams[job] = team
         self.records[job] = JobRecord(job, queue_name, team, spec, self.clock.wall())
         self.revisions[job] = len(self.revisions) + 1
         return self.records[job]
@@ -345,6 +352,8 @@
             )
             return
         outcome, _ = self.engines[command.worker].start(request, Epoch(self.token))
+        if outcome is StartOutcome.STARTED:
+            self.check_maximum(request.task)
         if command.worker in self.lost_start_replies:
             self.scheduler.start_unanswered(
                 command.worker, request.task, request.run, True
@@ -354,6 +363,35 @@
                 command.worker, request.task, request.run, outcome, self.now_s
             )
 
+    def check_maximum(self, started: TaskRef) -> None:
+        """Record a start that brought its team above its maximum."""
+        team_name = self.teams[started.job]
+        used = self.team_usage(team_name)
+        for team in self.configuration.teams:
+            maximum = team.maximum
+            if team.name != team_name or maximum == NO_RESOURCES:
+                continue
+            if not used.fits_in(
+                Resources(
+                    maximum.cpu_millis or used.cpu_millis,
+                    maximum.memory_mib or used.memory_mib,
+                    maximum.accelerators or used.accelerators,
+                )
+            ):
+                self.starts_beyond_maximum.append(
+                    f"{started} brought {team_name} to {used} of {maximum}"
+                )
+
+    def team_usage(self, team: TeamName) -> Resources:
+        """Return what the runs of a team use on all workers, known or not."""
+        used = NO_RESOURCES
+        for engine in self.engines.values():
+            engine.advance()
+            for task in engine.runs:
+                if self.teams[task.job] == team:
+                    used = used + self.specs[task.job].steps[task.step].resources
+        return used
+
     def commit(self) -> None:
         """Store the scheduler's changes, unless the store is unavailable."""
         if not self.is_store_available:
@@ -409,4 +447,4 @@
             engine.advance()
         spans = [span for each in engines for span in each.spans + each.open_spans()]
         seen = [violation for each in engines for violation in each.violations]
-        return seen + find_duplicate_runs(spans)
+        return seen + find_duplicate_runs(spans) + self.starts_beyond_maximum
