Keep a run that may start late on a worker that restarted behind a cut

Cause: a start without a response counted as ended once the worker's lease had lapsed, and the task started elsewhere. The request may be executed seconds later by the process that was started after the former one under the same id. That process has seen no token while the holder can't reach it, and its young clock hasn't passed the deadline, so it refuses nothing.

Change: if a worker's registration, or an unconfirmed reply, shows a new process, runs there with an unanswered start request don't end with the lease. They wait until the process has answered, its entry is gone, or LATE_CALL_S and the longest lease have passed since the start. All other runs end with the lease as before: nothing changes for workers that are cut off or have crashed without a new process, which is why this costs callers nothing on them.

Starts with a ticket need this least: a ticket is valid during one life of the worker. They are treated alike, since the ticket may have been given to the new process.

What binds: the platform states no bound for "seconds later"; LATE_CALL_S is chosen. A process that hasn't registered when the lease lapses isn't known, nor is it to a successor, which doesn't know its predecessor's starts. A deadline that a young clock can't stretch isn't possible: DeadlineMs is a time on the worker's clock, which starts anew. Making every task with an unanswered start on a dark worker wait that long was weighed and left out: it would delay those of each cut for the sake of restarts that the registration doesn't show.

Evidence: test_late_start_on_an_unreachable_process failed before, with the task's run on the former worker beside the one elsewhere.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/housekeeping.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/housekeeping.py
@@ -8,7 +8,14 @@
 from gooseberrydeck_fleet.placement import Placer
 from gooseberrydeck_fleet.poll_replies import PollReplyHandler
 from gooseberrydeck_fleet.run_ends import LossReason, RunEndHandler
-from gooseberrydeck_fleet.state import Run, RunState, Step, StopReason
+from gooseberrydeck_fleet.state import (
+    CLOCK_DRIFT,
+    Run,
+    RunState,
+    Step,
+    StopReason,
+    Worker,
+)
 from gooseberrydeck_fleet.takeover import Takeover
 from gooseberrydeck_fleet.throttling import Throttler
 
@@ -17,6 +24,12 @@
 LEASE_EXPIRY_MARGIN_S = 0.2
 """Extra wait after the computed expiry of all leases of an unreachable worker."""
 
+LATE_CALL_S = 10.0
+"""Time after which a call without a response is not executed any more.
+
+The platform speaks of seconds.
+"""
+
 STALL_S = 2.5
 """A run that reports no new progress for longer than this counts as stalled."""
 
@@ -34,8 +47,12 @@
         evacuator: Evacuator,
         ask_advice: Callable[[Step, int, float], None],
         commands: CommandQueue,
+        max_lease_s: float,
     ) -> None:
-        """Create a housekeeper that adds its commands to ``commands``."""
+        """Create a housekeeper that adds its commands to ``commands``.
+
+        ``max_lease_s`` is the longest lease that workers grant.
+        """
         self.ledger = ledger
         self.placer = placer
         self.ends = ends
@@ -45,6 +62,7 @@
         self.throttler = Throttler()
         self.ask_advice = ask_advice
         self.commands = commands
+        self.late_run_s = LATE_CALL_S + max_lease_s / (1 - CLOCK_DRIFT)
 
     def run(self, now_s: float) -> None:
         """Check all workers and runs."""
@@ -73,12 +91,27 @@
             ):
                 continue
             if worker.runs or worker.has_orphaned_runs or not worker.has_reported:
-                self.poll_replies.lose_runs(worker, LossReason.LEASE_LAPSED)
+                late = self.find_late_runs(worker, now_s)
+                self.poll_replies.lose_runs(worker, LossReason.LEASE_LAPSED, late)
                 worker.has_reported = True
                 self.takeover.release_held_jobs()
             if not worker.is_registered:
                 del self.ledger.workers[worker.id]
 
+    def find_late_runs(self, worker: Worker, now_s: float) -> set[Run]:
+        """Return the runs that may start, or run, late on a worker that has restarted.
+
+        The new process refuses no start request to the former one before it is reached,
+        and its clock has not passed the end of the former leases.
+        """
+        if not (worker.is_restarting and worker.is_registered):
+            return set()
+        return {
+            run
+            for run in worker.runs.values()
+            if run.has_unanswered_start and now_s < run.started_s + self.late_run_s
+        }
+
     def forget_departed(self) -> None:
         """Remove workers that have left and have no runs."""
         for worker in list(self.ledger.workers.values()):
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/poll_replies.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/poll_replies.py
@@ -1,5 +1,7 @@
 """Reconciliation of the ledger with the runs and ends that workers report."""
 
+from collections.abc import Container
+
 from gooseberrydeck_coordination.ids import JobId
 from gooseberrydeck_fleet.ledger import Ledger
 from gooseberrydeck_fleet.run_ends import LossReason, RunEndHandler
@@ -72,11 +74,13 @@
         # Steps need new tickets for the worker.
         self.ledger.freed[worker.id] = worker
 
-    def lose_runs(self, worker: Worker, reason: LossReason) -> list[Run]:
-        """Record every run of a worker as lost, and return these runs."""
+    def lose_runs(
+        self, worker: Worker, reason: LossReason, kept: Container[Run] = ()
+    ) -> list[Run]:
+        """Record the runs of a worker except ``kept`` as lost, and return them."""
         self.unknown_jobs.replace_runs(worker, [], 0.0)
         worker.has_orphaned_runs = False
-        runs = list(worker.runs.values())
+        runs = [run for run in worker.runs.values() if run not in kept]
         for run in runs:
             self.ends.run_lost(run, reason)
         return runs
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
@@ -97,6 +97,7 @@
             Evacuator(self.placer, self.ends, timing.task_stop_s),
             self.server.ask,
             self.commands,
+            timing.task_lease_s,
         )
         self.orphaned_runs: list[OrphanedRun] = []
         self.long_waits: list[LongWait] = []
@@ -357,6 +358,7 @@
         run = self.find_run(worker_id, task_ref, number)
         if run is None:
             return
+        run.has_unanswered_start |= is_repeat
         if outcome is StartOutcome.STARTED:
             if run.state in (RunState.STARTING, RunState.UNCERTAIN):
                 run.state = RunState.RUNNING
@@ -380,6 +382,7 @@
         run = self.find_run(worker_id, task_ref, number)
         if run is None:
             return
+        run.has_unanswered_start |= was_sent
         if not was_sent and run.state is RunState.STARTING:
             self.ends.run_lost(run, LossReason.NEVER_STARTED)
         elif run.state is RunState.STARTING:
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
@@ -76,6 +76,7 @@
     __slots__ = (
         "allocation",
         "checkpoint",
+        "has_unanswered_start",
         "load",
         "number",
         "progress",
@@ -111,6 +112,8 @@
         self.allocation = allocation
         self.quota_usage = quota_usage
         self.state = RunState.STARTING
+        # A request to start it had no response, and may be executed late.
+        self.has_unanswered_start = False
         self.started_s = now_s
         self.start_until_ms = 0
         self.progress = 0.0
--- a/tests/member/test_worker_lives.py
+++ b/tests/member/test_worker_lives.py
@@ -11,6 +11,7 @@
 from fleet_support import SLOW, TEAM, Fleet, registration, task_resources
 from gooseberrydeck_coordination.clock import ManualClock
 from gooseberrydeck_coordination.ids import Epoch, JobId, MemberId
+from gooseberrydeck_fleet.housekeeping import LATE_CALL_S
 from gooseberrydeck_fleet.ids import TaskRef, WorkerId
 from gooseberrydeck_fleet.registrations import Registration
 from gooseberrydeck_fleet.work import JobRecord, JobState, StepSpec, WorkSpec
@@ -56,6 +57,12 @@
 ONE = task_resources()
 TIMEOUT_S = 1.0
 STEP_S = 0.05
+LONG_UP_S = 30.0
+"""After this time, a deadline on the worker's clock is far ahead of a new process'."""
+
+MAX_LATE_RUN_S = 17.0
+"""Time after a start within which the task runs elsewhere if its worker stays dark."""
+
 MAX_RESTART_S = 6.0
 """Time within which a long-running task restarts after its worker is unreachable."""
 
@@ -443,6 +450,24 @@
         with pytest.raises(WorkerFencedError):
             polled.calls.engine.start(request, former)
 
+    # Guards against two runs at once when a worker restarts behind a cut.
+    def test_late_start_on_an_unreachable_process(self, polled: PolledWorker) -> None:
+        polled.run_for(LONG_UP_S)
+        former = polled.task.token_of(WORKER)
+        deadline_s = polled.now_s + MAX_LATE_RUN_S
+        request, other = self.leave_start_unanswered(polled)
+        polled.calls.failure = WorkerSilentError("timed out")
+        polled.register(born_ms=9_000)
+        polled.run_for(LATE_CALL_S - 2.0)
+        polled.calls.engine.plan_of = lambda _request: RunPlan(60.0, ONE)
+        outcome, _ = polled.calls.engine.start(request, former)
+        assert outcome is StartOutcome.STARTED
+        while not other.starts:
+            assert polled.now_s < deadline_s
+            polled.run_for(STEP_S)
+        polled.calls.engine.advance()
+        assert polled.calls.engine.runs == {}
+
     def test_refusal_of_an_older_token_does_not_lose_the_shard(
         self, polled: PolledWorker
     ) -> None:
