--- a/tests/fleet/test_worker_restarts.py
+++ b/tests/fleet/test_worker_restarts.py
@@ -62,3 +62,20 @@
         fleet.deliver_starts()
         fleet.run_for(FINISH_S)
         assert fleet.violations() == []
+
+    # Guards against two runs at once when a worker restarts behind a cut, and neither
+    # its registration nor a reply has shown that.
+    @pytest.mark.parametrize("is_taken_over", [False, True])
+    def test_late_start_on_an_unreachable_worker(self, is_taken_over: bool) -> None:
+        fleet = Fleet(workers=1)
+        self.start_on_former_process(fleet)
+        fleet.add_worker("w1")
+        fleet.run_for(0.2)
+        fleet.unreachable.add(WORKER)
+        fleet.restart_worker(WORKER)
+        if is_taken_over:
+            fleet.take_over()
+        fleet.run_for(4.9)
+        fleet.deliver_starts()
+        fleet.run_for(FINISH_S)
+        assert fleet.violations() == []
