State in job records which holder the member knew; hold what a former one may run

Callers would see a task run twice at once, or again after its end was taken note of. A predecessor that still acts hears of new jobs, by a member's notification or its own watch, and starts them on workers that its successor can't reach. The successor held new jobs only if it learned of them within 1.5 s of the claim, or until the predecessor had replied. Not held were (a) a job that its watch brought later than that, and (b) jobs accepted later while a predecessor without the store acted, up to 8 s.

The record of a job now states the fencing token of the newest holder that the accepting member knew, read before the job is stored. A member notifies that holder or a newer one, and a holder that learns of a job with a newer token than its own stops at once: its scheduler's thread drops the job and revokes its authority before it decides again. So a predecessor can have started a job only if the record states a token below the successor's. These jobs are held like stored ones, whenever the successor learns of them, if the predecessor may have acted at the claim and a worker hasn't reported: at most 12.5 s after the claim, or 4.5 s after the predecessor has replied. Jobs of members that know the successor are not held longer than before. The 1.5 s stay for all jobs: holders of an earlier version don't compare tokens.

Ruled out: holding every job of the first 8 s, which would make callers wait up to 12.3 s without need; a condition on the shard's record in the transaction that stores a job, which would refuse it in each change of the holder until the member has read the record.

The simulated members of TakeoverMachine, Fleet and ContestedCell state the token that a member in their place would state.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/job_intake.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/job_intake.py
@@ -71,8 +71,8 @@
         count.
 
         A job that predates the takeover may have runs that are unknown until every
-        worker has reported. The same holds for a new job while a predecessor is still
-        active, because the predecessor is notified of it too.
+        worker has reported. The same holds for a new job that a predecessor may have
+        learned of.
         """
         if record.id in self.changes.ended:
             # The notification may be older than the stored end of the job.
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
@@ -69,7 +69,7 @@
         self.preemptor = Preemptor(self.placer, self.ends, timing.task_stop_s)
         self.changes = ChangeLog(self.ledger)
         self.advice_requests = AdviceRequests(self.placer)
-        self.takeover = Takeover(self.ledger)
+        self.takeover = Takeover(self.ledger, token)
         self.shares = ShareTracker()
         self.intake = JobIntake(
             self.ledger,
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/takeover.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/takeover.py
@@ -15,16 +15,19 @@
     until every worker has reported its runs, or its leases have expired.
     """
 
-    def __init__(self, ledger: Ledger) -> None:
-        """Create the state of a scheduler without a predecessor."""
+    def __init__(self, ledger: Ledger, token: int) -> None:
+        """Create the state of a scheduler without a predecessor, for its token."""
         self.ledger = ledger
+        self.token = token
         self.held: dict[JobId, Job] = {}
         self.unknown_usage = UnknownUsage(ledger)
         self.predecessor_acts_until_s = 0.0
+        self.was_predecessor_active = False
 
     def predecessor_may_act(self, until_s: float) -> None:
         """Mark a predecessor as possibly commanding workers until ``until_s``."""
         self.ledger.is_sole_scheduler = False
+        self.was_predecessor_active = True
         self.predecessor_acts_until_s = until_s
 
     def predecessor_stopped(self, lease_expiry_s: float) -> None:
@@ -57,12 +60,22 @@
 
     def hold_if_unsafe(self, job: Job) -> None:
         """Hold a new job if a predecessor may have started tasks of it."""
-        is_safe = self.ledger.is_sole_scheduler and not job.predates_takeover
+        is_safe = self.ledger.is_sole_scheduler and not self.may_predecessor_know(job)
         if not is_safe and not self.have_all_reported():
             job.may_have_unknown_runs = True
             self.held[job.id] = job
             self.unknown_usage.job_held(job)
 
+    def may_predecessor_know(self, job: Job) -> bool:
+        """Return True if a predecessor may have learned of a job and gone on acting.
+
+        A holder that learns of a job whose record names a newer token stops instead.
+        The others may have been stored, and started, long before this scheduler learns
+        of them.
+        """
+        is_newer = job.record.holder_token >= self.token
+        return job.predates_takeover or (self.was_predecessor_active and not is_newer)
+
     def release(self, job: Job) -> None:
         """Let a job start all of its tasks."""
         job.may_have_unknown_runs = False
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/work.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/work.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from gooseberrydeck_coordination.ids import JobId, QueueName, TeamName
+from gooseberrydeck_coordination.ids import Epoch, JobId, QueueName, TeamName
 from gooseberrydeck_coordination.resources import Resources
 
 __all__ = [
@@ -97,7 +97,11 @@
 
 
 class JobRecord(msgspec.Struct, frozen=True, omit_defaults=True):
-    """An accepted job; ``accepted_s`` is Unix time."""
+    """An accepted job; ``accepted_s`` is Unix time.
+
+    ``holder_token`` is the fencing token of the newest holder that the accepting member
+    knew, which is never older than the holder that it notifies; 0 if it isn't stated.
+    """
 
     id: JobId
     queue: QueueName
@@ -105,6 +109,7 @@
     work: WorkSpec
     accepted_s: float
     is_cancelled: bool = False
+    holder_token: Epoch = Epoch(0)
 
 
 class EndedJob(msgspec.Struct, frozen=True):
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/callers.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/callers.py
@@ -11,7 +11,7 @@
     StoreError,
     StoreOutcomeUnknownError,
 )
-from gooseberrydeck_coordination.ids import JobId, QueueName, Revision, TeamName
+from gooseberrydeck_coordination.ids import Epoch, JobId, QueueName, Revision, TeamName
 from gooseberrydeck_fleet.configuration import Queue
 from gooseberrydeck_fleet.work import (
     InvalidWorkError,
@@ -77,6 +77,12 @@
     def waiting(self, timeout_s: float) -> dict[QueueName, int] | None:
         """Return the number of waiting jobs by queue, or None if unavailable."""
 
+    def newest_token(self) -> Epoch:
+        """Return the fencing token of the newest known holder, 0 if none is known.
+
+        Older holders are not notified any more.
+        """
+
     def notify_job_accepted(self, record: JobRecord, revision: Revision) -> None:
         """Notify the holder of a stored job, without waiting for a reply.
 
@@ -214,7 +220,14 @@
         except InvalidWorkError as error:
             log.info("job refused", job=job, reason=str(error))
             return CallerResponse(400)
-        record = JobRecord(job, queue.name, team, work, time.time())
+        record = JobRecord(
+            job,
+            queue.name,
+            team,
+            work,
+            time.time(),
+            holder_token=self.directory.newest_token(),
+        )
         unknown = False
         try:
             revision = self.jobs.accept(record, self.store_deadline_s(call))
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/cell.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/cell.py
@@ -8,7 +8,7 @@
 import msgspec
 import structlog
 
-from gooseberrydeck_coordination.ids import JobId, QueueName, Revision
+from gooseberrydeck_coordination.ids import Epoch, JobId, QueueName, Revision
 from gooseberrydeck_fleet.work import JobRecord, JobState
 from gooseberrydeck_member.authority import AUTHORITY_TIMEOUT_S
 from gooseberrydeck_member.callers import CallerRequest, CallerResponse
@@ -191,6 +191,11 @@
             log.info("cannot get waiting counts from holder", reason=repr(error))
             return None
 
+    def newest_token(self) -> Epoch:
+        """Return the fencing token of the newest known holder, 0 if none is known."""
+        with self.lock:
+            return Epoch(self.holder_token)
+
     def notify_job_accepted(self, record: JobRecord, revision: Revision) -> None:
         """Notify the holder of a stored job without waiting for a reply."""
         notification = JobAccepted(record, int(revision))
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
@@ -411,10 +411,30 @@
     def add_job(
         self, record: JobRecord, revision: int, predates_takeover: bool
     ) -> None:
-        """Add a job to the scheduler."""
+        """Add a job to the scheduler, unless it shows that the shard is lost."""
+        if self.is_superseded_by(record):
+            return
         if not self.scheduler.accept(record, revision, predates_takeover):
             self.report_unconfigured_queue(record, revision)
 
+    def is_superseded_by(self, record: JobRecord) -> bool:
+        """Give up the shard if a job was accepted under a newer holder.
+
+        The newer holder relies on that: it doesn't wait for runs of such jobs. Returns
+        whether the shard was given up.
+        """
+        if record.holder_token <= self.token:
+            return False
+        if not self.lost.is_set():
+            log.warning(
+                "superseded, as a job shows",
+                token=self.token,
+                newer_token=record.holder_token,
+                job=record.id,
+            )
+            self.mark_shard_lost()
+        return True
+
     def report_unconfigured_queue(self, record: JobRecord, revision: int) -> None:
         """Log a job whose queue only the accepting member's configuration holds."""
         log.warning(
@@ -433,6 +453,8 @@
             self.early_notifications.append(notification)
             return
         record, revision = notification.record, notification.revision
+        if self.is_superseded_by(record):
+            return
         is_new = self.scheduler.accept_announced(record, revision)
         log.info(
             "job announced",
@@ -459,6 +481,8 @@
             self.scheduler.job_absent(job, result.state, now_s)
         else:
             job, outcome = result.record.id, "open"
+            if self.is_superseded_by(result.record):
+                return
             self.scheduler.job_found(
                 result.record,
                 result.revision,
--- a/tests/fleet/test_predecessors.py
+++ b/tests/fleet/test_predecessors.py
@@ -1,13 +1,129 @@
-"""Tests of what a holder may do beside a successor that it doesn't know of."""
+"""Tests of a holder and its successor, one of which doesn't know of the other."""
 
-from fleet_support import Fleet, task_resources
+import pytest
+
+from fleet_support import STEP_S, Fleet, task_resources
 from gooseberrydeck_coordination.ids import Epoch
-from gooseberrydeck_fleet.work import StepSpec
+from gooseberrydeck_fleet.commands import StartRun
+from gooseberrydeck_fleet.work import JobRecord, StepSpec
 from gooseberrydeck_member.authority import AUTHORITY_TIMEOUT_S
 from gooseberrydeck_member.worker_polling import worker_token
 
 ONE = task_resources()
 LONG_S = 60.0
+NOTICE_S = 1.5
+LEASE_S = 4.3
+LAPSE_MARGIN_S = 0.2
+QUARANTINE_S = AUTHORITY_TIMEOUT_S + LEASE_S
+
+
+class TwoHolders:
+    """A successor that reaches one of two workers, and a predecessor the other one."""
+
+    def __init__(self, may_predecessor_act: bool = True) -> None:
+        self.fleet = Fleet(workers=2)
+        self.dark, self.reached = self.fleet.engines
+        self.predecessor = self.fleet.scheduler
+        self.token = Epoch(self.fleet.token)
+        self.fleet.unreachable.add(self.dark)
+        self.fleet.take_over(QUARANTINE_S)
+        self.claimed_s = self.fleet.now_s
+        if may_predecessor_act:
+            self.fleet.scheduler.predecessor_may_act(self.claimed_s + NOTICE_S)
+        self.predecessor.worker_silent(self.reached)
+
+    def store(self, holder_token: int, seconds: float = 3.0) -> JobRecord:
+        """Store a job with one task; its member notifies the holder of a token."""
+        return self.fleet.store(
+            "new", StepSpec(1, ONE), seconds=seconds, holder_token=holder_token
+        )
+
+    def start_by_predecessor(self, record: JobRecord) -> None:
+        """Let the predecessor start the task on the worker that only it reaches."""
+        fleet, engine = self.fleet, self.fleet.engines[self.dark]
+        self.predecessor.accept(record, 1)
+        for command in self.predecessor.decide(fleet.now_s, fleet.clock.wall()):
+            assert isinstance(command, StartRun)
+            engine.start(command.request, self.token)
+        engine.poll(self.token, 0, int(engine.now_s() * 1000) + 4000)
+        assert len(engine.runs) == 1
+
+    def watch(self, record: JobRecord) -> None:
+        """Let the store's watch bring a job to the successor."""
+        self.fleet.scheduler.accept(record, self.fleet.revisions[record.id])
+
+    def wait_for_start(self) -> float:
+        """Return how long after the claim the successor starts a task."""
+        fleet = self.fleet
+        while not fleet.starts and fleet.now_s < self.claimed_s + 2 * QUARANTINE_S:
+            fleet.run_for(STEP_S)
+        return fleet.now_s - self.claimed_s
+
+
+class TestJobsOfPredecessors:
+    # A predecessor had started a job on a worker that its successor couldn't reach. The
+    # watch told the successor of it late, which started it beside that run.
+    def test_job_that_the_watch_brings_late_is_held(self) -> None:
+        holders = TwoHolders()
+        fleet = holders.fleet
+        record = holders.store(holders.token)
+        holders.start_by_predecessor(record)
+        fleet.scheduler.predecessor_stopped(fleet.now_s + LEASE_S)
+        fleet.run_for(0.3)
+        holders.watch(record)
+        holders.wait_for_start()
+        fleet.run_for(4.0)
+        assert [worker for _, _, worker in fleet.starts] == [holders.reached]
+        assert fleet.violations() == []
+
+    # The same while the predecessor acts without the store, until its authority ends.
+    @pytest.mark.parametrize("after_s", [NOTICE_S + 0.1, AUTHORITY_TIMEOUT_S - 0.1])
+    def test_job_accepted_while_the_predecessor_acts_is_held(
+        self, after_s: float
+    ) -> None:
+        holders = TwoHolders()
+        fleet = holders.fleet
+        fleet.run_for(after_s)
+        record = holders.store(holders.token)
+        holders.start_by_predecessor(record)
+        holders.watch(record)
+        holders.wait_for_start()
+        fleet.run_for(4.0)
+        assert [worker for _, _, worker in fleet.starts] == [holders.reached]
+        assert fleet.violations() == []
+
+    @pytest.mark.parametrize("holder_token", [0, 1])
+    def test_job_is_held_until_all_leases_of_the_predecessor_have_lapsed(
+        self, holder_token: int
+    ) -> None:
+        # Records that state no token come from members of an earlier version.
+        holders = TwoHolders()
+        holders.fleet.run_for(NOTICE_S + 0.1)
+        holders.watch(holders.store(holder_token))
+        lapsed_s = QUARANTINE_S + LAPSE_MARGIN_S
+        started_s = holders.wait_for_start()
+        assert lapsed_s <= started_s <= lapsed_s + 0.2
+
+    def test_job_of_a_member_that_knows_the_successor_starts_at_once(self) -> None:
+        holders = TwoHolders()
+        holders.fleet.run_for(NOTICE_S + 0.1)
+        holders.watch(holders.store(holders.fleet.token))
+        holders.fleet.run_for(0.1)
+        assert len(holders.fleet.starts) == 1
+
+    def test_job_starts_at_once_if_every_worker_has_reported(self) -> None:
+        holders = TwoHolders()
+        holders.fleet.unreachable.clear()
+        holders.fleet.run_for(0.1)
+        holders.watch(holders.store(holders.token))
+        holders.fleet.run_for(0.1)
+        assert len(holders.fleet.starts) == 1
+
+    def test_job_starts_at_once_after_a_predecessor_that_had_stopped(self) -> None:
+        holders = TwoHolders(may_predecessor_act=False)
+        holders.watch(holders.store(holders.token))
+        holders.fleet.run_for(0.1)
+        assert len(holders.fleet.starts) == 1
 
 
 class TestHolderWithoutStore:
--- a/tests/fleet/test_takeover_machine.py
+++ b/tests/fleet/test_takeover_machine.py
@@ -73,10 +73,12 @@
             for number in range(steps)
         ]
         name = f"j{len(self.announced)}"
-        record = self.fleet.store(name, *specs, seconds=seconds)
+        is_told = self.predecessor is not None and is_predecessor_told
+        token = self.predecessor_token if is_told else self.fleet.token
+        record = self.fleet.store(name, *specs, seconds=seconds, holder_token=token)
         self.announced.append(record)
         self.undelivered[record.id] = record
-        if self.predecessor is not None and is_predecessor_told:
+        if self.predecessor is not None and is_told:
             self.announce(self.predecessor, record)
             self.let_predecessor_act()
         if is_announced:
--- a/tests/fleet/test_two_holders.py
+++ b/tests/fleet/test_two_holders.py
@@ -26,6 +26,7 @@
     StartRequest,
     WorkerFencedError,
 )
+from gooseberrydeck_member.authority import AUTHORITY_TIMEOUT_S
 from gooseberrydeck_standins.fleet_worker import (
     FleetWorkerEngine,
     RunPlan,
@@ -45,6 +46,8 @@
 """Time observed after the takeover: until the successor may rely on expired leases."""
 
 LOSS = 0.1
+WATCH_DELAYS_S = (0.0, 0.0, 0.1, 0.5, 2.0)
+"""How long after it was stored the successor learns of a job."""
 
 
 class FirstHolderEnd(Enum):
@@ -57,6 +60,10 @@
     SILENT = "silent"
     """It stops by ``NOTICE_S`` without a word."""
 
+    CUT = "cut"
+    """It reaches neither the store nor a worker that its successor reaches, and acts
+    until its authority ends."""
+
 
 class ActingHolder:
     """A scheduler with its own view of the workers; replies are late or lost."""
@@ -70,6 +77,7 @@
         self.acknowledged = dict.fromkeys(cell.engines, 0)
         self.replies: list[tuple[float, WorkerId, PollReply]] = []
         self.is_acting = True
+        self.reaches_store = True
 
     def step(self) -> None:
         """Poll workers, execute commands and store changes, until fenced off."""
@@ -123,6 +131,9 @@
         """Store changes, which the store refuses once a successor has claimed."""
         log, now_s = self.scheduler.changes, self.cell.clock.now_s
         changes = log.take_batch(100, now_s)
+        if not self.reaches_store:
+            log.commit_failed(changes)
+            return
         if self.token < self.cell.token:
             self.is_acting = changes.is_empty or self.cell.random.random() < 0.7
             log.commit_failed(changes)
@@ -162,8 +173,11 @@
         """Return the simulated course of a run."""
         return self.plans[request.task.job][request.task.step]
 
-    def submit(self) -> JobRecord:
-        """Store a job of up to three steps, some of which are gangs."""
+    def submit(self, holder_token: int) -> JobRecord:
+        """Store a job of up to three steps, some of which are gangs.
+
+        Its member will notify the holder with ``holder_token``, or a newer one.
+        """
         rng = self.random
         job = JobId(f"j{len(self.plans)}")
         steps: list[StepSpec] = []
@@ -182,7 +196,10 @@
             for step in steps
         ]
         work = WorkSpec(steps=tuple(steps))
-        self.records[job] = JobRecord(job, SLOW, TEAM, work, self.clock.now_s)
+        token = Epoch(holder_token)
+        self.records[job] = JobRecord(
+            job, SLOW, TEAM, work, self.clock.now_s, holder_token=token
+        )
         return self.records[job]
 
     def step(self, *holders: ActingHolder) -> None:
@@ -198,7 +215,7 @@
         """Run the first holder alone for up to three seconds."""
         for _ in range(self.random.randint(4, 60)):
             if self.random.random() < 0.08:
-                assert self.first.scheduler.accept(self.submit(), 1)
+                assert self.first.scheduler.accept(self.submit(1), 1)
             self.step(self.first)
 
     def replace_holder(self, first_end: FirstHolderEnd) -> None:
@@ -215,22 +232,35 @@
             # Announced late, by a member that has waited for the store.
             if rng.random() < 0.2:
                 second.scheduler.accept(record, 1)
-        dark = rng.choice((0, 1, 1, 2))
-        second.reachable -= set(rng.sample(list(self.engines), dark))
+        is_cut = first_end is FirstHolderEnd.CUT
         stop_s = claimed_s + (rng.choice((0.0, 0.2, 0.8)) if is_told else 1.45)
+        lease_s, watched_s = LEASE_S, WATCHED_S
+        if is_cut:
+            self.cut_off(self.first, second)
+            stop_s = claimed_s + AUTHORITY_TIMEOUT_S - rng.choice((0.0, 0.4, 1.0))
+            lease_s += AUTHORITY_TIMEOUT_S
+            watched_s += AUTHORITY_TIMEOUT_S
+        else:
+            dark = rng.choice((0, 1, 1, 2))
+            second.reachable -= set(rng.sample(list(self.engines), dark))
         load_s = claimed_s + rng.choice((0.0, 0.05, 0.3))
         is_loaded = is_stop_known = False
-        while self.clock.now_s < claimed_s + WATCHED_S:
+        watch: list[tuple[float, JobRecord]] = []
+        while self.clock.now_s < claimed_s + watched_s:
             now_s = self.clock.now_s
             if rng.random() < 0.12:
-                record = self.submit()
-                if self.first.is_acting and rng.random() < 0.8:
+                is_first_told = self.first.is_acting and rng.random() < 0.8
+                record = self.submit(1 if is_first_told else 2)
+                if is_first_told:
                     self.first.scheduler.accept(record, 1)
                 if is_loaded or rng.random() < 0.5:
-                    second.scheduler.accept(record, 1)
+                    watch.append((now_s + rng.choice(WATCH_DELAYS_S), record))
             if not is_loaded and now_s >= load_s:
                 is_loaded = True
-                self.load(second.scheduler, claimed_s + LEASE_S)
+                self.load(second.scheduler, claimed_s + lease_s)
+            for _, record in [each for each in watch if each[0] <= now_s]:
+                second.scheduler.accept(record, 1)
+            watch = [each for each in watch if each[0] > now_s]
             if now_s >= stop_s:
                 self.first.is_acting = False
                 if is_told and not is_stop_known:
@@ -238,6 +268,21 @@
                     second.scheduler.predecessor_stopped(now_s + LEASE_S)
             self.step(self.first, *([second] if is_loaded else []))
 
+    def cut_off(self, first: ActingHolder, second: ActingHolder) -> None:
+        """Cut the first holder off the store, and each worker off one holder at least.
+
+        Each holder reaches at least one worker.
+        """
+        workers = list(self.engines)
+        self.random.shuffle(workers)
+        first.reaches_store = False
+        first.reachable = {workers[0]}
+        second.reachable = {workers[1]}
+        for worker in workers[2:]:
+            reaching = self.random.choice((first, second, None))
+            if reaching is not None:
+                reaching.reachable.add(worker)
+
     def load(self, scheduler: Scheduler, lease_expiry_s: float) -> None:
         """Load the stored state into a successor's scheduler."""
         for worker in self.engines:
--- a/tests/fleet_support.py
+++ b/tests/fleet_support.py
@@ -240,8 +240,12 @@
         plan: Callable[[StartRequest], RunPlan] | None = None,
         work: WorkSpec | None = None,
         team: TeamName = TEAM,
+        holder_token: int | None = None,
     ) -> JobRecord:
-        """Store a job that the scheduler doesn't learn of yet."""
+        """Store a job that the scheduler doesn't learn of yet.
+
+        Without ``holder_token``, its member knows the current holder.
+        """
         job = JobId(name)
         spec = work or WorkSpec(steps=steps)
 
@@ -255,7 +259,10 @@
         self.plans[job] = plan or healthy
         self.specs[job] = spec
         self.teams[job] = team
-        self.records[job] = JobRecord(job, queue_name, team, spec, self.clock.wall())
+        token = Epoch(self.token if holder_token is None else holder_token)
+        self.records[job] = JobRecord(
+            job, queue_name, team, spec, self.clock.wall(), holder_token=token
+        )
         self.revisions[job] = len(self.revisions) + 1
         return self.records[job]
 
@@ -449,14 +456,15 @@
         if entries is not None:
             self.scheduler.changes.workers_recorded(entries)
 
-    def take_over(self) -> None:
+    def take_over(self, quarantine_s: float = 4.3) -> None:
         """Replace the scheduler by a successor with the next token.
 
-        The successor starts from the stored state and polls the workers.
+        The successor starts from the stored state and polls the workers, whose unknown
+        runs end within ``quarantine_s``.
         """
         former = self.scheduler
         self.scheduler = self.new_scheduler()
-        until_s = self.now_s + 4.3
+        until_s = self.now_s + quarantine_s
         for worker in former.ledger.workers.values():
             self.scheduler.worker_registered(worker.entry, self.now_s, until_s)
             self.poll_states[worker.id] = WorkerPollState()
--- a/tests/member/test_callers.py
+++ b/tests/member/test_callers.py
@@ -13,7 +13,7 @@
     job_body,
 )
 from gooseberrydeck_coordination.clock import ManualClock
-from gooseberrydeck_coordination.ids import JobId, QueueName, Revision
+from gooseberrydeck_coordination.ids import Epoch, JobId, QueueName, Revision
 from gooseberrydeck_fleet.work import JobRecord, JobState
 from gooseberrydeck_member import jobs as jobs_module
 from gooseberrydeck_member.callers import (
@@ -30,6 +30,7 @@
 from gooseberrydeck_standins.store_engine import StoreEngine
 
 JOB = JobId("00000000000000aa")
+TOKEN = Epoch(7)
 PATH = f"/slow/{JOB}"
 
 
@@ -50,6 +51,9 @@
     def waiting(self, timeout_s: float) -> dict[QueueName, int] | None:
         return self.counts
 
+    def newest_token(self) -> Epoch:
+        return TOKEN
+
     def notify_job_accepted(self, record: JobRecord, revision: Revision) -> None:
         self.notified.append((record.id, revision))
 
@@ -148,8 +152,22 @@
         assert entry is not None
         record = msgspec.json.decode(entry.value, type=JobRecord)
         assert (record.queue, record.team) == ("slow", "editors")
+        assert record.holder_token == TOKEN
         assert self.directory.notified == [(JOB, entry.mod_revision)]
 
+    # During a rolling replacement, members of both versions read each other's records.
+    def test_record_of_an_earlier_version_states_no_holder(self) -> None:
+        self.submit()
+        entry = self.store.read(job_key(JOB), 1.0)
+        assert entry is not None
+        stored = msgspec.json.decode(entry.value)
+        assert stored.pop("holder_token") == TOKEN
+        earlier = msgspec.json.decode(msgspec.json.encode(stored), type=JobRecord)
+        assert earlier.holder_token == 0
+        assert earlier == msgspec.structs.replace(
+            msgspec.json.decode(entry.value, type=JobRecord), holder_token=Epoch(0)
+        )
+
     def test_repeated_submission_keeps_the_first_record(self) -> None:
         self.submit()
         first = self.store.read(job_key(JOB), 1.0)
--- a/tests/member/test_hand_over.py
+++ b/tests/member/test_hand_over.py
@@ -392,6 +392,17 @@
         assert not scheduler.predecessor_stop_reported.is_set()
 
 
+class TestNewestToken:
+    # Records would have named a holder older than the one that is notified.
+    def test_newest_token_is_not_lowered_by_late_news_of_older_holders(self) -> None:
+        cell = MemberParts("m1", StoreEngine(ManualClock()), PeersStub()).cell
+        assert cell.newest_token() == 0
+        assert cell.set_holder(8, "m8:1")
+        assert not cell.set_holder(7, "m7:1")
+        assert cell.newest_token() == 8
+        assert cell.holder_address == "m8:1"
+
+
 class TestRestart:
     """All members are killed and restarted; the record still names one of them."""
 
--- a/tests/member/test_scheduler_task.py
+++ b/tests/member/test_scheduler_task.py
@@ -15,20 +15,29 @@
     task_resources,
 )
 from gooseberrydeck_coordination.clock import ManualClock
-from gooseberrydeck_coordination.ids import JobId, MemberId
-from gooseberrydeck_coordination.store import Put, Transaction
+from gooseberrydeck_coordination.ids import Epoch, JobId, MemberId, Revision
+from gooseberrydeck_coordination.store import (
+    Entry,
+    EventKind,
+    Put,
+    Transaction,
+    WatchBatch,
+    WatchEvent,
+)
 from gooseberrydeck_fleet.ids import StepRef
 from gooseberrydeck_fleet.registrations import Registration
 from gooseberrydeck_fleet.work import JobRecord, StepSpec, WorkSpec
 from gooseberrydeck_fleet.worker_calls import WorkerCalls
 from gooseberrydeck_member.advice_pool import AdvicePool
 from gooseberrydeck_member.authority import Authority, boottime_clock_s
-from gooseberrydeck_member.keys import job_key
+from gooseberrydeck_member.job_lookups import JobFound
+from gooseberrydeck_member.keys import JOB_PREFIX, job_key
 from gooseberrydeck_member.observability import Metrics
 from gooseberrydeck_member.peer_messages import JobAccepted
 from gooseberrydeck_member.peers import PeerClient
 from gooseberrydeck_member.scheduler_task import TICK_S, SchedulerTask
 from gooseberrydeck_member.shard_lock import ShardLock
+from gooseberrydeck_member.store_follower import PrefixChanged, PrefixRead
 from gooseberrydeck_standins.engine_store import EngineStore
 from gooseberrydeck_standins.store_engine import StoreEngine
 
@@ -95,6 +104,62 @@
         assert confirmed_s == pytest.approx(expected_s, abs=0.01)
 
 
+class TestNewerHolders:
+    """Jobs whose member knows a holder that has superseded this one."""
+
+    def make_record(self, holder_token: int) -> JobRecord:
+        work = WorkSpec(steps=(StepSpec(1, task_resources()),))
+        token = Epoch(holder_token)
+        return JobRecord(JobId("a"), SLOW, TEAM, work, 0.0, holder_token=token)
+
+    def messages(self, record: JobRecord) -> dict[str, object]:
+        """Return the ways in which a holder learns of a job."""
+        entry = Entry(job_key(record.id), msgspec.json.encode(record), Revision(9), 1)
+        batch = WatchBatch((WatchEvent(EventKind.PUT, entry),), Revision(9))
+        return {
+            "notification": JobAccepted(record, 9),
+            "watch": PrefixChanged(JOB_PREFIX, batch),
+            "read": PrefixRead(JOB_PREFIX, (entry,)),
+            "lookup": JobFound(record, 9, None, 0),
+        }
+
+    # A holder started jobs of which its successor knew that no former holder had been
+    # notified, so that the successor started them as well.
+    @pytest.mark.parametrize("way", ["notification", "watch", "read", "lookup"])
+    def test_holder_stops_without_adding_the_job(
+        self, task: SchedulerTask, way: str
+    ) -> None:
+        task.load()
+        task.is_loaded = True
+        record = self.make_record(int(task.token) + 1)
+        task.handle(self.messages(record)[way], 0.0)
+        assert record.id not in task.scheduler.ledger.jobs
+        assert task.lost.is_set()
+        assert not task.authority.may_act()
+
+    def test_holder_stops_that_reads_such_a_job_while_loading(
+        self, task: SchedulerTask
+    ) -> None:
+        record = self.make_record(int(task.token) + 1)
+        put = Put(job_key(record.id), msgspec.json.encode(record))
+        task.store.commit(Transaction((), (put,)), TIMEOUT_S)
+        task.load()
+        assert task.lost.is_set()
+
+    @pytest.mark.parametrize("way", ["notification", "watch", "read", "lookup"])
+    def test_jobs_of_the_own_or_an_earlier_token_are_added(
+        self, task: SchedulerTask, way: str
+    ) -> None:
+        task.load()
+        task.is_loaded = True
+        for token in (int(task.token), 0):
+            task.scheduler.ledger.jobs.clear()
+            record = self.make_record(token)
+            task.handle(self.messages(record)[way], 0.0)
+            assert record.id in task.scheduler.ledger.jobs
+        assert not task.lost.is_set()
+
+
 class TestLoading:
     def test_job_announced_while_loading_is_held_like_other_stored_jobs(
         self, task: SchedulerTask
