Let a task wait for failures that may have used up its attempts

Cause: a failure that a predecessor had counted and not stored stays listed on its worker. If the successor couldn't reach that worker, but knew the task's last run from another one, it took the task as safe to start, and the unknown failure as none.

Evidence: test_task_that_fails_waits_for_failures_that_are_not_known failed before, for a gang and a single task: "ran again after failures {1000001, 1000002, 1000003}".

A first try held every task that fails until all workers have reported. It made test_failed_adopted_run_is_repeated_before_every_worker_has_reported fail, which is right: such a task has attempts left. So the successor has to know how many.

Why it works: the last digit of a run's number is how often its task had failed before (9 is nine or more). A successor that knows the last run knows the number of all failures, though not their ends, and only a task that may have none left waits: until the others are listed, which fails the job, or their leases have lapsed. Run numbers rise as before; there are still 1,000,000 starts per token.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/ledger.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/ledger.py
@@ -2,7 +2,13 @@
 
 from gooseberrydeck_coordination.ids import JobId, TeamName
 from gooseberrydeck_fleet.health import HealthTracker
-from gooseberrydeck_fleet.ids import TaskRef, WorkerId
+from gooseberrydeck_fleet.ids import (
+    MAX_NUMBERED_FAILURES,
+    TaskRef,
+    WorkerId,
+    earlier_failures,
+    run_number,
+)
 from gooseberrydeck_fleet.quotas import Quotas
 from gooseberrydeck_fleet.speeds import SpeedEstimator
 from gooseberrydeck_fleet.state import Job, Run, Step, Task, Worker
@@ -11,7 +17,7 @@
 __all__ = ["RUNS_PER_TOKEN", "Ledger", "RunNumbers"]
 
 RUNS_PER_TOKEN = 1_000_000
-"""Size of the range of run numbers for one fencing token.
+"""Number of starts with one fencing token.
 
 Far fewer tasks than this start in a day.
 """
@@ -22,12 +28,13 @@
 
     def __init__(self, token: int) -> None:
         """Start above every number that was used with a lower token."""
-        self.before_first = self.last = token * RUNS_PER_TOKEN
+        self.start = token * RUNS_PER_TOKEN
+        self.before_first = run_number(self.start, MAX_NUMBERED_FAILURES)
 
-    def next(self) -> int:
-        """Return the next run number."""
-        self.last += 1
-        return self.last
+    def next(self, failures: int = 0) -> int:
+        """Return the number of the next run, whose task has failed before."""
+        self.start += 1
+        return run_number(self.start, failures)
 
     def is_own(self, number: int) -> bool:
         """Return True if a run is not one of a predecessor."""
@@ -109,6 +116,7 @@
         team = job.record.team
         run = Run(task, number, worker, team, spec.allocation, spec.resources, now_s)
         task.runs.append(run)
+        task.record_failures(earlier_failures(number))
         job.runs[task.ref, number] = run
         worker.add(run)
         self.team_runs.setdefault(team, {})[run] = None
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/run_ends.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/run_ends.py
@@ -3,7 +3,12 @@
 from enum import Enum
 from typing import NamedTuple
 
-from gooseberrydeck_fleet.ids import TaskRef, WorkerId
+from gooseberrydeck_fleet.ids import (
+    MAX_NUMBERED_FAILURES,
+    TaskRef,
+    WorkerId,
+    earlier_failures,
+)
 from gooseberrydeck_fleet.ledger import Ledger
 from gooseberrydeck_fleet.state import Job, Run, RunState, Step, StopReason, Task
 from gooseberrydeck_fleet.work import JobState
@@ -142,15 +147,20 @@
         step = task.step
         if step.spec.is_standing or task.is_done:
             return
-        # All members of a gang share its attempts.
-        counted = step.tasks[0] if step.spec.is_gang else task
-        if run in counted.failures:
+        failures = task.counting_task.failures
+        if run in failures:
             return
-        counted.failures.add(run)
+        failures.add(run)
+        task.record_failures(earlier_failures(run) + 1)
         job = step.job
         self.ledger.changed[job.id] = None
-        if len(counted.failures) >= job.queue.max_attempts and not job.state.is_final:
+        max_attempts = job.queue.max_attempts
+        if len(failures) >= max_attempts and not job.state.is_final:
             self.finish(job, JobState.FAILED)
+        if task.count_failures() >= min(max_attempts, MAX_NUMBERED_FAILURES):
+            # Workers that have not reported may list the other failures.
+            for member in step.tasks if step.spec.is_gang else [task]:
+                member.is_safe_to_start = False
 
     def fail_if_exhausted(self, job: Job) -> None:
         """Fail a job if one of its tasks has used up its attempts."""
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/serving.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/serving.py
@@ -329,7 +329,7 @@
             if worker is None:
                 left.append(task)
                 continue
-            self.start(task, worker, self.ledger.run_numbers.next(), now_s)
+            self.start(task, worker, self.next_number(task), now_s)
             candidates.started(worker)
         if not left:
             return
@@ -350,7 +350,7 @@
             self.ask(step, step.spec.count, now_s)
             return
         candidates = Candidates(self.placer, rack, step)
-        number = self.ledger.run_numbers.next()
+        number = self.next_number(step.tasks[0])
         for task in step.tasks:
             worker = candidates.take(task, now_s)
             if worker is None:
@@ -369,7 +369,11 @@
             if worker is None:
                 self.ask(step, 1, now_s)
             elif self.ledger.quotas.allows(run.team, run.quota_usage):
-                self.start(run.task, worker, self.ledger.run_numbers.next(), now_s)
+                self.start(run.task, worker, self.next_number(run.task), now_s)
+
+    def next_number(self, task: Task) -> int:
+        """Return the number of the next run of a task, or of its gang."""
+        return self.ledger.run_numbers.next(task.count_failures())
 
     def start(self, task: Task, worker: Worker, number: int, now_s: float) -> None:
         """Record a new run and queue its start command."""
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
@@ -135,6 +135,7 @@
         "checkpoint",
         "failed_on",
         "failures",
+        "failures_by_runs",
         "is_done",
         "is_safe_to_start",
         "ref",
@@ -148,10 +149,12 @@
         self.ref = TaskRef(step.ref.job, step.ref.occurrence, step.ref.step, index)
         self.runs: list[Run] = []
         self.is_done = False
-        # True once no predecessor can have an unknown run of it: see
-        # Step.waiting_tasks.
+        # True once no predecessor can have an unknown run of it, until unknown failures
+        # may have used up its attempts: see Step.waiting_tasks.
         self.is_safe_to_start = False
         self.failures: set[int] = set()
+        # How often it has failed at least, by the numbers of its runs.
+        self.failures_by_runs = 0
         self.failed_on: dict[WorkerId, float] = {}
         self.checkpoint: str = ""
 
@@ -160,6 +163,21 @@
         """Return True if the task is not done and has no runs."""
         return not self.is_done and not self.runs
 
+    @property
+    def counting_task(self) -> "Task":
+        """The task that counts the failures: all members of a gang share them."""
+        return self.step.tasks[0] if self.step.spec.is_gang else self
+
+    def record_failures(self, count: int) -> None:
+        """Record how often the task has failed at least."""
+        task = self.counting_task
+        task.failures_by_runs = max(task.failures_by_runs, count)
+
+    def count_failures(self) -> int:
+        """Return how often the task has failed, also if not all ends are known."""
+        task = self.counting_task
+        return max(len(task.failures), task.failures_by_runs)
+
 
 class Step:
     """One occurrence of a step of a job."""
@@ -217,7 +235,8 @@
 
         Until all workers have reported, a predecessor may have started any task of a
         job with unknown runs. Exceptions are tasks whose run was known here when the
-        predecessor stopped acting, and tasks of steps that became ready later.
+        predecessor stopped acting, unless failures that are not listed yet use up their
+        attempts, and tasks of steps that became ready later.
         """
         may_start_all = self.is_safe_to_start or not self.job.may_have_unknown_runs
         return [
--- a/tests/fleet_support.py
+++ b/tests/fleet_support.py
@@ -30,6 +30,7 @@
 from gooseberrydeck_fleet.settings import Timing
 from gooseberrydeck_fleet.work import JobRecord, JobState, StepSpec, WorkSpec
 from gooseberrydeck_fleet.worker_calls import (
+    EndKind,
     StartOutcome,
     StartRequest,
     WorkerFencedError,
@@ -39,6 +40,7 @@
 from gooseberrydeck_standins.fleet_worker import (
     FleetWorkerEngine,
     RunPlan,
+    RunSpan,
     find_duplicate_runs,
 )
 from gooseberrydeck_standins.gangs import GangRegistry
@@ -439,6 +441,31 @@
                     used = used + self.specs[task.job].steps[task.step].resources
         return used
 
+    def starts_beyond_attempts(self, attempts: int) -> list[str]:
+        """Return the starts after a task, or its gang, had failed often enough.
+
+        Failures that nobody can take note of any more don't count.
+        """
+        engines = [*self.engines.values(), *self.crashed_engines]
+        spans = [span for each in engines for span in each.spans + each.open_spans()]
+        by_task: dict[str, list[RunSpan]] = {}
+        for span in spans:
+            by_task.setdefault(span.gang or span.task, []).append(span)
+        found = []
+        for runs in by_task.values():
+            for run in runs:
+                failed = {
+                    each.run
+                    for each in runs
+                    if each.kind == EndKind.FAILED.value
+                    and not each.is_void
+                    and each.run != run.run
+                    and each.ended_s <= run.began_s
+                }
+                if len(failed) >= attempts:
+                    found.append(f"{run.task} ran again after failures {failed}")
+        return found
+
     def commit(self) -> None:
         """Store the scheduler's changes, unless the store is unavailable."""
         if not self.is_store_available:
