Fail jobs that have used up attempts that a configuration lowers

Callers would see: a task that had failed as often as its queue's new configuration allows starts once more (BUDGET).

Cause: failures were compared with the queue's attempts when one came in, after a takeover, and when the queue was configured for the first time, but not when a new version allowed fewer.

Ruled out: raised attempts (a job that has failed stays so); jobs whose queue is removed keep its settings; a gang's failures are counted at its first task, and compared there.

Evidence: test_task_that_has_used_up_lowered_attempts_does_not_start_again failed before, with 2 starts of 1.

Why it works: the check that a newly configured queue made is made whenever the attempts fall; those of a queue without configuration count as unlimited.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/job_intake.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/job_intake.py
@@ -48,8 +48,8 @@
         """Apply the queues and shares of a version of the configuration.
 
         Jobs of a queue that is no longer configured keep that queue's old settings.
-        Jobs whose queue was not configured before may start now, or may turn out to
-        have used up their attempts.
+        Jobs whose queue was not configured before may start now. Jobs whose queue
+        allows fewer attempts than before may have used them up.
         """
         self.queues = {queue.name: queue for queue in configuration.queues}
         self.shares.set_rates({team.name: team.weight for team in configuration.teams})
@@ -57,9 +57,11 @@
             queue = self.queues.get(job.record.queue)
             if queue is not None:
                 was_unconfigured = job.has_unconfigured_queue
+                are_attempts_fewer = queue.max_attempts < job.queue.max_attempts
                 job.queue = queue
                 if was_unconfigured:
                     job.compute_due()
+                if are_attempts_fewer:
                     self.ends.fail_if_exhausted(job)
 
     def accept(
--- a/tests/fleet/test_attempts.py
+++ b/tests/fleet/test_attempts.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from fleet_support import Fleet, task_resources
+from fleet_support import SLOW, Fleet, make_configuration, queue, task_resources
 from gooseberrydeck_coordination.ids import JobId
 from gooseberrydeck_fleet.work import JobState, StepSpec
 from gooseberrydeck_fleet.worker_calls import StartRequest
@@ -62,3 +62,20 @@
         fleet.run_for(LEASE_S)
         assert len(fleet.starts) == ATTEMPTS + 1
         assert fleet.starts_beyond_attempts(ATTEMPTS) == []
+
+
+class TestChangedAttempts:
+    # A configuration that lowered the attempts applied at the next failure only.
+    def test_task_that_has_used_up_lowered_attempts_does_not_start_again(self) -> None:
+        fleet = FailingFleet()
+        fleet.run_for(0.05)
+        used = {worker for _, _, worker in fleet.starts}
+        fleet.unreachable = fleet.engines.keys() - used
+        fleet.run_for(0.5)
+        fleet.unreachable = set()
+        fleet.scheduler.set_configuration(
+            make_configuration(queue(SLOW, 2, attempts=1), version=2)
+        )
+        fleet.run_for(1.0)
+        assert len(fleet.starts) == 1
+        assert fleet.state(fleet.job) is JobState.FAILED
