Raise the fencing token by 1,000 with each claim

Callers would see: while members of an earlier version are replaced, an outage each time one of them claims the shard. Workers had seen tokens a million times as large from a member of the new version and would refuse it; and the run numbers of a holder would be below those of its predecessor, so that workers refuse its starts as old.

Change: the token of a call to a worker is the shard's token plus the worker's restarts, and each claim raises the shard's token by 1,000. Run numbers begin at the token times 1,000,000, as before, and their last digit counts failures. An earlier version's claim, with the next token, is accepted by workers that have not restarted under its predecessor, or once by those that have restarted once, and its run numbers are above the predecessor's up to 100,000 starts.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/ids.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/ids.py
@@ -20,8 +20,9 @@
 
 
 def run_number(start: int, failures: int) -> int:
-    """Return the number of a start whose task has failed before.
+    """Return the number, within a holder's range, of a start.
 
+    Its last digit says how often the task has failed before.
     A successor learns of the failures by the run, even if it can't reach the workers
     that list them.
     """
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/ledger.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/ledger.py
@@ -17,9 +17,9 @@
 __all__ = ["RUNS_PER_TOKEN", "Ledger", "RunNumbers"]
 
 RUNS_PER_TOKEN = 1_000_000
-"""Number of starts with one fencing token.
+"""Size of the range of run numbers for one value of the fencing token.
 
-Far fewer tasks than this start in a day.
+A holder has as many of these ranges as values of the token: see ``TOKENS_PER_CLAIM``.
 """
 
 
@@ -28,13 +28,14 @@
 
     def __init__(self, token: int) -> None:
         """Start above every number that was used with a lower token."""
-        self.start = token * RUNS_PER_TOKEN
-        self.before_first = run_number(self.start, MAX_NUMBERED_FAILURES)
+        self.starts = 0
+        self.base = token * RUNS_PER_TOKEN
+        self.before_first = self.base + run_number(0, MAX_NUMBERED_FAILURES)
 
     def next(self, failures: int = 0) -> int:
         """Return the number of the next run, whose task has failed before."""
-        self.start += 1
-        return run_number(self.start, failures)
+        self.starts += 1
+        return self.base + run_number(self.starts, failures)
 
     def is_own(self, number: int) -> bool:
         """Return True if a run is not one of a predecessor."""
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/control.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/control.py
@@ -27,6 +27,7 @@
     ShardLostError,
     ShardRecord,
     ShardView,
+    next_token,
 )
 
 __all__ = ["ControlTask"]
@@ -326,7 +327,7 @@
             log.info(
                 "claim",
                 won=won,
-                token=seen.record.token + 1,
+                token=next_token(seen.record.token),
                 former=seen.record.holder,
                 was_silent=was_silent,
                 former_revision=seen.revision,
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/shard_lock.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/shard_lock.py
@@ -13,7 +13,19 @@
 )
 from gooseberrydeck_member.keys import ALIVE_KEY, SHARD_KEY
 
-__all__ = ["ShardLock", "ShardLostError", "ShardRecord", "ShardView"]
+__all__ = [
+    "TOKENS_PER_CLAIM",
+    "ShardLock",
+    "ShardLostError",
+    "ShardRecord",
+    "ShardView",
+    "next_token",
+]
+
+TOKENS_PER_CLAIM = 1_000
+"""Fencing tokens that a holder may send: that of its claim, and for calls to a worker a
+higher one after each restart of that worker. A member of an earlier version, which
+claims with the next token, is still accepted by workers without restarts."""
 
 
 class ShardLostError(Exception):
@@ -81,7 +93,7 @@
         timeout_s: float,
         active_predecessors: tuple[str, ...] = (),
     ) -> bool:
-        """Claim the shard with the next fencing token.
+        """Claim the shard with a higher fencing token.
 
         Returns False if the record is no longer the one in ``seen``. ``members`` are
         the peers' addresses, stored for members that cannot read the store, and
@@ -90,7 +102,7 @@
         """
         lease = self.store.grant_lease(ttl_s, timeout_s)
         record = ShardRecord(
-            Epoch(seen.record.token + 1),
+            next_token(seen.record.token),
             self.member,
             self.address,
             self.incarnation,
@@ -171,6 +183,11 @@
         self.store.commit(transaction, timeout_s)
 
 
+def next_token(token: Epoch) -> Epoch:
+    """Return the fencing token of the claim after the one with ``token``."""
+    return Epoch(token + TOKENS_PER_CLAIM)
+
+
 def mod_revision_equals(key: str, revision: Revision) -> Compare:
     """Return the condition that a key has a revision; 0 if it must not exist."""
     return Compare(key, CompareTarget.MOD_REVISION, revision)
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/worker_polling.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/worker_polling.py
@@ -8,18 +8,14 @@
 from collections import deque
 
 from gooseberrydeck_coordination.ids import Epoch
+from gooseberrydeck_member.shard_lock import TOKENS_PER_CLAIM
 
 __all__ = [
-    "RESTARTS_PER_TOKEN",
     "ResponseLossTracker",
     "WorkerPollState",
     "worker_token",
 ]
 
-RESTARTS_PER_TOKEN = 1_000_000
-"""Size of the range of fencing tokens that a holder of the shard may send to a worker.
-It sees far fewer restarts of one worker."""
-
 POLL_RETRY_DELAY_S = 0.25
 """Delay between polls of a worker that keeps failing to respond."""
 
@@ -194,6 +190,6 @@
     """Return the fencing token of calls to a worker, under the shard's token.
 
     It exceeds all tokens that a predecessor has sent, and those sent to the worker
-    before its last restart.
+    before its last restart. A holder sees far fewer restarts than it has tokens.
     """
-    return Epoch(token * RESTARTS_PER_TOKEN + restarts)
+    return Epoch(token + min(restarts, TOKENS_PER_CLAIM - 1))
