Wait out the lease that a restarted worker may hold by a late call

What callers would see: two runs of one task at once (TWICE), when a worker is cut off within two seconds after it was started again under its id.

Cause: DeadlineMs is a time on the worker's clock. A deadline for the former process is far ahead of the new process' clock, so a poll that the new one executes, such as the poll that shows the restart, grants the longest lease of the platform (MaxHoldMs). It applies to everything that runs there and never shortens, but after a restart the holder counted its own shorter leases only, and started the task elsewhere while the run went on.

Change: the first conclusive reply of a new process counts as a lease of MaxHoldMs. No such call can follow it, as its token is refused.

What binds: a predecessor's poll that is executed late, shortly before the first reply to its successor, can do the same; the successor assumes leases of MAX_TASK_LEASE_S there.

Evidence: test_lease_of_a_late_poll_is_waited_out failed before with "ran twice at once (1000001, 1000002)".

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/poll_replies.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/poll_replies.py
@@ -46,12 +46,20 @@
     """Apply the replies of workers to the ledger."""
 
     def __init__(
-        self, ledger: Ledger, ends: RunEndHandler, unknown_jobs: UnknownJobs
+        self,
+        ledger: Ledger,
+        ends: RunEndHandler,
+        unknown_jobs: UnknownJobs,
+        max_lease_s: float,
     ) -> None:
-        """Create a handler that keeps reports of unknown jobs in ``unknown_jobs``."""
+        """Create a handler that keeps reports of unknown jobs in ``unknown_jobs``.
+
+        ``max_lease_s`` is the longest lease that workers grant.
+        """
         self.ledger = ledger
         self.ends = ends
         self.unknown_jobs = unknown_jobs
+        self.max_lease_s = max_lease_s
 
     def worker_restarted(self, worker: Worker, reply: PollReply) -> None:
         """Reset the state of a worker by the first conclusive reply of a new process.
@@ -68,7 +76,8 @@
                 self.ends.run_lost(run, LossReason.WORKER_GONE)
         worker.last_end_number = 0
         worker.unresolved_ends.clear()
-        worker.lease_until_ms = 0
+        # A deadline on the former process' clock grants the longest lease.
+        worker.lease_until_ms = reply.clock_ms + int(self.max_lease_s * 1000)
         self.ledger.health.forget(worker.id)
         self.ledger.speeds.forget(worker.id)
         # Steps need new tickets for the worker.
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
@@ -64,7 +64,9 @@
         self.ledger = Ledger(token)
         self.ends = RunEndHandler(self.ledger)
         self.unknown_jobs = UnknownJobs()
-        self.poll_replies = PollReplyHandler(self.ledger, self.ends, self.unknown_jobs)
+        self.poll_replies = PollReplyHandler(
+            self.ledger, self.ends, self.unknown_jobs, timing.task_lease_s
+        )
         self.placer = Placer(self.ledger)
         self.preemptor = Preemptor(self.placer, self.ends, timing.task_stop_s)
         self.changes = ChangeLog(self.ledger)
--- a/tests/fleet/test_worker_restarts.py
+++ b/tests/fleet/test_worker_restarts.py
@@ -39,6 +39,26 @@
         assert {fleet.state(job) for job in jobs} == {JobState.COMPLETED}
 
 
+class TestLateLeases:
+    # Guards against two runs at once: a deadline on the former process' clock gives the
+    # runs of the present one the longest lease that the platform grants.
+    def test_lease_of_a_late_poll_is_waited_out(self) -> None:
+        fleet = Fleet(workers=1)
+        fleet.run_for(LONG_UP_S)
+        deliver_late = fleet.delay_poll(WORKER)
+        fleet.restart_worker(WORKER)
+        deliver_late()
+        fleet.run_for(0.2)
+        fleet.submit("a", ONE, seconds=60.0)
+        fleet.run_for(0.1)
+        assert len(fleet.starts) == 1
+        fleet.add_worker("w1")
+        fleet.unreachable.add(WORKER)
+        fleet.run_for(8.0)
+        assert len(fleet.starts) == 2
+        assert fleet.violations() == []
+
+
 class TestLateStarts:
     def start_on_former_process(self, fleet: Fleet) -> None:
         """Send a start to a worker that has long been up; it doesn't arrive."""
