List calls that a new process executes before the holder's first

Two tests of a worker's new process that executes a call to the former one before any newer call reaches it: a poll, if LastSeen applies to ends to come (as the in-memory worker does it), and a start that the former process' clock had ruled out. No token refuses them, as the process has seen none, and no field of a call names a process.

--- a/tests/fleet/test_worker_restarts.py
+++ b/tests/fleet/test_worker_restarts.py
@@ -99,3 +99,36 @@
         fleet.deliver_starts()
         fleet.run_for(FINISH_S)
         assert fleet.violations() == []
+
+
+class TestCallsBeforeTheFirstOfTheHolder:
+    """Late calls that a new process executes before any newer call reaches it."""
+
+    # Guards against ends that are hidden if a worker applies an acknowledgement to ends
+    # to come, as the in-memory one does.
+    def test_late_acknowledgement(self) -> None:
+        fleet = Fleet(workers=1)
+        fleet.submit("before", ONE, seconds=0.2)
+        fleet.run_for(2.0)
+        deliver_late = fleet.delay_poll(WORKER)
+        fleet.restart_worker(WORKER)
+        deliver_late()
+        fleet.submit("after", ONE, seconds=0.5)
+        fleet.run_for(FINISH_S)
+        assert len(fleet.starts) == 2
+
+    # Guards against two runs at once: the former process' lease had lapsed and its
+    # clock had passed the start's deadline, which thus counted as never executed.
+    def test_late_start(self) -> None:
+        fleet = Fleet(workers=1)
+        TestLateStarts().start_on_former_process(fleet)
+        fleet.add_worker("w1")
+        fleet.unreachable.add(WORKER)
+        fleet.run_for(4.8)
+        assert len(fleet.starts) == 2
+        fleet.unreachable.clear()
+        fleet.run_for(0.2)
+        fleet.restart_worker(WORKER)
+        fleet.deliver_starts()
+        fleet.run_for(FINISH_S)
+        assert fleet.violations() == []
