--- a/tests/fleet/test_predecessors.py
+++ b/tests/fleet/test_predecessors.py
@@ -6,8 +6,10 @@
 from gooseberrydeck_coordination.ids import Epoch
 from gooseberrydeck_fleet.commands import StartRun
 from gooseberrydeck_fleet.work import JobRecord, StepSpec
+from gooseberrydeck_fleet.worker_calls import StartRequest
 from gooseberrydeck_member.authority import AUTHORITY_TIMEOUT_S
 from gooseberrydeck_member.shard_lock import TOKENS_PER_CLAIM, next_token
+from gooseberrydeck_standins.fleet_worker import FleetWorkerEngine, RunPlan
 
 ONE = task_resources()
 LONG_S = 60.0
@@ -17,6 +19,11 @@
 QUARANTINE_S = AUTHORITY_TIMEOUT_S + LEASE_S
 
 
+def extend_leases(engine: FleetWorkerEngine, token: Epoch) -> None:
+    """Poll a worker as the holder with a token does."""
+    engine.poll(token, 0, int(engine.now_s() * 1000) + 4000)
+
+
 class TwoHolders:
     """A successor that reaches one of two workers, and a predecessor the other one."""
 
@@ -45,7 +52,7 @@
         for command in self.predecessor.decide(fleet.now_s, fleet.clock.wall()):
             assert isinstance(command, StartRun)
             engine.start(command.request, self.token)
-        engine.poll(self.token, 0, int(engine.now_s() * 1000) + 4000)
+        extend_leases(engine, self.token)
         assert len(engine.runs) == 1
 
     def watch(self, record: JobRecord) -> None:
@@ -126,6 +133,42 @@
         assert len(holders.fleet.starts) == 1
 
 
+class TestHeldPolls:
+    # A poll that a worker held when its successor first reached it told a predecessor
+    # of a failure, after which both started the task again.
+    def test_failure_that_a_held_poll_tells_a_predecessor_starts_one_run(self) -> None:
+        def fails_first(request: StartRequest) -> RunPlan:
+            runs.append(request.run)
+            return RunPlan(2.5 if len(runs) == 1 else 3.0, ONE, fails=len(runs) == 1)
+
+        runs: list[int] = []
+        fleet = Fleet(workers=3)
+        fleet.submit("a", StepSpec(1, ONE), plan=fails_first)
+        fleet.run_for(0.3)
+        (_, _, shared) = fleet.starts[0]
+        dark, other = (worker for worker in fleet.engines if worker != shared)
+        predecessor, token = fleet.scheduler, Epoch(fleet.token)
+        fleet.unreachable |= {dark, shared}
+        fleet.take_over(QUARANTINE_S)
+        fleet.scheduler.predecessor_may_act(fleet.now_s + NOTICE_S)
+        extend_leases(fleet.engines[shared], token)
+        fleet.run_for(NOTICE_S + 0.2)
+        fleet.unreachable.remove(shared)
+        while not fleet.engines[shared].ends:
+            fleet.run_for(STEP_S)
+        held = fleet.engines[shared].poll(Epoch(fleet.token), 0, None)
+        predecessor.poll_answered(shared, held, fleet.now_s)
+        predecessor.worker_silent(shared)
+        predecessor.worker_silent(other)
+        for command in predecessor.decide(fleet.now_s, fleet.clock.wall()):
+            if isinstance(command, StartRun):
+                fleet.engines[command.worker].start(command.request, token)
+        assert len(fleet.engines[dark].runs) == 1
+        extend_leases(fleet.engines[dark], token)
+        fleet.run_for(QUARANTINE_S + 4.0)
+        assert fleet.violations() == []
+
+
 class TestHolderWithoutStore:
     # A holder cut off from the store and from a worker took the worker's leases for
     # lapsed, which its successor had extended, and started the tasks a second time.
@@ -138,8 +181,7 @@
         fleet.unreachable.add(worker)
         fleet.is_store_available = False
         for _ in range(round(AUTHORITY_TIMEOUT_S)):
-            until_ms = int(engine.now_s() * 1000) + 4000
-            engine.poll(next_token(Epoch(fleet.token)), 0, until_ms)
+            extend_leases(engine, next_token(Epoch(fleet.token)))
             fleet.run_for(1.0)
         assert fleet.violations() == []
         assert len(fleet.starts) == 1
