Log a gap in the ends of a worker only where their numbers are known

On-call engineers would see errors that mean nothing: after a takeover the first end that a worker lists has a number above 1, since the predecessor acknowledged those before it.

A gap is reported after an end that this holder has seen, or in a process whose start it has seen. test_ends_that_a_predecessor_acknowledged_are_no_gap failed before with one gap; test_hidden_ends_are_logged now hides the second end, as the first one's number isn't known to this holder either.

--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
@@ -631,7 +631,7 @@
         if not worker.is_reachable:
             log.info("worker answers", worker=worker.id, runs=len(reply.runs))
         before = worker.last_end_number if worker.born_ms == reply.born_ms else 0
-        if worker.born_ms:
+        if before or poll_state.has_seen_start:
             self.report_gap(worker.id, reply, before)
         self.scheduler.poll_answered(message.worker, reply, now_s)
         for end in reply.ends:
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/worker_polling.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/worker_polling.py
@@ -69,6 +69,7 @@
         "calls_in_flight",
         "due_s",
         "failures",
+        "has_seen_start",
         "hedge_due_s",
         "is_restart_unconfirmed",
         "replacements",
@@ -90,6 +91,8 @@
         self.acknowledged = 0
         self.born_ms = 0
         self.born_seen_s = 0.0
+        # False if a predecessor may have acknowledged ends of the worker's process.
+        self.has_seen_start = False
 
     def last_seen(self, registered_born_ms: int) -> int:
         """Return the number of the last end to acknowledge, or 0 for none.
@@ -126,6 +129,7 @@
             self.born_ms = born_ms
             self.born_seen_s = now_s
             self.acknowledged = 0
+        self.has_seen_start |= is_restart
         if self.is_restart_unconfirmed:
             self.is_restart_unconfirmed = not has_newest_token
         elif is_restart:
