Hold what an end makes ready while a held poll may tell a predecessor of it

Callers would see a task run twice at once. A worker that has seen the successor's token refuses new polls of a predecessor, but still answers the one that it holds, with the next end of a run. A predecessor that reaches neither the store nor the successor's other workers then starts the task again, or a dependent step, on a worker that only it reaches. The successor did so too: once 1.5 s had passed since its claim, runs that a worker reported counted as known to it alone from the worker's first reply.

Now they count so 1.7 s after that reply: a poll is held for 1 s, and its answer is used for 0.7 s more. What ends before waits like other tasks of held jobs: until every worker has reported, or the leases have lapsed. A predecessor that has replied, or had stopped before the claim, delays nothing.

Ruled out: no start of a holder before a further reply shows that it isn't refused. That costs a round trip at each step of each job.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/ledger.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/ledger.py
@@ -55,6 +55,8 @@
         self.workers: dict[WorkerId, Worker] = {}
         # False while a predecessor may not know yet that it has been replaced.
         self.is_sole_scheduler = True
+        # True while a predecessor may act without having been refused or told.
+        self.may_predecessor_act = False
         # When this scheduler certainly had no successor yet, in monotonic seconds.
         self.authority_confirmed_s = 0.0
         self.quotas = Quotas()
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/poll_replies.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/poll_replies.py
@@ -15,7 +15,7 @@
 from gooseberrydeck_fleet.unknown_jobs import UnknownJobs
 from gooseberrydeck_fleet.worker_calls import PollReply, RunReport
 
-__all__ = ["OrphanedRun", "PollReplyHandler"]
+__all__ = ["HELD_POLL_S", "OrphanedRun", "PollReplyHandler"]
 
 MAX_REPORTED_ENDS = 500
 """Maximum number of ends in one reply of a worker; a full list may hide more."""
@@ -31,6 +31,13 @@
 """A run with at least this much progress doesn't count as slow."""
 
 
+HELD_POLL_S = 1.7
+"""Time after a worker's first reply in which it may still answer a predecessor's poll.
+
+A poll is held for 1 s, and its answer counts for 0.7 s more.
+"""
+
+
 class OrphanedRun:
     """A reported run that belongs to no known task and has to be stopped."""
 
@@ -107,6 +114,8 @@
         if not worker.has_reported:
             # A predecessor may have extended the leases just before this reply.
             worker.grant(reply.clock_ms + int(MAX_TASK_LEASE_S * 1000))
+            if self.ledger.may_predecessor_act:
+                worker.fenced_from_s = now_s + HELD_POLL_S
         worker.record_reply(reply.clock_ms, now_s)
         worker.is_reachable = True
         worker.is_restarting = False
@@ -178,7 +187,8 @@
             return None
         run = self.ledger.add_run(task, worker, report.run, now_s)
         run.state = RunState.RUNNING
-        task.is_safe_to_start = self.ledger.is_sole_scheduler
+        is_fenced = now_s >= worker.fenced_from_s
+        task.is_safe_to_start = self.ledger.is_sole_scheduler and is_fenced
         job = task.step.job
         self.ledger.touch(job)
         if (
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/run_ends.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/run_ends.py
@@ -98,7 +98,7 @@
                 self.ledger.task_done(task)
             self.stop_surplus(task, end.run)
             if run is not None:
-                self.mark_dependents(task)
+                self.mark_dependents(task, run, now_s)
             self.finish_if_complete(step.job)
             return
         if checkpoint and not task.is_done and checkpoint != task.checkpoint:
@@ -110,17 +110,19 @@
         elif run is not None and run.stop_reason is StopReason.STALLED:
             task.failed_on[worker] = now_s
 
-    def mark_dependents(self, task: Task) -> None:
+    def mark_dependents(self, task: Task, run: Run, now_s: float) -> None:
         """Mark the steps that depend on a task as safe to start.
 
-        The task's run was known here before it ended, and its worker refuses the polls
-        of any predecessor since, so none can have started the dependent steps. That
+        The task's run was known here before it ended, and its worker has answered no
+        predecessor since, so none can have started the dependent steps. That
         doesn't hold if an unknown run, of another gang member or a copy, may have ended
         for it.
         """
         step = task.step
         if not step.job.may_have_unknown_runs or not self.ledger.is_sole_scheduler:
             return
+        if now_s < run.worker.fenced_from_s:
+            return
         others = [each for each in step.tasks if each is not task]
         is_gang_known = all(other.runs for other in others)
         if step.spec.is_speculative or (step.spec.is_gang and not is_gang_known):
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
@@ -404,6 +404,7 @@
         "clock_ms",
         "clock_read_s",
         "entry",
+        "fenced_from_s",
         "free",
         "has_orphaned_runs",
         "has_reported",
@@ -440,6 +441,8 @@
         self.clock_read_s = 0.0
         self.lease_until_ms = 0
         self.lease_expiry_s = lease_expiry_s
+        # From then on, no predecessor learns of ends on the worker.
+        self.fenced_from_s = 0.0
         self.last_end_number = 0
         # Numbers of ends whose job is not known.
         self.unresolved_ends: set[int] = set()
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/takeover.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/takeover.py
@@ -2,7 +2,7 @@
 
 from gooseberrydeck_coordination.ids import JobId
 from gooseberrydeck_fleet.ledger import Ledger
-from gooseberrydeck_fleet.state import Job
+from gooseberrydeck_fleet.state import Job, Worker
 from gooseberrydeck_fleet.unknown_usage import UnknownUsage
 
 __all__ = ["Takeover"]
@@ -28,6 +28,7 @@
         """Mark a predecessor as possibly commanding workers until ``until_s``."""
         self.ledger.is_sole_scheduler = False
         self.was_predecessor_active = True
+        self.ledger.may_predecessor_act = True
         self.predecessor_acts_until_s = until_s
 
     def predecessor_stopped(self, lease_expiry_s: float) -> None:
@@ -35,15 +36,32 @@
 
         The leases of all runs that it started expire by ``lease_expiry_s``.
         """
-        self.become_sole_scheduler()
+        self.ledger.may_predecessor_act = False
         for worker in self.ledger.workers.values():
+            worker.fenced_from_s = 0.0
             if not worker.has_reported:
                 worker.lease_expiry_s = min(worker.lease_expiry_s, lease_expiry_s)
+        self.become_sole_scheduler()
 
     def expire_predecessor(self, now_s: float) -> None:
         """Become the sole scheduler once the predecessor can't act any more."""
         if not self.ledger.is_sole_scheduler and now_s >= self.predecessor_acts_until_s:
             self.become_sole_scheduler()
+        if self.ledger.is_sole_scheduler:
+            self.mark_fenced_runs(now_s)
+
+    def mark_fenced_runs(self, now_s: float) -> None:
+        """Mark the tasks as safe whose runs have outlasted held polls."""
+        for worker in self.ledger.workers.values():
+            if 0 < worker.fenced_from_s <= now_s:
+                worker.fenced_from_s = 0.0
+                self.mark_safe(worker)
+
+    def mark_safe(self, worker: Worker) -> None:
+        """Mark the tasks of all runs of a worker as safe to start."""
+        for run in worker.runs.values():
+            run.task.is_safe_to_start = True
+            self.ledger.touch(run.task.step.job)
 
     def become_sole_scheduler(self) -> None:
         """Mark this scheduler as the only active one.
@@ -53,8 +71,8 @@
         """
         self.ledger.is_sole_scheduler = True
         for worker in self.ledger.workers.values():
-            for run in worker.runs.values():
-                run.task.is_safe_to_start = True
+            if not worker.fenced_from_s:
+                self.mark_safe(worker)
         for job in self.held.values():
             self.ledger.touch(job)
 
--- a/tests/fleet/test_predecessors.py
+++ b/tests/fleet/test_predecessors.py
@@ -168,6 +168,32 @@
         fleet.run_for(QUARANTINE_S + 4.0)
         assert fleet.violations() == []
 
+    @pytest.mark.parametrize("fails", [True, False])
+    @pytest.mark.parametrize(("seconds", "starts"), [(1.5, 1), (1.9, 2)])
+    def test_ends_count_at_once_after_held_polls(
+        self, seconds: float, starts: int, fails: bool
+    ) -> None:
+        # The second start repeats the failed task or is that of the dependent step.
+        reached_s = NOTICE_S + 0.2
+        plan = RunPlan(0.3 + reached_s + seconds, ONE, fails=fails)
+        fleet = Fleet(workers=3)
+        fleet.submit(
+            "a", StepSpec(1, ONE), StepSpec(1, ONE, after=(0,)), plan=lambda _: plan
+        )
+        fleet.run_for(0.3)
+        (_, _, shared) = fleet.starts[0]
+        dark, _ = (worker for worker in fleet.engines if worker != shared)
+        extend_leases(fleet.engines[shared], Epoch(fleet.token))
+        fleet.unreachable |= {dark, shared}
+        fleet.take_over(QUARANTINE_S)
+        fleet.scheduler.predecessor_may_act(fleet.now_s + NOTICE_S)
+        fleet.run_for(reached_s)
+        fleet.unreachable.remove(shared)
+        while not fleet.engines[shared].ends:
+            fleet.run_for(STEP_S)
+        fleet.run_for(0.5)
+        assert len(fleet.starts) == starts
+
 
 class TestHolderWithoutStore:
     # A holder cut off from the store and from a worker took the worker's leases for
--- a/tests/member/test_scheduler_task.py
+++ b/tests/member/test_scheduler_task.py
@@ -25,6 +25,7 @@
     WatchEvent,
 )
 from gooseberrydeck_fleet.ids import StepRef
+from gooseberrydeck_fleet.poll_replies import HELD_POLL_S
 from gooseberrydeck_fleet.registrations import Registration
 from gooseberrydeck_fleet.work import JobRecord, StepSpec, WorkSpec
 from gooseberrydeck_fleet.worker_calls import WorkerCalls
@@ -35,9 +36,10 @@
 from gooseberrydeck_member.observability import Metrics
 from gooseberrydeck_member.peer_messages import JobAccepted
 from gooseberrydeck_member.peers import PeerClient
-from gooseberrydeck_member.scheduler_task import TICK_S, SchedulerTask
+from gooseberrydeck_member.scheduler_task import POLL_WAIT_S, TICK_S, SchedulerTask
 from gooseberrydeck_member.shard_lock import ShardLock
 from gooseberrydeck_member.store_follower import PrefixChanged, PrefixRead
+from gooseberrydeck_member.worker_dispatcher import POLL_TIMEOUT_S
 from gooseberrydeck_standins.engine_store import EngineStore
 from gooseberrydeck_standins.store_engine import StoreEngine
 
@@ -104,6 +106,11 @@
         assert confirmed_s == pytest.approx(expected_s, abs=0.01)
 
 
+class TestHeldPolls:
+    def test_answers_are_late_by_no_more_than_the_scheduler_allows_for(self) -> None:
+        assert HELD_POLL_S >= POLL_WAIT_S + POLL_TIMEOUT_S
+
+
 class TestNewerHolders:
     """Jobs whose member knows a holder that has superseded this one."""
 
