Count a poll's end even if its worker has been forgotten

Callers would see: a worker that is cut off, is forgotten with its expired registration and comes back gets no work until the holder changes. In a second form its leases lapse and its ends are never seen.

Cause: the result of a poll was dropped without being counted if its worker had left the ledger meanwhile, so that the poll counted as in flight for good, and a worker with a poll in flight isn't polled.

Both tests of TestForgottenWorkers failed before: the worker unreachable, and -1 polls in flight.

Change: each poll is counted as ended; a state is kept until its polls have returned; a worker that registers again meanwhile gets a raised token, as one that registers again later does. poll_lost() is poll_ignored() now, since it serves both.

--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
@@ -561,6 +561,9 @@
             former = self.former_restarts.get(entry.worker)
             restarts = 0 if former is None else former + 1
             self.poll_states[entry.worker] = WorkerPollState(restarts)
+        elif is_new:
+            # It was forgotten while a poll of it was in flight.
+            self.poll_states[entry.worker].restart_seen()
 
     def registration_restarted(self, worker: Worker, entry: Registration) -> None:
         """Raise the token for a worker whose registration is that of a new process."""
@@ -585,8 +588,10 @@
                 continue
             worker = self.scheduler.ledger.workers.get(worker_id)
             if worker is None:
-                self.former_restarts[worker_id] = poll_state.restarts
-                del self.poll_states[worker_id]
+                # Kept until its polls have returned, which belong to it.
+                if not poll_state.calls_in_flight:
+                    self.former_restarts[worker_id] = poll_state.restarts
+                    del self.poll_states[worker_id]
                 continue
             until_ms = self.scheduler.lease_until_ms(worker, now_s)
             is_acknowledged = poll_state.acknowledged >= worker.last_end_number
@@ -603,7 +608,10 @@
         """Apply the runs and run ends that a worker reports."""
         poll_state = self.poll_states.get(message.worker)
         worker = self.scheduler.ledger.workers.get(message.worker)
-        if poll_state is None or worker is None:
+        if poll_state is None:
+            return
+        if worker is None:
+            poll_state.poll_ignored()
             return
         reply = message.reply
         failed_polls = poll_state.failures
@@ -719,9 +727,13 @@
                 log.warning("fenced", worker=message.worker, token=message.token)
                 self.mark_shard_lost()
             elif message.is_poll and poll_state is not None:
-                poll_state.poll_lost()
+                poll_state.poll_ignored()
+            return
+        if poll_state is None:
             return
-        if worker is None or poll_state is None:
+        if worker is None:
+            if message.is_poll:
+                poll_state.poll_ignored()
             return
         if (
             message.is_poll
@@ -729,7 +741,7 @@
             and not failure.is_replaced
             and worker.last_reply_s > message.sent_s
         ):
-            poll_state.poll_lost()
+            poll_state.poll_ignored()
             self.response_lost(now_s)
             return
         if worker.is_reachable:
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/worker_polling.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/worker_polling.py
@@ -185,8 +185,8 @@
         is_first = self.failures == 1 and not is_refused
         self.due_s = now_s if is_first else now_s + POLL_RETRY_DELAY_S
 
-    def poll_lost(self) -> None:
-        """Record a failed poll that overlapped with a successful one."""
+    def poll_ignored(self) -> None:
+        """Record the end of a poll whose result shows nothing about the worker."""
         self.calls_in_flight -= 1
 
 
--- a/tests/member/test_worker_lives.py
+++ b/tests/member/test_worker_lives.py
@@ -553,3 +553,72 @@
             polled.run_for(STEP_S)
         polled.calls.engine.advance()
         assert polled.calls.engine.runs == {}
+
+
+class HeldExecutor(Executor):
+    """Keep calls until they are executed one by one."""
+
+    def __init__(self) -> None:
+        self.calls: list[Callable[[], object]] = []
+
+    def submit(
+        self, fn: Callable[..., object], /, *args: object, **kwargs: object
+    ) -> Future[object]:
+        """Keep a call."""
+        self.calls.append(lambda: fn(*args, **kwargs))
+        return Future()
+
+
+class TestForgottenWorkers:
+    # A worker that was forgotten while a poll of it was in flight, and registered
+    # again, was never polled until the holder changed.
+    def test_worker_forgotten_during_a_poll_is_polled_once_it_registers_again(
+        self, polled: PolledWorker
+    ) -> None:
+        task, polls = polled.task, HeldExecutor()
+        task.dispatcher.poll_executor = polls
+        polled.poll()
+        polled.calls.failure = WorkerSilentError("timed out")
+        polls.calls.pop()()
+        polled.deliver()
+        polled.poll()
+        assert len(polls.calls) == 1
+        task.registration_removed(f"servers/{WORKER}", polled.now_s)
+        polled.clock.advance(0.2)
+        polled.execute_commands()
+        assert WORKER not in task.scheduler.ledger.workers
+        polls.calls.pop()()
+        polled.deliver()
+        polled.calls.failure = None
+        task.dispatcher.poll_executor = InlineExecutor()
+        polled.register()
+        polled.run_for(1.0)
+        assert task.scheduler.ledger.workers[WORKER].is_reachable
+
+    # The same if it registered again before that poll returned: the answers to both
+    # registrations were counted on the new one.
+    def test_late_answer_to_a_former_registration_does_not_stop_polls(
+        self, polled: PolledWorker
+    ) -> None:
+        task, polls = polled.task, HeldExecutor()
+        polled.register(born_ms=9_000)
+        assert task.poll_states[WORKER].is_restart_unconfirmed
+        task.dispatcher.poll_executor = polls
+        polled.poll()
+        task.scheduler.worker_unregistered(WORKER)
+        task.worker_gone(WORKER, True, polled.now_s)
+        assert WORKER not in task.scheduler.ledger.workers
+        polled.clock.advance(HEDGE_DELAY_S + STEP_S)
+        polled.poll()
+        polled.register(born_ms=12_000)
+        polled.poll()
+        polled.calls.failure = WorkerSilentError("timed out")
+        polls.calls[0]()
+        polled.calls.failure = None
+        for call in polls.calls[1:]:
+            call()
+        polled.deliver()
+        task.dispatcher.poll_executor = InlineExecutor()
+        polled.run_for(1.0)
+        assert task.scheduler.ledger.workers[WORKER].is_reachable
+        assert task.poll_states[WORKER].calls_in_flight == 0
--- a/tests/member/test_worker_polling.py
+++ b/tests/member/test_worker_polling.py
@@ -86,7 +86,7 @@
 
     def test_lost_poll_leaves_the_hedged_poll_in_flight(self) -> None:
         self.poll_state.poll_sent(100.5)
-        self.poll_state.poll_lost()
+        self.poll_state.poll_ignored()
         assert self.poll_state.calls_in_flight == 1
         assert not self.poll_state.poll_succeeded()
 
