--- /dev/null
+++ b/tests/fleet/test_departures.py
@@ -0,0 +1,41 @@
+"""Tests of draining workers whose registration is removed behind a cut."""
+
+import pytest
+
+from fleet_support import STEP_S, Fleet, registration, task_resources
+from gooseberrydeck_fleet.work import StepSpec
+
+ONE = StepSpec(1, task_resources())
+WATCHED_S = 6.0
+
+
+def check_departures(fleet: Fleet) -> None:
+    """Check departures, as the scheduler's task does after a failed poll."""
+    for worker in list(fleet.scheduler.ledger.workers):
+        if fleet.scheduler.has_left(worker, fleet.now_s):
+            fleet.scheduler.worker_gone(worker, fleet.now_s)
+
+
+class TestDepartures:
+    # The registration of a draining worker is also removed while it is cut off. Its
+    # runs counted as ended then, and started elsewhere before their lease had lapsed.
+    @pytest.mark.parametrize("is_taken_over", [False, True])
+    def test_cut_off_worker_runs_on_until_its_lease_lapses(
+        self, is_taken_over: bool
+    ) -> None:
+        fleet = Fleet(workers=2)
+        fleet.submit("a", ONE, seconds=30.0)
+        fleet.run_for(0.3)
+        (_, _, cut) = fleet.starts[0]
+        entry = registration(str(cut), is_draining=True, remaining_s=0.5)
+        fleet.scheduler.worker_registered(entry, fleet.now_s)
+        fleet.unreachable.add(cut)
+        fleet.run_for(0.6)
+        if is_taken_over:
+            fleet.take_over()
+        fleet.scheduler.worker_unregistered(cut)
+        fleet.clock.advance(0.6)
+        for _ in range(round(WATCHED_S / STEP_S)):
+            check_departures(fleet)
+            fleet.run_for(STEP_S)
+        assert fleet.violations() == []
--- a/tests/fleet/test_worker_restarts.py
+++ b/tests/fleet/test_worker_restarts.py
@@ -58,6 +58,25 @@
         assert len(fleet.starts) == 2
         assert fleet.violations() == []
 
+    # Guards against two runs at once when the holder changes: the successor knows
+    # neither of the restart nor of that lease.
+    def test_successor_waits_out_the_lease_of_a_late_poll(self) -> None:
+        fleet = Fleet(workers=1)
+        fleet.run_for(LONG_UP_S)
+        deliver_late = fleet.delay_poll(WORKER)
+        fleet.restart_worker(WORKER)
+        deliver_late()
+        fleet.run_for(0.2)
+        fleet.submit("a", ONE, seconds=60.0)
+        fleet.run_for(0.1)
+        assert len(fleet.starts) == 1
+        fleet.add_worker("w1")
+        fleet.unreachable.add(WORKER)
+        fleet.take_over()
+        fleet.run_for(8.0)
+        assert len(fleet.starts) == 2
+        assert fleet.violations() == []
+
 
 class TestLateStarts:
     def start_on_former_process(self, fleet: Fleet) -> None:
