--- a/tests/fleet/test_worker_restarts.py
+++ b/tests/fleet/test_worker_restarts.py
@@ -40,10 +40,9 @@
 
 
 class TestLateLeases:
-    # Guards against two runs at once: a deadline on the former process' clock gives the
-    # runs of the present one the longest lease that the platform grants.
-    def test_lease_of_a_late_poll_is_waited_out(self) -> None:
-        fleet = Fleet(workers=1)
+    def setup_method(self) -> None:
+        """Start a task on a worker to which a late poll gave the longest lease."""
+        fleet = self.fleet = Fleet(workers=1)
         fleet.run_for(LONG_UP_S)
         deliver_late = fleet.delay_poll(WORKER)
         fleet.restart_worker(WORKER)
@@ -54,28 +53,23 @@
         assert len(fleet.starts) == 1
         fleet.add_worker("w1")
         fleet.unreachable.add(WORKER)
-        fleet.run_for(8.0)
-        assert len(fleet.starts) == 2
-        assert fleet.violations() == []
+
+    def check_next_start(self) -> None:
+        """Check that the task starts elsewhere only after the first run has ended."""
+        self.fleet.run_for(8.0)
+        assert len(self.fleet.starts) == 2
+        assert self.fleet.violations() == []
+
+    # Guards against two runs at once: a deadline on the former process' clock gives the
+    # runs of the present one the longest lease that the platform grants.
+    def test_lease_of_a_late_poll_is_waited_out(self) -> None:
+        self.check_next_start()
 
     # Guards against two runs at once when the holder changes: the successor knows
     # neither of the restart nor of that lease.
     def test_successor_waits_out_the_lease_of_a_late_poll(self) -> None:
-        fleet = Fleet(workers=1)
-        fleet.run_for(LONG_UP_S)
-        deliver_late = fleet.delay_poll(WORKER)
-        fleet.restart_worker(WORKER)
-        deliver_late()
-        fleet.run_for(0.2)
-        fleet.submit("a", ONE, seconds=60.0)
-        fleet.run_for(0.1)
-        assert len(fleet.starts) == 1
-        fleet.add_worker("w1")
-        fleet.unreachable.add(WORKER)
-        fleet.take_over()
-        fleet.run_for(8.0)
-        assert len(fleet.starts) == 2
-        assert fleet.violations() == []
+        self.fleet.take_over()
+        self.check_next_start()
 
 
 class TestLateStarts:
