--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/candidates.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/candidates.py
@@ -5,6 +5,7 @@
 
 from gooseberrydeck_fleet.placement import Placer
 from gooseberrydeck_fleet.state import Step, Task, Worker
+from gooseberrydeck_fleet.suspects import RUN_BESIDE_PENALTY, max_occupied_workers
 
 __all__ = ["AVOID_FAILED_S", "Candidates"]
 
@@ -48,11 +49,20 @@
         """
         if not self.heap:
             return None
-        if not task.failed_on:
+        suspects = self.placer.ledger.suspects
+        is_suspect = suspects.is_suspect(task)
+        if not task.failed_on and not is_suspect:
             return heapq.heappop(self.heap)[2]
+        occupied = suspects.occupied_workers() if is_suspect else ()
+        ready = self.placer.ready_workers(self.step.job.queue.service)
+        max_occupied = max_occupied_workers(len(ready))
         best: tuple[float, int, Worker] | None = None
         for entry in self.heap:
             rank, place, worker = entry
+            if is_suspect:
+                if not suspects.allows(task, worker, occupied, max_occupied, now_s):
+                    continue
+                rank += RUN_BESIDE_PENALTY * len(worker.runs)
             failed_s = task.failed_on.get(worker.id)
             if failed_s is not None:
                 if now_s - failed_s < AVOID_FAILED_S:
@@ -66,6 +76,10 @@
         heapq.heapify(self.heap)
         return best[2]
 
+    def take_any(self) -> Worker:
+        """Remove and return the best worker; there has to be one."""
+        return heapq.heappop(self.heap)[2]
+
     def started(self, worker: Worker) -> None:
         """Rank a worker again after a task has started on it."""
         step = self.step
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/changes.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/changes.py
@@ -46,6 +46,8 @@
         self.ledger = ledger
         self.ended = ledger.ended
         self.in_flight: dict[int, frozenset[JobId]] = {}
+        # By commit in flight, how many crashes of each job it stores.
+        self.crashes_in_flight: dict[int, dict[JobId, int]] = {}
         self.pending: list[PendingAcknowledgement] = []
         self.last_sequence = 0
         self.recorded: set[WorkerId] = set()
@@ -59,6 +61,7 @@
         ledger = self.ledger
         progress: list[ProgressWrite] = []
         endings: list[JobEnding] = []
+        crashes: dict[JobId, int] = {}
         final = [each for each in ledger.changed if self.is_final(each)]
         left = max_entries
         for job_id in dict.fromkeys([*ledger.finished, *final, *ledger.changed]):
@@ -69,13 +72,15 @@
             if needed > left:
                 break
             if job is not None and job_id in ledger.finished:
-                ended = EndedJob(job.state, wall_s, job.record.team)
+                ended = EndedJob(job.state, wall_s, job.record.team, job.failure)
                 endings.append(JobEnding(job_id, ended, job.progress_revision))
                 left -= needed
             elif job is not None:
                 value = encode_progress(job.to_progress())
                 progress.append(ProgressWrite(job_id, value, job.progress_revision))
                 left -= needed
+                if job.crashes_stored < job.crashes_counted:
+                    crashes[job_id] = job.crashes_counted
             ledger.finished.pop(job_id, None)
             ledger.changed.pop(job_id, None)
         self.last_sequence += 1
@@ -83,6 +88,8 @@
         jobs.update(ending.job for ending in endings)
         if jobs:
             self.in_flight[self.last_sequence] = frozenset(jobs)
+        if crashes:
+            self.crashes_in_flight[self.last_sequence] = crashes
         acknowledged_ends: AcknowledgedEnds = {}
         if not ledger.finished and not ledger.changed:
             # Otherwise workers must keep reporting the ends behind unstored changes.
@@ -110,6 +117,7 @@
         """Queue changes again whose commit failed or has an unknown outcome."""
         sequence = changes.sequence
         self.in_flight.pop(sequence, None)
+        self.crashes_in_flight.pop(sequence, None)
         self.pending = [each for each in self.pending if sequence not in each.awaited]
         for write in changes.progress:
             self.ledger.changed[write.job] = None
@@ -122,6 +130,12 @@
     ) -> AcknowledgedEnds:
         """Mark changes as stored and return the ends that workers may forget now."""
         self.in_flight.pop(changes.sequence, None)
+        stored_crashes = self.crashes_in_flight.pop(changes.sequence, {})
+        for job_id, count in stored_crashes.items():
+            job = self.ledger.jobs.get(job_id)
+            if job is not None:
+                job.crashes_stored = max(job.crashes_stored, count)
+                self.ledger.touch(job)
         for job_id, revision in revisions.items():
             job = self.ledger.jobs.get(job_id)
             if job is not None:
--- /dev/null
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/crashes.py
@@ -0,0 +1,389 @@
+"""Workers that stop answering, and who is to blame if they have crashed.
+
+Silence, refused connections and expired leases don't show a crash, since a worker that
+is cut off may run on. Another process in the worker's place does. The runs that were
+there when the worker fell silent are stored meanwhile, so that a successor can
+tell what the crash has taken.
+"""
+
+from collections import deque
+from enum import Enum
+from typing import NamedTuple
+
+from gooseberrydeck_fleet.crash_records import (
+    MIN_CRASHES,
+    CrashRecord,
+    suspicion,
+    total_blame,
+)
+from gooseberrydeck_fleet.ids import TaskRef, WorkerId
+from gooseberrydeck_fleet.ledger import Ledger
+from gooseberrydeck_fleet.registrations import Registration
+from gooseberrydeck_fleet.run_ends import RunEndHandler
+from gooseberrydeck_fleet.state import Run, Task, Worker
+from gooseberrydeck_fleet.work import JobState
+from gooseberrydeck_platform.http import HttpAddress
+
+__all__ = ["BlamedRun", "CrashEvidence", "CrashReport", "CrashTracker"]
+
+GIVE_UP_BLAME = 1.4
+"""Blame from which a task is given up.
+
+That takes a crash of a worker that it had to itself, and at least one more of which it
+has much of the blame.
+"""
+
+MIN_RELATIVE_SHARE = 0.2
+"""A task is suspected if its share of the blame is at least this part of the largest
+share, or if it was there at several crashes."""
+
+AGE_FLOOR_S = 0.1
+"""Added to the age of runs when they are compared, as it is known to some tens of
+milliseconds only. A task may crash its worker at once or late, and any order of
+magnitude is as likely, so its weight is inverse to its age."""
+
+SIMULTANEOUS_S = 0.25
+"""Workers that fall silent within this time may have done so for the same reason."""
+
+COMMON_CAUSE_WORKERS = 2
+"""Number of other workers that fall silent at the same time from which runs with
+expired leases are not suspected."""
+
+RECORD_DELAY_S = 0.1
+"""Silence after which a worker's runs are stored; a lost poll is repeated sooner."""
+
+MAX_SILENCE_S = 60.0
+"""Time after which a worker that has vanished counts as cut off rather than crashed."""
+
+
+class CrashEvidence(Enum):
+    """What showed that a silent worker had crashed."""
+
+    NEW_PROCESS = "new_process"
+    REPLACED = "replaced"
+    ADDRESS_TAKEN = "address_taken"
+
+
+class PresentRun(NamedTuple):
+    """A run on a worker that has stopped answering, after ``age_s`` seconds."""
+
+    task: Task
+    number: int
+    age_s: float
+
+
+class BlamedRun(NamedTuple):
+    """A run's share of the blame for a crash, and all the blame of its task."""
+
+    task: TaskRef
+    run: int
+    age_s: float
+    share: float
+    total_blame: float
+    crashes: int
+    is_given_up: bool
+
+
+class CrashReport(NamedTuple):
+    """A crash of a worker, for the log.
+
+    ``silent_s`` is how long it had been silent. ``others_silent`` is the number of
+    other workers that fell silent at the same time without a suspect to explain it.
+    """
+
+    worker: WorkerId
+    evidence: CrashEvidence
+    silent_s: float
+    others_silent: int
+    runs: int
+    blamed: tuple[BlamedRun, ...]
+
+
+class Silence:
+    """A worker that has stopped answering, at a Unix time, and its runs then."""
+
+    __slots__ = (
+        "address",
+        "born_ms",
+        "had_suspect",
+        "is_recorded",
+        "runs",
+        "since_s",
+        "worker",
+    )
+
+    def __init__(
+        self,
+        worker: WorkerId,
+        address: HttpAddress | None,
+        born_ms: int,
+        since_s: float,
+    ) -> None:
+        """Record that the worker's process answers no more."""
+        self.worker = worker
+        self.address = address
+        self.born_ms = born_ms
+        self.since_s = since_s
+        self.runs: dict[tuple[TaskRef, int], PresentRun] = {}
+        self.had_suspect = False
+        self.is_recorded = False
+
+
+class CrashTracker:
+    """Attribute crashes of workers to tasks, and give up those that are to blame."""
+
+    def __init__(self, ledger: Ledger, ends: RunEndHandler) -> None:
+        """Create a tracker for the workers of a ledger."""
+        self.ledger = ledger
+        self.suspects = ledger.suspects
+        self.ends = ends
+        self.silences: dict[WorkerId, Silence] = {}
+        # Silences of the last minute, ended or not.
+        self.recent: deque[Silence] = deque()
+        # Processes that have crashed, by worker, whose runs may not count as lost yet.
+        self.crashed_processes: dict[WorkerId, int] = {}
+        self.reports: list[CrashReport] = []
+        # Difference between Unix time and the monotonic clock.
+        self.wall_offset_s = 0.0
+
+    def set_time(self, now_s: float, wall_s: float) -> None:
+        """Set the relation between the clocks."""
+        self.wall_offset_s = wall_s - now_s
+
+    # Silence.
+
+    def worker_silent(self, worker: Worker, now_s: float) -> None:
+        """Note the runs of a worker that has stopped answering.
+
+        A worker that drains may leave, which is no crash.
+        """
+        if worker.id in self.silences or worker.entry.is_draining or not worker.runs:
+            return
+        if self.crashed_processes.get(worker.id) == worker.born_ms:
+            return
+        since_s = now_s + self.wall_offset_s
+        silence = Silence(worker.id, worker.entry.address, worker.born_ms, since_s)
+        for key, run in worker.runs.items():
+            age_s = max(0.0, now_s - run.started_s)
+            silence.runs[key] = PresentRun(run.task, run.number, age_s)
+            silence.had_suspect |= self.suspects.is_suspect(run.task)
+        self.add_silence(silence)
+
+    def add_silence(self, silence: Silence) -> None:
+        """Add a silence that has begun."""
+        self.silences[silence.worker] = silence
+        self.recent.append(silence)
+
+    def restore(self, task: Task, record: CrashRecord) -> None:
+        """Apply a stored record of a task."""
+        task.crashes[record.run] = record
+        if record.is_certain:
+            self.suspects.add(task, record.age_s, 0.0)
+            return
+        silence = self.silences.get(record.worker)
+        if silence is None:
+            worker = self.ledger.workers.get(record.worker)
+            address = None if worker is None else worker.entry.address
+            silence = Silence(record.worker, address, record.born_ms, record.silent_s)
+            silence.is_recorded = True
+            self.add_silence(silence)
+        silence.runs[task.ref, record.run] = PresentRun(task, record.run, record.age_s)
+        silence.had_suspect |= self.suspects.is_suspect(task)
+
+    def never_started(self, run: Run) -> None:
+        """Forget a run of a silent worker whose start request was not executed."""
+        silence = self.silences.get(run.worker.id)
+        if silence is None:
+            return
+        if silence.runs.pop((run.task.ref, run.number), None) is not None:
+            self.remove_record(run.task, run.number)
+
+    def remove_record(self, task: Task, number: int) -> None:
+        """Remove the record of a run that was not lost in a crash."""
+        if task.crashes.pop(number, None) is not None:
+            self.ledger.changed[task.ref.job] = None
+
+    def end_silence(self, silence: Silence) -> None:
+        """End a silence that was no crash."""
+        del self.silences[silence.worker]
+        for present in silence.runs.values():
+            self.remove_record(present.task, present.number)
+
+    # Evidence.
+
+    def worker_answered(self, worker: Worker, born_ms: int, now_s: float) -> None:
+        """Apply a conclusive reply of a worker's present process."""
+        if worker.born_ms not in (0, born_ms):
+            # Its former process may have ended between two replies.
+            self.worker_silent(worker, now_s)
+        silence = self.silences.get(worker.id)
+        if silence is None:
+            return
+        if silence.born_ms in (0, born_ms):
+            self.end_silence(silence)
+        else:
+            self.crashed(silence, CrashEvidence.NEW_PROCESS, now_s)
+
+    def worker_replaced(self, worker: Worker, now_s: float) -> None:
+        """Apply that another process answers in a worker's place."""
+        self.worker_silent(worker, now_s)
+        silence = self.silences.get(worker.id)
+        if silence is not None:
+            self.crashed(silence, CrashEvidence.REPLACED, now_s)
+
+    def worker_registered(self, entry: Registration, now_s: float) -> None:
+        """Apply that a new worker has registered, perhaps at a silent one's address."""
+        for silence in list(self.silences.values()):
+            is_elsewhere = silence.address != entry.address
+            is_older = 0 < entry.born_ms <= silence.born_ms
+            if silence.worker != entry.worker and not is_elsewhere and not is_older:
+                self.crashed(silence, CrashEvidence.ADDRESS_TAKEN, now_s)
+
+    # Blame.
+
+    def crashed(self, silence: Silence, evidence: CrashEvidence, now_s: float) -> None:
+        """Share the blame for a crash among the runs that the worker had."""
+        del self.silences[silence.worker]
+        self.crashed_processes[silence.worker] = silence.born_ms
+        others = self.count_others(silence)
+        relevance = 1 / (1 + others)
+        blamed = []
+        for present, share, is_suspect in self.share_blame(silence):
+            task = present.task
+            if task.is_done or task.step.job.state.is_final:
+                continue
+            self.record(silence, present, share * relevance, relevance)
+            if is_suspect:
+                self.suspects.add(task, present.age_s, now_s)
+            blamed.append(self.judge(present, share))
+        self.reports.append(
+            CrashReport(
+                silence.worker,
+                evidence,
+                now_s + self.wall_offset_s - silence.since_s,
+                others,
+                len(silence.runs),
+                tuple(blamed),
+            )
+        )
+
+    def count_others(self, silence: Silence) -> int:
+        """Return how many other workers fell silent with one, and without suspects."""
+        return sum(
+            other is not silence
+            and not other.had_suspect
+            and abs(other.since_s - silence.since_s) <= SIMULTANEOUS_S
+            for other in self.recent
+        )
+
+    def share_blame(self, silence: Silence) -> list[tuple[PresentRun, float, bool]]:
+        """Return each run's share of the blame, and whether to suspect its task."""
+        runs = list(silence.runs.values())
+        weights = [
+            suspicion(present.task.crashes.values()) / (present.age_s + AGE_FLOOR_S)
+            for present in runs
+        ]
+        total = sum(weights)
+        least = MIN_RELATIVE_SHARE * max(weights, default=0.0)
+        return [
+            (present, weight / total, weight >= least or has_crashed(present))
+            for present, weight in zip(runs, weights, strict=True)
+        ]
+
+    def record(
+        self,
+        silence: Silence,
+        present: PresentRun,
+        blame: float = 0.0,
+        relevance: float = 0.0,
+    ) -> None:
+        """Record a run of a silent worker, to be stored with its job's progress."""
+        task = present.task
+        task.crashes[present.number] = CrashRecord(
+            present.number,
+            silence.worker,
+            silence.born_ms,
+            round(silence.since_s, 3),
+            round(present.age_s, 3),
+            round(blame, 4),
+            relevance,
+        )
+        job = task.step.job
+        self.ledger.changed[job.id] = None
+        if relevance:
+            job.crashes_counted += 1
+
+    def judge(self, present: PresentRun, share: float) -> BlamedRun:
+        """Give up a task if it is to blame for crashes beyond doubt."""
+        task = present.task
+        records = [each for each in task.crashes.values() if each.is_certain]
+        total = total_blame(records)
+        is_guilty = len(records) >= MIN_CRASHES and total >= GIVE_UP_BLAME
+        if is_guilty:
+            job = task.step.job
+            first = min(records, key=lambda record: record.silent_s)
+            job.failure = (
+                f"task {'.'.join(str(part) for part in task.ref)} crashed "
+                f"{len(records)} workers, the first at {first.silent_s:.3f}"
+            )
+            self.ends.finish(job, JobState.FAILED)
+        return BlamedRun(
+            task.ref,
+            present.number,
+            round(present.age_s, 3),
+            round(share, 3),
+            round(total, 3),
+            len(records),
+            is_guilty,
+        )
+
+    # At intervals.
+
+    def review(self, now_s: float) -> None:
+        """Record the runs of silent workers, and clear the suspects that work."""
+        wall_s = now_s + self.wall_offset_s
+        while self.recent and wall_s - self.recent[0].since_s > MAX_SILENCE_S:
+            self.crashed_processes.pop(self.recent.popleft().worker, None)
+        for silence in list(self.silences.values()):
+            silent_s = wall_s - silence.since_s
+            if silent_s > MAX_SILENCE_S:
+                self.end_silence(silence)
+            elif silent_s >= RECORD_DELAY_S:
+                self.record_doubts(silence)
+                self.suspect_lapsed(silence, now_s)
+        for task in self.suspects.review(now_s):
+            for number, record in task.crashes.items():
+                task.crashes[number] = record.cleared()
+
+    def record_doubts(self, silence: Silence) -> None:
+        """Record the runs of a worker that may have crashed, once."""
+        if silence.is_recorded:
+            return
+        silence.is_recorded = True
+        for present in silence.runs.values():
+            if not present.task.is_done:
+                self.record(silence, present)
+
+    def suspect_lapsed(self, silence: Silence, now_s: float) -> None:
+        """Suspect the tasks that wait again while their worker may have crashed.
+
+        Where several workers are silent at once, they are rather cut off.
+        """
+        if self.count_others(silence) >= COMMON_CAUSE_WORKERS:
+            return
+        for present, _, is_suspect in self.share_blame(silence):
+            task = present.task
+            is_waiting = task.is_waiting and not task.step.job.state.is_final
+            if is_waiting and is_suspect and not self.suspects.is_suspect(task):
+                self.suspects.add(task, present.age_s, now_s)
+
+    def take_reports(self) -> list[CrashReport]:
+        """Return the crashes since the last call, each once."""
+        reports, self.reports = self.reports, []
+        return reports
+
+
+def has_crashed(present: PresentRun) -> bool:
+    """Return True if an earlier run of a task was lost in a crash."""
+    records = present.task.crashes.values()
+    return any(each.is_certain and each.run != present.number for each in records)
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/job_intake.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/job_intake.py
@@ -7,6 +7,7 @@
     Queue,
     unconfigured_queue,
 )
+from gooseberrydeck_fleet.crashes import CrashTracker
 from gooseberrydeck_fleet.ids import StepRef
 from gooseberrydeck_fleet.ledger import Ledger
 from gooseberrydeck_fleet.poll_replies import PollReplyHandler
@@ -31,6 +32,7 @@
         takeover: Takeover,
         shares: ShareTracker,
         poll_replies: PollReplyHandler,
+        crashes: CrashTracker,
     ) -> None:
         """Create an intake without queues for one ledger."""
         self.ledger = ledger
@@ -39,6 +41,7 @@
         self.takeover = takeover
         self.shares = shares
         self.poll_replies = poll_replies
+        self.crashes = crashes
         # All jobs stored up to this revision have been read or watched.
         self.jobs_revision = 0
         self.queues: dict[QueueName, Queue] = {}
@@ -141,6 +144,9 @@
                 if stored.done >> index & 1 and not task.is_done:
                     task.is_done = True
                     step.remaining_tasks -= 1
+                if not task.is_done:
+                    for record in stored.crashes.get(index, ()):
+                        self.crashes.restore(task, record)
             self.ledger.mark_running(job)
         self.ends.fail_if_exhausted(job)
         self.ends.finish_if_complete(job)
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/ledger.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/ledger.py
@@ -12,6 +12,7 @@
 from gooseberrydeck_fleet.quotas import Quotas
 from gooseberrydeck_fleet.speeds import SpeedEstimator
 from gooseberrydeck_fleet.state import Job, Run, Step, Task, Worker
+from gooseberrydeck_fleet.suspects import SuspectTracker
 from gooseberrydeck_fleet.work import JobState
 
 __all__ = ["RUNS_PER_TOKEN", "Ledger", "RunNumbers"]
@@ -61,6 +62,7 @@
         self.authority_confirmed_s = 0.0
         self.quotas = Quotas()
         self.health = HealthTracker()
+        self.suspects = SuspectTracker()
         self.speeds = SpeedEstimator()
         self.stopping: set[Run] = set()
         self.team_runs: dict[TeamName, dict[Run, None]] = {}
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/placement.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/placement.py
@@ -7,7 +7,7 @@
 from gooseberrydeck_coordination.resources import Resources
 from gooseberrydeck_fleet.ids import StepRef, WorkerId
 from gooseberrydeck_fleet.ledger import Ledger
-from gooseberrydeck_fleet.state import Step, Worker
+from gooseberrydeck_fleet.state import Step, Task, Worker
 
 __all__ = ["Placer", "Reservation"]
 
@@ -24,6 +24,10 @@
 """Ranks workers last on which best-effort and latency-target tasks would meet."""
 
 
+ENDANGERED_PENALTY = 8.0
+"""Ranks workers last on which a task may be about to cause a crash."""
+
+
 class Reservation:
     """Capacity that is being freed for one step, held until a deadline."""
 
@@ -105,6 +109,8 @@
 
     def slots(self, worker: Worker, step: Step) -> int:
         """Return how many tasks of a step fit on a worker now."""
+        if self.ledger.suspects.is_reserved(worker, step):
+            return 0
         free = self.free_for(worker, step)
         need = step.allocation
         cpu, memory, accelerators = free.cpu_millis, free.memory_mib, free.accelerators
@@ -172,6 +178,8 @@
             rank += OTHER_RACK_PENALTY
         if self.would_interfere(worker, step):
             rank += INTERFERENCE_PENALTY
+        if self.ledger.suspects.is_endangered(worker):
+            rank += ENDANGERED_PENALTY
         return rank
 
     def is_in_other_rack(self, worker: Worker, step: Step) -> bool:
@@ -193,6 +201,28 @@
             return any(run.task.step.spec.uses_leftover for run in worker.runs.values())
         return False
 
+    def separate_workers(
+        self, step: Step, suspects: Iterable[Task], workers: list[Worker], now_s: float
+    ) -> dict[Task, Worker]:
+        """Return a separate worker for each of the suspects that can have one.
+
+        They may be on all workers at once, since a gang starts as a whole.
+        """
+        tracker = self.ledger.suspects
+        occupied = set(tracker.occupied_workers())
+        max_occupied = len(occupied) + step.spec.count
+        free = [worker for worker in workers if self.slots(worker, step) >= 1]
+        free.sort(key=lambda worker: len(worker.runs))
+        found: dict[Task, Worker] = {}
+        for task in suspects:
+            for worker in free:
+                if tracker.allows(task, worker, occupied, max_occupied, now_s):
+                    found[task] = worker
+                    occupied.add(worker.id)
+                    free.remove(worker)
+                    break
+        return found
+
     def choose_rack(
         self, workers: Iterable[Worker], step: Step, wanted: int
     ) -> list[Worker]:
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/poll_replies.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/poll_replies.py
@@ -15,7 +15,7 @@
 from gooseberrydeck_fleet.unknown_jobs import UnknownJobs
 from gooseberrydeck_fleet.worker_calls import PollReply, RunReport
 
-__all__ = ["HELD_POLL_S", "OrphanedRun", "PollReplyHandler"]
+__all__ = ["HELD_POLL_S", "OrphanedRun", "PollReplyHandler", "is_outdated"]
 
 MAX_REPORTED_ENDS = 500
 """Maximum number of ends in one reply of a worker; a full list may hide more."""
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/progress.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/progress.py
@@ -2,14 +2,17 @@
 
 import msgspec
 
+from gooseberrydeck_fleet.crash_records import CrashRecord
+
 __all__ = ["Progress", "decode_progress", "encode_progress"]
 
 
 class StepProgress(msgspec.Struct, omit_defaults=True):
     """The progress of one occurrence of a step.
 
-    ``done`` is a bit set of task indexes. ``failures`` has the numbers of the failed
-    runs, and ``checkpoints`` the newest checkpoint, by task index.
+    ``done`` is a bit set of task indexes. By task index, ``failures`` has the numbers
+    of the failed runs, ``checkpoints`` the newest checkpoint, and ``crashes`` the runs
+    that were or may have been lost with a crashed worker.
     """
 
     occurrence: int
@@ -17,6 +20,7 @@
     done: int = 0
     failures: dict[int, list[int]] = {}
     checkpoints: dict[int, str] = {}
+    crashes: dict[int, list[CrashRecord]] = {}
 
 
 class Progress(msgspec.Struct, omit_defaults=True):
@@ -33,6 +37,7 @@
     done: str = "0"
     failures: dict[str, list[int]] = {}
     checkpoints: dict[str, str] = {}
+    crashes: dict[str, list[CrashRecord]] = {}
 
 
 def encode_progress(progress: Progress) -> bytes:
@@ -45,6 +50,7 @@
                 f"{step.done:x}",
                 {str(index): runs for index, runs in step.failures.items()},
                 {str(index): value for index, value in step.checkpoints.items()},
+                {str(index): records for index, records in step.crashes.items()},
             )
             for step in progress.steps
         ]
@@ -62,6 +68,7 @@
                 int(step.done, 16),
                 {int(index): runs for index, runs in step.failures.items()},
                 {int(index): text for index, text in step.checkpoints.items()},
+                {int(index): records for index, records in step.crashes.items()},
             )
             for step in stored
         ]
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
@@ -6,13 +6,18 @@
 from gooseberrydeck_fleet.changes import ChangeLog
 from gooseberrydeck_fleet.commands import Command, CommandQueue, StopRun
 from gooseberrydeck_fleet.configuration import FleetConfiguration
+from gooseberrydeck_fleet.crashes import CrashReport, CrashTracker
 from gooseberrydeck_fleet.evacuation import Evacuator
 from gooseberrydeck_fleet.housekeeping import Housekeeper
 from gooseberrydeck_fleet.ids import StepRef, TaskRef, WorkerId
 from gooseberrydeck_fleet.job_intake import JobIntake
 from gooseberrydeck_fleet.ledger import Ledger
 from gooseberrydeck_fleet.placement import Placer
-from gooseberrydeck_fleet.poll_replies import OrphanedRun, PollReplyHandler
+from gooseberrydeck_fleet.poll_replies import (
+    OrphanedRun,
+    PollReplyHandler,
+    is_outdated,
+)
 from gooseberrydeck_fleet.preemption import Preemptor
 from gooseberrydeck_fleet.progress import Progress
 from gooseberrydeck_fleet.registrations import Registration
@@ -63,6 +68,7 @@
         self.timing = timing
         self.ledger = Ledger(token)
         self.ends = RunEndHandler(self.ledger)
+        self.crashes = CrashTracker(self.ledger, self.ends)
         self.unknown_jobs = UnknownJobs()
         self.poll_replies = PollReplyHandler(
             self.ledger, self.ends, self.unknown_jobs, timing.task_lease_s
@@ -80,6 +86,7 @@
             self.takeover,
             self.shares,
             self.poll_replies,
+            self.crashes,
         )
         self.commands = CommandQueue()
         self.server = StepServer(
@@ -132,6 +139,7 @@
             worker = Worker(entry, max(now_s, unknown_until_s))
             worker.available_until_s = now_s + (entry.remaining_s or 0.0)
             self.ledger.workers[entry.worker] = worker
+            self.crashes.worker_registered(entry, now_s)
             return True
         if entry.is_draining != worker.entry.is_draining:
             # Stored again, since a successor has to know that the worker may leave.
@@ -286,6 +294,8 @@
         if worker is None:
             return []
         could_start = worker.can_start
+        if not is_outdated(worker, reply):
+            self.crashes.worker_answered(worker, reply.born_ms, now_s)
         ended, orphaned_runs = self.poll_replies.handle_reply(worker, reply, now_s)
         self.orphaned_runs.extend(orphaned_runs)
         if worker.can_start != could_start:
@@ -293,10 +303,11 @@
         self.release_held_jobs()
         return ended
 
-    def worker_silent(self, worker_id: WorkerId) -> None:
+    def worker_silent(self, worker_id: WorkerId, now_s: float) -> None:
         """Mark a worker as unreachable; it gets no new runs until it replies."""
         worker = self.ledger.workers.get(worker_id)
         if worker is not None and worker.is_reachable:
+            self.crashes.worker_silent(worker, now_s)
             worker.is_reachable = False
             self.ledger.have_workers_changed = True
 
@@ -332,6 +343,8 @@
         worker = self.ledger.workers.get(worker_id)
         if worker is None:
             return []
+        if not worker.entry.is_draining:
+            self.crashes.worker_replaced(worker, now_s)
         lost = self.poll_replies.lose_runs(worker, LossReason.WORKER_GONE)
         self.ledger.have_workers_changed = True
         worker.is_reachable = False
@@ -375,6 +388,7 @@
             step.advice.drop(worker_id)
         if outcome is StartOutcome.SHED:
             self.ledger.health.quarantine(worker_id, now_s)
+        self.crashes.never_started(run)
         self.ends.run_lost(run, LossReason.NEVER_STARTED)
 
     def start_unanswered(
@@ -386,6 +400,7 @@
             return
         run.has_unanswered_start |= was_sent
         if not was_sent and run.state is RunState.STARTING:
+            self.crashes.never_started(run)
             self.ends.run_lost(run, LossReason.NEVER_STARTED)
         elif run.state is RunState.STARTING:
             run.state = RunState.UNCERTAIN
@@ -413,11 +428,13 @@
 
     def decide(self, now_s: float, wall_s: float) -> list[Command]:
         """Return the commands to execute now."""
+        self.crashes.set_time(now_s, wall_s)
         is_review_due = now_s >= self.next_housekeeping_s
         if is_review_due:
             self.next_housekeeping_s = now_s + HOUSEKEEPING_S
             self.changes.forget_ended(now_s - self.timing.status_s - ENDED_JOB_MARGIN_S)
             self.housekeeper.run(now_s)
+            self.crashes.review(now_s)
         self.intake.open_due_occurrences(wall_s)
         # After all that changes which runs may be unknown, before anything starts.
         self.takeover.update_unknown_usage()
@@ -443,6 +460,10 @@
         lost, self.ends.lost_runs = self.ends.lost_runs, []
         return lost
 
+    def take_crash_reports(self) -> list[CrashReport]:
+        """Return the crashes of workers since the last call, each once."""
+        return self.crashes.take_reports()
+
     def send_stops(self, now_s: float) -> None:
         """Queue stop commands, and repeat those that had no effect so far."""
         for run in self.ledger.stopping:
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/serving.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/serving.py
@@ -43,6 +43,9 @@
 """The most urgent waiting steps, tried again at each review: runs that can be preempted
 may have started meanwhile."""
 
+SUSPECT_RETRY_S = 0.1
+"""Interval at which suspects that wait for a separate worker are tried again."""
+
 LONG_WAIT_S = 5.0
 """A step that waits longer than this is reported, with what it waits for."""
 
@@ -323,14 +326,21 @@
         permitted = self.placer.permitted(step, now_s)
         rack = self.placer.choose_rack(permitted, step, len(waiting))
         candidates = Candidates(self.placer, rack, step)
+        suspects = self.ledger.suspects
         left = []
-        for task in waiting:
+        kept_apart = []
+        # Others don't wait for suspects, which may have to wait for a separate worker.
+        for task in sorted(waiting, key=suspects.is_suspect):
             worker = candidates.take(task, now_s)
-            if worker is None:
+            if worker is not None:
+                self.start(task, worker, self.next_number(task), now_s)
+                candidates.started(worker)
+            elif suspects.is_suspect(task):
+                kept_apart.append(task)
+            else:
                 left.append(task)
-                continue
-            self.start(task, worker, self.next_number(task), now_s)
-            candidates.started(worker)
+        if kept_apart:
+            self.retry_suspects(step, kept_apart, bool(candidates.heap), now_s)
         if not left:
             return
         if step.job.queue.priority == 0 and step.job.is_within_share and permitted:
@@ -341,10 +351,30 @@
         if avoided:
             self.retry_at(step, min(avoided) + AVOID_FAILED_S)
 
+    def retry_suspects(
+        self, step: Step, tasks: list[Task], has_room: bool, now_s: float
+    ) -> None:
+        """Try suspects again soon that found no separate worker.
+
+        If permitted workers have room for them, advice is requested once for each, as
+        it may permit a separate worker.
+        """
+        suspects = self.ledger.suspects
+        retry_s = min(suspects.retry_s(task) for task in tasks)
+        self.retry_at(step, max(retry_s, now_s + SUSPECT_RETRY_S))
+        turns = [suspects.take_advice_turn(task) for task in tasks]
+        if any(turns) or not has_room:
+            self.ask(step, len(tasks), now_s)
+
     def start_gang(self, step: Step, now_s: float) -> None:
         """Start all tasks of a gang together, or none of them."""
         permitted = self.placer.permitted(step, now_s)
         rack = self.placer.choose_rack(permitted, step, step.spec.count)
+        tracker = self.ledger.suspects
+        suspects = [task for task in step.tasks if tracker.is_suspect(task)]
+        if not all(tracker.has_waited_enough(task, now_s) for task in suspects):
+            self.start_gang_of_suspects(step, suspects, rack, now_s)
+            return
         self.placer.checked += len(rack)
         if sum(self.placer.slots(each, step) for each in rack) < step.spec.count:
             self.ask(step, step.spec.count, now_s)
@@ -362,9 +392,34 @@
                 self.start(task, worker, number, now_s)
                 candidates.started(worker)
 
+    def start_gang_of_suspects(
+        self, step: Step, suspects: list[Task], rack: list[Worker], now_s: float
+    ) -> None:
+        """Start a gang once each suspect among its members has a separate worker."""
+        self.placer.checked += len(rack)
+        separate = self.placer.separate_workers(step, suspects, rack, now_s)
+        others = [worker for worker in rack if worker not in separate.values()]
+        members = step.spec.count - len(suspects)
+        slots = sum(self.placer.slots(worker, step) for worker in others)
+        if len(separate) < len(suspects) or slots < members:
+            has_room = slots + len(separate) >= step.spec.count
+            self.retry_suspects(step, suspects, has_room, now_s)
+            return
+        number = self.next_number(step.tasks[0])
+        candidates = Candidates(self.placer, others, step)
+        for task in step.tasks:
+            if task in separate:
+                self.start(task, separate[task], number, now_s)
+                continue
+            worker = candidates.take_any()
+            self.start(task, worker, number, now_s)
+            candidates.started(worker)
+
     def start_copies(self, step: Step, now_s: float) -> None:
         """Start speculative copies of straggling runs."""
         for run in self.speculator.stragglers(step, now_s):
+            if self.ledger.suspects.is_suspect(run.task):
+                continue
             worker = self.speculator.choose(run, now_s)
             if worker is None:
                 self.ask(step, 1, now_s)
@@ -378,6 +433,7 @@
     def start(self, task: Task, worker: Worker, number: int, now_s: float) -> None:
         """Record a new run and queue its start command."""
         run = self.ledger.add_run(task, worker, number, now_s)
+        self.ledger.suspects.started(run)
         self.placer.consume_reservation(worker, task.step)
         until_ms = worker.clock_at(now_s) + int(START_VALID_S * 1000)
         run.start_until_ms = until_ms
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
@@ -6,6 +6,7 @@
 from gooseberrydeck_coordination.resources import Resources
 from gooseberrydeck_fleet.advice import AdviceCache
 from gooseberrydeck_fleet.configuration import UNSERVED, Queue
+from gooseberrydeck_fleet.crash_records import CrashRecord
 from gooseberrydeck_fleet.ids import StepRef, TaskRef, WorkerId
 from gooseberrydeck_fleet.progress import Progress, StepProgress
 from gooseberrydeck_fleet.registrations import Registration
@@ -133,6 +134,7 @@
 
     __slots__ = (
         "checkpoint",
+        "crashes",
         "failed_on",
         "failures",
         "failures_by_runs",
@@ -150,14 +152,39 @@
         self.runs: list[Run] = []
         self.is_done = False
         # True once no predecessor can have an unknown run of it, until unknown failures
-        # may have used up its attempts: see Step.waiting_tasks.
+        # may have used up its attempts: see may_start.
         self.is_safe_to_start = False
         self.failures: set[int] = set()
         # How often it has failed at least, by the numbers of its runs.
         self.failures_by_runs = 0
         self.failed_on: dict[WorkerId, float] = {}
+        # Runs that were, or may have been, lost with a crashed worker, by number.
+        self.crashes: dict[int, CrashRecord] = {}
         self.checkpoint: str = ""
 
+    @property
+    def may_start(self) -> bool:
+        """Return True if nothing that is known forbids a start of the task.
+
+        Until all workers have reported, a predecessor may have started any task of a
+        job with unknown runs. Exceptions are tasks whose run was known here when the
+        predecessor stopped acting, unless failures that are not listed yet use up their
+        attempts, and tasks of steps that became ready later.
+
+        A task that is blamed for a crash waits until that is stored, so that its
+        crashes are counted whatever becomes of this scheduler.
+        """
+        step, job = self.step, self.step.job
+        has_unknown_runs = job.may_have_unknown_runs and not (
+            step.is_safe_to_start or self.is_safe_to_start
+        )
+        is_crash_unstored = (
+            bool(self.crashes)
+            and job.crashes_stored < job.crashes_counted
+            and any(record.is_certain for record in self.crashes.values())
+        )
+        return self.is_waiting and not has_unknown_runs and not is_crash_unstored
+
     @property
     def is_waiting(self) -> bool:
         """Return True if the task is not done and has no runs."""
@@ -222,37 +249,21 @@
 
     def has_waiting_tasks(self) -> bool:
         """Return True if a task may be started."""
-        may_start_all = self.is_safe_to_start or not self.job.may_have_unknown_runs
-        return any(
-            not task.is_done
-            and not task.runs
-            and (may_start_all or task.is_safe_to_start)
-            for task in self.tasks
-        )
+        return any(task.may_start for task in self.tasks)
 
     def waiting_tasks(self) -> list[Task]:
-        """Return the tasks that may be started.
-
-        Until all workers have reported, a predecessor may have started any task of a
-        job with unknown runs. Exceptions are tasks whose run was known here when the
-        predecessor stopped acting, unless failures that are not listed yet use up their
-        attempts, and tasks of steps that became ready later.
-        """
-        may_start_all = self.is_safe_to_start or not self.job.may_have_unknown_runs
-        return [
-            task
-            for task in self.tasks
-            if not task.is_done
-            and not task.runs
-            and (may_start_all or task.is_safe_to_start)
-        ]
+        """Return the tasks that may be started."""
+        return [task for task in self.tasks if task.may_start]
 
 
 class Job:
     """An accepted job whose end is not stored yet."""
 
     __slots__ = (
+        "crashes_counted",
+        "crashes_stored",
         "due_s",
+        "failure",
         "id",
         "is_within_share",
         "may_have_unknown_runs",
@@ -285,6 +296,11 @@
         # scheduler took over, or workers reported it first.
         self.predates_takeover = False
         self.is_within_share = True
+        # Crashes that its tasks were blamed for, and how many of them are stored.
+        self.crashes_counted = 0
+        self.crashes_stored = 0
+        # Why the job has failed, if not by the failures of a task.
+        self.failure = ""
         self.due_s = 0.0
         self.compute_due()
 
@@ -373,7 +389,7 @@
         )
 
     def to_progress(self) -> Progress:
-        """Return the progress to store: finished tasks, failures and checkpoints."""
+        """Return the progress to store."""
         steps = []
         for step in self.steps.values():
             done = sum(1 << task.ref.number for task in step.tasks if task.is_done)
@@ -387,10 +403,17 @@
                 for task in step.tasks
                 if task.checkpoint and not task.is_done
             }
-            if done or failures or checkpoints:
+            crashes = {
+                task.ref.number: list(task.crashes.values())
+                for task in step.tasks
+                if task.crashes and not task.is_done
+            }
+            if done or failures or checkpoints or crashes:
                 ref = step.ref
                 steps.append(
-                    StepProgress(ref.occurrence, ref.step, done, failures, checkpoints)
+                    StepProgress(
+                        ref.occurrence, ref.step, done, failures, checkpoints, crashes
+                    )
                 )
         return Progress(steps)
 
--- /dev/null
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/suspects.py
@@ -0,0 +1,219 @@
+"""Tasks that may have crashed a worker, and where they may start.
+
+A worker's crash takes all of its runs with it, so it doesn't show which task caused it.
+The tasks that it may have been are started on separate workers, so that the next crash
+names one of them. One that already has much of the blame gets a worker of its own.
+"""
+
+from collections.abc import Collection
+
+from gooseberrydeck_fleet.crash_records import total_blame
+from gooseberrydeck_fleet.ids import TaskRef, WorkerId
+from gooseberrydeck_fleet.state import Run, Step, Task, Worker
+
+__all__ = [
+    "RUN_BESIDE_PENALTY",
+    "SuspectTracker",
+    "max_occupied_workers",
+]
+
+STRONG_BLAME = 0.5
+"""Blame from which a task gets a worker of its own."""
+
+CLEARED_AFTER_S = 0.5
+"""A suspect is cleared once a run has outlived those that were lost by this much."""
+
+MAX_SUSPECT_SHARE = 0.5
+"""Share of a service's workers that suspects may use; the others show whether workers
+also crash without them."""
+
+WAIT_FOR_SEPARATE_S = 1.0
+"""How long a suspect waits for a worker without other suspects."""
+
+WAIT_FOR_OWN_S = 2.0
+"""How long a task that has much of the blame waits for a worker of its own."""
+
+WAIT_FOR_ANY_FACTOR = 3
+"""A suspect that has waited this many times as long starts on any worker."""
+
+FIRST_PAUSE_S = 0.5
+"""Pause before the start after a task's second crash; it doubles with each further
+one."""
+
+RUN_BESIDE_PENALTY = 1.0
+"""Rank penalty of a worker for each run that a suspect would endanger there."""
+
+
+class Suspect:
+    """A task that may have crashed a worker, and is not cleared.
+
+    It is cleared by a run that takes longer than ``age_s``.
+    """
+
+    __slots__ = ("age_s", "has_asked_advice", "retry_s", "task", "waits_since_s")
+
+    def __init__(self, task: Task) -> None:
+        """Suspect a task."""
+        self.task = task
+        self.age_s = 0.0
+        self.retry_s = 0.0
+        # When a start was first considered since the last crash.
+        self.waits_since_s: float | None = None
+        self.has_asked_advice = False
+
+    @property
+    def is_strong(self) -> bool:
+        """Return True if the task has much of the blame for a crash."""
+        return total_blame(self.task.crashes.values()) >= STRONG_BLAME
+
+    @property
+    def patience_s(self) -> float:
+        """Return how long the task waits for a worker as it needs it."""
+        return WAIT_FOR_OWN_S if self.is_strong else WAIT_FOR_SEPARATE_S
+
+    def waited_s(self, now_s: float) -> float:
+        """Return how long ago a start was first considered since the last crash."""
+        if now_s < self.retry_s:
+            return 0.0
+        if self.waits_since_s is None:
+            self.waits_since_s = now_s
+        return now_s - self.waits_since_s
+
+
+class SuspectTracker:
+    """Keep suspects on separate workers until they are cleared or given up."""
+
+    def __init__(self) -> None:
+        """Create a tracker without suspects."""
+        self.suspects: dict[TaskRef, Suspect] = {}
+        # The last suspect started on each worker, until it is cleared or ends.
+        self.trials: dict[WorkerId, Run] = {}
+        # Those workers on which nothing may start beside it.
+        self.reserved: set[WorkerId] = set()
+
+    def add(self, task: Task, age_s: float, now_s: float) -> None:
+        """Suspect a task whose run was lost at an age of ``age_s``."""
+        suspect = self.suspects.get(task.ref)
+        if suspect is None:
+            suspect = self.suspects[task.ref] = Suspect(task)
+        suspect.age_s = max(suspect.age_s, age_s)
+        suspect.waits_since_s = None
+        suspect.has_asked_advice = False
+        crashes = sum(record.is_certain for record in task.crashes.values())
+        if crashes > 1:
+            suspect.retry_s = now_s + FIRST_PAUSE_S * 2 ** (crashes - 2)
+
+    def is_suspect(self, task: Task) -> bool:
+        """Return True if a task may have crashed a worker, and is not cleared."""
+        return task.ref in self.suspects
+
+    def discard(self, task: Task) -> None:
+        """Stop suspecting a task."""
+        self.suspects.pop(task.ref, None)
+
+    def retry_s(self, task: Task) -> float:
+        """Return the monotonic time from which a task may start."""
+        suspect = self.suspects.get(task.ref)
+        return 0.0 if suspect is None else suspect.retry_s
+
+    def take_advice_turn(self, task: Task) -> bool:
+        """Return True once for each wait of a suspect."""
+        suspect = self.suspects[task.ref]
+        had_turn, suspect.has_asked_advice = suspect.has_asked_advice, True
+        return not had_turn
+
+    def review(self, now_s: float) -> list[Task]:
+        """Clear the suspects that work and return them; forget those that ended."""
+        cleared = []
+        for suspect in list(self.suspects.values()):
+            task = suspect.task
+            if task.is_done or task.step.job.state.is_final:
+                self.discard(task)
+            elif any(has_outlived(run, suspect.age_s, now_s) for run in task.runs):
+                self.discard(task)
+                cleared.append(task)
+        for worker_id, run in list(self.trials.items()):
+            if not self.is_on_trial(run):
+                del self.trials[worker_id]
+                self.reserved.discard(worker_id)
+        return cleared
+
+    def is_on_trial(self, run: Run) -> bool:
+        """Return True if a suspect's run is in progress."""
+        return run in run.task.runs and self.is_suspect(run.task)
+
+    def occupied_workers(self) -> Collection[WorkerId]:
+        """Return the workers that have runs of suspects."""
+        return {
+            run.worker.id
+            for suspect in self.suspects.values()
+            for run in suspect.task.runs
+        }
+
+    def is_reserved(self, worker: Worker, step: Step) -> bool:
+        """Return True if a worker is left to a suspect of another step."""
+        if worker.id not in self.reserved:
+            return False
+        run = self.trials[worker.id]
+        return run.task.step is not step and self.is_on_trial(run)
+
+    def is_endangered(self, worker: Worker) -> bool:
+        """Return True if a suspect is on trial on a worker."""
+        run = self.trials.get(worker.id)
+        return run is not None and self.is_on_trial(run)
+
+    def started(self, run: Run) -> None:
+        """Record a start, and reserve the worker for a suspect with much blame."""
+        suspect = self.suspects.get(run.task.ref)
+        if suspect is None:
+            return
+        suspect.waits_since_s = None
+        self.trials[run.worker.id] = run
+        if suspect.is_strong:
+            self.reserved.add(run.worker.id)
+
+    def has_waited_enough(self, task: Task, now_s: float) -> bool:
+        """Return True if a suspect may start on any worker."""
+        suspect = self.suspects[task.ref]
+        limit_s = WAIT_FOR_ANY_FACTOR * suspect.patience_s
+        return suspect.waited_s(now_s) >= limit_s
+
+    def allows(
+        self,
+        task: Task,
+        worker: Worker,
+        occupied: Collection[WorkerId],
+        max_occupied: int,
+        now_s: float,
+    ) -> bool:
+        """Return True if a suspect may start on a worker.
+
+        ``occupied`` has the workers with runs of suspects, of which there should be up
+        to ``max_occupied``. The longer the suspect has waited, the less is asked of the
+        worker.
+        """
+        suspect = self.suspects[task.ref]
+        if now_s < suspect.retry_s:
+            return False
+        if self.has_waited_enough(task, now_s):
+            return True
+        is_strong = suspect.is_strong
+        is_occupied = worker.id in occupied
+        is_separate = not is_occupied and len(occupied) < max_occupied
+        if suspect.waited_s(now_s) >= suspect.patience_s:
+            return is_separate or (is_occupied and not is_strong)
+        return is_separate and not (is_strong and worker.runs)
+
+
+def max_occupied_workers(service_workers: int) -> int:
+    """Return how many of a service's workers suspects may use."""
+    return max(1, int(MAX_SUSPECT_SHARE * service_workers))
+
+
+def has_outlived(run: Run, age_s: float, now_s: float) -> bool:
+    """Return True if a run works at an age at which former ones were lost.
+
+    Its worker has to have answered at that age.
+    """
+    answered_s = run.worker.last_reply_s if run.worker.is_reachable else 0.0
+    return min(now_s, answered_s) - run.started_s > age_s + CLEARED_AFTER_S
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/work.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/work.py
@@ -113,11 +113,15 @@
 
 
 class EndedJob(msgspec.Struct, frozen=True):
-    """The stored record of a job that has ended."""
+    """The stored record of a job that has ended.
+
+    ``failure`` says why it has failed, unless a task has used up its attempts.
+    """
 
     state: JobState
     ended_s: float
     team: TeamName = TeamName("")
+    failure: str = ""
 
 
 def validate_work(work: WorkSpec) -> None:
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/callers.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/callers.py
@@ -42,6 +42,9 @@
 """Fraction of the caller's time for this member's store connection; the rest is
 reserved for a peer."""
 
+FAILURE_HEADER = "X-Failure-Reason"
+"""Response header with the reason why a job was given up."""
+
 RETRY_AFTER_S = 1
 """Retry delay sent with a refusal; faults of the store or a member pass within
 seconds."""
@@ -112,11 +115,12 @@
 
 
 class CallerResponse(msgspec.Struct, frozen=True):
-    """The response to a caller."""
+    """The response to a caller; ``failure`` says why a job was given up."""
 
     status: int
     body: bytes = b"{}"
     retry_after_s: int | None = None
+    failure: str = ""
 
 
 class CallerApplication:
@@ -167,6 +171,8 @@
         ]
         if response.retry_after_s is not None:
             headers.append(("Retry-After", str(response.retry_after_s)))
+        if response.failure:
+            headers.append((FAILURE_HEADER, response.failure))
         start_response(status_line(response.status), headers)
         return [response.body]
 
@@ -277,7 +283,16 @@
                 return relayed or CallerResponse(503, retry_after_s=RETRY_AFTER_S)
         if state is None:
             return CallerResponse(410)
-        return CallerResponse(200, self.codec.encode_state(state))
+        failure = self.failure(job, call) if state is JobState.FAILED else ""
+        return CallerResponse(200, self.codec.encode_state(state), failure=failure)
+
+    def failure(self, job: JobId, call: CallerRequest) -> str:
+        """Return why a job was given up, or "" if that is not known."""
+        try:
+            return self.jobs.failure(job, self.store_deadline_s(call))
+        except StoreError as error:
+            log.info("reason of failure not found", job=job, reason=str(error))
+            return ""
 
     def waiting(self, queue: Queue, call: CallerRequest) -> CallerResponse:
         """Return how many jobs of a queue have not started."""
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/jobs.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/jobs.py
@@ -123,6 +123,13 @@
         progress = self.store.read(progress_key(job), call_timeout_s(deadline_s))
         return JobState.QUEUED if progress is None else JobState.RUNNING
 
+    def failure(self, job: JobId, deadline_s: float) -> str:
+        """Return why a job was given up, or "" if its attempts were used up."""
+        entry = self.store.read(ended_key(job), call_timeout_s(deadline_s))
+        if entry is None:
+            return ""
+        return msgspec.json.decode(entry.value, type=EndedJob).failure
+
     def read_final_state(self, job: JobId, deadline_s: float) -> JobState | None:
         """Return the state in which a job ended, or None if it has not."""
         entry = self.store.read(ended_key(job), call_timeout_s(deadline_s))
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/observability.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/observability.py
@@ -147,6 +147,17 @@
             ["source"],
             registry=registry,
         )
+        self.worker_crashes = prometheus_client.Counter(
+            "gooseberrydeck_worker_crashes",
+            "Crashes of workers that had runs, by what showed them",
+            ["evidence"],
+            registry=registry,
+        )
+        self.jobs_given_up = prometheus_client.Counter(
+            "gooseberrydeck_jobs_given_up",
+            "Jobs that failed because a task of theirs crashed its workers",
+            registry=registry,
+        )
         self.end_gaps = prometheus_client.Counter(
             "gooseberrydeck_end_gaps",
             "Gaps in the numbers of the ends that a worker's process has listed",
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
@@ -40,6 +40,7 @@
     Committer,
     WorkersRecorded,
 )
+from gooseberrydeck_member.crash_reports import report_crashes
 from gooseberrydeck_member.job_lookups import (
     JobAbsent,
     JobFound,
@@ -323,6 +324,7 @@
                 **dict(zip(wait._fields[1:], wait[1:], strict=True)),
             )
         self.report_lost_runs()
+        report_crashes(self.scheduler.take_crash_reports(), self.metrics)
         for job in self.scheduler.take_lookups():
             self.lookups.look_up(job)
         self.poll_due_workers(now_s)
@@ -752,7 +754,7 @@
                 runs=len(worker.runs),
                 silent_s=round(now_s - worker.last_reply_s, 3),
             )
-        self.scheduler.worker_silent(message.worker)
+        self.scheduler.worker_silent(message.worker, now_s)
         if not message.is_poll:
             return
         is_refused = failure.is_refused or failure.is_replaced
@@ -862,7 +864,7 @@
                 message.worker, message.task, message.run, message.was_sent
             )
             if not message.is_fenced:
-                self.scheduler.worker_silent(message.worker)
+                self.scheduler.worker_silent(message.worker, now_s)
             return
         if message.outcome is not StartOutcome.STARTED:
             log.info(
--- a/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/fleet_worker.py
+++ b/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/fleet_worker.py
@@ -40,6 +40,7 @@
 
     A standing run never ends by itself; a hanging run makes no progress.
     ``gang_size`` is the number of members that must be present, 0 outside a gang.
+    With ``crashes_after_s``, the run crashes its worker that long after its start.
     """
 
     seconds: float = 1.0
@@ -48,6 +49,7 @@
     hangs: bool = False
     is_standing: bool = False
     gang_size: int = 0
+    crashes_after_s: float | None = None
 
 
 class RunSpan(msgspec.Struct, frozen=True):
@@ -311,6 +313,15 @@
             place = end.number - 1
             self.spans[place] = msgspec.structs.replace(self.spans[place], is_void=True)
 
+    def is_crash_due(self) -> bool:
+        """Return True if a run crashes the worker by now; the owner calls ``crash``."""
+        now_s = self.clock.monotonic()
+        return any(
+            active.plan.crashes_after_s is not None
+            and now_s >= active.joined_s + active.plan.crashes_after_s
+            for active in self.runs.values()
+        )
+
     def crash(self) -> None:
         """Lose all runs and all ends; the gangs of the runs break up."""
         self.advance()
--- /dev/null
+++ b/tests/fleet/test_crashes.py
@@ -0,0 +1,264 @@
+"""Tests that crashes of workers are attributed to the tasks that cause them, only.
+
+Answers the pattern of a few tasks that crash each worker that starts them, and of
+workers that crash for other reasons.
+"""
+
+import random
+
+import pytest
+
+from fleet_support import SLOW, URGENT, Fleet, registration, task_resources
+from gooseberrydeck_coordination.ids import JobId
+from gooseberrydeck_fleet.crashes import CrashEvidence
+from gooseberrydeck_fleet.ids import TaskRef, WorkerId
+from gooseberrydeck_fleet.state import Task
+from gooseberrydeck_fleet.work import JobState, StepSpec
+from gooseberrydeck_fleet.worker_calls import StartRequest
+from gooseberrydeck_standins.fleet_worker import RunPlan
+
+MAX_STARTS = 5
+"""A task is not started three times more after three workers have crashed under it."""
+
+TASK = task_resources(cores=4)
+BESIDE = 10
+
+
+class CrashFixture:
+    """Eight workers, one task that crashes them and an ordinary job beside it."""
+
+    def setup_method(self) -> None:
+        self.fleet = Fleet(workers=8)
+
+    def submit_deadly(
+        self, after_s: float = 0.05, spec: StepSpec | None = None, name: str = "bad"
+    ) -> JobId:
+        """Submit a job whose last task crashes each worker that starts it."""
+        step = spec or StepSpec(3, TASK)
+        last = step.count - 1
+        gang_size = step.count if step.is_gang else 0
+
+        def plan(request: StartRequest) -> RunPlan:
+            is_deadly = request.task.number == last
+            return RunPlan(
+                100.0,
+                TASK,
+                is_standing=step.is_standing,
+                gang_size=gang_size,
+                crashes_after_s=after_s if is_deadly else None,
+            )
+
+        return self.fleet.submit(name, step, queue_name=URGENT, plan=plan)
+
+    def submit_ordinary(self, name: str = "good", seconds: float = 2.0) -> JobId:
+        """Submit an ordinary job of ten tasks."""
+        spec = StepSpec(BESIDE, TASK)
+        return self.fleet.submit(name, spec, queue_name=SLOW, seconds=seconds)
+
+    def count_starts(self, job: JobId, number: int) -> int:
+        """Return how often a task of a job's first step was started."""
+        ref = TaskRef(job, 0, 0, number)
+        return sum(task == ref for _, task, _ in self.fleet.starts)
+
+    def task(self, job: JobId, number: int = 0) -> Task:
+        """Return a task of a job's first step."""
+        task = self.fleet.scheduler.ledger.find_task(TaskRef(job, 0, 0, number))
+        assert task is not None
+        return task
+
+    def assert_given_up(self, job: JobId, number: int = 2) -> None:
+        """Assert that a job failed by a task that crashed its workers."""
+        assert self.fleet.ended[job].state is JobState.FAILED
+        assert self.count_starts(job, number) <= MAX_STARTS
+        assert self.fleet.violations() == []
+
+
+class TestDeadlyTasks(CrashFixture):
+    # Guards against a task that takes down one worker after the other until its job's
+    # deadline, and all that runs beside it.
+    @pytest.mark.parametrize("do_ids_change", [False, True])
+    @pytest.mark.parametrize("after_s", [0.05, 3.0])
+    def test_task_that_crashes_its_workers_is_given_up(
+        self, do_ids_change: bool, after_s: float
+    ) -> None:
+        self.fleet.do_ids_change = do_ids_change
+        good, bad = self.submit_ordinary(), self.submit_deadly(after_s)
+        self.fleet.run_for(60.0)
+        self.assert_given_up(bad)
+        assert self.fleet.state(good) is JobState.COMPLETED
+
+    def test_several_of_them_at_once_are_given_up(self) -> None:
+        good = self.submit_ordinary()
+        bad = [self.submit_deadly(name=f"bad{number}") for number in range(5)]
+        self.fleet.run_for(60.0)
+        for job in bad:
+            self.assert_given_up(job)
+        assert self.fleet.state(good) is JobState.COMPLETED
+
+    def test_those_that_arrive_one_after_the_other_are_given_up(self) -> None:
+        bad = []
+        for number in range(6):
+            self.submit_ordinary(f"good{number}")
+            bad.append(self.submit_deadly(name=f"bad{number}"))
+            self.fleet.run_for(1.0)
+        self.fleet.run_for(60.0)
+        for job in bad:
+            self.assert_given_up(job)
+        for number in range(6):
+            assert self.fleet.state(JobId(f"good{number}")) is JobState.COMPLETED
+
+    def test_gang_with_one_of_them_is_given_up(self) -> None:
+        bad = self.submit_deadly(spec=StepSpec(3, TASK, is_gang=True))
+        self.fleet.run_for(60.0)
+        self.assert_given_up(bad)
+
+    def test_long_running_task_that_crashes_its_workers_is_given_up(self) -> None:
+        bad = self.submit_deadly(spec=StepSpec(3, TASK, is_standing=True))
+        self.fleet.run_for(60.0)
+        self.assert_given_up(bad)
+
+    def test_reason_names_the_task_and_its_crashes(self) -> None:
+        bad = self.submit_deadly()
+        self.fleet.run_for(60.0)
+        assert "task bad.0.0.2 crashed 3 workers" in self.fleet.ended[bad].failure
+
+    def test_job_handed_in_again_is_a_new_one(self) -> None:
+        first, second = (self.submit_deadly(name=name) for name in ("bad", "again"))
+        self.fleet.run_for(60.0)
+        for job in (first, second):
+            self.assert_given_up(job)
+
+
+class TestChangesOfHolder(CrashFixture):
+    # Guards against a successor that knows nothing of the crashes under a task.
+    @pytest.mark.parametrize("delay_s", [0.3, 2.0, 3.3, 4.0])
+    def test_crashes_count_whoever_holds_the_shard(self, delay_s: float) -> None:
+        bad = self.submit_deadly()
+        crashes = 0
+        for _ in range(2400):
+            self.fleet.run_for(0.05)
+            if len(self.fleet.crashes) > crashes:
+                crashes = len(self.fleet.crashes)
+                self.fleet.run_for(delay_s)
+                self.fleet.take_over()
+        self.assert_given_up(bad)
+
+    def test_task_waits_until_its_crash_is_stored(self) -> None:
+        bad = self.submit_deadly()
+        self.fleet.run_for(1.0)
+        self.fleet.is_store_available = False
+        self.fleet.run_for(15.0)
+        assert self.count_starts(bad, 2) == 1
+        self.fleet.is_store_available = True
+        self.fleet.run_for(60.0)
+        self.assert_given_up(bad)
+
+    def test_successor_counts_a_crash_that_it_has_not_seen(self) -> None:
+        bad = self.submit_deadly()
+        self.fleet.run_for(1.0)
+        self.fleet.take_over()
+        self.fleet.run_for(3.5)
+        assert any(record.is_certain for record in self.task(bad, 2).crashes.values())
+
+
+class TestOtherReasons(CrashFixture):
+    # Guards against good jobs that are given up for crashes that they didn't cause.
+    @pytest.mark.parametrize("seed", range(6))
+    @pytest.mark.parametrize("at_once", [1, 3, 5])
+    def test_no_job_is_given_up(self, seed: int, at_once: int) -> None:
+        rng = random.Random(seed * 10 + at_once)
+        jobs = [self.submit_ordinary(f"good{n}", rng.uniform(1, 6)) for n in range(4)]
+        for _ in range(6):
+            self.fleet.run_for(rng.uniform(2.5, 6.0))
+            up = sorted(self.fleet.engines.keys() - self.fleet.down.keys())
+            for worker in rng.sample(up, min(at_once, len(up))):
+                self.fleet.crash_worker(worker)
+        self.fleet.run_for(60.0)
+        assert {self.fleet.state(job) for job in jobs} == {JobState.COMPLETED}
+        assert self.fleet.violations() == []
+
+    def test_worker_that_was_only_cut_off_has_not_crashed(self) -> None:
+        good = self.submit_ordinary(seconds=30.0)
+        self.fleet.run_for(1.0)
+        worker = self.fleet.starts[0][2]
+        for _ in range(4):
+            self.fleet.unreachable.add(worker)
+            self.fleet.run_for(6.0)
+            self.fleet.unreachable.clear()
+            self.fleet.run_for(0.5)
+        assert self.fleet.scheduler.take_crash_reports() == []
+        assert not any(self.task(good, each).crashes for each in range(BESIDE))
+
+    def test_drained_worker_has_not_crashed(self) -> None:
+        self.submit_ordinary(seconds=30.0)
+        self.fleet.run_for(1.0)
+        worker = self.fleet.starts[0][2]
+        entry = registration(worker, is_draining=True, remaining_s=0.1)
+        self.fleet.scheduler.worker_registered(entry, self.fleet.now_s)
+        self.fleet.crash_worker(worker)
+        self.fleet.run_for(6.0)
+        assert self.fleet.scheduler.take_crash_reports() == []
+
+    def test_task_that_works_longer_is_cleared(self) -> None:
+        good = self.submit_ordinary(seconds=8.0)
+        self.fleet.run_for(1.0)
+        worker = self.fleet.starts[0][2]
+        self.fleet.crash_worker(worker)
+        self.fleet.run_for(4.0)
+        suspects = self.fleet.scheduler.ledger.suspects
+        lost = [self.task(good, each) for each in range(BESIDE)]
+        lost = [task for task in lost if task.crashes]
+        assert lost
+        assert all(suspects.is_suspect(task) for task in lost)
+        self.fleet.run_for(4.0)
+        assert not any(suspects.is_suspect(task) for task in lost)
+
+
+class TestEvidence(CrashFixture):
+    def crash(self) -> WorkerId:
+        """Let the worker of an ordinary job's first task end."""
+        self.submit_ordinary(seconds=30.0)
+        self.fleet.run_for(1.0)
+        worker = self.fleet.starts[0][2]
+        self.fleet.crash_worker(worker)
+        return worker
+
+    def test_new_process_under_the_id(self) -> None:
+        worker = self.crash()
+        self.fleet.run_for(4.0)
+        (report,) = self.fleet.scheduler.take_crash_reports()
+        assert report.worker == worker
+        assert report.evidence is CrashEvidence.NEW_PROCESS
+        assert sum(run.share for run in report.blamed) == pytest.approx(1.0, abs=0.01)
+
+    # The lease of the crashed worker lapses, and it is forgotten, before that.
+    def test_new_worker_at_the_address(self) -> None:
+        worker = self.crash()
+        self.fleet.down.clear()
+        self.fleet.scheduler.worker_unregistered(worker)
+        self.fleet.run_for(6.0)
+        assert worker not in self.fleet.scheduler.ledger.workers
+        assert self.fleet.scheduler.take_crash_reports() == []
+        self.fleet.add_worker("other", address=f"{worker}.example")
+        (report,) = self.fleet.scheduler.take_crash_reports()
+        assert report.evidence is CrashEvidence.ADDRESS_TAKEN
+
+
+class TestSeparation(CrashFixture):
+    def test_tasks_lost_together_start_apart(self) -> None:
+        good = self.submit_ordinary(seconds=1.0)
+        self.fleet.run_for(0.2)
+        worker = self.fleet.starts[0][2]
+        before = len(self.fleet.starts)
+        self.fleet.crash_worker(worker)
+        self.fleet.run_for(4.2)
+        assert self.fleet.state(good) is not JobState.COMPLETED
+        again = [each for _, _, each in self.fleet.starts[before:]]
+        assert 1 < len(again) == len(set(again))
+
+    def test_others_do_not_wait_for_them(self) -> None:
+        self.submit_deadly()
+        self.fleet.run_for(3.9)
+        good = self.submit_ordinary(seconds=1.0)
+        self.fleet.run_for(1.5)
+        assert self.fleet.state(good) is JobState.COMPLETED
--- a/tests/fleet/test_faults.py
+++ b/tests/fleet/test_faults.py
@@ -54,7 +54,7 @@
         fleet = Fleet(workers=1)
         worker = next(iter(fleet.scheduler.ledger.workers.values()))
         assert fleet.scheduler.lease_until_ms(worker, fleet.now_s) is not None
-        fleet.scheduler.worker_silent(worker.id)
+        fleet.scheduler.worker_silent(worker.id, fleet.now_s)
         lease_expiry_s = worker.lease_expiry_s
         fleet.clock.advance(1.0)
         assert fleet.scheduler.lease_until_ms(worker, fleet.now_s) is None
@@ -116,7 +116,7 @@
         assert not fleet.scheduler.has_left(leaving, fleet.now_s)
         fleet.scheduler.worker_unregistered(leaving)
         assert not fleet.scheduler.has_left(leaving, fleet.now_s)
-        fleet.scheduler.worker_silent(leaving)
+        fleet.scheduler.worker_silent(leaving, fleet.now_s)
         assert fleet.scheduler.has_left(leaving, fleet.now_s)
 
     def test_worker_has_not_left_before_its_announced_departure(
@@ -129,7 +129,7 @@
         entry = registration(str(leaving), is_draining=True, remaining_s=6.0)
         fleet.scheduler.worker_registered(entry, fleet.now_s)
         fleet.scheduler.worker_unregistered(leaving)
-        fleet.scheduler.worker_silent(leaving)
+        fleet.scheduler.worker_silent(leaving, fleet.now_s)
         assert not fleet.scheduler.has_left(leaving, fleet.now_s + 5.9)
         assert fleet.scheduler.has_left(leaving, fleet.now_s + 6.0)
 
@@ -329,7 +329,7 @@
         fleet.scheduler.predecessor_may_act(fleet.now_s + 1.5)
         fleet.run_for(0.2)
         fleet.clock.advance(0.8)
-        former.worker_silent(reached)
+        former.worker_silent(reached, fleet.now_s)
         reply = fleet.engines[dark].poll(token, 0, None)
         former.poll_answered(dark, reply, fleet.now_s)
         for command in former.decide(fleet.now_s, fleet.clock.wall()):
@@ -363,7 +363,7 @@
         fleet.scheduler.predecessor_may_act(fleet.now_s + 1.5)
         fleet.run_for(0.2)
         fleet.clock.advance(0.4)
-        former.worker_silent(reached)
+        former.worker_silent(reached, fleet.now_s)
         reply = fleet.engines[dark].poll(token, 0, None)
         former.poll_answered(dark, reply, fleet.now_s)
         for command in former.decide(fleet.now_s, fleet.clock.wall()):
@@ -421,7 +421,7 @@
         fleet.take_over()
         fleet.scheduler.predecessor_may_act(fleet.now_s + 1.5)
         job = fleet.submit("new", StepSpec(1, ONE), seconds=5.0)
-        former.worker_silent(reached)
+        former.worker_silent(reached, fleet.now_s)
         former.accept(fleet.records[job], 1)
         for command in former.decide(fleet.now_s, fleet.clock.wall()):
             assert isinstance(command, StartRun)
@@ -483,7 +483,7 @@
         fleet.take_over()
         fleet.poll(first)
         fleet.unreachable.add(first)
-        fleet.scheduler.worker_silent(first)
+        fleet.scheduler.worker_silent(first, fleet.now_s)
         while len(fleet.starts) < 2:
             fleet.run_for(0.05)
         fleet.engines[first].advance()
--- a/tests/fleet/test_predecessors.py
+++ b/tests/fleet/test_predecessors.py
@@ -37,7 +37,7 @@
         self.claimed_s = self.fleet.now_s
         if may_predecessor_act:
             self.fleet.scheduler.predecessor_may_act(self.claimed_s + NOTICE_S)
-        self.predecessor.worker_silent(self.reached)
+        self.predecessor.worker_silent(self.reached, self.claimed_s)
 
     def store(self, holder_token: int, seconds: float = 3.0) -> JobRecord:
         """Store a job with one task; its member notifies the holder of a token."""
@@ -158,8 +158,8 @@
             fleet.run_for(STEP_S)
         held = fleet.engines[shared].poll(Epoch(fleet.token), 0, None)
         predecessor.poll_answered(shared, held, fleet.now_s)
-        predecessor.worker_silent(shared)
-        predecessor.worker_silent(other)
+        predecessor.worker_silent(shared, fleet.now_s)
+        predecessor.worker_silent(other, fleet.now_s)
         for command in predecessor.decide(fleet.now_s, fleet.clock.wall()):
             if isinstance(command, StartRun):
                 fleet.engines[command.worker].start(command.request, token)
--- a/tests/fleet/test_two_holders.py
+++ b/tests/fleet/test_two_holders.py
@@ -109,7 +109,7 @@
         rng, now_s = self.cell.random, self.cell.clock.now_s
         until_ms = self.scheduler.lease_until_ms(worker, now_s)
         if worker_id not in self.reachable:
-            self.scheduler.worker_silent(worker_id)
+            self.scheduler.worker_silent(worker_id, now_s)
             return
         acknowledged = self.acknowledged[worker_id]
         reply = self.cell.engines[worker_id].poll(self.token, acknowledged, until_ms)
--- a/tests/fleet_support.py
+++ b/tests/fleet_support.py
@@ -28,7 +28,13 @@
 from gooseberrydeck_fleet.registrations import Registration
 from gooseberrydeck_fleet.scheduler import Scheduler
 from gooseberrydeck_fleet.settings import Timing
-from gooseberrydeck_fleet.work import JobRecord, JobState, StepSpec, WorkSpec
+from gooseberrydeck_fleet.work import (
+    EndedJob,
+    JobRecord,
+    JobState,
+    StepSpec,
+    WorkSpec,
+)
 from gooseberrydeck_fleet.worker_calls import (
     EndKind,
     StartOutcome,
@@ -53,6 +59,8 @@
 CORE = 1_000
 HOST = Resources(32 * CORE, 65_536, 0)
 STEP_S = 0.05
+CRASH_S = 3.5
+"""How long a worker that has crashed is down."""
 
 
 def task_resources(cores: float = 1.0, memory_mib: int = 100) -> Resources:
@@ -105,12 +113,13 @@
     labels: frozenset[str] = frozenset({"a"}),
     remaining_s: float | None = None,
     born_ms: int = 0,
+    address: str = "",
 ) -> Registration:
-    """Return the registration of a worker."""
+    """Return the registration of a worker, by default at an address of its own."""
     return Registration(
         WorkerId(name),
         SERVICE,
-        HttpAddress("127.0.0.1", 1),
+        HttpAddress(address or f"{name}.example", 1),
         DataCentre("centre"),
         Rack(rack),
         labels,
@@ -143,11 +152,16 @@
         self.records: dict[JobId, JobRecord] = {}
         self.revisions: dict[JobId, int] = {}
         self.progress: dict[JobId, bytes] = {}
+        self.ended: dict[JobId, EndedJob] = {}
         self.poll_states: dict[WorkerId, WorkerPollState] = {}
         self.starts: list[tuple[float, TaskRef, WorkerId]] = []
         self.stops: list[tuple[float, TaskRef, str]] = []
         self.starts_beyond_maximum: list[str] = []
         self.advice_requests: list[AskAdvice] = []
+        self.crashes: list[tuple[float, WorkerId, tuple[TaskRef, ...]]] = []
+        self.down: dict[WorkerId, float] = {}
+        # Whether crashed workers come back under new ids, at their former addresses.
+        self.do_ids_change = False
         self.allowed: Callable[[WorkerId], bool] = lambda _worker: True
         self.token = 0
         self.is_store_available = True
@@ -206,6 +220,42 @@
         )
         self.poll_failed(worker)
 
+    def crash_worker(self, worker: WorkerId) -> None:
+        """Let a worker's process end, and start again after a while."""
+        engine = self.engines[worker]
+        self.crashes.append((self.now_s, worker, tuple(engine.runs)))
+        engine.crash()
+        self.crashed_engines.append(engine)
+        self.unreachable.add(worker)
+        self.down[worker] = self.now_s + CRASH_S
+        self.poll_failed(worker)
+
+    def crash_and_restart_workers(self) -> None:
+        """Crash the workers whose runs do that, and start those whose time has come."""
+        for worker, engine in list(self.engines.items()):
+            if worker not in self.down and engine.is_crash_due():
+                self.crash_worker(worker)
+        for worker, restart_s in list(self.down.items()):
+            if self.now_s >= restart_s:
+                del self.down[worker]
+                self.start_again(worker)
+
+    def start_again(self, worker: WorkerId) -> None:
+        """Start the process of a worker that has crashed."""
+        if self.do_ids_change:
+            del self.engines[worker]
+            address = worker.partition("-")[0] + ".example"
+            self.add_worker(f"{worker}-", address=address)
+            self.scheduler.worker_gone(worker, self.now_s)
+            self.scheduler.worker_unregistered(worker)
+            return
+        former = self.engines[worker]
+        born_ms = former.born_ms + 1
+        self.engines[worker] = FleetWorkerEngine(
+            self.clock, former.capacity, self.plan, born_ms=born_ms, gangs=self.gangs
+        )
+        self.unreachable.discard(worker)
+
     def plan(self, request: StartRequest) -> RunPlan:
         """Return the simulated course of a run."""
         return self.plans[request.task.job](request)
@@ -278,6 +328,7 @@
     def step(self) -> None:
         """Poll every worker, execute the scheduler's commands and store changes."""
         self.expire_leases()
+        self.crash_and_restart_workers()
         self.poll_all()
         if self.can_look_up_jobs and self.is_store_available:
             self.answer_lookups()
@@ -370,7 +421,7 @@
         poll_state = self.poll_states[worker_id]
         poll_state.poll_sent(self.now_s)
         poll_state.poll_failed(self.now_s, is_refused=False)
-        self.scheduler.worker_silent(worker_id)
+        self.scheduler.worker_silent(worker_id, self.now_s)
 
     def execute(self, command: Command) -> None:
         """Execute a command; advice is answered immediately."""
@@ -477,6 +528,7 @@
         for ending in changes.endings:
             self.records.pop(ending.job, None)
             self.progress.pop(ending.job, None)
+            self.ended[ending.job] = ending.ended
         acknowledged = self.scheduler.changes.commit_succeeded(changes, {}, self.now_s)
         for worker, (born_ms, number) in acknowledged.items():
             self.poll_states[worker].ends_stored(born_ms, number)
--- a/tests/member/test_callers.py
+++ b/tests/member/test_callers.py
@@ -14,7 +14,8 @@
 )
 from gooseberrydeck_coordination.clock import ManualClock
 from gooseberrydeck_coordination.ids import Epoch, JobId, QueueName, Revision
-from gooseberrydeck_fleet.work import JobRecord, JobState
+from gooseberrydeck_coordination.store import Put, Transaction
+from gooseberrydeck_fleet.work import EndedJob, JobRecord, JobState
 from gooseberrydeck_member import jobs as jobs_module
 from gooseberrydeck_member.callers import (
     CallerApplication,
@@ -23,7 +24,7 @@
 )
 from gooseberrydeck_member.configuration import ConfigurationCache
 from gooseberrydeck_member.jobs import JobStore
-from gooseberrydeck_member.keys import job_key
+from gooseberrydeck_member.keys import ended_key, job_key
 from gooseberrydeck_member.observability import Metrics
 from gooseberrydeck_standins.engine_store import EngineStore
 from gooseberrydeck_standins.faults import CallFault
@@ -247,6 +248,13 @@
         self.store.fault = CallFault.DOWN
         assert self.call("GET")[0] == 503
 
+    def test_failed_job_is_shown_with_the_reason(self) -> None:
+        ended = EndedJob(JobState.FAILED, 1.0, failure="task a.0.0.1 crashed 3 workers")
+        write = Put(ended_key(JOB), msgspec.json.encode(ended))
+        self.store.commit(Transaction((), (write,)), 1.0)
+        assert self.call("GET") == (200, b'{"State":"failed"}')
+        assert ("X-Failure-Reason", ended.failure) in self.headers
+
     def test_waiting_counts_by_queue(self) -> None:
         self.directory.counts = {QueueName("slow"): 12}
         assert self.call("GET", "/slow/") == (200, b'{"Waiting":12}')
