--- a/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/resources.py
+++ b/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/resources.py
@@ -28,6 +28,14 @@
             self.accelerators - other.accelerators,
         )
 
+    def largest(self, other: "Resources") -> "Resources":
+        """Return the larger amount of each resource."""
+        return Resources(
+            max(self.cpu_millis, other.cpu_millis),
+            max(self.memory_mib, other.memory_mib),
+            max(self.accelerators, other.accelerators),
+        )
+
     def fits_in(self, capacity: "Resources") -> bool:
         """Return True if no resource exceeds that of ``capacity``."""
         return (
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/changes.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/changes.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Iterable, Mapping
 
+import msgspec
+
 from gooseberrydeck_coordination.ids import JobId
 from gooseberrydeck_fleet.commands import Changes, JobEnding, ProgressWrite
 from gooseberrydeck_fleet.ids import WorkerId
@@ -187,16 +189,26 @@
     # The stored list of workers that a successor has to poll.
 
     def workers_to_record(self) -> list[Registration] | None:
-        """Return the workers that may have runs, or None if the list hasn't changed."""
+        """Return the workers that may have runs, or None if the list hasn't changed.
+
+        Each is recorded with the largest capacity that it is known to have had.
+        """
         workers = self.ledger.workers
         is_complete = all(each.is_recorded for each in workers.values())
         if is_complete and self.recorded <= workers.keys():
             return None
-        return [worker.entry for worker in workers.values()]
+        return [
+            msgspec.structs.replace(worker.entry, capacity=worker.largest_capacity)
+            for worker in workers.values()
+        ]
 
     def workers_recorded(self, entries: Iterable[Registration]) -> None:
         """Mark workers as recorded in the store, which lets new runs start on them."""
-        self.recorded = {entry.worker for entry in entries}
+        capacities = {entry.worker: entry.capacity for entry in entries}
+        self.recorded = set(capacities)
         self.ledger.have_workers_changed = True
         for worker in self.ledger.workers.values():
-            worker.is_recorded = worker.id in self.recorded
+            capacity = capacities.get(worker.id)
+            worker.is_recorded = (
+                capacity is not None and worker.largest_capacity.fits_in(capacity)
+            )
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
@@ -148,12 +148,19 @@
         if entry != worker.entry or not worker.is_registered:
             self.ledger.have_workers_changed = True
             self.ledger.freed[worker.id] = worker
+        worker.has_had(entry.capacity)
         if entry.capacity != worker.entry.capacity:
             worker.free = worker.free + (entry.capacity - worker.entry.capacity)
         worker.entry = entry
         worker.is_registered = True
         return False
 
+    def worker_recorded(self, entry: Registration) -> None:
+        """Apply a predecessor's record of a worker that is still registered."""
+        worker = self.ledger.workers.get(entry.worker)
+        if worker is not None:
+            worker.has_had(entry.capacity)
+
     def worker_unregistered(self, worker_id: WorkerId) -> None:
         """Mark a worker as no longer registered; its tasks may still run."""
         worker = self.ledger.workers.get(worker_id)
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
@@ -3,7 +3,7 @@
 from enum import Enum
 
 from gooseberrydeck_coordination.ids import JobId, TeamName
-from gooseberrydeck_coordination.resources import Resources
+from gooseberrydeck_coordination.resources import NO_RESOURCES, Resources
 from gooseberrydeck_fleet.advice import AdviceCache
 from gooseberrydeck_fleet.configuration import UNSERVED, Queue
 from gooseberrydeck_fleet.crash_records import CrashRecord
@@ -436,6 +436,7 @@
         "is_recorded",
         "is_registered",
         "is_restarting",
+        "largest_capacity",
         "last_end_number",
         "last_reply_s",
         "lease_expiry_s",
@@ -450,6 +451,8 @@
         self.id = entry.worker
         self.entry = entry
         self.free = entry.capacity
+        # The largest capacity it is known to have had: its runs may use as much.
+        self.largest_capacity = entry.capacity
         self.runs: dict[tuple[TaskRef, int], Run] = {}
         self.preemptible_runs: dict[Run, None] = {}
         self.born_ms = 0
@@ -494,6 +497,23 @@
             and not self.entry.is_draining
         )
 
+    def has_had(self, capacity: Resources) -> None:
+        """Record a capacity of the worker; a larger one has to be stored.
+
+        Until then, nothing more starts there: a successor that can't reach the worker
+        wouldn't know how much may run.
+        """
+        largest = self.largest_capacity.largest(capacity)
+        if largest != self.largest_capacity:
+            self.largest_capacity = largest
+            self.is_recorded = False
+
+    def unknown_usage(self) -> Resources:
+        """Return what unknown runs may use: what the known ones left at its largest."""
+        known = self.entry.capacity - self.free
+        left = self.largest_capacity - known
+        return left.largest(NO_RESOURCES)
+
     def clock_at(self, now_s: float) -> int:
         """Return a lower bound of the worker's clock at ``now_s``, in milliseconds."""
         return int(self.clock_ms + (now_s - self.clock_read_s) * 1000)
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/unknown_usage.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/unknown_usage.py
@@ -158,7 +158,7 @@
         total = NO_RESOURCES
         for worker in self.ledger.workers.values():
             if not worker.has_reported:
-                total = total + worker.entry.capacity
+                total = total + worker.largest_capacity
         return total
 
     def room_beside_orphaned_runs(self) -> Resources:
@@ -169,12 +169,7 @@
         total = NO_RESOURCES
         for worker in self.ledger.workers.values():
             if worker.has_orphaned_runs:
-                free = worker.free
-                total = total + Resources(
-                    max(0, free.cpu_millis),
-                    max(0, free.memory_mib),
-                    max(0, free.accelerators),
-                )
+                total = total + worker.unknown_usage()
         return total
 
 
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
@@ -267,7 +267,9 @@
             self.registration_changed(entry.key, entry.value, now_s)
         for worker, known in stored.workers.items():
             # Its registration is gone or unreadable, but it may have runs.
-            if worker not in self.poll_states:
+            if worker in self.poll_states:
+                self.scheduler.worker_recorded(known)
+            else:
                 self.add_worker(known, now_s)
                 self.scheduler.worker_unregistered(worker)
         for record, revision in stored.jobs:
--- a/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/fleet_worker.py
+++ b/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/fleet_worker.py
@@ -28,6 +28,10 @@
 STOP_S = 0.2
 """Time that a run takes to stop, well below the guaranteed time-out."""
 
+RESIZE_NOTICE_S = 4.5
+"""Time in which a scheduler may not know yet that a worker's capacity has shrunk: the
+platform's contact time and one heartbeat."""
+
 CRASHED = "crashed"
 """Kind of the span of a run that ended with its worker."""
 
@@ -154,6 +158,8 @@
         """
         self.clock = clock
         self.capacity = capacity
+        # Former capacities, with the times until which a scheduler may rely on them.
+        self.former_capacities: list[tuple[float, Resources]] = []
         self.plan_of = plan_of
         self.max_lease_s = max_lease_s
         self.enforces_capacity = enforces_capacity
@@ -237,9 +243,10 @@
         ):
             return StartOutcome.SUPERSEDED
         plan = self.plan_of(request)
-        if not (self.used() + plan.resources).fits_in(self.capacity):
-            if self.enforces_capacity:
-                return StartOutcome.NO_ROOM
+        used = self.used() + plan.resources
+        if self.enforces_capacity and not used.fits_in(self.capacity):
+            return StartOutcome.NO_ROOM
+        if not self.has_room_for(used):
             self.violations.append(f"over capacity by {request.task}")
         started = ActiveRun(self, request, plan)
         if plan.gang_size:
@@ -278,6 +285,18 @@
             total = total + active.plan.resources
         return total
 
+    def resize(self, capacity: Resources) -> None:
+        """Change the capacity; what runs goes on, even beyond it."""
+        until_s = self.now_s() + RESIZE_NOTICE_S
+        self.former_capacities.append((until_s, self.capacity))
+        self.capacity = capacity
+
+    def has_room_for(self, used: Resources) -> bool:
+        """Return True if a scheduler may use as much, by all that it has to know."""
+        now_s = self.now_s()
+        known = [each for until_s, each in self.former_capacities if now_s < until_s]
+        return any(used.fits_in(capacity) for capacity in [self.capacity, *known])
+
     def advance(self) -> None:
         """End the runs whose end was due, each at the time when it was due."""
         now_s = self.clock.monotonic()
--- a/tests/fleet/test_machine.py
+++ b/tests/fleet/test_machine.py
@@ -37,7 +37,7 @@
 
 
 class FleetMachine(RuleBasedStateMachine):
-    """Jobs, gangs, failures, partitions, restarts, outages and takeovers."""
+    """Jobs, gangs, failures, partitions, restarts, resizes, outages, takeovers."""
 
     def __init__(self) -> None:
         super().__init__()
@@ -144,6 +144,13 @@
         self.born_ms += 1
         self.fleet.restart_worker(WorkerId(f"w{number}"), self.born_ms)
 
+    @rule(
+        number=strategies.integers(0, WORKERS - 1),
+        cores=strategies.sampled_from([4, MAX_CORES, 32, 48]),
+    )
+    def resize(self, number: int, cores: int) -> None:
+        self.fleet.resize_worker(WorkerId(f"w{number}"), cores)
+
     @rule()
     def toggle_store(self) -> None:
         self.fleet.is_store_available = not self.fleet.is_store_available
@@ -177,6 +184,8 @@
         """End all faults, after which every job must complete without violations."""
         self.heal()
         self.fleet.is_store_available = True
+        for number in range(WORKERS):
+            self.resize(number, 32)
         waited_s = 0.0
         while any(not self.is_complete(job) for job in self.jobs):
             assert waited_s < FINISH_S, "jobs are stuck"
--- a/tests/fleet_support.py
+++ b/tests/fleet_support.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable, Mapping
 from types import MappingProxyType
 
+import msgspec
+
 from gooseberrydeck_coordination.clock import ManualClock
 from gooseberrydeck_coordination.ids import (
     DataCentre,
@@ -153,6 +155,7 @@
         self.revisions: dict[JobId, int] = {}
         self.progress: dict[JobId, bytes] = {}
         self.ended: dict[JobId, EndedJob] = {}
+        self.workers_record: list[Registration] = []
         self.poll_states: dict[WorkerId, WorkerPollState] = {}
         self.starts: list[tuple[float, TaskRef, WorkerId]] = []
         self.stops: list[tuple[float, TaskRef, str]] = []
@@ -240,6 +243,14 @@
                 del self.down[worker]
                 self.start_again(worker)
 
+    def resize_worker(self, worker: WorkerId, cores: float) -> None:
+        """Change a worker's capacity, which its registration shows at once."""
+        capacity = Resources(int(cores * CORE), HOST.memory_mib, 0)
+        self.engines[worker].resize(capacity)
+        entry = self.scheduler.ledger.workers[worker].entry
+        changed = msgspec.structs.replace(entry, capacity=capacity)
+        self.scheduler.worker_registered(changed, self.now_s)
+
     def start_again(self, worker: WorkerId) -> None:
         """Start the process of a worker that has crashed."""
         if self.do_ids_change:
@@ -534,6 +545,7 @@
             self.poll_states[worker].ends_stored(born_ms, number)
         entries = self.scheduler.changes.workers_to_record()
         if entries is not None:
+            self.workers_record = entries
             self.scheduler.changes.workers_recorded(entries)
 
     def take_over(self, quarantine_s: float = 4.3) -> None:
@@ -548,6 +560,8 @@
         for worker in former.ledger.workers.values():
             self.scheduler.worker_registered(worker.entry, self.now_s, until_s)
             self.poll_states[worker.id] = WorkerPollState()
+        for recorded in self.workers_record:
+            self.scheduler.worker_recorded(recorded)
         self.scheduler.jobs_read(len(self.revisions))
         for job, record in self.records.items():
             revision = self.revisions[job]
