--- a/examples/platform_demo.py
+++ b/examples/platform_demo.py
@@ -8,6 +8,7 @@
 import time
 from pathlib import Path
 
+import msgspec
 import typer
 
 from gooseberrydeck_adapter_standins.local_platform import (
@@ -21,6 +22,8 @@
 WORKERS = 6
 LOOKUPS = 20
 WAIT_S = 20.0
+CRASHES_S = 60.0
+"""Time in which a task has crashed enough workers to be given up."""
 
 JOBS = {
     "/slow/00000000000000b0": ("a batch of reviews", job_body(0.5, 12, steps=2)),
@@ -57,6 +60,22 @@
     return "unknown"
 
 
+def show_crashing_task(platform: LocalPlatform) -> None:
+    """Submit a job whose task crashes its workers, beside one that shrinks."""
+    resize = {"Cpu": 4_000, "MemMb": 65_536}
+    platform.workers[0].put("/capacity", msgspec.json.encode(resize))
+    typer.echo("shrunk: the first worker, to 4 processors")
+    path = "/slow/00000000000000e0"
+    submit(platform, path, job_body(tasks=2, crashing=0))
+    typer.echo(f"accepted: a job with a task that crashes its workers ({path})")
+    wait_for(lambda: "failed" in state(platform, path), "it is given up", CRASHES_S)
+    for member in platform.members.values():
+        response = member.call("GET", path) if member.is_alive() else None
+        if response is not None and "x-failure-reason" in response.headers:
+            typer.echo(f"given up: {response.headers['x-failure-reason']}")
+            return
+
+
 def main() -> None:
     """Run the demo and print its progress."""
     with (
@@ -87,6 +106,7 @@
             WAIT_S,
         )
         typer.echo(f"{LOOKUPS} lookups in {time.monotonic() - began_s:.1f} s")
+        show_crashing_task(platform)
         for path, (what, _) in JOBS.items():
             wait_for(
                 lambda path=path: "queued" not in state(platform, path), what, WAIT_S
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/crashes.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/crashes.py
@@ -7,6 +7,7 @@
 """
 
 from collections import deque
+from datetime import UTC, datetime
 from enum import Enum
 from typing import NamedTuple
 
@@ -321,11 +322,10 @@
         is_guilty = len(records) >= MIN_CRASHES and total >= GIVE_UP_BLAME
         if is_guilty:
             job = task.step.job
-            first = min(records, key=lambda record: record.silent_s)
-            job.failure = (
-                f"task {'.'.join(str(part) for part in task.ref)} crashed "
-                f"{len(records)} workers, the first at {first.silent_s:.3f}"
-            )
+            first = min(record.silent_s for record in records)
+            since = datetime.fromtimestamp(first, UTC).isoformat(timespec="seconds")
+            name = ".".join(str(part) for part in task.ref)
+            job.failure = f"task {name} crashed {len(records)} workers since {since}"
             self.ends.finish(job, JobState.FAILED)
         return BlamedRun(
             task.ref,
--- a/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/fleet_worker.py
+++ b/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/fleet_worker.py
@@ -22,7 +22,7 @@
 )
 from gooseberrydeck_standins.gangs import DueEnd, Gang, GangRegistry
 
-__all__ = ["FleetWorkerEngine", "RunPlan", "RunSpan", "find_duplicate_runs"]
+__all__ = ["CRASHED", "FleetWorkerEngine", "RunPlan", "RunSpan", "find_duplicate_runs"]
 
 MAX_LISTED_ENDS = 500
 STOP_S = 0.2
--- a/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/processes.py
+++ b/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/processes.py
@@ -216,10 +216,10 @@
         connection.request("PUT", f"{path}/faults", body)
         connection.close()
 
-    def put(self, path: str) -> None:
-        """Send a ``PUT`` request without a body to a path."""
+    def put(self, path: str, body: bytes = b"") -> None:
+        """Send a ``PUT`` request to a path."""
         connection = HttpConnection(self.address)
-        connection.request("PUT", path)
+        connection.request("PUT", path, body)
         connection.close()
 
     def fetch(self, path: str) -> bytes:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -4,20 +4,25 @@
 from collections.abc import Callable
 
 import msgspec
+import structlog
 
 from gooseberrydeck_adapter_standins.local_platform import (
     LocalPlatform,
     MemberProcess,
 )
-from gooseberrydeck_platform.http import HttpAddress
+from gooseberrydeck_platform.http import HttpAddress, HttpError
 from gooseberrydeck_standins.faults import FaultKind
 from gooseberrydeck_standins.processes import StandinProcess
 from soak.proxy import LinkFault, Proxy
 
 __all__ = ["Cell", "Fault", "draw_schedule"]
 
+log = structlog.get_logger(__name__)
+
 MEMBERS = 3
 WORKERS = 5
+WORKER_CPUS = 8
+WORKER_MEMORY_MIB = 65_536
 KINDS = (
     "kill_member",
     "pause_member",
@@ -31,6 +36,7 @@
     "store_forgets",
     "kill_worker",
     "pause_worker",
+    "shrink_worker",
     "advice_down",
 )
 LINK_FAULTS = [fault for fault in LinkFault if fault is not LinkFault.NONE]
@@ -79,7 +85,7 @@
     def add_worker(self) -> None:
         """Start a worker that is reached through a proxy."""
         link = Proxy()
-        worker = self.platform.add_workers(1, 8, advertise=str(link.address))
+        worker = self.platform.add_workers(1, WORKER_CPUS, advertise=str(link.address))
         link.target = HttpAddress.parse(worker.announcement()["address"])
         self.worker_links.append(link)
 
@@ -202,6 +208,20 @@
         process.pause()
         return process.resume
 
+    def begin_shrink_worker(self, fault: Fault) -> Callable[[], None]:
+        """Take a part of a worker's capacity away until the end of the fault."""
+        process = self.worker(fault.target)
+        self.resize(process, fault.target % WORKER_CPUS)
+        return lambda: self.resize(process, WORKER_CPUS)
+
+    def resize(self, process: StandinProcess, cpus: int) -> None:
+        """Change the capacity of a worker that is alive and not paused."""
+        body = {"Cpu": cpus * 1_000, "MemMb": WORKER_MEMORY_MIB}
+        try:
+            process.put("/capacity", msgspec.json.encode(body))
+        except HttpError as error:
+            log.info("worker not resized", reason=str(error))
+
     def recover(self) -> None:
         """Clear all link faults and restart the members that have ended."""
         for link in [*self.store_links.values(), *self.worker_links]:
--- a/soak/run.py
+++ b/soak/run.py
@@ -8,6 +8,7 @@
 import tempfile
 import threading
 import time
+from collections import Counter
 from collections.abc import Callable
 from pathlib import Path
 
@@ -19,6 +20,7 @@
     default_configuration,
     job_body,
 )
+from gooseberrydeck_standins.fleet_worker import CRASHED
 from soak.faults import Cell, Fault, draw_schedule
 
 __all__ = ["Report", "run_seed"]
@@ -26,6 +28,12 @@
 LENGTH_S = 10.0
 FINISH_S = 45.0
 SUBMIT_EVERY_S = 0.12
+DEADLY_SHARE = 0.03
+"""Share of the jobs with a task that crashes each worker that starts it."""
+
+MAX_CRASHES = 5
+"""A task isn't started three times more after three workers have crashed under it."""
+
 FINAL = (b"completed", b"failed", b"cancelled")
 REFUSED = (429, 503)
 INTERNAL_ERROR = 500
@@ -54,6 +62,7 @@
         self.refused: set[str] = set()
         self.unknown: set[str] = set()
         self.failed: set[str] = set()
+        self.deadly: set[str] = set()
 
     def run(self) -> None:
         """Submit jobs until stopped."""
@@ -69,11 +78,15 @@
         A job counts as refused only if every attempt was refused; otherwise its
         outcome is unknown.
         """
+        is_deadly = self.rng.random() < DEADLY_SHARE
+        if is_deadly:
+            self.deadly.add(path)
         body = job_body(
             seconds=self.rng.uniform(0.1, 1.2),
             tasks=self.rng.randint(1, 4),
             cpu=self.rng.choice((1_000, 3_000)),
             steps=self.rng.randint(1, 2),
+            crashing=0 if is_deadly else -1,
         )
         is_certain = True
         for _ in range(3):
@@ -120,6 +133,39 @@
     return False
 
 
+def has_failed(cell: Cell, path: str) -> bool:
+    """Return True if any member reports that a job has failed."""
+    for member in list(cell.platform.members.values()):
+        response = member.call("GET", path)
+        if response is not None and b"failed" in response.body:
+            return True
+    return False
+
+
+def check_failures(cell: Cell, client: JobClient, report: Report) -> None:
+    """Report good jobs that were given up, and tasks that crashed too many workers."""
+    report.broken.extend(
+        f"given up: {path}"
+        for path in client.accepted
+        if path not in client.deadly and has_failed(cell, path)
+    )
+    crashes: Counter[str] = Counter()
+    for span in cell.platform.spans():
+        path = next((each for each in client.deadly if job_of(each) in span.task), "")
+        if path and span.kind == CRASHED and span.task.endswith("number=0)"):
+            crashes[span.task] += 1
+    report.broken.extend(
+        f"crashed {count} workers: {task}"
+        for task, count in crashes.items()
+        if count > MAX_CRASHES
+    )
+
+
+def job_of(path: str) -> str:
+    """Return the id of the job at a path."""
+    return path.rpartition("/")[2]
+
+
 def check_end(cell: Cell, client: JobClient, report: Report) -> None:
     """Wait for the accepted jobs and add violated guarantees to the report."""
     end_s = time.monotonic() + FINISH_S
@@ -131,10 +177,10 @@
     )
     report.broken.extend(f"internal error: {path}" for path in client.failed)
     report.broken.extend(cell.platform.violations())
+    check_failures(cell, client, report)
     started = {span.task for span in cell.platform.spans()}
     for path in client.refused:
-        job = path.rpartition("/")[2]
-        if any(job in task for task in started):
+        if any(job_of(path) in task for task in started):
             report.broken.append(f"refused and run: {path}")
 
 
--- a/tests/platform_processes/test_members.py
+++ b/tests/platform_processes/test_members.py
@@ -151,6 +151,24 @@
         assert cell.violations() == []
 
 
+class TestCrashingTasks:
+    # Guards against a task that takes down one worker after the other.
+    def test_task_that_crashes_its_workers_fails_its_job_only(
+        self, cell: LocalPlatform
+    ) -> None:
+        body = job_body(seconds=0.6, tasks=3)
+        submit_until_accepted(cell, path_of(1), job_body(tasks=2, crashing=0))
+        for number in range(2, JOBS):
+            submit_until_accepted(cell, path_of(number), body)
+        wait_state(cell, path_of(1), b"failed")
+        for number in range(2, JOBS):
+            wait_state(cell, path_of(number), b"completed")
+        response = cell.members["m1"].call("GET", path_of(1))
+        assert response is not None
+        assert "crashed" in response.headers["x-failure-reason"]
+        assert cell.violations() == []
+
+
 class TestCallers:
     def test_any_member_reports_any_job(self, cell: LocalPlatform) -> None:
         submit_until_accepted(cell, path_of(1), job_body(seconds=0.2))
