--- a/packages/gooseberrydeck-ctl/src/gooseberrydeck_ctl/cell_commands.py
+++ b/packages/gooseberrydeck-ctl/src/gooseberrydeck_ctl/cell_commands.py
@@ -16,6 +16,7 @@
     VersionResponse,
     WorkersResponse,
 )
+from gooseberrydeck_ctl.caller_view import read_job
 from gooseberrydeck_ctl.options import JsonOption, make_client
 from gooseberrydeck_ctl.output import print_json, print_lines, show
 
@@ -98,6 +99,21 @@
     print_lines(f"{w.tasks} tasks: {w.reason} {w.detail}" for w in response.waits)
 
 
+@jobs_application.command()
+def failure(host: str, path: str, json: JsonOption = False) -> None:
+    """Show a job's state as its caller reads it, and why it was given up.
+
+    The addresses are those for callers and the key is the team's; HOST and PATH are as
+    in the caller's request.
+    """
+    client = make_client()
+    view = read_job(client.addresses, client.key, host, path)
+    if json:
+        print_json(view)
+        return
+    typer.echo(f"{view.state}: {view.failure}" if view.failure else view.state)
+
+
 @jobs_application.command()
 def cancel(job: str, json: JsonOption = False) -> None:
     """Cancel a job."""
