--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/crashes.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/crashes.py
@@ -53,6 +53,9 @@
 RECORD_DELAY_S = 0.1
 """Silence after which a worker's runs are stored; a lost poll is repeated sooner."""
 
+MIN_SILENCE_S = 1.0
+"""A worker that answers again sooner has not been silent."""
+
 MAX_SILENCE_S = 60.0
 """Time after which a worker that has vanished counts as cut off rather than crashed."""
 
@@ -158,7 +161,7 @@
 
         A worker that drains may leave, which is no crash.
         """
-        if worker.id in self.silences or worker.entry.is_draining or not worker.runs:
+        if worker.id in self.silences or worker.entry.is_draining:
             return
         if self.crashed_processes.get(worker.id) == worker.born_ms:
             return
@@ -204,9 +207,11 @@
         if task.crashes.pop(number, None) is not None:
             self.ledger.changed[task.ref.job] = None
 
-    def end_silence(self, silence: Silence) -> None:
-        """End a silence that was no crash."""
+    def end_silence(self, silence: Silence, now_s: float) -> None:
+        """End a silence that was no crash; a short one was a lost response."""
         del self.silences[silence.worker]
+        if now_s + self.wall_offset_s - silence.since_s < MIN_SILENCE_S:
+            self.recent.remove(silence)
         for present in silence.runs.values():
             self.remove_record(present.task, present.number)
 
@@ -221,7 +226,7 @@
         if silence is None:
             return
         if silence.born_ms in (0, born_ms):
-            self.end_silence(silence)
+            self.end_silence(silence, now_s)
         else:
             self.crashed(silence, CrashEvidence.NEW_PROCESS, now_s)
 
@@ -246,6 +251,8 @@
         """Share the blame for a crash among the runs that the worker had."""
         del self.silences[silence.worker]
         self.crashed_processes[silence.worker] = silence.born_ms
+        if not silence.runs:
+            return
         others = self.count_others(silence)
         relevance = 1 / (1 + others)
         blamed = []
@@ -347,7 +354,7 @@
         for silence in list(self.silences.values()):
             silent_s = wall_s - silence.since_s
             if silent_s > MAX_SILENCE_S:
-                self.end_silence(silence)
+                self.end_silence(silence, now_s)
             elif silent_s >= RECORD_DELAY_S:
                 self.record_doubts(silence)
                 self.suspect_lapsed(silence, now_s)
--- a/tests/fleet/test_crashes.py
+++ b/tests/fleet/test_crashes.py
@@ -177,6 +177,19 @@
         assert {self.fleet.state(job) for job in jobs} == {JobState.COMPLETED}
         assert self.fleet.violations() == []
 
+    def test_idle_workers_that_fall_silent_too_are_a_sign_of_another_cause(
+        self,
+    ) -> None:
+        self.submit_ordinary(seconds=30.0)
+        self.fleet.run_for(1.0)
+        busy = {worker for _, _, worker in self.fleet.starts}
+        for worker in list(self.fleet.engines):
+            self.fleet.crash_worker(worker)
+        self.fleet.run_for(4.0)
+        reports = self.fleet.scheduler.take_crash_reports()
+        assert {report.worker for report in reports} == busy
+        assert {report.others_silent for report in reports} == {7}
+
     def test_worker_that_was_only_cut_off_has_not_crashed(self) -> None:
         good = self.submit_ordinary(seconds=30.0)
         self.fleet.run_for(1.0)
