--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/crash_records.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/crash_records.py
@@ -23,11 +23,11 @@
 class CrashRecord(msgspec.Struct, frozen=True, array_like=True):
     """A run that was on a worker when the worker stopped answering.
 
-    ``born_ms`` identifies the worker's process, and ``silent_s`` is when it stopped
-    answering, in Unix seconds. The run had taken ``age_s`` seconds by then. ``blame``
-    is the task's share of the blame for the crash, and ``relevance``, up to 1, is less
-    the more workers fell silent at once. Both are 0 as long as the worker may only be
-    out of reach.
+    ``born_ms`` identifies the worker's process at ``address``, and ``silent_s`` is when
+    it stopped answering, in Unix seconds. The run had taken ``age_s`` seconds by then.
+    ``blame`` is the task's share of the blame for the crash, and ``relevance``, up to
+    1, is less the more workers fell silent at once. Both are 0 as long as the worker
+    may only be out of reach.
     """
 
     run: int
@@ -37,6 +37,7 @@
     age_s: float
     blame: float = 0.0
     relevance: float = 0.0
+    address: str = ""
 
     @property
     def is_certain(self) -> bool:
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/crashes.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/crashes.py
@@ -23,7 +23,6 @@
 from gooseberrydeck_fleet.run_ends import RunEndHandler
 from gooseberrydeck_fleet.state import Run, Task, Worker
 from gooseberrydeck_fleet.work import JobState
-from gooseberrydeck_platform.http import HttpAddress
 
 __all__ = ["BlamedRun", "CrashEvidence", "CrashReport", "CrashTracker"]
 
@@ -119,7 +118,7 @@
     def __init__(
         self,
         worker: WorkerId,
-        address: HttpAddress | None,
+        address: str,
         born_ms: int,
         since_s: float,
     ) -> None:
@@ -166,7 +165,8 @@
         if self.crashed_processes.get(worker.id) == worker.born_ms:
             return
         since_s = now_s + self.wall_offset_s
-        silence = Silence(worker.id, worker.entry.address, worker.born_ms, since_s)
+        address = str(worker.entry.address)
+        silence = Silence(worker.id, address, worker.born_ms, since_s)
         for key, run in worker.runs.items():
             age_s = max(0.0, now_s - run.started_s)
             silence.runs[key] = PresentRun(run.task, run.number, age_s)
@@ -186,9 +186,9 @@
             return
         silence = self.silences.get(record.worker)
         if silence is None:
-            worker = self.ledger.workers.get(record.worker)
-            address = None if worker is None else worker.entry.address
-            silence = Silence(record.worker, address, record.born_ms, record.silent_s)
+            silence = Silence(
+                record.worker, record.address, record.born_ms, record.silent_s
+            )
             silence.is_recorded = True
             self.add_silence(silence)
         silence.runs[task.ref, record.run] = PresentRun(task, record.run, record.age_s)
@@ -240,7 +240,7 @@
     def worker_registered(self, entry: Registration, now_s: float) -> None:
         """Apply that a new worker has registered, perhaps at a silent one's address."""
         for silence in list(self.silences.values()):
-            is_elsewhere = silence.address != entry.address
+            is_elsewhere = silence.address != str(entry.address)
             is_older = 0 < entry.born_ms <= silence.born_ms
             if silence.worker != entry.worker and not is_elsewhere and not is_older:
                 self.crashed(silence, CrashEvidence.ADDRESS_TAKEN, now_s)
@@ -315,6 +315,7 @@
             round(present.age_s, 3),
             round(blame, 4),
             relevance,
+            silence.address,
         )
         job = task.step.job
         self.ledger.changed[job.id] = None
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/suspects.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/suspects.py
@@ -71,6 +71,13 @@
         """Return how long the task waits for a worker as it needs it."""
         return WAIT_FOR_OWN_S if self.is_strong else WAIT_FOR_SEPARATE_S
 
+    def was_lost_at(self, address: str) -> bool:
+        """Return True if the worker at an address fell silent under the task.
+
+        The worker itself may be to blame.
+        """
+        return any(record.address == address for record in self.task.crashes.values())
+
     def waited_s(self, now_s: float) -> float:
         """Return how long ago a start was first considered since the last crash."""
         if now_s < self.retry_s:
@@ -197,6 +204,8 @@
             return False
         if self.has_waited_enough(task, now_s):
             return True
+        if suspect.was_lost_at(str(worker.entry.address)):
+            return False
         is_strong = suspect.is_strong
         is_occupied = worker.id in occupied
         is_separate = not is_occupied and len(occupied) < max_occupied
--- a/tests/fleet/test_crashes.py
+++ b/tests/fleet/test_crashes.py
@@ -177,6 +177,26 @@
         assert {self.fleet.state(job) for job in jobs} == {JobState.COMPLETED}
         assert self.fleet.violations() == []
 
+    # A worker that has just come back is empty, and would attract them again.
+    @pytest.mark.parametrize("do_ids_change", [False, True])
+    def test_worker_that_crashes_again_and_again_is_avoided(
+        self, do_ids_change: bool
+    ) -> None:
+        self.fleet.do_ids_change = do_ids_change
+        jobs = [self.submit_ordinary(f"good{n}", seconds=6.0) for n in range(2)]
+        self.fleet.run_for(0.5)
+        name = self.fleet.starts[0][2]
+        for _ in range(8):
+            (worker,) = (
+                each for each in self.fleet.engines if each.rstrip("-") == name
+            )
+            lost = list(self.fleet.engines[worker].runs)
+            assert not any(self.task(each.job, each.number).crashes for each in lost)
+            self.fleet.crash_worker(worker)
+            self.fleet.run_for(4.0)
+        self.fleet.run_for(60.0)
+        assert {self.fleet.state(job) for job in jobs} == {JobState.COMPLETED}
+
     def test_idle_workers_that_fall_silent_too_are_a_sign_of_another_cause(
         self,
     ) -> None:
