--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/candidates.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/candidates.py
@@ -54,13 +54,18 @@
         if not task.failed_on and not is_suspect:
             return heapq.heappop(self.heap)[2]
         occupied = suspects.occupied_workers() if is_suspect else ()
+        others = self.workers
+        if is_suspect:
+            others = suspects.without_crashed(task, self.workers, now_s)
         ready = self.placer.ready_workers(self.step.job.queue.service)
         max_occupied = max_occupied_workers(len(ready))
         best: tuple[float, int, Worker] | None = None
         for entry in self.heap:
             rank, place, worker = entry
             if is_suspect:
-                if not suspects.allows(task, worker, occupied, max_occupied, now_s):
+                if worker not in others or not suspects.allows(
+                    task, worker, occupied, max_occupied, now_s
+                ):
                     continue
                 rank += RUN_BESIDE_PENALTY * len(worker.runs)
             failed_s = task.failed_on.get(worker.id)
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/placement.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/placement.py
@@ -215,7 +215,7 @@
         free.sort(key=lambda worker: len(worker.runs))
         found: dict[Task, Worker] = {}
         for task in suspects:
-            for worker in free:
+            for worker in tracker.without_crashed(task, free, now_s):
                 if tracker.allows(task, worker, occupied, max_occupied, now_s):
                     found[task] = worker
                     occupied.add(worker.id)
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/suspects.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/suspects.py
@@ -5,7 +5,7 @@
 names one of them. One that already has much of the blame gets a worker of its own.
 """
 
-from collections.abc import Collection
+from collections.abc import Collection, Iterable
 
 from gooseberrydeck_fleet.crash_records import total_blame
 from gooseberrydeck_fleet.ids import TaskRef, WorkerId
@@ -71,13 +71,6 @@
         """Return how long the task waits for a worker as it needs it."""
         return WAIT_FOR_OWN_S if self.is_strong else WAIT_FOR_SEPARATE_S
 
-    def was_lost_at(self, address: str) -> bool:
-        """Return True if the worker at an address fell silent under the task.
-
-        The worker itself may be to blame.
-        """
-        return any(record.address == address for record in self.task.crashes.values())
-
     def waited_s(self, now_s: float) -> float:
         """Return how long ago a start was first considered since the last crash."""
         if now_s < self.retry_s:
@@ -185,6 +178,19 @@
         limit_s = WAIT_FOR_ANY_FACTOR * suspect.patience_s
         return suspect.waited_s(now_s) >= limit_s
 
+    def without_crashed(
+        self, task: Task, workers: Iterable[Worker], now_s: float
+    ) -> list[Worker]:
+        """Return the workers at other addresses than those where a suspect was lost.
+
+        Those workers may be to blame themselves. If there are no others, or the suspect
+        has waited for long, all workers are returned.
+        """
+        workers = list(workers)
+        addresses = {record.address for record in task.crashes.values()}
+        others = [each for each in workers if str(each.entry.address) not in addresses]
+        return others if others and not self.has_waited_enough(task, now_s) else workers
+
     def allows(
         self,
         task: Task,
@@ -204,8 +210,6 @@
             return False
         if self.has_waited_enough(task, now_s):
             return True
-        if suspect.was_lost_at(str(worker.entry.address)):
-            return False
         is_strong = suspect.is_strong
         is_occupied = worker.id in occupied
         is_separate = not is_occupied and len(occupied) < max_occupied
