--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
@@ -329,22 +329,6 @@
             worker.is_restarting = True
             self.ledger.have_workers_changed = True
 
-    def has_left(self, worker_id: WorkerId, now_s: float) -> bool:
-        """Return True if an unreachable worker has drained, but may still have runs.
-
-        A worker's registration is removed once it has left, and by then all its runs
-        have ended.
-        """
-        worker = self.ledger.workers.get(worker_id)
-        return (
-            worker is not None
-            and worker.entry.is_draining
-            and now_s >= worker.available_until_s
-            and not worker.is_registered
-            and not worker.is_reachable
-            and (bool(worker.runs) or not worker.has_reported)
-        )
-
     def worker_gone(self, worker_id: WorkerId, now_s: float) -> list[Run]:
         """Record all runs of a worker whose process ended as lost, and return them."""
         worker = self.ledger.workers.get(worker_id)
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
@@ -582,7 +582,6 @@
         worker = WorkerId(key.removeprefix(self.registrations))
         log.info("worker entry removed", worker=worker)
         self.scheduler.worker_unregistered(worker)
-        self.check_departure(worker, now_s)
 
     def poll_due_workers(self, now_s: float) -> None:
         """Send a poll to each worker that is due."""
@@ -762,9 +761,7 @@
         is_refused = failure.is_refused or failure.is_replaced
         poll_state.poll_failed(now_s, is_refused, failure.is_replaced)
         if poll_state.replacements == REPLACED_THRESHOLD:
-            self.worker_gone(message.worker, False, now_s)
-        else:
-            self.check_departure(message.worker, now_s)
+            self.worker_gone(message.worker, now_s)
 
     def response_lost(self, now_s: float) -> None:
         """Record that the response of a reachable worker was lost."""
@@ -774,23 +771,10 @@
         if not was_common and self.response_losses.are_common(now_s):
             log.warning("answers of workers are being lost")
 
-    def check_departure(self, worker: WorkerId, now_s: float) -> None:
-        """Remove a silent worker's runs if it has completed its departure."""
-        if self.scheduler.has_left(worker, now_s):
-            self.worker_gone(worker, True, now_s)
-
-    def worker_gone(self, worker: WorkerId, has_left: bool, now_s: float) -> None:
-        """Mark all runs of a worker whose process has ended as lost.
-
-        It has left as announced, or else another process answers in its place.
-        """
+    def worker_gone(self, worker: WorkerId, now_s: float) -> None:
+        """Mark all runs of a worker as lost in whose place another process answers."""
         lost = self.scheduler.worker_gone(worker, now_s)
-        log.warning(
-            "worker is gone",
-            worker=worker,
-            lost_runs=len(lost),
-            has_left=has_left,
-        )
+        log.warning("worker is gone", worker=worker, lost_runs=len(lost))
 
     # Commands.
 
--- a/tests/fleet/test_departures.py
+++ b/tests/fleet/test_departures.py
@@ -2,20 +2,13 @@
 
 import pytest
 
-from fleet_support import STEP_S, Fleet, registration, task_resources
+from fleet_support import Fleet, registration, task_resources
 from gooseberrydeck_fleet.work import StepSpec
 
 ONE = StepSpec(1, task_resources())
 WATCHED_S = 6.0
 
 
-def check_departures(fleet: Fleet) -> None:
-    """Check departures, as the scheduler's task does after a failed poll."""
-    for worker in list(fleet.scheduler.ledger.workers):
-        if fleet.scheduler.has_left(worker, fleet.now_s):
-            fleet.scheduler.worker_gone(worker, fleet.now_s)
-
-
 class TestDepartures:
     # The registration of a draining worker is also removed while it is cut off. Its
     # runs counted as ended then, and started elsewhere before their lease had lapsed.
@@ -35,7 +28,5 @@
             fleet.take_over()
         fleet.scheduler.worker_unregistered(cut)
         fleet.clock.advance(0.6)
-        for _ in range(round(WATCHED_S / STEP_S)):
-            check_departures(fleet)
-            fleet.run_for(STEP_S)
+        fleet.run_for(WATCHED_S)
         assert fleet.violations() == []
--- a/tests/fleet/test_faults.py
+++ b/tests/fleet/test_faults.py
@@ -105,33 +105,20 @@
         assert leaving not in fleet.scheduler.ledger.workers
         assert leaving not in fleet.scheduler.changes.recorded
 
-    def test_unreachable_unregistered_draining_worker_has_left(self) -> None:
-        fleet = Fleet(workers=1)
-        leaving = fleet.add_worker("leaving", is_draining=True)
-        fleet.run_for(0.2)
-        job = fleet.submit("a", StepSpec(1, ONE, is_standing=True))
-        fleet.run_for(0.2)
-        worker = fleet.scheduler.ledger.workers[leaving]
-        worker.runs.update(fleet.scheduler.ledger.jobs[job].runs)
-        assert not fleet.scheduler.has_left(leaving, fleet.now_s)
-        fleet.scheduler.worker_unregistered(leaving)
-        assert not fleet.scheduler.has_left(leaving, fleet.now_s)
-        fleet.scheduler.worker_silent(leaving, fleet.now_s)
-        assert fleet.scheduler.has_left(leaving, fleet.now_s)
-
-    def test_worker_has_not_left_before_its_announced_departure(
-        self,
-    ) -> None:
+    def test_long_running_task_of_a_departed_worker_waits_for_its_lease(self) -> None:
+        # Whether the worker has left or is cut off can't be told apart. A long-running
+        # task has to run again within 6 s, and only once its lease has lapsed.
         fleet = Fleet(workers=2)
         fleet.submit("a", StepSpec(1, ONE, is_standing=True))
         fleet.run_for(0.2)
         _, _, leaving = fleet.starts[0]
-        entry = registration(str(leaving), is_draining=True, remaining_s=6.0)
+        entry = registration(str(leaving), is_draining=True, remaining_s=0.1)
+        fleet.unreachable.add(leaving)
         fleet.scheduler.worker_registered(entry, fleet.now_s)
         fleet.scheduler.worker_unregistered(leaving)
-        fleet.scheduler.worker_silent(leaving, fleet.now_s)
-        assert not fleet.scheduler.has_left(leaving, fleet.now_s + 5.9)
-        assert fleet.scheduler.has_left(leaving, fleet.now_s + 6.0)
+        fleet.run_for(6.0)
+        assert len(fleet.starts) == 2
+        assert fleet.violations() == []
 
 
 class TestLostReplies:
@@ -458,18 +445,31 @@
         fleet.run_for(4.6)
         assert len(fleet.starts) == 2
 
-    def test_departed_worker_delays_no_job(self) -> None:
+    def test_worker_that_departed_before_the_takeover_delays_no_job(self) -> None:
         fleet = Fleet(workers=2)
         leaving = fleet.add_worker("leaving", is_draining=True)
         fleet.run_for(0.2)
         job = fleet.submit("a", StepSpec(1, ONE))
         fleet.unreachable.add(leaving)
-        fleet.take_over()
         fleet.scheduler.worker_unregistered(leaving)
+        fleet.step()
+        fleet.take_over()
         fleet.run_for(0.1)
-        assert fleet.scheduler.has_left(leaving, fleet.now_s)
-        fleet.scheduler.worker_gone(leaving, fleet.now_s)
-        fleet.run_for(0.1)
+        assert fleet.state(job) is JobState.RUNNING
+
+    def test_worker_that_departs_during_the_takeover_delays_jobs_by_its_lease(
+        self,
+    ) -> None:
+        fleet = Fleet(workers=2)
+        leaving = fleet.add_worker("leaving", is_draining=True)
+        fleet.run_for(0.2)
+        job = fleet.submit("a", StepSpec(1, ONE))
+        fleet.unreachable.add(leaving)
+        fleet.take_over(quarantine_s=4.3)
+        fleet.scheduler.worker_unregistered(leaving)
+        fleet.run_for(4.2)
+        assert fleet.starts == []
+        fleet.run_for(0.5)
         assert fleet.state(job) is JobState.RUNNING
 
     def test_leases_of_a_worker_lost_after_its_first_reply_are_respected(
--- a/tests/member/test_worker_lives.py
+++ b/tests/member/test_worker_lives.py
@@ -606,7 +606,7 @@
         task.dispatcher.poll_executor = polls
         polled.poll()
         task.scheduler.worker_unregistered(WORKER)
-        task.worker_gone(WORKER, True, polled.now_s)
+        task.worker_gone(WORKER, polled.now_s)
         assert WORKER not in task.scheduler.ledger.workers
         polled.clock.advance(HEDGE_DELAY_S + STEP_S)
         polled.poll()
