--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/candidates.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/candidates.py
@@ -3,6 +3,7 @@
 import heapq
 from collections.abc import Iterable
 
+from gooseberrydeck_fleet.ids import WorkerId
 from gooseberrydeck_fleet.placement import Placer
 from gooseberrydeck_fleet.state import Step, Task, Worker
 from gooseberrydeck_fleet.suspects import RUN_BESIDE_PENALTY, max_occupied_workers
@@ -54,16 +55,17 @@
         if not task.failed_on and not is_suspect:
             return heapq.heappop(self.heap)[2]
         occupied = suspects.occupied_workers() if is_suspect else ()
-        others = self.workers
+        others: set[WorkerId] = set()
         if is_suspect:
-            others = suspects.without_crashed(task, self.workers, now_s)
+            found = suspects.without_crashed(task, self.workers, now_s)
+            others = {worker.id for worker in found}
         ready = self.placer.ready_workers(self.step.job.queue.service)
         max_occupied = max_occupied_workers(len(ready))
         best: tuple[float, int, Worker] | None = None
         for entry in self.heap:
             rank, place, worker = entry
             if is_suspect:
-                if worker not in others or not suspects.allows(
+                if worker.id not in others or not suspects.allows(
                     task, worker, occupied, max_occupied, now_s
                 ):
                     continue
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/crashes.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/crashes.py
@@ -146,6 +146,8 @@
         # Processes that have crashed, by worker, whose runs may not count as lost yet.
         self.crashed_processes: dict[WorkerId, int] = {}
         self.reports: list[CrashReport] = []
+        # True while restored silences wait to be compared with the registered workers.
+        self.has_restored = False
         # Difference between Unix time and the monotonic clock.
         self.wall_offset_s = 0.0
 
@@ -191,6 +193,7 @@
             )
             silence.is_recorded = True
             self.add_silence(silence)
+            self.has_restored = True
         silence.runs[task.ref, record.run] = PresentRun(task, record.run, record.age_s)
         silence.had_suspect |= self.suspects.is_suspect(task)
 
@@ -210,7 +213,9 @@
     def end_silence(self, silence: Silence, now_s: float) -> None:
         """End a silence that was no crash; a short one was a lost response."""
         del self.silences[silence.worker]
-        if now_s + self.wall_offset_s - silence.since_s < MIN_SILENCE_S:
+        is_short = now_s + self.wall_offset_s - silence.since_s < MIN_SILENCE_S
+        # Older ones have been removed; a host's time of day may be set back.
+        if is_short and silence in self.recent:
             self.recent.remove(silence)
         for present in silence.runs.values():
             self.remove_record(present.task, present.number)
@@ -352,6 +357,10 @@
         wall_s = now_s + self.wall_offset_s
         while self.recent and wall_s - self.recent[0].since_s > MAX_SILENCE_S:
             self.crashed_processes.pop(self.recent.popleft().worker, None)
+        if self.has_restored:
+            self.has_restored = False
+            for worker in self.ledger.workers.values():
+                self.worker_registered(worker.entry, now_s)
         for silence in list(self.silences.values()):
             silent_s = wall_s - silence.since_s
             if silent_s > MAX_SILENCE_S:
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/placement.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/placement.py
@@ -109,7 +109,7 @@
 
     def slots(self, worker: Worker, step: Step) -> int:
         """Return how many tasks of a step fit on a worker now."""
-        if self.ledger.suspects.is_reserved(worker, step):
+        if self.ledger.suspects.is_reserved(worker):
             return 0
         free = self.free_for(worker, step)
         need = step.allocation
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/preemption.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/preemption.py
@@ -102,6 +102,8 @@
 
     def victims_on(self, worker: Worker, step: Step) -> list[Run] | None:
         """Return the runs to stop so that one task fits, or None if it can't."""
+        if self.placer.ledger.suspects.is_reserved(worker):
+            return None
         limit = step.spec.max_per_worker
         if limit and self.placer.count_runs(worker, step) >= limit:
             return None
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/suspects.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/suspects.py
@@ -9,7 +9,7 @@
 
 from gooseberrydeck_fleet.crash_records import total_blame
 from gooseberrydeck_fleet.ids import TaskRef, WorkerId
-from gooseberrydeck_fleet.state import Run, Step, Task, Worker
+from gooseberrydeck_fleet.state import Run, Task, Worker
 
 __all__ = [
     "RUN_BESIDE_PENALTY",
@@ -150,12 +150,9 @@
             for run in suspect.task.runs
         }
 
-    def is_reserved(self, worker: Worker, step: Step) -> bool:
-        """Return True if a worker is left to a suspect of another step."""
-        if worker.id not in self.reserved:
-            return False
-        run = self.trials[worker.id]
-        return run.task.step is not step and self.is_on_trial(run)
+    def is_reserved(self, worker: Worker) -> bool:
+        """Return True if nothing may start on a worker beside a suspect."""
+        return worker.id in self.reserved and self.is_on_trial(self.trials[worker.id])
 
     def is_endangered(self, worker: Worker) -> bool:
         """Return True if a suspect is on trial on a worker."""
--- a/tests/fleet/test_crashes.py
+++ b/tests/fleet/test_crashes.py
@@ -12,7 +12,7 @@
 from gooseberrydeck_coordination.ids import JobId
 from gooseberrydeck_fleet.crashes import CrashEvidence
 from gooseberrydeck_fleet.ids import TaskRef, WorkerId
-from gooseberrydeck_fleet.state import Task
+from gooseberrydeck_fleet.state import Task, Worker
 from gooseberrydeck_fleet.work import JobState, StepSpec
 from gooseberrydeck_fleet.worker_calls import StartRequest
 from gooseberrydeck_standins.fleet_worker import RunPlan
@@ -276,8 +276,49 @@
         (report,) = self.fleet.scheduler.take_crash_reports()
         assert report.evidence is CrashEvidence.ADDRESS_TAKEN
 
+    # The successor learns of the new worker before it knows of the silent one.
+    def test_new_worker_at_the_address_before_a_takeover(self) -> None:
+        worker = self.crash()
+        self.fleet.down.clear()
+        self.fleet.run_for(0.5)
+        workers = self.fleet.scheduler.ledger.workers
+        del workers[worker]
+        entry = registration("other", address=f"{worker}.example")
+        workers[entry.worker] = Worker(entry, 0.0)
+        self.fleet.take_over()
+        self.fleet.scheduler.crashes.review(self.fleet.now_s)
+        (report,) = self.fleet.scheduler.take_crash_reports()
+        assert report.evidence is CrashEvidence.ADDRESS_TAKEN
+
+    # Guards against an error that ends the scheduler's thread.
+    def test_time_of_day_that_is_set_back_during_a_silence(self) -> None:
+        self.submit_ordinary(seconds=30.0)
+        self.fleet.run_for(1.0)
+        self.fleet.unreachable.add(self.fleet.starts[0][2])
+        self.fleet.run_for(0.5)
+        self.fleet.scheduler.crashes.recent.clear()
+        self.fleet.wall_offset_s = -70.0
+        self.fleet.step()
+        self.fleet.unreachable.clear()
+        self.fleet.run_for(1.0)
+        assert self.fleet.scheduler.crashes.silences == {}
+
 
 class TestSeparation(CrashFixture):
+    def test_nothing_starts_beside_a_task_with_much_blame(self) -> None:
+        bad = self.submit_deadly(spec=StepSpec(1, TASK))
+        self.fleet.run_for(4.2)
+        number = 0
+        while bad not in self.fleet.ended:
+            number += 1
+            self.fleet.submit(f"u{number}", StepSpec(4, TASK), queue_name=URGENT)
+            self.fleet.run_for(0.3)
+            suspects = self.fleet.scheduler.ledger.suspects
+            for worker in self.fleet.scheduler.ledger.workers.values():
+                if suspects.is_reserved(worker):
+                    assert len(worker.runs) == 1
+        assert self.count_starts(bad, 0) > 1
+
     def test_tasks_lost_together_start_apart(self) -> None:
         good = self.submit_ordinary(seconds=1.0)
         self.fleet.run_for(0.2)
