--- a/soak/faults.py
+++ b/soak/faults.py
@@ -36,9 +36,14 @@
     "store_forgets",
     "kill_worker",
     "pause_worker",
-    "shrink_worker",
     "advice_down",
 )
+WORKER_KINDS = (*KINDS, "shrink_worker")
+"""The kinds of runs in which tasks crash workers and workers shrink.
+
+The others draw from ``KINDS``, so that seeds that failed before draw the same faults.
+"""
+
 LINK_FAULTS = [fault for fault in LinkFault if fault is not LinkFault.NONE]
 
 
@@ -52,14 +57,17 @@
     link: LinkFault
 
 
-def draw_schedule(seed: int, length_s: float) -> list[Fault]:
+def draw_schedule(
+    seed: int, length_s: float, with_crashes: bool = False
+) -> list[Fault]:
     """Return the faults of a run in order of time; deterministic for a seed."""
+    kinds = WORKER_KINDS if with_crashes else KINDS
     rng = random.Random(seed)
     faults = [
         Fault(
             rng.uniform(1.0, length_s - 3.0),
             rng.uniform(0.3, 3.0),
-            rng.choice(KINDS),
+            rng.choice(kinds),
             rng.randrange(100),
             rng.choice(LINK_FAULTS),
         )
--- a/soak/run.py
+++ b/soak/run.py
@@ -53,9 +53,13 @@
 class JobClient:
     """Client that submits jobs to random members, with retries."""
 
-    def __init__(self, cell: Cell, seed: int) -> None:
-        """Create a client whose jobs are generated from a seed."""
+    def __init__(self, cell: Cell, seed: int, with_crashes: bool) -> None:
+        """Create a client whose jobs are generated from a seed.
+
+        With ``with_crashes``, a few of them have a task that crashes its workers.
+        """
         self.cell = cell
+        self.with_crashes = with_crashes
         self.rng = random.Random(seed)
         self.stopping = threading.Event()
         self.accepted: list[str] = []
@@ -78,7 +82,7 @@
         A job counts as refused only if every attempt was refused; otherwise its
         outcome is unknown.
         """
-        is_deadly = self.rng.random() < DEADLY_SHARE
+        is_deadly = self.with_crashes and self.rng.random() < DEADLY_SHARE
         if is_deadly:
             self.deadly.add(path)
         body = job_body(
@@ -184,19 +188,24 @@
             report.broken.append(f"refused and run: {path}")
 
 
-def run_seed(seed: int, folder: Path, length_s: float = LENGTH_S) -> Report:
-    """Run the soak test for one seed and return its report."""
+def run_seed(
+    seed: int, folder: Path, length_s: float = LENGTH_S, with_crashes: bool = False
+) -> Report:
+    """Run the soak test for one seed and return its report.
+
+    With ``with_crashes``, some tasks crash their workers, and workers shrink.
+    """
     report = Report(seed)
     began_s = time.monotonic()
     with LocalPlatform(folder) as platform:
         platform.publish(default_configuration(with_advice=seed % 2 == 0))
         cell = Cell(platform)
         platform.wait_ready()
-        client = JobClient(cell, seed)
+        client = JobClient(cell, seed, with_crashes)
         traffic = threading.Thread(target=client.run)
         traffic.start()
         try:
-            inject_faults(cell, draw_schedule(seed, length_s))
+            inject_faults(cell, draw_schedule(seed, length_s, with_crashes))
         finally:
             client.stopping.set()
             traffic.join()
@@ -210,8 +219,11 @@
     return report
 
 
-def main(seeds: str = "1-3", keep: Path | None = None) -> None:
-    """Run seeds ``FIRST-LAST``; with ``keep``, logs are written below that folder."""
+def main(seeds: str = "1-3", keep: Path | None = None, crashes: bool = True) -> None:
+    """Run seeds ``FIRST-LAST``; with ``keep``, logs are written below that folder.
+
+    With ``--no-crashes``, the seeds draw what they drew before release 0.8.
+    """
     first, _, last = seeds.partition("-")
     failed = 0
     for seed in range(int(first), int(last or first) + 1):
@@ -220,7 +232,7 @@
             if keep is not None:
                 folder = keep / f"seed-{seed}"
                 folder.mkdir(parents=True, exist_ok=True)
-            report = run_seed(seed, folder)
+            report = run_seed(seed, folder, with_crashes=crashes)
         typer.echo(msgspec.json.encode(report).decode())
         failed += bool(report.broken)
     sys.exit(1 if failed else 0)
