--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/crashes.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/crashes.py
@@ -91,24 +91,30 @@
     """A crash of a worker, for the log.
 
     ``silent_s`` is how long it had been silent. ``others_silent`` is the number of
-    other workers that fell silent at the same time without a suspect to explain it.
+    other workers that may have fallen silent at the same time, each less the blame of
+    the suspect that explains it best.
     """
 
     worker: WorkerId
     evidence: CrashEvidence
     silent_s: float
-    others_silent: int
+    others_silent: float
     runs: int
     blamed: tuple[BlamedRun, ...]
 
 
 class Silence:
-    """A worker that has stopped answering, at a Unix time, and its runs then."""
+    """A worker that has stopped answering, and its runs then.
+
+    It did so between the Unix times ``from_s`` and ``since_s``. ``explained`` is the
+    blame, up to 1, of the suspect that it was most likely crashed by.
+    """
 
     __slots__ = (
         "address",
         "born_ms",
-        "had_suspect",
+        "explained",
+        "from_s",
         "is_recorded",
         "runs",
         "since_s",
@@ -121,14 +127,16 @@
         address: str,
         born_ms: int,
         since_s: float,
+        from_s: float,
     ) -> None:
         """Record that the worker's process answers no more."""
         self.worker = worker
         self.address = address
         self.born_ms = born_ms
         self.since_s = since_s
+        self.from_s = from_s
         self.runs: dict[tuple[TaskRef, int], PresentRun] = {}
-        self.had_suspect = False
+        self.explained = 0.0
         self.is_recorded = False
 
 
@@ -157,10 +165,12 @@
 
     # Silence.
 
-    def worker_silent(self, worker: Worker, now_s: float) -> None:
-        """Note the runs of a worker that has stopped answering.
+    def worker_silent(
+        self, worker: Worker, now_s: float, from_s: float | None = None
+    ) -> None:
+        """Note the runs of a worker that has stopped answering, at ``from_s`` or later.
 
-        A worker that drains may leave, which is no crash.
+        That is now by default. A worker that drains may leave, which is no crash.
         """
         if worker.id in self.silences or worker.entry.is_draining:
             return
@@ -168,13 +178,20 @@
             return
         since_s = now_s + self.wall_offset_s
         address = str(worker.entry.address)
-        silence = Silence(worker.id, address, worker.born_ms, since_s)
+        earliest_s = since_s if from_s is None else from_s + self.wall_offset_s
+        silence = Silence(worker.id, address, worker.born_ms, since_s, earliest_s)
         for key, run in worker.runs.items():
             age_s = max(0.0, now_s - run.started_s)
             silence.runs[key] = PresentRun(run.task, run.number, age_s)
-            silence.had_suspect |= self.suspects.is_suspect(run.task)
+            self.explain(silence, run.task)
         self.add_silence(silence)
 
+    def explain(self, silence: Silence, task: Task) -> None:
+        """Note how well a suspect explains a silence."""
+        if self.suspects.is_suspect(task):
+            blame = min(1.0, total_blame(task.crashes.values()))
+            silence.explained = max(silence.explained, blame)
+
     def add_silence(self, silence: Silence) -> None:
         """Add a silence that has begun."""
         self.silences[silence.worker] = silence
@@ -188,14 +205,15 @@
             return
         silence = self.silences.get(record.worker)
         if silence is None:
+            since_s = record.silent_s
             silence = Silence(
-                record.worker, record.address, record.born_ms, record.silent_s
+                record.worker, record.address, record.born_ms, since_s, since_s
             )
             silence.is_recorded = True
             self.add_silence(silence)
             self.has_restored = True
         silence.runs[task.ref, record.run] = PresentRun(task, record.run, record.age_s)
-        silence.had_suspect |= self.suspects.is_suspect(task)
+        self.explain(silence, task)
 
     def never_started(self, run: Run) -> None:
         """Forget a run of a silent worker whose start request was not executed."""
@@ -274,19 +292,18 @@
                 silence.worker,
                 evidence,
                 now_s + self.wall_offset_s - silence.since_s,
-                others,
+                round(others, 3),
                 len(silence.runs),
                 tuple(blamed),
             )
         )
 
-    def count_others(self, silence: Silence) -> int:
-        """Return how many other workers fell silent with one, and without suspects."""
+    def count_others(self, silence: Silence) -> float:
+        """Return how many others may have fallen silent with a worker, unexplained."""
         return sum(
-            other is not silence
-            and not other.had_suspect
-            and abs(other.since_s - silence.since_s) <= SIMULTANEOUS_S
+            1 - other.explained
             for other in self.recent
+            if other is not silence and may_coincide(silence, other)
         )
 
     def share_blame(self, silence: Silence) -> list[tuple[PresentRun, float, bool]]:
@@ -400,6 +417,12 @@
         return reports
 
 
+def may_coincide(first: Silence, second: Silence) -> bool:
+    """Return True if two workers may have fallen silent at the same time."""
+    gap_s = max(first.from_s, second.from_s) - min(first.since_s, second.since_s)
+    return gap_s <= SIMULTANEOUS_S
+
+
 def has_crashed(present: PresentRun) -> bool:
     """Return True if an earlier run of a task was lost in a crash."""
     records = present.task.crashes.values()
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
@@ -310,11 +310,17 @@
         self.release_held_jobs()
         return ended
 
-    def worker_silent(self, worker_id: WorkerId, now_s: float) -> None:
-        """Mark a worker as unreachable; it gets no new runs until it replies."""
+    def worker_silent(
+        self, worker_id: WorkerId, now_s: float, has_timed_out: bool = False
+    ) -> None:
+        """Mark a worker as unreachable; it gets no new runs until it replies.
+
+        After a call that has timed out, it may have been so since its last reply.
+        """
         worker = self.ledger.workers.get(worker_id)
         if worker is not None and worker.is_reachable:
-            self.crashes.worker_silent(worker, now_s)
+            from_s = worker.last_reply_s if has_timed_out else now_s
+            self.crashes.worker_silent(worker, now_s, from_s)
             worker.is_reachable = False
             self.ledger.have_workers_changed = True
 
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
@@ -755,7 +755,7 @@
                 runs=len(worker.runs),
                 silent_s=round(now_s - worker.last_reply_s, 3),
             )
-        self.scheduler.worker_silent(message.worker, now_s)
+        self.scheduler.worker_silent(message.worker, now_s, failure.has_timed_out)
         if not message.is_poll:
             return
         is_refused = failure.is_refused or failure.is_replaced
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/worker_dispatcher.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/worker_dispatcher.py
@@ -38,6 +38,9 @@
 """Timeout of a poll beyond the time that the worker may hold it; allows for several
 round trips and a busy host."""
 
+TIMER_SLACK_S = 0.05
+"""A poll that fails this much before its timeout counts as timed out, too."""
+
 COMMAND_TIMEOUT_S = 0.6
 """Timeout of one command; workers refuse a start that arrives after 1.5 s anyway."""
 
@@ -76,12 +79,14 @@
 
     ``is_replaced`` means that another process answers in the worker's place,
     ``is_refused`` that the connection was refused, and ``is_fenced`` that the worker
-    has seen a higher token. With none of them, the worker did not respond.
+    has seen a higher token. With none of them, the worker did not respond, within the
+    time of the call if ``has_timed_out``.
     """
 
     is_replaced: bool = False
     is_refused: bool = False
     is_fenced: bool = False
+    has_timed_out: bool = False
     detail: str = ""
 
 
@@ -154,7 +159,10 @@
         try:
             reply = calls.poll(token, last_seen, lease, wait_s, POLL_TIMEOUT_S)
         except WorkerCallError as error:
-            self.post(CallFailed(worker, True, to_call_failure(error), token, sent_s))
+            timeout_s = wait_s + POLL_TIMEOUT_S
+            has_timed_out = time.monotonic() - sent_s >= timeout_s - TIMER_SLACK_S
+            failure = to_call_failure(error, has_timed_out)
+            self.post(CallFailed(worker, True, failure, token, sent_s))
         else:
             self.post(PollSucceeded(worker, reply, sent_s, token))
 
@@ -250,11 +258,12 @@
         self.command_executor.shutdown(wait=False, cancel_futures=True)
 
 
-def to_call_failure(error: WorkerCallError) -> CallFailure:
+def to_call_failure(error: WorkerCallError, has_timed_out: bool = False) -> CallFailure:
     """Return the failure that an exception of a worker call stands for."""
     return CallFailure(
         is_replaced=isinstance(error, WorkerReplacedError),
         is_refused=isinstance(error, WorkerRefusedError),
         is_fenced=isinstance(error, WorkerFencedError),
+        has_timed_out=has_timed_out,
         detail=f"{type(error).__name__}: {error}",
     )
--- a/tests/fleet/test_crashes.py
+++ b/tests/fleet/test_crashes.py
@@ -177,6 +177,42 @@
         assert {self.fleet.state(job) for job in jobs} == {JobState.COMPLETED}
         assert self.fleet.violations() == []
 
+    # Regression: a job of a day without such tasks was given up. Its task was lost in
+    # three waves of crashes; in the last two, the other workers had suspects as well,
+    # or were noticed later.
+    def test_task_that_is_hit_by_wave_after_wave_is_not_given_up(self) -> None:
+        spec = StepSpec(1, task_resources(cores=30))
+        jobs = [
+            self.fleet.submit(f"job{number}", spec, seconds=30.0) for number in range(4)
+        ]
+        self.fleet.run_for(1.0)
+        for hit in (4, 4, 2):
+            for job in jobs[:hit]:
+                (run,) = self.task(job).runs
+                self.fleet.crash_worker(run.worker.id)
+            self.fleet.run_for(4.0)
+            while not all(self.task(job).runs for job in jobs):
+                self.fleet.run_for(0.1)
+        self.fleet.run_for(120.0)
+        assert {self.fleet.state(job) for job in jobs} == {JobState.COMPLETED}
+
+    @pytest.mark.parametrize(("has_timed_out", "others"), [(True, 2), (False, 0)])
+    def test_workers_whose_calls_time_out_may_have_fallen_silent_together(
+        self, has_timed_out: bool, others: int
+    ) -> None:
+        self.submit_ordinary(seconds=30.0)
+        self.fleet.run_for(1.0)
+        scheduler = self.fleet.scheduler
+        busy = [each for each in scheduler.ledger.workers.values() if each.runs]
+        last, *former = [each.id for each in busy] + [WorkerId("w5"), WorkerId("w6")]
+        self.fleet.unreachable |= {last, *former[:2]}
+        for worker in (*former[:2], last):
+            self.fleet.clock.advance(0.5)
+            scheduler.worker_silent(worker, self.fleet.now_s, has_timed_out)
+        scheduler.worker_gone(last, self.fleet.now_s)
+        (report,) = scheduler.take_crash_reports()
+        assert report.others_silent == others
+
     # A worker that has just come back is empty, and would attract them again.
     @pytest.mark.parametrize("do_ids_change", [False, True])
     def test_worker_that_crashes_again_and_again_is_avoided(
