--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/crashes.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/crashes.py
@@ -24,7 +24,13 @@
 from gooseberrydeck_fleet.state import Run, Task, Worker
 from gooseberrydeck_fleet.work import JobState
 
-__all__ = ["BlamedRun", "CrashEvidence", "CrashReport", "CrashTracker"]
+__all__ = [
+    "BlamedRun",
+    "CrashEvidence",
+    "CrashReport",
+    "CrashTracker",
+    "PresentRun",
+]
 
 GIVE_UP_BLAME = 1.4
 """Blame from which a task is given up.
@@ -33,6 +39,13 @@
 has much of the blame.
 """
 
+MANY_CRASHES = 4
+"""Number of crashes under a task from which less blame is enough: after three, the
+platform permits two more starts at most."""
+
+MANY_CRASHES_BLAME = 1.0
+"""Blame from which a task is given up that was there at that many crashes."""
+
 MIN_RELATIVE_SHARE = 0.2
 """A task is suspected if its share of the blame is at least this part of the largest
 share, or if it was there at several crashes."""
@@ -349,7 +362,9 @@
         task = present.task
         records = [each for each in task.crashes.values() if each.is_certain]
         total = total_blame(records)
-        is_guilty = len(records) >= MIN_CRASHES and total >= GIVE_UP_BLAME
+        has_many = len(records) >= MANY_CRASHES
+        enough = MANY_CRASHES_BLAME if has_many else GIVE_UP_BLAME
+        is_guilty = len(records) >= MIN_CRASHES and total >= enough
         if is_guilty:
             job = task.step.job
             first = min(record.silent_s for record in records)
--- a/tests/fleet/test_crashes.py
+++ b/tests/fleet/test_crashes.py
@@ -10,7 +10,8 @@
 
 from fleet_support import SLOW, URGENT, Fleet, registration, task_resources
 from gooseberrydeck_coordination.ids import JobId
-from gooseberrydeck_fleet.crashes import CrashEvidence
+from gooseberrydeck_fleet.crash_records import CrashRecord
+from gooseberrydeck_fleet.crashes import CrashEvidence, PresentRun
 from gooseberrydeck_fleet.ids import TaskRef, WorkerId
 from gooseberrydeck_fleet.state import Task, Worker
 from gooseberrydeck_fleet.work import JobState, StepSpec
@@ -283,6 +284,27 @@
         assert not any(suspects.is_suspect(task) for task in lost)
 
 
+class TestBlame(CrashFixture):
+    # Guards against a task that is started three times more after three crashes, since
+    # other workers fell silent each time.
+    @pytest.mark.parametrize(("crashes", "blame"), [(2, 0.7), (3, 0.47), (4, 0.25)])
+    def test_fewer_crashes_need_more_blame(self, crashes: int, blame: float) -> None:
+        job = self.submit_ordinary(seconds=30.0)
+        self.fleet.run_for(1.0)
+        task = self.task(job)
+        for number in range(1, crashes):
+            task.crashes[number] = CrashRecord(
+                number, WorkerId("w"), 1, 1.0, 1.0, blame, 0.5
+            )
+        tracker = self.fleet.scheduler.crashes
+        for last, is_given_up in ((blame - 0.05, False), (blame, True)):
+            task.crashes[crashes] = CrashRecord(
+                crashes, WorkerId("w"), 1, 1.0, 1.0, last, 0.5
+            )
+            present = PresentRun(task, crashes, 1.0)
+            assert tracker.judge(present, 1.0).is_given_up is is_given_up
+
+
 class TestEvidence(CrashFixture):
     def crash(self) -> WorkerId:
         """Let the worker of an ordinary job's first task end."""
