Ignore a worker's reply that was made before the newest end within its millisecond

Cause: with hedged polls two replies may have the same clock value in milliseconds. The one made before the end and handled after it wasn't taken for outdated, so the ended run was adopted again. A run that had failed or was stopped then kept its task from starting until the next reply, and its older checkpoint replaced the newer one of the end.

The test failed: the run was held again. Ruled out: a worker that runs a task again under the same number (the next reply, 4 ms later, doesn't list it).

Change: of two replies of the same millisecond, the one that lacks the newest end is outdated. What it would have told is in the next reply.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/poll_replies.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/poll_replies.py
@@ -249,5 +249,11 @@
 
 
 def is_outdated(worker: Worker, reply: PollReply) -> bool:
-    """Return True if a later reply came first, over another connection."""
-    return worker.born_ms == reply.born_ms and reply.clock_ms < worker.clock_ms
+    """Return True if a later reply came first, over another connection.
+
+    Of two replies of the same millisecond, the one with the newer end is the later one.
+    """
+    if worker.born_ms != reply.born_ms or reply.clock_ms > worker.clock_ms:
+        return False
+    last_end = max((end.number for end in reply.ends), default=0)
+    return reply.clock_ms < worker.clock_ms or last_end < worker.last_end_number
--- a/tests/fleet/test_faults.py
+++ b/tests/fleet/test_faults.py
@@ -709,3 +709,19 @@
         fleet.scheduler.poll_answered(worker, overtaken, fleet.now_s)
         held = fleet.scheduler.ledger.workers[worker].runs
         assert [(task.job, task.step) for task, _ in held] == [(job, 1)]
+
+    # Guards against a run that counts as running after its end, because a reply that
+    # was made in the same millisecond, but before the end, comes after that end.
+    def test_reply_of_the_same_millisecond_does_not_restore_an_ended_run(self) -> None:
+        fleet = Fleet(workers=1)
+        worker = WorkerId("w0")
+        job = fleet.submit("a", StepSpec(1, ONE), seconds=0.2)
+        fleet.run_for(0.1)
+        overtaken = fleet.engines[worker].poll(fleet.worker_token(worker), 0, None)
+        assert [report.task.job for report in overtaken.runs] == [job]
+        fleet.is_store_available = False
+        fleet.run_for(0.5)
+        clock_ms = fleet.scheduler.ledger.workers[worker].clock_ms
+        overtaken = msgspec.structs.replace(overtaken, clock_ms=clock_ms)
+        fleet.scheduler.poll_answered(worker, overtaken, fleet.now_s)
+        assert not fleet.scheduler.ledger.workers[worker].runs
