Store a job's end only once no run of it can be unknown

Cause: the end was queued for storing when the successor loaded the job, before the workers' runs were known, and an adopted run didn't withdraw it.

Change: one place decides whether a job's end may be stored: final state, no runs, and no runs that may be unknown. It is asked when a job becomes final, when a run of it is removed and when all workers have reported; an adopted run withdraws an end that isn't being stored yet. Callers read the final state as before, since cancellation and progress are stored. The test failed before: the end was stored while the worker was out of reach.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/ledger.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/ledger.py
@@ -141,7 +141,11 @@
         self.touch(job)
         self.freed[run.worker.id] = run.worker
         self.freed_teams.add(run.team)
-        if job.state.is_final and not job.runs:
+        self.finish_if_idle(job)
+
+    def finish_if_idle(self, job: Job) -> None:
+        """Have the end of a job stored if it has its final state and runs nothing."""
+        if job.state.is_final and not job.runs and not job.may_have_unknown_runs:
             self.finished[job.id] = None
 
     def mark_running(self, job: Job) -> None:
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/poll_replies.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/poll_replies.py
@@ -191,6 +191,7 @@
         task.is_safe_to_start = self.ledger.is_sole_scheduler and is_fenced
         job = task.step.job
         self.ledger.touch(job)
+        self.ledger.finished.pop(job.id, None)
         if (
             job.state.is_final
             or task.is_done
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/run_ends.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/run_ends.py
@@ -213,8 +213,7 @@
         job.open_steps.clear()
         self.ledger.touch(job)
         self.ledger.changed[job.id] = None
-        if not job.runs:
-            self.ledger.finished[job.id] = None
+        self.ledger.finish_if_idle(job)
         reason = (
             StopReason.CANCELLED if state is JobState.CANCELLED else StopReason.SURPLUS
         )
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/takeover.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/takeover.py
@@ -99,6 +99,7 @@
         job.may_have_unknown_runs = False
         self.held.pop(job.id, None)
         self.unknown_usage.job_released(job)
+        self.ledger.finish_if_idle(job)
         self.ledger.touch(job)
 
     def release_held_jobs(self) -> None:
--- a/tests/fleet/test_faults.py
+++ b/tests/fleet/test_faults.py
@@ -565,6 +565,27 @@
         assert fleet.scheduler.ledger.run_numbers.next() > before
 
 
+class TestEndsAtATakeover:
+    # Guards against jobs whose end is stored and logged, and which leave the ledger,
+    # while a predecessor's runs of them go on.
+    def test_cancelled_job_ends_only_after_the_runs_of_a_predecessor(self) -> None:
+        fleet = Fleet(workers=2)
+        job = fleet.submit("a", StepSpec(1, ONE), seconds=60.0)
+        fleet.run_for(0.2)
+        (worker,) = {worker for _, _, worker in fleet.starts}
+        fleet.unreachable.add(worker)
+        record = msgspec.structs.replace(fleet.records[job], is_cancelled=True)
+        fleet.records[job] = record
+        fleet.take_over()
+        fleet.run_for(0.5)
+        assert job not in fleet.ended
+        assert fleet.state(job) is JobState.CANCELLED
+        fleet.unreachable.clear()
+        fleet.run_for(2.0)
+        assert fleet.running(job) == []
+        assert fleet.ended[job].state is JobState.CANCELLED
+
+
 class TestStoreOutage:
     def test_final_state_is_published_only_when_it_is_stored(self) -> None:
         fleet = Fleet()
