Read a prefix of the platform's store page by page

The records of ended jobs are to be read by a task that has all the time it needs; reading them all at once needs memory for all of them.

The stand-in ignores Serializable; what the platform answers to it has not been seen.

--- a/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/store.py
+++ b/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/store.py
@@ -16,6 +16,8 @@
     "Entry",
     "EventKind",
     "Operation",
+    "Page",
+    "PagedStore",
     "Put",
     "Snapshot",
     "Store",
@@ -49,6 +51,17 @@
     revision: Revision
 
 
+class Page(msgspec.Struct, frozen=True):
+    """Some of the entries below a prefix, and the store's revision.
+
+    Unless it is the last one, the next page begins after the key of the last entry.
+    """
+
+    entries: tuple[Entry, ...]
+    revision: Revision
+    is_last: bool
+
+
 class CompareTarget(Enum):
     """The attribute of a key that is compared."""
 
@@ -157,6 +170,18 @@
         """
 
 
+class PagedStore(Store, Protocol):
+    """Protocol of a store that can be read page by page."""
+
+    def read_page(
+        self, prefix: str, after: str, timeout_s: float, may_be_stale: bool = False
+    ) -> Page:
+        """Return the entries below ``prefix`` whose keys follow ``after``.
+
+        ``may_be_stale`` allows a cheaper read of a state that is seconds old.
+        """
+
+
 def compare_absent(key: str) -> Compare:
     """Return the compare that requires a key not to exist."""
     return Compare(key, CompareTarget.MOD_REVISION, ABSENT)
--- a/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/engine_store.py
+++ b/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/engine_store.py
@@ -19,6 +19,7 @@
     Entry,
     EventKind,
     Operation,
+    Page,
     Put,
     Snapshot,
     Transaction,
@@ -48,6 +49,9 @@
 
 MAX_WAIT_STEP_S = 0.05
 
+MAX_PAGE_ENTRIES = 500
+"""Entries of a page, as on the users' platform."""
+
 TARGETS = {
     CompareTarget.MOD_REVISION: ConditionTarget.MOD,
     CompareTarget.VERSION: ConditionTarget.VERSION,
@@ -84,6 +88,19 @@
             entries = tuple(to_entry(each) for each in found)
             return Snapshot(entries, Revision(self.engine.revision))
 
+    def read_page(
+        self,
+        prefix: str,
+        after: str,
+        timeout_s: float,
+        may_be_stale: bool = False,
+    ) -> Page:
+        """Return a page of the entries below ``prefix`` whose keys follow ``after``."""
+        snapshot = self.read_prefix(prefix, timeout_s)
+        entries = [entry for entry in snapshot.entries if entry.key > after]
+        is_last = len(entries) <= MAX_PAGE_ENTRIES
+        return Page(tuple(entries[:MAX_PAGE_ENTRIES]), snapshot.revision, is_last)
+
     def commit(self, transaction: Transaction, timeout_s: float) -> TransactionResult:
         """Apply a transaction and return whether its conditions held."""
         with self.call("txn"):
--- a/tests/adapter/test_adapter.py
+++ b/tests/adapter/test_adapter.py
@@ -119,6 +119,19 @@
         assert len(snapshot.entries) == 630
         assert len({entry.key for entry in snapshot.entries}) == 630
 
+    def test_page_begins_after_a_key(self, store_fixture: StoreFixture) -> None:
+        store = store_fixture.store
+        for batch in range(17):
+            puts = tuple(Put(f"p/{batch:02}/{n:02}", b"x") for n in range(30))
+            revision = store.commit(Transaction((), puts), TIMEOUT_S).revision
+        first = store.read_page("p/", "", TIMEOUT_S, may_be_stale=True)
+        assert (len(first.entries), first.is_last) == (500, False)
+        after = first.entries[-1].key
+        second = store.read_page("p/", after, TIMEOUT_S, may_be_stale=True)
+        assert (len(second.entries), second.is_last) == (10, True)
+        assert second.entries[0].key > after
+        assert first.revision == second.revision == revision
+
     def test_watch_reports_changes_in_order(self, store_fixture: StoreFixture) -> None:
         store = store_fixture.store
         first = store.commit(Transaction((), (Put("w/a", b"1"),)), TIMEOUT_S)
