Remove records of ended jobs from the store

The record is needed for status_s, and as the condition that keeps an accepted job from being stored again.

A holding of less than 12 minutes removes nothing; its successors do.

A write that creates progress/ID compares only the shard and the absent key. Applied late, it leaves progress without a job, which a later job with the same id would get at a takeover (the new tests show both: the late write succeeds, and before the removal took the progress along, a task of the later job was done). Tried and taken back: a condition on the absent ended/ID in the write.

--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/observability.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/observability.py
@@ -169,6 +169,11 @@
             ["outcome"],
             registry=registry,
         )
+        self.ended_jobs_removed = prometheus_client.Counter(
+            "gooseberrydeck_ended_jobs_removed",
+            "Records of ended jobs that were removed from the store",
+            registry=registry,
+        )
         self.takeovers = prometheus_client.Counter(
             "gooseberrydeck_takeovers", "Claims of the shard", registry=registry
         )
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
@@ -13,9 +13,10 @@
 import msgspec
 import structlog
 
+from gooseberrydeck_coordination.clock import SystemClock
 from gooseberrydeck_coordination.exceptions import StoreError
 from gooseberrydeck_coordination.ids import Epoch, JobId, QueueName
-from gooseberrydeck_coordination.store import EventKind, Store
+from gooseberrydeck_coordination.store import EventKind, PagedStore
 from gooseberrydeck_fleet.advice import Advice
 from gooseberrydeck_fleet.changes import AcknowledgedEnds
 from gooseberrydeck_fleet.commands import (
@@ -41,6 +42,7 @@
     WorkersRecorded,
 )
 from gooseberrydeck_member.crash_reports import report_crashes
+from gooseberrydeck_member.ended_jobs import EndedJobRemover
 from gooseberrydeck_member.job_lookups import (
     JobAbsent,
     JobFound,
@@ -123,7 +125,7 @@
 
     def __init__(
         self,
-        store: Store,
+        store: PagedStore,
         shard_lock: ShardLock,
         authority: Authority,
         timing: Timing,
@@ -167,7 +169,15 @@
             StoreFollower(store, JOB_PREFIX, self.inbox.put),
             StoreFollower(store, registrations, self.inbox.put),
         ]
-        self.followers_pool = ThreadPoolExecutor(len(self.followers), "follow")
+        self.followers_pool = ThreadPoolExecutor(len(self.followers) + 1, "follow")
+        self.ended_jobs = EndedJobRemover(
+            store,
+            shard_lock,
+            timing.status_s,
+            metrics,
+            SystemClock(),
+            self.stopping.wait,
+        )
         quarantine_s = MAX_TASK_LEASE_S / (1 - CLOCK_DRIFT)
         self.quarantine_s = quarantine_s + (AUTHORITY_TIMEOUT_S if was_silent else 0.0)
         self.claimed_s = time.monotonic()
@@ -248,6 +258,7 @@
                 continue
             for follower in self.followers:
                 self.followers_pool.submit(follower.run)
+            self.followers_pool.submit(self.ended_jobs.run)
             self.is_loaded = True
             for notification in self.early_notifications:
                 self.job_announced(notification)
@@ -279,6 +290,7 @@
         self.scheduler.release_held_jobs()
         self.followers[0].start_at(stored.jobs_revision)
         self.followers[1].start_at(stored.registered.revision)
+        self.ended_jobs.state_read(stored.jobs_revision)
         log.info(
             "shard taken over",
             token=self.token,
@@ -911,6 +923,7 @@
     def shut_down(self) -> None:
         """Stop the threads and fail pending queries; calls in flight may finish."""
         self.authority.revoke()
+        self.stopping.set()
         for follower in self.followers:
             follower.stop()
         self.followers_pool.shutdown(wait=False, cancel_futures=True)
--- a/tests/member/test_takeover.py
+++ b/tests/member/test_takeover.py
@@ -48,7 +48,7 @@
     LookupFailed,
 )
 from gooseberrydeck_member.jobs import JobStore
-from gooseberrydeck_member.keys import JOB_PREFIX, WORKERS_KEY, job_key
+from gooseberrydeck_member.keys import JOB_PREFIX, WORKERS_KEY, job_key, progress_key
 from gooseberrydeck_member.observability import Metrics
 from gooseberrydeck_member.peer_messages import JobAccepted
 from gooseberrydeck_member.peers import PeerClient
@@ -339,3 +339,26 @@
         task.scheduler.ledger.jobs.clear()
         task.handle(notification, 0.0)
         assert JOB not in task.scheduler.ledger.jobs
+
+
+class TestEndedJobs:
+    # A write that created the progress was applied late, after the end of the job: the
+    # tasks of a later job with the same id counted as done.
+    def test_later_job_with_the_same_id_has_no_progress(
+        self, successor: Successor
+    ) -> None:
+        successor.accept()
+        successor.end()
+        put = Put(progress_key(JOB), encode_progress(Progress([StepProgress(0, 0, 1)])))
+        assert successor.store.commit(Transaction((), (put,)), TIMEOUT_S).succeeded
+        ended_jobs = successor.take_over().ended_jobs
+        ended_jobs.wait = lambda _seconds: False
+        ended_jobs.sweep()
+        successor.accept()
+        job = successor.take_over().scheduler.ledger.jobs[JOB]
+        assert not any(step.done for step in job.to_progress().steps)
+
+    def test_removal_ends_with_the_holding(self, successor: Successor) -> None:
+        task = successor.take_over()
+        task.shut_down()
+        task.followers_pool.shutdown(wait=True)
