--- a/tests/adapter/test_adapter.py
+++ b/tests/adapter/test_adapter.py
@@ -263,6 +263,20 @@
             ]
         assert worker_fixture.calls.poll(TOKEN, 1, None, 0.0, TIMEOUT_S).ends == ()
 
+    # The scheduler applies each end once, by its number: an end listed after one with
+    # a higher number was acknowledged without having counted.
+    def test_ends_are_ordered_by_number(self, worker_fixture: WorkerFixture) -> None:
+        for number in range(2):
+            task = TASK._replace(number=number)
+            request = StartRequest(task, 1, '{"seconds":0.1}', 5_000)
+            worker_fixture.calls.start(request, TOKEN, TIMEOUT_S)
+        worker_fixture.clock.advance(0.2)
+        reply = worker_fixture.calls.poll(TOKEN, 0, None, 0.0, TIMEOUT_S)
+        assert [end.number for end in reply.ends] == [1, 2]
+        worker_fixture.engine.ends.reverse()
+        reply = worker_fixture.calls.poll(TOKEN, 0, None, 0.0, TIMEOUT_S)
+        assert [end.number for end in reply.ends] == [1, 2]
+
     def test_gang_with_a_member_on_each_of_two_workers_is_done_together(
         self, worker_fixture: WorkerFixture
     ) -> None:
