Add no job that a later event of the same batch removes

The watch may deliver a job's record together with its removal.

Found by reading; no log shows such a watch. The new test failed before: the job was in the ledger. A removal in a later batch than the record still doesn't count. The record of a removed job still shows that a newer holder exists.

--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
@@ -518,12 +518,16 @@
 
     def prefix_changed(self, message: PrefixChanged, now_s: float) -> None:
         """Apply changes of jobs or worker registrations reported by the store."""
+        last_kinds = {each.entry.key: each.kind for each in message.batch.events}
         for event in message.batch.events:
             key, value = event.entry.key, event.entry.value
             is_put = event.kind is EventKind.PUT
             if message.prefix == JOB_PREFIX:
-                if is_put:
+                if is_put and last_kinds[key] is EventKind.PUT:
                     self.job_record_changed(value, int(event.entry.mod_revision))
+                elif is_put:
+                    # The job has ended since.
+                    self.is_superseded_by(msgspec.json.decode(value, type=JobRecord))
             elif is_put:
                 self.registration_changed(key, value, now_s)
             else:
--- a/tests/member/test_takeover.py
+++ b/tests/member/test_takeover.py
@@ -18,6 +18,7 @@
 from gooseberrydeck_coordination.clock import ManualClock
 from gooseberrydeck_coordination.ids import JobId, MemberId, Revision
 from gooseberrydeck_coordination.store import (
+    Delete,
     Entry,
     EventKind,
     Put,
@@ -340,6 +341,19 @@
         task.handle(notification, 0.0)
         assert JOB not in task.scheduler.ledger.jobs
 
+    # A watch that was behind by more than the time for which ended jobs are known
+    # delivered the job together with its removal, and started it again.
+    def test_job_that_is_removed_in_the_same_batch_is_not_added(
+        self, successor: Successor
+    ) -> None:
+        task = successor.take_over()
+        successor.accept()
+        remove = Transaction((), (Delete(job_key(JOB)),))
+        assert successor.store.commit(remove, TIMEOUT_S).succeeded
+        watch = successor.store.watch(JOB_PREFIX, Revision(1), TIMEOUT_S)
+        task.handle(PrefixChanged(JOB_PREFIX, next(watch)), 0.0)
+        assert JOB not in task.scheduler.ledger.jobs
+
 
 class TestEndedJobs:
     # A write that created the progress was applied late, after the end of the job: the
