Repeat no start of a run whose end has been listed

What callers would see: a task that has ended as done is executed once more. Found by reading; no play or log shows it.

Cause: a start without a response is sent again after 0.6 s, whatever has become of the run meanwhile. A short task can have ended, been stored and acknowledged by then.

Ruled out as harmless: requests that are late in the queue, which carry the time until which they are valid.

Change: the dispatcher knows the runs that are being started, the scheduler's task tells it of each listed end, and the second attempt is left out. Such a start says nothing against its worker, which has replied to a poll since.

--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
@@ -662,6 +662,7 @@
             self.report_gap(worker.id, reply, before)
         self.scheduler.poll_answered(message.worker, reply, now_s)
         for end in reply.ends:
+            self.dispatcher.run_ended(end.task, end.run)
             if end.number > before:
                 self.metrics.run_ends.labels(end.kind.value).inc()
                 log.info(
@@ -865,7 +866,7 @@
             self.scheduler.start_unanswered(
                 message.worker, message.task, message.run, message.was_sent
             )
-            if not message.is_fenced:
+            if not (message.is_fenced or message.has_ended):
                 self.scheduler.worker_silent(message.worker, now_s)
             return
         if message.outcome is not StartOutcome.STARTED:
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/worker_dispatcher.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/worker_dispatcher.py
@@ -62,7 +62,8 @@
 
     ``was_sent`` is false if the command certainly did not reach the worker.
     ``is_repeat`` says that an earlier attempt had no response, ``is_fenced`` that the
-    worker responded and had seen a higher token.
+    worker responded and had seen a higher token, ``has_ended`` that a poll has listed
+    the end of the run meanwhile.
     """
 
     worker: WorkerId
@@ -72,6 +73,7 @@
     was_sent: bool = True
     is_repeat: bool = False
     is_fenced: bool = False
+    has_ended: bool = False
 
 
 class CallFailure(msgspec.Struct, frozen=True):
@@ -116,6 +118,8 @@
         self.post = post
         self.may_send = may_send
         self.calls: dict[WorkerId, WorkerCalls] = {}
+        # Runs that are being started, and whose end is not known.
+        self.open_starts: set[tuple[TaskRef, int]] = set()
         self.poll_executor: Executor = ThreadPoolExecutor(MAX_POLL_THREADS, "hold")
         self.command_executor: Executor = ThreadPoolExecutor(COMMAND_THREADS, "order")
 
@@ -168,18 +172,32 @@
 
     def start(self, command: StartRun, token: Epoch) -> None:
         """Send a start command."""
+        self.open_starts.add((command.request.task, command.request.run))
         self.command_executor.submit(self.execute_start, command, token)
 
+    def run_ended(self, task: TaskRef, run: int) -> None:
+        """Record that a worker has listed the end of a run."""
+        self.open_starts.discard((task, run))
+
     def execute_start(self, command: StartRun, token: Epoch) -> None:
-        """Send a start command, repeat it once without a response, and post the result.
+        """Send a start command and post the result."""
+        self.post(self.try_start(command, token))
+        self.open_starts.discard((command.request.task, command.request.run))
+
+    def try_start(self, command: StartRun, token: Epoch) -> StartCompleted:
+        """Send a start command, and repeat it once without a response.
 
-        No second attempt is made if the worker cannot have received the first one.
+        No second attempt is made if the worker cannot have received the first one, or
+        if the run has ended.
         """
         request = command.request
-        was_sent = is_fenced = False
+        was_sent = is_fenced = has_ended = False
         for _ in range(2):
             if not self.may_send():
                 break
+            has_ended = (request.task, request.run) not in self.open_starts
+            if has_ended:
+                break
             calls = self.calls[command.worker]
             try:
                 outcome, _ = calls.start(request, token, COMMAND_TIMEOUT_S)
@@ -197,25 +215,17 @@
             except WorkerCallError:
                 was_sent = True
                 continue
-            self.post(
-                StartCompleted(
-                    command.worker,
-                    request.task,
-                    request.run,
-                    outcome,
-                    is_repeat=was_sent,
-                )
-            )
-            return
-        self.post(
-            StartCompleted(
-                command.worker,
-                request.task,
-                request.run,
-                None,
-                was_sent,
-                is_fenced=is_fenced,
+            return StartCompleted(
+                command.worker, request.task, request.run, outcome, is_repeat=was_sent
             )
+        return StartCompleted(
+            command.worker,
+            request.task,
+            request.run,
+            None,
+            was_sent,
+            is_fenced=is_fenced,
+            has_ended=has_ended,
         )
 
     def stop(self, command: StopRun, token: Epoch) -> None:
