Decide in one place whether a task may start

Task.may_start had those of runs, unknown runs and crashes; WaitingSteps those of the job's state and of dependencies; the speculator its own; a job without a configured queue started nothing because no worker serves it, and attempts were guarded only by the job's end. Run ends, adopted runs and takeovers each set is_safe_to_start.

start_permission.py answers now, and names the obstacle (StartObstacle). All that sets or reads is_safe_to_start goes through its functions. Steps of a queue that is not configured no longer wait in the order; they are added when the queue is configured, as before. A task that has used up its attempts is refused even if its job were still open. Nothing else changes.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/poll_replies.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/poll_replies.py
@@ -5,6 +5,7 @@
 from gooseberrydeck_coordination.ids import JobId
 from gooseberrydeck_fleet.ledger import Ledger
 from gooseberrydeck_fleet.run_ends import LossReason, RunEndHandler
+from gooseberrydeck_fleet.start_permission import run_adopted
 from gooseberrydeck_fleet.state import (
     MAX_TASK_LEASE_S,
     Run,
@@ -187,8 +188,7 @@
             return None
         run = self.ledger.add_run(task, worker, report.run, now_s)
         run.state = RunState.RUNNING
-        is_fenced = now_s >= worker.fenced_from_s
-        task.is_safe_to_start = self.ledger.is_sole_scheduler and is_fenced
+        run_adopted(self.ledger, run, now_s)
         job = task.step.job
         self.ledger.touch(job)
         self.ledger.finished.pop(job.id, None)
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/run_ends.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/run_ends.py
@@ -10,6 +10,10 @@
     earlier_failures,
 )
 from gooseberrydeck_fleet.ledger import Ledger
+from gooseberrydeck_fleet.start_permission import (
+    attempts_may_be_used_up,
+    dependency_ended,
+)
 from gooseberrydeck_fleet.state import Job, Run, RunState, Step, StopReason, Task
 from gooseberrydeck_fleet.work import JobState
 from gooseberrydeck_fleet.worker_calls import EndKind, EndReport
@@ -98,7 +102,7 @@
                 self.ledger.task_done(task)
             self.stop_surplus(task, end.run)
             if run is not None:
-                self.mark_dependents(task, run, now_s)
+                dependency_ended(self.ledger, run, now_s)
             self.finish_if_complete(step.job)
             return
         if checkpoint and not task.is_done and checkpoint != task.checkpoint:
@@ -110,28 +114,6 @@
         elif run is not None and run.stop_reason is StopReason.STALLED:
             task.failed_on[worker] = now_s
 
-    def mark_dependents(self, task: Task, run: Run, now_s: float) -> None:
-        """Mark the steps that depend on a task as safe to start.
-
-        The task's run was known here before it ended, and its worker has answered no
-        predecessor since, so none can have started the dependent steps. That
-        doesn't hold if an unknown run, of another gang member or a copy, may have ended
-        for it.
-        """
-        step = task.step
-        if not step.job.may_have_unknown_runs or not self.ledger.is_sole_scheduler:
-            return
-        if now_s < run.worker.fenced_from_s:
-            return
-        others = [each for each in step.tasks if each is not task]
-        is_gang_known = all(other.runs for other in others)
-        if step.spec.is_speculative or (step.spec.is_gang and not is_gang_known):
-            return
-        for dependent in step.job.steps.values():
-            is_same_occurrence = dependent.ref.occurrence == step.ref.occurrence
-            if is_same_occurrence and step.ref.step in dependent.spec.after:
-                dependent.is_safe_to_start = True
-
     def save_checkpoint(self, task: Task, checkpoint: str) -> None:
         """Save a checkpoint for the next run of a task, or of all members of a gang."""
         members = task.step.tasks if task.step.spec.is_gang else [task]
@@ -160,9 +142,7 @@
         if len(failures) >= max_attempts and not job.state.is_final:
             self.finish(job, JobState.FAILED)
         if task.count_failures() >= min(max_attempts, MAX_NUMBERED_FAILURES):
-            # Workers that have not reported may list the other failures.
-            for member in step.tasks if step.spec.is_gang else [task]:
-                member.is_safe_to_start = False
+            attempts_may_be_used_up(task)
 
     def fail_if_exhausted(self, job: Job) -> None:
         """Fail a job if one of its tasks has used up its attempts."""
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/serving.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/serving.py
@@ -17,6 +17,7 @@
 from gooseberrydeck_fleet.placement import Placer
 from gooseberrydeck_fleet.preemption import Preemptor
 from gooseberrydeck_fleet.speculation import Speculator
+from gooseberrydeck_fleet.start_permission import has_startable_tasks, startable_tasks
 from gooseberrydeck_fleet.state import Step, Task, Worker
 from gooseberrydeck_fleet.waiting import Rank, WaitingSteps
 from gooseberrydeck_fleet.worker_calls import StartRequest
@@ -163,7 +164,7 @@
         """Return what keeps a step waiting."""
         permitted = self.placer.permitted(step, now_s)
         team = step.job.record.team
-        waiting = len(step.waiting_tasks())
+        waiting = len(startable_tasks(step))
         return LongWait(
             step.ref,
             waited_s,
@@ -285,7 +286,7 @@
         """Start tasks of a step as far as its team's limit allows."""
         self.waiting.due.discard(step.ref)
         step.tried_in_pass = self.passes
-        waiting = step.waiting_tasks()
+        waiting = startable_tasks(step)
         team = step.job.record.team
         priority = step.job.queue.priority
         if not waiting or priority > self.blocked.get(team, priority):
@@ -311,7 +312,7 @@
         A step that lacks workers leaves the rest of the limit to others, and so does
         one that the limit never admits.
         """
-        if not step.has_waiting_tasks():
+        if not has_startable_tasks(step):
             return False
         team, amount = step.job.record.team, step.spec.resources
         wanted = step.spec.count if step.spec.is_gang else 1
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/speculation.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/speculation.py
@@ -6,6 +6,7 @@
 
 from gooseberrydeck_fleet.candidates import Candidates
 from gooseberrydeck_fleet.placement import Placer
+from gooseberrydeck_fleet.start_permission import may_copy
 from gooseberrydeck_fleet.state import Run, RunState, Step, Worker
 
 __all__ = ["Speculator"]
@@ -41,9 +42,7 @@
         return [
             task.runs[0]
             for task in step.tasks
-            if not task.is_done
-            and len(task.runs) == 1
-            and is_straggler(task.runs[0], typical_s, now_s)
+            if may_copy(task) and is_straggler(task.runs[0], typical_s, now_s)
         ]
 
     def choose(self, run: Run, now_s: float) -> Worker | None:
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
@@ -152,7 +152,7 @@
         self.runs: list[Run] = []
         self.is_done = False
         # True once no predecessor can have an unknown run of it, until unknown failures
-        # may have used up its attempts: see may_start.
+        # may have used up its attempts.
         self.is_safe_to_start = False
         self.failures: set[int] = set()
         # How often it has failed at least, by the numbers of its runs.
@@ -162,29 +162,6 @@
         self.crashes: dict[int, CrashRecord] = {}
         self.checkpoint: str = ""
 
-    @property
-    def may_start(self) -> bool:
-        """Return True if nothing that is known forbids a start of the task.
-
-        Until all workers have reported, a predecessor may have started any task of a
-        job with unknown runs. Exceptions are tasks whose run was known here when the
-        predecessor stopped acting, unless failures that are not listed yet use up their
-        attempts, and tasks of steps that became ready later.
-
-        A task that is blamed for a crash waits until that is stored, so that its
-        crashes are counted whatever becomes of this scheduler.
-        """
-        step, job = self.step, self.step.job
-        has_unknown_runs = job.may_have_unknown_runs and not (
-            step.is_safe_to_start or self.is_safe_to_start
-        )
-        is_crash_unstored = (
-            bool(self.crashes)
-            and job.crashes_stored < job.crashes_counted
-            and any(record.is_certain for record in self.crashes.values())
-        )
-        return self.is_waiting and not has_unknown_runs and not is_crash_unstored
-
     @property
     def is_waiting(self) -> bool:
         """Return True if the task is not done and has no runs."""
@@ -247,14 +224,6 @@
         """Return True if every task has succeeded."""
         return self.remaining_tasks == 0
 
-    def has_waiting_tasks(self) -> bool:
-        """Return True if a task may be started."""
-        return any(task.may_start for task in self.tasks)
-
-    def waiting_tasks(self) -> list[Task]:
-        """Return the tasks that may be started."""
-        return [task for task in self.tasks if task.may_start]
-
 
 class Job:
     """An accepted job whose end is not stored yet."""
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/takeover.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/takeover.py
@@ -2,7 +2,8 @@
 
 from gooseberrydeck_coordination.ids import JobId
 from gooseberrydeck_fleet.ledger import Ledger
-from gooseberrydeck_fleet.state import Job, Worker
+from gooseberrydeck_fleet.start_permission import worker_fenced
+from gooseberrydeck_fleet.state import Job
 from gooseberrydeck_fleet.unknown_usage import UnknownUsage
 
 __all__ = ["Takeover"]
@@ -55,13 +56,7 @@
         for worker in self.ledger.workers.values():
             if 0 < worker.fenced_from_s <= now_s:
                 worker.fenced_from_s = 0.0
-                self.mark_safe(worker)
-
-    def mark_safe(self, worker: Worker) -> None:
-        """Mark the tasks of all runs of a worker as safe to start."""
-        for run in worker.runs.values():
-            run.task.is_safe_to_start = True
-            self.ledger.touch(run.task.step.job)
+                worker_fenced(self.ledger, worker)
 
     def become_sole_scheduler(self) -> None:
         """Mark this scheduler as the only active one.
@@ -72,7 +67,7 @@
         self.ledger.is_sole_scheduler = True
         for worker in self.ledger.workers.values():
             if not worker.fenced_from_s:
-                self.mark_safe(worker)
+                worker_fenced(self.ledger, worker)
         for job in self.held.values():
             self.ledger.touch(job)
 
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/unknown_usage.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/unknown_usage.py
@@ -10,6 +10,7 @@
 from gooseberrydeck_coordination.ids import JobId, TeamName
 from gooseberrydeck_coordination.resources import NO_RESOURCES, Resources
 from gooseberrydeck_fleet.ledger import Ledger
+from gooseberrydeck_fleet.start_permission import may_have_unknown_runs
 from gooseberrydeck_fleet.state import Job, Step
 from gooseberrydeck_fleet.work import JobState, StepSpec
 
@@ -142,8 +143,7 @@
             return 0
         if not step.spec.is_speculative:
             return sum(
-                not (task.is_done or task.runs or task.is_safe_to_start)
-                for task in step.tasks
+                task.is_waiting and may_have_unknown_runs(task) for task in step.tasks
             )
         count = 0
         for task in step.tasks:
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/waiting.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/waiting.py
@@ -11,9 +11,13 @@
 from gooseberrydeck_coordination.ids import JobId, TeamName
 from gooseberrydeck_fleet.ids import StepRef
 from gooseberrydeck_fleet.ledger import Ledger
+from gooseberrydeck_fleet.start_permission import (
+    find_step_obstacle,
+    has_startable_tasks,
+)
 from gooseberrydeck_fleet.state import Job, Step, Worker
 
-__all__ = ["Rank", "WaitingSteps", "is_ready"]
+__all__ = ["Rank", "WaitingSteps"]
 
 Rank = tuple[int, bool, bool, float, StepRef]
 """Priority, whether the job exceeds its team's share, whether it is late, its due time.
@@ -66,7 +70,7 @@
         for step in ready_steps(job):
             if step.ready_s is None:
                 step.ready_s = now_s
-            if step.has_waiting_tasks():
+            if has_startable_tasks(step):
                 gone.discard(step.ref)
                 self.put(step, wall_s)
                 self.due.add(step.ref)
@@ -116,7 +120,7 @@
 
     def started(self, step: Step) -> None:
         """Update a step after some of its tasks have started."""
-        if step.has_waiting_tasks():
+        if has_startable_tasks(step):
             return
         self.remove(step.ref)
         if step.spec.is_speculative and step.job.queue.priority == 0:
@@ -149,19 +153,12 @@
 
 
 def ready_steps(job: Job | None) -> list[Step]:
-    """Return the open steps of a job whose dependencies are done."""
+    """Return the open steps of a job whose tasks may start."""
     if job is None or job.state.is_final:
         return []
     for ref, step in list(job.open_steps.items()):
         if step.is_done:
             del job.open_steps[ref]
-    return [step for step in job.open_steps.values() if is_ready(step)]
-
-
-def is_ready(step: Step) -> bool:
-    """Return True if all steps that a step depends on are done."""
-    ref = step.ref
-    return all(
-        step.job.steps[StepRef(ref.job, ref.occurrence, earlier)].is_done
-        for earlier in step.spec.after
-    )
+    return [
+        step for step in job.open_steps.values() if find_step_obstacle(step) is None
+    ]
