Refuse a start after a stored or acknowledged end

A holder that starts a task again has no line that says what it knew of the earlier end, none says what was acknowledged, and no metric counts such starts. The cause is not known; this is for the class.

KnownEnds keeps a record beside the scheduler's state: successful ends that workers list, progress and job ends that commits have stored (decoded from what was written) or that were read at the takeover or by a lookup, and the numbers that polls acknowledge. RunAudit checks each StartRun against it when it is executed. After a stored or acknowledged end of the task, or of any member of its gang, or the stored end of its job, the start is not sent, but counted and logged with its evidence. Long-running tasks are exempt but for the end of their job; an end that is only listed is no evidence, so copies of speculative tasks start as before.

The evidence is a fact, so the scheduler is corrected: the run is dropped as never started, and the task or job counts as ended and is stored again. Dropping the run alone was tried: the next pass starts it anew, and the job never ends. Holding the task would spare the loop but not the job.

A successor has the evidence from the store only. So an end that is acknowledged before it is stored is logged and counted when the poll is sent. "run ended" says what was acknowledged so far, "shard taken over" how many tasks were stored as done.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/changes.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/changes.py
@@ -1,6 +1,7 @@
 """Changes of the scheduler's state that have to be stored."""
 
 from collections.abc import Iterable, Mapping
+from typing import Protocol
 
 import msgspec
 
@@ -10,9 +11,9 @@
 from gooseberrydeck_fleet.ledger import Ledger
 from gooseberrydeck_fleet.progress import encode_progress
 from gooseberrydeck_fleet.registrations import Registration
-from gooseberrydeck_fleet.work import EndedJob
+from gooseberrydeck_fleet.work import EndedJob, JobState
 
-__all__ = ["ChangeLog"]
+__all__ = ["ChangeLog", "StoredObserver"]
 
 PROGRESS_ENTRIES = 2
 """Transaction entries for the progress of one job: a condition and a write."""
@@ -25,6 +26,16 @@
 """By worker, the start of its incarnation in Unix ms and the newest end to forget."""
 
 
+class StoredObserver(Protocol):
+    """Something that is told what is stored; times are monotonic seconds."""
+
+    def changes_stored(self, changes: Changes, now_s: float) -> None:
+        """Record that a commit has stored changes."""
+
+    def job_ended(self, job: JobId, state: JobState, now_s: float) -> None:
+        """Record that the end of a job is stored, by a commit without response."""
+
+
 class PendingAcknowledgement:
     """Ends that workers may forget once some commits have succeeded."""
 
@@ -53,6 +64,7 @@
         self.pending: list[PendingAcknowledgement] = []
         self.last_sequence = 0
         self.recorded: set[WorkerId] = set()
+        self.observer: StoredObserver | None = None
 
     def take_batch(self, max_entries: int, wall_s: float) -> Changes:
         """Return a batch of changes that needs up to ``max_entries`` entries.
@@ -145,6 +157,8 @@
         for ending in changes.endings:
             self.ledger.jobs.pop(ending.job, None)
             self.ended[ending.job] = (ending.ended.state, now_s)
+        if self.observer is not None:
+            self.observer.changes_stored(changes, now_s)
         return self.complete_acknowledgements(changes.sequence)
 
     def complete_acknowledgements(self, sequence: int) -> AcknowledgedEnds:
@@ -174,6 +188,8 @@
             self.ledger.changed.pop(job_id, None)
             if job is not None:
                 self.ended[job_id] = (job.state, now_s)
+                if self.observer is not None and job.state.is_final:
+                    self.observer.job_ended(job_id, job.state, now_s)
 
     def is_stored(self, job_id: JobId) -> bool:
         """Return True if all changes of a job are stored."""
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/run_ends.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/run_ends.py
@@ -96,14 +96,9 @@
         health = self.ledger.health
         if kind is EndKind.SUCCEEDED and not step.spec.is_standing:
             health.record_success(worker)
-            if step.spec.is_gang:
-                self.ledger.step_done(step)
-            else:
-                self.ledger.task_done(task)
-            self.stop_surplus(task, end.run)
             if run is not None:
                 dependency_ended(self.ledger, run, now_s)
-            self.finish_if_complete(step.job)
+            self.task_succeeded(task, end.run)
             return
         if checkpoint and not task.is_done and checkpoint != task.checkpoint:
             self.save_checkpoint(task, checkpoint)
@@ -114,6 +109,15 @@
         elif run is not None and run.stop_reason is StopReason.STALLED:
             task.failed_on[worker] = now_s
 
+    def task_succeeded(self, task: Task, number: int | None = None) -> None:
+        """Mark a task, or its gang, as done by run ``number``, if that is known."""
+        if task.step.spec.is_gang:
+            self.ledger.step_done(task.step)
+        else:
+            self.ledger.task_done(task)
+        self.stop_surplus(task, number)
+        self.finish_if_complete(task.step.job)
+
     def save_checkpoint(self, task: Task, checkpoint: str) -> None:
         """Save a checkpoint for the next run of a task, or of all members of a gang."""
         members = task.step.tasks if task.step.spec.is_gang else [task]
@@ -160,7 +164,7 @@
                 if run.number == number:
                     self.request_stop(run, StopReason.GANG_FAILED)
 
-    def stop_surplus(self, task: Task, number: int) -> None:
+    def stop_surplus(self, task: Task, number: int | None) -> None:
         """Stop the remaining runs of a task, or of a gang, that is done.
 
         The members of the gang's run ``number`` end together without a stop request.
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
@@ -402,6 +402,30 @@
         elif run.state is RunState.STARTING:
             run.state = RunState.UNCERTAIN
 
+    def start_refused(
+        self,
+        worker_id: WorkerId,
+        task_ref: TaskRef,
+        number: int,
+        job_state: JobState | None,
+    ) -> None:
+        """Drop a run whose start was not sent, since its task or job has ended.
+
+        ``job_state`` is the stored state of the job if the job has ended. Otherwise the
+        task has succeeded. Either is recorded, and stored again.
+        """
+        run = self.find_run(worker_id, task_ref, number)
+        if run is not None:
+            self.crashes.never_started(run)
+            self.ends.run_lost(run, LossReason.NEVER_STARTED)
+        task = self.ledger.find_task(task_ref)
+        if task is None:
+            return
+        if job_state is None:
+            self.ends.task_succeeded(task)
+        elif not task.step.job.state.is_final:
+            self.ends.finish(task.step.job, job_state)
+
     def find_run(self, worker_id: WorkerId, task: TaskRef, number: int) -> Run | None:
         """Return a run recorded on a worker, or None."""
         worker = self.ledger.workers.get(worker_id)
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/observability.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/observability.py
@@ -163,6 +163,22 @@
             "Gaps in the numbers of the ends that a worker's process has listed",
             registry=registry,
         )
+        self.starts_after_end = prometheus_client.Counter(
+            "gooseberrydeck_starts_after_end",
+            "Starts not sent since the end of their task or job was known",
+            ["evidence"],
+            registry=registry,
+        )
+        self.ends_acknowledged = prometheus_client.Counter(
+            "gooseberrydeck_ends_acknowledged",
+            "Successful ends that polls let workers forget",
+            registry=registry,
+        )
+        self.unstored_acknowledgements = prometheus_client.Counter(
+            "gooseberrydeck_unstored_acknowledgements",
+            "Successful ends that polls let workers forget before they were stored",
+            registry=registry,
+        )
         self.job_lookups = prometheus_client.Counter(
             "gooseberrydeck_job_lookups",
             "Lookups of jobs that only workers have reported, by what was found",
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
@@ -27,7 +27,7 @@
     ThrottleRun,
 )
 from gooseberrydeck_fleet.configuration import FleetConfiguration
-from gooseberrydeck_fleet.ids import StepRef, TaskRef, WorkerId
+from gooseberrydeck_fleet.ids import StepRef, WorkerId
 from gooseberrydeck_fleet.registrations import Registration
 from gooseberrydeck_fleet.scheduler import Scheduler
 from gooseberrydeck_fleet.settings import Timing
@@ -50,8 +50,10 @@
     LookupFailed,
 )
 from gooseberrydeck_member.keys import JOB_PREFIX
+from gooseberrydeck_member.known_ends import KnownEnds
 from gooseberrydeck_member.observability import Metrics
 from gooseberrydeck_member.peer_messages import JobAccepted
+from gooseberrydeck_member.run_audit import RunAudit
 from gooseberrydeck_member.shard_lock import ShardLock, ShardLostError
 from gooseberrydeck_member.store_follower import (
     PrefixChanged,
@@ -154,6 +156,9 @@
         self.token = shard_lock.held.record.token
         self.inbox: queue.SimpleQueue[object] = queue.SimpleQueue()
         self.scheduler = Scheduler(self.token, timing)
+        self.known_ends = KnownEnds()
+        self.scheduler.changes.observer = self.known_ends
+        self.audit = RunAudit(self.scheduler, self.known_ends, metrics)
         self.poll_states: dict[WorkerId, WorkerPollState] = {}
         self.response_losses = ResponseLossTracker()
         self.dispatcher = WorkerDispatcher(self.inbox.put, authority.may_act)
@@ -287,6 +292,7 @@
             self.add_job(record, revision, predates_takeover=True)
         for job, (progress, revision) in stored.progress.items():
             self.scheduler.restore(job, progress, revision)
+            self.known_ends.progress_stored(job, progress, now_s, is_inherited=True)
         self.scheduler.release_held_jobs()
         self.followers[0].start_at(stored.jobs_revision)
         self.followers[1].start_at(stored.registered.revision)
@@ -297,6 +303,7 @@
             jobs=len(stored.jobs),
             jobs_revision=stored.jobs_revision,
             jobs_with_progress=len(stored.progress),
+            tasks_done=stored.count_done(),
             configuration=self.configuration_version,
             workers=len(self.poll_states),
             seconds=round(time.monotonic() - self.claimed_s, 3),
@@ -492,8 +499,11 @@
             return
         if isinstance(result, JobAbsent):
             job, outcome = result.job, "absent"
-            if result.state is not None:
+            if result.state is None:
+                self.known_ends.job_absent(job)
+            else:
                 outcome = result.state.value
+                self.known_ends.job_ended(job, result.state, now_s)
             self.scheduler.job_absent(job, result.state, now_s)
         else:
             job, outcome = result.record.id, "open"
@@ -505,6 +515,10 @@
                 result.progress,
                 result.progress_revision,
             )
+            if result.progress is not None:
+                self.known_ends.progress_stored(
+                    job, result.progress, now_s, is_inherited=True
+                )
             if result.record.queue not in self.scheduler.intake.queues:
                 self.report_unconfigured_queue(result.record, result.revision)
         self.metrics.job_lookups.labels(outcome).inc()
@@ -610,6 +624,7 @@
                 # Kept until its polls have returned, which belong to it.
                 if not poll_state.calls_in_flight:
                     self.former_restarts[worker_id] = poll_state.restarts
+                    self.known_ends.worker_forgotten(worker_id)
                     del self.poll_states[worker_id]
                 continue
             until_ms = self.scheduler.lease_until_ms(worker, now_s)
@@ -621,6 +636,9 @@
                 last_seen = poll_state.last_seen(worker.entry.born_ms)
             poll_state.poll_sent(now_s)
             token = self.token_of(worker_id)
+            self.audit.acknowledgement_sent(
+                worker_id, poll_state.born_ms, last_seen, token, now_s
+            )
             self.dispatcher.poll(worker_id, token, last_seen, until_ms, wait_s)
 
     def handle_poll_success(self, message: PollSucceeded, now_s: float) -> None:
@@ -663,19 +681,7 @@
         self.scheduler.poll_answered(message.worker, reply, now_s)
         for end in reply.ends:
             self.dispatcher.run_ended(end.task, end.run)
-            if end.number > before:
-                self.metrics.run_ends.labels(end.kind.value).inc()
-                log.info(
-                    "run ended",
-                    job=end.task.job,
-                    task=end.task[1:],
-                    run=end.run,
-                    worker=message.worker,
-                    kind=end.kind.value,
-                    number=end.number,
-                    is_job_known=end.task.job in self.scheduler.ledger.jobs,
-                    has_job_ended=end.task.job in self.scheduler.changes.ended,
-                )
+        self.audit.ends_listed(worker.id, reply, before, poll_state.acknowledged, now_s)
         # The worker responds at once while it lists ends.
         lists_ends = worker.last_end_number > poll_state.last_seen(worker.entry.born_ms)
         poll_state.due_s = now_s + UNSTORED_POLL_INTERVAL_S if lists_ends else now_s
@@ -798,18 +804,8 @@
     def execute(self, command: Command) -> None:
         """Send a command to a worker, or request advice."""
         if isinstance(command, StartRun):
-            request = command.request
-            self.observe_wait(request.task)
-            log.info(
-                "start",
-                job=request.task.job,
-                task=request.task[1:],
-                run=request.run,
-                worker=command.worker,
-                resumes=bool(request.checkpoint),
-                **self.input_ages(request.task),
-            )
-            self.dispatcher.start(command, self.token_of(command.worker))
+            if self.audit.admit_start(command, time.monotonic()):
+                self.dispatcher.start(command, self.token_of(command.worker))
         elif isinstance(command, StopRun):
             log.info(
                 "stop",
@@ -833,25 +829,6 @@
             return worker_token(self.token, poll_state.restarts)
         return worker_token(self.token, self.former_restarts.get(worker, 0))
 
-    def input_ages(self, task: TaskRef) -> dict[str, float]:
-        """Return, in seconds, how long ago a task became ready and advice arrived."""
-        job = self.scheduler.ledger.jobs[task.job]
-        step = job.steps[StepRef(task.job, task.occurrence, task.step)]
-        now_s = time.monotonic()
-        times = {"ready_age_s": step.ready_s, "advice_age_s": step.advice.answered_s}
-        return {
-            name: round(now_s - at_s, 3)
-            for name, at_s in times.items()
-            if at_s is not None
-        }
-
-    def observe_wait(self, task: TaskRef) -> None:
-        """Record a job's waiting time in the metrics when its first run starts."""
-        job = self.scheduler.ledger.jobs.get(task.job)
-        if job is not None and job.state is JobState.QUEUED and len(job.runs) == 1:
-            waited_s = max(0.0, time.time() - job.record.accepted_s)
-            self.metrics.wait_seconds.labels(job.record.queue).observe(waited_s)
-
     def handle_start_result(self, message: StartCompleted, now_s: float) -> None:
         """Apply the result of a start command."""
         if message.outcome is None:
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/stored_state.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/stored_state.py
@@ -34,6 +34,14 @@
     workers_revision: Revision
     registered: Snapshot
 
+    def count_done(self) -> int:
+        """Return how many tasks of open jobs are stored as done."""
+        return sum(
+            step.done.bit_count()
+            for progress, _ in self.progress.values()
+            for step in progress.steps
+        )
+
 
 def read_stored_state(
     store: Store, registrations: str, timeout_s: float
