Don't send a start whose run has to stop meanwhile

A start is valid for 1.5 s from the decision. It may wait for one of the 32 command threads, each of which a silent worker keeps for up to 1.2 s by a start and 0.6 s by a stop, and it is sent once more after 0.6 s without a response. The end of the first run may be stored and acknowledged meanwhile. The copy's stop is queued behind its start, so the start was sent all the same. A task of a cancelled job, too, could be started up to 1.5 s later.

The in-memory tests could not show it: their starts are executed when they are decided. The check of known ends is made then, too.

Now a stop withdraws the start of its run if that still waits for a thread or for its second attempt. Such a start doesn't make its worker count as silent, and is logged as "start withdrawn". A run whose start was certainly not sent ends at once even if it is being stopped; it used to hold its capacity until the start's validity had passed on the worker's clock.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
@@ -396,7 +396,8 @@
         if run is None:
             return
         run.has_unanswered_start |= was_sent
-        if not was_sent and run.state is RunState.STARTING:
+        is_pending = run.state in (RunState.STARTING, RunState.STOPPING)
+        if is_pending and not run.has_unanswered_start:
             self.crashes.never_started(run)
             self.ends.run_lost(run, LossReason.NEVER_STARTED)
         elif run.state is RunState.STARTING:
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
@@ -833,7 +833,7 @@
         """Apply the result of a start command."""
         if message.outcome is None:
             log.warning(
-                "start unanswered",
+                "start withdrawn" if message.is_withdrawn else "start unanswered",
                 job=message.task.job,
                 task=message.task[1:],
                 run=message.run,
@@ -843,7 +843,7 @@
             self.scheduler.start_unanswered(
                 message.worker, message.task, message.run, message.was_sent
             )
-            if not (message.is_fenced or message.has_ended):
+            if not (message.is_fenced or message.is_withdrawn):
                 self.scheduler.worker_silent(message.worker, now_s)
             return
         if message.outcome is not StartOutcome.STARTED:
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/worker_dispatcher.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/worker_dispatcher.py
@@ -62,8 +62,8 @@
 
     ``was_sent`` is false if the command certainly did not reach the worker.
     ``is_repeat`` says that an earlier attempt had no response, ``is_fenced`` that the
-    worker responded and had seen a higher token, ``has_ended`` that a poll has listed
-    the end of the run meanwhile.
+    worker responded and had seen a higher token, ``is_withdrawn`` that the run was
+    stopped, or its end listed, before the command or its second attempt was sent.
     """
 
     worker: WorkerId
@@ -73,7 +73,7 @@
     was_sent: bool = True
     is_repeat: bool = False
     is_fenced: bool = False
-    has_ended: bool = False
+    is_withdrawn: bool = False
 
 
 class CallFailure(msgspec.Struct, frozen=True):
@@ -118,8 +118,8 @@
         self.post = post
         self.may_send = may_send
         self.calls: dict[WorkerId, WorkerCalls] = {}
-        # Runs that are being started, and whose end is not known.
-        self.open_starts: set[tuple[TaskRef, int]] = set()
+        # Starts that may still be sent, or sent once more.
+        self.unsent_starts: set[tuple[TaskRef, int]] = set()
         self.poll_executor: Executor = ThreadPoolExecutor(MAX_POLL_THREADS, "hold")
         self.command_executor: Executor = ThreadPoolExecutor(COMMAND_THREADS, "order")
 
@@ -171,32 +171,32 @@
             self.post(PollSucceeded(worker, reply, sent_s, token))
 
     def start(self, command: StartRun, token: Epoch) -> None:
-        """Send a start command."""
-        self.open_starts.add((command.request.task, command.request.run))
+        """Send a start command, unless its run is stopped before that."""
+        self.unsent_starts.add((command.request.task, command.request.run))
         self.command_executor.submit(self.execute_start, command, token)
 
     def run_ended(self, task: TaskRef, run: int) -> None:
         """Record that a worker has listed the end of a run."""
-        self.open_starts.discard((task, run))
+        self.unsent_starts.discard((task, run))
 
     def execute_start(self, command: StartRun, token: Epoch) -> None:
         """Send a start command and post the result."""
-        self.post(self.try_start(command, token))
-        self.open_starts.discard((command.request.task, command.request.run))
+        result = self.try_start(command, token)
+        self.unsent_starts.discard((command.request.task, command.request.run))
+        self.post(result)
 
     def try_start(self, command: StartRun, token: Epoch) -> StartCompleted:
         """Send a start command, and repeat it once without a response.
 
-        No second attempt is made if the worker cannot have received the first one, or
-        if the run has ended.
+        No second attempt is made if the worker cannot have received the first one. None
+        is made once the run has to stop or has ended.
         """
         request = command.request
-        was_sent = is_fenced = has_ended = False
+        key = request.task, request.run
+        was_sent = is_fenced = is_withdrawn = False
         for _ in range(2):
-            if not self.may_send():
-                break
-            has_ended = (request.task, request.run) not in self.open_starts
-            if has_ended:
+            is_withdrawn = key not in self.unsent_starts
+            if is_withdrawn or not self.may_send():
                 break
             calls = self.calls[command.worker]
             try:
@@ -225,11 +225,15 @@
             None,
             was_sent,
             is_fenced=is_fenced,
-            has_ended=has_ended,
+            is_withdrawn=is_withdrawn,
         )
 
     def stop(self, command: StopRun, token: Epoch) -> None:
-        """Send a stop command; the scheduler repeats it until the end is reported."""
+        """Send a stop command; the scheduler repeats it until the end is reported.
+
+        A start of the run that still waits for a thread is withdrawn.
+        """
+        self.unsent_starts.discard((command.task, command.run))
         self.command_executor.submit(self.execute_stop, command, token)
 
     def execute_stop(self, command: StopRun, token: Epoch) -> None:
--- a/tests/fleet/test_faults.py
+++ b/tests/fleet/test_faults.py
@@ -17,7 +17,7 @@
 )
 from gooseberrydeck_coordination.ids import Epoch
 from gooseberrydeck_coordination.resources import Resources
-from gooseberrydeck_fleet.commands import StartRun
+from gooseberrydeck_fleet.commands import StartRun, StopRun
 from gooseberrydeck_fleet.ids import WorkerId
 from gooseberrydeck_fleet.work import JobState, StepSpec
 from gooseberrydeck_fleet.worker_calls import (
@@ -168,6 +168,21 @@
         assert fleet.starts == []
         assert fleet.state(job) is JobState.COMPLETED
 
+    # Its capacity stayed allocated until the validity of the start had passed.
+    def test_run_that_is_stopped_before_its_start_is_sent_ends_at_once(self) -> None:
+        fleet = Fleet(workers=1)
+        scheduler = fleet.scheduler
+        job = scheduler.ledger.jobs[fleet.submit("a", StepSpec(1, ONE))]
+        (start,) = scheduler.decide(fleet.now_s, fleet.clock.wall())
+        assert isinstance(start, StartRun)
+        scheduler.ends.finish(job, JobState.CANCELLED)
+        (stop,) = scheduler.decide(fleet.now_s, fleet.clock.wall())
+        assert isinstance(stop, StopRun)
+        task, run = start.request.task, start.request.run
+        scheduler.start_unanswered(start.worker, task, run, was_sent=False)
+        assert not job.runs
+        assert not scheduler.ledger.stopping
+
 
 def lose_one(
     engine: FleetWorkerEngine,
--- a/tests/member/test_scheduler_task.py
+++ b/tests/member/test_scheduler_task.py
@@ -24,7 +24,7 @@
     WatchBatch,
     WatchEvent,
 )
-from gooseberrydeck_fleet.ids import StepRef
+from gooseberrydeck_fleet.ids import StepRef, TaskRef, WorkerId
 from gooseberrydeck_fleet.poll_replies import HELD_POLL_S
 from gooseberrydeck_fleet.registrations import Registration
 from gooseberrydeck_fleet.work import JobRecord, StepSpec, WorkSpec
@@ -39,7 +39,7 @@
 from gooseberrydeck_member.scheduler_task import POLL_WAIT_S, TICK_S, SchedulerTask
 from gooseberrydeck_member.shard_lock import ShardLock
 from gooseberrydeck_member.store_follower import PrefixChanged, PrefixRead
-from gooseberrydeck_member.worker_dispatcher import POLL_TIMEOUT_S
+from gooseberrydeck_member.worker_dispatcher import POLL_TIMEOUT_S, StartCompleted
 from gooseberrydeck_standins.engine_store import EngineStore
 from gooseberrydeck_standins.store_engine import StoreEngine
 
@@ -111,6 +111,22 @@
         assert HELD_POLL_S >= POLL_WAIT_S + POLL_TIMEOUT_S
 
 
+class TestWithdrawnStarts:
+    def test_worker_whose_start_was_withdrawn_is_not_silent(
+        self, task: SchedulerTask
+    ) -> None:
+        worker = WorkerId("w1")
+        task.registration_changed(f"{REGISTRATIONS}{worker}", b"", 0.0)
+        known = task.scheduler.ledger.workers[worker]
+        known.is_reachable = True
+        ref = TaskRef(JobId("a"), 0, 0, 0)
+        withdrawn = StartCompleted(worker, ref, 1, None, False, is_withdrawn=True)
+        task.handle(withdrawn, 0.0)
+        assert known.is_reachable
+        task.handle(StartCompleted(worker, ref, 1, None), 0.0)
+        assert not known.is_reachable
+
+
 class TestNewerHolders:
     """Jobs whose member knows a holder that has superseded this one."""
 
