Fail a read of a prefix that can't be continued

Callers would see: a holder that takes over without part of the stored progress starts tasks again that are done, and one that lacks jobs forgets them. A page that is marked as truncated but has no items names no key to continue from; it was taken for the last one, and what followed was silently missing.

The read fails now.

--- a/tests/adapter/test_adapter.py
+++ b/tests/adapter/test_adapter.py
@@ -59,6 +59,7 @@
     WorkerReplacedError,
     WorkerSilentError,
 )
+from gooseberrydeck_platform.http import HttpResponse
 from gooseberrydeck_standins.faults import FaultKind
 from gooseberrydeck_standins.fleet_worker import FleetWorkerEngine
 from gooseberrydeck_standins.http_service import StandinServer
@@ -132,6 +133,15 @@
         assert second.entries[0].key > after
         assert first.revision == second.revision == revision
 
+    # A successor would have gone on without the progress on the missing pages.
+    def test_page_that_names_no_next_one_is_an_error(
+        self, store_fixture: StoreFixture, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        page = HttpResponse(200, {}, b'{"items":[],"Truncated":true,"AsOf":9}')
+        monkeypatch.setattr(store_fixture.store, "call", lambda *_: page)
+        with pytest.raises(StoreUnavailableError):
+            store_fixture.store.read_prefix("p/", TIMEOUT_S)
+
     def test_watch_reports_changes_in_order(self, store_fixture: StoreFixture) -> None:
         store = store_fixture.store
         first = store.commit(Transaction((), (Put("w/a", b"1"),)), TIMEOUT_S)
