Test what the record of known ends is fed with

Each of the four new tests fails without its feed, and the one of the takeover without the progress that was read.

--- a/tests/member/test_run_audit.py
+++ b/tests/member/test_run_audit.py
@@ -27,6 +27,7 @@
 )
 from gooseberrydeck_member.advice_pool import AdvicePool
 from gooseberrydeck_member.authority import Authority, boottime_clock_s
+from gooseberrydeck_member.job_lookups import JobAbsent, JobFound
 from gooseberrydeck_member.keys import job_key, progress_key
 from gooseberrydeck_member.observability import Metrics
 from gooseberrydeck_member.peers import PeerClient
@@ -283,6 +284,54 @@
         assert start.request.task == step.tasks[1].ref
 
 
+class TestSources:
+    """What the record of known ends is fed with besides replies and commits."""
+
+    def make_record(self) -> JobRecord:
+        """Return the record of a job of two tasks."""
+        work = WorkSpec(steps=(StepSpec(2, ONE),))
+        return JobRecord(JobId("a"), SLOW, TEAM, work, time.time())
+
+    def test_progress_that_was_looked_up(self, audited: AuditedTask) -> None:
+        record = self.make_record()
+        progress = Progress([StepProgress(0, 0, 0b10)])
+        audited.task.handle(JobFound(record, 9, progress, 10), audited.now_s)
+        known = audited.task.known_ends
+        (step,) = record.work.steps
+        assert known.find_evidence(TaskRef(record.id, 0, 0, 0), step) is None
+        assert known.find_evidence(TaskRef(record.id, 0, 0, 1), step) is not None
+
+    def test_end_of_a_job_that_was_looked_up(self, audited: AuditedTask) -> None:
+        record = self.make_record()
+        absent = JobAbsent(record.id, JobState.COMPLETED)
+        audited.task.handle(absent, audited.now_s)
+        assert record.id in audited.task.known_ends.ended_jobs
+
+    def test_end_that_a_commit_without_response_has_stored(
+        self, audited: AuditedTask
+    ) -> None:
+        job = audited.submit(StepSpec(1, ONE))
+        log = audited.scheduler.changes
+        audited.commit = lambda: None  # type: ignore[method-assign]
+        audited.end(next(iter(job.steps.values())).tasks[0])
+        log.commit_failed(log.take_batch(100, time.time()))
+        known = audited.task.known_ends
+        assert job.id not in known.ended_jobs
+        log.revisions_read({job.id: 0}, [job.id], audited.now_s)
+        assert known.ended_jobs[job.id][0] is JobState.COMPLETED
+
+    def test_ends_of_a_forgotten_worker_are_not_kept(
+        self, audited: AuditedTask
+    ) -> None:
+        job = audited.submit(StepSpec(2, ONE))
+        audited.end(next(iter(job.steps.values())).tasks[0])
+        assert audited.task.known_ends.unacknowledged[WORKER][1]
+        del audited.scheduler.ledger.workers[WORKER]
+        audited.task.poll_states[WORKER].calls_in_flight = 0
+        audited.task.poll_due_workers(audited.now_s + 1.0)
+        assert WORKER not in audited.task.known_ends.unacknowledged
+
+
 class TestAcknowledgements:
     def test_stored_ends_are_counted(self, audited: AuditedTask) -> None:
         job = audited.submit(StepSpec(2, ONE))
