Limit the validity of a copy's start to less than a second

The rule has no exception for such steps in its second clause.

Cause: a start is valid for 1.5 s on the worker's clock. A copy whose start is delayed on the way, behind other commands in the queue or by a link that loses packets, could begin up to 1.5 s after it was decided, whatever had become of the first run, unless its stop arrived first.

Change: a copy's start is valid for 0.8 s. A copy that is later has little use. Ruled out: a shorter validity for all starts, which a slow store or a busy host would make workers refuse.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/serving.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/serving.py
@@ -31,6 +31,12 @@
 becomes certain after this time.
 """
 
+COPY_VALID_S = 0.8
+"""The same for a copy of a running task.
+
+A copy must not start a second after its task has ended, on a clock that may be slow.
+"""
+
 MAX_CHECKS = 1_500
 """Workers that one pass may consider; about a millisecond on a small host.
 
@@ -433,10 +439,11 @@
 
     def start(self, task: Task, worker: Worker, number: int, now_s: float) -> None:
         """Record a new run and queue its start command."""
+        valid_s = COPY_VALID_S if task.runs else START_VALID_S
         run = self.ledger.add_run(task, worker, number, now_s)
         self.ledger.suspects.started(run)
         self.placer.consume_reservation(worker, task.step)
-        until_ms = worker.clock_at(now_s) + int(START_VALID_S * 1000)
+        until_ms = worker.clock_at(now_s) + int(valid_s * 1000)
         run.start_until_ms = until_ms
         worker.grant(until_ms)
         ticket = None
--- a/tests/fleet/test_speeds.py
+++ b/tests/fleet/test_speeds.py
@@ -90,6 +90,35 @@
         fleet = self.run_with_straggler(is_speculative=True, hangs=False)
         assert len(fleet.starts) == 4
 
+    # Guards against a copy that starts over a second after the end of the first run was
+    # acknowledged, because its start was delayed on the way: TWICE, issue 34.
+    def test_delayed_copy_does_not_start_long_after_the_end_of_the_first_run(
+        self,
+    ) -> None:
+        fleet = Fleet(workers=4)
+        slow = fleet.add_worker("slow")
+        fleet.scheduler.ledger.speeds.workers[slow] = 1.0
+        fleet.run_for(0.1)
+
+        def plan(request: StartRequest) -> RunPlan:
+            return RunPlan(1.3 if fleet.starts[-1][2] == slow else 0.5, ONE)
+
+        step = StepSpec(5, ONE, max_per_worker=1, is_speculative=True)
+        job = fleet.submit("a", step, queue_name=URGENT, plan=plan)
+        fleet.run_for(0.1)
+        fleet.delayed_starts.update(fleet.engines)
+        fleet.run_for(0.9)
+        ((worker, _, _),) = fleet.starts_under_way
+        fleet.unreachable.add(worker)
+        fleet.run_for(0.4)
+        assert fleet.state(job) is JobState.COMPLETED
+        ended_s = fleet.now_s
+        fleet.run_for(1.0)
+        fleet.deliver_starts()
+        engine = fleet.engines[worker]
+        began_s = [span.began_s for span in engine.spans + engine.open_spans()]
+        assert all(at_s < ended_s for at_s in began_s)
+
     def test_step_that_is_not_speculative_gets_no_copy(self) -> None:
         fleet = self.run_with_straggler(is_speculative=False, hangs=True)
         assert len(fleet.starts) == 4
