Send no commands to workers that are silent

Cause: each of the 32 command threads waits up to 1.2 s for a silent worker, and stops to it are repeated each 0.7 s, so the queue of commands grows to seconds.

Change: commands to a worker that is known to be silent are dropped until it has answered a poll. A start that was not sent counts as such, so its task starts elsewhere at once and not after a lease. The second attempt of a start is left out too. Stops are repeated by the scheduler anyway.

The tests use new methods of the dispatcher, so they fail without it for the lack of them.

--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
@@ -650,6 +650,7 @@
         if worker is None:
             poll_state.poll_ignored()
             return
+        self.dispatcher.worker_answered(message.worker)
         reply = message.reply
         failed_polls = poll_state.failures
         if poll_state.poll_succeeded() and poll_state.born_ms == reply.born_ms:
@@ -779,6 +780,7 @@
                 silent_s=round(now_s - worker.last_reply_s, 3),
             )
         self.scheduler.worker_silent(message.worker, now_s, failure.has_timed_out)
+        self.dispatcher.worker_silent(message.worker)
         if not message.is_poll:
             return
         is_refused = failure.is_refused or failure.is_replaced
@@ -845,6 +847,7 @@
             )
             if not (message.is_fenced or message.is_withdrawn):
                 self.scheduler.worker_silent(message.worker, now_s)
+                self.dispatcher.worker_silent(message.worker)
             return
         if message.outcome is not StartOutcome.STARTED:
             log.info(
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/worker_dispatcher.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/worker_dispatcher.py
@@ -62,8 +62,9 @@
 
     ``was_sent`` is false if the command certainly did not reach the worker.
     ``is_repeat`` says that an earlier attempt had no response, ``is_fenced`` that the
-    worker responded and had seen a higher token, ``is_withdrawn`` that the run was
-    stopped, or its end listed, before the command or its second attempt was sent.
+    worker responded and had seen a higher token. ``is_withdrawn`` says that the command
+    or its second attempt was not sent, since the run was stopped or its end was listed,
+    or since the worker had fallen silent.
     """
 
     worker: WorkerId
@@ -120,6 +121,8 @@
         self.calls: dict[WorkerId, WorkerCalls] = {}
         # Starts that may still be sent, or sent once more.
         self.unsent_starts: set[tuple[TaskRef, int]] = set()
+        # Commands to these are dropped: each would keep a thread from the others.
+        self.silent_workers: set[WorkerId] = set()
         self.poll_executor: Executor = ThreadPoolExecutor(MAX_POLL_THREADS, "hold")
         self.command_executor: Executor = ThreadPoolExecutor(COMMAND_THREADS, "order")
 
@@ -175,6 +178,14 @@
         self.unsent_starts.add((command.request.task, command.request.run))
         self.command_executor.submit(self.execute_start, command, token)
 
+    def worker_silent(self, worker: WorkerId) -> None:
+        """Send no more commands to a worker until it answers a poll."""
+        self.silent_workers.add(worker)
+
+    def worker_answered(self, worker: WorkerId) -> None:
+        """Send commands to a worker again that has answered a poll."""
+        self.silent_workers.discard(worker)
+
     def run_ended(self, task: TaskRef, run: int) -> None:
         """Record that a worker has listed the end of a run."""
         self.unsent_starts.discard((task, run))
@@ -189,13 +200,14 @@
         """Send a start command, and repeat it once without a response.
 
         No second attempt is made if the worker cannot have received the first one. None
-        is made once the run has to stop or has ended.
+        is made once the run has to stop or has ended, or the worker has fallen silent.
         """
         request = command.request
         key = request.task, request.run
         was_sent = is_fenced = is_withdrawn = False
         for _ in range(2):
-            is_withdrawn = key not in self.unsent_starts
+            is_silent = command.worker in self.silent_workers
+            is_withdrawn = is_silent or key not in self.unsent_starts
             if is_withdrawn or not self.may_send():
                 break
             calls = self.calls[command.worker]
@@ -238,7 +250,7 @@
 
     def execute_stop(self, command: StopRun, token: Epoch) -> None:
         """Send a stop command and post a message if it fails."""
-        if not self.may_send():
+        if not self.may_send() or command.worker in self.silent_workers:
             return
         calls = self.calls[command.worker]
         try:
@@ -253,6 +265,8 @@
 
     def execute_throttle(self, command: ThrottleRun, token: Epoch) -> None:
         """Send a throttle command and post a message if it fails."""
+        if command.worker in self.silent_workers:
+            return
         calls = self.calls[command.worker]
         try:
             calls.throttle(
--- a/tests/member/test_worker_dispatcher.py
+++ b/tests/member/test_worker_dispatcher.py
@@ -95,7 +95,7 @@
         """Do nothing."""
 
 
-class TestWithdrawnStarts:
+class DispatcherFixture:
     def setup_method(self) -> None:
         self.posted: list[object] = []
         self.dispatcher = WorkerDispatcher(self.posted.append, lambda: True)
@@ -109,6 +109,8 @@
         command = StopRun(WORKER, TASK, run, StopReason.SURPLUS)
         self.dispatcher.stop(command, TOKEN)
 
+
+class TestWithdrawnStarts(DispatcherFixture):
     # A copy of a task was started over a second after the end of the first run had
     # been acknowledged: its start had waited for a thread, or was sent a second time.
     def test_start_that_waits_is_not_sent_after_its_stop(self) -> None:
@@ -160,3 +162,31 @@
         self.dispatcher.start(START, TOKEN)
         self.executor.run()
         assert self.calls.sent == ["start", "start"]
+
+
+class TestSilentWorkers(DispatcherFixture):
+    # Guards against commands to healthy workers that wait for seconds behind those to
+    # workers that don't answer: starts were refused as too late.
+    def test_queued_commands_to_a_silent_worker_are_not_sent(self) -> None:
+        self.dispatcher.start(START, TOKEN)
+        self.dispatcher.worker_silent(WORKER)
+        self.executor.run()
+        self.stop()
+        self.executor.run()
+        assert self.calls.sent == []
+        expected = StartCompleted(WORKER, TASK, 7, None, False, is_withdrawn=True)
+        assert self.posted == [expected]
+
+    def test_start_is_not_repeated_at_a_silent_worker(self) -> None:
+        self.calls.before_response = lambda: self.dispatcher.worker_silent(WORKER)
+        self.dispatcher.start(START, TOKEN)
+        self.executor.run()
+        assert self.calls.sent == ["start"]
+
+    def test_commands_are_sent_again_once_the_worker_has_answered(self) -> None:
+        self.dispatcher.worker_silent(WORKER)
+        self.dispatcher.worker_answered(WORKER)
+        self.dispatcher.start(START, TOKEN)
+        self.stop(6)
+        self.executor.run()
+        assert self.calls.sent == ["start", "stop"]
