Count workers that vanish at a run's start as crashed, by half

What callers would see: where the replacement of a crashed worker comes under a new id at another address, or not at all, a task that crashes each worker that starts it takes down the whole fleet, and its job never ends.

Cause: only another process at the address or under the id showed a crash. The run counted as lost by its lease, which is no evidence, so every attempt was like the first.

Change: a worker counts half if it fell silent within 3 s of a run's start, its registration was removed without a drain and has been gone for 2.5 s with the store in reach, and its leases have lapsed. Only such runs are blamed. An answer of the same process takes it back, a new process makes it a whole one. A task is given up with a blame of 1.4 and two certain crashes, as before, or 1.0 from the fourth crash of either kind on. With half a crash each, four workers that vanish are needed where two certain crashes suffice.

How it was weighed: a run's first 3 s, since a worker that goes dark is noticed after up to 1.7 s, and a fleet that loses workers without notice strikes a given start within it rarely. 2.5 s, since registrations return within about 2 s of the store. While it is open whether a worker has vanished, tasks that lost a worker before wait: without that, a fifth start could come before the fourth crash counts. Five tasks at once crashed their workers at the same moments, which cut their blame again and again (up to 8 starts each, 24 workers); starts half a second apart make it 4. Ruled out: the same rule of 1.4 for one certain and one vanished worker, which is 1.5 where a task was alone on both.

A silence ends if the worker is seen to drain: it lives and leaves.

Tests: test_new_worker_at_the_address looked at a worker that vanished 1 s after the start, with no report until its address was taken. That is the new evidence; it now crashes 4 s after the start with the same checks, and TestVanishedWorkers checks the case at 1 s.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/crash_records.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/crash_records.py
@@ -27,7 +27,8 @@
     it stopped answering, in Unix seconds. The run had taken ``age_s`` seconds by then.
     ``blame`` is the task's share of the blame for the crash, and ``relevance``, up to
     1, is less the more workers fell silent at once. Both are 0 as long as the worker
-    may only be out of reach.
+    may only be out of reach, and less if it has only vanished: nothing has shown that
+    its process ended.
     """
 
     run: int
@@ -38,10 +39,11 @@
     blame: float = 0.0
     relevance: float = 0.0
     address: str = ""
+    is_vanished: bool = False
 
     @property
-    def is_certain(self) -> bool:
-        """Return True if the worker has crashed."""
+    def is_counted(self) -> bool:
+        """Return True if the worker counts as crashed."""
         return self.relevance > 0
 
     def cleared(self) -> "CrashRecord":
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/crashes.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/crashes.py
@@ -1,9 +1,11 @@
 """Workers that stop answering, and who is to blame if they have crashed.
 
 Silence, refused connections and expired leases don't show a crash, since a worker that
-is cut off may run on. Another process in the worker's place does. The runs that were
-there when the worker fell silent are stored meanwhile, so that a successor can
-tell what the crash has taken.
+is cut off may run on. Another process in the worker's place does. A worker that has
+vanished, with its registration, soon after a run began counts for less: its replacement
+may come elsewhere, but it may also have been taken away, or be cut off for long.
+The runs that were there when the worker fell silent are stored meanwhile, so that a
+successor can tell what the crash has taken.
 """
 
 from collections import deque
@@ -46,6 +48,21 @@
 MANY_CRASHES_BLAME = 1.0
 """Blame from which a task is given up that was there at that many crashes."""
 
+VANISHED_WEIGHT = 0.5
+"""Weight of a worker that has vanished, relative to one that has certainly crashed."""
+
+VANISHED_RUN_AGE_S = 3.0
+"""Greatest age of the runs that are blamed for a worker that has vanished. Workers are
+taken away at any age of their runs; some are noticed to be silent after 2 s only."""
+
+REGISTRATION_RETURN_S = 2.5
+"""Time after which a registration that was removed does not return; the platform takes
+up to 2 s after an outage of its store."""
+
+UNDECIDED_S = 10.0
+"""How long a task that has lost a run before waits for evidence of the next crash: for
+the removal of the registration, after some heartbeats, and its return."""
+
 MIN_RELATIVE_SHARE = 0.2
 """A task is suspected if its share of the blame is at least this part of the largest
 share, or if it was there at several crashes."""
@@ -62,6 +79,9 @@
 """Number of other workers that fall silent at the same time from which runs with
 expired leases are not suspected."""
 
+POSTPONEMENT_S = 0.2
+"""How long a review postpones a start; the next review comes sooner."""
+
 RECORD_DELAY_S = 0.1
 """Silence after which a worker's runs are stored; a lost poll is repeated sooner."""
 
@@ -69,7 +89,7 @@
 """A worker that answers again sooner has not been silent."""
 
 MAX_SILENCE_S = 60.0
-"""Time after which a worker that has vanished counts as cut off rather than crashed."""
+"""Time after which a silent worker counts as cut off, unless it has vanished."""
 
 
 class CrashEvidence(Enum):
@@ -78,6 +98,7 @@
     NEW_PROCESS = "new_process"
     REPLACED = "replaced"
     ADDRESS_TAKEN = "address_taken"
+    VANISHED = "vanished"
 
 
 class PresentRun(NamedTuple):
@@ -87,6 +108,11 @@
     number: int
     age_s: float
 
+    @property
+    def is_recent(self) -> bool:
+        """Return True if the run had not taken long; see ``VANISHED_RUN_AGE_S``."""
+        return self.age_s <= VANISHED_RUN_AGE_S
+
 
 class BlamedRun(NamedTuple):
     """A run's share of the blame for a crash, and all the blame of its task."""
@@ -121,6 +147,8 @@
 
     It did so between the Unix times ``from_s`` and ``since_s``. ``explained`` is the
     blame, up to 1, of the suspect that it was most likely crashed by.
+    ``unregistered_s`` is the monotonic time at which its registration was found
+    removed, if it was.
     """
 
     __slots__ = (
@@ -129,8 +157,10 @@
         "explained",
         "from_s",
         "is_recorded",
+        "is_vanished",
         "runs",
         "since_s",
+        "unregistered_s",
         "worker",
     )
 
@@ -151,6 +181,9 @@
         self.runs: dict[tuple[TaskRef, int], PresentRun] = {}
         self.explained = 0.0
         self.is_recorded = False
+        self.unregistered_s: float | None = None
+        # True once its runs have been blamed, which an answer or a new process revises.
+        self.is_vanished = False
 
 
 class CrashTracker:
@@ -213,9 +246,10 @@
     def restore(self, task: Task, record: CrashRecord) -> None:
         """Apply a stored record of a task."""
         task.crashes[record.run] = record
-        if record.is_certain:
+        if record.is_counted:
             self.suspects.add(task, record.age_s, 0.0)
-            return
+            if not record.is_vanished:
+                return
         silence = self.silences.get(record.worker)
         if silence is None:
             since_s = record.silent_s
@@ -225,6 +259,7 @@
             silence.is_recorded = True
             self.add_silence(silence)
             self.has_restored = True
+        silence.is_vanished |= record.is_vanished
         silence.runs[task.ref, record.run] = PresentRun(task, record.run, record.age_s)
         self.explain(silence, task)
 
@@ -285,20 +320,26 @@
 
     def crashed(self, silence: Silence, evidence: CrashEvidence, now_s: float) -> None:
         """Share the blame for a crash among the runs that the worker had."""
-        del self.silences[silence.worker]
-        self.crashed_processes[silence.worker] = silence.born_ms
+        is_vanished = evidence is CrashEvidence.VANISHED
+        if is_vanished:
+            silence.is_vanished = True
+        else:
+            del self.silences[silence.worker]
+            self.crashed_processes[silence.worker] = silence.born_ms
         if not silence.runs:
             return
         others = self.count_others(silence)
-        relevance = 1 / (1 + others)
+        relevance = (VANISHED_WEIGHT if is_vanished else 1.0) / (1 + others)
         blamed = []
         for present, share, is_suspect in self.share_blame(silence):
             task = present.task
             if task.is_done or task.step.job.state.is_final:
                 continue
-            self.record(silence, present, share * relevance, relevance)
+            if is_vanished and not present.is_recent:
+                continue
+            self.record(silence, present, share * relevance, relevance, is_vanished)
             if is_suspect:
-                self.suspects.add(task, present.age_s, now_s)
+                self.suspects.add(task, present.age_s, now_s, is_vanished)
             blamed.append(self.judge(present, share))
         self.reports.append(
             CrashReport(
@@ -323,7 +364,7 @@
         """Return each run's share of the blame, and whether to suspect its task."""
         runs = list(silence.runs.values())
         weights = [
-            suspicion(present.task.crashes.values()) / (present.age_s + AGE_FLOOR_S)
+            suspicion(other_crashes(present)) / (present.age_s + AGE_FLOOR_S)
             for present in runs
         ]
         total = sum(weights)
@@ -339,6 +380,7 @@
         present: PresentRun,
         blame: float = 0.0,
         relevance: float = 0.0,
+        is_vanished: bool = False,
     ) -> None:
         """Record a run of a silent worker, to be stored with its job's progress."""
         task = present.task
@@ -351,6 +393,7 @@
             round(blame, 4),
             relevance,
             silence.address,
+            is_vanished,
         )
         job = task.step.job
         self.ledger.changed[job.id] = None
@@ -358,13 +401,17 @@
             job.crashes_counted += 1
 
     def judge(self, present: PresentRun, share: float) -> BlamedRun:
-        """Give up a task if it is to blame for crashes beyond doubt."""
+        """Give up a task if it is to blame for crashes beyond doubt.
+
+        Unless there are many, two have to be certain.
+        """
         task = present.task
-        records = [each for each in task.crashes.values() if each.is_certain]
+        records = [each for each in task.crashes.values() if each.is_counted]
         total = total_blame(records)
         has_many = len(records) >= MANY_CRASHES
         enough = MANY_CRASHES_BLAME if has_many else GIVE_UP_BLAME
-        is_guilty = len(records) >= MIN_CRASHES and total >= enough
+        certain = sum(not record.is_vanished for record in records)
+        is_guilty = (has_many or certain >= MIN_CRASHES) and total >= enough
         if is_guilty:
             job = task.step.job
             first = min(record.silent_s for record in records)
@@ -396,10 +443,11 @@
         for silence in list(self.silences.values()):
             silent_s = wall_s - silence.since_s
             if silent_s > MAX_SILENCE_S:
-                self.end_silence(silence, now_s)
-            elif silent_s >= RECORD_DELAY_S:
+                self.expire(silence)
+            elif silent_s >= RECORD_DELAY_S and not silence.is_vanished:
                 self.record_doubts(silence)
                 self.suspect_lapsed(silence, now_s)
+                self.find_vanished(silence, now_s, silent_s)
         for task in self.suspects.review(now_s):
             for number, record in task.crashes.items():
                 task.crashes[number] = record.cleared()
@@ -413,6 +461,44 @@
             if not present.task.is_done:
                 self.record(silence, present)
 
+    def expire(self, silence: Silence) -> None:
+        """End a silence that has lasted for long; what has been counted stays so."""
+        del self.silences[silence.worker]
+        for present in silence.runs.values():
+            record = present.task.crashes.get(present.number)
+            if record is not None and not record.is_counted:
+                self.remove_record(present.task, present.number)
+
+    def find_vanished(self, silence: Silence, now_s: float, silent_s: float) -> None:
+        """Count a worker as vanished whose registration is gone and leases have lapsed.
+
+        Until then, and for a limited time, its tasks that have lost runs before wait,
+        so that no start is made without what the former one has shown.
+        """
+        worker = self.ledger.workers.get(silence.worker)
+        if worker is not None and worker.entry.is_draining:
+            self.end_silence(silence, now_s)
+            return
+        if worker is not None and worker.is_registered:
+            silence.unregistered_s = None
+        elif silence.unregistered_s is None:
+            silence.unregistered_s = now_s
+        blamable = [each for each in silence.runs.values() if each.is_recent]
+        if worker is None and self.is_unregistered_for_good(silence):
+            if blamable:
+                self.crashed(silence, CrashEvidence.VANISHED, now_s)
+        elif silent_s < UNDECIDED_S:
+            for present in blamable:
+                if has_crashed(present):
+                    self.suspects.postpone(present.task, now_s + POSTPONEMENT_S)
+
+    def is_unregistered_for_good(self, silence: Silence) -> bool:
+        """Return True if a registration would have returned with the store by now."""
+        if silence.unregistered_s is None:
+            return False
+        return_s = silence.unregistered_s + REGISTRATION_RETURN_S
+        return self.ledger.authority_confirmed_s >= return_s
+
     def suspect_lapsed(self, silence: Silence, now_s: float) -> None:
         """Suspect the tasks that wait again while their worker may have crashed.
 
@@ -438,7 +524,16 @@
     return gap_s <= SIMULTANEOUS_S
 
 
-def has_crashed(present: PresentRun) -> bool:
-    """Return True if an earlier run of a task was lost in a crash."""
+def other_crashes(present: PresentRun) -> list[CrashRecord]:
+    """Return the records of a task's other runs.
+
+    That of the run itself is no reason to suspect it, if its worker has vanished first
+    and another process has come later.
+    """
     records = present.task.crashes.values()
-    return any(each.is_certain and each.run != present.number for each in records)
+    return [each for each in records if each.run != present.number]
+
+
+def has_crashed(present: PresentRun) -> bool:
+    """Return True if another run of a task was lost in a crash."""
+    return any(record.is_counted for record in other_crashes(present))
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/start_permission.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/start_permission.py
@@ -102,7 +102,7 @@
     if (
         task.crashes
         and job.crashes_stored < job.crashes_counted
-        and any(record.is_certain for record in task.crashes.values())
+        and any(record.is_counted for record in task.crashes.values())
     ):
         return StartObstacle.CRASH_NOT_STORED
     return None
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/suspects.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/suspects.py
@@ -40,6 +40,10 @@
 """Pause before the start after a task's second crash; it doubles with each further
 one."""
 
+START_GAP_S = 0.5
+"""Time between the starts of tasks whose workers have vanished, so that workers that
+vanish again do so one after the other, and not for a common reason."""
+
 RUN_BESIDE_PENALTY = 1.0
 """Rank penalty of a worker for each run that a suspect would endanger there."""
 
@@ -90,18 +94,28 @@
         self.trials: dict[WorkerId, Run] = {}
         # Those workers on which nothing may start beside it.
         self.reserved: set[WorkerId] = set()
+        # When the next task may start whose workers have vanished.
+        self.next_start_s = 0.0
+
+    def add(
+        self, task: Task, age_s: float, now_s: float, has_vanished: bool = False
+    ) -> None:
+        """Suspect a task whose run was lost at an age of ``age_s``.
 
-    def add(self, task: Task, age_s: float, now_s: float) -> None:
-        """Suspect a task whose run was lost at an age of ``age_s``."""
+        ``has_vanished`` says that its worker has only vanished.
+        """
         suspect = self.suspects.get(task.ref)
         if suspect is None:
             suspect = self.suspects[task.ref] = Suspect(task)
         suspect.age_s = max(suspect.age_s, age_s)
         suspect.waits_since_s = None
         suspect.has_asked_advice = False
-        crashes = sum(record.is_certain for record in task.crashes.values())
+        crashes = sum(record.is_counted for record in task.crashes.values())
         if crashes > 1:
             suspect.retry_s = now_s + FIRST_PAUSE_S * 2 ** (crashes - 2)
+            if has_vanished:
+                suspect.retry_s = max(suspect.retry_s, self.next_start_s)
+                self.next_start_s = suspect.retry_s + START_GAP_S
 
     def is_suspect(self, task: Task) -> bool:
         """Return True if a task may have crashed a worker, and is not cleared."""
@@ -116,6 +130,12 @@
         suspect = self.suspects.get(task.ref)
         return 0.0 if suspect is None else suspect.retry_s
 
+    def postpone(self, task: Task, until_s: float) -> None:
+        """Keep a suspect from starting until a monotonic time at least."""
+        suspect = self.suspects.get(task.ref)
+        if suspect is not None:
+            suspect.retry_s = max(suspect.retry_s, until_s)
+
     def take_advice_turn(self, task: Task) -> bool:
         """Return True once for each wait of a suspect."""
         suspect = self.suspects[task.ref]
