Send an acknowledgement only until the worker has discarded the ends

Callers could see: a task that has succeeded runs again, after its end was acknowledged. Cause: every poll carried the number of the last acknowledged end, also the long poll that is in flight when a worker crashes. If the worker's next process under the same id executes that poll, it forgets ends that nobody has seen.

Change: a poll carries the number only while the worker may still list ends up to it: from the moment when they are stored until a reply lists none of them. A reply that was overtaken at worst has it sent once more.

--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
@@ -674,6 +674,7 @@
             self.scheduler.worker_restarting(worker.id)
             poll_state.due_s = now_s
             return
+        poll_state.ends_listed(min((end.number for end in reply.ends), default=0))
         if not worker.is_reachable:
             log.info("worker answers", worker=worker.id, runs=len(reply.runs))
         before = worker.last_end_number if worker.born_ms == reply.born_ms else 0
@@ -684,7 +685,8 @@
             self.dispatcher.run_ended(end.task, end.run)
         self.audit.ends_listed(worker.id, reply, before, poll_state.acknowledged, now_s)
         # The worker responds at once while it lists ends.
-        lists_ends = worker.last_end_number > poll_state.last_seen(worker.entry.born_ms)
+        last_seen = poll_state.last_seen(worker.entry.born_ms)
+        lists_ends = any(end.number > last_seen for end in reply.ends)
         poll_state.due_s = now_s + UNSTORED_POLL_INTERVAL_S if lists_ends else now_s
         runs_nothing = not worker.runs and not worker.has_orphaned_runs
         if not worker.is_registered and runs_nothing:
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/worker_polling.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/worker_polling.py
@@ -53,6 +53,8 @@
     ``acknowledged`` is the number of the last run end that is stored, so that the
     worker may discard it. ``born_ms`` identifies the worker's process, which numbers
     its ends anew: a number that reached another process would hide that process' ends.
+    A poll may be executed late, by another process, so no poll carries the number once
+    a reply has shown that the worker has discarded these ends.
 
     A call to a former process may be executed late, by the process that was started
     after it under the same id. The fencing token of calls to the worker is therefore
@@ -69,6 +71,7 @@
         "calls_in_flight",
         "due_s",
         "failures",
+        "has_acknowledged_ends",
         "has_seen_start",
         "hedge_due_s",
         "is_restart_unconfirmed",
@@ -89,6 +92,8 @@
         self.failures = 0
         self.replacements = 0
         self.acknowledged = 0
+        # Whether the worker may still list ends that are acknowledged.
+        self.has_acknowledged_ends = False
         self.born_ms = 0
         self.born_seen_s = 0.0
         # False if a predecessor may have acknowledged ends of the worker's process.
@@ -100,12 +105,13 @@
         Nothing is acknowledged after a failure until the worker has replied again, nor
         if the worker's registration is that of a later process.
         """
-        is_same_process = (
-            not self.failures
+        may_acknowledge = (
+            self.has_acknowledged_ends
+            and not self.failures
             and not self.is_restart_unconfirmed
             and registered_born_ms <= self.born_ms
         )
-        return self.acknowledged if is_same_process else 0
+        return self.acknowledged if may_acknowledge else 0
 
     def is_overtaken(self, born_ms: int, sent_s: float) -> bool:
         """Return True if a reply may be that of a former process.
@@ -142,11 +148,16 @@
             self.is_restart_unconfirmed = True
             self.restarts += 1
 
+    def ends_listed(self, first_number: int) -> None:
+        """Record the first end that a reply of the present process lists, or 0."""
+        self.has_acknowledged_ends = 0 < first_number <= self.acknowledged
+
     def ends_stored(self, born_ms: int, number: int) -> bool:
         """Record that ends are stored; return whether any remain to acknowledge."""
         if self.born_ms != born_ms or number <= self.acknowledged:
             return False
         self.acknowledged = number
+        self.has_acknowledged_ends = True
         return True
 
     def is_due(self, now_s: float, is_lossy: bool) -> bool:
--- a/tests/member/test_worker_polling.py
+++ b/tests/member/test_worker_polling.py
@@ -107,6 +107,24 @@
         assert self.poll_state.ends_stored(1_000, 58)
         assert self.poll_state.last_seen(1_000) == 58
 
+    # Guards against a poll to a former process whose number hides ends of the present
+    # one: TWICE, issue 34.
+    def test_nothing_is_acknowledged_once_the_ends_are_discarded(self) -> None:
+        self.poll_state.ends_listed(57)
+        assert self.poll_state.last_seen(1_000) == 57
+        self.poll_state.ends_listed(58)
+        assert self.poll_state.last_seen(1_000) == 0
+        assert self.poll_state.ends_stored(1_000, 58)
+        assert self.poll_state.last_seen(1_000) == 58
+        self.poll_state.ends_listed(0)
+        assert self.poll_state.last_seen(1_000) == 0
+
+    def test_ends_that_are_listed_again_are_acknowledged_again(self) -> None:
+        # A reply may have been overtaken by a later one.
+        self.poll_state.ends_listed(0)
+        self.poll_state.ends_listed(56)
+        assert self.poll_state.last_seen(1_000) == 57
+
     @pytest.mark.parametrize("is_refused", [False, True])
     def test_nothing_is_acknowledged_between_a_failure_and_a_reply(
         self, is_refused: bool
