Record that a worker may hold the longest lease before anything starts there

Callers could see: a task runs twice at once after a change of the holder. A call to a worker's former process, executed by the process that was started under its id, carries a deadline on the former's clock and so gives the new one the longest lease that the platform grants (6 or 10 s). The holder that has seen the restart waits that long; its successor, if it never reaches the worker, waited 4.3 s, since it knew nothing of it.

Three new tests failed before with the same, or with a start that wasn't recorded: two changes of the holder, a successor that has reached the worker for 0.1 s, and a store that is away.

Change: the record of workers says of each whether it may hold the longest lease. A worker that has restarted has to be recorded again before anything starts there, as one that has grown has. A successor waits 1.8 s more (5.8 s where the longest lease is 10 s), for these workers only.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/changes.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/changes.py
@@ -207,24 +207,31 @@
     def workers_to_record(self) -> list[Registration] | None:
         """Return the workers that may have runs, or None if the list hasn't changed.
 
-        Each is recorded with the largest capacity that it is known to have had.
+        Each is recorded with the largest capacity that it is known to have had, and
+        with whether it may hold the longest lease.
         """
         workers = self.ledger.workers
         is_complete = all(each.is_recorded for each in workers.values())
         if is_complete and self.recorded <= workers.keys():
             return None
         return [
-            msgspec.structs.replace(worker.entry, capacity=worker.largest_capacity)
+            msgspec.structs.replace(
+                worker.entry,
+                capacity=worker.largest_capacity,
+                may_hold_longest_lease=worker.may_hold_longest_lease,
+            )
             for worker in workers.values()
         ]
 
     def workers_recorded(self, entries: Iterable[Registration]) -> None:
         """Mark workers as recorded in the store, which lets new runs start on them."""
-        capacities = {entry.worker: entry.capacity for entry in entries}
-        self.recorded = set(capacities)
+        recorded = {entry.worker: entry for entry in entries}
+        self.recorded = set(recorded)
         self.ledger.have_workers_changed = True
         for worker in self.ledger.workers.values():
-            capacity = capacities.get(worker.id)
+            entry = recorded.get(worker.id)
             worker.is_recorded = (
-                capacity is not None and worker.largest_capacity.fits_in(capacity)
+                entry is not None
+                and worker.largest_capacity.fits_in(entry.capacity)
+                and entry.may_hold_longest_lease >= worker.may_hold_longest_lease
             )
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/poll_replies.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/poll_replies.py
@@ -84,8 +84,11 @@
                 self.ends.run_lost(run, LossReason.WORKER_GONE)
         worker.last_end_number = 0
         worker.unresolved_ends.clear()
-        # A deadline on the former process' clock grants the longest lease.
+        # A deadline on the former process' clock grants the longest lease. A successor
+        # has to know that before anything starts.
         worker.lease_until_ms = reply.clock_ms + int(self.max_lease_s * 1000)
+        worker.may_hold_longest_lease = True
+        worker.is_recorded = False
         self.ledger.health.forget(worker.id)
         self.ledger.speeds.forget(worker.id)
         # Steps need new tickets for the worker.
@@ -114,7 +117,10 @@
             worker.born_ms = reply.born_ms
         if not worker.has_reported:
             # A predecessor may have extended the leases just before this reply.
-            worker.grant(reply.clock_ms + int(MAX_TASK_LEASE_S * 1000))
+            lease_s = MAX_TASK_LEASE_S
+            if worker.may_hold_longest_lease:
+                lease_s = self.max_lease_s
+            worker.grant(reply.clock_ms + int(lease_s * 1000))
             if self.ledger.may_predecessor_act:
                 worker.fenced_from_s = now_s + HELD_POLL_S
         worker.record_reply(reply.clock_ms, now_s)
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/registrations.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/registrations.py
@@ -14,7 +14,8 @@
     """A worker's entry in the service registry.
 
     ``remaining_s`` is the minimum time until a draining worker leaves. ``born_ms`` is
-    the start of the worker's process, in Unix milliseconds.
+    the start of the worker's process, in Unix milliseconds. The record of a holder says
+    besides whether the worker may hold the longest lease that it grants.
     """
 
     worker: WorkerId
@@ -28,3 +29,4 @@
     is_draining: bool
     remaining_s: float | None = None
     born_ms: int = 0
+    may_hold_longest_lease: bool = False
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
@@ -77,7 +77,7 @@
         self.preemptor = Preemptor(self.placer, self.ends, timing.task_stop_s)
         self.changes = ChangeLog(self.ledger)
         self.advice_requests = AdviceRequests(self.placer)
-        self.takeover = Takeover(self.ledger, token)
+        self.takeover = Takeover(self.ledger, token, timing.task_lease_s)
         self.shares = ShareTracker()
         self.intake = JobIntake(
             self.ledger,
@@ -139,6 +139,7 @@
             worker = Worker(entry, max(now_s, unknown_until_s))
             worker.available_until_s = now_s + (entry.remaining_s or 0.0)
             self.ledger.workers[entry.worker] = worker
+            self.worker_recorded(entry)
             self.crashes.worker_registered(entry, now_s)
             return True
         if entry.is_draining != worker.entry.is_draining:
@@ -156,10 +157,12 @@
         return False
 
     def worker_recorded(self, entry: Registration) -> None:
-        """Apply a predecessor's record of a worker that is still registered."""
+        """Apply a predecessor's record of a worker."""
         worker = self.ledger.workers.get(entry.worker)
         if worker is not None:
             worker.has_had(entry.capacity)
+            if entry.may_hold_longest_lease:
+                self.takeover.longest_lease_recorded(worker)
 
     def worker_unregistered(self, worker_id: WorkerId) -> None:
         """Mark a worker as no longer registered; its tasks may still run."""
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
@@ -410,6 +410,7 @@
         "last_reply_s",
         "lease_expiry_s",
         "lease_until_ms",
+        "may_hold_longest_lease",
         "preemptible_runs",
         "runs",
         "unresolved_ends",
@@ -436,6 +437,9 @@
         self.clock_read_s = 0.0
         self.lease_until_ms = 0
         self.lease_expiry_s = lease_expiry_s
+        # True if a call to a former process may have extended the leases further than
+        # this process' calls do.
+        self.may_hold_longest_lease = False
         # From then on, no predecessor learns of ends on the worker.
         self.fenced_from_s = 0.0
         self.last_end_number = 0
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/takeover.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/takeover.py
@@ -3,7 +3,7 @@
 from gooseberrydeck_coordination.ids import JobId
 from gooseberrydeck_fleet.ledger import Ledger
 from gooseberrydeck_fleet.start_permission import worker_fenced
-from gooseberrydeck_fleet.state import Job
+from gooseberrydeck_fleet.state import CLOCK_DRIFT, MAX_TASK_LEASE_S, Job, Worker
 from gooseberrydeck_fleet.unknown_usage import UnknownUsage
 
 __all__ = ["Takeover"]
@@ -16,9 +16,14 @@
     until every worker has reported its runs, or its leases have expired.
     """
 
-    def __init__(self, ledger: Ledger, token: int) -> None:
-        """Create the state of a scheduler without a predecessor, for its token."""
+    def __init__(self, ledger: Ledger, token: int, max_lease_s: float) -> None:
+        """Create the state of a scheduler without a predecessor, for its token.
+
+        ``max_lease_s`` is the longest lease that workers grant.
+        """
         self.ledger = ledger
+        extra_s = max(0.0, max_lease_s - MAX_TASK_LEASE_S)
+        self.longest_lease_extra_s = extra_s / (1 - CLOCK_DRIFT)
         self.token = token
         self.held: dict[JobId, Job] = {}
         self.unknown_usage = UnknownUsage(ledger)
@@ -41,9 +46,17 @@
         for worker in self.ledger.workers.values():
             worker.fenced_from_s = 0.0
             if not worker.has_reported:
-                worker.lease_expiry_s = min(worker.lease_expiry_s, lease_expiry_s)
+                extra_s = self.longest_lease_extra_s * worker.may_hold_longest_lease
+                expiry_s = lease_expiry_s + extra_s
+                worker.lease_expiry_s = min(worker.lease_expiry_s, expiry_s)
         self.become_sole_scheduler()
 
+    def longest_lease_recorded(self, worker: Worker) -> None:
+        """Apply a predecessor's record that a worker may hold the longest lease."""
+        if not worker.may_hold_longest_lease:
+            worker.may_hold_longest_lease = True
+            worker.lease_expiry_s += self.longest_lease_extra_s
+
     def expire_predecessor(self, now_s: float) -> None:
         """Become the sole scheduler once the predecessor can't act any more."""
         if not self.ledger.is_sole_scheduler and now_s >= self.predecessor_acts_until_s:
--- a/tests/fleet/test_worker_restarts.py
+++ b/tests/fleet/test_worker_restarts.py
@@ -71,6 +71,33 @@
         self.fleet.take_over()
         self.check_next_start()
 
+    # The same with two changes: the first successor's record has to say it as well.
+    def test_second_successor_waits_out_the_lease_of_a_late_poll(self) -> None:
+        self.fleet.take_over()
+        self.fleet.run_for(0.2)
+        self.fleet.take_over()
+        self.check_next_start()
+
+    # The same after a successor that was told by the worker itself.
+    def test_lease_counts_after_a_successor_has_reached_the_worker(self) -> None:
+        self.fleet.unreachable.clear()
+        self.fleet.take_over()
+        self.fleet.run_for(0.1)
+        self.fleet.unreachable.add(WORKER)
+        self.check_next_start()
+
+    # A successor would know nothing of that lease.
+    def test_nothing_starts_until_the_restart_is_stored(self) -> None:
+        fleet = Fleet(workers=1)
+        fleet.is_store_available = False
+        fleet.restart_worker(WORKER)
+        fleet.submit("a", ONE)
+        fleet.run_for(1.0)
+        assert fleet.starts == []
+        fleet.is_store_available = True
+        fleet.run_for(0.2)
+        assert len(fleet.starts) == 1
+
 
 class TestLateStarts:
     def start_on_former_process(self, fleet: Fleet) -> None:
--- a/tests/fleet_support.py
+++ b/tests/fleet_support.py
@@ -117,6 +117,7 @@
     remaining_s: float | None = None,
     born_ms: int = 0,
     address: str = "",
+    may_hold_longest_lease: bool = False,
 ) -> Registration:
     """Return the registration of a worker, by default at an address of its own."""
     return Registration(
@@ -131,6 +132,7 @@
         is_draining,
         remaining_s,
         born_ms,
+        may_hold_longest_lease,
     )
 
 
--- a/tests/member/test_stored_state.py
+++ b/tests/member/test_stored_state.py
@@ -53,11 +53,12 @@
         job = JobId("a")
         progress = Progress([StepProgress(0, 0, 1, {}, {})])
         self.write(progress_key(job), encode_progress(progress))
-        self.write(WORKERS_KEY, msgspec.json.encode([registration("w1")]))
+        recorded = registration("w1", may_hold_longest_lease=True)
+        self.write(WORKERS_KEY, msgspec.json.encode([recorded]))
         self.write("registered/w2", b"entry")
         state = self.read()
         assert state.progress[job][0] == progress
-        assert list(state.workers) == ["w1"]
+        assert state.workers == {"w1": recorded}
         assert [entry.key for entry in state.registered.entries] == ["registered/w2"]
 
     @pytest.mark.parametrize("failing", range(4))
