Wait for late starts on silent workers whose restart nobody has seen

Callers could see: a task runs twice at once. A start without a response on a worker that is then cut off may still be executed seconds later, by a process that was started under the worker's id behind the cut; its clock is young, so the deadline of the start refuses nothing. The holder counted the run as lost when the former process' leases had lapsed, unless an entry had shown the restart.

Change: a task whose start on a silent, registered worker had no answer starts elsewhere once the worker has answered, another process answers in its place, its entry is gone, or 10 s and the longest lease have passed. Two kinds don't wait while no restart is known: long-running tasks, which have to run again within 6 s, and tasks with a ticket, which is valid for one life of a worker only.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/housekeeping.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/housekeeping.py
@@ -99,17 +99,20 @@
                 del self.ledger.workers[worker.id]
 
     def find_late_runs(self, worker: Worker, now_s: float) -> set[Run]:
-        """Return the runs that may start, or run, late on a worker that has restarted.
+        """Return the runs that may start, or run, late on a worker.
 
-        The new process refuses no start request to the former one before it is reached,
-        and its clock has not passed the end of the former leases.
+        Its process may have been started again unseen. The new one refuses no start
+        request to the former one before it is reached, and its clock has not passed the
+        end of the former leases.
         """
-        if not (worker.is_restarting and worker.is_registered):
+        if not worker.is_registered:
             return set()
         return {
             run
             for run in worker.runs.values()
-            if run.has_unanswered_start and now_s < run.started_s + self.late_run_s
+            if run.has_unanswered_start
+            and now_s < run.started_s + self.late_run_s
+            and (worker.is_restarting or may_wait_for_late_start(run))
         }
 
     def forget_departed(self) -> None:
@@ -151,6 +154,16 @@
                     )
 
 
+def may_wait_for_late_start(run: Run) -> bool:
+    """Return True if a run may wait in case its worker has restarted unseen.
+
+    A long-running task has to run again before that is certain, and a later process
+    refuses a ticket of the former one.
+    """
+    step = run.task.step
+    return not step.spec.is_standing and step.job.queue.advice is None
+
+
 def is_stalled(run: Run, now_s: float) -> bool:
     """Return True if a run should have reported progress recently but hasn't.
 
