Count the longest lease at the first reply of a worker's young process

Callers could see: a task runs twice at once. A late call to a worker's former process gives the new one the longest lease. A holder that has seen the restart counts that lease; one that meets the new process first counted 4.2 s. That is a successor, or a holder that had forgotten the worker (its entry lapsed, silent, lease over) before it came back under its id. If it lost the worker within 1.8 s of the first reply, it started the tasks there elsewhere too early.

TestLateLeases::test_lease_counts_at_the_first_reply failed in both forms before ("ran twice at once").

Change: the first reply of a worker that was known before, here or by the record of a predecessor, counts the longest lease if the worker's clock, which starts with its process, is below the time in which a late call and its lease can last (16 s). test_recorded_longest_lease_is_waited_out (new) shows that the record counts for workers without a registration as well, which passed before.

Ruled out: counting it for each worker's first reply. Long-running tasks on new workers that are lost at once would wait 6.25 s in place of 4.8 s, above the 6 s that they have; four tests failed with it. For known workers that may happen within 1.8 s of a takeover, where a worker younger than 16 s is lost.

Looked at beside it, without a fault: an acknowledged number doesn't survive a restart or a registration (a new state begins at 0, one that is kept while polls are in flight is reset by the new start time, and a commit that completes late is compared with it); the token of a worker that registers again is raised.

tests/fleet, member, adapter, standins, docs: 1,043 passed, 3 expected failures.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/housekeeping.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/housekeeping.py
@@ -10,6 +10,7 @@
 from gooseberrydeck_fleet.run_ends import LossReason, RunEndHandler
 from gooseberrydeck_fleet.state import (
     CLOCK_DRIFT,
+    LATE_CALL_S,
     Run,
     RunState,
     Step,
@@ -24,12 +25,6 @@
 LEASE_EXPIRY_MARGIN_S = 0.2
 """Extra wait after the computed expiry of all leases of an unreachable worker."""
 
-LATE_CALL_S = 10.0
-"""Time after which a call without a response is not executed any more.
-
-The platform speaks of seconds.
-"""
-
 STALL_S = 2.5
 """A run that reports no new progress for longer than this counts as stalled."""
 
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/poll_replies.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/poll_replies.py
@@ -7,6 +7,7 @@
 from gooseberrydeck_fleet.run_ends import LossReason, RunEndHandler
 from gooseberrydeck_fleet.start_permission import run_adopted
 from gooseberrydeck_fleet.state import (
+    LATE_CALL_S,
     MAX_TASK_LEASE_S,
     Run,
     RunState,
@@ -118,8 +119,8 @@
         if not worker.has_reported:
             # A predecessor may have extended the leases just before this reply.
             lease_s = MAX_TASK_LEASE_S
-            if worker.may_hold_longest_lease:
-                lease_s = self.max_lease_s
+            if self.may_hold_longest_lease(worker, reply):
+                lease_s = max(lease_s, self.max_lease_s)
             worker.grant(reply.clock_ms + int(lease_s * 1000))
             if self.ledger.may_predecessor_act:
                 worker.fenced_from_s = now_s + HELD_POLL_S
@@ -133,6 +134,15 @@
             worker.has_reported = True
         return ended, orphaned_runs
 
+    def may_hold_longest_lease(self, worker: Worker, reply: PollReply) -> bool:
+        """Return True if a late call to a former process may have extended the leases.
+
+        The worker's clock, which starts with its process, rules that out after a while.
+        """
+        is_young = reply.clock_ms < (LATE_CALL_S + self.max_lease_s) * 1000
+        has_new_process = worker.may_have_restarted and is_young
+        return worker.may_hold_longest_lease or has_new_process
+
     def update_runs(
         self, worker: Worker, reply: PollReply, now_s: float
     ) -> list[OrphanedRun]:
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
@@ -109,6 +109,8 @@
             timing.task_lease_s,
         )
         self.orphaned_runs: list[OrphanedRun] = []
+        # Workers that have been registered here, also those that are forgotten.
+        self.former_workers: set[WorkerId] = set()
         self.long_waits: list[LongWait] = []
         self.next_housekeeping_s = 0.0
 
@@ -139,7 +141,8 @@
             worker = Worker(entry, max(now_s, unknown_until_s))
             worker.available_until_s = now_s + (entry.remaining_s or 0.0)
             self.ledger.workers[entry.worker] = worker
-            self.worker_recorded(entry)
+            worker.may_have_restarted = entry.worker in self.former_workers
+            self.former_workers.add(entry.worker)
             self.crashes.worker_registered(entry, now_s)
             return True
         if entry.is_draining != worker.entry.is_draining:
@@ -161,6 +164,7 @@
         worker = self.ledger.workers.get(entry.worker)
         if worker is not None:
             worker.has_had(entry.capacity)
+            worker.may_have_restarted = True
             if entry.may_hold_longest_lease:
                 self.takeover.longest_lease_recorded(worker)
 
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
@@ -14,6 +14,7 @@
 from gooseberrydeck_fleet.work import JobRecord, JobState, StepSpec
 
 __all__ = [
+    "LATE_CALL_S",
     "MAX_TASK_LEASE_S",
     "Job",
     "Run",
@@ -42,6 +43,13 @@
 """
 
 
+LATE_CALL_S = 10.0
+"""Time after which a call without a response is not executed any more.
+
+The platform speaks of seconds.
+"""
+
+
 class RunState(Enum):
     """The scheduler's knowledge of a run.
 
@@ -410,6 +418,7 @@
         "last_reply_s",
         "lease_expiry_s",
         "lease_until_ms",
+        "may_have_restarted",
         "may_hold_longest_lease",
         "preemptible_runs",
         "runs",
@@ -437,6 +446,9 @@
         self.clock_read_s = 0.0
         self.lease_until_ms = 0
         self.lease_expiry_s = lease_expiry_s
+        # True if the worker was known before, so that calls to a former process may be
+        # on their way.
+        self.may_have_restarted = False
         # True if a call to a former process may have extended the leases further than
         # this process' calls do.
         self.may_hold_longest_lease = False
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
@@ -282,12 +282,11 @@
         for entry in stored.registered.entries:
             self.registration_changed(entry.key, entry.value, now_s)
         for worker, known in stored.workers.items():
-            # Its registration is gone or unreadable, but it may have runs.
-            if worker in self.poll_states:
-                self.scheduler.worker_recorded(known)
-            else:
+            if worker not in self.poll_states:
+                # Its registration is gone or unreadable, but it may have runs.
                 self.add_worker(known, now_s)
                 self.scheduler.worker_unregistered(worker)
+            self.scheduler.worker_recorded(known)
         for record, revision in stored.jobs:
             self.add_job(record, revision, predates_takeover=True)
         for job, (progress, revision) in stored.progress.items():
--- a/tests/fleet/test_worker_restarts.py
+++ b/tests/fleet/test_worker_restarts.py
@@ -2,11 +2,19 @@
 
 import pytest
 
-from fleet_support import URGENT, Fleet, make_configuration, queue, task_resources
+from fleet_support import (
+    URGENT,
+    Fleet,
+    make_configuration,
+    queue,
+    registration,
+    task_resources,
+)
 from gooseberrydeck_fleet.configuration import AdvicePolicy
-from gooseberrydeck_fleet.housekeeping import LATE_CALL_S
 from gooseberrydeck_fleet.ids import WorkerId
+from gooseberrydeck_fleet.state import LATE_CALL_S
 from gooseberrydeck_fleet.work import JobState, StepSpec
+from gooseberrydeck_member.worker_polling import WorkerPollState
 
 WORKER = WorkerId("w0")
 LONG_UP_S = 30.0
@@ -88,6 +96,30 @@
         self.fleet.unreachable.add(WORKER)
         self.check_next_start()
 
+    # Guards against two runs at once if the first holder that reaches the new process
+    # knows of no former one: it has taken over since, or forgotten the worker.
+    @pytest.mark.parametrize("is_forgotten", [False, True])
+    def test_lease_counts_at_the_first_reply(self, is_forgotten: bool) -> None:
+        fleet = self.fleet = Fleet(workers=1)
+        fleet.run_for(LONG_UP_S)
+        deliver_late = fleet.delay_poll(WORKER)
+        fleet.restart_worker(WORKER)
+        deliver_late()
+        if is_forgotten:
+            fleet.scheduler.worker_unregistered(WORKER)
+            fleet.scheduler.worker_gone(WORKER, fleet.now_s)
+            fleet.poll_states[WORKER] = WorkerPollState(restarts=1)
+            fleet.scheduler.worker_registered(registration("w0"), fleet.now_s)
+        else:
+            fleet.take_over()
+        fleet.run_for(0.1)
+        fleet.submit("a", ONE, seconds=60.0)
+        fleet.run_for(0.1)
+        assert len(fleet.starts) == 1
+        fleet.add_worker("w1")
+        fleet.unreachable.add(WORKER)
+        self.check_next_start()
+
     # A successor would know nothing of that lease.
     def test_nothing_starts_until_the_restart_is_stored(self) -> None:
         fleet = Fleet(workers=1)
--- a/tests/member/test_takeover.py
+++ b/tests/member/test_takeover.py
@@ -123,9 +123,10 @@
         ownership = self.predecessor.ownership_condition()
         assert commit_changes(self.store, ownership, changes, TIMEOUT_S).stored
 
-    def record_worker(self) -> None:
+    def record_worker(self, may_hold_longest_lease: bool = False) -> None:
         """Store a worker that the predecessor may have started tasks on."""
-        value = msgspec.json.encode([registration("w0")])
+        entry = registration("w0", may_hold_longest_lease=may_hold_longest_lease)
+        value = msgspec.json.encode([entry])
         put = Put(WORKERS_KEY, value)
         assert self.store.commit(Transaction((), (put,)), TIMEOUT_S).succeeded
 
@@ -258,6 +259,18 @@
         assert WorkerId("w0") in task.poll_states
         assert not ledger.workers[WorkerId("w0")].is_registered
 
+    # Guards against runs that a successor takes for ended while their lease lasts.
+    @pytest.mark.parametrize("has_registration", [False, True])
+    def test_recorded_longest_lease_is_waited_out(
+        self, successor: Successor, has_registration: bool
+    ) -> None:
+        successor.record_worker(may_hold_longest_lease=True)
+        if not has_registration:
+            successor.spoil_registration()
+        task = successor.take_over()
+        expiry_s = task.scheduler.ledger.workers[WorkerId("w0")].lease_expiry_s
+        assert expiry_s - task.claimed_s >= task.scheduler.timing.task_lease_s
+
 
 class TestLookups:
     def read(self, successor: Successor) -> JobFound | JobAbsent:
--- a/tests/member/test_worker_lives.py
+++ b/tests/member/test_worker_lives.py
@@ -11,9 +11,9 @@
 from fleet_support import SLOW, TEAM, Fleet, registration, task_resources
 from gooseberrydeck_coordination.clock import ManualClock
 from gooseberrydeck_coordination.ids import Epoch, JobId, MemberId
-from gooseberrydeck_fleet.housekeeping import LATE_CALL_S
 from gooseberrydeck_fleet.ids import TaskRef, WorkerId
 from gooseberrydeck_fleet.registrations import Registration
+from gooseberrydeck_fleet.state import LATE_CALL_S
 from gooseberrydeck_fleet.work import JobRecord, JobState, StepSpec, WorkSpec
 from gooseberrydeck_fleet.worker_calls import (
     PollReply,
