Let the store stand-in answer writes late and refuse single hosts

Cause: no test ran members against a store that applies a write seconds after its caller gave up, that turns away one host and serves the others, or that cuts a range into pages; at the users' scale all three happen. Change: FaultKind.LATE withholds the response and applies the call 1 to 6 s later, if its conditions still hold then; FaultKind.BUSY answers 429; a share of the calls may be affected; faults can be set for all calls, for writes, and for the calls of one network address. The page size is an option. The proxy of the soak connects from a loopback address of its own, by which the store tells members apart. The client makes no Serializable reads, so the stand-in has no stale ones. Evidence: a test for each switch in tests/adapter/test_adapter.py.

--- a/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/faults.py
+++ b/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/faults.py
@@ -1,5 +1,6 @@
 """Fault injection for stand-ins."""
 
+import random
 import threading
 from enum import Enum
 
@@ -29,6 +30,12 @@
     FROZEN = "frozen"
     """Calls block until the settings change, and take effect then."""
 
+    BUSY = "busy"
+    """Calls have no effect; the callers are told that there are too many of them."""
+
+    LATE = "late"
+    """Calls get no response and take effect seconds later, if they still can."""
+
 
 class CallFault(Enum):
     """How a call to an engine in the same process fails."""
@@ -47,12 +54,18 @@
 class FaultSettings(msgspec.Struct, frozen=True):
     """A fault for the next ``calls`` calls, or for every call if that is 0.
 
-    Each affected call is first delayed by ``slow_s`` seconds, whatever the kind.
+    Each affected call is first delayed by ``slow_s`` seconds, whatever the kind. With a
+    ``share`` below 1, each call is affected with that probability. Late calls take
+    effect after a time between the two of ``late_s``; with ``outlives_process``, also
+    if the process that received them has ended by then and another one has taken over.
     """
 
     kind: FaultKind = FaultKind.NONE
     slow_s: float = 0.0
     calls: int = 0
+    share: float = 1.0
+    late_s: tuple[float, float] = (1.0, 6.0)
+    outlives_process: bool = False
 
 
 class Faults:
@@ -61,6 +74,7 @@
     def __init__(self) -> None:
         """Create settings without faults."""
         self.settings = FaultSettings()
+        self.rng = random.Random(0)
         self.calls_left = 0
         self.generation = 0
         self.changed = threading.Condition()
@@ -91,6 +105,8 @@
         if self.settings.kind is FaultKind.NONE and not self.settings.slow_s:
             return FaultKind.NONE
         with self.changed:
+            if self.rng.random() >= self.settings.share:
+                return FaultKind.NONE
             settings = self.consume_settings()
             if settings.slow_s:
                 self.wait_for_change(settings.slow_s)
--- a/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/http_service.py
+++ b/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/http_service.py
@@ -31,13 +31,17 @@
 
 
 class Request(msgspec.Struct, frozen=True):
-    """A received HTTP request; ``headers`` uses the WSGI names (``HTTP_...``)."""
+    """A received HTTP request; ``headers`` uses the WSGI names (``HTTP_...``).
+
+    ``caller`` is the network address that the request came from.
+    """
 
     method: str
     path: str
     body: bytes
     query: str = ""
     headers: dict[str, str] = {}
+    caller: str = ""
 
 
 class Reply(msgspec.Struct, frozen=True):
@@ -81,6 +85,7 @@
             environ["wsgi.input"].read(),
             environ.get("QUERY_STRING", ""),
             {key: environ[key] for key in environ if key.startswith("HTTP_")},
+            environ.get("REMOTE_ADDR", ""),
         )
         reply = application.handle(request)
         status = f"{reply.status} {REASONS.get(reply.status, 'Other')}"
--- a/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/processes.py
+++ b/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/processes.py
@@ -137,6 +137,10 @@
         # change state again, and a second pause would block.
         os.waitid(os.P_PID, self.process.pid, os.WSTOPPED | os.WEXITED | os.WNOWAIT)
 
+    def reload(self) -> None:
+        """Send SIGHUP, which announces changed settings."""
+        self.process.send_signal(signal.SIGHUP)
+
     def resume(self) -> None:
         """Resume a paused process."""
         self.process.send_signal(signal.SIGCONT)
@@ -211,10 +215,11 @@
         self, kind: FaultKind, path: str = "", slow_s: float = 0.0, calls: int = 0
     ) -> None:
         """Set the fault of the stand-in, or of the worker at ``path``."""
-        body = msgspec.json.encode(FaultSettings(kind, slow_s, calls))
-        connection = HttpConnection(self.address)
-        connection.request("PUT", f"{path}/faults", body)
-        connection.close()
+        self.apply_faults(FaultSettings(kind, slow_s, calls), f"{path}/faults")
+
+    def apply_faults(self, settings: FaultSettings, path: str = "/faults") -> None:
+        """Replace the fault settings at a path."""
+        self.put(path, msgspec.json.encode(settings))
 
     def put(self, path: str, body: bytes = b"") -> None:
         """Send a ``PUT`` request to a path."""
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -11,6 +11,7 @@
 
 __all__ = ["LinkFault", "Proxy"]
 
+LOOPBACK = "127.0.0.1"
 CHUNK_BYTES = 65_536
 POLL_S = 0.05
 DELAY_S = 0.15
@@ -33,11 +34,17 @@
 class Proxy:
     """Forward connections to ``target``; ``fault`` also affects open connections."""
 
-    def __init__(self, target: HttpAddress | None = None) -> None:
-        """Listen on a free port; ``target`` may be set later."""
+    def __init__(
+        self, target: HttpAddress | None = None, source: str = LOOPBACK
+    ) -> None:
+        """Listen on a free port; ``target`` may be set later.
+
+        Connections to the target come from the loopback address ``source``.
+        """
         self.target = target
+        self.source = source
         self.fault = LinkFault.NONE
-        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.listener = socket.create_server((LOOPBACK, 0))
         host, port = self.listener.getsockname()
         self.address = HttpAddress(host, port)
         threading.Thread(target=self.accept, daemon=True).start()
@@ -57,7 +64,7 @@
             if self.target is None or self.fault is LinkFault.RESET:
                 raise ConnectionResetError
             target = (self.target.host, self.target.port)
-            server = socket.create_connection(target, 1.0)
+            server = socket.create_connection(target, 1.0, (self.source, 0))
         except OSError:
             reset(client)
             return
--- a/tests/adapter/test_adapter.py
+++ b/tests/adapter/test_adapter.py
@@ -60,11 +60,13 @@
     WorkerSilentError,
 )
 from gooseberrydeck_platform.http import HttpResponse
-from gooseberrydeck_standins.faults import FaultKind
+from gooseberrydeck_standins.faults import FaultKind, FaultSettings
 from gooseberrydeck_standins.fleet_worker import FleetWorkerEngine
 from gooseberrydeck_standins.http_service import StandinServer
+from gooseberrydeck_standins.processes import wait_for
 from gooseberrydeck_standins.store_engine import StoreEngine
 from network_support import refused_address
+from soak.proxy import Proxy
 
 ROOT = Path(__file__).parents[2]
 TIMEOUT_S = 2.0
@@ -74,6 +76,11 @@
 HOST = Resources(4_000, 1_000)
 
 
+def late_timers() -> list[threading.Thread]:
+    """Return the timers of calls that have not been carried out yet."""
+    return [each for each in threading.enumerate() if isinstance(each, threading.Timer)]
+
+
 def compare_absent(key: str) -> Compare:
     return Compare(key, CompareTarget.MOD_REVISION, 0)
 
@@ -195,6 +202,8 @@
         [
             (FaultKind.DOWN, StoreUnavailableError, False),
             (FaultKind.REFUSE, StoreUnavailableError, False),
+            (FaultKind.BUSY, StoreUnavailableError, False),
+            (FaultKind.LATE, StoreOutcomeUnknownError, False),
             (FaultKind.ANSWER_LOST, StoreOutcomeUnknownError, True),
             (FaultKind.FROZEN, StoreOutcomeUnknownError, False),
         ],
@@ -212,6 +221,66 @@
         assert bool(store_fixture.application.engine.range(b"a")) is has_effect
         store_fixture.application.faults.clear()
 
+    def test_late_write_takes_effect_only_while_its_condition_holds(
+        self, store_fixture: StoreFixture
+    ) -> None:
+        store, engine = store_fixture.store, store_fixture.application.engine
+        soon = FaultSettings(FaultKind.LATE, late_s=(0.3, 0.4))
+        for key in ("a", "b"):
+            store_fixture.application.write_faults.apply(soon)
+            create = Transaction((compare_absent(key),), (Put(key, b"late"),))
+            with pytest.raises(StoreOutcomeUnknownError):
+                store.commit(create, TIMEOUT_S)
+        store_fixture.application.write_faults.clear()
+        store.commit(Transaction((), (Put("a", b"newer"),)), TIMEOUT_S)
+        wait_for(lambda: bool(engine.range(b"b")), "the late write of b", 10.0)
+        wait_for(lambda: not late_timers(), "the late write of a", 10.0)
+        assert [each.value for each in engine.range(b"a", b"c")] == [b"newer", b"late"]
+
+    def test_reads_pass_while_responses_of_writes_are_lost(
+        self, store_fixture: StoreFixture
+    ) -> None:
+        store = store_fixture.store
+        store_fixture.application.write_faults.set(FaultKind.ANSWER_LOST)
+        with pytest.raises(StoreOutcomeUnknownError):
+            store.commit(Transaction((), (Put("a", b"1"),)), TIMEOUT_S)
+        assert store.read("a", TIMEOUT_S) is not None
+
+    @pytest.mark.parametrize("fault", [FaultKind.DOWN, FaultKind.BUSY])
+    def test_one_caller_is_refused_while_others_are_served(
+        self, store_fixture: StoreFixture, fault: FaultKind
+    ) -> None:
+        relay = Proxy(store_fixture.server.address, "127.0.0.9")
+        refused = HttpStore(relay.address)
+        store_fixture.application.caller_faults["127.0.0.9"].set(fault)
+        with pytest.raises(StoreUnavailableError):
+            refused.read("a", TIMEOUT_S)
+        assert store_fixture.store.read("a", TIMEOUT_S) is None
+        store_fixture.application.caller_faults["127.0.0.9"].clear()
+        assert refused.read("a", TIMEOUT_S) is None
+        refused.close()
+        relay.close()
+
+    def test_share_of_the_calls_is_affected(self, store_fixture: StoreFixture) -> None:
+        settings = FaultSettings(FaultKind.DOWN, share=0.5)
+        store_fixture.application.faults.apply(settings)
+        refused = 0
+        for _ in range(40):
+            try:
+                store_fixture.store.read("a", TIMEOUT_S)
+            except StoreUnavailableError:
+                refused += 1
+        assert 0 < refused < 40
+
+    def test_range_in_small_pages_is_complete(
+        self, store_fixture: StoreFixture
+    ) -> None:
+        store_fixture.application.page_items = 3
+        puts = tuple(Put(f"p/{index}", b"x") for index in range(8))
+        store_fixture.store.commit(Transaction((), puts), TIMEOUT_S)
+        snapshot = store_fixture.store.read_prefix("p/", TIMEOUT_S)
+        assert [entry.key for entry in snapshot.entries] == [put.key for put in puts]
+
     def test_unreachable_store_has_no_effect(self) -> None:
         with refused_address() as address, pytest.raises(StoreUnavailableError):
             HttpStore(address).read("a", TIMEOUT_S)
