Let the worker stand-in carry calls out late and restart under its id

Cause: the soak's workers executed each call when it arrived; the users' workers may execute a call without a response seconds later, after newer ones. Only the in-memory fleet tried that. Change: FaultKind.LATE withholds the response to a start, stop or poll and executes it after a time that is set, by default only in the process that received it, with outlives_process also in the next one under its id. PUT /restart replaces the process under its id; clock, tokens and numbers of ends begin anew. Evidence: tests/adapter/test_adapter.py has a late start, a late acknowledgement, late calls to a former process, and a restart.

--- a/tests/adapter/test_adapter.py
+++ b/tests/adapter/test_adapter.py
@@ -27,7 +27,11 @@
     job_body,
 )
 from gooseberrydeck_adapter_standins.store import PlatformStoreApplication
-from gooseberrydeck_adapter_standins.worker import WorkerApplication, decode_run_plan
+from gooseberrydeck_adapter_standins.worker import (
+    DOWN_S,
+    WorkerApplication,
+    decode_run_plan,
+)
 from gooseberrydeck_coordination.clock import ManualClock
 from gooseberrydeck_coordination.exceptions import (
     StoreCompactedError,
@@ -62,7 +66,7 @@
 from gooseberrydeck_platform.http import HttpResponse
 from gooseberrydeck_standins.faults import FaultKind, FaultSettings
 from gooseberrydeck_standins.fleet_worker import FleetWorkerEngine
-from gooseberrydeck_standins.http_service import StandinServer
+from gooseberrydeck_standins.http_service import Request, StandinServer
 from gooseberrydeck_standins.processes import wait_for
 from gooseberrydeck_standins.store_engine import StoreEngine
 from network_support import refused_address
@@ -435,6 +439,62 @@
             worker_fixture.start()
         assert len(worker_fixture.engine.runs) == 1
 
+    def test_late_start_takes_effect_after_newer_calls(
+        self, worker_fixture: WorkerFixture
+    ) -> None:
+        faults = worker_fixture.application.faults
+        faults.apply(FaultSettings(FaultKind.LATE, calls=1, late_s=(0.2, 0.3)))
+        with pytest.raises(WorkerSilentError):
+            worker_fixture.start()
+        assert worker_fixture.calls.poll(TOKEN, 0, None, 0.0, TIMEOUT_S).runs == ()
+        wait_for(lambda: bool(worker_fixture.engine.runs), "the late start", 10.0)
+
+    def test_late_poll_acknowledges_ends(self, worker_fixture: WorkerFixture) -> None:
+        engine = worker_fixture.engine
+        worker_fixture.start()
+        worker_fixture.clock.advance(1.5)
+        assert worker_fixture.calls.poll(TOKEN, 0, None, 0.0, TIMEOUT_S).ends
+        faults = worker_fixture.application.faults
+        faults.apply(FaultSettings(FaultKind.LATE, calls=1, late_s=(0.2, 0.3)))
+        with pytest.raises(WorkerSilentError):
+            worker_fixture.calls.poll(TOKEN, 1, None, 0.0, TIMEOUT_S)
+        wait_for(lambda: not engine.ends, "the late acknowledgement", 10.0)
+
+    @pytest.mark.parametrize("outlives_process", [False, True])
+    def test_late_call_to_a_former_process(
+        self, worker_fixture: WorkerFixture, outlives_process: bool
+    ) -> None:
+        application = worker_fixture.application
+        application.faults.apply(
+            FaultSettings(
+                FaultKind.LATE,
+                calls=1,
+                late_s=(DOWN_S + 1.5, DOWN_S + 1.6),
+                outlives_process=outlives_process,
+            )
+        )
+        with pytest.raises(WorkerSilentError):
+            worker_fixture.start()
+        application.handle(Request("PUT", "/restart", b""))
+        assert application.engine is not worker_fixture.engine
+        wait_for(lambda: not late_timers(), "the late start", 10.0)
+        assert bool(application.engine.runs) is outlives_process
+
+    def test_restart_begins_tokens_and_numbers_of_ends_anew(
+        self, worker_fixture: WorkerFixture
+    ) -> None:
+        application = worker_fixture.application
+        worker_fixture.start()
+        worker_fixture.clock.advance(1.5)
+        former = worker_fixture.calls.poll(TOKEN, 0, None, 0.0, TIMEOUT_S)
+        application.handle(Request("PUT", "/restart", b""))
+        wait_for(lambda: not application.is_down(), "the restart", 10.0)
+        reply = worker_fixture.calls.poll(Epoch(TOKEN - 1), 0, 0, 0.0, TIMEOUT_S)
+        assert (reply.ends, reply.clock_ms) == ((), 0)
+        assert reply.born_ms != former.born_ms
+        ledger = msgspec.json.decode(application.ledger().body)
+        assert [span["is_void"] for span in ledger["spans"]] == [True]
+
     def test_refused_connection_means_worker_is_gone(self) -> None:
         with refused_address() as address, pytest.raises(WorkerRefusedError):
             HttpWorker(WORKER, address).poll(TOKEN, 0, None, 0.0, TIMEOUT_S)
