Add gooseberryctl logs check: starts after a known end

Change: the command merges the logs of all members and lists each start after the end of its job, which fails the check, and after a successful run of its task, shown apart. It says when lines were dropped. The soak can call the same function.

--- a/packages/gooseberrydeck-ctl/src/gooseberrydeck_ctl/__main__.py
+++ b/packages/gooseberrydeck-ctl/src/gooseberrydeck_ctl/__main__.py
@@ -9,6 +9,7 @@
     cell_commands,
     configuration_commands,
     key_commands,
+    log_commands,
     report_commands,
 )
 from gooseberrydeck_ctl.exceptions import ConflictError, CtlError, InvalidError
@@ -23,6 +24,7 @@
 )
 application.add_typer(configuration_commands.application, name="config")
 application.add_typer(key_commands.application, name="key")
+application.add_typer(log_commands.application, name="logs")
 application.add_typer(report_commands.application, name="report")
 cell_commands.register(application)
 
--- /dev/null
+++ b/packages/gooseberrydeck-ctl/src/gooseberrydeck_ctl/log_check.py
@@ -0,0 +1,172 @@
+"""Search of the members' logs for starts after the end of their job or task."""
+
+import heapq
+from collections.abc import Iterable, Iterator, Sequence
+from enum import Enum
+from pathlib import Path
+from typing import Any, NewType
+
+import msgspec
+
+from gooseberrydeck_ctl.exceptions import CtlError
+
+__all__ = ["EndKnown", "LogReport", "StartAfterEnd", "check_logs"]
+
+Task = NewType("Task", tuple[Any, ...])
+"""The job of a task, followed by its occurrence, step and number."""
+
+
+class EndKnown(Enum):
+    """What a member had logged before it started a task again."""
+
+    JOB_ENDED = "job ended"
+    """The end of the job had been stored: the start is a fault."""
+
+    RUN_SUCCEEDED = "run ended"
+    """A run of the task had succeeded.
+
+    That is no fault if the end was lost with the member or the worker before it was
+    stored and acknowledged.
+    """
+
+
+class LogLine(msgspec.Struct):
+    """The fields of a log line that the check reads."""
+
+    event: str = ""
+    timestamp: str = ""
+    member: str = ""
+    job: Any = None
+    task: Any = None
+    run: Any = None
+    worker: Any = None
+    kind: Any = None
+    total: int = 0
+
+
+class StartAfterEnd(msgspec.Struct, frozen=True):
+    """A start of a task whose end was in the logs, with both lines' main fields."""
+
+    known: EndKnown
+    job: str
+    task: tuple[int, ...]
+    run: int
+    worker: str
+    ended_at: str
+    ended_by: str
+    started_at: str
+    started_by: str
+
+
+class LogReport(msgspec.Struct):
+    """The result of a check; it is incomplete if lines were dropped or unreadable."""
+
+    starts: int = 0
+    dropped: int = 0
+    unreadable: int = 0
+    found: list[StartAfterEnd] = []
+
+    @property
+    def faults(self) -> list[StartAfterEnd]:
+        """Return the starts that no lost end can explain."""
+        return [each for each in self.found if each.known is EndKnown.JOB_ENDED]
+
+
+class LogCheck:
+    """Compares each start with the ends that were logged before it."""
+
+    def __init__(self) -> None:
+        """Create a check that has read nothing."""
+        self.report = LogReport()
+        self.ended_jobs: dict[str, LogLine] = {}
+        self.succeeded: dict[Task, LogLine] = {}
+
+    def read(self, line: LogLine) -> None:
+        """Take note of a line; the lines must be in order of time."""
+        if line.event == "log lines dropped":
+            self.report.dropped += line.total
+        if not isinstance(line.job, str):
+            return
+        if line.event == "job ended":
+            self.ended_jobs.setdefault(line.job, line)
+        elif line.event == "run ended" and line.kind == "succeeded":
+            self.succeeded.setdefault(task_of(line), line)
+        elif line.event == "start":
+            self.check_start(line)
+
+    def check_start(self, line: LogLine) -> None:
+        """Report a start if an end of its job, or of a run of its task, is known."""
+        self.report.starts += 1
+        known, end = EndKnown.JOB_ENDED, self.ended_jobs.get(line.job)
+        if end is None:
+            known, end = EndKnown.RUN_SUCCEEDED, self.succeeded.get(task_of(line))
+        if end is None:
+            return
+        found = {
+            "known": known,
+            "job": line.job,
+            "task": line.task,
+            "run": line.run,
+            "worker": line.worker,
+            "ended_at": end.timestamp,
+            "ended_by": end.member,
+            "started_at": line.timestamp,
+            "started_by": line.member,
+        }
+        try:
+            self.report.found.append(msgspec.convert(found, StartAfterEnd))
+        except msgspec.ValidationError as error:
+            raise CtlError(f"unexpected start line at {line.timestamp}") from error
+
+
+def task_of(line: LogLine) -> Task:
+    """Return the task of a line."""
+    numbers = line.task if isinstance(line.task, list) else []
+    return Task((line.job, *numbers))
+
+
+def check_logs(paths: Sequence[Path]) -> LogReport:
+    """Check the log files of the members of one cell.
+
+    Several files are merged by the time stamps of their lines. One file is read as it
+    is, so that it may hold the merged lines of all members.
+    """
+    check = LogCheck()
+    files = [read_lines(path, check.report) for path in paths]
+    for _, line in heapq.merge(*files, key=lambda each: each[0]):
+        check.read(line)
+    return check.report
+
+
+def read_lines(path: Path, report: LogReport) -> Iterator[tuple[str, LogLine]]:
+    """Yield the lines of a file, each with its time stamp or that of the line before.
+
+    Raise ``CtlError`` if the file cannot be read.
+    """
+    try:
+        with path.open(errors="replace") as lines:
+            yield from decode_lines(lines, report)
+    except OSError as error:
+        raise CtlError(f"the log cannot be read: {error}") from error
+
+
+def decode_lines(
+    lines: Iterable[str], report: LogReport
+) -> Iterator[tuple[str, LogLine]]:
+    """Yield the log lines; other output, such as a traceback, is skipped.
+
+    Whatever stands before the JSON object of a line is ignored. A line whose object
+    cannot be decoded is counted.
+    """
+    timestamp = ""
+    for text in lines:
+        _, brace, content = text.strip().partition("{")
+        if not brace or not content.endswith("}"):
+            continue
+        try:
+            line = msgspec.json.decode(brace + content, type=LogLine)
+        except msgspec.DecodeError:
+            report.unreadable += 1
+            continue
+        timestamp = line.timestamp or timestamp
+        yield timestamp, line
--- /dev/null
+++ b/packages/gooseberrydeck-ctl/src/gooseberrydeck_ctl/log_commands.py
@@ -0,0 +1,64 @@
+"""The ``gooseberryctl logs`` commands."""
+
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from gooseberrydeck_ctl.exceptions import CtlError
+from gooseberrydeck_ctl.log_check import check_logs
+from gooseberrydeck_ctl.options import JsonOption
+from gooseberrydeck_ctl.output import print_json, print_table
+
+__all__ = ["application"]
+
+application = typer.Typer(no_args_is_help=True, help="Search the members' log files.")
+
+COLUMNS = ("known", "job", "task", "run", "worker", "ended", "by", "started", "by")
+
+
+@application.callback()
+def select() -> None:
+    """Search the members' log files."""
+
+
+@application.command()
+def check(
+    paths: Annotated[list[Path], typer.Argument(help="The logs of all members.")],
+    json: JsonOption = False,
+) -> None:
+    """Show each start after the end of its job, or after a successful run of its task.
+
+    Fails if a start follows the stored end of its job.
+    """
+    report = check_logs(paths)
+    if json:
+        print_json(report)
+    elif report.found:
+        rows = [
+            (
+                each.known,
+                each.job,
+                each.task,
+                each.run,
+                each.worker,
+                each.ended_at,
+                each.ended_by,
+                each.started_at,
+                each.started_by,
+            )
+            for each in report.found
+        ]
+        print_table(COLUMNS, rows)
+    counts = (
+        f"{report.starts} starts; {len(report.faults)} after the end of their job, "
+        f"{len(report.found) - len(report.faults)} after a successful run of their task"
+    )
+    if report.dropped or report.unreadable:
+        counts += (
+            f"; incomplete: {report.dropped} lines were dropped by the members, "
+            f"{report.unreadable} cannot be decoded"
+        )
+    typer.echo(counts, err=json)
+    if report.faults:
+        raise CtlError(f"{len(report.faults)} starts after the end of their job")
