--- a/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/processes.py
+++ b/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/processes.py
@@ -33,6 +33,7 @@
 START_TIMEOUT_S = 30.0
 END_TIMEOUT_S = 30.0
 WAIT_TIMEOUT_S = 60.0
+PUT_TIMEOUT_S = 5.0
 POLL_S = 0.02
 LOOPBACK = "127.0.0.1"
 PORT_RANGE = (20_000, 32_000)
@@ -221,11 +222,15 @@
         """Replace the fault settings at a path."""
         self.put(path, msgspec.json.encode(settings))
 
-    def put(self, path: str, body: bytes = b"") -> None:
+    def put(
+        self, path: str, body: bytes = b"", timeout_s: float = PUT_TIMEOUT_S
+    ) -> None:
         """Send a ``PUT`` request to a path."""
         connection = HttpConnection(self.address)
-        connection.request("PUT", path, body)
-        connection.close()
+        try:
+            connection.request("PUT", path, body, timeout_s=timeout_s)
+        finally:
+            connection.close()
 
     def fetch(self, path: str) -> bytes:
         """Return the body of the response to a ``GET`` request."""
--- a/tests/platform_processes/test_members.py
+++ b/tests/platform_processes/test_members.py
@@ -136,6 +136,16 @@
         assert set(statuses) == {200}
 
 
+class TestLedgers:
+    def test_runs_of_killed_workers_are_kept(self, cell: LocalPlatform) -> None:
+        path = path_of(1)
+        submit_until_accepted(cell, path, job_body(tasks=3))
+        wait_state(cell, path, b"completed")
+        cell.kill_worker(cell.workers[0])
+        assert len(cell.spans()) == 3
+        assert cell.violations() == []
+
+
 class TestFaults:
     @pytest.mark.parametrize("case", FAULTS)
     def test_accepted_jobs_complete_and_nothing_runs_twice(
