--- a/soak/callers.py
+++ b/soak/callers.py
@@ -15,6 +15,7 @@
 DEADLY_SHARE = 0.03
 """Share of the jobs with a task that crashes each worker that starts it."""
 
+PERIODIC_SHARE = 0.15
 COMPLETED = b"completed"
 REFUSED = (429, 503)
 INTERNAL_ERROR = 500
@@ -47,13 +48,17 @@
 class JobClient:
     """Client that submits jobs to random members, with retries."""
 
-    def __init__(self, cell: Cell, seed: int, with_crashes: bool) -> None:
+    def __init__(
+        self, cell: Cell, seed: int, with_crashes: bool, with_periodic: bool
+    ) -> None:
         """Create a client whose jobs are generated from a seed.
 
-        With ``with_crashes``, a few of them have a task that crashes its workers.
+        With ``with_crashes``, a few of them have a task that crashes its workers; with
+        ``with_periodic``, some run several times.
         """
         self.cell = cell
         self.with_crashes = with_crashes
+        self.with_periodic = with_periodic
         self.rng = random.Random(seed)
         self.connections = MemberConnections()
         self.stopping = threading.Event()
@@ -80,12 +85,14 @@
         is_deadly = self.with_crashes and self.rng.random() < DEADLY_SHARE
         if is_deadly:
             self.deadly.add(path)
+        is_periodic = self.with_periodic and self.rng.random() < PERIODIC_SHARE
         body = job_body(
             seconds=self.rng.uniform(0.1, 1.2),
             tasks=self.rng.randint(1, 4),
             cpu=self.rng.choice((1_000, 3_000)),
             steps=self.rng.randint(1, 2),
             crashing=0 if is_deadly else -1,
+            occurrences=self.rng.randint(2, 4) if is_periodic else 0,
         )
         is_certain = True
         for _ in range(3):
--- a/soak/run.py
+++ b/soak/run.py
@@ -211,7 +211,7 @@
         else:
             cell = SeriesCell(platform, draw is Draw.REBIRTHS)
         platform.wait_ready()
-        client = JobClient(cell, seed, with_crashes)
+        client = JobClient(cell, seed, with_crashes, draw is not Draw.FAULTS)
         states = StateClient(cell, seed, client.accepted)
         with running(states):
             with running(client):
