Log check: a superseded holder's refused start is no fault

The workers refused them (start unanswered, was_sent false, run lost never_started), and no ledger has such a run. A start line is a decision, not a run. Change: each start after an end says whether another member had claimed the shard before (is_superseded), and whether a worker listed the end of that very run (has_run). Only a superseded start without a run counts as no fault; it is still listed. All other starts after a job's end fail as before.

--- a/packages/gooseberrydeck-ctl/src/gooseberrydeck_ctl/log_check.py
+++ b/packages/gooseberrydeck-ctl/src/gooseberrydeck_ctl/log_check.py
@@ -12,6 +12,9 @@
 
 __all__ = ["EndKnown", "LogReport", "StartAfterEnd", "check_logs"]
 
+RUNS_PER_TOKEN = 1_000_000
+"""The runs of a holder are numbered from this multiple of its token on."""
+
 Task = NewType("Task", tuple[Any, ...])
 """The job of a task, followed by its occurrence, step and number."""
 
@@ -20,7 +23,7 @@
     """What a member had logged before it started a task again."""
 
     JOB_ENDED = "job ended"
-    """The end of the job had been stored: the start is a fault."""
+    """The end of the job had been stored."""
 
     RUN_SUCCEEDED = "run ended"
     """A run of the task had succeeded.
@@ -41,11 +44,18 @@
     run: Any = None
     worker: Any = None
     kind: Any = None
-    total: int = 0
+    token: Any = None
+    won: Any = None
+    total: Any = None
 
 
 class StartAfterEnd(msgspec.Struct, frozen=True):
-    """A start of a task whose end was in the logs, with both lines' main fields."""
+    """A start of a task whose end was in the logs, with both lines' main fields.
+
+    ``is_superseded`` says that another member had claimed the shard before: workers
+    that have seen its token refuse the start. ``has_run`` says that a worker has listed
+    the end of the run.
+    """
 
     known: EndKnown
     job: str
@@ -56,6 +66,14 @@
     ended_by: str
     started_at: str
     started_by: str
+    is_superseded: bool = False
+    has_run: bool = False
+
+    @property
+    def is_fault(self) -> bool:
+        """Return True if neither a lost end nor a refusal can explain the start."""
+        is_refused = self.is_superseded and not self.has_run
+        return self.known is EndKnown.JOB_ENDED and not is_refused
 
 
 class LogReport(msgspec.Struct):
@@ -68,8 +86,8 @@
 
     @property
     def faults(self) -> list[StartAfterEnd]:
-        """Return the starts that no lost end can explain."""
-        return [each for each in self.found if each.known is EndKnown.JOB_ENDED]
+        """Return the starts that are faults."""
+        return [each for each in self.found if each.is_fault]
 
 
 class LogCheck:
@@ -80,17 +98,23 @@
         self.report = LogReport()
         self.ended_jobs: dict[str, LogLine] = {}
         self.succeeded: dict[Task, LogLine] = {}
+        self.ended_runs: set[tuple[Task, Any]] = set()
+        self.newest_token = 0
 
     def read(self, line: LogLine) -> None:
         """Take note of a line; the lines must be in order of time."""
-        if line.event == "log lines dropped":
+        if line.event == "log lines dropped" and isinstance(line.total, int):
             self.report.dropped += line.total
+        if line.event == "claim" and line.won and isinstance(line.token, int):
+            self.newest_token = max(self.newest_token, line.token)
         if not isinstance(line.job, str):
             return
         if line.event == "job ended":
             self.ended_jobs.setdefault(line.job, line)
-        elif line.event == "run ended" and line.kind == "succeeded":
-            self.succeeded.setdefault(task_of(line), line)
+        elif line.event == "run ended":
+            self.ended_runs.add((task_of(line), line.run))
+            if line.kind == "succeeded":
+                self.succeeded.setdefault(task_of(line), line)
         elif line.event == "start":
             self.check_start(line)
 
@@ -114,9 +138,24 @@
             "started_by": line.member,
         }
         try:
-            self.report.found.append(msgspec.convert(found, StartAfterEnd))
+            start = msgspec.convert(found, StartAfterEnd)
         except msgspec.ValidationError as error:
             raise CtlError(f"unexpected start line at {line.timestamp}") from error
+        is_superseded = start.run // RUNS_PER_TOKEN < self.newest_token
+        self.report.found.append(
+            msgspec.structs.replace(start, is_superseded=is_superseded)
+        )
+
+    def finish(self) -> LogReport:
+        """Return the report, with the runs whose ends were logged after their start."""
+        self.report.found = [
+            msgspec.structs.replace(
+                each,
+                has_run=(Task((each.job, *each.task)), each.run) in self.ended_runs,
+            )
+            for each in self.report.found
+        ]
+        return self.report
 
 
 def task_of(line: LogLine) -> Task:
@@ -135,7 +174,7 @@
     files = [read_lines(path, check.report) for path in paths]
     for _, line in heapq.merge(*files, key=lambda each: each[0]):
         check.read(line)
-    return check.report
+    return check.finish()
 
 
 def read_lines(path: Path, report: LogReport) -> Iterator[tuple[str, LogLine]]:
--- a/packages/gooseberrydeck-ctl/src/gooseberrydeck_ctl/log_commands.py
+++ b/packages/gooseberrydeck-ctl/src/gooseberrydeck_ctl/log_commands.py
@@ -14,7 +14,19 @@
 
 application = typer.Typer(no_args_is_help=True, help="Search the members' log files.")
 
-COLUMNS = ("known", "job", "task", "run", "worker", "ended", "by", "started", "by")
+COLUMNS = (
+    "known",
+    "job",
+    "task",
+    "run",
+    "worker",
+    "ended",
+    "by",
+    "started",
+    "by",
+    "superseded",
+    "has run",
+)
 
 
 @application.callback()
@@ -29,7 +41,8 @@
 ) -> None:
     """Show each start after the end of its job, or after a successful run of its task.
 
-    Fails if a start follows the stored end of its job.
+    Fails if a start follows the stored end of its job, unless a holder that had been
+    superseded made it and no run came of it.
     """
     report = check_logs(paths)
     if json:
@@ -46,14 +59,14 @@
                 each.ended_by,
                 each.started_at,
                 each.started_by,
+                each.is_superseded,
+                each.has_run,
             )
             for each in report.found
         ]
         print_table(COLUMNS, rows)
-    counts = (
-        f"{report.starts} starts; {len(report.faults)} after the end of their job, "
-        f"{len(report.found) - len(report.faults)} after a successful run of their task"
-    )
+    counts = f"{report.starts} starts; {len(report.found)} after a known end, "
+    counts += f"{len(report.faults)} of them faults"
     if report.dropped or report.unreadable:
         counts += (
             f"; incomplete: {report.dropped} lines were dropped by the members, "
@@ -61,4 +74,4 @@
         )
     typer.echo(counts, err=json)
     if report.faults:
-        raise CtlError(f"{len(report.faults)} starts after the end of their job")
+        raise CtlError(f"{len(report.faults)} starts after the stored end of their job")
