Soak: workers that are forgotten, and shorter delays of late calls

Cause: the stand-in store never removed the entry of a silent or killed worker, so no worker was forgotten and came back under its id with its runs. Change: PUT /lapse removes a key and ignores the operator's writes to it for a while. The series silence a worker and let its entry lapse for 1 to 8 s, let that of a killed worker lapse, and delay the calls of half of the late orders by 0.3 to 2 s. The series draw other faults than before this change.

--- a/soak/series.py
+++ b/soak/series.py
@@ -10,7 +10,15 @@
 from gooseberrydeck_platform.http import HttpError
 from gooseberrydeck_standins.faults import FaultKind, FaultSettings
 from gooseberrydeck_standins.processes import StandinProcess
-from soak.faults import LINK_FAULTS, MEMBERS, Cell, Fault, store_source
+from soak.faults import (
+    LINK_FAULTS,
+    MEMBERS,
+    WORKERS,
+    Cell,
+    Fault,
+    store_source,
+)
+from soak.proxy import LinkFault
 
 __all__ = ["PAGE_ITEMS", "SERIES_LENGTH_S", "SeriesCell", "draw_series"]
 
@@ -32,13 +40,16 @@
     "store_forgets",
     "pause_worker",
     "kill_worker",
+    "forgotten_worker",
 )
 REBIRTH_KINDS = (*SERIES_KINDS, "restart_worker")
 
 CHANGES = (2, 4)
 FAULTS_BESIDE_A_CHANGE = (2, 4)
 LATE_WRITE_S = (1.0, 6.0)
-LATE_ORDER_S = (2.0, 12.0)
+LATE_ORDER_S = ((0.3, 2.0), (2.0, 12.0))
+"""Delays of late calls to workers, which refuse starts more than 1.5 s old."""
+
 WRITES = "/faults/writes"
 CONTROL_TIMEOUT_S = 0.5
 """Time limit of a change of faults; a paused process would hold up other faults."""
@@ -55,6 +66,8 @@
 
     def draw(at_s: float, kind: str) -> None:
         for_s = rng.uniform(0.5, 4.0)
+        if kind == "forgotten_worker":
+            for_s *= 2
         target, link = rng.randrange(100), rng.choice(LINK_FAULTS)
         faults.append(Fault(max(0.5, at_s), for_s, kind, target, link))
 
@@ -136,7 +149,7 @@
         settings = FaultSettings(
             FaultKind.LATE,
             share=share(fault),
-            late_s=LATE_ORDER_S,
+            late_s=LATE_ORDER_S[fault.target % 2],
             outlives_process=self.with_rebirths,
         )
         ends = [self.disturb(each, settings) for each in self.platform.workers]
@@ -147,30 +160,56 @@
 
         return end
 
+    def begin_forgotten_worker(self, fault: Fault) -> Callable[[], None]:
+        """Silence a worker and remove its entry, until the end of the fault.
+
+        If its leases lapse meanwhile, the scheduler forgets it until it is back.
+        """
+        number = fault.target % WORKERS
+        link = self.worker_links[number]
+        link.fault = LinkFault.SILENT
+        self.lapse_entry(number, fault.for_s)
+
+        def end() -> None:
+            link.fault = LinkFault.NONE
+
+        return end
+
+    def begin_kill_worker(self, fault: Fault) -> Callable[[], None]:
+        """Kill a worker; at the end, its entry lapses and a new worker is added."""
+        number = fault.target % len(self.platform.workers)
+        add_worker = super().begin_kill_worker(fault)
+
+        def end() -> None:
+            self.lapse_entry(number, 0.0)
+            add_worker()
+
+        return end
+
+    def lapse_entry(self, number: int, for_s: float) -> None:
+        """Remove the entry of the worker numbered ``number`` for a time."""
+        query = f"Key=servers/w{number}&ForMs={int(for_s * 1000)}"
+        self.control(self.platform.store, f"/lapse?{query}")
+
     def begin_restart_worker(self, fault: Fault) -> Callable[[], None]:
         """Replace a worker's process by another one under its id."""
-        process = self.worker(fault.target)
-        try:
-            process.put("/restart", timeout_s=CONTROL_TIMEOUT_S)
-        except HttpError as error:
-            log.info("worker not restarted", reason=str(error))
+        self.control(self.worker(fault.target), "/restart")
         return lambda: None
 
     def disturb(
         self, process: StandinProcess, settings: FaultSettings, path: str = "/faults"
     ) -> Callable[[], None]:
         """Set faults of a stand-in and return a callable that clears them."""
+        self.control(process, path, msgspec.json.encode(settings))
+        none = msgspec.json.encode(FaultSettings())
+        return lambda: self.control(process, path, none)
 
-        def apply(settings: FaultSettings) -> None:
-            if not process.is_alive():
-                return
-            try:
-                process.put(path, msgspec.json.encode(settings), CONTROL_TIMEOUT_S)
-            except HttpError as error:
-                log.info("faults not changed", path=path, reason=str(error))
-
-        apply(settings)
-        return lambda: apply(FaultSettings())
+    def control(self, process: StandinProcess, path: str, body: bytes = b"") -> None:
+        """Send a test request to a stand-in, which may be paused or gone."""
+        try:
+            process.put(path, body, CONTROL_TIMEOUT_S)
+        except HttpError as error:
+            log.info("stand-in not reached", path=path, reason=str(error))
 
     def recover(self) -> None:
         """Clear the faults of the links and stand-ins, and restart ended members."""
--- a/tests/adapter/test_adapter.py
+++ b/tests/adapter/test_adapter.py
@@ -276,6 +276,19 @@
                 refused += 1
         assert 0 < refused < 40
 
+    def test_lapsed_key_is_back_once_its_owner_writes_later(
+        self, store_fixture: StoreFixture
+    ) -> None:
+        application = store_fixture.application
+        write = Request("PUT", "/operator", b"entry", "Key=servers/w1")
+        application.handle(write)
+        application.handle(Request("PUT", "/lapse", b"", "Key=servers/w1&ForMs=2000"))
+        application.handle(write)
+        assert store_fixture.store.read("servers/w1", TIMEOUT_S) is None
+        store_fixture.clock.advance(2.0)
+        application.handle(write)
+        assert store_fixture.store.read("servers/w1", TIMEOUT_S) is not None
+
     def test_range_in_small_pages_is_complete(
         self, store_fixture: StoreFixture
     ) -> None:
