Log check: name the worker of the run that had ended

Cause: whether a second run is a fault depends on what became of the worker that lists the first one's end, and the table did not name it.

--- a/packages/gooseberrydeck-ctl/src/gooseberrydeck_ctl/log_check.py
+++ b/packages/gooseberrydeck-ctl/src/gooseberrydeck_ctl/log_check.py
@@ -54,7 +54,7 @@
 
     ``is_superseded`` says that another member had claimed the shard before: workers
     that have seen its token refuse the start. ``has_run`` says that a worker has listed
-    the end of the run.
+    the end of the run. ``ended_on`` is the worker of the run that had ended.
     """
 
     known: EndKnown
@@ -64,6 +64,7 @@
     worker: str
     ended_at: str
     ended_by: str
+    ended_on: str | None
     started_at: str
     started_by: str
     is_superseded: bool = False
@@ -134,6 +135,7 @@
             "worker": line.worker,
             "ended_at": end.timestamp,
             "ended_by": end.member,
+            "ended_on": end.worker,
             "started_at": line.timestamp,
             "started_by": line.member,
         }
--- a/tests/ctl/test_log_check.py
+++ b/tests/ctl/test_log_check.py
@@ -35,7 +35,7 @@
 
 def run_ended(second: int, kind: str = "succeeded", started: int = 1) -> str:
     run = run_of(1_000, started)
-    return line("run ended", second, task=TASK, run=run, kind=kind)
+    return line("run ended", second, task=TASK, run=run, kind=kind, worker="w7")
 
 
 def claim(second: int, token: int, member: str = "m2") -> str:
@@ -97,7 +97,9 @@
     def test_start_after_a_successful_run_is_shown_apart(self, logs: LogFolder) -> None:
         logs.add(start(1), run_ended(2), start(3), start(3, task=[0, 1, 1]))
         report = check_logs(logs.paths)
-        assert [each.known for each in report.found] == [EndKnown.RUN_SUCCEEDED]
+        assert [(each.known, each.ended_on) for each in report.found] == [
+            (EndKnown.RUN_SUCCEEDED, "w7")
+        ]
         assert report.faults == []
 
     @pytest.mark.parametrize("kind", ["failed", "lapsed", "stopped"])
