Soak: late starts and stops while polls are answered

Cause: late calls of a worker hit its polls too, so the worker counted as unreachable and got hardly any starts. Change: PUT /faults/orders of the stand-in worker affects starts and stops only. Half of the late orders of the series use it, with 50 to 90 % of the calls. A test of the switch.

--- a/soak/series.py
+++ b/soak/series.py
@@ -51,6 +51,7 @@
 """Delays of late calls to workers, which refuse starts more than 1.5 s old."""
 
 WRITES = "/faults/writes"
+ORDERS = "/faults/orders"
 CONTROL_TIMEOUT_S = 0.5
 """Time limit of a change of faults; a paused process would hold up other faults."""
 
@@ -145,14 +146,20 @@
         return self.disturb(self.platform.store, FaultSettings(kind), path)
 
     def begin_late_orders(self, fault: Fault) -> Callable[[], None]:
-        """Make all workers execute a share of the calls late, without a response."""
+        """Make all workers execute a share of the calls late, without a response.
+
+        Half of these faults affect starts and stops only, so that the workers go on
+        answering polls and get more of them.
+        """
+        is_for_orders = fault.target % 2 == 0
         settings = FaultSettings(
             FaultKind.LATE,
-            share=share(fault),
+            share=share(fault) + (0.4 if is_for_orders else 0.0),
             late_s=LATE_ORDER_S[fault.target % 2],
             outlives_process=self.with_rebirths,
         )
-        ends = [self.disturb(each, settings) for each in self.platform.workers]
+        path = ORDERS if is_for_orders else "/faults"
+        ends = [self.disturb(each, settings, path) for each in self.platform.workers]
 
         def end() -> None:
             for each in ends:
@@ -220,6 +227,7 @@
         for process in self.platform.workers:
             if process.is_alive():
                 process.apply_faults(FaultSettings())
+                process.apply_faults(FaultSettings(), ORDERS)
 
 
 def share(fault: Fault) -> float:
--- a/tests/adapter/test_adapter.py
+++ b/tests/adapter/test_adapter.py
@@ -462,6 +462,17 @@
         assert worker_fixture.calls.poll(TOKEN, 0, None, 0.0, TIMEOUT_S).runs == ()
         wait_for(lambda: bool(worker_fixture.engine.runs), "the late start", 10.0)
 
+    def test_polls_are_answered_while_orders_are_late(
+        self, worker_fixture: WorkerFixture
+    ) -> None:
+        worker_fixture.application.order_faults.apply(
+            FaultSettings(FaultKind.LATE, late_s=(0.2, 0.3))
+        )
+        with pytest.raises(WorkerSilentError):
+            worker_fixture.start()
+        assert worker_fixture.calls.poll(TOKEN, 0, None, 0.0, TIMEOUT_S).runs == ()
+        wait_for(lambda: bool(worker_fixture.engine.runs), "the late start", 10.0)
+
     def test_late_poll_acknowledges_ends(self, worker_fixture: WorkerFixture) -> None:
         engine = worker_fixture.engine
         worker_fixture.start()
