Let a holder that was paused ask the store before it acts

What callers would see: a task of a job that has ended runs again. Operators of similar systems name this: a paused process acts on a permission that has run out.

Cause: the authority lasts 8 s after the last confirmation, so that a store outage doesn't stop the holder, and a pause looked the same as an outage.

Change: the scheduler's rounds tell the authority that the process is running. After a gap of more than 1 s nothing may be sent until the store has been asked since, by the renewal of the lease each 0.4 s. If the store doesn't respond, the holder goes on as in an outage. Ruled out: a shorter authority (outages), and a check by each worker's next poll (up to a second later for each of them).

--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/authority.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/authority.py
@@ -10,6 +10,12 @@
 A new holder waits this long plus one task lease for workers that it cannot reach.
 """
 
+PAUSE_LIMIT_S = 1.0
+"""Time between two rounds of the scheduler after which the process counts as paused.
+
+Rounds are at most some tens of milliseconds apart, also on a busy host.
+"""
+
 
 def boottime_clock_s() -> float:
     """Return the time of a monotonic clock that includes time spent suspended."""
@@ -23,6 +29,11 @@
         """Start as confirmed now, because a claim has just succeeded."""
         self.confirmed_s = boottime_clock_s()
         self.is_revoked = False
+        # When the store was last asked, whether or not it responded.
+        self.asked_s = self.confirmed_s
+        # When the scheduler's last round began, and when it went on after a pause.
+        self.round_s: float | None = None
+        self.resumed_s = 0.0
 
     def confirm(self, sent_s: float) -> None:
         """Extend the permission after a successful call sent at ``sent_s``.
@@ -31,6 +42,21 @@
         ``boottime_clock_s``.
         """
         self.confirmed_s = max(self.confirmed_s, sent_s)
+        self.asked_s = max(self.asked_s, sent_s)
+
+    def not_confirmed(self, sent_s: float) -> None:
+        """Record a call sent at ``sent_s`` to which the store has not responded."""
+        self.asked_s = max(self.asked_s, sent_s)
+
+    def round_begins(self) -> float:
+        """Record a round of the scheduler; return how long it was paused, or 0."""
+        now_s = boottime_clock_s()
+        paused_s = 0.0
+        if self.round_s is not None and now_s - self.round_s > PAUSE_LIMIT_S:
+            paused_s = now_s - self.round_s
+            self.resumed_s = now_s
+        self.round_s = now_s
+        return paused_s
 
     def revoke(self) -> None:
         """Withdraw the permission for good: the shard was lost or released."""
@@ -41,5 +67,14 @@
         return boottime_clock_s() - self.confirmed_s
 
     def may_act(self) -> bool:
-        """Return whether commands may be sent now."""
-        return not self.is_revoked and self.age_s() < AUTHORITY_TIMEOUT_S
+        """Return whether commands may be sent now.
+
+        After a pause they may not until the store has been asked: a successor may have
+        claimed the shard meanwhile.
+        """
+        if self.is_revoked or self.age_s() >= AUTHORITY_TIMEOUT_S:
+            return False
+        if self.round_s is None:
+            return True
+        is_paused = boottime_clock_s() - self.round_s > PAUSE_LIMIT_S
+        return not is_paused and self.asked_s >= self.resumed_s
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/control.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/control.py
@@ -421,6 +421,7 @@
             self.step_down(scheduler)
         except StoreError as error:
             self.report_store_failure(error)
+            scheduler.authority.not_confirmed(sent_s)
         else:
             self.report_store_recovery()
             scheduler.authority.confirm(sent_s)
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
@@ -331,6 +331,11 @@
             except queue.Empty:
                 break
         now_s = time.monotonic()
+        paused_s = self.authority.round_begins()
+        if paused_s:
+            log.warning(
+                "scheduler was paused", token=self.token, seconds=round(paused_s, 3)
+            )
         self.scheduler.authority_confirmed(now_s - self.authority.age_s())
         if self.authority.may_act():
             self.scheduler.set_max_advice_requests(self.advice_pool.capacity())
--- a/tests/member/test_holding.py
+++ b/tests/member/test_holding.py
@@ -13,7 +13,11 @@
 from gooseberrydeck_fleet.commands import Changes, JobEnding, ProgressWrite
 from gooseberrydeck_fleet.work import EndedJob, JobState, StepSpec
 from gooseberrydeck_member import authority as authority_module
-from gooseberrydeck_member.authority import AUTHORITY_TIMEOUT_S, Authority
+from gooseberrydeck_member.authority import (
+    AUTHORITY_TIMEOUT_S,
+    PAUSE_LIMIT_S,
+    Authority,
+)
 from gooseberrydeck_member.commits import (
     MAX_COMMIT_ENTRIES,
     build_transaction,
@@ -132,6 +136,37 @@
         authority.confirm(sent_s)
         assert not authority.may_act()
 
+    # Guards against a holder that starts tasks of a job right after a pause, though its
+    # successor has ended the job meanwhile.
+    @pytest.mark.parametrize("has_response", [False, True])
+    def test_paused_holder_asks_the_store_before_it_acts(
+        self, monkeypatch: pytest.MonkeyPatch, has_response: bool
+    ) -> None:
+        clock = ManualClock()
+        monkeypatch.setattr(authority_module, "boottime_clock_s", clock.monotonic)
+        authority = Authority()
+        assert authority.round_begins() == 0
+        sent_before_s = clock.monotonic()
+        clock.advance(PAUSE_LIMIT_S + 0.1)
+        assert not authority.may_act()
+        assert authority.round_begins() == pytest.approx(PAUSE_LIMIT_S + 0.1)
+        authority.confirm(sent_before_s)
+        assert not authority.may_act()
+        record = authority.confirm if has_response else authority.not_confirmed
+        record(clock.monotonic())
+        assert authority.may_act()
+
+    def test_rounds_at_intervals_are_no_pause(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        clock = ManualClock()
+        monkeypatch.setattr(authority_module, "boottime_clock_s", clock.monotonic)
+        authority = Authority()
+        for _ in range(5):
+            assert authority.round_begins() == 0
+            clock.advance(PAUSE_LIMIT_S - 0.1)
+            assert authority.may_act()
+
     def test_revoked_authority_is_not_restored(self) -> None:
         authority = Authority()
         authority.revoke()
--- a/tests/member/test_scheduler_task.py
+++ b/tests/member/test_scheduler_task.py
@@ -30,7 +30,11 @@
 from gooseberrydeck_fleet.work import JobRecord, StepSpec, WorkSpec
 from gooseberrydeck_fleet.worker_calls import WorkerCalls
 from gooseberrydeck_member.advice_pool import AdvicePool
-from gooseberrydeck_member.authority import Authority, boottime_clock_s
+from gooseberrydeck_member.authority import (
+    PAUSE_LIMIT_S,
+    Authority,
+    boottime_clock_s,
+)
 from gooseberrydeck_member.job_lookups import JobFound
 from gooseberrydeck_member.keys import JOB_PREFIX, job_key
 from gooseberrydeck_member.observability import Metrics
@@ -105,6 +109,24 @@
         confirmed_s = task.scheduler.ledger.authority_confirmed_s
         assert confirmed_s == pytest.approx(expected_s, abs=0.01)
 
+    def test_paused_scheduler_decides_nothing(
+        self, task: SchedulerTask, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        decisions: list[float] = []
+        monkeypatch.setattr(
+            task.scheduler,
+            "decide",
+            lambda now_s, _wall_s: decisions.append(now_s) or (),
+        )
+        task.run_once()
+        assert task.authority.round_s is not None
+        task.authority.round_s -= 2 * PAUSE_LIMIT_S
+        task.run_once()
+        assert len(decisions) == 1
+        task.authority.confirm(boottime_clock_s())
+        task.run_once()
+        assert len(decisions) == 2
+
 
 class TestHeldPolls:
     def test_answers_are_late_by_no_more_than_the_scheduler_allows_for(self) -> None:
