Set a task's speed again after its worker was silent

What callers could see (HARM): a task that fills beside a task with a latency target works on at full speed, and the target stays missed.

Cause: a command to set a speed is dropped if its worker has fallen silent while the command waited for a thread, and may be lost with a failed call. The scheduler had recorded the new speed, so it sent nothing until the speed had to change again; at 0 percent it never does while the target is missed.

Change: a speed that was set before the worker's last silence is set again when the worker answers. Each command that fails or is dropped comes with such a silence.

The test fails without it in both forms: no command is sent after the silence.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/poll_replies.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/poll_replies.py
@@ -125,7 +125,9 @@
             if self.ledger.may_predecessor_act:
                 worker.fenced_from_s = now_s + HELD_POLL_S
         worker.record_reply(reply.clock_ms, now_s)
-        worker.is_reachable = True
+        if not worker.is_reachable:
+            worker.is_reachable = True
+            worker.answers_since_s = now_s
         worker.is_restarting = False
         orphaned_runs = self.update_runs(worker, reply, now_s)
         ended = self.apply_ends(worker, reply, now_s)
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
@@ -93,6 +93,7 @@
         "quota_usage",
         "skip_duration_sample",
         "speed_percent",
+        "speed_set_s",
         "start_until_ms",
         "started_s",
         "state",
@@ -129,6 +130,8 @@
         self.progress_changed_s = now_s
         self.load = 0.0
         self.speed_percent = 100
+        # When its worker was last told the speed, if ever.
+        self.speed_set_s: float | None = None
         self.checkpoint: str = ""
         self.stop_reason: StopReason | None = None
         self.stop_sent_s = 0.0
@@ -399,6 +402,7 @@
     """A worker with its free capacity, its runs and the state of their leases."""
 
     __slots__ = (
+        "answers_since_s",
         "available_until_s",
         "born_ms",
         "clock_ms",
@@ -442,6 +446,8 @@
         self.is_registered = True
         self.is_restarting = False
         self.last_reply_s = 0.0
+        # When it answered after its last silence.
+        self.answers_since_s = 0.0
         self.clock_ms = 0
         self.clock_read_s = 0.0
         self.lease_until_ms = 0
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/throttling.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/throttling.py
@@ -28,7 +28,10 @@
         self.changed_s: dict[str, float] = {}
 
     def adjust(self, worker: Worker, now_s: float) -> list[tuple[Run, int]]:
-        """Return the runs of a worker whose speed changes, with the new percentages."""
+        """Return the runs of a worker whose speed changes, with the new percentages.
+
+        A speed that was set before the worker fell silent is set again.
+        """
         best_effort_runs = [
             run
             for run in worker.runs.values()
@@ -50,14 +53,23 @@
         changes = []
         for run in best_effort_runs:
             speed_percent = next_speed_percent(run.speed_percent, latency_ratio)
-            if speed_percent != run.speed_percent:
+            if speed_percent != run.speed_percent or may_be_lost(run):
                 run.speed_percent = speed_percent
+                run.speed_set_s = now_s
                 changes.append((run, speed_percent))
         if changes:
             self.changed_s[worker.id] = now_s
         return changes
 
 
+def may_be_lost(run: Run) -> bool:
+    """Return True if the last command that set a run's speed may not have arrived.
+
+    Each command that fails or is dropped comes with a silence of its worker.
+    """
+    return run.speed_set_s is not None and run.speed_set_s < run.worker.answers_since_s
+
+
 def next_speed_percent(speed_percent: int, latency_ratio: float) -> int:
     """Return the new speed of a best-effort run, in percent.
 
--- a/tests/fleet/test_throttling.py
+++ b/tests/fleet/test_throttling.py
@@ -4,6 +4,7 @@
 
 from fleet_support import Fleet, task_resources
 from gooseberrydeck_fleet.commands import ThrottleRun
+from gooseberrydeck_fleet.ids import WorkerId
 from gooseberrydeck_fleet.throttling import next_speed_percent
 from gooseberrydeck_fleet.work import StepSpec
 
@@ -58,6 +59,25 @@
         assert self.throttle_at(fleet, 95.0) == [0]
         assert self.throttle_at(fleet, 20.0) == [25]
 
+    # Guards against a task that works on at full speed, because the command to slow it
+    # down was dropped when its worker fell silent, and was not sent again.
+    @pytest.mark.parametrize("load_ms", [95.0, 60.0])
+    def test_speed_is_set_again_after_a_silence(self, load_ms: float) -> None:
+        fleet = self.run_on_one_worker()
+        for _ in range(3):
+            self.throttle_at(fleet, 95.0)
+        fleet.scheduler.worker_silent(WorkerId("w0"), fleet.now_s)
+        assert self.throttle_at(fleet, 95.0) == []
+        fleet.poll_all()
+        assert self.throttle_at(fleet, load_ms) == [0]
+        assert self.throttle_at(fleet, load_ms) == []
+
+    def test_task_at_full_speed_is_not_throttled_after_a_silence(self) -> None:
+        fleet = self.run_on_one_worker()
+        fleet.scheduler.worker_silent(WorkerId("w0"), fleet.now_s)
+        fleet.poll_all()
+        assert self.throttle_at(fleet, 40.0) == []
+
     def test_nothing_is_throttled_while_the_target_is_met(self) -> None:
         assert self.throttle_at(self.run_on_one_worker(), 40.0) == []
 
