Take the time of each message when it is handled

What callers could see (TWICE): a task runs twice at once, since the lease of a worker that has fallen silent counts as lapsed too early.

Cause: the scheduler's thread read the clock once before it handled all messages that had come and came meanwhile. A reply that was made while others were handled, or while the host was paused in between, counted as read before it was made.

The test fails without it: a reply counts as read 20 ms before it was made.

--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
@@ -323,9 +323,9 @@
             message = self.inbox.get(timeout=self.pause_s())
         except queue.Empty:
             message = None
-        now_s = time.monotonic()
         while message is not None:
-            self.handle(message, now_s)
+            # Not once for all: leases count from the time at which a reply was read.
+            self.handle(message, time.monotonic())
             try:
                 message = self.inbox.get_nowait()
             except queue.Empty:
--- a/tests/member/test_scheduler_task.py
+++ b/tests/member/test_scheduler_task.py
@@ -28,7 +28,7 @@
 from gooseberrydeck_fleet.poll_replies import HELD_POLL_S
 from gooseberrydeck_fleet.registrations import Registration
 from gooseberrydeck_fleet.work import JobRecord, StepSpec, WorkSpec
-from gooseberrydeck_fleet.worker_calls import WorkerCalls
+from gooseberrydeck_fleet.worker_calls import PollReply, WorkerCalls
 from gooseberrydeck_member.advice_pool import AdvicePool
 from gooseberrydeck_member.authority import (
     PAUSE_LIMIT_S,
@@ -43,7 +43,11 @@
 from gooseberrydeck_member.scheduler_task import POLL_WAIT_S, TICK_S, SchedulerTask
 from gooseberrydeck_member.shard_lock import ShardLock
 from gooseberrydeck_member.store_follower import PrefixChanged, PrefixRead
-from gooseberrydeck_member.worker_dispatcher import POLL_TIMEOUT_S, StartCompleted
+from gooseberrydeck_member.worker_dispatcher import (
+    POLL_TIMEOUT_S,
+    PollSucceeded,
+    StartCompleted,
+)
 from gooseberrydeck_standins.engine_store import EngineStore
 from gooseberrydeck_standins.store_engine import StoreEngine
 
@@ -51,6 +55,7 @@
 
 
 REGISTRATIONS = "servers/"
+WORKER = WorkerId("w1")
 
 
 def connect(_entry: Registration) -> WorkerCalls:
@@ -128,6 +133,30 @@
         assert len(decisions) == 2
 
 
+class TestTimeOfMessages:
+    # Guards against leases that seem to have lapsed early: a reply that came while
+    # others were handled counted as read before it was made.
+    def test_reply_is_not_read_before_it_was_made(
+        self, task: SchedulerTask, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        made_s: list[float] = []
+
+        def connect_slowly(_entry: Registration) -> WorkerCalls:
+            time.sleep(0.02)
+            made_s.append(time.monotonic())
+            reply = PollReply(5_000, 1, (), ())
+            token = task.token_of(WORKER)
+            task.inbox.put(PollSucceeded(WORKER, reply, made_s[-1], token))
+            return connect(_entry)
+
+        monkeypatch.setattr(task, "connect", connect_slowly)
+        monkeypatch.setattr(task.dispatcher, "poll", lambda *_arguments: None)
+        entry = Entry(f"{REGISTRATIONS}{WORKER}", b"", Revision(1), 1)
+        task.inbox.put(PrefixRead(REGISTRATIONS, (entry,)))
+        task.run_once()
+        assert task.scheduler.ledger.workers[WORKER].clock_read_s >= made_s[0]
+
+
 class TestHeldPolls:
     def test_answers_are_late_by_no_more_than_the_scheduler_allows_for(self) -> None:
         assert HELD_POLL_S >= POLL_WAIT_S + POLL_TIMEOUT_S
