Repeat a stop as soon as its silent worker answers again

What callers could see: a task of a cancelled job works on for up to 0.7 s longer after its worker was silent for a moment, and what it takes is free that much later.

Cause: the scheduler counts a stop to a silent worker as sent, and repeats it after 0.7 s. Since commands to silent workers are dropped, nothing has been sent.

Change: stops that were sent before a worker answered again are repeated at once.

The test fails without it: the task still runs 0.3 s after the worker's return.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
@@ -494,9 +494,13 @@
         return self.crashes.take_reports()
 
     def send_stops(self, now_s: float) -> None:
-        """Queue stop commands, and repeat those that had no effect so far."""
+        """Queue stop commands, and repeat those that had no effect so far.
+
+        A command to a silent worker is dropped, so it is repeated at the next answer.
+        """
         for run in self.ledger.stopping:
-            if now_s - run.stop_sent_s >= STOP_REPEAT_S:
+            is_dropped = run.stop_sent_s < run.worker.answers_since_s
+            if is_dropped or now_s - run.stop_sent_s >= STOP_REPEAT_S:
                 run.stop_sent_s = now_s
                 reason = run.stop_reason or StopReason.SURPLUS
                 self.commands.add(
--- a/tests/fleet/test_faults.py
+++ b/tests/fleet/test_faults.py
@@ -580,6 +580,25 @@
         assert fleet.scheduler.ledger.run_numbers.next() > before
 
 
+class TestStopsOfSilentWorkers:
+    # The command is dropped while the worker is silent. It was repeated only after
+    # 0.7 s, although the worker answered again.
+    def test_stop_is_repeated_when_the_worker_answers(self) -> None:
+        fleet = Fleet(workers=1)
+        job = fleet.submit("a", StepSpec(1, ONE), seconds=60.0)
+        fleet.run_for(0.2)
+        fleet.unreachable.add(WorkerId("w0"))
+        fleet.run_for(0.1)
+        fleet.scheduler.ends.finish(
+            fleet.scheduler.ledger.jobs[job], JobState.CANCELLED
+        )
+        fleet.run_for(0.1)
+        fleet.unreachable.clear()
+        fleet.run_for(0.3)
+        assert fleet.running(job) == []
+        assert len(fleet.stops) == 2
+
+
 class TestEndsAtATakeover:
     # Guards against jobs whose end is stored and logged, and which leave the ledger,
     # while a predecessor's runs of them go on.
