--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
@@ -506,7 +506,10 @@
         return left.largest(NO_RESOURCES)
 
     def clock_at(self, now_s: float) -> int:
-        """Return a lower bound of the worker's clock at ``now_s``, in milliseconds."""
+        """Return the worker's clock at ``now_s``, in milliseconds.
+
+        Of a slow clock, it is too high by the drift since the last reply.
+        """
         return int(self.clock_ms + (now_s - self.clock_read_s) * 1000)
 
     def record_reply(self, clock_ms: int, now_s: float) -> None:
