--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/changes.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/changes.py
@@ -27,7 +27,7 @@
 
 
 class StoredObserver(Protocol):
-    """Something that is told what is stored; times are monotonic seconds."""
+    """Observer of what has been stored; times are monotonic seconds."""
 
     def changes_stored(self, changes: Changes, now_s: float) -> None:
         """Record that a commit has stored changes."""
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/serving.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/serving.py
@@ -32,9 +32,10 @@
 """
 
 COPY_VALID_S = 0.8
-"""The same for a copy of a running task.
+"""Validity of the start request of a copy.
 
-A copy must not start a second after its task has ended, on a clock that may be slow.
+It is short enough that no copy starts a second after its task has ended, also on a
+worker whose clock is slow.
 """
 
 MAX_CHECKS = 1_500
