Hand a command to a thread only when one is free for it

Callers saw starts refused as too late, and one task started over a second after its end: commands waited for up to 1.8 s in the queue of an executor with 32 threads, each of which a silent worker held for up to 1.2 s, and nobody looked at a command again once it was in that queue.

The scheduler thread owns the commands that wait now, in one lane for each worker (command_lanes.py). Each worker has a thread for one command, so that any number of silent workers leaves a thread for every other one. Workers that respond may have more in flight, out of 32 that all share. A worker whose oldest command has no response for 0.2 s, or whose last one had none, gets one at a time until it answers. No command waits in the executor: its threads are as many as commands may be in flight. The order of the commands to one worker is kept, and those of one run wait for each other, except that a stop doesn't wait for the start of its run: whichever of the two arrives first, nothing runs on, and the stop shouldn't wait for 0.6 s if the start has no response.

The second attempt of a start is no loop in the thread any more but goes to the front of the lane. That its run has an unanswered start is recorded after the first attempt, not only when both have ended. A newer speed of a run replaces one that waits, and a stop that waits isn't added twice. A command is checked when it leaves its lane: so far for authority, which throttles were not, for a silent or forgotten worker and for known ends.

The results of commands are messages of call_results.py; `CommandCompleted` is new, for stops and throttles, and `StartCompleted` names the obstacle in place of a flag. The line `start` is logged, with `waited_s`, when the command is handed to a thread; gooseberrydeck_command_wait_seconds and gooseberrydeck_commands_withdrawn_total count.

Tests: test_command_lanes.py, without clocks, threads or sockets; head of line with 32, 100 and 300 silent workers. Those in test_worker_dispatcher.py keep each promise; what has changed is how a command is made to wait (the worker has one in flight for as long as UNANSWERED_LIMIT_S, since an idle worker's commands don't wait any more) and that the messages name the reason. RecordingDispatcher and PolledWorker pass the new arguments.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/commands.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/commands.py
@@ -15,6 +15,7 @@
     "CommandQueue",
     "JobEnding",
     "ProgressWrite",
+    "RunCommand",
     "StartRun",
     "StopRun",
     "ThrottleRun",
@@ -22,10 +23,14 @@
 
 
 class StartRun(msgspec.Struct, frozen=True):
-    """Send a start request to a worker; its resources are already allocated."""
+    """Send a start request to a worker; its resources are already allocated.
+
+    ``born_ms`` is the start of the worker's process whose clock the request refers to.
+    """
 
     worker: WorkerId
     request: StartRequest
+    born_ms: int = 0
 
 
 class StopRun(msgspec.Struct, frozen=True):
@@ -55,7 +60,10 @@
     timeout_s: float
 
 
-Command = StartRun | StopRun | ThrottleRun | AskAdvice
+RunCommand = StartRun | StopRun | ThrottleRun
+"""A command to a worker, about one run."""
+
+Command = RunCommand | AskAdvice
 
 
 class CommandQueue:
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/placement.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/placement.py
@@ -77,16 +77,20 @@
     def usable(self, step: Step) -> list[Worker]:
         """Return the workers that can run a step when they have free capacity."""
         allocation = step.allocation
-        label = step.spec.required_label
         ready = self.ready_workers(step.job.queue.service)
         self.checked += len(ready)
         return [
             worker
             for worker in ready.values()
-            if (not label or label in worker.entry.labels)
+            if self.has_label(worker, step)
             and allocation.fits_in(worker.entry.capacity)
         ]
 
+    def has_label(self, worker: Worker, step: Step) -> bool:
+        """Return True if a worker has the label that a step requires."""
+        label = step.spec.required_label
+        return not label or label in worker.entry.labels
+
     def permitted(self, step: Step, now_s: float) -> list[Worker]:
         """Return the usable workers, limited to valid tickets if advice is required."""
         if step.job.queue.advice is None:
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/quotas.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/quotas.py
@@ -64,6 +64,11 @@
         """Return True if a team may use ``amount`` in addition."""
         return self.count_allowed(team, amount, 1) == 1
 
+    def still_allows(self, team: TeamName, amount: Resources) -> bool:
+        """Return True if a team may use ``amount``, which is counted already."""
+        used = self.used.get(team, NO_RESOURCES) + self.unknown_usage(team)
+        return self.count_beside(used - amount, team, amount, 1) == 1
+
     def count_allowed(self, team: TeamName, amount: Resources, wanted: int) -> int:
         """Return how many runs of ``amount`` a team may start, up to ``wanted``."""
         used = self.used.get(team, NO_RESOURCES) + self.unknown_usage(team)
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
@@ -1,10 +1,12 @@
 """The scheduler of a fleet, a state machine that turns events into commands."""
 
+import math
+
 from gooseberrydeck_coordination.ids import JobId, QueueName
 from gooseberrydeck_fleet.advice import Advice
 from gooseberrydeck_fleet.advice_requests import AdviceRequests
 from gooseberrydeck_fleet.changes import ChangeLog
-from gooseberrydeck_fleet.commands import Command, CommandQueue, StopRun
+from gooseberrydeck_fleet.commands import Command, CommandQueue, RunCommand, StopRun
 from gooseberrydeck_fleet.configuration import FleetConfiguration
 from gooseberrydeck_fleet.crashes import CrashReport, CrashTracker
 from gooseberrydeck_fleet.evacuation import Evacuator
@@ -22,6 +24,7 @@
 from gooseberrydeck_fleet.progress import Progress
 from gooseberrydeck_fleet.registrations import Registration
 from gooseberrydeck_fleet.run_ends import LossReason, LostRun, RunEndHandler
+from gooseberrydeck_fleet.send_permission import Obstacle, SendPermission
 from gooseberrydeck_fleet.serving import LongWait, StepServer
 from gooseberrydeck_fleet.settings import Timing
 from gooseberrydeck_fleet.shares import ShareTracker
@@ -59,8 +62,9 @@
 
     The scheduler performs no I/O and reads no clock: ``now_s`` is monotonic time and
     ``wall_s`` is Unix time. It assumes that the caller executes every command returned
-    by ``decide``. The caller reports the outcomes through the event methods, such as
-    ``start_answered`` and ``start_unanswered``.
+    by ``decide``, but for those with an obstacle at the moment of sending. The caller
+    reports the outcomes through the event methods, such as ``start_answered`` and
+    ``start_unanswered``.
     """
 
     def __init__(self, token: int, timing: Timing) -> None:
@@ -74,6 +78,7 @@
             self.ledger, self.ends, self.unknown_jobs, timing.task_lease_s
         )
         self.placer = Placer(self.ledger)
+        self.send_permission = SendPermission(self.ledger, self.placer)
         self.preemptor = Preemptor(self.placer, self.ends, timing.task_stop_s)
         self.changes = ChangeLog(self.ledger)
         self.advice_requests = AdviceRequests(self.placer)
@@ -395,6 +400,20 @@
         self.crashes.never_started(run)
         self.ends.run_lost(run, LossReason.NEVER_STARTED)
 
+    def start_repeated(self, worker_id: WorkerId, task: TaskRef, number: int) -> None:
+        """Record that a start had no response and is to be sent once more."""
+        run = self.find_run(worker_id, task, number)
+        if run is not None:
+            run.has_unanswered_start = True
+
+    def throttle_withdrawn(
+        self, worker_id: WorkerId, task: TaskRef, number: int
+    ) -> None:
+        """Have a run's speed set again, since the last command was not sent."""
+        run = self.find_run(worker_id, task, number)
+        if run is not None:
+            run.speed_set_s = -math.inf
+
     def start_unanswered(
         self, worker_id: WorkerId, task_ref: TaskRef, number: int, was_sent: bool
     ) -> None:
@@ -474,6 +493,10 @@
         self.send_stops(now_s)
         return self.commands.take_all()
 
+    def find_send_obstacle(self, command: RunCommand, now_s: float) -> Obstacle | None:
+        """Return what forbids to send a command that was decided on, or None."""
+        return self.send_permission.find_obstacle(command, now_s)
+
     @property
     def has_backlog(self) -> bool:
         """Return True if ``decide`` should be called again without a pause."""
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/serving.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/serving.py
@@ -275,8 +275,7 @@
             or worker.entry.service != step.job.queue.service
         ):
             return False
-        label = step.spec.required_label
-        if label and label not in worker.entry.labels:
+        if not self.placer.has_label(worker, step):
             return False
         if step.job.queue.advice is not None:
             advice = step.advice
@@ -458,7 +457,7 @@
             task.checkpoint,
             ticket or "",
         )
-        self.commands.add(StartRun(worker.id, request))
+        self.commands.add(StartRun(worker.id, request, worker.born_ms))
 
     def ask(self, step: Step, wanted: int, now_s: float) -> None:
         """Request advice for a step if a reply could help to start it now."""
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/start_permission.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/start_permission.py
@@ -15,6 +15,7 @@
     "StartObstacle",
     "attempts_may_be_used_up",
     "dependency_ended",
+    "find_run_obstacle",
     "find_start_obstacle",
     "find_step_obstacle",
     "has_startable_tasks",
@@ -80,15 +81,34 @@
 
 
 def find_task_obstacle(task: Task) -> StartObstacle | None:
-    """Return what forbids the start of a task besides what concerns its whole step.
-
-    A task that is blamed for a crash waits until that is stored, so that its crashes
-    are counted whatever becomes of this scheduler.
-    """
+    """Return what forbids the start of a task besides what concerns its whole step."""
     if task.is_done:
         return StartObstacle.TASK_DONE
     if task.runs:
         return StartObstacle.RUNS_KNOWN
+    return find_earlier_runs_obstacle(task)
+
+
+def find_run_obstacle(run: Run) -> StartObstacle | None:
+    """Return what forbids to start a run that is recorded but has not been sent.
+
+    Its task may have another run if one of the two is a copy.
+    """
+    task = run.task
+    obstacle = find_step_obstacle(task.step)
+    if obstacle is not None:
+        return obstacle
+    if task.is_done:
+        return StartObstacle.TASK_DONE
+    return None if len(task.runs) > 1 else find_earlier_runs_obstacle(task)
+
+
+def find_earlier_runs_obstacle(task: Task) -> StartObstacle | None:
+    """Return what forbids the start of a task because of runs that ended, or may exist.
+
+    A task that is blamed for a crash waits until that is stored, so that its crashes
+    are counted whatever becomes of this scheduler.
+    """
     step = task.step
     job = step.job
     if job.may_have_unknown_runs and may_have_unknown_runs(task):
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
@@ -23,6 +23,7 @@
     "StopReason",
     "Task",
     "Worker",
+    "WorkerObstacle",
 ]
 
 CLOCK_DRIFT = 0.02
@@ -74,6 +75,18 @@
     SURPLUS = "surplus"
 
 
+class WorkerObstacle(Enum):
+    """Why a worker accepts no new runs."""
+
+    NOT_REPORTED = "worker_not_reported"
+    NOT_RECORDED = "worker_not_recorded"
+    HAS_ORPHANED_RUNS = "worker_has_orphaned_runs"
+    UNREACHABLE = "worker_unreachable"
+    UNREGISTERED = "worker_unregistered"
+    RESTARTING = "worker_restarting"
+    DRAINING = "worker_draining"
+
+
 class Run:
     """One attempt to run a task on a worker.
 
@@ -474,19 +487,29 @@
 
     @property
     def can_start(self) -> bool:
-        """Return True if new runs may start on the worker.
+        """Return True if new runs may start on the worker."""
+        return self.find_obstacle() is None
+
+    def find_obstacle(self) -> WorkerObstacle | None:
+        """Return why no new runs may start on the worker, or None if they may.
 
         The allocation of an orphaned run is unknown, so nothing starts beside one.
         """
-        return (
-            self.has_reported
-            and self.is_recorded
-            and not self.has_orphaned_runs
-            and self.is_reachable
-            and self.is_registered
-            and not self.is_restarting
-            and not self.entry.is_draining
-        )
+        if self.entry.is_draining:
+            return WorkerObstacle.DRAINING
+        if not self.is_registered:
+            return WorkerObstacle.UNREGISTERED
+        if self.is_restarting:
+            return WorkerObstacle.RESTARTING
+        if not self.is_reachable:
+            return WorkerObstacle.UNREACHABLE
+        if not self.has_reported:
+            return WorkerObstacle.NOT_REPORTED
+        if not self.is_recorded:
+            return WorkerObstacle.NOT_RECORDED
+        if self.has_orphaned_runs:
+            return WorkerObstacle.HAS_ORPHANED_RUNS
+        return None
 
     def has_had(self, capacity: Resources) -> None:
         """Record a capacity of the worker; a larger one has to be stored.
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/observability.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/observability.py
@@ -169,6 +169,19 @@
             ["evidence"],
             registry=registry,
         )
+        self.command_wait_seconds = prometheus_client.Histogram(
+            "gooseberrydeck_command_wait_seconds",
+            "Time from the decision on a command to a worker until it is sent",
+            ["command"],
+            registry=registry,
+            buckets=LATENCY_BUCKETS_S,
+        )
+        self.commands_withdrawn = prometheus_client.Counter(
+            "gooseberrydeck_commands_withdrawn",
+            "Commands to workers that were not sent, by what had changed meanwhile",
+            ["command", "reason"],
+            registry=registry,
+        )
         self.ends_acknowledged = prometheus_client.Counter(
             "gooseberrydeck_ends_acknowledged",
             "Successful ends that polls let workers forget",
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/run_audit.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/run_audit.py
@@ -37,17 +37,26 @@
     # Starts.
 
     def admit_start(self, command: StartRun, now_s: float) -> bool:
-        """Log a start before it is sent; return False if it must not be sent.
+        """Return False if a start must not be sent, since the end of its task is known.
 
         In that case the scheduler is told what it has missed.
         """
-        task = command.request.task
-        job = self.scheduler.ledger.jobs[task.job]
-        spec = job.record.work.steps[task.step]
-        evidence = self.known_ends.find_evidence(task, spec)
+        evidence = self.find_evidence(command)
         if evidence is not None:
+            job = self.scheduler.ledger.jobs[command.request.task.job]
             self.refuse_start(command, job, evidence, now_s)
-            return False
+        return evidence is None
+
+    def find_evidence(self, command: StartRun) -> EndEvidence | None:
+        """Return what shows that the task of a start has ended, or None."""
+        task = command.request.task
+        spec = self.scheduler.ledger.jobs[task.job].record.work.steps[task.step]
+        return self.known_ends.find_evidence(task, spec)
+
+    def start_sent(self, command: StartRun, waited_s: float, now_s: float) -> None:
+        """Log a start that is sent ``waited_s`` after it was decided."""
+        task = command.request.task
+        job = self.scheduler.ledger.jobs[task.job]
         self.observe_wait(job)
         log.info(
             "start",
@@ -56,9 +65,9 @@
             run=command.request.run,
             worker=command.worker,
             resumes=bool(command.request.checkpoint),
-            **self.input_ages(job, task),
+            waited_s=round(waited_s, 3),
+            **self.input_ages(job, task, now_s),
         )
-        return True
 
     def refuse_start(
         self, command: StartRun, job: Job, evidence: EndEvidence, now_s: float
@@ -86,10 +95,9 @@
         )
         self.scheduler.start_refused(command.worker, task, run, evidence.job_state)
 
-    def input_ages(self, job: Job, task: TaskRef) -> dict[str, float]:
+    def input_ages(self, job: Job, task: TaskRef, now_s: float) -> dict[str, float]:
         """Return, in seconds, how long ago a task became ready and advice arrived."""
         step = job.steps[task.step_ref]
-        now_s = time.monotonic()
         times = {"ready_age_s": step.ready_s, "advice_age_s": step.advice.answered_s}
         return {
             name: round(now_s - at_s, 3)
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
@@ -30,12 +30,14 @@
 from gooseberrydeck_fleet.ids import StepRef, WorkerId
 from gooseberrydeck_fleet.registrations import Registration
 from gooseberrydeck_fleet.scheduler import Scheduler
+from gooseberrydeck_fleet.send_permission import SendObstacle
 from gooseberrydeck_fleet.settings import Timing
 from gooseberrydeck_fleet.state import CLOCK_DRIFT, MAX_TASK_LEASE_S, RunState, Worker
 from gooseberrydeck_fleet.work import JobRecord, JobState
 from gooseberrydeck_fleet.worker_calls import PollReply, StartOutcome, WorkerCalls
 from gooseberrydeck_member.advice_pool import AdviceCompleted, AdvicePool
 from gooseberrydeck_member.authority import AUTHORITY_TIMEOUT_S, Authority
+from gooseberrydeck_member.command_audit import CommandAudit
 from gooseberrydeck_member.committer import (
     CommitDone,
     Committer,
@@ -63,6 +65,7 @@
 from gooseberrydeck_member.stored_state import read_stored_state
 from gooseberrydeck_member.worker_dispatcher import (
     CallFailed,
+    CommandCompleted,
     PollSucceeded,
     StartCompleted,
     WorkerDispatcher,
@@ -161,7 +164,10 @@
         self.audit = RunAudit(self.scheduler, self.known_ends, metrics)
         self.poll_states: dict[WorkerId, WorkerPollState] = {}
         self.response_losses = ResponseLossTracker()
-        self.dispatcher = WorkerDispatcher(self.inbox.put, authority.may_act)
+        self.command_audit = CommandAudit(self.scheduler, self.audit, metrics)
+        self.dispatcher = WorkerDispatcher(
+            self.inbox.put, authority.may_act, self.command_audit
+        )
         # Restarts of workers that have been removed, and may register again.
         self.former_restarts: dict[WorkerId, int] = {}
         self.committer = Committer(
@@ -337,6 +343,7 @@
                 "scheduler was paused", token=self.token, seconds=round(paused_s, 3)
             )
         self.scheduler.authority_confirmed(now_s - self.authority.age_s())
+        self.dispatcher.send_all_due()
         if self.authority.may_act():
             self.scheduler.set_max_advice_requests(self.advice_pool.capacity())
             for command in self.scheduler.decide(now_s, time.time()):
@@ -379,6 +386,8 @@
             self.handle_poll_success(message, now_s)
         elif isinstance(message, StartCompleted):
             self.handle_start_result(message, now_s)
+        elif isinstance(message, CommandCompleted):
+            self.handle_command_result(message)
         elif isinstance(message, CallFailed):
             self.handle_call_failure(message, now_s)
         elif isinstance(message, AdviceCompleted):
@@ -629,6 +638,7 @@
                 if not poll_state.calls_in_flight:
                     self.former_restarts[worker_id] = poll_state.restarts
                     self.known_ends.worker_forgotten(worker_id)
+                    self.dispatcher.worker_forgotten(worker_id)
                     del self.poll_states[worker_id]
                 continue
             until_ms = self.scheduler.lease_until_ms(worker, now_s)
@@ -686,7 +696,7 @@
             self.report_gap(worker.id, reply, before)
         self.scheduler.poll_answered(message.worker, reply, now_s)
         for end in reply.ends:
-            self.dispatcher.run_ended(end.task, end.run)
+            self.dispatcher.run_ended(worker.id, end.task, end.run)
         self.audit.ends_listed(worker.id, reply, before, poll_state.acknowledged, now_s)
         # The worker responds at once while it lists ends.
         last_seen = poll_state.last_seen(worker.entry.born_ms)
@@ -838,20 +848,30 @@
         return worker_token(self.token, self.former_restarts.get(worker, 0))
 
     def handle_start_result(self, message: StartCompleted, now_s: float) -> None:
-        """Apply the result of a start command."""
+        """Apply the result of a start command, unless it is sent once more."""
+        if self.dispatcher.complete(message):
+            self.scheduler.start_repeated(message.worker, message.task, message.run)
+        else:
+            self.apply_start_result(message, now_s)
+        self.dispatcher.send_due(message.worker)
+
+    def apply_start_result(self, message: StartCompleted, now_s: float) -> None:
+        """Apply the last result of a start command."""
         if message.outcome is None:
-            log.warning(
-                "start withdrawn" if message.is_withdrawn else "start unanswered",
-                job=message.task.job,
-                task=message.task[1:],
-                run=message.run,
-                worker=message.worker,
-                was_sent=message.was_sent,
-            )
+            is_withdrawn = message.obstacle is not None
+            if not is_withdrawn:
+                log.warning(
+                    "start unanswered",
+                    job=message.task.job,
+                    task=message.task[1:],
+                    run=message.run,
+                    worker=message.worker,
+                    was_sent=message.was_sent,
+                )
             self.scheduler.start_unanswered(
                 message.worker, message.task, message.run, message.was_sent
             )
-            if not (message.is_fenced or message.is_withdrawn):
+            if not (message.is_fenced or is_withdrawn):
                 self.scheduler.worker_silent(message.worker, now_s)
                 self.dispatcher.worker_silent(message.worker)
             return
@@ -873,6 +893,15 @@
             message.is_repeat,
         )
 
+    def handle_command_result(self, message: CommandCompleted) -> None:
+        """Free the thread of a stop or throttle command."""
+        command = message.command
+        self.dispatcher.complete(message)
+        has_changed = message.obstacle not in (None, SendObstacle.SUPERSEDED)
+        if has_changed and isinstance(command, ThrottleRun):
+            self.scheduler.throttle_withdrawn(command.worker, command.task, command.run)
+        self.dispatcher.send_due(command.worker)
+
     def handle_advice_result(self, message: AdviceCompleted, now_s: float) -> None:
         """Apply advice about a step, or the failure to obtain it."""
         advice: Advice | None = message.advice
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/worker_dispatcher.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/worker_dispatcher.py
@@ -1,28 +1,36 @@
 """Calls to workers, made in executors and reported back as messages."""
 
-import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from concurrent.futures import Executor, ThreadPoolExecutor
+from typing import Protocol
 
-import msgspec
-
+from gooseberrydeck_coordination.clock import Clock, SystemClock
 from gooseberrydeck_coordination.ids import Epoch
-from gooseberrydeck_fleet.commands import StartRun, StopRun, ThrottleRun
+from gooseberrydeck_fleet.commands import (
+    RunCommand,
+    StartRun,
+    StopRun,
+    ThrottleRun,
+)
 from gooseberrydeck_fleet.ids import TaskRef, WorkerId
-from gooseberrydeck_fleet.worker_calls import (
-    PollReply,
-    StartOutcome,
-    WorkerCallError,
-    WorkerCalls,
-    WorkerFencedError,
-    WorkerNotReachedError,
-    WorkerRefusedError,
-    WorkerReplacedError,
+from gooseberrydeck_fleet.send_permission import Obstacle, SendObstacle
+from gooseberrydeck_fleet.worker_calls import WorkerCallError, WorkerCalls
+from gooseberrydeck_member.call_results import (
+    CallFailed,
+    CallFailure,
+    CommandCompleted,
+    PollSucceeded,
+    StartCompleted,
+    to_call_failure,
 )
+from gooseberrydeck_member.command_calls import CommandCaller, Post, not_sent
+from gooseberrydeck_member.command_lanes import CommandLanes, Order
 
 __all__ = [
     "CallFailed",
     "CallFailure",
+    "CommandCompleted",
+    "CommandGate",
     "PollSucceeded",
     "StartCompleted",
     "WorkerDispatcher",
@@ -32,7 +40,11 @@
 """One long poll per worker, up to the largest fleet that one scheduler is meant for."""
 
 COMMAND_THREADS = 32
-"""Concurrent start and stop commands; the tasks of a step are sent together."""
+"""Concurrent commands to workers beyond one for each worker; the tasks of a step are
+sent together."""
+
+MAX_COMMANDS = MAX_POLL_THREADS + COMMAND_THREADS
+"""Commands that may be in flight at once; a thread is created only if it is needed."""
 
 POLL_TIMEOUT_S = 0.7
 """Timeout of a poll beyond the time that the worker may hold it; allows for several
@@ -41,90 +53,65 @@
 TIMER_SLACK_S = 0.05
 """A poll that fails this much before its timeout counts as timed out, too."""
 
-COMMAND_TIMEOUT_S = 0.6
-"""Timeout of one command; workers refuse a start that arrives after 1.5 s anyway."""
 
+class CommandGate(Protocol):
+    """What decides at the moment of sending whether a command is still to be sent."""
 
-class PollSucceeded(msgspec.Struct, frozen=True):
-    """The runs and run ends reported by a worker.
-
-    ``sent_s`` is the monotonic time at which the poll was sent, with ``token``.
-    """
-
-    worker: WorkerId
-    reply: PollReply
-    sent_s: float
-    token: Epoch
+    def find_obstacle(
+        self, command: RunCommand, is_repeat: bool, now_s: float
+    ) -> Obstacle | None:
+        """Return what forbids to send a command now, or None.
 
+        ``is_repeat`` is as in ``StartCompleted``.
+        """
 
-class StartCompleted(msgspec.Struct, frozen=True):
-    """The result of a start command; ``outcome`` is None without a response.
-
-    ``was_sent`` is false if the command certainly did not reach the worker.
-    ``is_repeat`` says that an earlier attempt had no response, ``is_fenced`` that the
-    worker responded and had seen a higher token. ``is_withdrawn`` says that the command
-    or its second attempt was not sent, since the run was stopped or its end was listed,
-    or since the worker had fallen silent.
-    """
+    def sending(
+        self, command: RunCommand, is_repeat: bool, waited_s: float, now_s: float
+    ) -> None:
+        """Take note of a command that is handed to a thread."""
 
-    worker: WorkerId
-    task: TaskRef
-    run: int
-    outcome: StartOutcome | None
-    was_sent: bool = True
-    is_repeat: bool = False
-    is_fenced: bool = False
-    is_withdrawn: bool = False
+    def withdrawn(
+        self, command: RunCommand, is_repeat: bool, obstacle: Obstacle, waited_s: float
+    ) -> None:
+        """Take note of a command that is not sent."""
 
 
-class CallFailure(msgspec.Struct, frozen=True):
-    """The reason of a failed call.
+class WorkerDispatcher:
+    """Call workers from executors, so that the scheduler thread never blocks.
 
-    ``is_replaced`` means that another process answers in the worker's place,
-    ``is_refused`` that the connection was refused, and ``is_fenced`` that the worker
-    has seen a higher token. With none of them, the worker did not respond, within the
-    time of the call if ``has_timed_out``.
+    Commands wait in lanes that the scheduler thread owns, and are checked again when
+    they leave these. All methods but ``execute_poll`` are for the scheduler thread.
     """
 
-    is_replaced: bool = False
-    is_refused: bool = False
-    is_fenced: bool = False
-    has_timed_out: bool = False
-    detail: str = ""
-
-
-class CallFailed(msgspec.Struct, frozen=True):
-    """A poll or command failed, or a start for a reason that concerns the worker."""
-
-    worker: WorkerId
-    is_poll: bool
-    failure: CallFailure
-    token: Epoch
-    sent_s: float = 0.0
-    """Monotonic time; set for polls only."""
-
-
-Post = Callable[[object], None]
-
-
-class WorkerDispatcher:
-    """Call workers from executors, so that the scheduler thread never blocks."""
-
-    def __init__(self, post: Post, may_send: Callable[[], bool]) -> None:
+    def __init__(
+        self,
+        post: Post,
+        may_send: Callable[[], bool],
+        gate: CommandGate,
+        clock: Clock | None = None,
+        poll_executor: Executor | None = None,
+        command_executor: Executor | None = None,
+    ) -> None:
         """Create the executors; ``post`` receives the results.
 
-        Runs are started and stopped, and leases extended, only while ``may_send()`` is
-        true. Each call carries the fencing token with which it was submitted.
+        Commands are sent, and leases extended, only while ``may_send()`` is true. Each
+        call carries the fencing token with which it was submitted.
         """
         self.post = post
         self.may_send = may_send
+        self.gate = gate
+        self.clock = clock or SystemClock()
+        self.caller = CommandCaller(post, may_send)
         self.calls: dict[WorkerId, WorkerCalls] = {}
-        # Starts that may still be sent, or sent once more.
-        self.unsent_starts: set[tuple[TaskRef, int]] = set()
-        # Commands to these are dropped: each would keep a thread from the others.
+        self.lanes = CommandLanes(COMMAND_THREADS, MAX_COMMANDS)
+        # Commands to these are dropped until they answer a poll.
         self.silent_workers: set[WorkerId] = set()
-        self.poll_executor: Executor = ThreadPoolExecutor(MAX_POLL_THREADS, "hold")
-        self.command_executor: Executor = ThreadPoolExecutor(COMMAND_THREADS, "order")
+        self.poll_executor: Executor = poll_executor or ThreadPoolExecutor(
+            MAX_POLL_THREADS, "hold"
+        )
+        self.command_executor: Executor = command_executor or ThreadPoolExecutor(
+            MAX_COMMANDS, "order"
+        )
 
     def connect(self, worker: WorkerId, calls: WorkerCalls) -> None:
         """Set the client of a worker, closing its previous one."""
@@ -133,6 +120,8 @@
         if previous is not None:
             previous.close()
 
+    # Polls.
+
     def poll(
         self,
         worker: WorkerId,
@@ -160,138 +149,148 @@
     ) -> None:
         """Send a poll and post its result."""
         calls = self.calls[worker]
-        sent_s = time.monotonic()
+        sent_s = self.clock.monotonic()
         # Without authority the lease is not extended, but ends are still collected.
         lease = until_ms if self.may_send() else None
         try:
             reply = calls.poll(token, last_seen, lease, wait_s, POLL_TIMEOUT_S)
         except WorkerCallError as error:
             timeout_s = wait_s + POLL_TIMEOUT_S
-            has_timed_out = time.monotonic() - sent_s >= timeout_s - TIMER_SLACK_S
+            has_timed_out = self.clock.monotonic() - sent_s >= timeout_s - TIMER_SLACK_S
             failure = to_call_failure(error, has_timed_out)
             self.post(CallFailed(worker, True, failure, token, sent_s))
         else:
             self.post(PollSucceeded(worker, reply, sent_s, token))
 
-    def start(self, command: StartRun, token: Epoch) -> None:
-        """Send a start command, unless its run is stopped before that."""
-        self.unsent_starts.add((command.request.task, command.request.run))
-        self.command_executor.submit(self.execute_start, command, token)
+    # What the scheduler thread learns of workers and runs.
 
     def worker_silent(self, worker: WorkerId) -> None:
         """Send no more commands to a worker until it answers a poll."""
         self.silent_workers.add(worker)
+        self.withdraw(self.lanes.take_waiting(worker), SendObstacle.WORKER_SILENT)
 
     def worker_answered(self, worker: WorkerId) -> None:
         """Send commands to a worker again that has answered a poll."""
         self.silent_workers.discard(worker)
+        self.lanes.answered(worker, self.clock.monotonic())
 
-    def run_ended(self, task: TaskRef, run: int) -> None:
-        """Record that a worker has listed the end of a run."""
-        self.unsent_starts.discard((task, run))
+    def worker_forgotten(self, worker: WorkerId) -> None:
+        """Drop what is known of a worker that is not polled any more."""
+        self.silent_workers.discard(worker)
+        self.lanes.forget(worker)
+        self.withdraw(self.lanes.take_waiting(worker), SendObstacle.WORKER_FORGOTTEN)
+        calls = self.calls.pop(worker, None)
+        if calls is not None:
+            calls.close()
 
-    def execute_start(self, command: StartRun, token: Epoch) -> None:
-        """Send a start command and post the result."""
-        result = self.try_start(command, token)
-        self.unsent_starts.discard((command.request.task, command.request.run))
-        self.post(result)
+    def run_ended(self, worker: WorkerId, task: TaskRef, run: int) -> None:
+        """Record that a worker has listed the end of a run: its start isn't sent."""
+        obstacle = SendObstacle.RUN_ENDED
+        orders = self.lanes.withdraw_start(worker, task, run, obstacle)
+        self.withdraw(orders, obstacle)
 
-    def try_start(self, command: StartRun, token: Epoch) -> StartCompleted:
-        """Send a start command, and repeat it once without a response.
+    # Commands.
 
-        No second attempt is made if the worker cannot have received the first one. None
-        is made once the run has to stop or has ended, or the worker has fallen silent.
-        """
-        request = command.request
-        key = request.task, request.run
-        was_sent = is_fenced = is_withdrawn = False
-        for _ in range(2):
-            is_silent = command.worker in self.silent_workers
-            is_withdrawn = is_silent or key not in self.unsent_starts
-            if is_withdrawn or not self.may_send():
-                break
-            calls = self.calls[command.worker]
-            try:
-                outcome, _ = calls.start(request, token, COMMAND_TIMEOUT_S)
-            except WorkerNotReachedError:
-                break
-            except (
-                WorkerRefusedError,
-                WorkerReplacedError,
-                WorkerFencedError,
-            ) as error:
-                failure = to_call_failure(error)
-                is_fenced = failure.is_fenced
-                self.post(CallFailed(command.worker, False, failure, token))
-                break
-            except WorkerCallError:
-                was_sent = True
-                continue
-            return StartCompleted(
-                command.worker, request.task, request.run, outcome, is_repeat=was_sent
-            )
-        return StartCompleted(
-            command.worker,
-            request.task,
-            request.run,
-            None,
-            was_sent,
-            is_fenced=is_fenced,
-            is_withdrawn=is_withdrawn,
-        )
+    def start(self, command: StartRun, token: Epoch) -> None:
+        """Send a start command once its worker has a thread, if it is still to be."""
+        self.add(command, token)
 
     def stop(self, command: StopRun, token: Epoch) -> None:
         """Send a stop command; the scheduler repeats it until the end is reported.
 
-        A start of the run that still waits for a thread is withdrawn.
+        A start of the run that waits, also for its second attempt, is withdrawn.
         """
-        self.unsent_starts.discard((command.task, command.run))
-        self.command_executor.submit(self.execute_stop, command, token)
-
-    def execute_stop(self, command: StopRun, token: Epoch) -> None:
-        """Send a stop command and post a message if it fails."""
-        if not self.may_send() or command.worker in self.silent_workers:
-            return
-        calls = self.calls[command.worker]
-        try:
-            calls.stop(command.task, command.run, token, COMMAND_TIMEOUT_S)
-        except WorkerCallError as error:
-            failure = to_call_failure(error)
-            self.post(CallFailed(command.worker, False, failure, token))
+        obstacle = SendObstacle.RUN_STOPPED
+        orders = self.lanes.withdraw_start(
+            command.worker, command.task, command.run, obstacle
+        )
+        self.withdraw(orders, obstacle)
+        self.add(command, token)
 
     def throttle(self, command: ThrottleRun, token: Epoch) -> None:
         """Set the speed at which a run may work, in percent."""
-        self.command_executor.submit(self.execute_throttle, command, token)
-
-    def execute_throttle(self, command: ThrottleRun, token: Epoch) -> None:
-        """Send a throttle command and post a message if it fails."""
-        if command.worker in self.silent_workers:
-            return
-        calls = self.calls[command.worker]
-        try:
-            calls.throttle(
-                command.task,
-                command.run,
-                command.percent,
-                token,
-                COMMAND_TIMEOUT_S,
-            )
-        except WorkerCallError as error:
-            failure = to_call_failure(error)
-            self.post(CallFailed(command.worker, False, failure, token))
+        self.add(command, token)
+
+    def add(self, command: RunCommand, token: Epoch) -> None:
+        """Add a command to its worker's lane, and send what is due there."""
+        replaced = self.lanes.add(Order(command, token, self.clock.monotonic()))
+        if replaced is not None:
+            self.withdraw([replaced], SendObstacle.SUPERSEDED)
+        self.send_due(command.worker)
+
+    def send_all_due(self) -> None:
+        """Send the commands that have waited and that threads are free for now."""
+        for worker in self.lanes.waiting_workers():
+            self.send_due(worker)
+
+    def send_due(self, worker: WorkerId) -> None:
+        """Send the commands to a worker that threads are free for now."""
+        now_s = self.clock.monotonic()
+        while (order := self.lanes.take_next(worker, now_s)) is not None:
+            obstacle = self.find_obstacle(order, now_s)
+            if obstacle is not None:
+                self.withdraw([order], obstacle)
+                continue
+            command = order.command
+            self.lanes.sent(order, now_s)
+            self.gate.sending(command, order.is_repeat, now_s - order.decided_s, now_s)
+            self.command_executor.submit(self.caller.execute, order, self.calls[worker])
+
+    def find_obstacle(self, order: Order, now_s: float) -> Obstacle | None:
+        """Return what forbids to send a command now, or None."""
+        worker = order.command.worker
+        if worker not in self.calls:
+            return SendObstacle.WORKER_FORGOTTEN
+        if worker in self.silent_workers:
+            return SendObstacle.WORKER_SILENT
+        if not self.may_send():
+            return SendObstacle.NO_AUTHORITY
+        return self.gate.find_obstacle(order.command, order.is_repeat, now_s)
+
+    def withdraw(self, orders: Iterable[Order], obstacle: Obstacle) -> None:
+        """Report commands that are not sent."""
+        for order in orders:
+            self.report_withdrawn(order, obstacle)
+            self.post(not_sent(order, obstacle))
+
+    def report_withdrawn(self, order: Order, obstacle: Obstacle) -> None:
+        """Have a command logged and counted that is not sent."""
+        waited_s = self.clock.monotonic() - order.decided_s
+        self.gate.withdrawn(order.command, order.is_repeat, obstacle, waited_s)
+
+    def complete(self, message: StartCompleted | CommandCompleted) -> bool:
+        """Free the thread of a command; return True if it is to be sent once more.
+
+        The second attempt of a start without a response waits like other commands, and
+        the result of the first one is not the last word. The caller calls ``send_due``
+        when it has applied the result.
+        """
+        worker = worker_of(message)
+        order = self.lanes.completed(
+            worker, message.number, message.has_response, self.clock.monotonic()
+        )
+        if order is None:
+            return False
+        if message.obstacle is not None:
+            self.report_withdrawn(order, message.obstacle)
+            return False
+        if not (isinstance(message, StartCompleted) and message.may_be_repeated):
+            return False
+        repeat = Order(order.command, order.token, self.clock.monotonic(), True)
+        if order.repeat_obstacle is None:
+            self.lanes.add_repeat(repeat)
+        else:
+            self.withdraw([repeat], order.repeat_obstacle)
+        return True
 
     def close(self) -> None:
-        """Drop queued calls; calls in flight run to their end."""
+        """Drop waiting calls; calls in flight run to their end."""
         self.poll_executor.shutdown(wait=False, cancel_futures=True)
         self.command_executor.shutdown(wait=False, cancel_futures=True)
 
 
-def to_call_failure(error: WorkerCallError, has_timed_out: bool = False) -> CallFailure:
-    """Return the failure that an exception of a worker call stands for."""
-    return CallFailure(
-        is_replaced=isinstance(error, WorkerReplacedError),
-        is_refused=isinstance(error, WorkerRefusedError),
-        is_fenced=isinstance(error, WorkerFencedError),
-        has_timed_out=has_timed_out,
-        detail=f"{type(error).__name__}: {error}",
-    )
+def worker_of(message: StartCompleted | CommandCompleted) -> WorkerId:
+    """Return the worker that a command was for."""
+    if isinstance(message, StartCompleted):
+        return message.worker
+    return message.command.worker
--- a/tests/member/test_run_audit.py
+++ b/tests/member/test_run_audit.py
@@ -33,7 +33,11 @@
 from gooseberrydeck_member.peers import PeerClient
 from gooseberrydeck_member.scheduler_task import SchedulerTask
 from gooseberrydeck_member.shard_lock import ShardLock
-from gooseberrydeck_member.worker_dispatcher import PollSucceeded, WorkerDispatcher
+from gooseberrydeck_member.worker_dispatcher import (
+    CommandGate,
+    PollSucceeded,
+    WorkerDispatcher,
+)
 from gooseberrydeck_standins.engine_store import EngineStore
 from gooseberrydeck_standins.store_engine import StoreEngine
 
@@ -48,9 +52,9 @@
 class RecordingDispatcher(WorkerDispatcher):
     """Record starts and acknowledgements instead of sending them."""
 
-    def __init__(self) -> None:
+    def __init__(self, gate: CommandGate) -> None:
         """Start without calls."""
-        super().__init__(lambda _message: None, lambda: True)
+        super().__init__(lambda _message: None, lambda: True, gate)
         self.starts: list[StartRun] = []
         self.last_seen = 0
 
@@ -93,7 +97,9 @@
             Metrics(),
             was_silent=False,
         )
-        self.dispatcher = self.task.dispatcher = RecordingDispatcher()
+        self.dispatcher = self.task.dispatcher = RecordingDispatcher(
+            self.task.command_audit
+        )
         self.scheduler = self.task.scheduler
         self.scheduler.set_configuration(fleet.configuration)
         self.now_s = time.monotonic()
--- a/tests/member/test_scheduler_task.py
+++ b/tests/member/test_scheduler_task.py
@@ -27,6 +27,7 @@
 from gooseberrydeck_fleet.ids import StepRef, TaskRef, WorkerId
 from gooseberrydeck_fleet.poll_replies import HELD_POLL_S
 from gooseberrydeck_fleet.registrations import Registration
+from gooseberrydeck_fleet.send_permission import SendObstacle
 from gooseberrydeck_fleet.work import JobRecord, StepSpec, WorkSpec
 from gooseberrydeck_fleet.worker_calls import PollReply, WorkerCalls
 from gooseberrydeck_member.advice_pool import AdvicePool
@@ -171,7 +172,8 @@
         known = task.scheduler.ledger.workers[worker]
         known.is_reachable = True
         ref = TaskRef(JobId("a"), 0, 0, 0)
-        withdrawn = StartCompleted(worker, ref, 1, None, False, is_withdrawn=True)
+        silent = SendObstacle.WORKER_SILENT
+        withdrawn = StartCompleted(worker, ref, 1, None, False, obstacle=silent)
         task.handle(withdrawn, 0.0)
         assert known.is_reachable
         task.handle(StartCompleted(worker, ref, 1, None), 0.0)
--- a/tests/member/test_worker_lives.py
+++ b/tests/member/test_worker_lives.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 from concurrent.futures import Executor, Future
-from types import SimpleNamespace
 from typing import ParamSpec, TypeVar
 
 import pytest
@@ -27,7 +26,6 @@
     WorkerReply,
     WorkerSilentError,
 )
-from gooseberrydeck_member import worker_dispatcher
 from gooseberrydeck_member.advice_pool import AdvicePool
 from gooseberrydeck_member.authority import Authority, boottime_clock_s
 from gooseberrydeck_member.observability import Metrics
@@ -151,11 +149,9 @@
 class PolledWorker:
     """A scheduler task with one in-memory worker, driven by a manual clock."""
 
-    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+    def __init__(self) -> None:
         """Create a task whose worker has reported."""
         self.clock = ManualClock()
-        clock = SimpleNamespace(monotonic=self.clock.monotonic)
-        monkeypatch.setattr(worker_dispatcher, "time", clock)
         self.calls = EngineCalls(self.clock)
         self.calls_by_worker = {WORKER: self.calls}
         self.messages: list[object] = []
@@ -191,9 +187,14 @@
             Metrics(),
             was_silent=False,
         )
-        task.dispatcher = WorkerDispatcher(self.messages.append, lambda: True)
-        task.dispatcher.poll_executor = InlineExecutor()
-        task.dispatcher.command_executor = InlineExecutor()
+        task.dispatcher = WorkerDispatcher(
+            self.messages.append,
+            lambda: True,
+            task.command_audit,
+            self.clock,
+            InlineExecutor(),
+            InlineExecutor(),
+        )
         return task
 
     def connect(self, entry: Registration) -> WorkerCalls:
@@ -270,8 +271,8 @@
 
 
 @pytest.fixture
-def polled(monkeypatch: pytest.MonkeyPatch) -> PolledWorker:
-    return PolledWorker(monkeypatch)
+def polled() -> PolledWorker:
+    return PolledWorker()
 
 
 class TestRestartReports:
