Check a command again at the moment of sending

It is now checked when it leaves its lane, by one function: `SendPermission.find_obstacle`. Each condition is one that held at the decision, with the run itself counted, so that a start isn't decided and dropped in turn.

--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/command_audit.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/command_audit.py
@@ -30,8 +30,9 @@
 
         A repeated start isn't refused like a first one, since its run may exist.
         """
-        if not isinstance(command, StartRun):
-            return None
+        obstacle = self.scheduler.find_send_obstacle(command, now_s)
+        if obstacle is not None or not isinstance(command, StartRun):
+            return obstacle
         if is_repeat:
             may_start = self.runs.find_evidence(command) is None
         else:
