Take the scheduler's task apart, and let its clock and threads be injected

No behaviour changes.

threads.py names what creates executors and events. SchedulerTask, WorkerDispatcher, Committer, JobLookups, StoreFollower, RunAudit, AdvicePool and read_stored_state take a clock or threads, Authority its clock; the defaults are those of the system.

Tests reach the parts where they are now; their assertions are unchanged. test_worker_lives passes the dispatcher its clock in place of replacing the module's.

--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/advice_pool.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/advice_pool.py
@@ -5,16 +5,16 @@
 """
 
 import threading
-import time
 from collections.abc import Callable
-from concurrent.futures import ThreadPoolExecutor
 
 import msgspec
 
+from gooseberrydeck_coordination.clock import Clock
 from gooseberrydeck_fleet.advice import Advice, AdviceFailedError, Adviser
 from gooseberrydeck_fleet.commands import AskAdvice
 from gooseberrydeck_fleet.ids import StepRef
 from gooseberrydeck_member.peers import PeerClient
+from gooseberrydeck_member.threads import SYSTEM_CLOCK, SYSTEM_THREADS, Threads
 
 __all__ = ["AdviceCompleted", "AdvicePool"]
 
@@ -39,14 +39,21 @@
 class AdvicePool:
     """Send each request through a member that has none in flight."""
 
-    def __init__(self, adviser: Adviser | None, peers: PeerClient) -> None:
+    def __init__(
+        self,
+        adviser: Adviser | None,
+        peers: PeerClient,
+        clock: Clock = SYSTEM_CLOCK,
+        threads: Threads = SYSTEM_THREADS,
+    ) -> None:
         """Start with this member only; without an ``adviser`` its requests fail."""
         self.adviser = adviser
         self.peers = peers
+        self.clock = clock
         self.lock = threading.Lock()
         self.addresses: tuple[str, ...] = ()
         self.busy: set[str] = set()
-        self.executor = ThreadPoolExecutor(MAX_CONCURRENT_REQUESTS, "advice")
+        self.executor = threads.executor(MAX_CONCURRENT_REQUESTS, "advice")
 
     def set_peers(self, addresses: tuple[str, ...]) -> None:
         """Set the addresses of the other members to send requests through."""
@@ -75,7 +82,7 @@
     def run(self, command: AskAdvice, post: Callable[[object], None]) -> None:
         """Send a request through a free member and post its result."""
         address = self.acquire_member()
-        asked_s = time.monotonic()
+        asked_s = self.clock.monotonic()
         try:
             if address:
                 advice = self.peers.advise(
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/authority.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/authority.py
@@ -1,6 +1,7 @@
 """The time limit on acting as the holder without confirmation by the store."""
 
 import time
+from collections.abc import Callable
 
 __all__ = ["AUTHORITY_TIMEOUT_S", "Authority"]
 
@@ -25,9 +26,13 @@
 class Authority:
     """Permission to send commands, which expires without confirmation by the store."""
 
-    def __init__(self) -> None:
-        """Start as confirmed now, because a claim has just succeeded."""
-        self.confirmed_s = boottime_clock_s()
+    def __init__(self, now_s: Callable[[], float] | None = None) -> None:
+        """Start as confirmed now, because a claim has just succeeded.
+
+        ``now_s`` returns the time, by default that of ``boottime_clock_s``.
+        """
+        self.now_s = now_s or boottime_clock_s
+        self.confirmed_s = self.now_s()
         self.is_revoked = False
         # When the store was last asked, whether or not it responded.
         self.asked_s = self.confirmed_s
@@ -38,8 +43,7 @@
     def confirm(self, sent_s: float) -> None:
         """Extend the permission after a successful call sent at ``sent_s``.
 
-        The time counts from when the call was sent, on the clock of
-        ``boottime_clock_s``.
+        The time counts from when the call was sent, on the clock of ``now_s``.
         """
         self.confirmed_s = max(self.confirmed_s, sent_s)
         self.asked_s = max(self.asked_s, sent_s)
@@ -50,7 +54,7 @@
 
     def round_begins(self) -> float:
         """Record a round of the scheduler; return how long it was paused, or 0."""
-        now_s = boottime_clock_s()
+        now_s = self.now_s()
         paused_s = 0.0
         if self.round_s is not None and now_s - self.round_s > PAUSE_LIMIT_S:
             paused_s = now_s - self.round_s
@@ -64,7 +68,7 @@
 
     def age_s(self) -> float:
         """Return the time since the store last confirmed the lock, in seconds."""
-        return boottime_clock_s() - self.confirmed_s
+        return self.now_s() - self.confirmed_s
 
     def may_act(self) -> bool:
         """Return whether commands may be sent now.
@@ -76,5 +80,5 @@
             return False
         if self.round_s is None:
             return True
-        is_paused = boottime_clock_s() - self.round_s > PAUSE_LIMIT_S
+        is_paused = self.now_s() - self.round_s > PAUSE_LIMIT_S
         return not is_paused and self.asked_s >= self.resumed_s
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/committer.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/committer.py
@@ -4,13 +4,12 @@
 behind a slow store that took a quarter of a second for each response.
 """
 
-import time
 from collections.abc import Callable
-from concurrent.futures import ThreadPoolExecutor
 
 import msgspec
 import structlog
 
+from gooseberrydeck_coordination.clock import Clock
 from gooseberrydeck_coordination.exceptions import StoreError
 from gooseberrydeck_coordination.ids import Revision
 from gooseberrydeck_coordination.store import Put, Store, Transaction
@@ -29,6 +28,7 @@
     ShardLostError,
     mod_revision_equals,
 )
+from gooseberrydeck_member.threads import SYSTEM_CLOCK, SYSTEM_THREADS, Threads
 
 __all__ = ["CommitDone", "Committer", "WorkersRecorded"]
 
@@ -91,6 +91,8 @@
         changes: ChangeLog,
         metrics: Metrics,
         post: Callable[[object], None],
+        clock: Clock = SYSTEM_CLOCK,
+        threads: Threads = SYSTEM_THREADS,
     ) -> None:
         """Start without transactions; ``post`` receives the result of each.
 
@@ -103,7 +105,8 @@
         self.changes = changes
         self.metrics = metrics
         self.post = post
-        self.executor = ThreadPoolExecutor(MAX_COMMITS_IN_FLIGHT, "commit")
+        self.clock = clock
+        self.executor = threads.executor(MAX_COMMITS_IN_FLIGHT, "commit")
         self.max_in_flight = MAX_COMMITS_IN_FLIGHT
         self.in_flight = 0
         self.due_s = 0.0
@@ -128,7 +131,7 @@
             )
             return {}
         self.due_s = 0.0
-        changes = self.changes.take_batch(MAX_COMMIT_ENTRIES, time.time())
+        changes = self.changes.take_batch(MAX_COMMIT_ENTRIES, self.clock.wall())
         if not changes.is_empty:
             self.in_flight += 1
             self.executor.submit(self.commit, changes)
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/job_lookups.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/job_lookups.py
@@ -1,8 +1,6 @@
 """Lookups in the store of jobs that only workers have reported."""
 
-import threading
 from collections.abc import Callable
-from concurrent.futures import ThreadPoolExecutor
 
 import msgspec
 import structlog
@@ -13,6 +11,7 @@
 from gooseberrydeck_fleet.progress import Progress, decode_progress
 from gooseberrydeck_fleet.work import EndedJob, JobRecord, JobState
 from gooseberrydeck_member.keys import ended_key, job_key, progress_key
+from gooseberrydeck_member.threads import SYSTEM_THREADS, Threads
 
 __all__ = ["JobAbsent", "JobFound", "JobLookups", "LookupFailed"]
 
@@ -57,12 +56,17 @@
     a job that it doesn't know can't change meanwhile.
     """
 
-    def __init__(self, store: Store, post: Callable[[object], None]) -> None:
+    def __init__(
+        self,
+        store: Store,
+        post: Callable[[object], None],
+        threads: Threads = SYSTEM_THREADS,
+    ) -> None:
         """Create the executor; ``post`` receives the result of each lookup."""
         self.store = store
         self.post = post
-        self.closed = threading.Event()
-        self.executor = ThreadPoolExecutor(CONCURRENT_LOOKUPS, "lookup")
+        self.closed = threads.event()
+        self.executor = threads.executor(CONCURRENT_LOOKUPS, "lookup")
 
     def look_up(self, job: JobId) -> None:
         """Look up a job in the background."""
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/run_audit.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/run_audit.py
@@ -4,10 +4,9 @@
 scheduler believes of the task.
 """
 
-import time
-
 import structlog
 
+from gooseberrydeck_coordination.clock import Clock
 from gooseberrydeck_coordination.ids import Epoch
 from gooseberrydeck_fleet.commands import StartRun
 from gooseberrydeck_fleet.ids import TaskRef, WorkerId
@@ -17,6 +16,7 @@
 from gooseberrydeck_fleet.worker_calls import PollReply
 from gooseberrydeck_member.known_ends import EndEvidence, KnownEnd, KnownEnds
 from gooseberrydeck_member.observability import Metrics
+from gooseberrydeck_member.threads import SYSTEM_CLOCK
 
 __all__ = ["RunAudit"]
 
@@ -27,12 +27,17 @@
     """Check, log and count the starts and ends of runs."""
 
     def __init__(
-        self, scheduler: Scheduler, known_ends: KnownEnds, metrics: Metrics
+        self,
+        scheduler: Scheduler,
+        known_ends: KnownEnds,
+        metrics: Metrics,
+        clock: Clock = SYSTEM_CLOCK,
     ) -> None:
         """Check the starts of ``scheduler`` against ``known_ends``."""
         self.scheduler = scheduler
         self.known_ends = known_ends
         self.metrics = metrics
+        self.clock = clock
 
     # Starts.
 
@@ -89,7 +94,7 @@
     def input_ages(self, job: Job, task: TaskRef) -> dict[str, float]:
         """Return, in seconds, how long ago a task became ready and advice arrived."""
         step = job.steps[task.step_ref]
-        now_s = time.monotonic()
+        now_s = self.clock.monotonic()
         times = {"ready_age_s": step.ready_s, "advice_age_s": step.advice.answered_s}
         return {
             name: round(now_s - at_s, 3)
@@ -100,7 +105,7 @@
     def observe_wait(self, job: Job) -> None:
         """Record a job's waiting time in the metrics when its first run starts."""
         if job.state is JobState.QUEUED and len(job.runs) == 1:
-            waited_s = max(0.0, time.time() - job.record.accepted_s)
+            waited_s = max(0.0, self.clock.wall() - job.record.accepted_s)
             self.metrics.wait_seconds.labels(job.record.queue).observe(waited_s)
 
     # Ends.
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/store_follower.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/store_follower.py
@@ -1,6 +1,5 @@
 """Following changes below a key prefix in the store."""
 
-import threading
 from collections.abc import Callable
 
 import msgspec
@@ -9,6 +8,7 @@
 from gooseberrydeck_coordination.exceptions import StoreCompactedError, StoreError
 from gooseberrydeck_coordination.ids import Revision
 from gooseberrydeck_coordination.store import Entry, Store, WatchBatch
+from gooseberrydeck_member.threads import SYSTEM_THREADS, Threads
 
 __all__ = ["PrefixChanged", "PrefixRead", "StoreFollower"]
 
@@ -45,14 +45,18 @@
     """Read a prefix once, then watch it and post its changes."""
 
     def __init__(
-        self, store: Store, prefix: str, post: Callable[[object], None]
+        self,
+        store: Store,
+        prefix: str,
+        post: Callable[[object], None],
+        threads: Threads = SYSTEM_THREADS,
     ) -> None:
         """Follow ``prefix``; ``post`` is called in the follower's thread."""
         self.name = f"follow {prefix}"
         self.store = store
         self.prefix = prefix
         self.post = post
-        self.stopping = threading.Event()
+        self.stopping = threads.event()
         self.revision: Revision | None = None
         self.is_lost = False
 
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/stored_state.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/stored_state.py
@@ -1,7 +1,6 @@
 """The state that a new holder reads from the store."""
 
 from collections.abc import Mapping
-from concurrent.futures import ThreadPoolExecutor
 
 import msgspec
 
@@ -12,6 +11,7 @@
 from gooseberrydeck_fleet.registrations import Registration
 from gooseberrydeck_fleet.work import JobRecord
 from gooseberrydeck_member.keys import JOB_PREFIX, PROGRESS_PREFIX, WORKERS_KEY
+from gooseberrydeck_member.threads import SYSTEM_THREADS, Threads
 
 __all__ = ["StoredState", "read_stored_state"]
 
@@ -44,14 +44,17 @@
 
 
 def read_stored_state(
-    store: Store, registrations: str, timeout_s: float
+    store: Store,
+    registrations: str,
+    timeout_s: float,
+    threads: Threads = SYSTEM_THREADS,
 ) -> StoredState:
     """Read the stored state, with worker registrations below ``registrations``.
 
     The shard must be held, so that no other member writes progress or the record of
     workers meanwhile. Raises a ``StoreError`` if any of the reads fails.
     """
-    with ThreadPoolExecutor(CONCURRENT_READS, "load") as readers:
+    with threads.executor(CONCURRENT_READS, "load") as readers:
         workers_read = readers.submit(store.read, WORKERS_KEY, timeout_s)
         registered, progress, jobs = readers.map(
             lambda prefix: store.read_prefix(prefix, timeout_s),
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/worker_dispatcher.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/worker_dispatcher.py
@@ -1,11 +1,11 @@
 """Calls to workers, made in executors and reported back as messages."""
 
-import time
 from collections.abc import Callable
 from concurrent.futures import Executor, ThreadPoolExecutor
 
 import msgspec
 
+from gooseberrydeck_coordination.clock import Clock
 from gooseberrydeck_coordination.ids import Epoch
 from gooseberrydeck_fleet.commands import StartRun, StopRun, ThrottleRun
 from gooseberrydeck_fleet.ids import TaskRef, WorkerId
@@ -19,10 +19,13 @@
     WorkerRefusedError,
     WorkerReplacedError,
 )
+from gooseberrydeck_member.threads import SYSTEM_CLOCK
 
 __all__ = [
+    "COMMAND_THREADS",
     "CallFailed",
     "CallFailure",
+    "MAX_POLL_THREADS",
     "PollSucceeded",
     "StartCompleted",
     "WorkerDispatcher",
@@ -110,21 +113,33 @@
 class WorkerDispatcher:
     """Call workers from executors, so that the scheduler thread never blocks."""
 
-    def __init__(self, post: Post, may_send: Callable[[], bool]) -> None:
-        """Create the executors; ``post`` receives the results.
+    def __init__(
+        self,
+        post: Post,
+        may_send: Callable[[], bool],
+        clock: Clock = SYSTEM_CLOCK,
+        poll_executor: Executor | None = None,
+        command_executor: Executor | None = None,
+    ) -> None:
+        """Create a dispatcher whose executors call ``post`` with the results.
 
         Runs are started and stopped, and leases extended, only while ``may_send()`` is
         true. Each call carries the fencing token with which it was submitted.
         """
         self.post = post
         self.may_send = may_send
+        self.clock = clock
         self.calls: dict[WorkerId, WorkerCalls] = {}
         # Starts that may still be sent, or sent once more.
         self.unsent_starts: set[tuple[TaskRef, int]] = set()
         # Commands to these are dropped: each would keep a thread from the others.
         self.silent_workers: set[WorkerId] = set()
-        self.poll_executor: Executor = ThreadPoolExecutor(MAX_POLL_THREADS, "hold")
-        self.command_executor: Executor = ThreadPoolExecutor(COMMAND_THREADS, "order")
+        self.poll_executor = poll_executor or ThreadPoolExecutor(
+            MAX_POLL_THREADS, "hold"
+        )
+        self.command_executor = command_executor or ThreadPoolExecutor(
+            COMMAND_THREADS, "order"
+        )
 
     def connect(self, worker: WorkerId, calls: WorkerCalls) -> None:
         """Set the client of a worker, closing its previous one."""
@@ -160,14 +175,14 @@
     ) -> None:
         """Send a poll and post its result."""
         calls = self.calls[worker]
-        sent_s = time.monotonic()
+        sent_s = self.clock.monotonic()
         # Without authority the lease is not extended, but ends are still collected.
         lease = until_ms if self.may_send() else None
         try:
             reply = calls.poll(token, last_seen, lease, wait_s, POLL_TIMEOUT_S)
         except WorkerCallError as error:
             timeout_s = wait_s + POLL_TIMEOUT_S
-            has_timed_out = time.monotonic() - sent_s >= timeout_s - TIMER_SLACK_S
+            has_timed_out = self.clock.monotonic() - sent_s >= timeout_s - TIMER_SLACK_S
             failure = to_call_failure(error, has_timed_out)
             self.post(CallFailed(worker, True, failure, token, sent_s))
         else:
--- a/tests/member/test_run_audit.py
+++ b/tests/member/test_run_audit.py
@@ -36,6 +36,7 @@
 from gooseberrydeck_member.worker_dispatcher import PollSucceeded, WorkerDispatcher
 from gooseberrydeck_standins.engine_store import EngineStore
 from gooseberrydeck_standins.store_engine import StoreEngine
+from member_support import use_dispatcher
 
 ONE = task_resources()
 WORKER = WorkerId("w0")
@@ -93,13 +94,14 @@
             Metrics(),
             was_silent=False,
         )
-        self.dispatcher = self.task.dispatcher = RecordingDispatcher()
+        self.dispatcher = RecordingDispatcher()
+        use_dispatcher(self.task, self.dispatcher)
         self.scheduler = self.task.scheduler
         self.scheduler.set_configuration(fleet.configuration)
         self.now_s = time.monotonic()
         self.running: dict[tuple[TaskRef, int], None] = {}
         self.ends: list[EndReport] = []
-        self.task.registration_changed(f"servers/{WORKER}", b"", self.now_s)
+        self.task.workers.registration_changed(f"servers/{WORKER}", b"", self.now_s)
         self.step()
         self.step()
 
@@ -114,11 +116,11 @@
     def step(self) -> None:
         """Poll the worker, execute the scheduler's commands and store its changes."""
         self.now_s += 1.0
-        self.task.poll_due_workers(self.now_s)
+        self.task.polls.poll_due_workers(self.now_s)
         runs = tuple(RunReport(*each, "", 50.0) for each in self.running)
         ends = [end for end in self.ends if end.number > self.dispatcher.last_seen]
         reply = PollReply(int(self.now_s * 1000), BORN_MS, runs, tuple(ends))
-        token = self.task.token_of(WORKER)
+        token = self.task.workers.token_of(WORKER)
         self.task.handle(PollSucceeded(WORKER, reply, self.now_s, token), self.now_s)
         sent = len(self.dispatcher.starts)
         for command in self.scheduler.decide(self.now_s, time.time()):
@@ -131,7 +133,9 @@
         """Store all changes and acknowledge the stored ends."""
         log = self.scheduler.changes
         changes = log.take_batch(100, time.time())
-        self.task.acknowledge(log.commit_succeeded(changes, {}, self.now_s), self.now_s)
+        self.task.polls.acknowledge(
+            log.commit_succeeded(changes, {}, self.now_s), self.now_s
+        )
         log.workers_recorded(log.workers_to_record() or [registration(WORKER)])
 
     def end(self, task: Task) -> None:
@@ -327,8 +331,8 @@
         audited.end(next(iter(job.steps.values())).tasks[0])
         assert audited.task.known_ends.unacknowledged[WORKER][1]
         del audited.scheduler.ledger.workers[WORKER]
-        audited.task.poll_states[WORKER].calls_in_flight = 0
-        audited.task.poll_due_workers(audited.now_s + 1.0)
+        audited.task.workers.poll_states[WORKER].calls_in_flight = 0
+        audited.task.polls.poll_due_workers(audited.now_s + 1.0)
         assert WORKER not in audited.task.known_ends.unacknowledged
 
 
@@ -350,7 +354,7 @@
         first = next(iter(job.steps.values())).tasks[0]
         audited.commit = lambda: None  # type: ignore[method-assign]
         audited.end(first)
-        audited.task.poll_states[WORKER].ends_stored(BORN_MS, 1)
+        audited.task.workers.poll_states[WORKER].ends_stored(BORN_MS, 1)
         with capture_logs() as lines:
             audited.step()
         (unstored,) = [line for line in lines if line["event"] == UNSTORED]
--- a/tests/member/test_scheduler_task.py
+++ b/tests/member/test_scheduler_task.py
@@ -40,7 +40,7 @@
 from gooseberrydeck_member.observability import Metrics
 from gooseberrydeck_member.peer_messages import JobAccepted
 from gooseberrydeck_member.peers import PeerClient
-from gooseberrydeck_member.scheduler_task import POLL_WAIT_S, TICK_S, SchedulerTask
+from gooseberrydeck_member.scheduler_task import TICK_S, SchedulerTask
 from gooseberrydeck_member.shard_lock import ShardLock
 from gooseberrydeck_member.store_follower import PrefixChanged, PrefixRead
 from gooseberrydeck_member.worker_dispatcher import (
@@ -48,6 +48,7 @@
     PollSucceeded,
     StartCompleted,
 )
+from gooseberrydeck_member.worker_polls import POLL_WAIT_S
 from gooseberrydeck_standins.engine_store import EngineStore
 from gooseberrydeck_standins.store_engine import StoreEngine
 
@@ -145,11 +146,11 @@
             time.sleep(0.02)
             made_s.append(time.monotonic())
             reply = PollReply(5_000, 1, (), ())
-            token = task.token_of(WORKER)
+            token = task.workers.token_of(WORKER)
             task.inbox.put(PollSucceeded(WORKER, reply, made_s[-1], token))
             return connect(_entry)
 
-        monkeypatch.setattr(task, "connect", connect_slowly)
+        monkeypatch.setattr(task.workers, "connect", connect_slowly)
         monkeypatch.setattr(task.dispatcher, "poll", lambda *_arguments: None)
         entry = Entry(f"{REGISTRATIONS}{WORKER}", b"", Revision(1), 1)
         task.inbox.put(PrefixRead(REGISTRATIONS, (entry,)))
@@ -167,7 +168,7 @@
         self, task: SchedulerTask
     ) -> None:
         worker = WorkerId("w1")
-        task.registration_changed(f"{REGISTRATIONS}{worker}", b"", 0.0)
+        task.workers.registration_changed(f"{REGISTRATIONS}{worker}", b"", 0.0)
         known = task.scheduler.ledger.workers[worker]
         known.is_reachable = True
         ref = TaskRef(JobId("a"), 0, 0, 0)
@@ -204,7 +205,7 @@
         self, task: SchedulerTask, way: str
     ) -> None:
         task.load()
-        task.is_loaded = True
+        task.jobs.is_loaded = True
         record = self.make_record(int(task.token) + 1)
         task.handle(self.messages(record)[way], 0.0)
         assert record.id not in task.scheduler.ledger.jobs
@@ -225,7 +226,7 @@
         self, task: SchedulerTask, way: str
     ) -> None:
         task.load()
-        task.is_loaded = True
+        task.jobs.is_loaded = True
         for token in (int(task.token), 0):
             task.scheduler.ledger.jobs.clear()
             record = self.make_record(token)
--- a/tests/member/test_takeover.py
+++ b/tests/member/test_takeover.py
@@ -256,7 +256,7 @@
         task = successor.take_over()
         ledger = task.scheduler.ledger
         assert ledger.jobs[JOB].may_have_unknown_runs
-        assert WorkerId("w0") in task.poll_states
+        assert WorkerId("w0") in task.workers.poll_states
         assert not ledger.workers[WorkerId("w0")].is_registered
 
     # Guards against runs that a successor takes for ended while their lease lasts.
--- a/tests/member/test_worker_lives.py
+++ b/tests/member/test_worker_lives.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 from concurrent.futures import Executor, Future
-from types import SimpleNamespace
 from typing import ParamSpec, TypeVar
 
 import pytest
@@ -27,14 +26,11 @@
     WorkerReply,
     WorkerSilentError,
 )
-from gooseberrydeck_member import worker_dispatcher
 from gooseberrydeck_member.advice_pool import AdvicePool
 from gooseberrydeck_member.authority import Authority, boottime_clock_s
 from gooseberrydeck_member.observability import Metrics
 from gooseberrydeck_member.peers import PeerClient
-from gooseberrydeck_member.scheduler_task import (
-    SchedulerTask,
-)
+from gooseberrydeck_member.scheduler_task import SchedulerTask
 from gooseberrydeck_member.shard_lock import ShardLock
 from gooseberrydeck_member.worker_dispatcher import (
     CallFailed,
@@ -49,6 +45,7 @@
 from gooseberrydeck_standins.engine_store import EngineStore
 from gooseberrydeck_standins.fleet_worker import FleetWorkerEngine, RunPlan
 from gooseberrydeck_standins.store_engine import StoreEngine
+from member_support import use_dispatcher
 
 P = ParamSpec("P")
 T = TypeVar("T")
@@ -151,11 +148,9 @@
 class PolledWorker:
     """A scheduler task with one in-memory worker, driven by a manual clock."""
 
-    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+    def __init__(self) -> None:
         """Create a task whose worker has reported."""
         self.clock = ManualClock()
-        clock = SimpleNamespace(monotonic=self.clock.monotonic)
-        monkeypatch.setattr(worker_dispatcher, "time", clock)
         self.calls = EngineCalls(self.clock)
         self.calls_by_worker = {WORKER: self.calls}
         self.messages: list[object] = []
@@ -191,9 +186,14 @@
             Metrics(),
             was_silent=False,
         )
-        task.dispatcher = WorkerDispatcher(self.messages.append, lambda: True)
-        task.dispatcher.poll_executor = InlineExecutor()
-        task.dispatcher.command_executor = InlineExecutor()
+        dispatcher = WorkerDispatcher(
+            self.messages.append,
+            lambda: True,
+            self.clock,
+            InlineExecutor(),
+            InlineExecutor(),
+        )
+        use_dispatcher(task, dispatcher)
         return task
 
     def connect(self, entry: Registration) -> WorkerCalls:
@@ -203,7 +203,7 @@
     def register(self, worker: WorkerId = WORKER, born_ms: int = 0) -> None:
         """Register a worker."""
         value = b"%d" % born_ms
-        self.task.registration_changed(f"servers/{worker}", value, self.now_s)
+        self.task.workers.registration_changed(f"servers/{worker}", value, self.now_s)
 
     def add_worker(self, name: str) -> EngineCalls:
         """Add another worker and return its calls."""
@@ -228,7 +228,7 @@
 
     def poll(self) -> None:
         """Send the polls that are due."""
-        self.task.poll_due_workers(self.now_s)
+        self.task.polls.poll_due_workers(self.now_s)
 
     def run_for(self, seconds: float) -> None:
         """Advance the clock in small steps and run the task after each."""
@@ -252,7 +252,7 @@
         if self.is_store_available:
             changes = log.take_batch(100, self.clock.wall())
             ends = log.commit_succeeded(changes, {}, self.now_s)
-            self.task.acknowledge(ends, self.now_s)
+            self.task.polls.acknowledge(ends, self.now_s)
         entries = log.workers_to_record()
         if entries is not None:
             log.workers_recorded(entries)
@@ -270,8 +270,8 @@
 
 
 @pytest.fixture
-def polled(monkeypatch: pytest.MonkeyPatch) -> PolledWorker:
-    return PolledWorker(monkeypatch)
+def polled() -> PolledWorker:
+    return PolledWorker()
 
 
 class TestRestartReports:
@@ -299,7 +299,7 @@
         polled.complete("before")
         polled.submit("a")
         polled.run_for(0.1)
-        polled.calls.engine.poll(polled.task.token_of(WORKER), 2, None)
+        polled.calls.engine.poll(polled.task.workers.token_of(WORKER), 2, None)
         with capture_logs() as lines:
             polled.run_for(4.0)
             polled.task.report_lost_runs()
@@ -344,7 +344,7 @@
         Return the reply of the former process, which has not arrived.
         """
         for _ in range(HEDGE_LOSS_THRESHOLD):
-            polled.task.response_losses.record_loss(polled.now_s)
+            polled.task.polls.response_losses.record_loss(polled.now_s)
         polled.clock.advance(STEP_S)
         polled.poll()
         overtaken = polled.messages.pop()
@@ -397,7 +397,7 @@
     # their tasks are started again: TWICE, issue 28.
     def test_late_acknowledgement_is_refused(self, polled: PolledWorker) -> None:
         polled.complete("before")
-        former = polled.task.token_of(WORKER)
+        former = polled.task.workers.token_of(WORKER)
         assert 1 in polled.calls.last_seen
         polled.calls.failure = WorkerSilentError("connection lost")
         polled.run_for(STEP_S)
@@ -428,7 +428,7 @@
     # A worker that has not received the acknowledgement lists its ends again.
     def test_lost_acknowledgement_is_repeated(self, polled: PolledWorker) -> None:
         polled.submit("a")
-        while not polled.task.poll_states[WORKER].acknowledged:
+        while not polled.task.workers.poll_states[WORKER].acknowledged:
             polled.run_for(STEP_S)
         polled.calls.failure = WorkerSilentError("connection lost")
         polled.run_for(2 * STEP_S)
@@ -457,7 +457,7 @@
     def test_nothing_is_lost_until_a_poll_has_confirmed_the_restart(
         self, polled: PolledWorker
     ) -> None:
-        former = polled.task.token_of(WORKER)
+        former = polled.task.workers.token_of(WORKER)
         request, other = self.leave_start_unanswered(polled)
         while not polled.calls.engine.token:
             polled.clock.advance(STEP_S)
@@ -474,7 +474,7 @@
         self, polled: PolledWorker
     ) -> None:
         # Otherwise the first poll of the new process confirms nothing.
-        former = polled.task.token_of(WORKER)
+        former = polled.task.workers.token_of(WORKER)
         request, other = self.leave_start_unanswered(polled)
         polled.register(born_ms=9_000)
         polled.run_for(0.5)
@@ -487,7 +487,7 @@
     # Guards against two runs at once when a worker restarts behind a cut.
     def test_late_start_on_an_unreachable_process(self, polled: PolledWorker) -> None:
         polled.run_for(LONG_UP_S)
-        former = polled.task.token_of(WORKER)
+        former = polled.task.workers.token_of(WORKER)
         deadline_s = polled.now_s + MAX_LATE_RUN_S
         request, other = self.leave_start_unanswered(polled)
         polled.calls.failure = WorkerSilentError("timed out")
@@ -505,11 +505,11 @@
     def test_refusal_of_an_older_token_does_not_lose_the_shard(
         self, polled: PolledWorker
     ) -> None:
-        former = polled.task.token_of(WORKER)
+        former = polled.task.workers.token_of(WORKER)
         polled.calls.restart(born_ms=9_000)
         polled.run_for(0.5)
         failure = CallFailure(is_fenced=True)
-        present = polled.task.token_of(WORKER)
+        present = polled.task.workers.token_of(WORKER)
         assert present == former + 1
         polled.task.handle(CallFailed(WORKER, False, failure, former), polled.now_s)
         assert not polled.task.lost.is_set()
@@ -520,9 +520,9 @@
     def test_worker_that_registers_again_refuses_former_calls(
         self, polled: PolledWorker
     ) -> None:
-        former = polled.task.token_of(WORKER)
+        former = polled.task.workers.token_of(WORKER)
         polled.calls.failure = WorkerRefusedError("refused")
-        polled.task.registration_removed(f"servers/{WORKER}", polled.now_s)
+        polled.task.workers.registration_removed(f"servers/{WORKER}", polled.now_s)
         polled.run_for(6.0)
         assert WORKER not in polled.task.scheduler.ledger.workers
         polled.calls.restart(born_ms=9_000)
@@ -608,7 +608,7 @@
         polled.deliver()
         polled.poll()
         assert len(polls.calls) == 1
-        task.registration_removed(f"servers/{WORKER}", polled.now_s)
+        task.workers.registration_removed(f"servers/{WORKER}", polled.now_s)
         polled.clock.advance(0.2)
         polled.execute_commands()
         assert WORKER not in task.scheduler.ledger.workers
@@ -627,11 +627,11 @@
     ) -> None:
         task, polls = polled.task, HeldExecutor()
         polled.register(born_ms=9_000)
-        assert task.poll_states[WORKER].is_restart_unconfirmed
+        assert task.workers.poll_states[WORKER].is_restart_unconfirmed
         task.dispatcher.poll_executor = polls
         polled.poll()
         task.scheduler.worker_unregistered(WORKER)
-        task.worker_gone(WORKER, polled.now_s)
+        task.polls.worker_gone(WORKER, polled.now_s)
         assert WORKER not in task.scheduler.ledger.workers
         polled.clock.advance(HEDGE_DELAY_S + STEP_S)
         polled.poll()
@@ -646,4 +646,4 @@
         task.dispatcher.poll_executor = InlineExecutor()
         polled.run_for(1.0)
         assert task.scheduler.ledger.workers[WORKER].is_reachable
-        assert task.poll_states[WORKER].calls_in_flight == 0
+        assert task.workers.poll_states[WORKER].calls_in_flight == 0
