--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/worker_dispatcher.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/worker_dispatcher.py
@@ -4,7 +4,7 @@
 from concurrent.futures import Executor, ThreadPoolExecutor
 from typing import Protocol
 
-from gooseberrydeck_coordination.clock import Clock, SystemClock
+from gooseberrydeck_coordination.clock import Clock
 from gooseberrydeck_coordination.ids import Epoch
 from gooseberrydeck_fleet.commands import (
     RunCommand,
@@ -25,8 +25,12 @@
 )
 from gooseberrydeck_member.command_calls import CommandCaller, Post, not_sent
 from gooseberrydeck_member.command_lanes import CommandLanes, Order
+from gooseberrydeck_member.threads import SYSTEM_CLOCK
 
 __all__ = [
+    "COMMAND_THREADS",
+    "MAX_COMMANDS",
+    "MAX_POLL_THREADS",
     "CallFailed",
     "CallFailure",
     "CommandCompleted",
@@ -88,7 +92,7 @@
         post: Post,
         may_send: Callable[[], bool],
         gate: CommandGate,
-        clock: Clock | None = None,
+        clock: Clock = SYSTEM_CLOCK,
         poll_executor: Executor | None = None,
         command_executor: Executor | None = None,
     ) -> None:
@@ -100,7 +104,7 @@
         self.post = post
         self.may_send = may_send
         self.gate = gate
-        self.clock = clock or SystemClock()
+        self.clock = clock
         self.caller = CommandCaller(post, may_send)
         self.calls: dict[WorkerId, WorkerCalls] = {}
         self.lanes = CommandLanes(COMMAND_THREADS, MAX_COMMANDS)
--- a/tests/member/test_changes_before_sending.py
+++ b/tests/member/test_changes_before_sending.py
@@ -46,6 +46,7 @@
 from gooseberrydeck_member.worker_dispatcher import PollSucceeded, WorkerDispatcher
 from gooseberrydeck_standins.engine_store import EngineStore
 from gooseberrydeck_standins.store_engine import StoreEngine
+from member_support import use_dispatcher
 
 P = ParamSpec("P")
 T = TypeVar("T")
@@ -147,18 +148,21 @@
             was_silent=False,
         )
         self.executor = BusyExecutor()
-        self.task.dispatcher = WorkerDispatcher(
-            self.messages.append,
-            self.authority.may_act,
-            self.task.command_audit,
-            self.clock,
-            BusyExecutor(),
-            self.executor,
+        use_dispatcher(
+            self.task,
+            WorkerDispatcher(
+                self.messages.append,
+                self.authority.may_act,
+                self.task.command_audit,
+                self.clock,
+                BusyExecutor(),
+                self.executor,
+            ),
         )
         self.scheduler = self.task.scheduler
         self.scheduler.set_configuration(make_configuration())
         self.register()
-        self.task.poll_due_workers(self.now_s)
+        self.task.polls.poll_due_workers(self.now_s)
         self.answer()
         entries = self.scheduler.changes.workers_to_record()
         assert entries is not None
@@ -172,20 +176,20 @@
     def register(self, **changes: object) -> None:
         """Register the worker, or change its registration."""
         self.registration = msgspec.structs.replace(self.registration, **changes)
-        self.task.registration_changed(f"servers/{WORKER}", b"", self.now_s)
+        self.task.workers.registration_changed(f"servers/{WORKER}", b"", self.now_s)
 
     def answer(self, *runs: Run, born_ms: int = BORN_MS) -> None:
         """Let the worker answer a poll."""
         reports = tuple(RunReport(each.task.ref, each.number, "", 5.0) for each in runs)
         reply = PollReply(int(self.now_s * 1000), born_ms, reports, ())
-        token = self.task.token_of(WORKER)
+        token = self.task.workers.token_of(WORKER)
         self.task.handle(PollSucceeded(WORKER, reply, self.now_s, token), self.now_s)
 
     def keep_busy(self) -> None:
         """Send a command that the worker doesn't answer for now."""
         other = TaskRef(JobId("other"), 0, 0, 0)
         command = StopRun(WORKER, other, 1, StopReason.SURPLUS)
-        self.task.dispatcher.stop(command, self.task.token_of(WORKER))
+        self.task.dispatcher.stop(command, self.task.workers.token_of(WORKER))
         self.clock.advance(UNANSWERED_LIMIT_S)
 
     def submit(self, step: StepSpec) -> Run:
@@ -249,10 +253,10 @@
 def restart(waiting: WaitingCommands) -> None:
     """Let a new process of the worker answer until its restart is confirmed."""
     for _ in range(2):
-        waiting.task.poll_due_workers(waiting.now_s)
+        waiting.task.polls.poll_due_workers(waiting.now_s)
         waiting.answer(born_ms=9_000)
         waiting.clock.advance(0.1)
-        waiting.task.poll_due_workers(waiting.now_s)
+        waiting.task.polls.poll_due_workers(waiting.now_s)
     waiting.answer(born_ms=9_000)
     worker = waiting.scheduler.ledger.workers[WORKER]
     assert worker.born_ms == 9_000
