--- a/tests/member/test_changes_before_sending.py
+++ b/tests/member/test_changes_before_sending.py
@@ -2,8 +2,6 @@
 
 import time
 from collections.abc import Callable
-from concurrent.futures import Executor, Future
-from typing import ParamSpec, TypeVar
 
 import msgspec
 import pytest
@@ -19,7 +17,7 @@
     task_resources,
 )
 from gooseberrydeck_coordination.clock import ManualClock
-from gooseberrydeck_coordination.ids import Epoch, JobId, MemberId, ServiceName
+from gooseberrydeck_coordination.ids import JobId, MemberId, ServiceName
 from gooseberrydeck_fleet.advice import Advice
 from gooseberrydeck_fleet.commands import AskAdvice, StopRun, ThrottleRun
 from gooseberrydeck_fleet.configuration import AdvicePolicy
@@ -28,14 +26,7 @@
 from gooseberrydeck_fleet.start_permission import StartObstacle
 from gooseberrydeck_fleet.state import Run, RunState, StopReason, WorkerObstacle
 from gooseberrydeck_fleet.work import JobRecord, JobState, StepSpec, WorkSpec
-from gooseberrydeck_fleet.worker_calls import (
-    PollReply,
-    RunReport,
-    StartOutcome,
-    StartRequest,
-    WorkerReply,
-    WorkerSilentError,
-)
+from gooseberrydeck_fleet.worker_calls import PollReply, RunReport
 from gooseberrydeck_member.advice_pool import AdvicePool
 from gooseberrydeck_member.authority import Authority, boottime_clock_s
 from gooseberrydeck_member.command_lanes import UNANSWERED_LIMIT_S
@@ -47,9 +38,7 @@
 from gooseberrydeck_standins.engine_store import EngineStore
 from gooseberrydeck_standins.store_engine import StoreEngine
 from member_support import use_dispatcher
-
-P = ParamSpec("P")
-T = TypeVar("T")
+from worker_call_support import BusyExecutor, RecordingCalls
 
 WORKER = WorkerId("w0")
 BORN_MS = 1_000
@@ -60,67 +49,6 @@
 ADVISED = queue(SLOW, 2, AdvicePolicy(0.0, 0.0, TICKET_S))
 
 
-class BusyExecutor(Executor):
-    """An executor whose threads are all busy until the test says otherwise."""
-
-    def __init__(self) -> None:
-        """Start without calls."""
-        self.calls: list[Callable[[], object]] = []
-
-    def submit(
-        self, function: Callable[P, T], /, *args: P.args, **kwargs: P.kwargs
-    ) -> Future[T]:
-        """Queue a call."""
-        self.calls.append(lambda: function(*args, **kwargs))
-        return Future()
-
-
-class RecordingCalls:
-    """Calls to a worker that are recorded; starts may get no response."""
-
-    def __init__(self) -> None:
-        """Create a worker that responds."""
-        self.starts: list[StartRequest] = []
-        self.percents: list[int] = []
-        self.is_silent = False
-
-    def poll(
-        self,
-        token: Epoch,
-        last_seen: int,
-        lease_until_ms: int | None,
-        wait_s: float,
-        timeout_s: float,
-    ) -> PollReply:
-        """Report nothing."""
-        return PollReply(0, BORN_MS, (), ())
-
-    def start(
-        self, request: StartRequest, token: Epoch, timeout_s: float
-    ) -> tuple[StartOutcome, WorkerReply]:
-        """Record a start."""
-        self.starts.append(request)
-        if self.is_silent:
-            raise WorkerSilentError("timed out")
-        return StartOutcome.STARTED, WorkerReply(0, BORN_MS)
-
-    def stop(
-        self, task: TaskRef, run: int, token: Epoch, timeout_s: float
-    ) -> WorkerReply:
-        """Do nothing."""
-        return WorkerReply(0, BORN_MS)
-
-    def throttle(
-        self, task: TaskRef, run: int, percent: int, token: Epoch, timeout_s: float
-    ) -> WorkerReply:
-        """Record a speed."""
-        self.percents.append(percent)
-        return WorkerReply(0, BORN_MS)
-
-    def close(self) -> None:
-        """Do nothing."""
-
-
 class WaitingCommands:
     """A scheduler task with one worker, whose commands wait until the test says so."""
 
@@ -310,7 +238,7 @@
         run = waiting.submit(StepSpec(1, LARGE, required_label="a"))
         CHANGES[reason](waiting)
         waiting.run_all()
-        assert waiting.calls.starts == []
+        assert "start" not in waiting.calls.sent
         assert waiting.withdrawn("start", reason) == 1
         assert run not in waiting.scheduler.ledger.workers[WORKER].runs.values()
 
@@ -318,13 +246,13 @@
     def test_start_is_not_sent_a_second_time_after_a_change(
         self, waiting: WaitingCommands, reason: str
     ) -> None:
-        waiting.calls.is_silent = True
+        waiting.calls.before_response = lambda: None
         run = waiting.submit(StepSpec(1, LARGE, required_label="a"))
         CHANGES[reason](waiting)
         # Without authority, the first attempt isn't made either.
         is_first_sent = reason != SendObstacle.NO_AUTHORITY.value
         waiting.run_all()
-        assert len(waiting.calls.starts) == is_first_sent
+        assert waiting.calls.sent.count("start") == is_first_sent
         assert waiting.withdrawn("start", reason) == 1
         if run in run.worker.runs.values():
             assert run.has_unanswered_start
@@ -336,7 +264,7 @@
         waiting.keep_busy()
         run = waiting.submit(StepSpec(1, LARGE, required_label="a"))
         waiting.run_all()
-        assert len(waiting.calls.starts) == 1
+        assert waiting.calls.sent.count("start") == 1
         assert run.state is RunState.RUNNING
 
     # Guards against starts with a ticket that was refused, or has run out meanwhile.
@@ -352,7 +280,7 @@
         else:
             run.task.step.advice.drop(WORKER)
         waiting.run_all()
-        assert waiting.calls.starts == []
+        assert "start" not in waiting.calls.sent
         assert waiting.withdrawn("start", SendObstacle.TICKET_INVALID.value) == 1
 
     def test_start_is_not_sent_to_a_worker_with_too_many_tasks_of_its_step(
@@ -363,7 +291,7 @@
         ledger = waiting.scheduler.ledger
         ledger.add_run(run.task, run.worker, 5, waiting.now_s)
         waiting.run_all()
-        assert waiting.calls.starts == []
+        assert "start" not in waiting.calls.sent
 
     # The one worker answers with the number of its former process: the start would be
     # valid for long on the clock of the new one.
@@ -374,7 +302,7 @@
         run = waiting.submit(StepSpec(1, LARGE))
         run.worker.born_ms = 9_000
         waiting.run_all()
-        assert waiting.calls.starts == []
+        assert "start" not in waiting.calls.sent
         assert waiting.withdrawn("start", SendObstacle.WORKER_REPLACED.value) == 1
 
     # Guards against a search in the logs that finds a start before it was sent, as in
--- a/tests/member/test_worker_dispatcher.py
+++ b/tests/member/test_worker_dispatcher.py
@@ -1,9 +1,5 @@
 """Tests of commands that wait for a thread before they are sent."""
 
-from collections.abc import Callable
-from concurrent.futures import Executor, Future
-from typing import ParamSpec, TypeVar
-
 import msgspec
 import pytest
 
@@ -13,13 +9,7 @@
 from gooseberrydeck_fleet.ids import TaskRef, WorkerId
 from gooseberrydeck_fleet.send_permission import Obstacle, SendObstacle
 from gooseberrydeck_fleet.state import StopReason
-from gooseberrydeck_fleet.worker_calls import (
-    PollReply,
-    StartOutcome,
-    StartRequest,
-    WorkerReply,
-    WorkerSilentError,
-)
+from gooseberrydeck_fleet.worker_calls import StartOutcome, StartRequest
 from gooseberrydeck_member.command_lanes import UNANSWERED_LIMIT_S, Order
 from gooseberrydeck_member.worker_dispatcher import (
     CommandCompleted,
@@ -27,9 +17,7 @@
     WorkerDispatcher,
     worker_of,
 )
-
-P = ParamSpec("P")
-T = TypeVar("T")
+from worker_call_support import BusyExecutor, RecordingCalls
 
 WORKER = WorkerId("w0")
 TOKEN = Epoch(1_000)
@@ -41,73 +29,6 @@
 THROTTLE = ThrottleRun(WORKER, TASK, 7, 50)
 
 
-class BusyExecutor(Executor):
-    """An executor whose threads are all busy until the test says otherwise."""
-
-    def __init__(self) -> None:
-        """Start without calls."""
-        self.calls: list[Callable[[], object]] = []
-
-    def submit(
-        self, function: Callable[P, T], /, *args: P.args, **kwargs: P.kwargs
-    ) -> Future[T]:
-        """Queue a call."""
-        self.calls.append(lambda: function(*args, **kwargs))
-        return Future()
-
-    def run(self) -> None:
-        """Execute the queued calls in order."""
-        while self.calls:
-            self.calls.pop(0)()
-
-
-class RecordingCalls:
-    """Calls to a worker, recorded by name; a start may get no response."""
-
-    def __init__(self) -> None:
-        """Create a worker that responds."""
-        self.sent: list[str] = []
-        self.before_response: Callable[[], None] | None = None
-
-    def poll(
-        self,
-        token: Epoch,
-        last_seen: int,
-        lease_until_ms: int | None,
-        wait_s: float,
-        timeout_s: float,
-    ) -> PollReply:
-        """Report nothing."""
-        return PollReply(0, 1, (), ())
-
-    def start(
-        self, request: StartRequest, token: Epoch, timeout_s: float
-    ) -> tuple[StartOutcome, WorkerReply]:
-        """Record a start, whose response is lost if something happens before it."""
-        self.sent.append("start")
-        if self.before_response is not None:
-            self.before_response()
-            raise WorkerSilentError("timed out")
-        return StartOutcome.STARTED, WorkerReply(0, 1)
-
-    def stop(
-        self, task: TaskRef, run: int, token: Epoch, timeout_s: float
-    ) -> WorkerReply:
-        """Record a stop."""
-        self.sent.append("stop")
-        return WorkerReply(0, 1)
-
-    def throttle(
-        self, task: TaskRef, run: int, percent: int, token: Epoch, timeout_s: float
-    ) -> WorkerReply:
-        """Record a change of speed."""
-        self.sent.append("throttle")
-        return WorkerReply(0, 1)
-
-    def close(self) -> None:
-        """Do nothing."""
-
-
 class RecordingGate:
     """A gate that forbids nothing until the test says so."""
 
