Keep nothing of a worker that is forgotten while a command is in flight

A worker that was forgotten while it owed a response stayed in the sets of unresponsive and of silent workers, one id for each such worker of a fleet that changes. Both versions of test_forgotten_worker_leaves_nothing_behind failed before: `assert not {'w0'}`.

--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/command_lanes.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/command_lanes.py
@@ -67,7 +67,7 @@
 class Lane:
     """The orders to one worker, in the order of their decisions."""
 
-    __slots__ = ("answered_s", "in_flight", "waiting")
+    __slots__ = ("answered_s", "in_flight", "is_forgotten", "waiting")
 
     def __init__(self) -> None:
         """Create a lane without orders."""
@@ -76,6 +76,8 @@
         self.in_flight: dict[int, Order] = {}
         # When the worker last answered while orders were in flight.
         self.answered_s = 0.0
+        # Its worker was removed while orders were in flight.
+        self.is_forgotten = False
 
     def conflicts(self, order: Order) -> bool:
         """Return True if an order has to wait for another one of its run.
@@ -190,7 +192,7 @@
         self.busy_workers -= not lane.in_flight
         if has_response:
             self.answered(worker, now_s)
-        elif has_response is False:
+        elif has_response is False and not lane.is_forgotten:
             self.unresponsive.add(worker)
         self.remove_if_empty(worker)
         return order
@@ -238,6 +240,9 @@
     def forget(self, worker: WorkerId) -> None:
         """Forget whether a worker responds."""
         self.unresponsive.discard(worker)
+        lane = self.lanes.get(worker)
+        if lane is not None:
+            lane.is_forgotten = True
 
     def remove_if_empty(self, worker: WorkerId) -> None:
         """Remove a worker's lane if it has no orders."""
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/worker_dispatcher.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/worker_dispatcher.py
@@ -170,6 +170,8 @@
 
     def worker_silent(self, worker: WorkerId) -> None:
         """Send no more commands to a worker until it answers a poll."""
+        if worker not in self.calls:
+            return
         self.silent_workers.add(worker)
         self.withdraw(self.lanes.take_waiting(worker), SendObstacle.WORKER_SILENT)
 
--- a/tests/member/test_worker_dispatcher.py
+++ b/tests/member/test_worker_dispatcher.py
@@ -268,13 +268,18 @@
         self.run()
         assert self.calls.sent == ["start", "stop"]
 
-    def test_forgotten_worker_leaves_nothing_behind(self) -> None:
-        self.keep_busy()
+    @pytest.mark.parametrize("has_response", [False, True])
+    def test_forgotten_worker_leaves_nothing_behind(self, has_response: bool) -> None:
+        if not has_response:
+            self.calls.before_response = lambda: None
+        self.dispatcher.start(START_OF_OTHER, TOKEN)
+        self.clock.advance(UNANSWERED_LIMIT_S)
         self.dispatcher.start(START, TOKEN)
         self.dispatcher.worker_forgotten(WORKER)
         (start,) = self.deliver()
         assert start.obstacle is SendObstacle.WORKER_FORGOTTEN
         self.run()
+        self.dispatcher.worker_silent(WORKER)
         lanes = self.dispatcher.lanes
         assert not lanes.lanes
         assert not lanes.unresponsive
