Tests: a start that is decided may be sent at once

The simulated fleet checks each start that the scheduler decides on with find_send_obstacle in the same pass: a condition that is stricter at sending than at the decision would let a start be decided and dropped in turn.

--- a/tests/fleet_support.py
+++ b/tests/fleet_support.py
@@ -367,7 +367,9 @@
         wall_s = self.clock.wall() + self.wall_offset_s
         if self.is_store_available:
             self.scheduler.authority_confirmed(self.now_s)
-        for command in self.scheduler.decide(self.now_s, wall_s):
+        commands = self.scheduler.decide(self.now_s, wall_s)
+        self.check_obstacles(commands)
+        for command in commands:
             self.execute(command)
         self.commit()
 
@@ -462,6 +464,13 @@
         poll_state.poll_failed(self.now_s, is_refused=False)
         self.scheduler.worker_silent(worker_id, self.now_s)
 
+    def check_obstacles(self, commands: list[Command]) -> None:
+        """Check that each start may be sent at once; else it would be decided again."""
+        for command in commands:
+            if isinstance(command, StartRun):
+                obstacle = self.scheduler.find_send_obstacle(command, self.now_s)
+                assert obstacle is None, (command, obstacle)
+
     def execute(self, command: Command) -> None:
         """Execute a command; advice is answered immediately."""
         if isinstance(command, StartRun):
