Record starts without a response for a successor of the holder

Callers could see: a task runs twice at once. A start without a response on a worker that is then cut off may be executed seconds later by the process that was started under the worker's id behind the cut. The holder waits for that (16.1 s at most); its successor didn't know the start, and started the task elsewhere after 4.5 s.

Change: the record of workers names for each worker the tasks that it may start late: those for which the holder itself would wait. The successor starts such a task once the worker has answered, another process answers in its place, its entry and lease are gone, or 16.1 s have passed since the takeover. A second successor is told as well. Tasks whose starts were answered don't wait longer than before, nor do those on workers that answer.

What it costs: one more write of the record when a start has no response and one when that is settled, at most one in 0.1 s for all workers together. Unlike with a new worker, nothing waits for the write.

To record each start before it is sent would delay every start by a write and stop starts while the store is down.

The test of the obstacles has a case for the new one.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/changes.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/changes.py
@@ -8,6 +8,7 @@
 from gooseberrydeck_coordination.ids import JobId
 from gooseberrydeck_fleet.commands import Changes, JobEnding, ProgressWrite
 from gooseberrydeck_fleet.ids import WorkerId
+from gooseberrydeck_fleet.late_starts import late_starts
 from gooseberrydeck_fleet.ledger import Ledger
 from gooseberrydeck_fleet.progress import encode_progress
 from gooseberrydeck_fleet.registrations import Registration
@@ -208,10 +209,13 @@
         """Return the workers that may have runs, or None if the list hasn't changed.
 
         Each is recorded with the largest capacity that it is known to have had, and
-        with whether it may hold the longest lease.
+        with whether it may hold the longest lease, and the tasks it may start late.
         """
         workers = self.ledger.workers
-        is_complete = all(each.is_recorded for each in workers.values())
+        is_complete = all(
+            each.is_recorded and late_starts(each) == each.recorded_late_starts
+            for each in workers.values()
+        )
         if is_complete and self.recorded <= workers.keys():
             return None
         return [
@@ -219,6 +223,7 @@
                 worker.entry,
                 capacity=worker.largest_capacity,
                 may_hold_longest_lease=worker.may_hold_longest_lease,
+                late_starts=tuple(sorted(late_starts(worker))),
             )
             for worker in workers.values()
         ]
@@ -230,6 +235,8 @@
         self.ledger.have_workers_changed = True
         for worker in self.ledger.workers.values():
             entry = recorded.get(worker.id)
+            if entry is not None:
+                worker.recorded_late_starts = frozenset(entry.late_starts)
             worker.is_recorded = (
                 entry is not None
                 and worker.largest_capacity.fits_in(entry.capacity)
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/housekeeping.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/housekeeping.py
@@ -4,13 +4,12 @@
 
 from gooseberrydeck_fleet.commands import CommandQueue, ThrottleRun
 from gooseberrydeck_fleet.evacuation import Evacuator
+from gooseberrydeck_fleet.late_starts import LateStarts, may_start_late
 from gooseberrydeck_fleet.ledger import Ledger
 from gooseberrydeck_fleet.placement import Placer
 from gooseberrydeck_fleet.poll_replies import PollReplyHandler
 from gooseberrydeck_fleet.run_ends import LossReason, RunEndHandler
 from gooseberrydeck_fleet.state import (
-    CLOCK_DRIFT,
-    LATE_CALL_S,
     Run,
     RunState,
     Step,
@@ -39,31 +38,29 @@
         ends: RunEndHandler,
         poll_replies: PollReplyHandler,
         takeover: Takeover,
+        late_starts: LateStarts,
         evacuator: Evacuator,
         ask_advice: Callable[[Step, int, float], None],
         commands: CommandQueue,
-        max_lease_s: float,
     ) -> None:
-        """Create a housekeeper that adds its commands to ``commands``.
-
-        ``max_lease_s`` is the longest lease that workers grant.
-        """
+        """Create a housekeeper that adds its commands to ``commands``."""
         self.ledger = ledger
         self.placer = placer
         self.ends = ends
         self.poll_replies = poll_replies
         self.takeover = takeover
+        self.late_starts = late_starts
         self.evacuator = evacuator
         self.throttler = Throttler()
         self.ask_advice = ask_advice
         self.commands = commands
-        self.late_run_s = LATE_CALL_S + max_lease_s / (1 - CLOCK_DRIFT)
 
     def run(self, now_s: float) -> None:
         """Check all workers and runs."""
         self.placer.expire(now_s)
         self.expire_workers(now_s)
         self.forget_departed()
+        self.late_starts.review(now_s)
         self.takeover.expire_predecessor(now_s)
         self.stop_stalled(now_s)
         # Quarantines may have ended.
@@ -94,20 +91,14 @@
                 del self.ledger.workers[worker.id]
 
     def find_late_runs(self, worker: Worker, now_s: float) -> set[Run]:
-        """Return the runs that may start, or run, late on a worker.
-
-        Its process may have been started again unseen. The new one refuses no start
-        request to the former one before it is reached, and its clock has not passed the
-        end of the former leases.
-        """
+        """Return the runs that may start, or run, late on a worker."""
         if not worker.is_registered:
             return set()
+        late_run_s = self.late_starts.late_run_s
         return {
             run
-            for run in worker.runs.values()
-            if run.has_unanswered_start
-            and now_s < run.started_s + self.late_run_s
-            and (worker.is_restarting or may_wait_for_late_start(run))
+            for run in worker.unanswered_starts
+            if may_start_late(run) and now_s < run.started_s + late_run_s
         }
 
     def forget_departed(self) -> None:
@@ -149,16 +140,6 @@
                     )
 
 
-def may_wait_for_late_start(run: Run) -> bool:
-    """Return True if a run may wait in case its worker has restarted unseen.
-
-    A long-running task has to run again before that is certain, and a later process
-    refuses a ticket of the former one.
-    """
-    step = run.task.step
-    return not step.spec.is_standing and step.job.queue.advice is None
-
-
 def is_stalled(run: Run, now_s: float) -> bool:
     """Return True if a run should have reported progress recently but hasn't.
 
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/job_intake.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/job_intake.py
@@ -92,6 +92,7 @@
             return not known.has_unconfigured_queue
         queue = self.queues.get(record.queue) or unconfigured_queue(record.queue)
         job = Job(record, queue, revision)
+        job.late_starts = self.ledger.late_starts
         # Only a predecessor can have started a job that is not known yet.
         was_started = record.id in self.poll_replies.unknown_jobs
         job.predates_takeover = predates_takeover or was_started
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/ledger.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/ledger.py
@@ -65,6 +65,8 @@
         self.suspects = SuspectTracker()
         self.speeds = SpeedEstimator()
         self.stopping: set[Run] = set()
+        # Tasks that silent workers may start late for a predecessor; jobs share it.
+        self.late_starts: set[TaskRef] = set()
         self.team_runs: dict[TeamName, dict[Run, None]] = {}
         # Ordered sets: the job that changed first is stored first.
         self.changed: dict[JobId, None] = {}
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/registrations.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/registrations.py
@@ -4,7 +4,7 @@
 
 from gooseberrydeck_coordination.ids import DataCentre, Rack, ServiceName
 from gooseberrydeck_coordination.resources import Resources
-from gooseberrydeck_fleet.ids import WorkerId
+from gooseberrydeck_fleet.ids import TaskRef, WorkerId
 from gooseberrydeck_platform.http import HttpAddress
 
 __all__ = ["Registration"]
@@ -15,7 +15,8 @@
 
     ``remaining_s`` is the minimum time until a draining worker leaves. ``born_ms`` is
     the start of the worker's process, in Unix milliseconds. The record of a holder says
-    besides whether the worker may hold the longest lease that it grants.
+    besides whether the worker may hold the longest lease that it grants, and which
+    tasks it may start late.
     """
 
     worker: WorkerId
@@ -30,3 +31,4 @@
     remaining_s: float | None = None
     born_ms: int = 0
     may_hold_longest_lease: bool = False
+    late_starts: tuple[TaskRef, ...] = ()
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
@@ -11,6 +11,7 @@
 from gooseberrydeck_fleet.housekeeping import Housekeeper
 from gooseberrydeck_fleet.ids import StepRef, TaskRef, WorkerId
 from gooseberrydeck_fleet.job_intake import JobIntake
+from gooseberrydeck_fleet.late_starts import LateStarts
 from gooseberrydeck_fleet.ledger import Ledger
 from gooseberrydeck_fleet.placement import Placer
 from gooseberrydeck_fleet.poll_replies import (
@@ -78,6 +79,7 @@
         self.changes = ChangeLog(self.ledger)
         self.advice_requests = AdviceRequests(self.placer)
         self.takeover = Takeover(self.ledger, token, timing.task_lease_s)
+        self.late_starts = LateStarts(self.ledger, timing.task_lease_s)
         self.shares = ShareTracker()
         self.intake = JobIntake(
             self.ledger,
@@ -103,10 +105,10 @@
             self.ends,
             self.poll_replies,
             self.takeover,
+            self.late_starts,
             Evacuator(self.placer, self.ends, timing.task_stop_s),
             self.server.ask,
             self.commands,
-            timing.task_lease_s,
         )
         self.orphaned_runs: list[OrphanedRun] = []
         # Workers that have been registered here, also those that are forgotten.
@@ -159,7 +161,7 @@
         worker.is_registered = True
         return False
 
-    def worker_recorded(self, entry: Registration) -> None:
+    def worker_recorded(self, entry: Registration, now_s: float) -> None:
         """Apply a predecessor's record of a worker."""
         worker = self.ledger.workers.get(entry.worker)
         if worker is not None:
@@ -167,6 +169,7 @@
             worker.may_have_restarted = True
             if entry.may_hold_longest_lease:
                 self.takeover.longest_lease_recorded(worker)
+            self.late_starts.recorded(worker, entry.late_starts, now_s)
 
     def worker_unregistered(self, worker_id: WorkerId) -> None:
         """Mark a worker as no longer registered; its tasks may still run."""
@@ -355,6 +358,7 @@
         worker.has_reported = True
         worker.lease_expiry_s = now_s
         worker.lease_until_ms = 0
+        self.late_starts.release(worker)
         if not worker.is_registered:
             del self.ledger.workers[worker_id]
         self.release_held_jobs()
@@ -377,7 +381,8 @@
         run = self.find_run(worker_id, task_ref, number)
         if run is None:
             return
-        run.has_unanswered_start |= is_repeat
+        if is_repeat:
+            run.worker.start_unanswered(run)
         if outcome is StartOutcome.STARTED:
             if run.state in (RunState.STARTING, RunState.UNCERTAIN):
                 run.state = RunState.RUNNING
@@ -402,7 +407,8 @@
         run = self.find_run(worker_id, task_ref, number)
         if run is None:
             return
-        run.has_unanswered_start |= was_sent
+        if was_sent:
+            run.worker.start_unanswered(run)
         is_pending = run.state in (RunState.STARTING, RunState.STOPPING)
         if is_pending and not run.has_unanswered_start:
             self.crashes.never_started(run)
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/start_permission.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/start_permission.py
@@ -35,6 +35,7 @@
     TASK_DONE = "task_done"
     RUNS_KNOWN = "runs_known"
     UNKNOWN_RUNS = "unknown_runs"
+    MAY_START_LATE = "may_start_late"
     ATTEMPTS_USED_UP = "attempts_used_up"
     CRASH_NOT_STORED = "crash_not_stored"
 
@@ -93,6 +94,8 @@
     job = step.job
     if job.may_have_unknown_runs and may_have_unknown_runs(task):
         return StartObstacle.UNKNOWN_RUNS
+    if job.late_starts and task.ref in job.late_starts:
+        return StartObstacle.MAY_START_LATE
     if (
         task.failures
         and len(task.failures) >= job.queue.max_attempts
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
@@ -1,5 +1,6 @@
 """The scheduler's model of jobs, steps, tasks, runs and workers."""
 
+from collections.abc import Set
 from enum import Enum
 
 from gooseberrydeck_coordination.ids import JobId, TeamName
@@ -246,6 +247,7 @@
         "failure",
         "id",
         "is_within_share",
+        "late_starts",
         "may_have_unknown_runs",
         "next_occurrence",
         "open_steps",
@@ -272,6 +274,8 @@
         self.next_occurrence = 0
         self.progress_revision = 0
         self.may_have_unknown_runs = False
+        # The tasks of all jobs that silent workers may start late for a predecessor.
+        self.late_starts: Set[TaskRef] = frozenset()
         # True if a predecessor may have started the job: it was stored before this
         # scheduler took over, or workers reported it first.
         self.predates_takeover = False
@@ -413,6 +417,7 @@
         "has_orphaned_runs",
         "has_reported",
         "id",
+        "inherited_starts",
         "is_reachable",
         "is_recorded",
         "is_registered",
@@ -425,7 +430,9 @@
         "may_have_restarted",
         "may_hold_longest_lease",
         "preemptible_runs",
+        "recorded_late_starts",
         "runs",
+        "unanswered_starts",
         "unresolved_ends",
     )
 
@@ -438,6 +445,12 @@
         self.largest_capacity = entry.capacity
         self.runs: dict[tuple[TaskRef, int], Run] = {}
         self.preemptible_runs: dict[Run, None] = {}
+        # Runs of which a start request had no response.
+        self.unanswered_starts: dict[Run, None] = {}
+        # Tasks of which it may execute a predecessor's start request late.
+        self.inherited_starts: frozenset[TaskRef] = frozenset()
+        # The tasks that it may start late, as stored for a successor.
+        self.recorded_late_starts: frozenset[TaskRef] = frozenset()
         self.born_ms = 0
         self.has_reported = False
         self.is_reachable = False
@@ -542,3 +555,9 @@
         if self.runs.pop((run.task.ref, run.number), None) is not None:
             self.free = self.free + run.allocation
             self.preemptible_runs.pop(run, None)
+            self.unanswered_starts.pop(run, None)
+
+    def start_unanswered(self, run: Run) -> None:
+        """Record that a request to start a run was sent and had no response."""
+        run.has_unanswered_start = True
+        self.unanswered_starts[run] = None
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
@@ -286,7 +286,7 @@
                 # Its registration is gone or unreadable, but it may have runs.
                 self.add_worker(known, now_s)
                 self.scheduler.worker_unregistered(worker)
-            self.scheduler.worker_recorded(known)
+            self.scheduler.worker_recorded(known, now_s)
         for record, revision in stored.jobs:
             self.add_job(record, revision, predates_takeover=True)
         for job, (progress, revision) in stored.progress.items():
@@ -305,6 +305,7 @@
             tasks_done=stored.count_done(),
             configuration=self.configuration_version,
             workers=len(self.poll_states),
+            late_starts=len(self.scheduler.ledger.late_starts),
             seconds=round(time.monotonic() - self.claimed_s, 3),
         )
 
--- a/tests/fleet/test_start_permission.py
+++ b/tests/fleet/test_start_permission.py
@@ -48,6 +48,8 @@
                 assert self.fleet.engines[worker].runs
             case StartObstacle.UNKNOWN_RUNS:
                 self.job.may_have_unknown_runs = True
+            case StartObstacle.MAY_START_LATE:
+                self.fleet.scheduler.ledger.late_starts.add(self.task.ref)
             case StartObstacle.ATTEMPTS_USED_UP:
                 self.task.failures.update(range(self.job.queue.max_attempts))
             case StartObstacle.CRASH_NOT_STORED:
--- a/tests/fleet_support.py
+++ b/tests/fleet_support.py
@@ -586,7 +586,7 @@
                 self.scheduler.worker_unregistered(worker.id)
             self.poll_states[worker.id] = WorkerPollState()
         for recorded in self.workers_record:
-            self.scheduler.worker_recorded(recorded)
+            self.scheduler.worker_recorded(recorded, self.now_s)
         self.scheduler.jobs_read(len(self.revisions))
         for job, record in self.records.items():
             revision = self.revisions[job]
--- a/tests/member/test_takeover.py
+++ b/tests/member/test_takeover.py
@@ -31,6 +31,7 @@
 from gooseberrydeck_fleet.ids import TaskRef, WorkerId
 from gooseberrydeck_fleet.progress import Progress, StepProgress, encode_progress
 from gooseberrydeck_fleet.registrations import Registration
+from gooseberrydeck_fleet.start_permission import StartObstacle, find_start_obstacle
 from gooseberrydeck_fleet.work import EndedJob, JobRecord, JobState, StepSpec, WorkSpec
 from gooseberrydeck_fleet.worker_calls import (
     EndKind,
@@ -123,9 +124,14 @@
         ownership = self.predecessor.ownership_condition()
         assert commit_changes(self.store, ownership, changes, TIMEOUT_S).stored
 
-    def record_worker(self, may_hold_longest_lease: bool = False) -> None:
+    def record_worker(
+        self,
+        may_hold_longest_lease: bool = False,
+        late_starts: tuple[TaskRef, ...] = (),
+    ) -> None:
         """Store a worker that the predecessor may have started tasks on."""
         entry = registration("w0", may_hold_longest_lease=may_hold_longest_lease)
+        entry = msgspec.structs.replace(entry, late_starts=late_starts)
         value = msgspec.json.encode([entry])
         put = Put(WORKERS_KEY, value)
         assert self.store.commit(Transaction((), (put,)), TIMEOUT_S).succeeded
@@ -272,6 +278,23 @@
         assert expiry_s - task.claimed_s >= task.scheduler.timing.task_lease_s
 
 
+class TestRecordedLateStarts:
+    # Guards against a task that starts while a silent worker may still start it.
+    def test_recorded_start_without_a_response_is_waited_for(
+        self, successor: Successor
+    ) -> None:
+        task_ref = TaskRef(JOB, 0, 0, 0)
+        successor.record_worker(late_starts=(task_ref,))
+        successor.accept()
+        task = successor.take_over()
+        scheduler = task.scheduler
+        scheduler.ledger.workers[WorkerId("w0")].has_reported = True
+        scheduler.release_held_jobs()
+        started = scheduler.ledger.find_task(task_ref)
+        assert started is not None
+        assert find_start_obstacle(started) is StartObstacle.MAY_START_LATE
+
+
 class TestLookups:
     def read(self, successor: Successor) -> JobFound | JobAbsent:
         results: list[object] = []
