--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
@@ -322,6 +322,7 @@
             tasks_done=stored.count_done(),
             configuration=self.jobs.configuration_version,
             workers=len(self.workers.poll_states),
+            late_starts=len(self.scheduler.ledger.late_starts),
             seconds=round(self.clock.monotonic() - self.claimed_s, 3),
         )
 
