Fleet tests: draw copies, stragglers and orders that wait in the holder

- DelayedFleet holds starts and stops back for up to 3 s, in order, with nothing but the end of the worker's process to withdraw them; a predecessor that is alive sends what it holds after a takeover.
Commits take up to 3 s, and change the store before or after that.
- The machines of takeovers and of crashes draw copies, stragglers and held orders too; that of all faults draws held orders and late commits (with copies it started none: its team's limit leaves no room for them).

--- a/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/fleet_worker.py
+++ b/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/fleet_worker.py
@@ -170,6 +170,8 @@
         self.plan_of = plan_of
         self.max_lease_s = max_lease_s
         self.enforces_capacity = enforces_capacity
+        # By how much runs that start from now on take longer.
+        self.slowness = 1.0
         self.born_ms = born_ms
         self.gangs = gangs or GangRegistry()
         self.began_s = clock.monotonic()
@@ -258,6 +260,7 @@
         ):
             return StartOutcome.SUPERSEDED
         plan = self.plan_of(request)
+        plan = msgspec.structs.replace(plan, seconds=plan.seconds * self.slowness)
         used = self.used() + plan.resources
         if self.enforces_capacity and not used.fits_in(self.capacity):
             return StartOutcome.NO_ROOM
--- a/tests/fleet/test_crash_machine.py
+++ b/tests/fleet/test_crash_machine.py
@@ -12,7 +12,8 @@
     rule,
 )
 
-from fleet_support import SLOW, URGENT, Fleet, Rebirth, task_resources
+from delays_support import DelayedFleet
+from fleet_support import SLOW, URGENT, Rebirth, task_resources
 from gooseberrydeck_coordination.ids import JobId
 from gooseberrydeck_fleet.ids import TaskRef
 from gooseberrydeck_fleet.work import JobState, StepSpec
@@ -35,6 +36,8 @@
 """In this time a task crashes four workers, if it is not given up."""
 
 FINISH_S = 120.0
+STALLS_S = strategies.sampled_from([0.0, 0.0, 1.5, 4.0])
+HOLDS_S = strategies.sampled_from([0.3, 0.7, 1.4, 3.0])
 PAUSES_S = strategies.sampled_from([0.1, 0.5, 2.0, 5.0])
 
 
@@ -43,7 +46,7 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self.fleet = Fleet(WORKERS)
+        self.fleet = DelayedFleet(WORKERS)
         self.takeovers = self.max_takeovers = 0
         self.bad = TaskRef(JobId("bad"), 0, 0, 0)
         self.good: list[JobId] = []
@@ -52,9 +55,14 @@
         after_s=strategies.sampled_from([0.05, 0.3, 1.5]),
         rebirth=strategies.sampled_from(list(Rebirth)),
         max_takeovers=MAX_TAKEOVERS,
+        allows_copies=strategies.booleans(),
     )
     def submit_deadly(
-        self, after_s: float, rebirth: Rebirth, max_takeovers: int
+        self,
+        after_s: float,
+        rebirth: Rebirth,
+        max_takeovers: int,
+        allows_copies: bool,
     ) -> None:
         def plan(request: StartRequest) -> RunPlan:
             is_deadly = request.task == self.bad
@@ -62,14 +70,32 @@
 
         self.fleet.rebirth = rebirth
         self.max_takeovers = max_takeovers
-        self.fleet.submit("bad", StepSpec(3, TASK), queue_name=URGENT, plan=plan)
+        spec = StepSpec(3, TASK, is_speculative=allows_copies)
+        self.fleet.submit("bad", spec, queue_name=URGENT, plan=plan)
+
+    @rule(
+        seconds=strategies.sampled_from([0.5, 2.0, 4.0]),
+        allows_copies=strategies.booleans(),
+        stalls_s=STALLS_S,
+        then_s=PAUSES_S,
+    )
+    def submit(
+        self, seconds: float, allows_copies: bool, stalls_s: float, then_s: float
+    ) -> None:
+        runs: set[int] = set()
+
+        def plan(request: StartRequest) -> RunPlan:
+            """Return a run; the first one of the job's first task stalls."""
+            if request.task.number == 0:
+                runs.add(request.run)
+            is_stalling = request.task.number == 0 and len(runs) == 1
+            return RunPlan(seconds, TASK, stalls_s=stalls_s * is_stalling)
 
-    @rule(seconds=strategies.sampled_from([0.5, 2.0, 4.0]), then_s=PAUSES_S)
-    def submit(self, seconds: float, then_s: float) -> None:
         name = f"good{len(self.good)}"
-        spec = StepSpec(GOOD_TASKS, TASK)
+        spec = StepSpec(GOOD_TASKS, TASK, is_speculative=allows_copies)
+        queue_name = URGENT if allows_copies else SLOW
         self.good.append(
-            self.fleet.submit(name, spec, queue_name=SLOW, seconds=seconds)
+            self.fleet.submit(name, spec, queue_name=queue_name, plan=plan)
         )
         self.fleet.run_for(then_s)
 
@@ -108,6 +134,16 @@
         self.fleet.is_store_available = True
         self.fleet.run_for(then_s)
 
+    @rule(number=strategies.integers(0, WORKERS - 1), hold_s=HOLDS_S, then_s=PAUSES_S)
+    def hold_orders(self, number: int, hold_s: float, then_s: float) -> None:
+        workers = sorted(self.fleet.engines)
+        self.fleet.holds_s[workers[number % len(workers)]] = hold_s
+        self.fleet.run_for(then_s)
+
+    @rule()
+    def end_delays(self) -> None:
+        self.fleet.end_delays()
+
     @rule(then_s=PAUSES_S)
     def wait(self, then_s: float) -> None:
         self.fleet.run_for(then_s)
@@ -138,6 +174,7 @@
 
     def teardown(self) -> None:
         """End all faults, after which every job must end."""
+        self.end_delays()
         waited_s = 0.0
         while self.fleet.records:
             assert waited_s < FINISH_S, "jobs are stuck"
--- a/tests/fleet/test_machine.py
+++ b/tests/fleet/test_machine.py
@@ -10,13 +10,13 @@
     rule,
 )
 
+from delays_support import DelayedFleet
 from fleet_support import (
     CORE,
     SLOW,
     STEP_S,
     TEAM,
     URGENT,
-    Fleet,
     make_configuration,
     task_resources,
 )
@@ -32,16 +32,18 @@
 MAXIMUM_CORES = strategies.sampled_from([MAX_CORES, 24, 48])
 """Maximum of the team, from which one task of any job fits."""
 
+HOLDS_S = strategies.sampled_from([0.3, 0.7, 1.4, 3.0])
+COMMITS_S = strategies.sampled_from([0.0, 0.3, 1.0, 3.0])
 ATTEMPTS = 3
 FINISH_S = 90.0
 
 
 class FleetMachine(RuleBasedStateMachine):
-    """Jobs, gangs, failures, partitions, restarts, resizes, outages, takeovers."""
+    """Jobs, gangs, failures, cuts, restarts, resizes, delays, takeovers."""
 
     def __init__(self) -> None:
         super().__init__()
-        self.fleet = Fleet(WORKERS)
+        self.fleet = DelayedFleet(WORKERS)
         self.maximum_cores = 0
         self.jobs: list[JobId] = []
         self.born_ms = 1
@@ -62,6 +64,7 @@
         is_gang=strategies.booleans(),
         is_best_effort=strategies.booleans(),
         failing_runs=strategies.integers(0, 4),
+        then_s=strategies.sampled_from([0.0, 0.5, 3.0]),
     )
     def submit(
         self,
@@ -73,6 +76,7 @@
         is_gang: bool,
         is_best_effort: bool,
         failing_runs: int,
+        then_s: float,
     ) -> None:
         name = f"j{len(self.jobs)}"
         if is_gang:
@@ -107,6 +111,7 @@
         self.jobs.append(
             self.fleet.submit(name, *specs, queue_name=queue_name, plan=plan)
         )
+        self.fleet.run_for(then_s)
 
     @precondition(lambda self: self.jobs)
     @rule(number=strategies.integers(0, 20))
@@ -151,6 +156,19 @@
     def resize(self, number: int, cores: int) -> None:
         self.fleet.resize_worker(WorkerId(f"w{number}"), cores)
 
+    @rule(number=strategies.integers(0, WORKERS - 1), hold_s=HOLDS_S)
+    def hold_orders(self, number: int, hold_s: float) -> None:
+        self.fleet.holds_s[WorkerId(f"w{number}")] = hold_s
+
+    @rule(commit_s=COMMITS_S, stores_at_once=strategies.booleans())
+    def delay_commits(self, commit_s: float, stores_at_once: bool) -> None:
+        self.fleet.commit_s = commit_s
+        self.fleet.stores_at_once = stores_at_once
+
+    @rule()
+    def end_delays(self) -> None:
+        self.fleet.end_delays()
+
     @rule()
     def toggle_store(self) -> None:
         self.fleet.is_store_available = not self.fleet.is_store_available
@@ -183,6 +201,7 @@
     def teardown(self) -> None:
         """End all faults, after which every job must complete without violations."""
         self.heal()
+        self.end_delays()
         self.fleet.is_store_available = True
         for number in range(WORKERS):
             self.resize(number, 32)
--- a/tests/fleet/test_speeds.py
+++ b/tests/fleet/test_speeds.py
@@ -108,7 +108,7 @@
         fleet.run_for(0.1)
         fleet.delayed_starts.update(fleet.engines)
         fleet.run_for(0.9)
-        ((worker, _, _),) = fleet.starts_under_way
+        ((worker, *_),) = fleet.starts_under_way
         fleet.unreachable.add(worker)
         fleet.run_for(0.4)
         assert fleet.state(job) is JobState.COMPLETED
--- a/tests/fleet/test_takeover_machine.py
+++ b/tests/fleet/test_takeover_machine.py
@@ -8,25 +8,27 @@
 from hypothesis import settings, strategies
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
-from fleet_support import URGENT, Fleet, make_configuration, queue, task_resources
+from delays_support import PREDECESSOR_ACTS_S, DelayedFleet
+from fleet_support import SLOW, URGENT, make_configuration, queue, task_resources
 from gooseberrydeck_coordination.ids import Epoch, JobId
 from gooseberrydeck_coordination.resources import Resources
 from gooseberrydeck_fleet.commands import StartRun
 from gooseberrydeck_fleet.ids import WorkerId
 from gooseberrydeck_fleet.scheduler import Scheduler
 from gooseberrydeck_fleet.work import JobRecord, StepSpec
-from gooseberrydeck_fleet.worker_calls import WorkerFencedError
+from gooseberrydeck_fleet.worker_calls import StartRequest, WorkerFencedError
 from gooseberrydeck_member.shard_lock import next_token
+from gooseberrydeck_standins.fleet_worker import RunPlan
 
 WORKERS = 3
-PREDECESSOR_ACTS_S = 1.5
-"""How long a predecessor may go on without learning of its successor."""
-
 MAX_RUN_S = 2.0
 FINISH_S = 90.0
 PAUSES_S = strategies.sampled_from([0.0, 0.5, 3.0])
 """How long the fleet runs before the next step; most tasks have ended after 3 s."""
 
+STALLS_S = strategies.sampled_from([0.0, 0.0, 1.5, 2.5])
+HOLDS_S = strategies.sampled_from([0.3, 0.7, 1.4, 3.0])
+
 MAXIMUM = Resources(16_000, 0, 0)
 """Maximum of the team: four tasks at once."""
 
@@ -39,7 +41,7 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self.fleet = Fleet(WORKERS)
+        self.fleet = DelayedFleet(WORKERS)
         self.fleet.can_look_up_jobs = False
         self.fleet.configuration = NEW_CONFIGURATION
         self.fleet.scheduler.set_configuration(NEW_CONFIGURATION)
@@ -63,6 +65,8 @@
         steps=strategies.integers(1, 2),
         is_announced=strategies.booleans(),
         is_predecessor_told=strategies.booleans(),
+        allows_copies=strategies.booleans(),
+        stalls_s=STALLS_S,
         then_s=PAUSES_S,
     )
     def submit(
@@ -72,16 +76,37 @@
         steps: int,
         is_announced: bool,
         is_predecessor_told: bool,
+        allows_copies: bool,
+        stalls_s: float,
         then_s: float,
     ) -> None:
+        runs: set[int] = set()
+
+        def plan(request: StartRequest) -> RunPlan:
+            """Return a run; the first one of the job's first task stalls."""
+            is_first = request.task.step == request.task.number == 0
+            if is_first:
+                runs.add(request.run)
+            is_stalling = is_first and len(runs) == 1
+            resources = specs[request.task.step].allocation
+            return RunPlan(seconds, resources, stalls_s=stalls_s * is_stalling)
+
         specs = [
-            StepSpec(count, task_resources(4), after=(number - 1,) if number else ())
+            StepSpec(
+                count,
+                task_resources(4),
+                after=(number - 1,) if number else (),
+                is_speculative=allows_copies,
+            )
             for number in range(steps)
         ]
         name = f"j{len(self.announced)}"
         is_told = self.predecessor is not None and is_predecessor_told
         token = self.predecessor_token if is_told else self.fleet.token
-        record = self.fleet.store(name, *specs, seconds=seconds, holder_token=token)
+        queue_name = URGENT if allows_copies else SLOW
+        record = self.fleet.store(
+            name, *specs, queue_name=queue_name, plan=plan, holder_token=token
+        )
         self.announced.append(record)
         self.undelivered[record.id] = record
         if self.predecessor is not None and is_told:
@@ -139,12 +164,11 @@
         fleet.configuration = (
             OLD_CONFIGURATION if is_configuration_old else NEW_CONFIGURATION
         )
-        fleet.take_over()
+        fleet.take_over(is_alive=is_alive)
         self.undelivered.clear()
         self.predecessor_acts_until_s = 0.0
         if is_alive:
             self.predecessor_acts_until_s = fleet.now_s + PREDECESSOR_ACTS_S
-            fleet.scheduler.predecessor_may_act(self.predecessor_acts_until_s)
         fleet.run_for(then_s)
 
     @precondition(lambda self: self.predecessor_acts)
@@ -187,6 +211,14 @@
     def lose_answers(self, number: int) -> None:
         self.fleet.lost_start_replies.add(WorkerId(f"w{number}"))
 
+    @rule(number=strategies.integers(0, WORKERS - 1), hold_s=HOLDS_S)
+    def hold_orders(self, number: int, hold_s: float) -> None:
+        self.fleet.holds_s[WorkerId(f"w{number}")] = hold_s
+
+    @rule()
+    def end_delays(self) -> None:
+        self.fleet.end_delays()
+
     @rule()
     def heal(self) -> None:
         self.fleet.unreachable.clear()
@@ -199,6 +231,7 @@
     def teardown(self) -> None:
         """End all faults, after which every job must complete without violations."""
         self.heal()
+        self.end_delays()
         self.fleet.is_store_available = self.fleet.can_look_up_jobs = True
         self.configure()
         self.deliver_watch()
--- a/tests/fleet_support.py
+++ b/tests/fleet_support.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Mapping
 from enum import Enum
 from types import MappingProxyType
+from typing import NamedTuple
 
 import msgspec
 
@@ -19,7 +20,13 @@
 )
 from gooseberrydeck_coordination.resources import NO_RESOURCES, Resources
 from gooseberrydeck_fleet.advice import Advice
-from gooseberrydeck_fleet.commands import AskAdvice, Command, StartRun, StopRun
+from gooseberrydeck_fleet.commands import (
+    AskAdvice,
+    Changes,
+    Command,
+    StartRun,
+    StopRun,
+)
 from gooseberrydeck_fleet.configuration import (
     AdvicePolicy,
     FleetConfiguration,
@@ -147,6 +154,15 @@
     NEVER = "never"
 
 
+class StartUnderWay(NamedTuple):
+    """A start request that the network delays, and when it was sent."""
+
+    worker: WorkerId
+    request: StartRequest
+    token: Epoch
+    sent_s: float
+
+
 class Fleet:
     """A scheduler, its workers, and a simulated network and store between them."""
 
@@ -161,7 +177,7 @@
         self.unreachable: set[WorkerId] = set()
         self.lost_start_replies: set[WorkerId] = set()
         self.delayed_starts: set[WorkerId] = set()
-        self.starts_under_way: list[tuple[WorkerId, StartRequest, Epoch]] = []
+        self.starts_under_way: list[StartUnderWay] = []
         self.plans: dict[JobId, Callable[[StartRequest], RunPlan]] = {}
         self.specs: dict[JobId, WorkSpec] = {}
         self.teams: dict[JobId, TeamName] = {}
@@ -425,9 +441,9 @@
 
     def deliver_starts(self) -> None:
         """Let the start requests arrive that are under way."""
-        for worker, request, token in self.starts_under_way:
+        for worker, request, token, sent_s in self.starts_under_way:
             with contextlib.suppress(WorkerFencedError):
-                self.engines[worker].start(request, token)
+                self.engines[worker].start(request, token, sent_s)
         self.starts_under_way.clear()
 
     def poll(self, worker_id: WorkerId) -> None:
@@ -465,13 +481,12 @@
     def execute(self, command: Command) -> None:
         """Execute a command; advice is answered immediately."""
         if isinstance(command, StartRun):
-            self.execute_start(command)
+            self.starts.append((self.now_s, command.request.task, command.worker))
+            token = self.worker_token(command.worker)
+            self.send_start(command, token, self.scheduler)
         elif isinstance(command, StopRun):
             self.stops.append((self.now_s, command.task, command.reason.value))
-            if command.worker not in self.unreachable:
-                engine = self.engines[command.worker]
-                token = self.worker_token(command.worker)
-                engine.stop(command.task, command.run, token)
+            self.send_stop(command, self.worker_token(command.worker))
         elif isinstance(command, AskAdvice):
             self.advice_requests.append(command)
             tickets = {each: "t" for each in command.workers if self.allowed(each)}
@@ -479,28 +494,31 @@
                 command.step, Advice(tickets, 2.5), self.now_s, self.now_s
             )
 
-    def execute_start(self, command: StartRun) -> None:
-        """Send a start request, whose reply may be lost."""
-        request = command.request
-        self.starts.append((self.now_s, request.task, command.worker))
-        token = self.worker_token(command.worker)
-        if command.worker in self.unreachable | self.delayed_starts:
-            if command.worker in self.delayed_starts:
-                self.starts_under_way.append((command.worker, request, token))
-            self.scheduler.start_unanswered(
-                command.worker, request.task, request.run, True
-            )
+    def send_stop(self, command: StopRun, token: Epoch) -> None:
+        """Send a stop request."""
+        if command.worker not in self.unreachable:
+            engine = self.engines[command.worker]
+            engine.stop(command.task, command.run, token)
+
+    def send_start(self, command: StartRun, token: Epoch, scheduler: Scheduler) -> None:
+        """Send a start request of a scheduler, whose reply may be lost."""
+        worker, request = command.worker, command.request
+        if worker in self.unreachable | self.delayed_starts:
+            if worker in self.delayed_starts:
+                sent_s = self.clock.wall()
+                self.starts_under_way.append(
+                    StartUnderWay(worker, request, token, sent_s)
+                )
+            scheduler.start_unanswered(worker, request.task, request.run, True)
             return
-        outcome, _ = self.engines[command.worker].start(request, token)
+        outcome, _ = self.engines[worker].start(request, token)
         if outcome is StartOutcome.STARTED:
             self.check_maximum(request.task)
-        if command.worker in self.lost_start_replies:
-            self.scheduler.start_unanswered(
-                command.worker, request.task, request.run, True
-            )
+        if worker in self.lost_start_replies:
+            scheduler.start_unanswered(worker, request.task, request.run, True)
         else:
-            self.scheduler.start_answered(
-                command.worker, request.task, request.run, outcome, self.now_s
+            scheduler.start_answered(
+                worker, request.task, request.run, outcome, self.now_s
             )
 
     def check_maximum(self, started: TaskRef) -> None:
@@ -540,7 +558,17 @@
         """Store the scheduler's changes, unless the store is unavailable."""
         if not self.is_store_available:
             return
-        changes = self.scheduler.changes.take_batch(100, self.clock.wall())
+        changes = self.take_changes()
+        self.store_changes(changes)
+        self.confirm_changes(changes)
+        self.record_workers()
+
+    def take_changes(self) -> Changes:
+        """Return the scheduler's changes to store now."""
+        return self.scheduler.changes.take_batch(100, self.clock.wall())
+
+    def store_changes(self, changes: Changes) -> None:
+        """Write changes to the store."""
         for write in changes.progress:
             self.progress[write.job] = write.value
         for ending in changes.endings:
@@ -549,9 +577,15 @@
             self.ended[ending.job] = ending.ended
             if ending.ended.state is JobState.COMPLETED:
                 self.completed_s.setdefault(ending.job, self.clock.wall())
+
+    def confirm_changes(self, changes: Changes) -> None:
+        """Tell the scheduler that changes are stored."""
         acknowledged = self.scheduler.changes.commit_succeeded(changes, {}, self.now_s)
         for worker, (born_ms, number) in acknowledged.items():
             self.poll_states[worker].ends_stored(born_ms, number)
+
+    def record_workers(self) -> None:
+        """Store which workers a successor has to poll."""
         entries = self.scheduler.changes.workers_to_record()
         if entries is not None:
             self.workers_record = entries
