--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/worker_registry.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/worker_registry.py
@@ -78,7 +78,7 @@
                 # Its registration is gone or unreadable, but it may have runs.
                 self.add_worker(entry, now_s)
                 self.scheduler.worker_unregistered(entry.worker)
-            self.scheduler.worker_recorded(entry)
+            self.scheduler.worker_recorded(entry, now_s)
 
     def registration_changed(self, key: str, value: bytes, now_s: float) -> None:
         """Add or update a worker from its registration."""
