Record a start without a response before its second attempt, also for a successor

The record of workers names the tasks that a silent worker may start late. A copy of a task is checked at sending as at its decision; a test of the obstacles shows both.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
@@ -409,7 +409,7 @@
         """Record that a start had no response and is to be sent once more."""
         run = self.find_run(worker_id, task, number)
         if run is not None:
-            run.has_unanswered_start = True
+            run.worker.start_unanswered(run)
 
     def throttle_withdrawn(
         self, worker_id: WorkerId, task: TaskRef, number: int
--- a/tests/fleet/test_start_permission.py
+++ b/tests/fleet/test_start_permission.py
@@ -8,6 +8,7 @@
 from gooseberrydeck_fleet.ids import WorkerId
 from gooseberrydeck_fleet.start_permission import (
     StartObstacle,
+    find_run_obstacle,
     find_start_obstacle,
     has_startable_tasks,
     may_copy,
@@ -78,6 +79,19 @@
         self.fleet.scheduler.ledger.step_done(self.first)
         assert startable_tasks(self.second) == [task]
 
+    # Guards against copies that are decided and dropped in turn: at their decision, what
+    # forbids the first start of a task isn't asked.
+    def test_copy_is_checked_like_at_its_decision(self) -> None:
+        self.forbid(StartObstacle.RUNS_KNOWN)
+        (run,) = self.task.runs
+        self.forbid(StartObstacle.UNKNOWN_RUNS)
+        assert find_run_obstacle(run) is StartObstacle.UNKNOWN_RUNS
+        ledger = self.fleet.scheduler.ledger
+        copy = ledger.add_run(self.task, run.worker, 9, self.fleet.now_s)
+        assert find_run_obstacle(copy) is None
+        self.forbid(StartObstacle.TASK_DONE)
+        assert find_run_obstacle(copy) is StartObstacle.TASK_DONE
+
     def test_only_tasks_with_one_run_may_be_copied(self) -> None:
         assert not may_copy(self.task)
         self.forbid(StartObstacle.RUNS_KNOWN)
--- a/tests/member/test_changes_before_sending.py
+++ b/tests/member/test_changes_before_sending.py
@@ -260,6 +260,17 @@
         else:
             assert reason in (SendObstacle.RUN_ENDED.value, "no_authority")
 
+    # A successor has to know that the worker may start the run late.
+    def test_first_attempt_without_a_response_is_recorded_before_the_second(
+        self, waiting: WaitingCommands
+    ) -> None:
+        waiting.calls.before_response = lambda: None
+        run = waiting.submit(StepSpec(1, LARGE))
+        waiting.run_calls()
+        assert waiting.calls.sent == ["start"]
+        assert run.state is RunState.STARTING
+        assert run in run.worker.unanswered_starts
+
     def test_start_without_a_change_is_sent(self, waiting: WaitingCommands) -> None:
         waiting.keep_busy()
         run = waiting.submit(StepSpec(1, LARGE, required_label="a"))
