--- a/tests/fleet/test_start_permission.py
+++ b/tests/fleet/test_start_permission.py
@@ -79,8 +79,8 @@
         self.fleet.scheduler.ledger.step_done(self.first)
         assert startable_tasks(self.second) == [task]
 
-    # Guards against copies that are decided and dropped in turn: at their decision, what
-    # forbids the first start of a task isn't asked.
+    # Guards against copies that are decided and dropped in turn: what forbids the first
+    # start of a task isn't asked when a copy of it is decided.
     def test_copy_is_checked_like_at_its_decision(self) -> None:
         self.forbid(StartObstacle.RUNS_KNOWN)
         (run,) = self.task.runs
