Replace the threads that late workers keep

With 32 workers that have just fallen silent and have several commands each, the 32 shared threads were theirs until the calls timed out, 0.6 s later. Every other worker kept a thread of its own, but got one command per round trip. Threads of workers whose oldest command has had no response for 0.2 s count apart now, up to 32, so that there are 32 for the others again. Commands in flight stay bounded: 400 workers with one each, and twice 32.

Without the change test_threads_that_late_workers_keep_are_replaced_once and test_late_workers_keep_a_bounded_number_of_threads (2 and 5 waves) fail.

--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/command_lanes.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/command_lanes.py
@@ -92,19 +92,29 @@
             for other in self.in_flight.values()
         )
 
+    def is_late(self, now_s: float) -> bool:
+        """Return True if the worker has owed a response for long."""
+        if not self.in_flight:
+            return False
+        oldest = next(iter(self.in_flight.values()))
+        since_s = max(oldest.sent_s, self.answered_s)
+        return now_s - since_s >= UNANSWERED_LIMIT_S
+
 
 class CommandLanes:
     """One lane of orders for each worker.
 
     Each worker has one thread for itself, so that those that don't respond delay no
     others. A worker that responds may have more orders in flight, of which all workers
-    together share ``max_extra``. ``max_in_flight`` is the number of all threads.
+    together share ``max_extra``. Those whose worker turns out to be late count apart,
+    up to as many. ``max_workers`` is the number of threads for single orders.
     """
 
-    def __init__(self, max_extra: int, max_in_flight: int) -> None:
+    def __init__(self, max_extra: int, max_workers: int) -> None:
         """Create lanes without orders."""
         self.max_extra = max_extra
-        self.max_in_flight = max_in_flight
+        self.max_workers = max_workers
+        self.late_extra = 0
         self.lanes: dict[WorkerId, Lane] = {}
         # Workers that did not respond to their last command or to a poll since.
         self.unresponsive: set[WorkerId] = set()
@@ -154,18 +164,22 @@
 
     def has_thread(self, worker: WorkerId, now_s: float) -> bool:
         """Return True if a worker may have one more order in flight."""
-        if self.in_flight >= self.max_in_flight:
-            return False
-        in_flight = self.lanes[worker].in_flight
-        if not in_flight:
-            return True
-        if worker in self.unresponsive:
-            return False
-        oldest = next(iter(in_flight.values()))
-        since_s = max(oldest.sent_s, self.lanes[worker].answered_s)
-        if now_s - since_s >= UNANSWERED_LIMIT_S:
+        lane = self.lanes[worker]
+        if not lane.in_flight:
+            return self.busy_workers < self.max_workers
+        if worker in self.unresponsive or lane.is_late(now_s):
             return False
-        return self.in_flight - self.busy_workers < self.max_extra
+        extra = self.in_flight - self.busy_workers
+        late_extra = min(self.late_extra, self.max_extra)
+        return extra - late_extra < self.max_extra
+
+    def review(self, now_s: float) -> None:
+        """Count the orders that late workers have in flight beyond one each."""
+        self.late_extra = sum(
+            len(lane.in_flight) - 1
+            for lane in self.lanes.values()
+            if len(lane.in_flight) > 1 and lane.is_late(now_s)
+        )
 
     def sent(self, order: Order, now_s: float) -> None:
         """Record that an order is handed to a thread, and number it."""
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/worker_dispatcher.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/worker_dispatcher.py
@@ -47,7 +47,7 @@
 """Concurrent commands to workers beyond one for each worker; the tasks of a step are
 sent together."""
 
-MAX_COMMANDS = MAX_POLL_THREADS + COMMAND_THREADS
+MAX_COMMANDS = MAX_POLL_THREADS + 2 * COMMAND_THREADS
 """Commands that may be in flight at once; a thread is created only if it is needed."""
 
 POLL_TIMEOUT_S = 0.7
@@ -107,7 +107,7 @@
         self.clock = clock
         self.caller = CommandCaller(post, may_send)
         self.calls: dict[WorkerId, WorkerCalls] = {}
-        self.lanes = CommandLanes(COMMAND_THREADS, MAX_COMMANDS)
+        self.lanes = CommandLanes(COMMAND_THREADS, MAX_POLL_THREADS)
         # Commands to these are dropped until they answer a poll.
         self.silent_workers: set[WorkerId] = set()
         self.poll_executor: Executor = poll_executor or ThreadPoolExecutor(
@@ -226,6 +226,7 @@
 
     def send_all_due(self) -> None:
         """Send the commands that have waited and that threads are free for now."""
+        self.lanes.review(self.clock.monotonic())
         for worker in self.lanes.waiting_workers():
             self.send_due(worker)
 
--- a/tests/member/test_command_lanes.py
+++ b/tests/member/test_command_lanes.py
@@ -12,7 +12,11 @@
     CommandLanes,
     Order,
 )
-from gooseberrydeck_member.worker_dispatcher import COMMAND_THREADS, MAX_COMMANDS
+from gooseberrydeck_member.worker_dispatcher import (
+    COMMAND_THREADS,
+    MAX_COMMANDS,
+    MAX_POLL_THREADS,
+)
 
 TOKEN = Epoch(1_000)
 WORKER = WorkerId("w0")
@@ -36,7 +40,7 @@
 
 class LanesFixture:
     def setup_method(self) -> None:
-        self.lanes = CommandLanes(COMMAND_THREADS, MAX_COMMANDS)
+        self.lanes = CommandLanes(COMMAND_THREADS, MAX_POLL_THREADS)
         self.now_s = 1_000.0
         self.in_flight: list[Order] = []
 
@@ -48,6 +52,7 @@
     def send(self) -> list[RunCommand]:
         """Hand out all commands that may be sent now and return them."""
         sent = []
+        self.lanes.review(self.now_s)
         for worker in self.lanes.waiting_workers():
             while (order := self.lanes.take_next(worker, self.now_s)) is not None:
                 self.lanes.sent(order, self.now_s)
@@ -87,6 +92,31 @@
         self.now_s += UNANSWERED_LIMIT_S
         assert self.send() == []
 
+    # Guards against workers that respond but get one command at a time until the calls
+    # to silent ones have timed out.
+    def test_threads_that_late_workers_keep_are_replaced_once(self) -> None:
+        for number in range(COMMAND_THREADS):
+            worker = WorkerId(f"silent-{number}")
+            self.add(*(start(worker, 10 * number + each) for each in range(4)))
+        self.send()
+        commands = [start(WORKER, 9_000 + each) for each in range(3)]
+        self.add(*commands)
+        assert self.send() == commands[:1]
+        self.now_s += UNANSWERED_LIMIT_S
+        self.complete(commands[0])
+        assert self.send() == commands[1:]
+
+    @pytest.mark.parametrize("waves", [2, 5])
+    def test_late_workers_keep_a_bounded_number_of_threads(self, waves: int) -> None:
+        for wave in range(waves):
+            for number in range(COMMAND_THREADS):
+                worker = WorkerId(f"silent-{wave}-{number}")
+                first = 1_000 * wave + 10 * number
+                self.add(*(start(worker, first + each) for each in range(4)))
+            self.send()
+            self.now_s += UNANSWERED_LIMIT_S
+        assert len(self.in_flight) == (waves + 2) * COMMAND_THREADS
+
     def test_worker_without_a_response_gets_one_command_at_a_time(self) -> None:
         first = [start(WORKER, run) for run in range(3)]
         self.add(*first)
@@ -127,9 +157,9 @@
         assert self.send() == [third]
 
     def test_more_workers_than_threads_leave_none_waiting_in_the_executor(self) -> None:
-        for number in range(MAX_COMMANDS + 1):
+        for number in range(MAX_POLL_THREADS + 1):
             self.add(start(WorkerId(f"w{number}"), number))
-        assert len(self.send()) == MAX_COMMANDS
+        assert len(self.send()) == MAX_POLL_THREADS
         self.complete(self.in_flight[0].command)
         assert len(self.send()) == 1
 
