Tests of deadly tasks and shrinking workers around a change of the holder

What was there: the crashes of a task count whoever holds the shard (one takeover after each crash), and nothing starts beyond a smaller capacity. What lacked, and passes on the present code:

- one change of the holder at any moment of a deadly task's attempts: the task is given up, crashes no more workers than allowed, and both jobs beside it complete (48 cases);
- a burst on workers that shrank under their runs, before or after a takeover, with a worker cut off or not, with a team's limit: no worker goes beyond what is left, the team keeps its limit, and every job completes; workers that shrink while starts for their former capacity are held; workers that shrink to less than what runs, and grow back.

--- a/tests/fleet/test_capacity.py
+++ b/tests/fleet/test_capacity.py
@@ -3,25 +3,33 @@
 Answers the pattern of hosts that lend a part of their room for a while.
 """
 
+import pytest
+
+from delays_support import DelayedFleet
 from fleet_support import (
     CORE,
     TEAM,
-    Fleet,
+    URGENT,
     make_configuration,
     registration,
     task_resources,
 )
+from gooseberrydeck_coordination.ids import JobId
 from gooseberrydeck_coordination.resources import Resources
 from gooseberrydeck_fleet.ids import WorkerId
 from gooseberrydeck_fleet.work import JobState, StepSpec
 
 W0, W1 = WorkerId("w0"), WorkerId("w1")
+WORKERS = W0, W1
 LONG_S = 30.0
+SHRUNK_CORES = 16
+BURST = 6
+"""Jobs of a burst, which need more than both workers have left."""
 
 
 class CapacityFixture:
     def setup_method(self) -> None:
-        self.fleet = Fleet(workers=2)
+        self.fleet = DelayedFleet(workers=2)
 
     def fill(self, tasks: int, cores: float = 4.0, seconds: float = LONG_S) -> None:
         """Submit a job and let its tasks start."""
@@ -121,3 +129,118 @@
         assert entries is not None
         capacities = {entry.worker: entry.capacity for entry in entries}
         assert capacities[W0].cpu_millis == 32 * CORE
+
+
+class TestShrinkingUnderLoad(CapacityFixture):
+    """Runs go on while capacity is withdrawn, and a burst of jobs follows."""
+
+    def limit_team(self, cores: int) -> None:
+        maximum = Resources(cores * CORE, 0, 0)
+        self.fleet.configuration = make_configuration(maximum=maximum)
+        self.fleet.scheduler.set_configuration(self.fleet.configuration)
+
+    def submit_burst(self, seconds: float = 2.0) -> list[JobId]:
+        """Submit urgent jobs."""
+        return [
+            self.fleet.submit(
+                f"burst{number}",
+                StepSpec(2, task_resources(cores=4)),
+                queue_name=URGENT,
+                seconds=seconds,
+            )
+            for number in range(BURST)
+        ]
+
+    def watch(self, seconds: float, max_cores: int) -> None:
+        """Check the use of both workers and of the team while the fleet runs.
+
+        Nothing may bring a worker that is beyond its capacity further beyond.
+        """
+        used = {worker: self.cores_on(worker) for worker in WORKERS}
+        for _ in range(round(seconds / 0.05)):
+            self.fleet.run_for(0.05)
+            for worker in WORKERS:
+                capacity = self.fleet.engines[worker].capacity.cpu_millis / CORE
+                assert self.cores_on(worker) <= max(capacity, used[worker])
+                used[worker] = self.cores_on(worker)
+            assert self.fleet.team_usage(TEAM).cpu_millis <= max_cores * CORE
+        assert self.fleet.violations() == []
+
+    # Guards against a burst that fills workers which have shrunk under their runs: over
+    # their capacity, or over what the team may run.
+    @pytest.mark.parametrize("is_taken_over", [False, True])
+    @pytest.mark.parametrize("max_cores", [40, 64])
+    def test_burst_waits_or_goes_elsewhere(
+        self, is_taken_over: bool, max_cores: int
+    ) -> None:
+        self.limit_team(max_cores)
+        self.fill(8, seconds=3.0)
+        self.fleet.resize_worker(W0, SHRUNK_CORES)
+        self.fleet.resize_worker(W1, SHRUNK_CORES)
+        if is_taken_over:
+            self.fleet.take_over()
+        jobs = self.submit_burst()
+        self.watch(20.0, max_cores)
+        for job in jobs:
+            assert self.fleet.state(job) is JobState.COMPLETED
+
+    def test_worker_that_grows_back_is_filled_again(self) -> None:
+        self.fill(8, seconds=LONG_S)
+        (worker,) = [each for each in WORKERS if self.cores_on(each) == 32]
+        (other,) = set(WORKERS) - {worker}
+        self.fleet.resize_worker(worker, SHRUNK_CORES)
+        self.fleet.resize_worker(other, 0)
+        jobs = self.submit_burst()
+        self.watch(2.0, 64)
+        assert all(self.fleet.state(job) is JobState.QUEUED for job in jobs)
+        self.fleet.resize_worker(worker, 40)
+        self.fleet.run_for(0.5)
+        assert self.cores_on(worker) == 40
+        self.watch(15.0, 64)
+        for job in jobs:
+            assert self.fleet.state(job) is JobState.COMPLETED
+
+    # Guards against starts that were decided for the former capacity and are sent to a
+    # worker that has shrunk meanwhile, beside others for what is left.
+    @pytest.mark.parametrize("hold_s", [0.3, 1.4])
+    @pytest.mark.parametrize("cores", [0, 8, SHRUNK_CORES])
+    def test_shrinking_while_starts_are_under_way(
+        self, hold_s: float, cores: int
+    ) -> None:
+        self.fill(4, seconds=LONG_S)
+        self.fleet.holds_s = dict.fromkeys(WORKERS, hold_s)
+        self.fill(8, seconds=2.0)
+        self.fleet.holds_s.clear()
+        for worker in WORKERS:
+            self.fleet.resize_worker(worker, cores)
+        jobs = self.submit_burst()
+        self.fleet.run_for(8.0)
+        self.watch(2.0, 64)
+        for worker in WORKERS:
+            self.fleet.resize_worker(worker, 32)
+        self.watch(20.0, 64)
+        for job in jobs:
+            assert self.fleet.state(job) is JobState.COMPLETED
+
+    # Guards against a successor that takes a worker beyond its capacity for an empty
+    # one, since its runs are not known yet or its room is negative.
+    @pytest.mark.parametrize("is_cut", [False, True])
+    @pytest.mark.parametrize("shrinks_before", [False, True])
+    def test_shrinking_around_a_takeover(
+        self, is_cut: bool, shrinks_before: bool
+    ) -> None:
+        self.limit_team(48)
+        self.fill(10, seconds=6.0)
+        if shrinks_before:
+            self.fleet.resize_worker(W0, SHRUNK_CORES)
+        if is_cut:
+            self.fleet.unreachable.add(W0)
+        self.fleet.take_over()
+        if not shrinks_before:
+            self.fleet.resize_worker(W0, SHRUNK_CORES)
+        jobs = self.submit_burst()
+        self.watch(3.0, 48)
+        self.fleet.unreachable.clear()
+        self.watch(25.0, 48)
+        for job in jobs:
+            assert self.fleet.state(job) is JobState.COMPLETED
--- a/tests/fleet/test_crashes.py
+++ b/tests/fleet/test_crashes.py
@@ -225,6 +225,27 @@
                 self.fleet.take_over()
         self.assert_given_up(bad)
 
+    # Guards against a task that takes more workers with it, or has an innocent job
+    # given up, since the holder was replaced at some moment of its attempts.
+    @pytest.mark.parametrize("rebirth", list(Rebirth))
+    @pytest.mark.parametrize("crashes", [0, 1, 2, 3])
+    @pytest.mark.parametrize("delay_s", [0.0, 0.5, 2.0])
+    def test_one_change_of_holder_at_any_moment(
+        self, rebirth: Rebirth, crashes: int, delay_s: float
+    ) -> None:
+        self.fleet.rebirth = rebirth
+        good = [self.submit_ordinary(f"good{number}") for number in range(2)]
+        bad = self.submit_deadly(after_s=0.3)
+        while len(self.fleet.crashes) < crashes:
+            self.fleet.run_for(0.05)
+        self.fleet.run_for(delay_s)
+        self.fleet.take_over()
+        self.fleet.run_for(60.0)
+        self.assert_given_up(bad)
+        assert len(self.fleet.crashes) <= MAX_STARTS
+        for job in good:
+            assert self.fleet.ended[job].state is JobState.COMPLETED
+
     def test_task_waits_until_its_crash_is_stored(self) -> None:
         bad = self.submit_deadly()
         self.fleet.run_for(1.0)
