Keep a removed peer's connection while replies are expected

Callers could see: a request without an answer until its time limit (504, peer-silent), if the member that ran it left the cell meanwhile. When a peer's record was gone or had another address, the network task closed its connection at once, with the replies that were on their way; the requests waited for their deadline.

Evidence: TestDepartures::test_reply_of_a_member_that_has_left_is_received fails with PeerTimeoutError if the connection is closed at once, and passes.

Change: such a connection sends nothing more, and is closed once no request to the member lacks a reply. The sockets to the peers have a module of their own.

It is not its cause: the members of that test are named in the settings, and aren't removed.

--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/peers/network.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/peers/network.py
@@ -12,11 +12,11 @@
 from typing import Any, Protocol
 
 import msgspec
-import structlog
 import zmq
 
 from gooseberrydeck_coordination.ids import MemberId
 from gooseberrydeck_daemon.metrics import Metrics
+from gooseberrydeck_daemon.peers.connections import PeerConnections
 from gooseberrydeck_daemon.peers.exceptions import PeerNotReachedError
 from gooseberrydeck_daemon.peers.messages import (
     Frame,
@@ -34,10 +34,8 @@
 from gooseberrydeck_daemon.peers.security import CurveKeys, ZapHandler
 from gooseberrydeck_daemon.peers.sockets import (
     MAX_QUEUED_MESSAGES,
-    open_dealer,
     open_router,
 )
-from gooseberrydeck_daemon.settings import PeerAddress
 from gooseberrydeck_daemon.views import MembershipView
 
 __all__ = ["PeerNetwork", "Peers"]
@@ -46,8 +44,6 @@
 POLL_MS = 50
 CONNECTION_SYNC_PERIOD_S = 0.5
 
-log = structlog.get_logger(__name__)
-
 
 class Peers(Protocol):
     """Interface for sending messages to other members."""
@@ -112,8 +108,10 @@
         self.router = open_router(self.context, keys, bind_address, port)
         endpoint = self.router.getsockopt_string(zmq.LAST_ENDPOINT)
         self.port = int(endpoint.rsplit(":", 1)[-1])
-        self.dealers: dict[MemberId, tuple[PeerAddress, zmq.Socket[bytes]]] = {}
         self.poller = zmq.Poller()
+        self.connections = PeerConnections(
+            self.context, keys, self.identity, self.poller
+        )
         self.pending_requests = PendingRequestTable(metrics)
         self.deduplicators: OrderedDict[bytes, RequestDeduplicator] = OrderedDict()
         self.outbox: deque[OutboundMessage | OutboundReply] = deque()
@@ -194,7 +192,7 @@
         self.flush_outbox()
         if self.router in ready:
             self.receive_all(self.router, self.receive_from_peer)
-        for member, (_, dealer) in list(self.dealers.items()):
+        for member, dealer in self.connections.dealers():
             if dealer in ready:
                 self.receive_all(dealer, partial(self.receive_reply, member))
         self.pending_requests.expire(now_s)
@@ -207,24 +205,9 @@
         self.is_wake_pending = False
 
     def sync_connections(self) -> None:
-        """Connect to new peers; close connections to removed or readdressed ones."""
-        wanted = {item.member: item for item in self.membership.peers()}
-        for member, (address, dealer) in list(self.dealers.items()):
-            if wanted.get(member) != address:
-                self.poller.unregister(dealer)
-                dealer.close()
-                del self.dealers[member]
-                log.info("peer removed", peer=member)
-        for member, address in wanted.items():
-            if member not in self.dealers and member != self.member:
-                self.connect(address)
-
-    def connect(self, address: PeerAddress) -> None:
-        """Open the connection that carries messages to a peer."""
-        dealer = open_dealer(self.context, self.keys, self.identity, address)
-        self.poller.register(dealer, zmq.POLLIN)
-        self.dealers[address.member] = (address, dealer)
-        log.info("peer added", peer=address.member)
+        """Connect to new peers, and give up the connections to removed ones."""
+        peers = [each for each in self.membership.peers() if each.member != self.member]
+        self.connections.sync(peers, self.pending_requests.expects_reply)
 
     def flush_outbox(self) -> None:
         """Send every queued message and reply."""
@@ -251,7 +234,9 @@
         correlation_id = (
             0 if item.request is None else self.pending_requests.add(item.request)
         )
-        if self.try_send(item.member, Frame(kind, correlation_id, item.payload)):
+        if self.connections.try_send(
+            item.member, Frame(kind, correlation_id, item.payload)
+        ):
             self.metrics.count("peers.bytes.sent", len(item.payload))
             return
         self.metrics.count("peers.sends.unreached")
@@ -260,17 +245,6 @@
             error = PeerNotReachedError(f"no connection to {item.member}")
             resolve_future(item.request.future, error)
 
-    def try_send(self, member: MemberId, frame: Frame) -> bool:
-        """Return True if a live connection accepted the frame."""
-        connection = self.dealers.get(member)
-        if connection is None:
-            return False
-        try:
-            connection[1].send_multipart([frame.header(), frame.payload], zmq.NOBLOCK)
-        except zmq.ZMQError:
-            return False
-        return True
-
     def receive_all(
         self, socket: zmq.Socket[bytes], receive: Callable[[list[bytes]], None]
     ) -> None:
@@ -334,8 +308,7 @@
         """Flush the outbox, fail pending requests and close every socket."""
         self.flush_outbox()
         self.pending_requests.fail_all()
-        for _, dealer in self.dealers.values():
-            dealer.close()
+        self.connections.close()
         self.router.close()
         self.zap.close()
         self.wake_reader.close()
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/peers/requests.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/peers/requests.py
@@ -58,6 +58,10 @@
         heapq.heappush(self.deadlines, (request.deadline_s, self.last_correlation_id))
         return self.last_correlation_id
 
+    def expects_reply(self, member: MemberId) -> bool:
+        """Return True if a request to a member has no reply yet."""
+        return any(request.member == member for request in self.pending.values())
+
     def drop(self, correlation_id: int) -> None:
         """Remove a request that was not sent."""
         self.pending.pop(correlation_id, None)
--- a/tests/daemon/test_peer_network.py
+++ b/tests/daemon/test_peer_network.py
@@ -1,5 +1,6 @@
 """Tests of the messages between members."""
 
+import threading
 import time
 from collections.abc import Iterator
 from concurrent.futures import Future
@@ -225,6 +226,45 @@
         assert metrics.counts["peers.answers.late"] == 1
 
 
+class Gate:
+    """A handler that replies to a request once it is told to."""
+
+    def __init__(self) -> None:
+        self.entered = threading.Event()
+        self.opened = threading.Event()
+
+    def handle(self, inbound: Inbound) -> None:
+        if inbound.message.text == "wait":
+            self.entered.set()
+            assert self.opened.wait(10.0)
+        inbound.reply(Answer(inbound.message.text.upper()))
+
+
+class TestDepartures:
+    """Requests to a member that is leaving the cell."""
+
+    def setup_method(self) -> None:
+        ports: dict[MemberId, int] = {M1: free_port(), M2: free_port()}
+        self.gate = Gate()
+        self.m1, self.m2 = (make_network(name, ports, KEYS, []) for name in ports)
+        self.m2.registry.handlers[Question] = self.gate.handle
+
+    # Guards against requests that have no answer until their time limit: the connection
+    # was closed while the reply was on its way.
+    def test_reply_of_a_member_that_has_left_is_received(self) -> None:
+        with running(self.m1, self.m2):
+            request_until_connected(self.m1, Question("x"))
+            reply = self.m1.request(M2, Question("wait"), 5.0)
+            assert self.gate.entered.wait(10.0)
+            self.m1.membership = StaticMembership([], M1)
+            wait_until(lambda: not self.m1.connections.current)
+            with pytest.raises(PeerNotReachedError):
+                self.m1.request(M2, Question("x"), 5.0).result(10.0)
+            self.gate.opened.set()
+            assert reply.result(10.0).text == "WAIT"
+            wait_until(lambda: not self.m1.connections.retired)
+
+
 class TestStop:
     def test_stop_and_wake_after_close_have_no_effect(self) -> None:
         network = make_network(M1, {}, KEYS, [])
--- a/tests/operators_support.py
+++ b/tests/operators_support.py
@@ -170,7 +170,7 @@
     """Return True if every member is connected to every peer."""
     return all(
         len(member.network.deduplicators) >= len(cell.members) - 1
-        or len(member.network.dealers) >= len(cell.members) - 1
+        or len(member.network.connections.current) >= len(cell.members) - 1
         for member in cell.members.values()
     )
 
