--- a/packages/gooseberrydeck-platform/src/gooseberrydeck_platform/http.py
+++ b/packages/gooseberrydeck-platform/src/gooseberrydeck_platform/http.py
@@ -7,6 +7,7 @@
 """
 
 import http.client
+import math
 import socket
 import time
 from collections.abc import Iterator, Mapping
@@ -91,9 +92,13 @@
 class HttpConnection:
     """A kept-alive connection; not safe for concurrent use by several threads."""
 
-    def __init__(self, address: HttpAddress) -> None:
-        """Create a connection that is opened by the first request."""
+    def __init__(self, address: HttpAddress, stall_timeout_s: float = math.inf) -> None:
+        """Create a connection that is opened by the first request.
+
+        A request fails early if nothing is sent or received for ``stall_timeout_s``.
+        """
         self.address = address
+        self.stall_timeout_s = stall_timeout_s
         self.client = BufferedHTTPConnection(address.host, address.port)
         self.sock: DeadlineSocket | None = None
 
@@ -171,6 +176,7 @@
     def connect(self, deadline_s: float) -> DeadlineSocket:
         """Open a connection; raise ``HttpNotSentError`` on failure."""
         remaining_s = max(deadline_s - time.monotonic(), MIN_TIMEOUT_S)
+        remaining_s = min(remaining_s, self.stall_timeout_s)
         target = (self.address.host, self.address.port)
         try:
             raw = socket.create_connection(target, min(remaining_s, CONNECT_TIMEOUT_S))
@@ -178,7 +184,7 @@
         except OSError as error:
             self.close()
             raise HttpNotSentError(self.describe_error(error)) from error
-        return DeadlineSocket(raw)
+        return DeadlineSocket(raw, self.stall_timeout_s)
 
     def encode_request(
         self, method: str, path: str, body: bytes, headers: Mapping[str, str]
--- a/packages/gooseberrydeck-platform/src/gooseberrydeck_platform/http_pool.py
+++ b/packages/gooseberrydeck-platform/src/gooseberrydeck_platform/http_pool.py
@@ -1,5 +1,6 @@
 """A thread-safe pool of kept-alive connections to one service."""
 
+import math
 import threading
 import time
 from collections import deque
@@ -28,11 +29,17 @@
     limited: each concurrent request has its own.
     """
 
-    def __init__(self, addresses: Sequence[HttpAddress]) -> None:
-        """Create an empty pool; raise ``ValueError`` without an address."""
+    def __init__(
+        self, addresses: Sequence[HttpAddress], stall_timeout_s: float = math.inf
+    ) -> None:
+        """Create an empty pool; raise ``ValueError`` without an address.
+
+        A request fails early if nothing is sent or received for ``stall_timeout_s``.
+        """
         if not addresses:
             raise ValueError("HttpPool requires at least one address")
         self.addresses = tuple(addresses)
+        self.stall_timeout_s = stall_timeout_s
         self.preferred_index = 0
         self.lock = threading.Lock()
         self.idle: list[deque[HttpConnection]] = [deque() for _ in self.addresses]
@@ -74,7 +81,7 @@
         """Send a request on a dedicated connection and return a response stream."""
         failure: HttpNotSentError | None = None
         for index in self.address_order():
-            connection = HttpConnection(self.addresses[index])
+            connection = HttpConnection(self.addresses[index], self.stall_timeout_s)
             try:
                 stream = connection.stream(method, path, body, headers, timeout_s)
             except HttpNotSentError as error:
@@ -95,7 +102,7 @@
         with self.lock:
             if self.idle[index]:
                 return self.idle[index].pop()
-        return HttpConnection(self.addresses[index])
+        return HttpConnection(self.addresses[index], self.stall_timeout_s)
 
     def release(self, index: int, connection: HttpConnection) -> None:
         """Return a connection to the pool, or close it if enough are idle.
--- a/packages/gooseberrydeck-platform/src/gooseberrydeck_platform/http_socket.py
+++ b/packages/gooseberrydeck-platform/src/gooseberrydeck_platform/http_socket.py
@@ -1,6 +1,7 @@
 """A socket wrapper that gives ``http.client`` one deadline for a whole request."""
 
 import io
+import math
 import select
 import socket
 import time
@@ -38,17 +39,23 @@
     does nothing, because ``http.client`` calls it before the last body has been read.
     """
 
-    def __init__(self, raw: socket.socket) -> None:
-        """Wrap a connected socket."""
+    def __init__(self, raw: socket.socket, stall_timeout_s: float = math.inf) -> None:
+        """Wrap a connected socket.
+
+        An operation also fails if nothing can be sent or received for
+        ``stall_timeout_s``.
+        """
         raw.setblocking(False)
         self.raw = raw
+        self.stall_timeout_s = stall_timeout_s
         self.deadline_s = 0.0
         self.read_poller = select.poll()
         self.read_poller.register(raw, select.POLLIN)
 
     def wait(self, poller: select.poll) -> None:
-        """Wait for an event; raise ``TimeoutError`` once the deadline has passed."""
-        remaining_ms = (self.deadline_s - time.monotonic()) * 1_000
+        """Wait for an event; raise ``TimeoutError`` if it comes too late."""
+        remaining_s = self.deadline_s - time.monotonic()
+        remaining_ms = min(remaining_s, self.stall_timeout_s) * 1_000
         if remaining_ms <= 0 or not poller.poll(remaining_ms):
             raise TimeoutError("timed out")
 
--- a/tests/adapter/test_adapter.py
+++ b/tests/adapter/test_adapter.py
@@ -162,6 +162,24 @@
         events = [(event.kind, event.entry.key) for event in next(watch).events]
         assert events == [(EventKind.PUT, "w/b"), (EventKind.DELETE, "w/a")]
 
+    def test_watch_wait_and_stall_timeout_can_be_chosen(
+        self, store_fixture: StoreFixture, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        address = store_fixture.server.address
+        store = HttpStore(address, watch_wait_s=0.25, stall_timeout_s=0.5)
+        assert store.pool.stall_timeout_s == 0.5
+        # A watch receives nothing while it waits.
+        assert store.watch_pool.stall_timeout_s == 0.75
+        paths: list[str] = []
+
+        def call(_method: str, path: str, *_: object) -> HttpResponse:
+            paths.append(path)
+            return HttpResponse(200, {}, b'{"events":[],"AsOf":9}')
+
+        monkeypatch.setattr(store, "call", call)
+        next(store.watch("w/", Revision(9), TIMEOUT_S))
+        assert "WaitMs=250" in paths[0]
+
     def test_watch_from_compacted_revision_is_refused(
         self, store_fixture: StoreFixture
     ) -> None:
--- a/tests/platform/test_http.py
+++ b/tests/platform/test_http.py
@@ -1,5 +1,6 @@
 """Tests of the HTTP client: unsent requests, incomplete responses and deadlines."""
 
+import math
 import socket
 import threading
 from collections.abc import Callable, Iterator
@@ -14,6 +15,7 @@
     HttpOutcomeUnknownError,
 )
 from gooseberrydeck_platform.http_pool import HttpPool
+from gooseberrydeck_platform.http_socket import DeadlineSocket
 from network_support import refused_address
 
 COMPLETE_RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole"
@@ -196,6 +198,43 @@
             HttpAddress.parse(text)
 
 
+class PollerStub:
+    """A poller that reports an event at once and records its timeouts."""
+
+    def __init__(self) -> None:
+        self.timeouts_ms: list[float] = []
+
+    def poll(self, timeout_ms: float) -> list[tuple[int, int]]:
+        self.timeouts_ms.append(timeout_ms)
+        return [(0, 0)]
+
+
+class TestStallTimeout:
+    # Guards against a lost response that is noticed only after the time that a large
+    # one may take.
+    def test_each_wait_is_limited_beside_the_deadline(self) -> None:
+        first, second = socket.socketpair()
+        with first, second:
+            sock = DeadlineSocket(first, stall_timeout_s=0.5)
+            sock.deadline_s = math.inf
+            poller = PollerStub()
+            sock.wait(poller)  # type: ignore[arg-type]
+            sock.wait(poller)  # type: ignore[arg-type]
+            assert poller.timeouts_ms == [500, 500]
+
+    def test_stalled_response_has_unknown_outcome(self) -> None:
+        with run_scripted_server(stay_silent) as server:
+            pool = HttpPool([server.address], stall_timeout_s=SHORT_S)
+            with pytest.raises(HttpOutcomeUnknownError, match="timed out"):
+                pool.request("POST", "/", b"body", timeout_s=math.inf)
+
+    def test_passed_deadline_ends_a_response_that_does_not_stall(self) -> None:
+        with run_scripted_server(trickle) as server:
+            pool = HttpPool([server.address], stall_timeout_s=LONG_S)
+            with pytest.raises(HttpOutcomeUnknownError, match="timed out"):
+                pool.request("POST", "/", b"body", timeout_s=SHORT_S)
+
+
 class TestHttpPool:
     def test_the_next_address_is_tried_if_nothing_was_sent(self) -> None:
         with (
