A large configuration reaches members on slow links

Cause: the reply to a heartbeat (timeout 0.35 s) carried the whole value in base64, and the control task read the whole value from the store (0.6 s) again and again. Both began anew after each timeout, so that the abandoned transfers kept the links full.

Why this works: heartbeats name the version only. A task of its own fetches it from the holder or from members that have it: compressed, in pieces of 32 KB that are kept over failures, three members at once at a source, which refers others to those it has served. The store is the fallback after 0.6 s. The holder watches the store in calls of 0.25 s from the revision that it has confirmed last, and passes that revision on with the version, so that an unchanged value is transferred by nobody. A call of the store fails after 0.6 s without a byte, not after 0.6 s in all. A value that cannot be decoded ended the process; it is logged and ignored. The scheduler gets a version that is adopted while it is built, which another thread may do now.

Members of the former release get the value in the reply as before, since their heartbeats lack `fetches_configuration`, and the value in such a reply is used.

`test_follower_gets_a_large_configuration_and_keeps_its_heartbeats` is red without `fetches_configuration` in the heartbeat. Six further mutants (no `deliver`, no bound on transfers, confirmation beside an unreadable value, a version that goes back, no pause after a malformed value, the value read each time) are red too.

ControlTask no longer takes the configuration's key; the test of the hand-over passes one argument less.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/configuration.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/configuration.py
@@ -8,6 +8,7 @@
 __all__ = [
     "UNSERVED",
     "AdvicePolicy",
+    "ConfigurationUnreadableError",
     "FleetConfiguration",
     "Queue",
     "Team",
@@ -24,6 +25,10 @@
 """A service without workers."""
 
 
+class ConfigurationUnreadableError(Exception):
+    """The stored configuration cannot be decoded."""
+
+
 class AdvicePolicy(msgspec.Struct, frozen=True):
     """The expected duration of advice, per request and per worker, and its validity."""
 
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/composition.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/composition.py
@@ -22,6 +22,7 @@
 )
 from gooseberrydeck_adapter.configuration import CONFIGURATION_KEY
 from gooseberrydeck_adapter.discovery import REGISTRATION_PREFIX
+from gooseberrydeck_coordination.clock import SystemClock
 from gooseberrydeck_coordination.ids import MemberId
 from gooseberrydeck_fleet.configuration import FleetConfiguration
 from gooseberrydeck_fleet.registrations import Registration
@@ -32,6 +33,12 @@
 from gooseberrydeck_member.callers import CallerApplication, StartResponse
 from gooseberrydeck_member.cell import Cell
 from gooseberrydeck_member.configuration import ConfigurationCache
+from gooseberrydeck_member.configuration_fetcher import ConfigurationFetcher
+from gooseberrydeck_member.configuration_task import (
+    CONFIGURATION_STALL_TIMEOUT_S,
+    CONFIGURATION_WATCH_WAIT_S,
+    ConfigurationTask,
+)
 from gooseberrydeck_member.control import ControlTask
 from gooseberrydeck_member.jobs import JobStore
 from gooseberrydeck_member.observability import Metrics
@@ -109,6 +116,27 @@
         self.cell = Cell(settings.name, self.address, self.peers)
         self.configuration = ConfigurationCache(decode_intent)
         self.configuration.listeners.append(self.configuration_changed)
+        self.configuration_task = ConfigurationTask(
+            HttpStore(
+                settings.store,
+                CONFIGURATION_WATCH_WAIT_S,
+                CONFIGURATION_STALL_TIMEOUT_S,
+            ),
+            CONFIGURATION_KEY,
+            self.configuration,
+            ConfigurationFetcher(
+                self.address,
+                self.peers,
+                self.configuration,
+                self.metrics,
+                SystemClock(),
+            ),
+            lambda: self.cell.scheduler is not None,
+            self.metrics,
+        )
+        self.metrics.configuration_age_seconds.set_function(
+            lambda: time.monotonic() - self.configuration.confirmed_s
+        )
         self.adviser = HttpAdviser(settings.adviser) if settings.adviser else None
         self.shard_lock = ShardLock(
             self.control_store,
@@ -122,7 +150,6 @@
             self.cell,
             self.peers,
             self.configuration,
-            CONFIGURATION_KEY,
             settings.timing,
             self.build_scheduler,
             self.metrics,
@@ -194,8 +221,9 @@
             settings.readiness.host,
             Listener(settings.readiness.port, 1),
         )
-        supervisor = Supervisor(max_tasks=4)
-        for task in (peers, callers, ready, self.control):
+        supervisor = Supervisor(max_tasks=5)
+        tasks = (peers, callers, ready, self.configuration_task, self.control)
+        for task in tasks:
             supervisor.start(task)
         self.serve(supervisor)
         self.shut_down(callers)
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/control.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/control.py
@@ -9,6 +9,7 @@
 import structlog
 
 from gooseberrydeck_coordination.exceptions import StoreError, StoreOutcomeUnknownError
+from gooseberrydeck_coordination.ids import Revision
 from gooseberrydeck_coordination.store import Store
 from gooseberrydeck_fleet.settings import Timing
 from gooseberrydeck_member.authority import (
@@ -17,7 +18,10 @@
     boottime_clock_s,
 )
 from gooseberrydeck_member.cell import STORE_SILENCE_LIMIT_S, Cell
-from gooseberrydeck_member.configuration import ConfigurationCache
+from gooseberrydeck_member.configuration import (
+    AnnouncedConfiguration,
+    ConfigurationCache,
+)
 from gooseberrydeck_member.observability import Metrics
 from gooseberrydeck_member.peer_messages import Heartbeat, HeartbeatReply
 from gooseberrydeck_member.peers import PeerCallError, PeerClient, PeerRefusedError
@@ -55,13 +59,6 @@
 STORE_TIMEOUT_S = 0.6
 """Timeout of one store call; the other duties of this task wait for it."""
 
-CONFIGURATION_READ_INTERVAL_S = 0.5
-"""Interval at which the holder reads the configuration; a quarter of the time within
-which a change is guaranteed to take effect."""
-
-CONFIGURATION_MAX_AGE_S = 0.9
-"""Age from which a follower reads the configuration from the store itself."""
-
 CLAIM_RANK_DELAY_S = 0.06
 """Delay between claimants of consecutive ranks; a claim takes two store calls."""
 
@@ -95,7 +92,6 @@
         cell: Cell,
         peers: PeerClient,
         configuration: ConfigurationCache,
-        configuration_key: str,
         timing: Timing,
         build_scheduler: Callable[[Authority, bool], SchedulerTask],
         metrics: Metrics,
@@ -111,7 +107,6 @@
         self.cell = cell
         self.peers = peers
         self.configuration = configuration
-        self.configuration_key = configuration_key
         self.timing = timing
         self.build_scheduler = build_scheduler
         self.metrics = metrics
@@ -140,7 +135,6 @@
             else:
                 pause_s = LEASE_RENEWAL_INTERVAL_S
                 self.lead(self.cell.scheduler)
-            self.refresh_configuration()
             remaining_s = started_s + pause_s - time.monotonic()
             if remaining_s > 0:
                 self.stopping.wait(remaining_s)
@@ -149,29 +143,6 @@
         """Ask the task to end after the current round."""
         self.stopping.set()
 
-    # Configuration.
-
-    def refresh_configuration(self) -> None:
-        """Read the configuration from the store if the cached one is too old."""
-        now_s = time.monotonic()
-        is_leading = self.cell.scheduler is not None
-        limit_s = (
-            CONFIGURATION_READ_INTERVAL_S if is_leading else CONFIGURATION_MAX_AGE_S
-        )
-        if (
-            now_s - self.configuration.confirmed_s < limit_s
-            and self.configuration.value
-        ):
-            return
-        try:
-            entry = self.store.read(self.configuration_key, STORE_TIMEOUT_S)
-        except StoreError as error:
-            self.report_store_failure(error)
-            return
-        self.report_store_recovery()
-        if entry is not None:
-            self.configuration.offer(entry.value, now_s, "store")
-
     def report_store_failure(self, error: StoreError) -> None:
         """Log the first of consecutive store failures."""
         if not self.is_store_failing:
@@ -200,6 +171,7 @@
             self.shard_lock.incarnation,
             self.configuration.version,
             self.processors,
+            fetches_configuration=True,
         )
         sent_s = time.monotonic()
         try:
@@ -236,7 +208,10 @@
         if reply.configuration:
             self.configuration.offer(reply.configuration, confirmed_s, address)
         else:
-            self.configuration.confirm(reply.version, confirmed_s)
+            revision = Revision(reply.configuration_revision)
+            self.configuration.announce(
+                AnnouncedConfiguration(reply.version, address, confirmed_s, revision)
+            )
         self.cell.set_holder_store_age(reply.store_age_s)
         if reply.store_age_s > STORE_SILENCE_LIMIT_S:
             self.find_holder()
@@ -385,6 +360,8 @@
         scheduler = self.build_scheduler(authority, bool(active_predecessors))
         scheduler.set_configuration(configuration)
         self.cell.scheduler = scheduler
+        # A version adopted before the scheduler was set has not been passed to it.
+        self.configuration.deliver(scheduler.set_configuration)
         # Checked after the scheduler is set: an announcement that finds none to stop
         # has recorded a newer token before.
         is_newest = self.cell.set_holder(int(held.record.token), self.cell.address)
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/observability.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/observability.py
@@ -190,6 +190,17 @@
             "Records of ended jobs that were removed from the store",
             registry=registry,
         )
+        self.configuration_fetches = prometheus_client.Counter(
+            "gooseberrydeck_configuration_fetches",
+            "Attempts to get or confirm the configuration, by source and outcome",
+            ["source", "outcome"],
+            registry=registry,
+        )
+        self.configuration_age_seconds = prometheus_client.Gauge(
+            "gooseberrydeck_configuration_age_seconds",
+            "Time since the configuration in force was confirmed as the newest",
+            registry=registry,
+        )
         self.takeovers = prometheus_client.Counter(
             "gooseberrydeck_takeovers", "Claims of the shard", registry=registry
         )
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/peer_messages.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/peer_messages.py
@@ -9,6 +9,8 @@
 
 __all__ = [
     "AdviceQuery",
+    "ConfigurationPiece",
+    "ConfigurationQuery",
     "HandOver",
     "Heartbeat",
     "HeartbeatReply",
@@ -23,7 +25,8 @@
 class Heartbeat(msgspec.Struct, frozen=True):
     """A member's heartbeat to the holder, with its configuration version.
 
-    ``processors`` is the number of processors available to the member.
+    ``processors`` is the number of processors available to the member. A member that
+    ``fetches_configuration`` needs none in the reply; those of earlier releases do.
     """
 
     member: str
@@ -31,13 +34,16 @@
     incarnation: str
     version: int
     processors: float = 1.0
+    fetches_configuration: bool = False
 
 
 class HeartbeatReply(msgspec.Struct, frozen=True, omit_defaults=True):
     """The reply to a heartbeat; ``is_holder`` is false after the shard was lost.
 
-    Ages are in seconds when the reply is sent. ``configuration`` is sent if it is newer
-    than the follower's. ``members`` are in the order in which they should claim.
+    Ages are in seconds when the reply is sent. ``version`` was confirmed as the newest
+    at ``configuration_revision`` of the store (0: unknown). ``configuration`` is sent
+    if it is newer than the follower's and the follower doesn't fetch it. ``members``
+    are in the order in which they should claim.
     """
 
     is_holder: bool
@@ -48,6 +54,39 @@
     store_age_s: float = 0.0
     configuration: bytes = b""
     members: tuple[str, ...] = ()
+    configuration_revision: int = 0
+
+
+class ConfigurationQuery(msgspec.Struct, frozen=True):
+    """A request for a piece of the compressed configuration.
+
+    ``digest`` is that of the pieces before ``offset``. The member at ``address`` has
+    everything if ``offset`` is the size.
+    """
+
+    address: str
+    version: int
+    digest: str = ""
+    offset: int = 0
+
+
+class ConfigurationPiece(msgspec.Struct, frozen=True, omit_defaults=True):
+    """A piece of the compressed configuration, from ``offset`` on.
+
+    Without a ``digest`` there is none: the member is busy, or does not have the
+    version. ``sources`` are members that have it. ``age_s`` is the time since
+    ``version`` was confirmed as the newest, at ``revision`` of the store.
+    """
+
+    version: int
+    age_s: float = 0.0
+    revision: int = 0
+    digest: str = ""
+    size_bytes: int = 0
+    offset: int = 0
+    data: bytes = b""
+    is_busy: bool = False
+    sources: tuple[str, ...] = ()
 
 
 class HolderAnnouncement(msgspec.Struct, frozen=True):
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/peer_server.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/peer_server.py
@@ -7,15 +7,19 @@
 import msgspec
 import structlog
 
+from gooseberrydeck_coordination.clock import Clock, SystemClock
 from gooseberrydeck_coordination.ids import JobId
 from gooseberrydeck_fleet.advice import AdviceFailedError, Adviser
 from gooseberrydeck_fleet.ids import StepRef
 from gooseberrydeck_member.callers import CallerApplication, CallerRequest
 from gooseberrydeck_member.cell import Cell
 from gooseberrydeck_member.configuration import ConfigurationCache
+from gooseberrydeck_member.configuration_share import ConfigurationShare
 from gooseberrydeck_member.observability import Metrics
 from gooseberrydeck_member.peer_messages import (
     AdviceQuery,
+    ConfigurationPiece,
+    ConfigurationQuery,
     HandOver,
     Heartbeat,
     HeartbeatReply,
@@ -51,10 +55,13 @@
         adviser: Adviser | None,
         metrics: Metrics,
         incarnation: str,
+        clock: Clock | None = None,
     ) -> None:
         """Create the application; set ``callers`` and ``take_over`` before serving."""
         self.cell = cell
         self.configuration = configuration
+        self.clock = clock or SystemClock()
+        self.share = ConfigurationShare(configuration, self.clock)
         self.adviser = adviser
         self.metrics = metrics
         self.incarnation = incarnation
@@ -62,6 +69,7 @@
         self.take_over: Callable[[ShardView], bool] = lambda _seen: False
         self.handlers: dict[str, Callable[[bytes], object | None]] = {
             "/beat": self.handle_heartbeat,
+            "/configuration": self.handle_configuration_query,
             "/announce": self.handle_announcement,
             "/hand-over": self.handle_hand_over,
             "/accepted": self.handle_job_accepted,
@@ -113,19 +121,27 @@
         if scheduler is None or scheduler.stopping.is_set():
             return HeartbeatReply(False, self.cell.holder_token, self.incarnation)
         self.cell.record_heartbeat(heartbeat)
-        configuration = self.configuration
-        is_newer = configuration.version > heartbeat.version
+        known = self.configuration.known()
+        # Members of earlier releases have no other way to get it from here.
+        is_sent = (
+            known.version > heartbeat.version and not heartbeat.fetches_configuration
+        )
         return HeartbeatReply(
             True,
             int(scheduler.token),
             self.incarnation,
-            configuration.version,
-            time.monotonic() - configuration.confirmed_s,
+            known.version,
+            self.clock.monotonic() - known.confirmed_s,
             scheduler.authority.age_s(),
-            configuration.value if is_newer else b"",
+            known.value if is_sent else b"",
             self.cell.live_member_addresses(),
+            int(known.revision),
         )
 
+    def handle_configuration_query(self, body: bytes) -> ConfigurationPiece:
+        """Return a piece of the configuration, or where it may be found."""
+        return self.share.reply(msgspec.json.decode(body, type=ConfigurationQuery))
+
     def handle_announcement(self, body: bytes) -> bool:
         """Record a new holder, and stop scheduling if it supersedes this member."""
         announcement = msgspec.json.decode(body, type=HolderAnnouncement)
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/peers.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/peers.py
@@ -10,6 +10,8 @@
 from gooseberrydeck_fleet.ids import StepRef, WorkerId
 from gooseberrydeck_member.peer_messages import (
     AdviceQuery,
+    ConfigurationPiece,
+    ConfigurationQuery,
     HandOver,
     Heartbeat,
     HeartbeatReply,
@@ -111,6 +113,14 @@
         """Send a heartbeat to the holder."""
         return self.call(address, "/beat", heartbeat, HeartbeatReply, timeout_s)
 
+    def configuration_piece(
+        self, address: str, query: ConfigurationQuery, timeout_s: float
+    ) -> ConfigurationPiece:
+        """Return a piece of the compressed configuration of a peer."""
+        return self.call(
+            address, "/configuration", query, ConfigurationPiece, timeout_s
+        )
+
     def announce(
         self, address: str, announcement: HolderAnnouncement, timeout_s: float
     ) -> None:
--- a/tests/member/test_hand_over.py
+++ b/tests/member/test_hand_over.py
@@ -142,7 +142,6 @@
             self.cell,
             peers,  # type: ignore[arg-type]
             configuration,
-            "configuration",
             Timing(),
             self.build_scheduler,  # type: ignore[arg-type]
             Metrics(),
