--- a/tests/fleet/test_gangs.py
+++ b/tests/fleet/test_gangs.py
@@ -4,6 +4,7 @@
 
 from fleet_support import Fleet, registration, task_resources
 from gooseberrydeck_coordination.ids import Epoch, JobId
+from gooseberrydeck_fleet.commands import StartRun
 from gooseberrydeck_fleet.ids import TaskRef, WorkerId
 from gooseberrydeck_fleet.work import JobState, StepSpec
 from gooseberrydeck_fleet.worker_calls import (
@@ -322,3 +323,24 @@
         self.fleet.is_store_available = True
         self.fleet.run_for(2 * LAPSE_S)
         self.assert_ran_once(job)
+
+
+class TestWithdrawnStarts(GangFixture):
+    # Guards against a gang that stays incomplete, as the start of one member was
+    # withdrawn while it waited and those of the others had been sent.
+    def test_other_members_are_stopped(self) -> None:
+        job = self.fleet.submit("a", GANG)
+        commands = self.fleet.scheduler.decide(self.fleet.now_s, 0.0)
+        *sent, withdrawn = [each for each in commands if isinstance(each, StartRun)]
+        for command in sent:
+            self.fleet.execute(command)
+        request = withdrawn.request
+        self.fleet.scheduler.start_unanswered(
+            withdrawn.worker, request.task, request.run, was_sent=False
+        )
+        self.fleet.run_for(0.1)
+        assert {task for _, task, _ in self.fleet.stops} == {
+            command.request.task for command in sent
+        }
+        self.fleet.run_for(2.0)
+        assert self.fleet.scheduler.state_of(job) is JobState.COMPLETED
