--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
@@ -139,7 +139,7 @@
         self.clock = clock
         self.threads = threads
         self.token = shard_lock.held.record.token
-        self.inbox: queue.SimpleQueue[object] = queue.SimpleQueue()
+        self.inbox = threads.inbox()
         self.scheduler = Scheduler(self.token, timing)
         self.known_ends = KnownEnds()
         self.scheduler.changes.observer = self.known_ends
@@ -330,15 +330,11 @@
         return True
 
     def run_once(self) -> None:
-        """Wait for a message or until the next tick, and run a round."""
+        """Handle queued messages, execute the scheduler's commands and poll workers."""
         try:
             message = self.inbox.get(timeout=self.pause_s())
         except queue.Empty:
             message = None
-        self.run_round(message)
-
-    def run_round(self, message: object = None) -> None:
-        """Handle a message and those queued behind it, then do all that is due."""
         while message is not None:
             # Not once for all: leases count from the time at which a reply was read.
             self.handle(message, self.clock.monotonic())
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/threads.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/threads.py
@@ -1,12 +1,20 @@
 """Threads, and events between them, to inject into components."""
 
+import queue
 import threading
 from concurrent.futures import Executor, ThreadPoolExecutor
 from typing import Protocol
 
 from gooseberrydeck_coordination.clock import SystemClock
 
-__all__ = ["SYSTEM_CLOCK", "SYSTEM_THREADS", "Event", "SystemThreads", "Threads"]
+__all__ = [
+    "SYSTEM_CLOCK",
+    "SYSTEM_THREADS",
+    "Event",
+    "Inbox",
+    "SystemThreads",
+    "Threads",
+]
 
 
 class Event(Protocol):
@@ -22,6 +30,19 @@
         """Wait until the flag is set, or for ``timeout`` seconds; return the flag."""
 
 
+class Inbox(Protocol):
+    """A queue of messages for one thread."""
+
+    def put(self, item: object) -> None:
+        """Append a message."""
+
+    def get(self, *, timeout: float) -> object:
+        """Return the next message; raise ``queue.Empty`` after ``timeout`` seconds."""
+
+    def get_nowait(self) -> object:
+        """Return the next message; raise ``queue.Empty`` if there is none."""
+
+
 class Threads(Protocol):
     """Creates what runs, and waits, in threads."""
 
@@ -31,6 +52,9 @@
     def event(self) -> Event:
         """Return a flag that is not set."""
 
+    def inbox(self) -> Inbox:
+        """Return an empty queue."""
+
 
 class SystemThreads:
     """Threads of the operating system."""
@@ -43,6 +67,10 @@
         """Return an event of the standard library."""
         return threading.Event()
 
+    def inbox(self) -> Inbox:
+        """Return a queue of the standard library."""
+        return queue.SimpleQueue()
+
 
 SYSTEM_CLOCK = SystemClock()
 SYSTEM_THREADS = SystemThreads()
