Joined test: starts of copies that are held up in a full queue, or on the way

Two drawn tests beside the machine, in which each example has what the machine meets now and then: stalled tasks get copies while more workers fall silent than there are threads for commands, and while workers carry out orders late. The orders are shared with the machine.

The withdrawal off turns the check of waits in the holder red, which is stricter than the platform's clause.

--- a/tests/joined_support.py
+++ b/tests/joined_support.py
@@ -18,6 +18,7 @@
     make_configuration,
     queue,
     registration,
+    task_resources,
 )
 from gooseberrydeck_coordination.exceptions import StoreError
 from gooseberrydeck_coordination.ids import JobId, MemberId, QueueName
@@ -307,6 +308,34 @@
         """Return True if the end of a job is stored."""
         return self.outside.read(job_key(job), TIMEOUT_S) is None
 
+    # Orders of several steps.
+
+    def submit_stragglers(self, count: int, stalls_s: float, others: int = 4) -> JobId:
+        """Submit a job of which ``count`` tasks stall, so that they may get copies."""
+        step = StepSpec(count + others, task_resources(1), is_speculative=True)
+        behaviour = Behaviour(0.3, count, stalls_s)
+        return self.submit(step, behaviour=behaviour, queue_name=URGENT)
+
+    def submit_burst(self, count: int) -> JobId:
+        """Submit more tasks than the threads for commands can start together."""
+        step = StepSpec(count, task_resources(1))
+        return self.submit(step, behaviour=Behaviour(0.3), queue_name=URGENT)
+
+    def silence_idle(self, count: int, for_s: float, busy_with: JobId) -> None:
+        """Cut off workers for a while that run nothing of a job."""
+        for host in self.hosts:
+            is_busy = any(task.job == busy_with for task in host.engine.runs)
+            if count and not is_busy:
+                count -= 1
+                host.network.is_cut = True
+                self.loop.call_in(for_s, host.network.heal)
+
+    def delay_orders(self, share: float, for_s: float) -> None:
+        """Let orders to all workers be executed late for a while."""
+        for host in self.hosts:
+            host.network.late_share = share
+            self.loop.call_in(for_s, host.network.heal)
+
     # What is noted for the checks.
 
     def order_sent(self, worker: WorkerId, request: StartRequest) -> None:
--- a/tests/member/test_joined_machine.py
+++ b/tests/member/test_joined_machine.py
@@ -4,7 +4,9 @@
 jobs are cancelled, limits are lowered, workers drain or restart and the store is slow.
 """
 
-from hypothesis import settings, strategies
+import contextlib
+
+from hypothesis import given, settings, strategies
 from hypothesis.stateful import (
     RuleBasedStateMachine,
     initialize,
@@ -91,14 +93,6 @@
         self.jobs.append(job)
         self.fleet.run_for(then_s)
 
-    def burst(self, count: int) -> None:
-        """Submit more tasks than the threads for commands can start together."""
-        step = StepSpec(count, task_resources(1))
-        behaviour = Behaviour(0.3)
-        self.jobs.append(
-            self.fleet.submit(step, behaviour=behaviour, queue_name=URGENT)
-        )
-
     @rule(
         silent=SILENT,
         count=strategies.integers(60, 160),
@@ -124,26 +118,19 @@
 
         Orders to the others may be executed late.
         """
-        step = StepSpec(stragglers + 4, task_resources(1), is_speculative=True)
-        behaviour = Behaviour(0.3, stragglers, stalls_s)
-        job = self.fleet.submit(step, behaviour=behaviour, queue_name=URGENT)
-        self.jobs.append(job)
+        job = self.fleet.submit_stragglers(stragglers, stalls_s)
         self.fleet.run_for(before_s)
-        starts = self.fleet.sent_s
-        idle = [
-            host
-            for host in self.fleet.hosts
-            if not any(
-                task.job == job and (task, active.run) in starts
-                for task, active in host.engine.runs.items()
-            )
-        ]
-        for host in idle[:silent]:
-            host.network.is_cut = True
-        for host in self.fleet.hosts:
-            host.network.late_share = late_share
-            self.fleet.loop.call_in(for_s, host.network.heal)
-        self.burst(count)
+        self.fleet.silence_idle(silent, for_s, job)
+        self.fleet.delay_orders(late_share, for_s)
+        self.jobs += [job, self.fleet.submit_burst(count)]
+        self.fleet.run_for(then_s)
+
+    @rule(stalls_s=STALLS_S, then_s=PAUSES_S)
+    def delay_copies(self, stalls_s: float, then_s: float) -> None:
+        """Let the starts of copies be executed late."""
+        self.jobs.append(self.fleet.submit_stragglers(8, stalls_s))
+        self.fleet.run_for(1.2)
+        self.fleet.delay_orders(1.0, 3.0)
         self.fleet.run_for(then_s)
 
     @precondition(lambda self: self.jobs)
@@ -255,5 +242,40 @@
         assert self.fleet.violations() == []
 
 
+class TestCopies:
+    """Copies of stalled tasks whose starts are held up."""
+
+    # Guards against a start that waits for a thread behind calls to workers that have
+    # fallen silent, and is sent after its task has ended.
+    @settings(max_examples=12)
+    @given(
+        seed=strategies.integers(0, 1_000_000),
+        stalls_s=strategies.floats(1.1, 1.7),
+        before_s=strategies.floats(0.9, 1.4),
+        silent=SILENT,
+    )
+    def test_full_queue(
+        self, seed: int, stalls_s: float, before_s: float, silent: int
+    ) -> None:
+        with contextlib.closing(CheckedFleet(WORKERS + 16, seed)) as fleet:
+            job = fleet.submit_stragglers(6, stalls_s)
+            fleet.run_for(before_s)
+            fleet.silence_idle(silent, 5.0, job)
+            fleet.submit_burst(120)
+            fleet.run_for(4.0)
+            assert fleet.violations() == []
+
+    # Guards against a copy that a worker starts long after its task has ended.
+    @settings(max_examples=40)
+    @given(seed=strategies.integers(0, 1_000_000), stalls_s=strategies.floats(1.1, 1.7))
+    def test_orders_executed_late(self, seed: int, stalls_s: float) -> None:
+        with contextlib.closing(CheckedFleet(WORKERS, seed)) as fleet:
+            fleet.submit_stragglers(8, stalls_s, others=8)
+            fleet.run_for(1.2)
+            fleet.delay_orders(1.0, 5.0)
+            fleet.run_for(5.0)
+            assert fleet.violations() == []
+
+
 TestJoinedMachine = JoinedMachine.TestCase
 TestJoinedMachine.settings = settings(max_examples=20, stateful_step_count=15)
