--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
@@ -1,16 +1,19 @@
 """The scheduler of a fleet, a state machine that turns events into commands."""
 
+import math
+
 from gooseberrydeck_coordination.ids import JobId, QueueName
 from gooseberrydeck_fleet.advice import Advice
 from gooseberrydeck_fleet.advice_requests import AdviceRequests
 from gooseberrydeck_fleet.changes import ChangeLog
-from gooseberrydeck_fleet.commands import Command, CommandQueue, StopRun
+from gooseberrydeck_fleet.commands import Command, CommandQueue, RunCommand, StopRun
 from gooseberrydeck_fleet.configuration import FleetConfiguration
 from gooseberrydeck_fleet.crashes import CrashReport, CrashTracker
 from gooseberrydeck_fleet.evacuation import Evacuator
 from gooseberrydeck_fleet.housekeeping import Housekeeper
 from gooseberrydeck_fleet.ids import StepRef, TaskRef, WorkerId
 from gooseberrydeck_fleet.job_intake import JobIntake
+from gooseberrydeck_fleet.late_starts import LateStarts
 from gooseberrydeck_fleet.ledger import Ledger
 from gooseberrydeck_fleet.placement import Placer
 from gooseberrydeck_fleet.poll_replies import (
@@ -22,6 +25,7 @@
 from gooseberrydeck_fleet.progress import Progress
 from gooseberrydeck_fleet.registrations import Registration
 from gooseberrydeck_fleet.run_ends import LossReason, LostRun, RunEndHandler
+from gooseberrydeck_fleet.send_permission import Obstacle, SendPermission
 from gooseberrydeck_fleet.serving import LongWait, StepServer
 from gooseberrydeck_fleet.settings import Timing
 from gooseberrydeck_fleet.shares import ShareTracker
@@ -59,8 +63,9 @@
 
     The scheduler performs no I/O and reads no clock: ``now_s`` is monotonic time and
     ``wall_s`` is Unix time. It assumes that the caller executes every command returned
-    by ``decide``. The caller reports the outcomes through the event methods, such as
-    ``start_answered`` and ``start_unanswered``.
+    by ``decide``, but for those with an obstacle at the moment of sending. The caller
+    reports the outcomes through the event methods, such as ``start_answered`` and
+    ``start_unanswered``.
     """
 
     def __init__(self, token: int, timing: Timing) -> None:
@@ -74,10 +79,12 @@
             self.ledger, self.ends, self.unknown_jobs, timing.task_lease_s
         )
         self.placer = Placer(self.ledger)
+        self.send_permission = SendPermission(self.ledger, self.placer)
         self.preemptor = Preemptor(self.placer, self.ends, timing.task_stop_s)
         self.changes = ChangeLog(self.ledger)
         self.advice_requests = AdviceRequests(self.placer)
         self.takeover = Takeover(self.ledger, token, timing.task_lease_s)
+        self.late_starts = LateStarts(self.ledger, timing.task_lease_s)
         self.shares = ShareTracker()
         self.intake = JobIntake(
             self.ledger,
@@ -103,10 +110,10 @@
             self.ends,
             self.poll_replies,
             self.takeover,
+            self.late_starts,
             Evacuator(self.placer, self.ends, timing.task_stop_s),
             self.server.ask,
             self.commands,
-            timing.task_lease_s,
         )
         self.orphaned_runs: list[OrphanedRun] = []
         # Workers that have been registered here, also those that are forgotten.
@@ -159,7 +166,7 @@
         worker.is_registered = True
         return False
 
-    def worker_recorded(self, entry: Registration) -> None:
+    def worker_recorded(self, entry: Registration, now_s: float) -> None:
         """Apply a predecessor's record of a worker."""
         worker = self.ledger.workers.get(entry.worker)
         if worker is not None:
@@ -167,6 +174,7 @@
             worker.may_have_restarted = True
             if entry.may_hold_longest_lease:
                 self.takeover.longest_lease_recorded(worker)
+            self.late_starts.recorded(worker, entry.late_starts, now_s)
 
     def worker_unregistered(self, worker_id: WorkerId) -> None:
         """Mark a worker as no longer registered; its tasks may still run."""
@@ -355,6 +363,7 @@
         worker.has_reported = True
         worker.lease_expiry_s = now_s
         worker.lease_until_ms = 0
+        self.late_starts.release(worker)
         if not worker.is_registered:
             del self.ledger.workers[worker_id]
         self.release_held_jobs()
@@ -377,7 +386,8 @@
         run = self.find_run(worker_id, task_ref, number)
         if run is None:
             return
-        run.has_unanswered_start |= is_repeat
+        if is_repeat:
+            run.worker.start_unanswered(run)
         if outcome is StartOutcome.STARTED:
             if run.state in (RunState.STARTING, RunState.UNCERTAIN):
                 run.state = RunState.RUNNING
@@ -395,6 +405,20 @@
         self.crashes.never_started(run)
         self.ends.run_lost(run, LossReason.NEVER_STARTED)
 
+    def start_repeated(self, worker_id: WorkerId, task: TaskRef, number: int) -> None:
+        """Record that a start had no response and is to be sent once more."""
+        run = self.find_run(worker_id, task, number)
+        if run is not None:
+            run.worker.start_unanswered(run)
+
+    def throttle_withdrawn(
+        self, worker_id: WorkerId, task: TaskRef, number: int
+    ) -> None:
+        """Have a run's speed set again, since the last command was not sent."""
+        run = self.find_run(worker_id, task, number)
+        if run is not None:
+            run.speed_set_s = -math.inf
+
     def start_unanswered(
         self, worker_id: WorkerId, task_ref: TaskRef, number: int, was_sent: bool
     ) -> None:
@@ -402,7 +426,8 @@
         run = self.find_run(worker_id, task_ref, number)
         if run is None:
             return
-        run.has_unanswered_start |= was_sent
+        if was_sent:
+            run.worker.start_unanswered(run)
         is_pending = run.state in (RunState.STARTING, RunState.STOPPING)
         if is_pending and not run.has_unanswered_start:
             self.crashes.never_started(run)
@@ -474,6 +499,10 @@
         self.send_stops(now_s)
         return self.commands.take_all()
 
+    def find_send_obstacle(self, command: RunCommand, now_s: float) -> Obstacle | None:
+        """Return what forbids to send a command that was decided on, or None."""
+        return self.send_permission.find_obstacle(command, now_s)
+
     @property
     def has_backlog(self) -> bool:
         """Return True if ``decide`` should be called again without a pause."""
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
@@ -27,12 +27,14 @@
 from gooseberrydeck_fleet.ids import StepRef
 from gooseberrydeck_fleet.registrations import Registration
 from gooseberrydeck_fleet.scheduler import Scheduler
+from gooseberrydeck_fleet.send_permission import SendObstacle
 from gooseberrydeck_fleet.settings import Timing
 from gooseberrydeck_fleet.state import CLOCK_DRIFT, MAX_TASK_LEASE_S
 from gooseberrydeck_fleet.work import JobState
 from gooseberrydeck_fleet.worker_calls import StartOutcome, WorkerCalls
 from gooseberrydeck_member.advice_pool import AdviceCompleted, AdvicePool
 from gooseberrydeck_member.authority import AUTHORITY_TIMEOUT_S, Authority
+from gooseberrydeck_member.command_audit import CommandAudit
 from gooseberrydeck_member.committer import (
     CommitDone,
     Committer,
@@ -61,9 +63,10 @@
 from gooseberrydeck_member.stored_state import read_stored_state
 from gooseberrydeck_member.threads import SYSTEM_CLOCK, SYSTEM_THREADS, Threads
 from gooseberrydeck_member.worker_dispatcher import (
-    COMMAND_THREADS,
+    MAX_COMMANDS,
     MAX_POLL_THREADS,
     CallFailed,
+    CommandCompleted,
     PollSucceeded,
     StartCompleted,
     WorkerDispatcher,
@@ -146,12 +149,14 @@
         self.audit = RunAudit(self.scheduler, self.known_ends, metrics, clock)
         self.stopping = threads.event()
         self.lost = threads.event()
+        self.command_audit = CommandAudit(self.scheduler, self.audit, metrics)
         self.dispatcher = WorkerDispatcher(
             self.inbox.put,
             authority.may_act,
+            self.command_audit,
             clock,
             threads.executor(MAX_POLL_THREADS, "hold"),
-            threads.executor(COMMAND_THREADS, "order"),
+            threads.executor(MAX_COMMANDS, "order"),
         )
         self.committer = Committer(
             store,
@@ -317,6 +322,7 @@
             tasks_done=stored.count_done(),
             configuration=self.jobs.configuration_version,
             workers=len(self.workers.poll_states),
+            late_starts=len(self.scheduler.ledger.late_starts),
             seconds=round(self.clock.monotonic() - self.claimed_s, 3),
         )
 
@@ -349,6 +355,7 @@
                 "scheduler was paused", token=self.token, seconds=round(paused_s, 3)
             )
         self.scheduler.authority_confirmed(now_s - self.authority.age_s())
+        self.dispatcher.send_all_due()
         if self.authority.may_act():
             self.scheduler.set_max_advice_requests(self.advice_pool.capacity())
             for command in self.scheduler.decide(now_s, self.clock.wall()):
@@ -391,6 +398,8 @@
             self.polls.handle_poll_success(message, now_s)
         elif isinstance(message, StartCompleted):
             self.handle_start_result(message, now_s)
+        elif isinstance(message, CommandCompleted):
+            self.handle_command_result(message)
         elif isinstance(message, CallFailed):
             self.polls.handle_call_failure(message, now_s)
         elif isinstance(message, AdviceCompleted):
@@ -464,20 +473,30 @@
             self.advice_pool.ask(command, self.inbox.put)
 
     def handle_start_result(self, message: StartCompleted, now_s: float) -> None:
-        """Apply the result of a start command."""
+        """Apply the result of a start command, unless it is sent once more."""
+        if self.dispatcher.complete(message):
+            self.scheduler.start_repeated(message.worker, message.task, message.run)
+        else:
+            self.apply_start_result(message, now_s)
+        self.dispatcher.send_due(message.worker)
+
+    def apply_start_result(self, message: StartCompleted, now_s: float) -> None:
+        """Apply the last result of a start command."""
         if message.outcome is None:
-            log.warning(
-                "start withdrawn" if message.is_withdrawn else "start unanswered",
-                job=message.task.job,
-                task=message.task[1:],
-                run=message.run,
-                worker=message.worker,
-                was_sent=message.was_sent,
-            )
+            is_withdrawn = message.obstacle is not None
+            if not is_withdrawn:
+                log.warning(
+                    "start unanswered",
+                    job=message.task.job,
+                    task=message.task[1:],
+                    run=message.run,
+                    worker=message.worker,
+                    was_sent=message.was_sent,
+                )
             self.scheduler.start_unanswered(
                 message.worker, message.task, message.run, message.was_sent
             )
-            if not (message.is_fenced or message.is_withdrawn):
+            if not (message.is_fenced or is_withdrawn):
                 self.scheduler.worker_silent(message.worker, now_s)
                 self.dispatcher.worker_silent(message.worker)
             return
@@ -499,6 +518,15 @@
             message.is_repeat,
         )
 
+    def handle_command_result(self, message: CommandCompleted) -> None:
+        """Free the thread of a stop or throttle command."""
+        command = message.command
+        self.dispatcher.complete(message)
+        has_changed = message.obstacle not in (None, SendObstacle.SUPERSEDED)
+        if has_changed and isinstance(command, ThrottleRun):
+            self.scheduler.throttle_withdrawn(command.worker, command.task, command.run)
+        self.dispatcher.send_due(command.worker)
+
     def handle_advice_result(self, message: AdviceCompleted, now_s: float) -> None:
         """Apply advice about a step, or the failure to obtain it."""
         advice: Advice | None = message.advice
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/worker_polls.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/worker_polls.py
@@ -131,7 +131,7 @@
             self.report_gap(worker.id, reply, before)
         self.scheduler.poll_answered(message.worker, reply, now_s)
         for end in reply.ends:
-            self.dispatcher.run_ended(end.task, end.run)
+            self.dispatcher.run_ended(worker.id, end.task, end.run)
         self.audit.ends_listed(worker.id, reply, before, poll_state.acknowledged, now_s)
         # The worker responds at once while it lists ends.
         last_seen = poll_state.last_seen(worker.entry.born_ms)
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/worker_registry.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/worker_registry.py
@@ -78,7 +78,7 @@
                 # Its registration is gone or unreadable, but it may have runs.
                 self.add_worker(entry, now_s)
                 self.scheduler.worker_unregistered(entry.worker)
-            self.scheduler.worker_recorded(entry)
+            self.scheduler.worker_recorded(entry, now_s)
 
     def registration_changed(self, key: str, value: bytes, now_s: float) -> None:
         """Add or update a worker from its registration."""
@@ -132,6 +132,7 @@
         """Forget a worker that is gone and has no polls in flight."""
         self.former_restarts[worker] = self.poll_states[worker].restarts
         self.known_ends.worker_forgotten(worker)
+        self.dispatcher.worker_forgotten(worker)
         del self.poll_states[worker]
 
     def token_of(self, worker: WorkerId) -> Epoch:
--- a/tests/member/test_worker_lives.py
+++ b/tests/member/test_worker_lives.py
@@ -189,6 +189,7 @@
         dispatcher = WorkerDispatcher(
             self.messages.append,
             lambda: True,
+            task.command_audit,
             self.clock,
             InlineExecutor(),
             InlineExecutor(),
