Leave queued requests to the next owner of their endpoints

Callers could see: a request without an answer until its time limit (504, peer-silent), while the endpoints of its service changed hands. A request that was forwarded and waited in the owner's queue stayed there when the owner's last endpoint of that service was handed over: nothing could start it any more. It expired at its deadline, and that reply comes too late for the member that had forwarded it, which allows 10 ms for the way and the owner looks for expired ones every 20 ms.

Evidence: TestMovedEndpoints::test_queued_request_is_left_to_the_next_owner and TestPool::test_waiting_request_ends_with_the_last_endpoint fail without the change ("the condition never held", TimeoutError) and pass with it, twice.

Change: a pool that loses its last endpoint ends its waiting requests as not run, since ownership moved. The member that forwarded one waits for the next owner, as for one that is refused on arrival.

--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/dispatch/pools.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/dispatch/pools.py
@@ -76,13 +76,21 @@
         self.endpoints: dict[HostName, EndpointSlots] = {}
 
     def set_endpoints(self, endpoints: Iterable[EndpointSlots]) -> None:
-        """Replace the endpoints; removed ones finish the requests they have."""
+        """Replace the endpoints; removed ones finish the requests they have.
+
+        Without endpoints, waiting requests are left to the next owner of these.
+        """
+        stranded: list[Ticket] = []
         with self.lock:
             wanted = {item.host.name: item for item in endpoints}
             for name, slots in self.endpoints.items():
                 if wanted.get(name) is not slots:
                     slots.retire()
             self.endpoints = wanted
+            if not wanted:
+                stranded = self.queue.remove_where(lambda _: True)
+        for ticket in stranded:
+            ticket.abandon(Reason.OWNERSHIP_MOVED)
         self.start_waiting()
 
     def load(self) -> PoolLoad:
--- a/tests/daemon/test_draining.py
+++ b/tests/daemon/test_draining.py
@@ -92,6 +92,33 @@
         assert responses[0][0] == 200
 
 
+class TestMovedEndpoints:
+    # Guards against requests that wait out their time limit at a member whose last
+    # endpoint was handed over while they were queued.
+    def test_queued_request_is_left_to_the_next_owner(self) -> None:
+        names = ("m1", "m2")
+        host = endpoint_host(next(host_names_owned_by("m2", names)), slots=1)
+        endpoints, outcomes = BlockingEndpoints(), []
+        with running_cell([host], endpoints, names) as cell:
+            directory = cell["m2"].directory
+            pool = directory.pools[LOOKUP]
+            first = start_thread(lambda: call(cell["m1"], body=b"first"))
+            wait_until(lambda: len(endpoints.runs) == 1)
+            second = start_thread(lambda: outcomes.append(call(cell["m1"])))
+            wait_until(lambda: pool.queue.size == 1)
+            moved = cell["m1"].metrics.counts
+            before = moved["dispatch.waits.ownership"]
+            pool.set_endpoints(())
+            wait_until(lambda: moved["dispatch.waits.ownership"] > before)
+            # Here the same member claims it again.
+            directory.slots.clear()
+            directory.sync_ownership()
+            endpoints.released.set()
+            first.join()
+            second.join()
+        assert [outcome[0] for outcome in outcomes] == [200]
+
+
 class TestLeaving:
     # Guards against requests that have no answer until their time limit: peers forward
     # them to a member that has stopped, before they know the next owner.
--- a/tests/daemon/test_overload_parts.py
+++ b/tests/daemon/test_overload_parts.py
@@ -256,6 +256,14 @@
         assert isinstance(error, NotRunError)
         assert error.retry_after_s == pytest.approx(2.0)
 
+    def test_waiting_request_ends_with_the_last_endpoint(self) -> None:
+        pool = self.make_pool()
+        pool.submit(make_request())
+        waiting = pool.submit(make_request())
+        pool.set_endpoints(())
+        assert self.reason(waiting) is Reason.OWNERSHIP_MOVED
+        assert pool.queue.size == 0
+
     def test_waiting_request_expires_at_its_deadline(self) -> None:
         pool = self.make_pool()
         pool.submit(make_request())
