Pause a worker that has refused a start for want of room

Callers saw a task wait although another worker had room: of a service whose workers check their capacity, one that had shrunk refused each start, was the best choice again at once, and was sent the next one, every scheduling pass until its registration showed the smaller capacity. Each refusal is a call to the worker.

Cause: a refusal for want of room gave the allocation back, and nothing recorded that the worker has less room than its registration shows.

Now such a worker gets no starts for 0.5 s, or until its registration shows another capacity. It doesn't count as a failure: the pause doesn't grow, and tasks that start elsewhere meanwhile don't wait for it.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
@@ -162,6 +162,7 @@
         worker.has_had(entry.capacity)
         if entry.capacity != worker.entry.capacity:
             worker.free = worker.free + (entry.capacity - worker.entry.capacity)
+            self.ledger.health.capacity_changed(worker.id)
         worker.entry = entry
         worker.is_registered = True
         return False
@@ -402,6 +403,8 @@
             step.advice.drop(worker_id)
         if outcome is StartOutcome.SHED:
             self.ledger.health.quarantine(worker_id, now_s)
+        if outcome is StartOutcome.NO_ROOM:
+            self.ledger.health.record_no_room(worker_id, now_s)
         self.crashes.never_started(run)
         self.ends.run_lost(run, LossReason.NEVER_STARTED)
 
--- a/tests/fleet/test_capacity.py
+++ b/tests/fleet/test_capacity.py
@@ -8,6 +8,7 @@
 from delays_support import DelayedFleet
 from fleet_support import (
     CORE,
+    HOST,
     TEAM,
     URGENT,
     make_configuration,
@@ -16,6 +17,7 @@
 )
 from gooseberrydeck_coordination.ids import JobId
 from gooseberrydeck_coordination.resources import Resources
+from gooseberrydeck_fleet.health import NO_ROOM_PAUSE_S
 from gooseberrydeck_fleet.ids import WorkerId
 from gooseberrydeck_fleet.work import JobState, StepSpec
 
@@ -244,3 +246,65 @@
         self.watch(25.0, 48)
         for job in jobs:
             assert self.fleet.state(job) is JobState.COMPLETED
+
+
+class TestRefusalsForWantOfRoom(CapacityFixture):
+    """Workers that refuse what doesn't fit, before their registration has changed."""
+
+    def setup_method(self) -> None:
+        super().setup_method()
+        for engine in self.fleet.engines.values():
+            engine.enforces_capacity = True
+
+    def shrink_unseen(self, worker: WorkerId, cores: int = 0) -> None:
+        """Shrink a worker; its registration still shows its former capacity."""
+        capacity = Resources(cores * CORE, HOST.memory_mib, 0)
+        self.fleet.engines[worker].resize(capacity)
+
+    def starts_on(self, worker: WorkerId) -> int:
+        return sum(started == worker for _, _, started in self.fleet.starts)
+
+    # Guards against start requests that are repeated without a pause to a worker that
+    # refuses them for want of room.
+    def test_refusing_worker_gets_no_starts_for_a_while(self) -> None:
+        self.shrink_unseen(W0)
+        self.shrink_unseen(W1)
+        self.fleet.submit("a", StepSpec(1, task_resources(cores=4)))
+        self.fleet.run_for(2.0)
+        for worker in WORKERS:
+            assert 1 <= self.starts_on(worker) <= 1 + 2.0 / NO_ROOM_PAUSE_S
+
+    def test_refused_task_starts_elsewhere_at_once(self) -> None:
+        self.fill(1, cores=1.0)
+        ((_, _, packed),) = self.fleet.starts
+        self.shrink_unseen(packed, cores=1)
+        self.fleet.submit("a", StepSpec(1, task_resources(cores=4)))
+        self.fleet.run_for(0.2)
+        assert [worker for _, _, worker in self.fleet.starts[1:]] == [
+            packed,
+            *(worker for worker in WORKERS if worker != packed),
+        ]
+
+    @pytest.mark.parametrize("is_seen_growing", [False, True])
+    def test_worker_with_room_again_is_used_again(self, is_seen_growing: bool) -> None:
+        self.fleet.resize_worker(W1, 0)
+        self.shrink_unseen(W0)
+        job = self.fleet.submit("a", StepSpec(1, task_resources(cores=4)))
+        self.fleet.run_for(0.1)
+        assert self.starts_on(W0) == 1
+        if is_seen_growing:
+            self.fleet.resize_worker(W0, 40)
+            self.fleet.run_for(0.2)
+        else:
+            self.fleet.engines[W0].resize(HOST)
+            self.fleet.run_for(NO_ROOM_PAUSE_S + 0.2)
+        assert self.fleet.running(job)
+
+    def test_refusals_are_no_failures_of_the_worker(self) -> None:
+        self.shrink_unseen(W0)
+        self.shrink_unseen(W1)
+        job = self.fleet.submit("a", StepSpec(1, task_resources(cores=4)))
+        self.fleet.run_for(10.0)
+        self.fleet.resize_worker(W0, 40)
+        self.fleet.run_for(0.2)
+        assert self.fleet.running(job)
