Reject negative numbers in the names of tasks that workers report

A worker that reports a task with a negative number, such as a.0.0.-1, had the last task of the step taken for it: its end completed a task that had not run. A number below minus the count of tasks ended the scheduler by an IndexError; the holder gives its shard up then, and so does each successor while the worker lists that run.

Cause: the ledger checked the upper bound only, and Python counts negative indices from the end.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/ledger.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/ledger.py
@@ -110,7 +110,7 @@
         """Return a task, or None if its job is unknown or has no such task."""
         job = self.jobs.get(ref.job)
         step = job.steps.get(ref.step_ref) if job is not None else None
-        if step is None or ref.number >= len(step.tasks):
+        if step is None or not 0 <= ref.number < len(step.tasks):
             return None
         return step.tasks[ref.number]
 
--- a/tests/adapter/test_adapter.py
+++ b/tests/adapter/test_adapter.py
@@ -551,7 +551,10 @@
     def test_task_name_round_trip(self) -> None:
         assert parse_task_name(task_name(TASK)) == TASK
 
-    @pytest.mark.parametrize("name", ["", "a.0.0", "a.0.0.x", "a.b.c.d.e"])
+    @pytest.mark.parametrize(
+        "name",
+        ["", "a.0.0", "a.0.0.x", "a.b.c.d.e", "a.-1.0.0", "a.0.-1.0", "a.0.0.-1"],
+    )
     def test_malformed_task_name_is_rejected(self, name: str) -> None:
         with pytest.raises(ValueError, match=r"."):
             parse_task_name(name)
