Count a poll that ends by an unexpected error as failed

A worker whose poll raised anything but a WorkerCallError was never polled again: the thread pool kept the exception, no result was posted, and the poll counted as in flight for good. The worker's leases then lapsed and all its runs were lost, without a log line. Commands already had this guard.

Now the error is logged as "worker call crashed", and the poll counts as one without a response, so that the next one follows. The test failed before (ZeroDivisionError from execute_poll).

--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/call_results.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/call_results.py
@@ -9,7 +9,6 @@
 from gooseberrydeck_fleet.worker_calls import (
     PollReply,
     StartOutcome,
-    WorkerCallError,
     WorkerFencedError,
     WorkerRefusedError,
     WorkerReplacedError,
@@ -109,7 +108,7 @@
     """Monotonic time; set for polls only."""
 
 
-def to_call_failure(error: WorkerCallError, has_timed_out: bool = False) -> CallFailure:
+def to_call_failure(error: Exception, has_timed_out: bool = False) -> CallFailure:
     """Return the failure that an exception of a worker call stands for."""
     return CallFailure(
         is_replaced=isinstance(error, WorkerReplacedError),
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/worker_dispatcher.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/worker_dispatcher.py
@@ -4,6 +4,8 @@
 from concurrent.futures import Executor, ThreadPoolExecutor
 from typing import Protocol
 
+import structlog
+
 from gooseberrydeck_coordination.clock import Clock
 from gooseberrydeck_coordination.ids import Epoch
 from gooseberrydeck_fleet.commands import (
@@ -40,6 +42,8 @@
     "WorkerDispatcher",
 ]
 
+log = structlog.get_logger(__name__)
+
 MAX_POLL_THREADS = 400
 """One long poll per worker, up to the largest fleet that one scheduler is meant for."""
 
@@ -163,6 +167,9 @@
             has_timed_out = self.clock.monotonic() - sent_s >= timeout_s - TIMER_SLACK_S
             failure = to_call_failure(error, has_timed_out)
             self.post(CallFailed(worker, True, failure, token, sent_s))
+        except Exception as error:
+            log.exception("worker call crashed", worker=worker)
+            self.post(CallFailed(worker, True, to_call_failure(error), token, sent_s))
         else:
             self.post(PollSucceeded(worker, reply, sent_s, token))
 
--- a/tests/member/test_worker_dispatcher.py
+++ b/tests/member/test_worker_dispatcher.py
@@ -9,9 +9,10 @@
 from gooseberrydeck_fleet.ids import TaskRef, WorkerId
 from gooseberrydeck_fleet.send_permission import Obstacle, SendObstacle
 from gooseberrydeck_fleet.state import StopReason
-from gooseberrydeck_fleet.worker_calls import StartOutcome, StartRequest
+from gooseberrydeck_fleet.worker_calls import PollReply, StartOutcome, StartRequest
 from gooseberrydeck_member.command_lanes import UNANSWERED_LIMIT_S, Order
 from gooseberrydeck_member.worker_dispatcher import (
+    CallFailed,
     CommandCompleted,
     StartCompleted,
     WorkerDispatcher,
@@ -297,3 +298,18 @@
         assert result.outcome is None
         assert result.was_sent
         assert not self.dispatcher.lanes.lanes
+
+
+class TestPolls(DispatcherFixture):
+    # Guards against a worker that is not polled any more, and loses all its runs,
+    # since an unexpected error in one poll left no result.
+    def test_crashed_poll_counts_as_failed(self) -> None:
+        def crash(*_arguments: object) -> PollReply:
+            raise ZeroDivisionError
+
+        self.calls.poll = crash  # type: ignore[method-assign]
+        self.dispatcher.execute_poll(WORKER, TOKEN, 0, None, 0.0)
+        (failed,) = self.posted
+        assert isinstance(failed, CallFailed)
+        assert failed.is_poll
+        assert failed.worker == WORKER
