Don't send a start that waited beside another run of its task

A start that waits in its worker's lane is checked again when it is sent, but the check took any second run of the task for a copy, also in steps that permit none. The other run is one that a worker started late and reports meanwhile, mostly of a long-running task, which is not held back for late starts: it is adopted and stopped as surplus, and the start was sent beside it. Two runs at once on workers that are up.

At the decision, ``RUNS_KNOWN`` forbids that start; now it does so at sending, too, but for steps that permit copies. Before, ``test_start_is_not_sent_beside_another_run_that_was_reported`` failed:

AssertionError: assert 'start' not in ['stop', 'start']

The test of copies in test_start_permission.py had a step without copies: its step now permits them, and it checks besides that one without is refused. The test of a worker's share used a second run in the same way; its step permits copies, and the reason of the withdrawal is checked.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/start_permission.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/start_permission.py
@@ -93,7 +93,7 @@
 def find_run_obstacle(run: Run) -> StartObstacle | None:
     """Return what forbids to start a run that is recorded but has not been sent.
 
-    Its task may have another run if one of the two is a copy.
+    Its task may have another run only if its step permits copies.
     """
     task = run.task
     obstacle = find_step_obstacle(task.step)
@@ -101,7 +101,9 @@
         return obstacle
     if task.is_done:
         return StartObstacle.TASK_DONE
-    return None if len(task.runs) > 1 else find_earlier_runs_obstacle(task)
+    if len(task.runs) == 1:
+        return find_earlier_runs_obstacle(task)
+    return None if task.step.spec.is_speculative else StartObstacle.RUNS_KNOWN
 
 
 def find_earlier_runs_obstacle(task: Task) -> StartObstacle | None:
--- a/tests/fleet/test_start_permission.py
+++ b/tests/fleet/test_start_permission.py
@@ -1,5 +1,6 @@
 """Tests of what forbids the start of a task."""
 
+import msgspec
 import pytest
 
 from fleet_support import Fleet, task_resources
@@ -88,6 +89,8 @@
         assert find_run_obstacle(run) is StartObstacle.UNKNOWN_RUNS
         ledger = self.fleet.scheduler.ledger
         copy = ledger.add_run(self.task, run.worker, 9, self.fleet.now_s)
+        assert find_run_obstacle(copy) is StartObstacle.RUNS_KNOWN
+        self.first.spec = msgspec.structs.replace(self.first.spec, is_speculative=True)
         assert find_run_obstacle(copy) is None
         self.forbid(StartObstacle.TASK_DONE)
         assert find_run_obstacle(copy) is StartObstacle.TASK_DONE
--- a/tests/member/test_changes_before_sending.py
+++ b/tests/member/test_changes_before_sending.py
@@ -298,11 +298,31 @@
         self, waiting: WaitingCommands
     ) -> None:
         waiting.keep_busy()
-        run = waiting.submit(StepSpec(1, task_resources(), max_per_worker=1))
+        step = StepSpec(1, task_resources(), max_per_worker=1, is_speculative=True)
+        run = waiting.submit(step)
         ledger = waiting.scheduler.ledger
         ledger.add_run(run.task, run.worker, 5, waiting.now_s)
         waiting.run_all()
         assert "start" not in waiting.calls.sent
+        reason = SendObstacle.WORKER_SHARE_EXCEEDED.value
+        assert waiting.withdrawn("start", reason) == 1
+
+    # Guards against two runs at once: a late start of the task was reported while the
+    # next one waited for a thread, and that was sent all the same.
+    def test_start_is_not_sent_beside_another_run_that_was_reported(
+        self, waiting: WaitingCommands
+    ) -> None:
+        waiting.keep_busy()
+        run = waiting.submit(StepSpec(1, task_resources(), is_standing=True))
+        other = registration(WorkerId("w1"))
+        waiting.scheduler.worker_registered(other, waiting.now_s)
+        late = RunReport(run.task.ref, run.number - 1, "", 5.0)
+        reply = PollReply(1, BORN_MS, (late,), ())
+        waiting.scheduler.poll_answered(other.worker, reply, waiting.now_s)
+        assert len(run.task.runs) == 2
+        waiting.run_all()
+        assert "start" not in waiting.calls.sent
+        assert waiting.withdrawn("start", StartObstacle.RUNS_KNOWN.value) == 1
 
     # The one worker answers with the number of its former process: the start would be
     # valid for long on the clock of the new one.
