Record a start without a response only while it may be executed late

A run whose first start request had no response stayed among its worker's unanswered starts, and in the stored record of workers, until it ended, although the call can't be executed after 10 s. A successor that can't reach the worker then held the task back for 16.1 s in place of the worker's lease, even if it had been running for minutes.

Housekeeping now drops such starts when the time for which this holder itself waits for them is over. Before, ``test_start_is_not_recorded_once_it_can_run_late_no_more`` failed:

assert [1] == [0]

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/late_starts.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/late_starts.py
@@ -55,6 +55,10 @@
 
     def review(self, now_s: float) -> None:
         """Release the tasks of workers that can't start them late any more."""
+        for each in self.ledger.workers.values():
+            for run in list(each.unanswered_starts):
+                if now_s >= run.started_s + self.late_run_s:
+                    del each.unanswered_starts[run]
         for worker, until_s in list(self.workers.values()):
             is_gone = self.ledger.workers.get(worker.id) is not worker
             has_answered = worker.last_reply_s > 0 and worker.has_reported
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
@@ -458,7 +458,7 @@
         self.largest_capacity = entry.capacity
         self.runs: dict[tuple[TaskRef, int], Run] = {}
         self.preemptible_runs: dict[Run, None] = {}
-        # Runs of which a start request had no response.
+        # Runs of which a start request had no response, and may be executed late.
         self.unanswered_starts: dict[Run, None] = {}
         # Tasks of which it may execute a predecessor's start request late.
         self.inherited_starts: frozenset[TaskRef] = frozenset()
--- a/tests/fleet/test_late_starts.py
+++ b/tests/fleet/test_late_starts.py
@@ -208,6 +208,22 @@
         fleet.run_for(0.2)
         assert sorted(recorded_starts(fleet)) == [0, 0]
 
+    # Guards against a successor that holds back a task because of a start that was sent
+    # too long ago to be executed late.
+    def test_start_is_not_recorded_once_it_can_run_late_no_more(self) -> None:
+        fleet = Fleet(workers=1)
+        fleet.lost_start_replies.add(WORKER)
+        fleet.submit("a", ONE, seconds=60.0)
+        fleet.run_for(2.0)
+        assert recorded_starts(fleet) == [1]
+        fleet.run_for(LATE_CALL_S + LEASE_S)
+        assert recorded_starts(fleet) == [0]
+        fleet.add_worker(OTHER)
+        fleet.run_for(0.2)
+        fleet.unreachable.add(WORKER)
+        fleet.take_over()
+        assert next_start_s(fleet, 2 * EXPIRY_S) <= EXPIRY_S
+
     # A rolling release: members of the former version read and write the record too.
     def test_record_without_late_starts_is_read(self) -> None:
         fleet = Fleet(workers=1)
