Send a stop that waits with the newest token of its worker

A worker's token is raised when its process was started again, and the new process refuses older ones. Found by reading.

The repeated stop now hands its token to the one that waits. Before, ``test_stop_that_waits_is_sent_with_the_newest_token`` failed: 1000 in place of 1001.

--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/command_lanes.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/command_lanes.py
@@ -126,7 +126,7 @@
         """Append an order to its lane; return an older one that it replaces.
 
         The newest speed of a run replaces one that has not been sent. A stop that waits
-        is not added twice.
+        is not added twice, and sent with the newest token.
         """
         lane = self.lanes.setdefault(order.command.worker, Lane())
         kind = type(order.command)
@@ -134,6 +134,7 @@
             if type(other.command) is not kind or other.run != order.run:
                 continue
             if isinstance(order.command, StopRun):
+                other.token = order.token
                 return None
             if isinstance(order.command, ThrottleRun):
                 lane.waiting[place] = order
--- a/tests/member/test_command_lanes.py
+++ b/tests/member/test_command_lanes.py
@@ -213,6 +213,19 @@
         self.complete(self.in_flight[0].command)
         assert self.send() == [stop(WORKER, 1)]
 
+    # Guards against a stop that a restarted worker refuses: the one that waited since
+    # before the restart was sent with its former token, and the repeated one dropped.
+    def test_stop_that_waits_is_sent_with_the_newest_token(self) -> None:
+        self.add(start(WORKER, 9))
+        self.send()
+        self.now_s += UNANSWERED_LIMIT_S
+        self.add(stop(WORKER, 1))
+        newest = Epoch(TOKEN + 1)
+        self.lanes.add(Order(stop(WORKER, 1), newest, self.now_s))
+        self.complete(self.in_flight[0].command)
+        assert self.send() == [stop(WORKER, 1)]
+        assert self.in_flight[0].token == newest
+
     def test_nothing_is_kept_of_commands_that_have_ended(self) -> None:
         commands = [start(WORKER, 1), stop(WORKER, 1), throttle(WORKER, 2, 50)]
         self.add(*commands)
