--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/run_audit.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/run_audit.py
@@ -44,7 +44,7 @@
     def admit_start(self, command: StartRun, now_s: float) -> bool:
         """Return False if a start must not be sent, since the end of its task is known.
 
-        In that case the scheduler is told what it has missed.
+        In that case the scheduler learns what it has missed.
         """
         evidence = self.find_evidence(command)
         if evidence is not None:
