--- a/review/1/case.py
+++ b/review/1/case.py
@@ -8,7 +8,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from standins.cell import Cell, NotRunError, finish, route, step
+from standins.cell import Cell, NotRunError, finish, route, run, step
 
 HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 JOBS = 6
@@ -67,4 +67,4 @@
 
 
 if __name__ == "__main__":
-    main()
+    run(main)
--- a/review/standins/cell.py
+++ b/review/standins/cell.py
@@ -1,5 +1,6 @@
 """The members as processes of their own, their platform, and a client."""
 
+import atexit
 import http.client
 import json
 import os
@@ -17,7 +18,17 @@
 from .record import Record
 from .store import Store
 
-__all__ = ["HOST", "KEY", "Cell", "Member", "NotRunError", "finish", "route", "step"]
+__all__ = [
+    "HOST",
+    "KEY",
+    "Cell",
+    "Member",
+    "NotRunError",
+    "finish",
+    "route",
+    "run",
+    "step",
+]
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 HOST = "desk.example"
@@ -183,6 +194,8 @@
         self.member_count = members
         self.members: list[Member] = []
         self.version = 0
+        self.is_closed = False
+        atexit.register(self.close)
 
     def publish(self, routes: list[dict[str, object]]) -> None:
         """Write a configuration as the operator."""
@@ -277,6 +290,9 @@
 
     def close(self) -> None:
         """End all members, and add the errors of their logs to the record."""
+        if self.is_closed:
+            return
+        self.is_closed = True
         for member in self.members:
             member.kill()
             log = self.folder / f"{member.name}.log"
@@ -309,3 +325,12 @@
         cell.record.add("result", "held")
         print("held")
     sys.exit(1 if failures else 0)
+
+
+def run(case: Callable[[], None]) -> None:
+    """Run a case; an unexpected error means that it could not run."""
+    try:
+        case()
+    except Exception as error:
+        print(f"could not run: {error!r}")
+        sys.exit(2)
