--- a/review/1/case.py
+++ b/review/1/case.py
@@ -8,8 +8,9 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from standins.cell import Cell, NotRunError, finish, route, run, step
+from standin_cell import Cell, NotRunError, finish, route, run, step
 
+RECORD = Path(__file__).resolve().parent / "record.txt"
 HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 JOBS = 6
 FINISH_S = 14
@@ -31,7 +32,7 @@
 
 def main() -> None:
     """Hand jobs in before and after the entry, and see whether they run."""
-    cell = Cell(Path(__file__).resolve().parent, members=3, minions=4)
+    cell = Cell(RECORD, members=3, minions=4)
     failures: list[str] = []
     try:
         cell.publish([route("quick")])
--- a/review/standins/cell.py
+++ b/review/standin_cell.py
@@ -14,9 +14,9 @@
 from collections.abc import Callable
 from pathlib import Path
 
-from .minion import Minion
-from .record import Record
-from .store import Store
+from standin_minion import Minion
+from standin_record import Record
+from standin_store import Store
 
 __all__ = [
     "HOST",
@@ -30,7 +30,7 @@
     "step",
 ]
 
-ROOT = Path(__file__).resolve().parent.parent.parent
+ROOT = Path(__file__).resolve().parent.parent
 HOST = "desk.example"
 KEY = "key-1"
 DEADLINE_MS = 3_000
@@ -182,9 +182,9 @@
 class Cell:
     """The store, minions, members and a client."""
 
-    def __init__(self, folder: Path, members: int, minions: int) -> None:
+    def __init__(self, record: Path, members: int, minions: int) -> None:
         """Create the stand-ins; ``start`` starts the members."""
-        self.record = Record(folder / "record.txt")
+        self.record = Record(record)
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.store = Store(self.record)
         self.minions = [
--- a/review/standins/minion.py
+++ b/review/standin_minion.py
@@ -4,9 +4,9 @@
 import threading
 import time
 
-from .record import Record
-from .store import Store
-from .web import NO_ANSWER, Answer, Call, WebServer, json_answer
+from standin_record import Record
+from standin_store import Store
+from standin_web import NO_ANSWER, Answer, Call, WebServer, json_answer
 
 __all__ = ["Minion"]
 
--- a/review/standins/store.py
+++ b/review/standin_store.py
@@ -6,8 +6,8 @@
 import time
 from collections.abc import Callable
 
-from .record import Record
-from .web import Answer, Call, WebServer, json_answer
+from standin_record import Record
+from standin_web import Answer, Call, WebServer, json_answer
 
 __all__ = ["Store"]
 
--- a/review/standins/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Stand-ins of the platform, its minions and its clients, for the review's scripts."""
