Log what a long wait lacks, and for which workers a successor holds jobs

`step waits` is written once for each wait, with the time of that wait, what the step lacks first, how many requests for advice go before its own, and how many are in flight by class. `jobs held` names the workers that have not answered and when their leases expire; `held jobs released` and `runs not found` say what it cost; a histogram of the time goes to the metrics address. No decision has changed. The two tests of new reports failed before for want of the lines.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/advice_requests.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/advice_requests.py
@@ -100,8 +100,13 @@
         free = self.max_in_flight - len(self.in_flight)
         if is_urgent:
             return max(0, free)
-        slow = sum(1 for urgent in self.in_flight.values() if not urgent)
-        return max(0, min(free, max(1, self.max_in_flight // 2) - slow))
+        max_slow = max(1, self.max_in_flight // 2)
+        return max(0, min(free, max_slow - self.slow_in_flight))
+
+    @property
+    def slow_in_flight(self) -> int:
+        """The number of requests in flight that are not for urgent steps."""
+        return sum(1 for is_urgent in self.in_flight.values() if not is_urgent)
 
     def choose_workers(
         self, step: Step, usable: list[Worker], wanted: int, now_s: float
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/serving.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/serving.py
@@ -6,6 +6,7 @@
 """
 
 import heapq
+from enum import Enum
 from typing import NamedTuple
 
 from gooseberrydeck_coordination.ids import TeamName
@@ -22,7 +23,7 @@
 from gooseberrydeck_fleet.waiting import Rank, WaitingSteps
 from gooseberrydeck_fleet.worker_calls import StartRequest
 
-__all__ = ["LongWait", "StepServer"]
+__all__ = ["LongWait", "StepServer", "WaitReason"]
 
 START_VALID_S = 1.5
 """Validity of a start request.
@@ -61,11 +62,31 @@
 """Steps checked for long waits, in order; bounds the lines that are logged."""
 
 
+class WaitReason(Enum):
+    """What a step lacks first, of what a start takes."""
+
+    LIMIT = "limit"
+    WORKERS = "workers"
+    """No worker fits, whatever runs there."""
+    ADVICE_TURN = "advice_turn"
+    """Its request for advice waits for others."""
+    ADVICE_REPLY = "advice_reply"
+    ADVICE_RETRY = "advice_retry"
+    ADVICE = "advice"
+    """It has no valid ticket, and has not requested one."""
+    SUSPECTED = "suspected"
+    """Its tasks may have crashed workers, and wait for separate ones."""
+    ROOM = "room"
+    START = "start"
+    """Nothing: it is about to start."""
+
+
 class LongWait(NamedTuple):
     """What keeps a step waiting, in numbers of workers and of tasks.
 
     ``slots`` is how many tasks fit on the ``permitted`` workers now, ``quota`` how many
-    the team's limit admits.
+    the team's limit admits. ``advice_turns_before`` is the number of steps whose
+    requests for advice go first.
     """
 
     step: StepRef
@@ -78,6 +99,12 @@
     permitted: int
     slots: int
     quota: int
+    reason: WaitReason
+    suspects: int
+    advice_turns_before: int
+    advice_in_flight: int
+    slow_advice_in_flight: int
+    max_advice_in_flight: int
 
 
 class FreedWorker(NamedTuple):
@@ -159,32 +186,78 @@
         waits = []
         for rank in self.waiting.after(None, MAX_LONG_WAITS):
             step = self.waiting.steps[rank[-1]]
-            ready_s = step.ready_s
-            if step.is_wait_reported or ready_s is None:
+            since_s = step.waits_since_s
+            if step.is_wait_reported or since_s is None:
                 continue
-            if now_s - ready_s >= LONG_WAIT_S:
+            if now_s - since_s >= LONG_WAIT_S:
                 step.is_wait_reported = True
-                waits.append(self.describe_wait(step, now_s - ready_s, now_s))
+                waits.append(self.describe_wait(step, now_s - since_s, now_s))
         return waits
 
     def describe_wait(self, step: Step, waited_s: float, now_s: float) -> LongWait:
         """Return what keeps a step waiting."""
         permitted = self.placer.permitted(step, now_s)
         team = step.job.record.team
-        waiting = len(startable_tasks(step))
+        tasks = startable_tasks(step)
+        usable = len(self.placer.usable(step))
+        slots = sum(slots for slots, _ in self.placer.with_room(permitted, step))
+        quota = self.ledger.quotas.count_allowed(team, step.spec.resources, len(tasks))
+        suspects = sum(self.ledger.suspects.is_suspect(task) for task in tasks)
+        requests = self.advice_requests
         return LongWait(
             step.ref,
             waited_s,
-            waiting,
+            len(tasks),
             step.spec.is_gang,
-            len(self.placer.usable(step)),
+            usable,
             len(step.advice.allowed),
             len(step.advice.rejected),
             len(permitted),
-            sum(slots for slots, _ in self.placer.with_room(permitted, step)),
-            self.ledger.quotas.count_allowed(team, step.spec.resources, waiting),
+            slots,
+            quota,
+            self.find_wait_reason(step, now_s, usable, len(permitted), slots, quota),
+            suspects,
+            self.count_advice_turns_before(step),
+            len(requests.in_flight),
+            requests.slow_in_flight,
+            requests.max_in_flight,
         )
 
+    def find_wait_reason(
+        self,
+        step: Step,
+        now_s: float,
+        usable: int,
+        permitted: int,
+        slots: int,
+        quota: int,
+    ) -> WaitReason:
+        """Return what a step lacks first, by what was counted for it."""
+        wanted = step.spec.count if step.spec.is_gang else 1
+        advice = step.advice
+        if quota < wanted:
+            return WaitReason.LIMIT
+        if not usable:
+            return WaitReason.WORKERS
+        if not permitted:
+            if advice.pending:
+                return WaitReason.ADVICE_REPLY
+            if step.ref in self.awaiting_advice:
+                return WaitReason.ADVICE_TURN
+            if now_s < advice.retry_s:
+                return WaitReason.ADVICE_RETRY
+            return WaitReason.ADVICE
+        if slots < wanted:
+            return WaitReason.ROOM
+        if any(self.ledger.suspects.is_suspect(task) for task in step.tasks):
+            return WaitReason.SUSPECTED
+        return WaitReason.START
+
+    def count_advice_turns_before(self, step: Step) -> int:
+        """Return how many steps that wait to request advice go before a step."""
+        rank = self.waiting.ranks[step.ref]
+        return sum(each < rank for each in self.waiting.in_order(self.awaiting_advice))
+
     def retry_at(self, step: Step, at_s: float) -> None:
         """Try a step again at a monotonic time."""
         heapq.heappush(self.retries, (at_s, step.ref))
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
@@ -225,6 +225,7 @@
         "spec",
         "tasks",
         "tried_in_pass",
+        "waits_since_s",
     )
 
     def __init__(self, job: "Job", occurrence: int, number: int) -> None:
@@ -242,6 +243,8 @@
         self.ready_s: float | None = None
         self.durations = StepDurations()
         self.tried_in_pass = 0
+        # When it last began to have tasks to start, and whether that was reported.
+        self.waits_since_s: float | None = None
         self.is_wait_reported = False
 
     @property
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/takeover.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/takeover.py
@@ -1,12 +1,22 @@
 """What a scheduler may do before it knows all runs that a predecessor started."""
 
+from typing import NamedTuple
+
 from gooseberrydeck_coordination.ids import JobId
+from gooseberrydeck_fleet.ids import TaskRef
 from gooseberrydeck_fleet.ledger import Ledger
-from gooseberrydeck_fleet.start_permission import worker_fenced
+from gooseberrydeck_fleet.start_permission import startable_tasks, worker_fenced
 from gooseberrydeck_fleet.state import CLOCK_DRIFT, MAX_TASK_LEASE_S, Job, Worker
 from gooseberrydeck_fleet.unknown_usage import UnknownUsage
 
-__all__ = ["Takeover"]
+__all__ = ["ReleasedJob", "Takeover"]
+
+
+class ReleasedJob(NamedTuple):
+    """A job that is not held any more, and its long-running tasks without a run."""
+
+    job: JobId
+    missing: tuple[TaskRef, ...]
 
 
 class Takeover:
@@ -26,6 +36,7 @@
         self.longest_lease_extra_s = extra_s / (1 - CLOCK_DRIFT)
         self.token = token
         self.held: dict[JobId, Job] = {}
+        self.released: list[ReleasedJob] = []
         self.unknown_usage = UnknownUsage(ledger)
         self.predecessor_acts_until_s = 0.0
         self.was_predecessor_active = False
@@ -106,6 +117,7 @@
         """Let a job start all of its tasks."""
         job.may_have_unknown_runs = False
         self.held.pop(job.id, None)
+        self.released.append(ReleasedJob(job.id, find_missing_tasks(job)))
         self.unknown_usage.job_released(job)
         self.ledger.finish_if_idle(job)
         self.ledger.touch(job)
@@ -124,3 +136,19 @@
     def have_all_reported(self) -> bool:
         """Return True if every worker has reported its runs."""
         return all(worker.has_reported for worker in self.ledger.workers.values())
+
+    def take_released(self) -> list[ReleasedJob]:
+        """Return the jobs that were released since the last call, each once."""
+        released, self.released = self.released, []
+        return released
+
+    def silent_workers(self) -> list[Worker]:
+        """Return the workers that have not reported their runs."""
+        workers = self.ledger.workers.values()
+        return [worker for worker in workers if not worker.has_reported]
+
+
+def find_missing_tasks(job: Job) -> tuple[TaskRef, ...]:
+    """Return the long-running tasks of a job that should run and have no run."""
+    standing = [step for step in job.open_steps.values() if step.spec.is_standing]
+    return tuple(task.ref for step in standing for task in startable_tasks(step))
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/waiting.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/waiting.py
@@ -72,6 +72,9 @@
                 step.ready_s = now_s
             if has_startable_tasks(step):
                 gone.discard(step.ref)
+                if step.ref not in self.ranks:
+                    step.waits_since_s = now_s
+                    step.is_wait_reported = False
                 self.put(step, wall_s)
                 self.due.add(step.ref)
             elif step.spec.is_speculative and step.job.queue.priority == 0:
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/observability.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/observability.py
@@ -17,6 +17,9 @@
 LATENCY_BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0)
 """Histogram bounds, from one store call to the longest time that a caller waits."""
 
+HELD_JOBS_BUCKETS_S = (0.1, 0.5, 1.0, 2.0, 3.0, 4.0, 5.0, 6.0, 8.0, 12.0, 16.0)
+"""Histogram bounds; a long-running task has to run again within 9 s."""
+
 
 class LogWriter:
     """Write lines to standard output from a separate thread."""
@@ -217,6 +220,12 @@
         self.takeovers = prometheus_client.Counter(
             "gooseberrydeck_takeovers", "Claims of the shard", registry=registry
         )
+        self.held_jobs_seconds = prometheus_client.Histogram(
+            "gooseberrydeck_held_jobs_seconds",
+            "Time for which a successor held jobs with runs that may be unknown",
+            registry=registry,
+            buckets=HELD_JOBS_BUCKETS_S,
+        )
 
     def render(self) -> bytes:
         """Return all metrics in the text format of Prometheus."""
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
@@ -42,6 +42,7 @@
 )
 from gooseberrydeck_member.crash_reports import report_crashes
 from gooseberrydeck_member.ended_jobs import EndedJobRemover
+from gooseberrydeck_member.held_jobs import HeldJobsReporter
 from gooseberrydeck_member.job_arrivals import JobArrivals
 from gooseberrydeck_member.job_lookups import (
     JobAbsent,
@@ -62,6 +63,7 @@
 )
 from gooseberrydeck_member.stored_state import read_stored_state
 from gooseberrydeck_member.threads import SYSTEM_CLOCK, SYSTEM_THREADS, Threads
+from gooseberrydeck_member.wait_reports import report_long_waits
 from gooseberrydeck_member.worker_dispatcher import (
     MAX_COMMANDS,
     MAX_POLL_THREADS,
@@ -144,6 +146,7 @@
         self.token = shard_lock.held.record.token
         self.inbox = threads.inbox()
         self.scheduler = Scheduler(self.token, timing)
+        self.held_jobs = HeldJobsReporter(self.scheduler, metrics)
         self.known_ends = KnownEnds()
         self.scheduler.changes.observer = self.known_ends
         self.audit = RunAudit(self.scheduler, self.known_ends, metrics, clock)
@@ -360,13 +363,8 @@
             self.scheduler.set_max_advice_requests(self.advice_pool.capacity())
             for command in self.scheduler.decide(now_s, self.clock.wall()):
                 self.execute(command)
-        for wait in self.scheduler.take_long_waits():
-            log.info(
-                "step waits",
-                job=wait.step.job,
-                step=wait.step[1:],
-                **dict(zip(wait._fields[1:], wait[1:], strict=True)),
-            )
+        report_long_waits(self.scheduler.take_long_waits())
+        self.held_jobs.report(now_s)
         self.report_lost_runs()
         report_crashes(self.scheduler.take_crash_reports(), self.metrics)
         for job in self.scheduler.take_lookups():
