Limit a holder's leases by what the members confirm, so that a successor waits 4.6 s

Cause: a successor can't tell a worker that has died from one that only it can't reach, and there the former holder may have started, or extended, any task of an older job. It starts none of them until all workers have answered or their leases have certainly expired. From a holder that doesn't confirm its end, that took 12.3 s from the claim: 8 s for which it may act without the store, and a lease. A killed process that starts again confirms by its reply; a host that is gone, dark or cut off never does, and a refused connection proves nothing. Each takeover begins the wait anew.

Ruled out: the queue for advice. Also ruled out: a shorter authority for all. With 12.3 s the sum is 14 s; the rule leaves 7 s after the holder's loss, of which claim, advice and start take 2, so the lease and the authority would have to fit in 5 s together, and each outage of the store over that would end every task.

Change: a heartbeat repeats the holder's time from the last reply, which shows that its sender had not claimed the shard by then. A holder sends commands for 3 s, and grants leases that end 4.5 s, after the store, or every member that could claim, has confirmed so; at most as long as before without the store. A claimant whose heartbeats each possible predecessor has answered in the last 12 s is known to it for as long as it may act, and stops confirming before it claims: it waits 4.6 s. Otherwise it waits 12.3 s as before, as it does for members of earlier releases. A member that stops says that it won't claim any more. Price: without the store, a holder that misses a member for up to 20 s stops after 3 s in place of 8.

Tests: the two of TestLimitedPredecessors that bound the wait by 5 s fail if no holder counts as followed (12.3 s, as before).

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/ledger.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/ledger.py
@@ -1,5 +1,7 @@
 """The jobs, workers and runs of a fleet, with consistent accounting."""
 
+import math
+
 from gooseberrydeck_coordination.ids import JobId, TeamName
 from gooseberrydeck_fleet.health import HealthTracker
 from gooseberrydeck_fleet.ids import (
@@ -60,6 +62,8 @@
         self.may_predecessor_act = False
         # When this scheduler certainly had no successor yet, in monotonic seconds.
         self.authority_confirmed_s = 0.0
+        # When the leases of runs have to end at the latest, in monotonic seconds.
+        self.lease_limit_s = math.inf
         self.quotas = Quotas()
         self.health = HealthTracker()
         self.suspects = SuspectTracker()
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
@@ -199,6 +199,10 @@
         """
         self.ledger.authority_confirmed_s = at_s
 
+    def limit_leases(self, until_s: float) -> None:
+        """Let no lease last longer than a monotonic time."""
+        self.ledger.lease_limit_s = until_s
+
     def release_held_jobs(self) -> None:
         """Let all jobs start tasks if every worker has reported its runs."""
         self.takeover.release_held_jobs()
@@ -304,7 +308,13 @@
         """
         if not worker.is_reachable or worker.is_restarting:
             return None
-        lease_s = min(MAX_TASK_LEASE_S, self.timing.task_lease_s - LEASE_MARGIN_S)
+        lease_s = min(
+            MAX_TASK_LEASE_S,
+            self.timing.task_lease_s - LEASE_MARGIN_S,
+            self.ledger.lease_limit_s - now_s,
+        )
+        if lease_s <= 0:
+            return None
         until_ms = worker.clock_at(now_s) + int(lease_s * 1000)
         worker.grant(until_ms)
         return until_ms
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/authority.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/authority.py
@@ -1,14 +1,34 @@
-"""The time limit on acting as the holder without confirmation by the store."""
+"""The time limits on acting as the holder without confirmation by the store."""
 
 import time
 from collections.abc import Callable
 
-__all__ = ["AUTHORITY_TIMEOUT_S", "Authority"]
+from gooseberrydeck_fleet.state import MAX_TASK_LEASE_S
+
+__all__ = [
+    "AUTHORITY_TIMEOUT_S",
+    "COMMAND_TIMEOUT_S",
+    "LEASE_TIMEOUT_S",
+    "Authority",
+]
 
 AUTHORITY_TIMEOUT_S = 8.0
-"""Time after the last confirmation for which a holder may send commands.
+"""Time after the last confirmation by the store for which a holder may send commands.
+
+A new holder that the former one didn't know waits this long plus one task lease for
+workers that it cannot reach.
+"""
+
+COMMAND_TIMEOUT_S = 3.0
+"""Time for which a holder may send commands after the store, or all members that could
+claim the shard, have confirmed that none has."""
 
-A new holder waits this long plus one task lease for workers that it cannot reach.
+LEASE_TIMEOUT_S = 4.5
+"""Time after such a confirmation at which all task leases end.
+
+A new holder that the former one knew waits this long for workers that it cannot reach.
+Long-running tasks on workers that were lost at the same time must run again 7 s after
+the holder was lost; the claim, the advice and the start have to fit in as well.
 """
 
 PAUSE_LIMIT_S = 1.0
@@ -26,12 +46,19 @@
 class Authority:
     """Permission to send commands, which expires without confirmation by the store."""
 
-    def __init__(self, now_s: Callable[[], float] | None = None) -> None:
+    def __init__(
+        self,
+        now_s: Callable[[], float] | None = None,
+        followed_s: Callable[[], float] | None = None,
+    ) -> None:
         """Start as confirmed now, because a claim has just succeeded.
 
         ``now_s`` returns the time, by default that of ``boottime_clock_s``.
+        ``followed_s`` returns the latest time at which no other member had claimed the
+        shard; by default there is none that could.
         """
         self.now_s = now_s or boottime_clock_s
+        self.followed_s = followed_s or self.now_s
         self.confirmed_s = self.now_s()
         self.is_revoked = False
         # When the store was last asked, whether or not it responded.
@@ -70,6 +97,18 @@
         """Return the time since the store last confirmed the lock, in seconds."""
         return self.now_s() - self.confirmed_s
 
+    def sole_holder_s(self) -> float:
+        """Return the latest time at which no other member had claimed the shard."""
+        return max(self.confirmed_s, self.followed_s())
+
+    def lease_limit_s(self) -> float:
+        """Return how long task leases may last from now on, in seconds."""
+        until_s = min(
+            self.sole_holder_s() + LEASE_TIMEOUT_S,
+            self.confirmed_s + AUTHORITY_TIMEOUT_S + MAX_TASK_LEASE_S,
+        )
+        return max(0.0, until_s - self.now_s())
+
     def may_act(self) -> bool:
         """Return whether commands may be sent now.
 
@@ -78,6 +117,8 @@
         """
         if self.is_revoked or self.age_s() >= AUTHORITY_TIMEOUT_S:
             return False
+        if self.now_s() - self.sole_holder_s() >= COMMAND_TIMEOUT_S:
+            return False
         if self.round_s is None:
             return True
         is_paused = self.now_s() - self.round_s > PAUSE_LIMIT_S
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/cell.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/cell.py
@@ -10,8 +10,9 @@
 
 from gooseberrydeck_coordination.ids import Epoch, JobId, QueueName, Revision
 from gooseberrydeck_fleet.work import JobRecord, JobState
-from gooseberrydeck_member.authority import AUTHORITY_TIMEOUT_S
+from gooseberrydeck_member.authority import AUTHORITY_TIMEOUT_S, boottime_clock_s
 from gooseberrydeck_member.callers import CallerRequest, CallerResponse
+from gooseberrydeck_member.claimants import Claimants
 from gooseberrydeck_member.peer_messages import (
     Heartbeat,
     HolderAnnouncement,
@@ -51,8 +52,10 @@
     Implements ``HolderDirectory`` for callers' requests.
     """
 
-    def __init__(self, member: str, address: str, peers: PeerClient) -> None:
-        """Start without a known holder."""
+    def __init__(
+        self, member: str, address: str, peers: PeerClient, incarnation: str = ""
+    ) -> None:
+        """Start without a known holder; ``incarnation`` identifies the process."""
         self.member = member
         self.address = address
         self.peers = peers
@@ -64,6 +67,7 @@
         self.scheduler: SchedulerTask | None = None
         # True while a claim may be stored whose scheduler isn't set yet.
         self.is_claiming = False
+        self.claimants = Claimants(incarnation, boottime_clock_s)
         self.last_heartbeats: dict[str, tuple[float, str, float]] = {}
         self.roster: tuple[str, ...] = ()
         self.notifier = ThreadPoolExecutor(NOTIFIER_THREADS, "tell")
@@ -94,6 +98,7 @@
 
     def record_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Record a member's heartbeat."""
+        self.claimants.record(heartbeat)
         with self.lock:
             self.last_heartbeats[heartbeat.member] = (
                 -heartbeat.processors,
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/composition.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/composition.py
@@ -44,6 +44,7 @@
 from gooseberrydeck_member.observability import Metrics
 from gooseberrydeck_member.peer_server import PeerApplication
 from gooseberrydeck_member.peers import PeerClient
+from gooseberrydeck_member.predecessors import Predecessors
 from gooseberrydeck_member.scheduler_task import SchedulerTask
 from gooseberrydeck_member.shard_lock import ShardLock
 from gooseberrydeck_service.http_server import HttpServer
@@ -113,7 +114,7 @@
         self.store = HttpStore(settings.store)
         self.control_store = HttpStore(settings.store)
         self.peers = PeerClient()
-        self.cell = Cell(settings.name, self.address, self.peers)
+        self.cell = Cell(settings.name, self.address, self.peers, self.incarnation)
         self.configuration = ConfigurationCache(decode_intent)
         self.configuration.listeners.append(self.configuration_changed)
         self.configuration_task = ConfigurationTask(
@@ -171,7 +172,9 @@
         self.stop_requested = threading.Event()
         self.reload_requested = threading.Event()
 
-    def build_scheduler(self, authority: Authority, was_silent: bool) -> SchedulerTask:
+    def build_scheduler(
+        self, authority: Authority, predecessors: Predecessors
+    ) -> SchedulerTask:
         """Build the task that schedules while this member holds the shard."""
         return SchedulerTask(
             HttpStore(self.settings.store),
@@ -183,7 +186,7 @@
             decode_registration,
             REGISTRATION_PREFIX,
             self.metrics,
-            was_silent,
+            predecessors,
         )
 
     def connect_worker(self, entry: Registration) -> WorkerCalls:
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/control.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/control.py
@@ -5,6 +5,7 @@
 import time
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
+from itertools import zip_longest
 
 import structlog
 
@@ -18,6 +19,7 @@
     boottime_clock_s,
 )
 from gooseberrydeck_member.cell import STORE_SILENCE_LIMIT_S, Cell
+from gooseberrydeck_member.claimants import FOLLOWED_WITHIN_S
 from gooseberrydeck_member.configuration import (
     AnnouncedConfiguration,
     ConfigurationCache,
@@ -25,6 +27,7 @@
 from gooseberrydeck_member.observability import Metrics
 from gooseberrydeck_member.peer_messages import Heartbeat, HeartbeatReply
 from gooseberrydeck_member.peers import PeerCallError, PeerClient, PeerRefusedError
+from gooseberrydeck_member.predecessors import Predecessors
 from gooseberrydeck_member.scheduler_task import SchedulerTask
 from gooseberrydeck_member.shard_lock import (
     ShardLock,
@@ -93,7 +96,7 @@
         peers: PeerClient,
         configuration: ConfigurationCache,
         timing: Timing,
-        build_scheduler: Callable[[Authority, bool], SchedulerTask],
+        build_scheduler: Callable[[Authority, Predecessors], SchedulerTask],
         metrics: Metrics,
         processors: float,
     ) -> None:
@@ -117,6 +120,12 @@
         self.claim_lock = threading.Lock()
         self.claim_blocked_until_s = 0.0
         self.last_holder_reply_s = time.monotonic()
+        # The process of the last holder that replied, with its clock then.
+        self.holder_incarnation = ""
+        self.holder_time_s = 0.0
+        # When heartbeats were sent, the last for each holder's process that knows this
+        # member as one that could claim the shard.
+        self.followed_s: dict[str, float] = {}
         self.read_due_s = 0.0
         self.is_store_failing = False
         self.random = random.Random(shard_lock.incarnation)
@@ -165,15 +174,9 @@
         if not address or address == self.cell.address:
             self.find_holder()
             return
-        heartbeat = Heartbeat(
-            self.cell.member,
-            self.cell.address,
-            self.shard_lock.incarnation,
-            self.configuration.version,
-            self.processors,
-            fetches_configuration=True,
-        )
+        heartbeat = self.build_heartbeat()
         sent_s = time.monotonic()
+        sent_boottime_s = boottime_clock_s()
         try:
             reply = self.peers.send_heartbeat(address, heartbeat, HEARTBEAT_TIMEOUT_S)
         except PeerRefusedError as error:
@@ -192,8 +195,42 @@
                 )
                 self.find_holder()
         else:
+            if reply.is_holder and reply.time_s:
+                self.holder_incarnation = reply.incarnation
+                self.holder_time_s = reply.time_s
+                self.record_followed(reply.incarnation, sent_boottime_s)
             self.handle_heartbeat_reply(reply, token, address, sent_s)
 
+    def record_followed(self, incarnation: str, sent_s: float) -> None:
+        """Record that a holder has answered a heartbeat that was sent at ``sent_s``."""
+        oldest_s = sent_s - FOLLOWED_WITHIN_S
+        recent = {key: at_s for key, at_s in self.followed_s.items() if at_s > oldest_s}
+        self.followed_s = {**recent, incarnation: sent_s}
+
+    def build_heartbeat(self) -> Heartbeat:
+        """Return a heartbeat, which says whether this member could claim the shard.
+
+        While it claims the shard in another thread, the heartbeat doesn't say that it
+        follows the holder.
+        """
+        is_idle = self.claim_lock.acquire(blocking=False)
+        try:
+            is_following = is_idle and self.cell.scheduler is None
+            return Heartbeat(
+                self.cell.member,
+                self.cell.address,
+                self.shard_lock.incarnation,
+                self.configuration.version,
+                self.processors,
+                fetches_configuration=True,
+                holder_incarnation=self.holder_incarnation if is_following else "",
+                holder_time_s=self.holder_time_s,
+                may_claim=self.may_claim or not is_following,
+            )
+        finally:
+            if is_idle:
+                self.claim_lock.release()
+
     def handle_heartbeat_reply(
         self, reply: HeartbeatReply, token: int, address: str, sent_s: float
     ) -> None:
@@ -267,7 +304,7 @@
                 self.last_holder_reply_s = time.monotonic()
                 return
         with self.claim_lock:
-            if self.cell.scheduler is None:
+            if self.may_claim and self.cell.scheduler is None:
                 self.claim_now(seen, was_silent)
 
     def take_over(self, seen: ShardView) -> bool:
@@ -275,12 +312,13 @@
 
         The holder keeps sending commands until it learns of the claim.
         """
-        may_claim = self.may_claim and time.monotonic() >= self.claim_blocked_until_s
-        if not may_claim or self.configuration.current is None:
+        is_blocked = time.monotonic() < self.claim_blocked_until_s
+        if is_blocked or self.configuration.current is None:
             return False
         try:
             with self.claim_lock:
-                return self.cell.scheduler is None and self.claim_now(seen, True)
+                may_claim = self.may_claim and self.cell.scheduler is None
+                return may_claim and self.claim_now(seen, True)
         except StoreError as error:
             log.warning("shard not taken over", reason=str(error))
             return False
@@ -292,12 +330,17 @@
         """
         sent_s = boottime_clock_s()
         members = (*self.cell.peer_addresses(), self.cell.address)
-        predecessors = self.active_predecessors(seen.record, was_silent)
+        predecessors = self.find_predecessors(seen.record, was_silent)
         ttl_s = max(LEASE_TTL_S, self.timing.min_lease_s)
         self.cell.is_claiming = True
         try:
             won = self.shard_lock.claim(
-                seen, members, ttl_s, STORE_TIMEOUT_S, predecessors
+                seen,
+                members,
+                ttl_s,
+                STORE_TIMEOUT_S,
+                predecessors.addresses,
+                predecessors.incarnations,
             )
             log.info(
                 "claim",
@@ -306,7 +349,8 @@
                 former=seen.record.holder,
                 was_silent=was_silent,
                 former_revision=seen.revision,
-                active_predecessors=predecessors,
+                active_predecessors=predecessors.addresses,
+                are_predecessors_limited=predecessors.are_limited,
             )
             if won:
                 self.start_scheduler(predecessors, sent_s, seen.record.address)
@@ -317,20 +361,28 @@
             self.cell.is_claiming = False
         return won
 
-    def active_predecessors(
-        self, record: ShardRecord, was_silent: bool
-    ) -> tuple[str, ...]:
-        """Return the addresses of former holders that may act after a claim.
+    def find_predecessors(self, record: ShardRecord, was_silent: bool) -> Predecessors:
+        """Return the former holders that may act after a claim.
 
         Those before the last holder may have outlived it. Their authority was confirmed
         last before the record's token was in use.
         """
-        former = [record.address] if was_silent else []
+        former = {record.address: record.incarnation} if was_silent else {}
         if self.cell.token_age_s(int(record.token)) < AUTHORITY_TIMEOUT_S:
-            former.extend(record.active_predecessors)
-        unique = dict.fromkeys(former)
-        unique.pop(self.cell.address, None)
-        return tuple(unique)
+            incarnations = record.predecessor_incarnations
+            # Members of earlier releases store no incarnations.
+            earlier = zip_longest(
+                record.active_predecessors, incarnations, fillvalue=""
+            )
+            for address, incarnation in earlier:
+                former.setdefault(address, incarnation)
+        former.pop(self.cell.address, None)
+        oldest_s = boottime_clock_s() - FOLLOWED_WITHIN_S
+        are_limited = all(
+            self.followed_s.get(incarnation, oldest_s) > oldest_s
+            for incarnation in former.values()
+        )
+        return Predecessors(tuple(former), tuple(former.values()), are_limited)
 
     def claim_delay_s(self) -> float:
         """Return the delay before a claim, by host size and position in the roster.
@@ -348,16 +400,16 @@
     # Leading.
 
     def start_scheduler(
-        self, active_predecessors: tuple[str, ...], sent_s: float, former_holder: str
+        self, predecessors: Predecessors, sent_s: float, former_holder: str
     ) -> None:
         """Start the scheduler and announce this member as the holder."""
         held = self.shard_lock.held
         configuration = self.configuration.current
         if held is None or configuration is None:
             return
-        authority = Authority()
+        authority = Authority(followed_s=self.cell.claimants.followed_s)
         authority.confirm(sent_s)
-        scheduler = self.build_scheduler(authority, bool(active_predecessors))
+        scheduler = self.build_scheduler(authority, predecessors)
         scheduler.set_configuration(configuration)
         self.cell.scheduler = scheduler
         # A version adopted before the scheduler was set has not been passed to it.
@@ -372,7 +424,7 @@
         self.executor.submit(self.run_scheduler, scheduler)
         if is_newest:
             self.executor.submit(
-                self.cell.announce, scheduler, former_holder, active_predecessors
+                self.cell.announce, scheduler, former_holder, predecessors.addresses
             )
 
     def run_scheduler(self, scheduler: SchedulerTask) -> None:
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/peer_messages.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/peer_messages.py
@@ -27,6 +27,9 @@
 
     ``processors`` is the number of processors available to the member. A member that
     ``fetches_configuration`` needs none in the reply; those of earlier releases do.
+    The member had not claimed the shard when the holder's process
+    ``holder_incarnation`` sent ``holder_time_s`` in a reply. It never will if
+    ``may_claim`` is false.
     """
 
     member: str
@@ -35,6 +38,9 @@
     version: int
     processors: float = 1.0
     fetches_configuration: bool = False
+    holder_incarnation: str = ""
+    holder_time_s: float = 0.0
+    may_claim: bool = True
 
 
 class HeartbeatReply(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -43,7 +49,8 @@
     Ages are in seconds when the reply is sent. ``version`` was confirmed as the newest
     at ``configuration_revision`` of the store (0: unknown). ``configuration`` is sent
     if it is newer than the follower's and the follower doesn't fetch it. ``members``
-    are in the order in which they should claim.
+    are in the order in which they should claim. ``time_s`` is the holder's clock,
+    which the next heartbeat repeats.
     """
 
     is_holder: bool
@@ -55,6 +62,7 @@
     configuration: bytes = b""
     members: tuple[str, ...] = ()
     configuration_revision: int = 0
+    time_s: float = 0.0
 
 
 class ConfigurationQuery(msgspec.Struct, frozen=True):
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/peer_server.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/peer_server.py
@@ -136,6 +136,7 @@
             known.value if is_sent else b"",
             self.cell.live_member_addresses(),
             int(known.revision),
+            self.cell.claimants.now_s(),
         )
 
     def handle_configuration_query(self, body: bytes) -> ConfigurationPiece:
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
@@ -33,7 +33,7 @@
 from gooseberrydeck_fleet.work import JobState
 from gooseberrydeck_fleet.worker_calls import StartOutcome, WorkerCalls
 from gooseberrydeck_member.advice_pool import AdviceCompleted, AdvicePool
-from gooseberrydeck_member.authority import AUTHORITY_TIMEOUT_S, Authority
+from gooseberrydeck_member.authority import Authority
 from gooseberrydeck_member.command_audit import CommandAudit
 from gooseberrydeck_member.committer import (
     CommitDone,
@@ -54,6 +54,7 @@
 from gooseberrydeck_member.known_ends import KnownEnds
 from gooseberrydeck_member.observability import Metrics
 from gooseberrydeck_member.peer_messages import JobAccepted
+from gooseberrydeck_member.predecessors import Predecessors
 from gooseberrydeck_member.run_audit import RunAudit
 from gooseberrydeck_member.shard_lock import ShardLock, ShardLostError
 from gooseberrydeck_member.store_follower import (
@@ -92,8 +93,8 @@
 SUPERSEDED_NOTICE_S = 1.5
 """Time within which a predecessor that is still running usually learns that it has been
 superseded, from a worker's response or at the next renewal of its lease. One that
-reaches neither the store nor a worker that its successor has reached may act longer, up
-to ``AUTHORITY_TIMEOUT_S``."""
+reaches neither the store nor a worker that its successor has reached may act for
+longer; see ``Authority``."""
 
 
 class Query(msgspec.Struct):
@@ -124,13 +125,13 @@
         decode_registration: Callable[[str, bytes], Registration | None],
         registrations: str,
         metrics: Metrics,
-        was_silent: bool,
+        predecessors: Predecessors,
         clock: Clock = SYSTEM_CLOCK,
         threads: Threads = SYSTEM_THREADS,
     ) -> None:
         """Prepare for scheduling under the shard lock held by ``shard_lock``.
 
-        ``was_silent`` says that the predecessor may still be sending commands.
+        ``predecessors`` are those that may still be sending commands.
         """
         if shard_lock.held is None:
             raise ShardLostError("this member does not hold the shard")
@@ -185,10 +186,7 @@
             self.stopping.wait,
         )
         self.claimed_s = clock.monotonic()
-        quarantine_s = MAX_TASK_LEASE_S / (1 - CLOCK_DRIFT)
-        if was_silent:
-            quarantine_s += AUTHORITY_TIMEOUT_S
-        if was_silent:
+        if predecessors.may_act():
             self.scheduler.predecessor_may_act(self.claimed_s + SUPERSEDED_NOTICE_S)
         self.jobs = JobArrivals(
             self.scheduler,
@@ -207,7 +205,7 @@
             connect,
             decode_registration,
             registrations,
-            self.claimed_s + quarantine_s,
+            self.claimed_s + predecessors.max_lease_s(),
         )
         self.polls = WorkerPolls(
             self.scheduler,
@@ -358,6 +356,7 @@
                 "scheduler was paused", token=self.token, seconds=round(paused_s, 3)
             )
         self.scheduler.authority_confirmed(now_s - self.authority.age_s())
+        self.scheduler.limit_leases(now_s + self.authority.lease_limit_s())
         self.dispatcher.send_all_due()
         if self.authority.may_act():
             self.scheduler.set_max_advice_requests(self.advice_pool.capacity())
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/shard_lock.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/shard_lock.py
@@ -37,7 +37,8 @@
 
     ``incarnation`` identifies a process of the member. ``holder`` is empty after the
     holder has released the shard. ``active_predecessors`` are the addresses of former
-    holders that may still have been acting when the shard was claimed.
+    holders that may still have been acting when the shard was claimed, and
+    ``predecessor_incarnations`` their processes.
     """
 
     token: Epoch
@@ -46,6 +47,7 @@
     incarnation: str = ""
     members: tuple[str, ...] = ()
     active_predecessors: tuple[str, ...] = ()
+    predecessor_incarnations: tuple[str, ...] = ()
 
 
 class ShardView(msgspec.Struct, frozen=True):
@@ -92,13 +94,14 @@
         ttl_s: float,
         timeout_s: float,
         active_predecessors: tuple[str, ...] = (),
+        predecessor_incarnations: tuple[str, ...] = (),
     ) -> bool:
         """Claim the shard with a higher fencing token.
 
         Returns False if the record is no longer the one in ``seen``. ``members`` are
         the peers' addresses, stored for members that cannot read the store, and
-        ``active_predecessors`` are stored for the next claimant. Raises a
-        ``StoreError`` if the claim may not have been stored.
+        ``active_predecessors``, with their processes, are stored for the next claimant.
+        Raises a ``StoreError`` if the claim may not have been stored.
         """
         lease = self.store.grant_lease(ttl_s, timeout_s)
         record = ShardRecord(
@@ -108,6 +111,7 @@
             self.incarnation,
             members,
             active_predecessors,
+            predecessor_incarnations,
         )
         transaction = Transaction(
             (mod_revision_equals(SHARD_KEY, seen.revision),),
@@ -174,6 +178,7 @@
             held.token,
             members=held.members,
             active_predecessors=held.active_predecessors,
+            predecessor_incarnations=held.predecessor_incarnations,
         )
         transaction = Transaction(
             (self.ownership_condition(),),
--- a/tests/fleet/test_two_holders.py
+++ b/tests/fleet/test_two_holders.py
@@ -1,5 +1,6 @@
 """Tests of a scheduler that acts beside its predecessor, in an order drawn by seed."""
 
+import math
 import random
 from enum import Enum
 
@@ -15,18 +16,23 @@
 )
 from gooseberrydeck_coordination.clock import ManualClock
 from gooseberrydeck_coordination.ids import Epoch, JobId
-from gooseberrydeck_fleet.commands import StartRun, StopRun
+from gooseberrydeck_fleet.commands import Command, StartRun, StopRun
 from gooseberrydeck_fleet.ids import WorkerId
 from gooseberrydeck_fleet.progress import decode_progress
 from gooseberrydeck_fleet.scheduler import Scheduler
 from gooseberrydeck_fleet.settings import Timing
+from gooseberrydeck_fleet.state import CLOCK_DRIFT
 from gooseberrydeck_fleet.work import JobRecord, StepSpec, WorkSpec
 from gooseberrydeck_fleet.worker_calls import (
     PollReply,
     StartRequest,
     WorkerFencedError,
 )
-from gooseberrydeck_member.authority import AUTHORITY_TIMEOUT_S
+from gooseberrydeck_member.authority import (
+    AUTHORITY_TIMEOUT_S,
+    COMMAND_TIMEOUT_S,
+    LEASE_TIMEOUT_S,
+)
 from gooseberrydeck_standins.fleet_worker import (
     FleetWorkerEngine,
     RunPlan,
@@ -64,6 +70,10 @@
     """It reaches neither the store nor a worker that its successor reaches, and acts
     until its authority ends."""
 
+    CUT_AND_FOLLOWED = "cut_and_followed"
+    """As before, but its successor had followed it, and no longer confirms that it
+    doesn't claim the shard."""
+
 
 class ActingHolder:
     """A scheduler with its own view of the workers; replies are late or lost."""
@@ -78,6 +88,7 @@
         self.replies: list[tuple[float, WorkerId, PollReply]] = []
         self.is_acting = True
         self.reaches_store = True
+        self.lease_limit_s = math.inf
 
     def step(self) -> None:
         """Poll workers, execute commands and store changes, until fenced off."""
@@ -92,7 +103,8 @@
                 self.scheduler.poll_answered(worker, reply, now_s)
             if self.token == self.cell.token:
                 self.scheduler.authority_confirmed(now_s)
-            for command in self.scheduler.decide(now_s, now_s):
+            self.scheduler.limit_leases(self.lease_limit_s)
+            for command in self.decide(now_s):
                 if isinstance(command, StartRun):
                     self.start(command)
                 elif isinstance(command, StopRun) and command.worker in self.reachable:
@@ -103,6 +115,12 @@
         else:
             self.commit()
 
+    def decide(self, now_s: float) -> list[Command]:
+        """Return the commands to send while leases may last long enough for them."""
+        left_s = self.lease_limit_s - now_s
+        may_act = left_s > LEASE_TIMEOUT_S - COMMAND_TIMEOUT_S
+        return self.scheduler.decide(now_s, now_s) if may_act else []
+
     def poll(self, worker_id: WorkerId) -> None:
         """Poll a worker; the reply comes later."""
         worker = self.scheduler.ledger.workers[worker_id]
@@ -240,6 +258,13 @@
             stop_s = claimed_s + AUTHORITY_TIMEOUT_S - rng.choice((0.0, 0.4, 1.0))
             lease_s += AUTHORITY_TIMEOUT_S
             watched_s += AUTHORITY_TIMEOUT_S
+        elif first_end is FirstHolderEnd.CUT_AND_FOLLOWED:
+            self.cut_off(self.first, second)
+            confirmed_s = claimed_s - rng.choice((0.0, 0.3, 1.0))
+            self.first.lease_limit_s = confirmed_s + LEASE_TIMEOUT_S
+            stop_s = claimed_s + AUTHORITY_TIMEOUT_S
+            lease_s = LEASE_TIMEOUT_S / (1 - CLOCK_DRIFT)
+            watched_s += LEASE_TIMEOUT_S
         else:
             dark = rng.choice((0, 1, 1, 2))
             second.reachable -= set(rng.sample(list(self.engines), dark))
--- a/tests/joined_support.py
+++ b/tests/joined_support.py
@@ -35,6 +35,7 @@
 from gooseberrydeck_member.observability import Metrics
 from gooseberrydeck_member.peer_messages import JobAccepted
 from gooseberrydeck_member.peers import PeerClient
+from gooseberrydeck_member.predecessors import NO_PREDECESSORS
 from gooseberrydeck_member.scheduler_task import SchedulerTask
 from gooseberrydeck_member.shard_lock import ShardLock, ShardLostError
 from gooseberrydeck_standins.engine_store import EngineStore
@@ -110,7 +111,7 @@
             lambda _key, value: msgspec.json.decode(value, type=Registration),
             REGISTRATIONS,
             Metrics(),
-            was_silent=False,
+            predecessors=NO_PREDECESSORS,
             clock=self.loop.clock,
             threads=self.loop,
         )
--- a/tests/member/test_changes_before_sending.py
+++ b/tests/member/test_changes_before_sending.py
@@ -32,6 +32,7 @@
 from gooseberrydeck_member.command_lanes import UNANSWERED_LIMIT_S
 from gooseberrydeck_member.observability import Metrics
 from gooseberrydeck_member.peers import PeerClient
+from gooseberrydeck_member.predecessors import NO_PREDECESSORS
 from gooseberrydeck_member.scheduler_task import SchedulerTask
 from gooseberrydeck_member.shard_lock import ShardLock
 from gooseberrydeck_member.worker_dispatcher import PollSucceeded, WorkerDispatcher
@@ -73,7 +74,7 @@
             lambda _key, _value: self.registration,
             "servers/",
             Metrics(),
-            was_silent=False,
+            predecessors=NO_PREDECESSORS,
         )
         self.executor = BusyExecutor()
         use_dispatcher(
--- a/tests/member/test_hand_over.py
+++ b/tests/member/test_hand_over.py
@@ -16,6 +16,7 @@
 from gooseberrydeck_fleet.settings import Timing
 from gooseberrydeck_member.authority import AUTHORITY_TIMEOUT_S, Authority
 from gooseberrydeck_member.cell import Cell
+from gooseberrydeck_member.claimants import FOLLOWED_WITHIN_S
 from gooseberrydeck_member.configuration import ConfigurationCache
 from gooseberrydeck_member.control import ControlTask
 from gooseberrydeck_member.observability import Metrics
@@ -27,6 +28,7 @@
 )
 from gooseberrydeck_member.peer_server import PeerApplication
 from gooseberrydeck_member.peers import PeerCallError, PeerRefusedError
+from gooseberrydeck_member.predecessors import NO_PREDECESSORS, Predecessors
 from gooseberrydeck_member.shard_lock import (
     TOKENS_PER_CLAIM,
     ShardLock,
@@ -43,9 +45,12 @@
 class SchedulerStub:
     """The part of ``SchedulerTask`` that the control task uses."""
 
-    def __init__(self, token: int, authority: Authority, was_silent: bool) -> None:
+    def __init__(
+        self, token: int, authority: Authority, predecessors: Predecessors
+    ) -> None:
         self.token = token
-        self.was_silent = was_silent
+        self.predecessors = predecessors
+        self.was_silent = predecessors.may_act()
         self.authority = authority
         self.lost = threading.Event()
         self.stopping = threading.Event()
@@ -132,7 +137,7 @@
         run = f"{name}-{run}"
         self.store = EngineStore(engine, waits=False)
         self.shard_lock = ShardLock(self.store, MemberId(name), self.address, run)
-        self.cell = Cell(name, self.address, peers)  # type: ignore[arg-type]
+        self.cell = Cell(name, self.address, peers, run)  # type: ignore[arg-type]
         configuration = ConfigurationCache(lambda _value: make_configuration())
         configuration.offer(b"1", 0.0, "test")
         self.schedulers: list[SchedulerStub] = []
@@ -151,10 +156,12 @@
         application.take_over = self.control.take_over
         peers.applications[self.address] = application
 
-    def build_scheduler(self, authority: Authority, was_silent: bool) -> SchedulerStub:
+    def build_scheduler(
+        self, authority: Authority, predecessors: Predecessors
+    ) -> SchedulerStub:
         held = self.shard_lock.held
         assert held is not None
-        scheduler = SchedulerStub(int(held.record.token), authority, was_silent)
+        scheduler = SchedulerStub(int(held.record.token), authority, predecessors)
         self.schedulers.append(scheduler)
         return scheduler
 
@@ -388,7 +395,7 @@
     ) -> None:
         # Announcements take up to 0.3 s for each member that doesn't reply.
         self.claim_from_silent_holder()
-        earlier = SchedulerStub(1, Authority(), was_silent=True)
+        earlier = SchedulerStub(1, Authority(), NO_PREDECESSORS)
         predecessors = (self.other.address,)
         self.member.cell.announce(earlier, "", predecessors)  # type: ignore[arg-type]
         (scheduler,) = self.member.schedulers
@@ -396,6 +403,154 @@
         assert not scheduler.predecessor_stop_reported.is_set()
 
 
+class TestLimitedPredecessors:
+    """A silent holder knew its successor, so it can't act long without its word."""
+
+    MAX_WAIT_S = 5.0
+    """A long-running task has to run 7 s after the holder was lost. The claim takes 1 s
+    of that, and the advice with the start another one."""
+
+    def setup_method(self) -> None:
+        self.engine = StoreEngine(ManualClock())
+        self.peers = PeersStub()
+        self.silent = self.make_member("silent")
+        self.silent.control.find_holder()
+        self.member = self.make_member("m1")
+        self.other = self.make_member("m2")
+
+    def teardown_method(self) -> None:
+        for member in (self.silent, self.member, self.other):
+            for scheduler in member.schedulers:
+                scheduler.stop()
+
+    def make_member(self, name: str, run: str = "first") -> MemberParts:
+        member = MemberParts(name, self.engine, self.peers, run)
+        member.cell.set_roster((member.address,))
+        return member
+
+    def follow(self, member: MemberParts) -> None:
+        """Let a member find the holder and send it two heartbeats."""
+        for _ in range(3):
+            member.control.follow()
+
+    def claim_from(self, holder: MemberParts, member: MemberParts) -> SchedulerStub:
+        """Let a holder refuse connections, and a member claim the shard from it."""
+        self.peers.refusing.add(holder.address)
+        member.control.follow()
+        return member.schedulers[-1]
+
+    # Accepted long-running tasks stood still for 15 s on other workers than the lost
+    # ones, after a holder was lost with its host (issue 45).
+    def test_successor_waits_five_seconds_at_most_for_the_workers_of_a_lost_holder(
+        self,
+    ) -> None:
+        self.follow(self.member)
+        scheduler = self.claim_from(self.silent, self.member)
+        assert scheduler.was_silent
+        assert scheduler.predecessors.max_lease_s() <= self.MAX_WAIT_S
+
+    # The same after a second holder was lost as well.
+    def test_successor_of_two_lost_holders_waits_no_longer(self) -> None:
+        self.follow(self.member)
+        self.follow(self.other)
+        self.claim_from(self.silent, self.member)
+        self.follow(self.other)
+        scheduler = self.claim_from(self.member, self.other)
+        assert len(scheduler.predecessors.addresses) == 2
+        assert scheduler.predecessors.max_lease_s() <= self.MAX_WAIT_S
+
+    def test_holder_that_did_not_know_its_successor_is_waited_for_longer(self) -> None:
+        self.member.control.find_holder()
+        scheduler = self.claim_from(self.silent, self.member)
+        assert scheduler.predecessors.max_lease_s() > AUTHORITY_TIMEOUT_S
+
+    def test_one_of_two_holders_that_did_not_know_its_successor(self) -> None:
+        self.follow(self.member)
+        self.claim_from(self.silent, self.member)
+        self.follow(self.other)
+        scheduler = self.claim_from(self.member, self.other)
+        assert len(scheduler.predecessors.addresses) == 2
+        assert scheduler.predecessors.max_lease_s() > AUTHORITY_TIMEOUT_S
+
+    def test_later_process_of_a_known_holder_did_not_know_its_successor(self) -> None:
+        self.follow(self.member)
+        again = self.make_member("silent", run="second")
+        again.control.find_holder()
+        self.member.cell.set_holder(int(again.schedulers[0].token), again.address)
+        scheduler = self.claim_from(again, self.member)
+        assert scheduler.predecessors.max_lease_s() > AUTHORITY_TIMEOUT_S
+
+    def test_holder_that_was_followed_too_long_ago(self) -> None:
+        self.follow(self.member)
+        followed_s = self.member.control.followed_s
+        for incarnation in followed_s:
+            followed_s[incarnation] -= FOLLOWED_WITHIN_S
+        scheduler = self.claim_from(self.silent, self.member)
+        assert scheduler.predecessors.max_lease_s() > AUTHORITY_TIMEOUT_S
+
+
+class TestConfirmations:
+    """Heartbeats tell a holder without the store that nobody has claimed."""
+
+    def setup_method(self) -> None:
+        self.peers = PeersStub()
+        engine = StoreEngine(ManualClock())
+        self.holder = MemberParts("m1", engine, self.peers)
+        self.holder.control.find_holder()
+        self.member = MemberParts("m2", engine, self.peers)
+        self.member.cell.set_roster((self.member.address,))
+        self.member.control.follow()
+
+    def teardown_method(self) -> None:
+        for member in (self.holder, self.member):
+            for scheduler in member.schedulers:
+                scheduler.stop()
+
+    def followed_s(self) -> float:
+        return self.holder.cell.claimants.followed_s()
+
+    def test_second_heartbeat_repeats_the_time_of_the_first_reply(self) -> None:
+        self.member.control.follow()
+        assert self.followed_s() == 0.0
+        replied_s = self.member.control.holder_time_s
+        self.member.control.follow()
+        assert self.followed_s() == replied_s > 0.0
+
+    def test_claimant_confirms_nothing_while_and_after_it_claims(self) -> None:
+        self.member.control.follow()
+        self.member.control.follow()
+        confirmed_s = self.followed_s()
+        with self.member.control.claim_lock:
+            heartbeat = self.member.control.build_heartbeat()
+        assert heartbeat.holder_incarnation == ""
+        assert heartbeat.may_claim
+        seen = self.holder.shard_lock.held
+        assert seen is not None
+        assert self.member.control.take_over(seen)
+        heartbeat = self.member.control.build_heartbeat()
+        assert heartbeat.holder_incarnation == ""
+        self.holder.cell.record_heartbeat(heartbeat)
+        assert self.followed_s() == confirmed_s
+
+    def test_stopping_member_is_not_waited_for(self) -> None:
+        self.member.control.follow()
+        assert self.followed_s() == 0.0
+        self.member.control.hand_over()
+        self.member.control.follow()
+        assert self.followed_s() > 0.0
+
+    def test_time_of_another_process_is_no_confirmation(self) -> None:
+        heartbeat = Heartbeat(
+            "m3", "m3:1", "run", 1, holder_incarnation="former", holder_time_s=1e9
+        )
+        self.holder.cell.record_heartbeat(heartbeat)
+        assert self.followed_s() == 0.0
+
+    def test_members_of_earlier_releases_confirm_nothing(self) -> None:
+        self.holder.cell.record_heartbeat(Heartbeat("m3", "m3:1", "run", 1))
+        assert self.followed_s() == 0.0
+
+
 class TestNewestToken:
     # Records would have named a holder older than the one that is notified.
     def test_newest_token_is_not_lowered_by_late_news_of_older_holders(self) -> None:
--- a/tests/member/test_holding.py
+++ b/tests/member/test_holding.py
@@ -11,19 +11,25 @@
 from gooseberrydeck_coordination.ids import JobId, MemberId
 from gooseberrydeck_fleet.changes import ENDING_ENTRIES
 from gooseberrydeck_fleet.commands import Changes, JobEnding, ProgressWrite
+from gooseberrydeck_fleet.serving import START_VALID_S
+from gooseberrydeck_fleet.state import MAX_TASK_LEASE_S
 from gooseberrydeck_fleet.work import EndedJob, JobState, StepSpec
 from gooseberrydeck_member import authority as authority_module
 from gooseberrydeck_member.authority import (
     AUTHORITY_TIMEOUT_S,
+    COMMAND_TIMEOUT_S,
+    LEASE_TIMEOUT_S,
     PAUSE_LIMIT_S,
     Authority,
 )
+from gooseberrydeck_member.claimants import FOLLOWED_WITHIN_S, Claimants
 from gooseberrydeck_member.commits import (
     MAX_COMMIT_ENTRIES,
     build_transaction,
     commit_changes,
 )
 from gooseberrydeck_member.keys import ended_key, job_key, progress_key
+from gooseberrydeck_member.peer_messages import Heartbeat
 from gooseberrydeck_member.shard_lock import TOKENS_PER_CLAIM, ShardLock, ShardLostError
 from gooseberrydeck_standins.engine_store import EngineStore
 from gooseberrydeck_standins.faults import CallFault
@@ -174,6 +180,97 @@
         assert not authority.may_act()
 
 
+class TestConfirmationsByMembers:
+    """The store is down, and the other members may confirm that none has claimed."""
+
+    def setup_method(self) -> None:
+        self.clock = ManualClock()
+        self.followed_s = 0.0
+        self.authority = Authority(self.clock.monotonic, lambda: self.followed_s)
+
+    def leases_end_s(self) -> float:
+        return self.clock.monotonic() + self.authority.lease_limit_s()
+
+    # A successor that waits for the leases of silent workers counts on these limits.
+    def test_holder_that_a_member_does_not_follow_stops_soon(self) -> None:
+        begun_s = self.clock.monotonic()
+        self.clock.advance(COMMAND_TIMEOUT_S - 0.1)
+        assert self.authority.may_act()
+        self.clock.advance(0.2)
+        assert not self.authority.may_act()
+        assert self.leases_end_s() == pytest.approx(begun_s + LEASE_TIMEOUT_S)
+        self.clock.advance(LEASE_TIMEOUT_S)
+        assert self.authority.lease_limit_s() == 0.0
+
+    def test_holder_that_all_members_follow_goes_on_until_its_authority_ends(
+        self,
+    ) -> None:
+        begun_s = self.clock.monotonic()
+        for _ in range(int(AUTHORITY_TIMEOUT_S) * 2 - 1):
+            self.clock.advance(0.5)
+            self.followed_s = self.clock.monotonic() - 0.4
+            assert self.authority.may_act()
+            assert self.authority.lease_limit_s() > MAX_TASK_LEASE_S - 0.2
+        self.clock.advance(0.6)
+        self.followed_s = self.clock.monotonic()
+        assert not self.authority.may_act()
+        ends_s = begun_s + AUTHORITY_TIMEOUT_S + MAX_TASK_LEASE_S
+        assert self.leases_end_s() <= ends_s
+
+    def test_leases_are_not_limited_while_the_store_confirms(self) -> None:
+        for _ in range(20):
+            self.clock.advance(0.3)
+            self.authority.confirm(self.clock.monotonic() - 0.2)
+            assert self.authority.lease_limit_s() >= MAX_TASK_LEASE_S
+
+    def test_last_start_expires_with_the_leases(self) -> None:
+        assert COMMAND_TIMEOUT_S + START_VALID_S <= LEASE_TIMEOUT_S
+
+
+class TestClaimants:
+    def setup_method(self) -> None:
+        self.clock = ManualClock()
+        self.clock.advance(100.0)
+        self.claimants = Claimants("holder", self.clock.monotonic)
+
+    def follow(self, member: str, followed_s: float, may_claim: bool = True) -> None:
+        """Record a heartbeat that repeats a time of this holder."""
+        self.claimants.record(
+            Heartbeat(
+                member,
+                f"{member}:1",
+                "run",
+                1,
+                holder_incarnation="holder",
+                holder_time_s=followed_s,
+                may_claim=may_claim,
+            )
+        )
+
+    def test_the_member_that_followed_longest_ago_counts(self) -> None:
+        self.follow("m1", 99.0)
+        self.follow("m2", 97.0)
+        assert self.claimants.followed_s() == 97.0
+
+    def test_delayed_heartbeat_does_not_lower_the_time(self) -> None:
+        self.follow("m1", 99.0)
+        self.follow("m1", 95.0)
+        assert self.claimants.followed_s() == 99.0
+
+    def test_without_other_members_nobody_could_have_claimed(self) -> None:
+        assert self.claimants.followed_s() == self.clock.monotonic()
+        self.follow("m1", 99.0)
+        self.follow("m1", 99.0, may_claim=False)
+        assert self.claimants.followed_s() == self.clock.monotonic()
+
+    def test_silent_member_is_remembered_until_the_holder_can_not_act(self) -> None:
+        self.follow("m1", 99.0)
+        self.clock.advance(FOLLOWED_WITHIN_S + AUTHORITY_TIMEOUT_S)
+        assert self.claimants.followed_s() == 99.0
+        self.clock.advance(0.1)
+        assert self.claimants.followed_s() == self.clock.monotonic()
+
+
 class TestCommits(ShardLockFixture):
     def setup_method(self) -> None:
         super().setup_method()
--- a/tests/member/test_run_audit.py
+++ b/tests/member/test_run_audit.py
@@ -31,6 +31,7 @@
 from gooseberrydeck_member.keys import job_key, progress_key
 from gooseberrydeck_member.observability import Metrics
 from gooseberrydeck_member.peers import PeerClient
+from gooseberrydeck_member.predecessors import NO_PREDECESSORS
 from gooseberrydeck_member.scheduler_task import SchedulerTask
 from gooseberrydeck_member.shard_lock import ShardLock
 from gooseberrydeck_member.worker_dispatcher import (
@@ -96,7 +97,7 @@
             lambda key, _value: registration(key.removeprefix("servers/")),
             "servers/",
             Metrics(),
-            was_silent=False,
+            predecessors=NO_PREDECESSORS,
         )
         self.dispatcher = RecordingDispatcher(self.task.command_audit)
         use_dispatcher(self.task, self.dispatcher)
--- a/tests/member/test_scheduler_task.py
+++ b/tests/member/test_scheduler_task.py
@@ -41,6 +41,7 @@
 from gooseberrydeck_member.observability import Metrics
 from gooseberrydeck_member.peer_messages import JobAccepted
 from gooseberrydeck_member.peers import PeerClient
+from gooseberrydeck_member.predecessors import NO_PREDECESSORS
 from gooseberrydeck_member.scheduler_task import TICK_S, SchedulerTask
 from gooseberrydeck_member.shard_lock import ShardLock
 from gooseberrydeck_member.store_follower import PrefixChanged, PrefixRead
@@ -81,7 +82,7 @@
         lambda key, _value: registration(key.removeprefix(REGISTRATIONS)),
         REGISTRATIONS,
         Metrics(),
-        was_silent=False,
+        predecessors=NO_PREDECESSORS,
     )
     yield task
     task.shut_down()
--- a/tests/member/test_takeover.py
+++ b/tests/member/test_takeover.py
@@ -54,6 +54,7 @@
 from gooseberrydeck_member.observability import Metrics
 from gooseberrydeck_member.peer_messages import JobAccepted
 from gooseberrydeck_member.peers import PeerClient
+from gooseberrydeck_member.predecessors import NO_PREDECESSORS, Predecessors
 from gooseberrydeck_member.scheduler_task import SchedulerTask
 from gooseberrydeck_member.shard_lock import ShardLock
 from gooseberrydeck_member.store_follower import PrefixChanged
@@ -62,6 +63,7 @@
 from gooseberrydeck_standins.faults import CallFault
 from gooseberrydeck_standins.store_engine import StoreEngine
 
+SILENT = Predecessors(("former:1",), ("former",), are_limited=False)
 TIMEOUT_S = 1.0
 NO_DEADLINE_S = float("inf")
 JOB = JobId("0123456789abcdef")
@@ -163,7 +165,7 @@
             lambda _key, _value: None,
             "servers/",
             Metrics(),
-            was_silent=was_silent,
+            predecessors=SILENT if was_silent else NO_PREDECESSORS,
         )
         self.tasks.append(task)
         task.set_configuration(configuration or make_configuration())
--- a/tests/member/test_worker_lives.py
+++ b/tests/member/test_worker_lives.py
@@ -30,6 +30,7 @@
 from gooseberrydeck_member.authority import Authority, boottime_clock_s
 from gooseberrydeck_member.observability import Metrics
 from gooseberrydeck_member.peers import PeerClient
+from gooseberrydeck_member.predecessors import NO_PREDECESSORS
 from gooseberrydeck_member.scheduler_task import SchedulerTask
 from gooseberrydeck_member.shard_lock import ShardLock
 from gooseberrydeck_member.worker_dispatcher import (
@@ -184,7 +185,7 @@
             ),
             "servers/",
             Metrics(),
-            was_silent=False,
+            predecessors=NO_PREDECESSORS,
         )
         dispatcher = WorkerDispatcher(
             self.messages.append,
