Don't wait for workers on which no former holder can have started anything

A successor waits for each silent worker, also for one that had been dead long before the former holder claimed, and the wait begins anew with each.

Cause: the record of workers that a successor has to expect runs on is written before anything starts on a worker, but a successor waited for all registered workers, recorded or not, and a worker stayed recorded for as long as it was registered, although all leases on it had expired.

Change: a worker that no predecessor has recorded isn't waited for, and one whose leases have expired while it was silent leaves the record, unless it may start something late. It counts as unrecorded from that moment, so that nothing starts there until a record that names it is stored. The record is written by one call at a time, each under the revision of the one before, so a late write can't remove a worker that was added again.

Tests, which failed before: test_worker_whose_leases_have_expired_is_not_waited_for_again and test_worker_that_no_predecessor_recorded_is_not_waited_for.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/changes.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/changes.py
@@ -12,6 +12,7 @@
 from gooseberrydeck_fleet.ledger import Ledger
 from gooseberrydeck_fleet.progress import encode_progress
 from gooseberrydeck_fleet.registrations import Registration
+from gooseberrydeck_fleet.state import Worker
 from gooseberrydeck_fleet.work import EndedJob, JobState
 
 __all__ = ["ChangeLog", "StoredObserver"]
@@ -210,8 +211,13 @@
 
         Each is recorded with the largest capacity that it is known to have had, and
         with whether it may hold the longest lease, and the tasks it may start late.
+        A successor doesn't wait for other workers.
         """
-        workers = self.ledger.workers
+        workers = {
+            worker.id: worker
+            for worker in self.ledger.workers.values()
+            if may_have_runs(worker)
+        }
         is_complete = all(
             each.is_recorded and late_starts(each) == each.recorded_late_starts
             for each in workers.values()
@@ -239,6 +245,14 @@
                 worker.recorded_late_starts = frozenset(entry.late_starts)
             worker.is_recorded = (
                 entry is not None
+                and not worker.has_lapsed
                 and worker.largest_capacity.fits_in(entry.capacity)
                 and entry.may_hold_longest_lease >= worker.may_hold_longest_lease
             )
+
+
+def may_have_runs(worker: Worker) -> bool:
+    """Return True if a worker may run tasks, or start them late."""
+    if not worker.has_lapsed or not worker.has_reported:
+        return True
+    return bool(worker.runs or worker.has_orphaned_runs or late_starts(worker))
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/housekeeping.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/housekeeping.py
@@ -82,6 +82,10 @@
                 or self.ledger.authority_confirmed_s < worker.lease_expiry_s
             ):
                 continue
+            if not worker.has_lapsed:
+                # It is removed from the record, and has to be added before a start.
+                worker.has_lapsed = True
+                worker.is_recorded = False
             if worker.runs or worker.has_orphaned_runs or not worker.has_reported:
                 late = self.find_late_runs(worker, now_s)
                 self.poll_replies.lose_runs(worker, LossReason.LEASE_LAPSED, late)
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/poll_replies.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/poll_replies.py
@@ -127,6 +127,7 @@
         worker.record_reply(reply.clock_ms, now_s)
         if not worker.is_reachable:
             worker.is_reachable = True
+            worker.has_lapsed = False
             worker.answers_since_s = now_s
         worker.is_restarting = False
         orphaned_runs = self.update_runs(worker, reply, now_s)
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
@@ -430,6 +430,7 @@
         "entry",
         "fenced_from_s",
         "free",
+        "has_lapsed",
         "has_orphaned_runs",
         "has_reported",
         "id",
@@ -472,6 +473,8 @@
         self.is_reachable = False
         self.is_recorded = False
         self.has_orphaned_runs = False
+        # True from when all leases have expired on a silent worker until it answers.
+        self.has_lapsed = False
         self.is_registered = True
         self.is_restarting = False
         self.last_reply_s = 0.0
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
@@ -301,6 +301,7 @@
         while self.handle_queued_message():
             pass
         self.committer.record_revision = stored.workers_revision
+        self.workers.recorded = stored.workers.keys()
         now_s = self.clock.monotonic()
         for entry in stored.registered.entries:
             self.workers.registration_changed(entry.key, entry.value, now_s)
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/worker_registry.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/worker_registry.py
@@ -1,6 +1,6 @@
 """The registrations of workers, their connections and their fencing tokens."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Set
 
 import structlog
 
@@ -50,6 +50,8 @@
         self.decode_registration = decode_registration
         self.prefix = prefix
         self.unknown_until_s = unknown_until_s
+        # The workers on which a predecessor may have started tasks.
+        self.recorded: Set[WorkerId] = frozenset()
         self.poll_states: dict[WorkerId, WorkerPollState] = {}
         # Restarts of workers that have been removed, and may register again.
         self.former_restarts: dict[WorkerId, int] = {}
@@ -102,8 +104,10 @@
         moved = known is not None and known.entry.address != entry.address
         if known is not None and entry.born_ms not in (0, known.entry.born_ms):
             self.registration_restarted(known, entry)
-        # Runs started by a predecessor may still be active on the workers it knew.
-        is_new = self.scheduler.worker_registered(entry, now_s, self.unknown_until_s)
+        # Runs started by a predecessor may still be active on the workers it recorded.
+        is_recorded = entry.worker in self.recorded
+        unknown_until_s = self.unknown_until_s if is_recorded else 0.0
+        is_new = self.scheduler.worker_registered(entry, now_s, unknown_until_s)
         if is_new or moved:
             self.dispatcher.connect(entry.worker, self.connect(entry))
         if entry.worker not in self.poll_states:
--- a/tests/fleet/test_predecessors.py
+++ b/tests/fleet/test_predecessors.py
@@ -2,9 +2,10 @@
 
 import pytest
 
-from fleet_support import STEP_S, Fleet, task_resources
+from fleet_support import HOST, STEP_S, Fleet, Rebirth, task_resources
 from gooseberrydeck_coordination.ids import Epoch
 from gooseberrydeck_fleet.commands import StartRun
+from gooseberrydeck_fleet.ids import WorkerId
 from gooseberrydeck_fleet.work import JobRecord, StepSpec
 from gooseberrydeck_fleet.worker_calls import StartRequest
 from gooseberrydeck_member.authority import AUTHORITY_TIMEOUT_S
@@ -12,6 +13,8 @@
 from gooseberrydeck_standins.fleet_worker import FleetWorkerEngine, RunPlan
 
 ONE = task_resources()
+HALF_WORKER = task_resources(cores=16)
+WHOLE_WORKER = HOST
 LONG_S = 60.0
 NOTICE_S = 1.5
 LEASE_S = 4.3
@@ -230,3 +233,59 @@
         fleet.run_for(0.2)
         assert len(fleet.starts) == 2
         assert fleet.violations() == []
+
+
+class TestRepeatedTakeovers:
+    """A worker has died, and the holder is replaced again and again."""
+
+    def setup_method(self) -> None:
+        self.fleet = Fleet(workers=3)
+        self.fleet.rebirth = Rebirth.NEVER
+        self.job = self.fleet.submit(
+            "a", StepSpec(3, HALF_WORKER, is_standing=True), seconds=600.0
+        )
+        self.fleet.run_for(1.0)
+        _, _, self.dead = self.fleet.starts[0]
+        self.fleet.crash_worker(self.dead)
+        self.fleet.down.clear()
+
+    def recorded(self) -> set[WorkerId]:
+        return {entry.worker for entry in self.fleet.workers_record}
+
+    # Each successor waited anew for the leases of a worker that had been dead for long,
+    # and long-running tasks lost later stood still (issue 45).
+    def test_worker_whose_leases_have_expired_is_not_waited_for_again(self) -> None:
+        fleet = self.fleet
+        fleet.run_for(LEASE_S + 4.0)
+        assert len(fleet.running(self.job)) == 3
+        assert self.dead not in self.recorded()
+        fleet.take_over(QUARANTINE_S)
+        fleet.run_for(1.0)
+        assert not fleet.scheduler.takeover.held
+
+    def test_worker_is_recorded_again_before_anything_starts_there(self) -> None:
+        fleet = self.fleet
+        fleet.run_for(LEASE_S + 1.0)
+        fleet.rebirth = Rebirth.SAME_ID
+        fleet.start_again(self.dead)
+        fleet.is_store_available = False
+        full = StepSpec(8, WHOLE_WORKER)
+        fleet.submit("b", full, seconds=600.0)
+        before = len(fleet.starts)
+        fleet.run_for(1.0)
+        started = {worker for _, _, worker in fleet.starts[before:]}
+        assert self.dead not in started
+        fleet.is_store_available = True
+        fleet.run_for(2.0)
+        assert self.dead in self.recorded()
+        started = {worker for _, _, worker in fleet.starts[before:]}
+        assert self.dead in started
+
+    # A record that was on its way when the leases expired lists the worker.
+    def test_late_record_does_not_count_for_a_worker_that_has_lapsed(self) -> None:
+        fleet = self.fleet
+        changes = fleet.scheduler.changes
+        listed = list(fleet.workers_record)
+        fleet.run_for(LEASE_S + 1.0)
+        changes.workers_recorded(listed)
+        assert not fleet.scheduler.ledger.workers[self.dead].is_recorded
--- a/tests/fleet_support.py
+++ b/tests/fleet_support.py
@@ -608,14 +608,15 @@
         """
         former = self.scheduler
         self.scheduler = self.new_scheduler()
-        until_s = self.now_s + quarantine_s
+        recorded = {entry.worker for entry in self.workers_record}
         for worker in former.ledger.workers.values():
+            until_s = self.now_s + quarantine_s if worker.id in recorded else 0.0
             self.scheduler.worker_registered(worker.entry, self.now_s, until_s)
             if not worker.is_registered:
                 self.scheduler.worker_unregistered(worker.id)
             self.poll_states[worker.id] = WorkerPollState()
-        for recorded in self.workers_record:
-            self.scheduler.worker_recorded(recorded, self.now_s)
+        for entry in self.workers_record:
+            self.scheduler.worker_recorded(entry, self.now_s)
         self.scheduler.jobs_read(len(self.revisions))
         for job, record in self.records.items():
             revision = self.revisions[job]
--- a/tests/member/test_takeover.py
+++ b/tests/member/test_takeover.py
@@ -41,7 +41,11 @@
     WorkerSilentError,
 )
 from gooseberrydeck_member.advice_pool import AdvicePool
-from gooseberrydeck_member.authority import Authority, boottime_clock_s
+from gooseberrydeck_member.authority import (
+    AUTHORITY_TIMEOUT_S,
+    Authority,
+    boottime_clock_s,
+)
 from gooseberrydeck_member.commits import commit_changes
 from gooseberrydeck_member.job_lookups import (
     JobAbsent,
@@ -235,6 +239,25 @@
         assert task.scheduler.ledger.jobs[JOB].may_have_unknown_runs
 
 
+class TestWorkersWithoutRuns:
+    # A successor waited for each registered worker that had died, though no holder had
+    # started anything there. Long-running tasks stood still meanwhile (issue 45).
+    def test_worker_that_no_predecessor_recorded_is_not_waited_for(
+        self, successor: Successor
+    ) -> None:
+        successor.record_worker()
+        task = successor.take_over(was_silent=True)
+        now_s = task.clock.monotonic()
+        for name in ("w0", "w1"):
+            task.workers.add_worker(registration(name), now_s)
+        expiry_s = {
+            worker.id: worker.lease_expiry_s - now_s
+            for worker in task.scheduler.ledger.workers.values()
+        }
+        assert expiry_s["w0"] > AUTHORITY_TIMEOUT_S
+        assert expiry_s["w1"] <= 0.0
+
+
 class TestJobsWithoutQueue:
     # A successor with an older configuration dropped the progress of jobs whose queue
     # it lacked, and ran them from the start once the queue was configured.
