HTTP client: refuse addresses that can't be connected to

A call to such an address ended by OverflowError (port) or UnicodeError (host), which no caller of the client expects: a task that follows a peer ends with its process, and a poll is logged as crashed at each retry.

Cause: HttpAddress.parse took any text for the host and whatever int() takes for the port: 0, 65536, -1, 8_0, digits of other scripts, any length. connect passed on only OSError.

Fix: parse accepts a port from 1 to 65535 in plain digits, and a host with the form of a name or an IP address; connect reports what the resolver rejects as a request that was not sent.

Evidence: of the 58 cases of tests/platform/test_http.py, 23 failed before: odd addresses were accepted, and requests to impossible ones ended by OverflowError or UnicodeError. All pass now.

--- a/packages/gooseberrydeck-platform/src/gooseberrydeck_platform/http.py
+++ b/packages/gooseberrydeck-platform/src/gooseberrydeck_platform/http.py
@@ -7,7 +7,9 @@
 """
 
 import http.client
+import ipaddress
 import math
+import re
 import socket
 import time
 from collections.abc import Iterator, Mapping
@@ -31,6 +33,13 @@
 MIN_TIMEOUT_S = 0.001
 CONNECT_TIMEOUT_S = 1.0
 
+MAX_PORT = 65_535
+PORT_PATTERN = re.compile(r"[0-9]{1,5}")
+HOST_PATTERN = re.compile(r"[A-Za-z0-9._-]{1,253}")
+
+MAX_QUOTED = 40
+"""Characters of a malformed address that an error message quotes."""
+
 NO_HEADERS: Mapping[str, str] = {}
 
 
@@ -55,9 +64,11 @@
     @classmethod
     def parse(cls, text: str) -> "HttpAddress":
         """Parse ``HOST:PORT``; raise ``ValueError`` if the text is malformed."""
-        host, separator, port = text.rpartition(":")
-        if not separator or not host:
-            raise ValueError(f"address {text!r} is not HOST:PORT")
+        host, _, port = text.rpartition(":")
+        if not is_host(host) or not PORT_PATTERN.fullmatch(port):
+            raise ValueError(f"address {text[:MAX_QUOTED]!r} is not HOST:PORT")
+        if not 1 <= int(port) <= MAX_PORT:
+            raise ValueError(f"address {text!r} has a port out of range")
         return cls(host, int(port))
 
     def __str__(self) -> str:
@@ -65,6 +76,17 @@
         return f"{self.host}:{self.port}"
 
 
+def is_host(text: str) -> bool:
+    """Return True if a text has the form of a host name or of an IP address."""
+    if ":" not in text:
+        return HOST_PATTERN.fullmatch(text) is not None
+    try:
+        ipaddress.IPv6Address(text)
+    except ValueError:
+        return False
+    return True
+
+
 class HttpResponse(msgspec.Struct, frozen=True):
     """A complete response; header names are in lower case."""
 
@@ -181,7 +203,8 @@
         try:
             raw = socket.create_connection(target, min(remaining_s, CONNECT_TIMEOUT_S))
             raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        except OSError as error:
+        except (OSError, OverflowError, ValueError) as error:
+            # A host or a port that the resolver rejects raises the latter two.
             self.close()
             raise HttpNotSentError(self.describe_error(error)) from error
         return DeadlineSocket(raw, self.stall_timeout_s)
--- a/tests/platform/test_http.py
+++ b/tests/platform/test_http.py
@@ -17,6 +17,7 @@
 from gooseberrydeck_platform.http_pool import HttpPool
 from gooseberrydeck_platform.http_socket import DeadlineSocket
 from network_support import refused_address
+from odd_values import ODD_ADDRESSES
 
 COMPLETE_RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole"
 SHORT_S = 0.2
@@ -197,6 +198,40 @@
         with pytest.raises(ValueError, match=r"address|invalid"):
             HttpAddress.parse(text)
 
+    @pytest.mark.parametrize("text", ODD_ADDRESSES, ids=lambda each: repr(each[:24]))
+    def test_odd_address_is_rejected(self, text: str) -> None:
+        with pytest.raises(ValueError, match="address"):
+            HttpAddress.parse(text)
+
+    @pytest.mark.parametrize(
+        ("text", "host", "port"),
+        [
+            ("10.0.0.1:1", "10.0.0.1", 1),
+            ("a-b.c_d:65535", "a-b.c_d", 65_535),
+            ("::1:80", "::1", 80),
+        ],
+    )
+    def test_address_is_parsed(self, text: str, host: str, port: int) -> None:
+        assert HttpAddress.parse(text) == HttpAddress(host, port)
+
+    # Guards against tasks that end by OverflowError or UnicodeError, which the system's
+    # calls raise for such addresses, in place of a failed request.
+    @pytest.mark.parametrize(
+        ("host", "port"),
+        [
+            ("127.0.0.1", -1),
+            ("127.0.0.1", 65_536),
+            ("127.0.0.1", 2**70),
+            ("a" * 64 + ".example", 80),
+            ("..", 80),
+        ],
+    )
+    def test_request_to_an_impossible_address_is_not_sent(
+        self, host: str, port: int
+    ) -> None:
+        with pytest.raises(HttpNotSentError):
+            HttpConnection(HttpAddress(host, port)).request("GET", "/")
+
 
 class PollerStub:
     """A poller that reports an event at once and records its timeouts."""
