Registrations: an odd entry of another writer stops no holder

Another writer leaves one entry below servers/, nested 2,000 deep or with a RemainingMs of 400 digits; accepted jobs don't run any more (LOST), since the scheduler of each holder in turn crashes while it takes over, or by the watch.

Cause: each reader lists the errors that it knows of msgspec. Deep nesting raises RecursionError, which is neither a MsgspecError nor a ValueError; a conversion after the decoding raises OverflowError. Amounts and start times of any size were taken over, and negative amounts.

Class of fault: what others write is decoded in many places, each with a list of errors of its own.

An entry that names no worker is counted, and logged once for each reason. A worker that the entry named before starts nothing new while it is odd: until now that was so only after the next takeover.

--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/observability.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/observability.py
@@ -195,6 +195,12 @@
             "Successful ends that polls let workers forget before they were stored",
             registry=registry,
         )
+        self.unreadable_entries = prometheus_client.Counter(
+            "gooseberrydeck_unreadable_entries",
+            "Entries read from the store that were ignored as malformed, by kind",
+            ["kind"],
+            registry=registry,
+        )
         self.job_lookups = prometheus_client.Counter(
             "gooseberrydeck_job_lookups",
             "Lookups of jobs that only workers have reported, by what was found",
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
@@ -122,7 +122,7 @@
         timing: Timing,
         advice_pool: AdvicePool,
         connect: Callable[[Registration], WorkerCalls],
-        decode_registration: Callable[[str, bytes], Registration | None],
+        decode_registration: Callable[[str, bytes], Registration],
         registrations: str,
         metrics: Metrics,
         predecessors: Predecessors,
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/worker_registry.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/worker_registry.py
@@ -15,6 +15,7 @@
 from gooseberrydeck_member.observability import Metrics
 from gooseberrydeck_member.worker_dispatcher import WorkerDispatcher
 from gooseberrydeck_member.worker_polling import WorkerPollState, worker_token
+from gooseberrydeck_platform.decoding import DecodingError
 
 __all__ = ["WorkerRegistry"]
 
@@ -32,12 +33,14 @@
         metrics: Metrics,
         token: Epoch,
         connect: Callable[[Registration], WorkerCalls],
-        decode_registration: Callable[[str, bytes], Registration | None],
+        decode_registration: Callable[[str, bytes], Registration],
         prefix: str,
         unknown_until_s: float,
     ) -> None:
         """Start without workers; their registrations have keys below ``prefix``.
 
+        ``decode_registration`` raises ``DecodingError`` for entries that name no
+        worker.
         ``token`` is the shard's. Runs of a predecessor on workers that don't answer
         have ended by ``unknown_until_s``.
         """
@@ -51,6 +54,8 @@
         self.prefix = prefix
         self.unknown_until_s = unknown_until_s
         self.poll_states: dict[WorkerId, WorkerPollState] = {}
+        # Why entries that name no worker can't be used, by key.
+        self.unreadable: dict[str, str] = {}
         # Restarts of workers that have been removed, and may register again.
         self.former_restarts: dict[WorkerId, int] = {}
 
@@ -67,6 +72,8 @@
         listed = {entry.key for entry in entries}
         for entry in entries:
             self.registration_changed(entry.key, entry.value, now_s)
+        for key in self.unreadable.keys() - listed:
+            del self.unreadable[key]
         for worker in list(self.poll_states):
             if self.prefix + worker not in listed:
                 self.registration_removed(self.prefix + worker, now_s)
@@ -82,10 +89,12 @@
 
     def registration_changed(self, key: str, value: bytes, now_s: float) -> None:
         """Add or update a worker from its registration."""
-        entry = self.decode_registration(key, value)
-        if entry is None:
-            log.warning("cannot decode worker registration", key=key, size=len(value))
+        try:
+            entry = self.decode_registration(key, value)
+        except DecodingError as error:
+            self.registration_unreadable(key, value, str(error))
             return
+        self.unreadable.pop(key, None)
         worker = self.scheduler.ledger.workers.get(entry.worker)
         if worker is not None and worker.entry.is_draining != entry.is_draining:
             log.info(
@@ -96,6 +105,19 @@
             )
         self.add_worker(entry, now_s)
 
+    def registration_unreadable(self, key: str, value: bytes, reason: str) -> None:
+        """Ignore an entry that names no worker, and log each new reason for that.
+
+        A worker that the entry named before starts nothing new, as after a takeover.
+        """
+        self.metrics.unreadable_entries.labels("registration").inc()
+        if self.unreadable.get(key) != reason:
+            self.unreadable[key] = reason
+            log.warning(
+                "registration unreadable", key=key, bytes=len(value), reason=reason
+            )
+        self.scheduler.worker_unregistered(WorkerId(key.removeprefix(self.prefix)))
+
     def add_worker(self, entry: Registration, now_s: float) -> None:
         """Register a worker with the scheduler and connect to its current address."""
         known = self.scheduler.ledger.workers.get(entry.worker)
@@ -124,6 +146,7 @@
 
     def registration_removed(self, key: str, now_s: float) -> None:
         """Unregister a worker whose registration was removed."""
+        self.unreadable.pop(key, None)
         worker = WorkerId(key.removeprefix(self.prefix))
         log.info("worker entry removed", worker=worker)
         self.scheduler.worker_unregistered(worker)
