Workers' replies: a number out of range stops no holder

A poll answered with a ClockMs of 400 digits ended the scheduler with OverflowError in the computation of the lease (shown by a script on the former code), and each successor reads the same clock. A reply nested deeply raised RecursionError. Numbers in quotes were read as well: a progress of "nan" compares with nothing, and the name of a task could have an index of thousands of digits.

Cause: rows were lists of objects that int() and float() converted, which take text, underscores and digits of other scripts, and have no bounds.

Fix: rows are typed, their numbers are within 2**53, and all is decoded by decode_json. Such a reply counts as none, as other malformed replies do.

--- a/packages/gooseberrydeck-platform/src/gooseberrydeck_platform/decoding.py
+++ b/packages/gooseberrydeck-platform/src/gooseberrydeck_platform/decoding.py
@@ -5,6 +5,7 @@
 import msgspec
 
 __all__ = [
+    "MAX_NUMBER",
     "Amount",
     "Count",
     "DecodingError",
