Advice: a malformed response frees its place among the requests

A response of the advice service that was nested deeply, or with a ValidForMs of 400 digits, ended the request's thread by an exception without a result. The scheduler waits for that result: the step asks no more, and one place fewer is left for others.

Cause: only MsgspecError counted as a failure, and only AdviceFailedError was passed on as a result.

--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/advice_pool.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/advice_pool.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 
 import msgspec
+import structlog
 
 from gooseberrydeck_coordination.clock import Clock
 from gooseberrydeck_fleet.advice import Advice, AdviceFailedError, Adviser
@@ -18,6 +19,8 @@
 
 __all__ = ["AdviceCompleted", "AdvicePool"]
 
+log = structlog.get_logger(__name__)
+
 MAX_CONCURRENT_REQUESTS = 64
 """Limit on the members used. More would add threads but no benefit: an urgent request
 takes 30 ms."""
@@ -96,6 +99,9 @@
                 raise AdviceFailedError("no advice service in the settings")
         except AdviceFailedError as error:
             post(AdviceCompleted(command.step, None, asked_s, f"{address}: {error}"))
+        except Exception as error:
+            log.exception("advice request crashed", address=address)
+            post(AdviceCompleted(command.step, None, asked_s, f"{address}: {error!r}"))
         else:
             post(AdviceCompleted(command.step, advice, asked_s))
         finally:
