Names of tasks: a job's id may contain full stops

A caller may choose the id a.b; the job is accepted and started. From then on the names of its tasks in a worker's replies could not be parsed, so all replies of each worker that runs one counted as malformed, and the worker as silent.

Cause: the name was split at each full stop, while only the last three parts are numbers.

--- a/tests/adapter/test_adapter.py
+++ b/tests/adapter/test_adapter.py
@@ -570,6 +570,13 @@
     def test_task_name_round_trip(self) -> None:
         assert parse_task_name(task_name(TASK)) == TASK
 
+    # Guards against workers that count as silent: the names of a job's tasks could not
+    # be parsed if the caller had chosen an id with a full stop.
+    @pytest.mark.parametrize("job", ["a.b", ".", "", "a.1.2.3", "a b", "a\nb"])
+    def test_task_name_round_trip_of_an_odd_id(self, job: str) -> None:
+        task = TASK._replace(job=JobId(job))
+        assert parse_task_name(task_name(task)) == task
+
     @pytest.mark.parametrize(
         "name",
         ["", "a.0.0", "a.0.0.x", "a.b.c.d.e", "a.-1.0.0", "a.0.-1.0", "a.0.0.-1"],
