Callers: jobs with numbers out of range are refused

A body that is nested deeply ended in an exception (500) in place of a 400. A job of 10**12 occurrences that are due at once was accepted (200): each holder in turn opens them without end. Amounts of any size and negative ones were accepted, and the latter add to a worker's free capacity. X-Deadline-Ms of nan or inf was used.

Cause: only MsgspecError counted as malformed, numbers had no bounds, and MAX_TASKS, the limit on the tasks of a job, left its occurrences out.

MAX_TASKS covers the tasks of all occurrences.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/work.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/work.py
@@ -21,7 +21,7 @@
 """Maximum number of steps of a job; more are considered a mistake of the caller."""
 
 MAX_TASKS = 100_000
-"""Maximum number of tasks of a job."""
+"""Maximum number of tasks of a job, those of all its occurrences together."""
 
 
 class InvalidWorkError(Exception):
@@ -128,7 +128,8 @@
     """Raise ``InvalidWorkError`` if the steps can't be run."""
     if not 1 <= len(work.steps) <= MAX_STEPS:
         raise InvalidWorkError("a job has between 1 and 1000 steps")
-    if sum(step.count for step in work.steps) > MAX_TASKS:
+    tasks = sum(step.count for step in work.steps)
+    if tasks * max(1, work.occurrences) > MAX_TASKS:
         raise InvalidWorkError("too many tasks")
     for number, step in enumerate(work.steps):
         if step.count < 1:
--- a/tests/member/test_callers.py
+++ b/tests/member/test_callers.py
@@ -8,6 +8,7 @@
 import pytest
 
 from gooseberrydeck_adapter import CallerCodec, decode_intent
+from gooseberrydeck_adapter.callers import DEFAULT_DEADLINE_S
 from gooseberrydeck_adapter_standins.local_platform import (
     default_configuration,
     job_body,
@@ -29,10 +30,12 @@
 from gooseberrydeck_standins.engine_store import EngineStore
 from gooseberrydeck_standins.faults import CallFault
 from gooseberrydeck_standins.store_engine import StoreEngine
+from odd_values import ODD_NUMBERS, deep, with_raw
 
 JOB = JobId("00000000000000aa")
 TOKEN = Epoch(7)
 PATH = f"/slow/{JOB}"
+STEP: dict[str, object] = {"Count": 1, "Cpu": 1}
 
 
 class FakeDirectory:
@@ -279,3 +282,57 @@
         self.submit()
         self.store.fault = CallFault.DOWN
         assert self.call("DELETE")[0] == 503
+
+
+class TestOddBodies(CallerApplicationFixture):
+    def submit_step(self, field: str, raw: bytes) -> int:
+        body = with_raw({"Steps": [{**STEP, field: "RAW"}]}, raw)
+        return self.call("POST", body=body)[0]
+
+    def submit_job(self, field: str, raw: bytes) -> int:
+        body = with_raw({"Steps": [STEP], field: "RAW"}, raw)
+        return self.call("POST", body=body)[0]
+
+    # Guards against handlers that end by RecursionError: the caller got a 500.
+    @pytest.mark.parametrize("levels", [2_000, 100_000])
+    def test_deep_nesting_is_refused(self, levels: int) -> None:
+        assert self.submit_job("Extra", deep(levels)) == 400
+        assert self.submit_step("Extra", deep(levels)) == 400
+        assert self.call("POST", body=deep(levels))[0] == 400
+
+    # Guards against jobs that are accepted and break each holder.
+    @pytest.mark.parametrize("number", ODD_NUMBERS, ids=lambda each: each[:12].decode())
+    @pytest.mark.parametrize(
+        "field",
+        ["Count", "Cpu", "MemMb", "Gpu", "After", "MaxPerServer", "MayMiss"],
+    )
+    def test_number_of_a_step_out_of_range_is_refused(
+        self, field: str, number: bytes
+    ) -> None:
+        raw = b"[" + number + b"]" if field == "After" else number
+        assert self.submit_step(field, raw) == 400
+
+    @pytest.mark.parametrize(
+        "number", [b"1e400", b"NaN", b"-1", b"1e30", b"9" * 400, b"1e308"]
+    )
+    def test_duration_out_of_range_is_refused(self, number: bytes) -> None:
+        assert self.submit_step("EstimateMs", number) == 400
+        assert self.submit_step("TargetMs", number) == 400
+        assert self.submit_job("IntervalMs", number) == 400
+
+    @pytest.mark.parametrize("number", ODD_NUMBERS, ids=lambda each: each[:12].decode())
+    def test_number_of_occurrences_out_of_range_is_refused(self, number: bytes) -> None:
+        assert self.submit_job("MaxRuns", number) == 400
+
+    # Guards against a holder that opens occurrences without end: all are due at once.
+    def test_too_many_tasks_of_all_occurrences_are_refused(self) -> None:
+        assert self.submit_job("MaxRuns", b"1000000000000") == 400
+        assert self.submit_step("Count", b"1000000000000") == 400
+        assert self.submit_job("MaxRuns", b"1000") == 200
+
+    @pytest.mark.parametrize(
+        "deadline", ["nan", "inf", "-inf", "1e400", "-5", "9" * 400, "", "x"]
+    )
+    def test_odd_deadline_counts_as_none(self, deadline: str) -> None:
+        environ = {"HTTP_X_DEADLINE_MS": deadline}
+        assert CallerCodec().time_left_s(environ) == DEFAULT_DEADLINE_S
