Store client: a malformed response ends no follower

A response of the store that was nested deeply, or with a TtlMs of 400 digits, raised RecursionError or OverflowError. The thread of a follower ended with it, without a line in the log, since nobody waits for its result; the tasks for the configuration and for the lease end the process.

Cause: the client passed on only MsgspecError, and the follower expected only errors of the store.

The follower logs an unexpected error ("follower crashed", the first of several) and follows again from the last revision that it has posted; it takes the revision over after the post, so that nothing is left out.

Ruled out: catching errors of single messages in the scheduler's thread. A message that is applied in part may leave a state that starts a task twice; handing the shard over is the safe answer there. What can fail by odd data is decoded before the state changes.

--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/store_follower.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/store_follower.py
@@ -75,21 +75,26 @@
             except StoreError as error:
                 self.report_failure(error)
                 self.stopping.wait(RETRY_DELAY_S)
+            except Exception:
+                # Nobody waits for the end of this thread, and following is repeatable.
+                self.report_crash()
+                self.stopping.wait(RETRY_DELAY_S)
 
     def follow(self) -> None:
         """Read the prefix if needed, then watch it until a call fails."""
         if self.revision is None:
             snapshot = self.store.read_prefix(self.prefix, CALL_TIMEOUT_S)
-            self.revision = snapshot.revision
             self.post(PrefixRead(self.prefix, snapshot.entries))
+            self.revision = snapshot.revision
         start = Revision(self.revision + 1)
         for batch in self.store.watch(self.prefix, start, CALL_TIMEOUT_S):
             if self.stopping.is_set():
                 return
             self.report_recovery()
-            self.revision = batch.revision
             if batch.events:
                 self.post(PrefixChanged(self.prefix, batch))
+            self.revision = batch.revision
+            if batch.events:
                 # Changes during the delay are returned at once by the next call.
                 self.stopping.wait(BATCH_DELAY_S)
 
@@ -99,6 +104,12 @@
             self.is_lost = True
             log.warning("store lost", prefix=self.prefix, reason=str(error))
 
+    def report_crash(self) -> None:
+        """Log the first of consecutive unexpected errors."""
+        if not self.is_lost:
+            self.is_lost = True
+            log.exception("follower crashed", prefix=self.prefix)
+
     def report_recovery(self) -> None:
         """Log the first success after failures."""
         if self.is_lost:
--- a/tests/member/test_store_follower.py
+++ b/tests/member/test_store_follower.py
@@ -2,6 +2,8 @@
 
 import threading
 
+from structlog.testing import capture_logs
+
 from gooseberrydeck_coordination.clock import ManualClock
 from gooseberrydeck_coordination.ids import Revision
 from gooseberrydeck_coordination.store import Put, Transaction
@@ -70,3 +72,20 @@
         follower.stopping = PauseRecorder(self.store, 1)
         follower.run()
         assert [type(each) for each in self.messages] == [PrefixRead, PrefixChanged]
+
+    # Guards against a prefix that nobody follows any more while the holder works on.
+    def test_follower_goes_on_after_an_unexpected_error(self) -> None:
+        failures = [RuntimeError("fault"), RuntimeError("fault")]
+
+        def post(message: object) -> None:
+            if failures:
+                raise failures.pop()
+            self.messages.append(message)
+            follower.stop()
+
+        follower = StoreFollower(self.store, PREFIX, post)
+        with capture_logs() as logs:
+            follower.run()
+        assert [type(each) for each in self.messages] == [PrefixRead]
+        events = [each["event"] for each in logs]
+        assert events.count("follower crashed") == 1
