Records: an unreadable one stops neither holder nor member

A record of a job, of its progress or of the shard that can't be decoded ended the scheduler of each holder in turn, at the takeover and by the watch, or the control task with its process; a caller who asked for such a job got a 500.

Fix: decode_record raises RecordUnreadableError, which is a StoreError: a caller gets a 503, a claim is tried again. The holder leaves an unreadable job out, or a job with unreadable progress, whose tasks may have ended; it logs and counts the record. Only the record of workers can't be left out, as it says where tasks of a predecessor may run: the takeover is tried again, with a line in the log.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/progress.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/progress.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from gooseberrydeck_fleet.crash_records import CrashRecord
+from gooseberrydeck_platform.decoding import DecodingError, decode_json
 
 __all__ = ["Progress", "decode_progress", "encode_progress"]
 
@@ -58,18 +59,21 @@
 
 
 def decode_progress(value: bytes) -> Progress:
-    """Decode stored progress, or raise ``msgspec.MsgspecError``."""
-    stored = msgspec.json.decode(value, type=list[StoredStep])
-    return Progress(
-        [
-            StepProgress(
-                step.occurrence,
-                step.step,
-                int(step.done, 16),
-                {int(index): runs for index, runs in step.failures.items()},
-                {int(index): text for index, text in step.checkpoints.items()},
-                {int(index): records for index, records in step.crashes.items()},
-            )
-            for step in stored
-        ]
+    """Decode stored progress; raise ``DecodingError`` if it is malformed."""
+    stored = decode_json(value, list[StoredStep])
+    try:
+        return Progress([to_step_progress(step) for step in stored])
+    except ValueError as error:
+        raise DecodingError.caused_by(error) from error
+
+
+def to_step_progress(step: StoredStep) -> StepProgress:
+    """Convert a step from its stored form; raise ``ValueError`` if it is malformed."""
+    return StepProgress(
+        step.occurrence,
+        step.step,
+        int(step.done, 16),
+        {int(index): runs for index, runs in step.failures.items()},
+        {int(index): text for index, text in step.checkpoints.items()},
+        {int(index): records for index, records in step.crashes.items()},
     )
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/job_arrivals.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/job_arrivals.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 
-import msgspec
 import structlog
 
 from gooseberrydeck_coordination.ids import Epoch
@@ -14,6 +13,7 @@
 from gooseberrydeck_member.known_ends import KnownEnds
 from gooseberrydeck_member.observability import Metrics
 from gooseberrydeck_member.peer_messages import JobAccepted
+from gooseberrydeck_member.records import RecordUnreadableError, decode_record
 from gooseberrydeck_member.threads import Event
 
 __all__ = ["JobArrivals"]
@@ -69,10 +69,24 @@
                     configuration=self.configuration_version,
                 )
 
-    def job_record_changed(self, value: bytes, revision: int) -> None:
+    def job_record_changed(self, entry: Entry) -> None:
         """Add the job of a record that was read from the store."""
-        record = msgspec.json.decode(value, type=JobRecord)
-        self.add_job(record, revision, predates_takeover=False)
+        record = self.read_record(entry)
+        if record is not None:
+            self.add_job(record, int(entry.mod_revision), predates_takeover=False)
+
+    def read_record(self, entry: Entry) -> JobRecord | None:
+        """Return a job's record, or None if it is ignored as unreadable."""
+        try:
+            return decode_record(entry, JobRecord)
+        except RecordUnreadableError as error:
+            self.record_unreadable(error)
+            return None
+
+    def record_unreadable(self, error: RecordUnreadableError) -> None:
+        """Log and count a record that is ignored."""
+        self.metrics.unreadable_entries.labels("record").inc()
+        log.error("record unreadable", key=error.key, reason=error.reason)
 
     def add_job(
         self, record: JobRecord, revision: int, predates_takeover: bool
@@ -179,15 +193,16 @@
         for event in batch.events:
             if event.kind is not EventKind.PUT:
                 continue
-            value = event.entry.value
             if last_kinds[event.entry.key] is EventKind.PUT:
-                self.job_record_changed(value, int(event.entry.mod_revision))
-            else:
-                # The job has ended since.
-                self.is_superseded_by(msgspec.json.decode(value, type=JobRecord))
+                self.job_record_changed(event.entry)
+                continue
+            # The job has ended since.
+            record = self.read_record(event.entry)
+            if record is not None:
+                self.is_superseded_by(record)
         self.scheduler.jobs_read(int(batch.revision))
 
     def jobs_read(self, entries: tuple[Entry, ...]) -> None:
         """Apply a complete read of the job records."""
         for entry in entries:
-            self.job_record_changed(entry.value, int(entry.mod_revision))
+            self.job_record_changed(entry)
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/job_lookups.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/job_lookups.py
@@ -8,9 +8,10 @@
 from gooseberrydeck_coordination.exceptions import StoreError
 from gooseberrydeck_coordination.ids import JobId
 from gooseberrydeck_coordination.store import Store
-from gooseberrydeck_fleet.progress import Progress, decode_progress
+from gooseberrydeck_fleet.progress import Progress
 from gooseberrydeck_fleet.work import EndedJob, JobRecord, JobState
 from gooseberrydeck_member.keys import ended_key, job_key, progress_key
+from gooseberrydeck_member.records import decode_progress_record, decode_record
 from gooseberrydeck_member.threads import SYSTEM_THREADS, Threads
 
 __all__ = ["JobAbsent", "JobFound", "JobLookups", "LookupFailed"]
@@ -76,7 +77,7 @@
         """Look up a job and post the result."""
         try:
             result: JobFound | JobAbsent = self.read(job)
-        except (StoreError, msgspec.MsgspecError, ValueError) as error:
+        except StoreError as error:
             reason = f"{type(error).__name__}: {error}"
             log.warning("job not looked up", job=job, reason=reason)
             self.closed.wait(RETRY_DELAY_S)
@@ -85,26 +86,26 @@
             self.post(result)
 
     def read(self, job: JobId) -> JobFound | JobAbsent:
-        """Read a job; raise a ``StoreError``, or a ``ValueError`` if it is unreadable.
+        """Read a job; raise a ``StoreError`` if that fails or a record is unreadable.
 
         The end is read first: it is stored in the transaction that removes the job, so
         a job without either had no run that the reports could be of.
         """
         ended = self.store.read(ended_key(job), CALL_TIMEOUT_S)
         if ended is not None:
-            state = msgspec.json.decode(ended.value, type=EndedJob).state
+            state = decode_record(ended, EndedJob).state
             return JobAbsent(job, state)
         entry = self.store.read(job_key(job), CALL_TIMEOUT_S)
         if entry is None:
             return JobAbsent(job, None)
-        record = msgspec.json.decode(entry.value, type=JobRecord)
+        record = decode_record(entry, JobRecord)
         stored = self.store.read(progress_key(job), CALL_TIMEOUT_S)
         if stored is None:
             return JobFound(record, int(entry.mod_revision))
         return JobFound(
             record,
             int(entry.mod_revision),
-            decode_progress(stored.value),
+            decode_progress_record(stored),
             int(stored.mod_revision),
         )
 
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
@@ -297,6 +297,8 @@
         stored = read_stored_state(
             self.store, self.registrations, STORE_TIMEOUT_S, self.threads
         )
+        for error in stored.unreadable:
+            self.jobs.record_unreadable(error)
         self.scheduler.jobs_read(int(stored.jobs_revision))
         while self.handle_queued_message():
             pass
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/stored_state.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/stored_state.py
@@ -7,10 +7,15 @@
 from gooseberrydeck_coordination.ids import JobId, Revision
 from gooseberrydeck_coordination.store import Snapshot, Store
 from gooseberrydeck_fleet.ids import WorkerId
-from gooseberrydeck_fleet.progress import Progress, decode_progress
+from gooseberrydeck_fleet.progress import Progress
 from gooseberrydeck_fleet.registrations import Registration
 from gooseberrydeck_fleet.work import JobRecord
 from gooseberrydeck_member.keys import JOB_PREFIX, PROGRESS_PREFIX, WORKERS_KEY
+from gooseberrydeck_member.records import (
+    RecordUnreadableError,
+    decode_progress_record,
+    decode_record,
+)
 from gooseberrydeck_member.threads import SYSTEM_THREADS, Threads
 
 __all__ = ["StoredState", "read_stored_state"]
@@ -25,6 +30,8 @@
     ``jobs`` are sorted by acceptance time and paired with their revisions. ``workers``
     are those on which a predecessor may have started tasks, as of
     ``workers_revision``; ``registered`` are the workers' own registrations.
+    ``unreadable`` says which records were left out. A job whose progress can't be read
+    is left out, too: its tasks may have ended.
     """
 
     jobs: tuple[tuple[JobRecord, int], ...]
@@ -33,6 +40,7 @@
     workers: Mapping[WorkerId, Registration]
     workers_revision: Revision
     registered: Snapshot
+    unreadable: tuple[RecordUnreadableError, ...] = ()
 
     def count_done(self) -> int:
         """Return how many tasks of open jobs are stored as done."""
@@ -52,7 +60,8 @@
     """Read the stored state, with worker registrations below ``registrations``.
 
     The shard must be held, so that no other member writes progress or the record of
-    workers meanwhile. Raises a ``StoreError`` if any of the reads fails.
+    workers meanwhile. Raises a ``StoreError`` if any of the reads fails, or if the
+    record of workers is unreadable: it says where a predecessor's tasks may run.
     """
     with threads.executor(CONCURRENT_READS, "load") as readers:
         workers_read = readers.submit(store.read, WORKERS_KEY, timeout_s)
@@ -61,26 +70,38 @@
             (registrations, PROGRESS_PREFIX, JOB_PREFIX),
         )
         workers = workers_read.result()
-    records = [
-        (msgspec.json.decode(entry.value, type=JobRecord), int(entry.mod_revision))
-        for entry in jobs.entries
-    ]
+    unreadable: list[RecordUnreadableError] = []
+    stored_progress: dict[JobId, tuple[Progress, int]] = {}
+    left_out: set[JobId] = set()
+    for entry in progress.entries:
+        job = JobId(entry.key.removeprefix(PROGRESS_PREFIX))
+        try:
+            decoded = decode_progress_record(entry)
+        except RecordUnreadableError as error:
+            unreadable.append(error)
+            left_out.add(job)
+        else:
+            stored_progress[job] = decoded, int(entry.mod_revision)
+    records: list[tuple[JobRecord, int]] = []
+    for entry in jobs.entries:
+        try:
+            record = decode_record(entry, JobRecord)
+        except RecordUnreadableError as error:
+            unreadable.append(error)
+        else:
+            if record.id not in left_out:
+                records.append((record, int(entry.mod_revision)))
     recorded: list[Registration] = []
     if workers is not None:
-        recorded = msgspec.json.decode(workers.value, type=list[Registration])
+        recorded = decode_record(workers, list[Registration])
     return StoredState(
         # In order of acceptance, so that the same jobs fall within their teams'
         # shares as before the takeover.
         jobs=tuple(sorted(records, key=lambda each: each[0].accepted_s)),
         jobs_revision=jobs.revision,
-        progress={
-            JobId(entry.key.removeprefix(PROGRESS_PREFIX)): (
-                decode_progress(entry.value),
-                int(entry.mod_revision),
-            )
-            for entry in progress.entries
-        },
+        progress=stored_progress,
         workers={entry.worker: entry for entry in recorded},
         workers_revision=Revision(0) if workers is None else workers.mod_revision,
         registered=registered,
+        unreadable=tuple(unreadable),
     )
--- a/tests/member/test_odd_jobs.py
+++ b/tests/member/test_odd_jobs.py
@@ -7,7 +7,8 @@
 from fleet_support import SLOW, TEAM, make_configuration
 from followed_task import FollowedTask
 from gooseberrydeck_adapter import CallerCodec
-from gooseberrydeck_coordination.ids import JobId
+from gooseberrydeck_coordination.ids import JobId, Revision
+from gooseberrydeck_coordination.store import Entry
 from gooseberrydeck_fleet.work import InvalidWorkError, JobRecord, validate_work
 from gooseberrydeck_platform.decoding import MAX_NUMBER
 from odd_values import json_bytes
@@ -58,7 +59,7 @@
             task.handle(make_configuration(), 0.0)
             followed.put("a")
             task.load()
-            task.jobs.job_record_changed(stored, 9)
+            task.jobs.job_record_changed(Entry("jobs/job", stored, Revision(9), 1))
             worker = task.scheduler.ledger.workers["a"]  # type: ignore[index]
             worker.is_reachable = worker.has_reported = worker.is_recorded = True
             for now_s in (1.0, 2.0, 10.0):
