Callers: a distant deadline breaks no relayed call

The system's calls can't wait for as long as X-Deadline-Ms may say (9e15, or inf): a call that is relayed to a peer with that time left ended in OverflowError, and the caller got a 500.

Evidence: test_wait_without_an_end_is_possible failed before (OverflowError).

--- a/packages/gooseberrydeck-platform/src/gooseberrydeck_platform/http_socket.py
+++ b/packages/gooseberrydeck-platform/src/gooseberrydeck_platform/http_socket.py
@@ -10,6 +10,9 @@
 
 READ_BUFFER_BYTES = 16_384
 
+MAX_POLL_MS = 2**31 - 1
+"""The longest time for which the system can wait at once."""
+
 
 class DeadlineReader(io.RawIOBase):
     """A raw stream over a ``DeadlineSocket``.
@@ -56,7 +59,7 @@
         """Wait for an event; raise ``TimeoutError`` if it comes too late."""
         remaining_s = self.deadline_s - time.monotonic()
         remaining_ms = min(remaining_s, self.stall_timeout_s) * 1_000
-        if remaining_ms <= 0 or not poller.poll(remaining_ms):
+        if remaining_ms <= 0 or not poller.poll(min(remaining_ms, MAX_POLL_MS)):
             raise TimeoutError("timed out")
 
     def receive_into(self, buffer: memoryview) -> int:
--- a/tests/member/test_callers.py
+++ b/tests/member/test_callers.py
@@ -8,7 +8,7 @@
 import pytest
 
 from gooseberrydeck_adapter import CallerCodec, decode_intent
-from gooseberrydeck_adapter.callers import DEFAULT_DEADLINE_S
+from gooseberrydeck_adapter.callers import DEFAULT_DEADLINE_S, MAX_DEADLINE_S
 from gooseberrydeck_adapter_standins.local_platform import (
     default_configuration,
     job_body,
@@ -336,3 +336,7 @@
     def test_odd_deadline_counts_as_none(self, deadline: str) -> None:
         environ = {"HTTP_X_DEADLINE_MS": deadline}
         assert CallerCodec().time_left_s(environ) == DEFAULT_DEADLINE_S
+
+    def test_distant_deadline_is_limited(self) -> None:
+        environ = {"HTTP_X_DEADLINE_MS": "9e15"}
+        assert CallerCodec().time_left_s(environ) == MAX_DEADLINE_S
--- a/tests/platform/test_http.py
+++ b/tests/platform/test_http.py
@@ -257,6 +257,16 @@
             sock.wait(poller)  # type: ignore[arg-type]
             assert poller.timeouts_ms == [500, 500]
 
+    # Guards against OverflowError from the system's call for a deadline of centuries.
+    def test_wait_without_an_end_is_possible(self) -> None:
+        first, second = socket.socketpair()
+        with first, second:
+            second.send(b"x")
+            for deadline_s in (math.inf, 1e300, 9e12):
+                sock = DeadlineSocket(first)
+                sock.deadline_s = deadline_s
+                sock.wait(sock.read_poller)
+
     def test_stalled_response_has_unknown_outcome(self) -> None:
         with run_scripted_server(stay_silent) as server:
             pool = HttpPool([server.address], stall_timeout_s=SHORT_S)
