Peers: a malformed message or address ends no member

A reply of the holder that is nested deeply raised RecursionError in the control task, and an address in the shard's record or in a message that is none raised ValueError; either ends the task and with it the process. A request nested deeply ended the handler of the peers' server in an exception.

Cause: only MsgspecError counted as malformed, and an address was parsed beside the errors that callers of the client expect.

Fix: both sides decode by decode_json; an address that is none is a PeerCallError.

--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/peer_server.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/peer_server.py
@@ -30,6 +30,7 @@
     WaitingReply,
 )
 from gooseberrydeck_member.shard_lock import ShardView
+from gooseberrydeck_platform.decoding import DecodingError, decode_json
 from gooseberrydeck_service.responses import status_line
 
 __all__ = ["PeerApplication"]
@@ -96,7 +97,7 @@
             try:
                 reply = handler(body)
                 status = 503 if reply is None else 200
-            except msgspec.MsgspecError as error:
+            except DecodingError as error:
                 log.warning("cannot decode peer message", path=path, reason=str(error))
                 status = 400
         content = msgspec.json.encode(reply)
@@ -112,7 +113,7 @@
 
         Returns None while it is unknown whether this member has claimed the shard.
         """
-        heartbeat = msgspec.json.decode(body, type=Heartbeat)
+        heartbeat = decode_json(body, Heartbeat)
         # Read before the scheduler, which is set before a claim counts as done.
         is_claiming = self.cell.is_claiming
         scheduler = self.cell.scheduler
@@ -141,11 +142,11 @@
 
     def handle_configuration_query(self, body: bytes) -> ConfigurationPiece:
         """Return a piece of the configuration, or where it may be found."""
-        return self.share.reply(msgspec.json.decode(body, type=ConfigurationQuery))
+        return self.share.reply(decode_json(body, ConfigurationQuery))
 
     def handle_announcement(self, body: bytes) -> bool:
         """Record a new holder, and stop scheduling if it supersedes this member."""
-        announcement = msgspec.json.decode(body, type=HolderAnnouncement)
+        announcement = decode_json(body, HolderAnnouncement)
         # Recorded first: a claimant that has no scheduler yet checks the newest token.
         self.cell.set_holder(announcement.token, announcement.address)
         scheduler = self.cell.scheduler
@@ -156,19 +157,19 @@
 
     def handle_hand_over(self, body: bytes) -> bool:
         """Claim the shard from a stopping holder; return whether this succeeded."""
-        return self.take_over(msgspec.json.decode(body, type=HandOver).seen)
+        return self.take_over(decode_json(body, HandOver).seen)
 
     def handle_job_accepted(self, body: bytes) -> bool:
         """Schedule a job that a peer has stored; return False if not the holder."""
         scheduler = self.cell.scheduler
         if scheduler is None:
             return False
-        scheduler.job_accepted(msgspec.json.decode(body, type=JobAccepted))
+        scheduler.job_accepted(decode_json(body, JobAccepted))
         return True
 
     def handle_state_query(self, body: bytes) -> StateReply | None:
         """Return a job's state, or None if this member does not hold the shard."""
-        query = msgspec.json.decode(body, type=StateQuery)
+        query = decode_json(body, StateQuery)
         if self.cell.scheduler is None:
             return None
         job = JobId(query.job)
@@ -182,7 +183,7 @@
 
     def handle_advice_query(self, body: bytes) -> object | None:
         """Return advice on the holder's behalf, or None if it cannot be obtained."""
-        query = msgspec.json.decode(body, type=AdviceQuery)
+        query = decode_json(body, AdviceQuery)
         if self.adviser is None:
             return None
         step = StepRef(query.job, query.occurrence, query.step)
@@ -194,7 +195,7 @@
 
     def handle_relayed_call(self, body: bytes) -> object | None:
         """Handle a caller's request that a peer could not serve."""
-        call = msgspec.json.decode(body, type=CallerRequest)
+        call = decode_json(body, CallerRequest)
         if self.callers is None:
             return None
         # The peer sends the time left, because monotonic clocks differ between hosts.
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/peers.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/peers.py
@@ -21,6 +21,7 @@
     WaitingReply,
 )
 from gooseberrydeck_member.shard_lock import ShardView
+from gooseberrydeck_platform.decoding import DecodingError, decode_json
 from gooseberrydeck_platform.http import (
     HttpAddress,
     HttpError,
@@ -54,11 +55,17 @@
         self.pools: dict[str, HttpPool] = {}
 
     def pool(self, address: str) -> HttpPool:
-        """Return the connection pool of a peer, creating it if needed."""
+        """Return the connection pool of a peer, creating it if needed.
+
+        Raises ``PeerCallError`` if the address is malformed.
+        """
         with self.lock:
             pool = self.pools.get(address)
             if pool is None:
-                pool = HttpPool([HttpAddress.parse(address)])
+                try:
+                    pool = HttpPool([HttpAddress.parse(address)])
+                except ValueError as error:
+                    raise PeerCallError(str(error)) from error
                 self.pools[address] = pool
             return pool
 
@@ -103,8 +110,8 @@
         if response.status != 200:
             raise PeerCallError(f"{address}{path}: status {response.status}")
         try:
-            return msgspec.json.decode(response.body, type=reply)
-        except msgspec.MsgspecError as error:
+            return decode_json(response.body, reply)
+        except DecodingError as error:
             raise PeerCallError(f"{address}{path}: {error}") from error
 
     def send_heartbeat(
