--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
@@ -122,7 +122,7 @@
         timing: Timing,
         advice_pool: AdvicePool,
         connect: Callable[[Registration], WorkerCalls],
-        decode_registration: Callable[[str, bytes], Registration | None],
+        decode_registration: Callable[[str, bytes], Registration],
         registrations: str,
         metrics: Metrics,
         predecessors: Predecessors,
@@ -297,6 +297,8 @@
         stored = read_stored_state(
             self.store, self.registrations, STORE_TIMEOUT_S, self.threads
         )
+        for error in stored.unreadable:
+            self.jobs.record_unreadable(error)
         self.scheduler.jobs_read(int(stored.jobs_revision))
         while self.handle_queued_message():
             pass
--- a/tests/adapter/test_adapter.py
+++ b/tests/adapter/test_adapter.py
@@ -63,6 +63,7 @@
     WorkerReplacedError,
     WorkerSilentError,
 )
+from gooseberrydeck_platform.decoding import DecodingError
 from gooseberrydeck_platform.http import HttpResponse
 from gooseberrydeck_standins.faults import FaultKind, FaultSettings
 from gooseberrydeck_standins.fleet_worker import FleetWorkerEngine
@@ -569,6 +570,13 @@
     def test_task_name_round_trip(self) -> None:
         assert parse_task_name(task_name(TASK)) == TASK
 
+    # Guards against workers that count as silent: the names of a job's tasks could not
+    # be parsed if the caller had chosen an id with a full stop.
+    @pytest.mark.parametrize("job", ["a.b", ".", "", "a.1.2.3", "a b", "a\nb"])
+    def test_task_name_round_trip_of_an_odd_id(self, job: str) -> None:
+        task = TASK._replace(job=JobId(job))
+        assert parse_task_name(task_name(task)) == task
+
     @pytest.mark.parametrize(
         "name",
         ["", "a.0.0", "a.0.0.x", "a.b.c.d.e", "a.-1.0.0", "a.0.-1.0", "a.0.0.-1"],
@@ -601,14 +609,15 @@
             "Unknown": True,
         }
         found = decode_registration("servers/w", msgspec.json.encode(entry))
-        assert found is not None
         assert (found.worker, found.rack, found.remaining_s) == ("w", "r1-3", 1.5)
         assert found.is_draining
         change(entry)
-        assert decode_registration("servers/w", msgspec.json.encode(entry)) is None
+        with pytest.raises(DecodingError):
+            decode_registration("servers/w", msgspec.json.encode(entry))
 
     def test_undecodable_registration_is_ignored(self) -> None:
-        assert decode_registration("servers/w", b"\xff{") is None
+        with pytest.raises(DecodingError):
+            decode_registration("servers/w", b"\xff{")
 
     def test_configuration_is_decoded(self) -> None:
         wire = default_configuration(7, with_advice=True)
