--- a/soak/faults.py
+++ b/soak/faults.py
@@ -15,13 +15,13 @@
 from gooseberrydeck_standins.processes import StandinProcess
 from soak.proxy import LinkFault, Proxy
 
-__all__ = ["Cell", "Fault", "draw_schedule", "store_source"]
+__all__ = ["Cell", "Fault", "draw_schedule", "source_address"]
 
 log = structlog.get_logger(__name__)
 
 MEMBERS = 3
 FIRST_SOURCE = 10
-"""Last byte of the loopback address of the first member's connections to the store."""
+"""Last byte of the loopback address of the first member's connections."""
 
 WORKERS = 5
 WORKER_CPUS = 8
@@ -79,20 +79,28 @@
     return sorted(faults, key=lambda fault: fault.at_s)
 
 
-def store_source(number: int) -> str:
-    """Return the address from which the store is called by a member."""
+def source_address(number: int) -> str:
+    """Return the address from which a member calls the store and the advice service."""
     return f"127.0.0.{FIRST_SOURCE + number}"
 
 
 class Cell:
-    """The processes of a run, with proxies to the store and to each worker."""
+    """The processes of a run.
+
+    There are proxies to the store and to the advice service, which see a member at each
+    of them, and to each worker.
+    """
 
     def __init__(self, platform: LocalPlatform) -> None:
         """Start the workers and members."""
         self.platform = platform
         self.names = [f"m{number}" for number in range(MEMBERS)]
         self.store_links = {
-            name: Proxy(platform.store.address, store_source(number))
+            name: Proxy(platform.store.address, source_address(number))
+            for number, name in enumerate(self.names)
+        }
+        self.advice_links = {
+            name: Proxy(platform.advice.address, source_address(number))
             for number, name in enumerate(self.names)
         }
         self.worker_links: list[Proxy] = []
@@ -109,8 +117,10 @@
         self.worker_links.append(link)
 
     def start_member(self, name: str) -> None:
-        """Start a member that reaches the store through its proxy."""
-        self.platform.add_member(name, self.store_links[name].address)
+        """Start a member that reaches the store and the advice through its proxies."""
+        self.platform.add_member(
+            name, self.store_links[name].address, self.advice_links[name].address
+        )
 
     def member(self, target: int) -> MemberProcess:
         """Return the member that a random target selects."""
@@ -255,7 +265,8 @@
 
     def recover(self) -> None:
         """Clear all link faults and restart the members that have ended."""
-        for link in [*self.store_links.values(), *self.worker_links]:
+        links = [*self.store_links.values(), *self.advice_links.values()]
+        for link in [*links, *self.worker_links]:
             link.fault = LinkFault.NONE
         for name in self.names:
             if not self.platform.members[name].is_alive():
--- a/soak/series.py
+++ b/soak/series.py
@@ -16,7 +16,7 @@
     WORKERS,
     Cell,
     Fault,
-    store_source,
+    source_address,
 )
 from soak.proxy import LinkFault
 
@@ -142,7 +142,7 @@
     def refuse(self, number: int, fault: Fault) -> Callable[[], None]:
         """Make the store refuse the member numbered ``number``."""
         kind = FaultKind.BUSY if fault.target % 2 else FaultKind.DOWN
-        path = f"/faults?Caller={store_source(number)}"
+        path = f"/faults?Caller={source_address(number)}"
         return self.disturb(self.platform.store, FaultSettings(kind), path)
 
     def begin_late_orders(self, fault: Fault) -> Callable[[], None]:
@@ -221,7 +221,9 @@
     def recover(self) -> None:
         """Clear the faults of the links and stand-ins, and restart ended members."""
         super().recover()
-        paths = [f"/faults?Caller={store_source(number)}" for number in range(MEMBERS)]
+        paths = [
+            f"/faults?Caller={source_address(number)}" for number in range(MEMBERS)
+        ]
         for path in ("/faults", WRITES, *paths):
             self.platform.store.apply_faults(FaultSettings(), path)
         for process in self.platform.workers:
--- a/tests/adapter/test_adapter.py
+++ b/tests/adapter/test_adapter.py
@@ -21,7 +21,11 @@
 from gooseberrydeck_adapter.configuration import ConfigurationUnreadableError
 from gooseberrydeck_adapter.names import parse_task_name, task_name
 from gooseberrydeck_adapter.settings import decode_settings
-from gooseberrydeck_adapter_standins.advice import AdviceApplication
+from gooseberrydeck_adapter_standins.advice import (
+    MAX_WAITING_REQUESTS,
+    AdviceApplication,
+    Lane,
+)
 from gooseberrydeck_adapter_standins.local_platform import (
     default_configuration,
     job_body,
@@ -564,6 +568,20 @@
                 adviser.ask(step, (WORKER,), TIMEOUT_S)
             adviser.pool.close()
 
+    def test_requests_wait_only_for_those_of_their_caller(self) -> None:
+        application = AdviceApplication(0, 0, share=1.0)
+        lane = application.lanes["127.0.0.10"] = Lane()
+        lane.waiting_count = MAX_WAITING_REQUESTS
+        body = msgspec.json.encode({"Step": "a.0.0", "Workers": [WORKER]})
+        with lane.lock:
+            statuses = [
+                application.handle(
+                    Request("POST", "/advise", body, caller=caller)
+                ).status
+                for caller in ("127.0.0.10", "127.0.0.11")
+            ]
+        assert statuses == [429, 200]
+
 
 class TestDecoding:
     def test_task_name_round_trip(self) -> None:
