Soak: standing tasks, and a check that they run

The draw `lasting` submits twelve such tasks 2 s before the other traffic. Racks of workers crash together, again and again: killed, with a reset of their connections, or started again under their ids. Beside that, holders are killed, terminated, suspended or stutter, a second one soon after the first, and advice, store and workers are disturbed. The advice of slow and standing steps takes 0.4 s and more, and allows a third of the workers.

The check follows the rule: a standing task has no run for 6 s after its last one and then for 3 s more, with room for two of its kind on the workers that the advice allows; these 3 s and the 4 s before are free of faults of the cell. What counts is what the workers recorded. Workers that are disturbed, or that have come less than 3 s ago, count as without room. Each report has the longest standstills, whether they break the rule or not.

--- a/soak/run.py
+++ b/soak/run.py
@@ -17,6 +17,7 @@
 import typer
 
 from gooseberrydeck_adapter_standins.local_platform import (
+    DEFAULT_PAGE_ITEMS,
     LocalPlatform,
     default_configuration,
 )
@@ -24,7 +25,16 @@
 from gooseberrydeck_standins.fleet_worker import CRASHED, RunSpan
 from soak.callers import JobClient, StateClient, job_of
 from soak.faults import Cell, Fault, draw_schedule
+from soak.lasting import (
+    ADVICE_OPTIONS,
+    LASTING_LENGTH_S,
+    LastingCell,
+    LastingClient,
+    draw_lasting,
+    lasting_configuration,
+)
 from soak.series import PAGE_ITEMS, SERIES_LENGTH_S, SeriesCell, draw_series
+from soak.standing import Standstill
 
 __all__ = ["Draw", "Report", "find_runs_after_completion", "run_seed"]
 
@@ -33,6 +43,9 @@
 MAX_CRASHES = 5
 """A task isn't started three times more after three workers have crashed under it."""
 
+MAX_STANDSTILLS = 4
+"""How many of the longest are reported."""
+
 FINAL = (b"completed", b"failed", b"cancelled")
 
 
@@ -52,12 +65,24 @@
     KNOWN-RED.txt lists.
     """
 
+    LASTING = "lasting"
+    """Racks that crash and changes of the holder, beside standing tasks."""
+
+
+LENGTHS_S = {
+    Draw.FAULTS: LENGTH_S,
+    Draw.SERIES: SERIES_LENGTH_S,
+    Draw.REBIRTHS: SERIES_LENGTH_S,
+    Draw.LASTING: LASTING_LENGTH_S,
+}
+
 
 class Report(msgspec.Struct):
     """Results of a run; ``broken`` lists the violated guarantees.
 
     ``restarted`` is the number of starts after a successful run of their task whose end
-    may have been lost.
+    may have been lost. ``standstills`` are the longest times in which a standing task
+    had no run.
     """
 
     seed: int
@@ -67,6 +92,7 @@
     shown_completed: int = 0
     restarted: int = 0
     broken: list[str] = []
+    standstills: list[Standstill] = []
     seconds: float = 0.0
 
 
@@ -184,6 +210,44 @@
             report.broken.append(f"refused and run: {path}")
 
 
+def draw_faults(
+    draw: Draw, seed: int, length_s: float, with_crashes: bool
+) -> list[Fault]:
+    """Return what a seed draws."""
+    if draw is Draw.FAULTS:
+        return draw_schedule(seed, length_s, with_crashes)
+    if draw is Draw.LASTING:
+        return draw_lasting(seed, length_s)
+    return draw_series(seed, length_s, draw is Draw.REBIRTHS)
+
+
+def create_cell(draw: Draw, platform: LocalPlatform, seed: int) -> Cell:
+    """Store the configuration and start the cell of a draw."""
+    if draw is Draw.LASTING:
+        platform.publish(lasting_configuration())
+        return LastingCell(platform)
+    platform.publish(default_configuration(with_advice=seed % 2 == 0))
+    if draw is Draw.FAULTS:
+        return Cell(platform)
+    return SeriesCell(platform, draw is Draw.REBIRTHS)
+
+
+def create_client(cell: Cell, draw: Draw, seed: int, with_crashes: bool) -> JobClient:
+    """Return the client that submits the jobs of a draw."""
+    if isinstance(cell, LastingCell):
+        return LastingClient(cell, seed, with_crashes)
+    return JobClient(cell, seed, with_crashes, draw is not Draw.FAULTS)
+
+
+def observe_standing_tasks(cell: Cell, client: JobClient, report: Report) -> None:
+    """Observe the standing tasks after the faults, if there are any."""
+    if isinstance(cell, LastingCell) and isinstance(client, LastingClient):
+        cell.observe()
+        standstills, lost = cell.check_standing_tasks(client)
+        report.standstills = standstills[:MAX_STANDSTILLS]
+        report.broken.extend(lost)
+
+
 def run_seed(
     seed: int,
     folder: Path,
@@ -198,24 +262,18 @@
     """
     report = Report(seed)
     began_s = time.monotonic()
-    if draw is Draw.FAULTS:
-        schedule = draw_schedule(seed, length_s, with_crashes)
-        platform = LocalPlatform(folder)
-    else:
-        schedule = draw_series(seed, length_s, draw is Draw.REBIRTHS)
-        platform = LocalPlatform(folder, PAGE_ITEMS)
-    with platform:
-        platform.publish(default_configuration(with_advice=seed % 2 == 0))
-        if draw is Draw.FAULTS:
-            cell = Cell(platform)
-        else:
-            cell = SeriesCell(platform, draw is Draw.REBIRTHS)
+    schedule = draw_faults(draw, seed, length_s, with_crashes)
+    page_items = DEFAULT_PAGE_ITEMS if draw is Draw.FAULTS else PAGE_ITEMS
+    advice_options = ADVICE_OPTIONS if draw is Draw.LASTING else ()
+    with LocalPlatform(folder, page_items, advice_options) as platform:
+        cell = create_cell(draw, platform, seed)
         platform.wait_ready()
-        client = JobClient(cell, seed, with_crashes, draw is not Draw.FAULTS)
+        client = create_client(cell, draw, seed, with_crashes)
         states = StateClient(cell, seed, client.accepted)
         with running(states):
             with running(client):
                 inject_faults(cell, schedule)
+                observe_standing_tasks(cell, client, report)
             cell.recover()
             platform.wait_ready()
             check_end(cell, client, report)
@@ -245,8 +303,7 @@
             if keep is not None:
                 folder = keep / f"seed-{seed}"
                 folder.mkdir(parents=True, exist_ok=True)
-            length_s = LENGTH_S if draw is Draw.FAULTS else SERIES_LENGTH_S
-            report = run_seed(seed, folder, length_s, crashes, draw)
+            report = run_seed(seed, folder, LENGTHS_S[draw], crashes, draw)
         typer.echo(msgspec.json.encode(report).decode())
         failed += bool(report.broken)
     sys.exit(1 if failed else 0)
--- a/tests/platform_processes/test_soak.py
+++ b/tests/platform_processes/test_soak.py
@@ -6,6 +6,8 @@
 
 from gooseberrydeck_standins.fleet_worker import RunSpan
 from soak.faults import KINDS, WORKER_KINDS, draw_schedule
+from soak.lasting import HOLDER_KINDS as LASTING_HOLDER_KINDS
+from soak.lasting import OTHER_KINDS, RACK_KINDS, draw_lasting
 from soak.run import Draw, find_runs_after_completion, run_seed
 from soak.series import HOLDER_KINDS, REBIRTH_KINDS, SERIES_KINDS, draw_series
 
@@ -58,6 +60,23 @@
             assert len(beside) >= 3
 
 
+class TestLasting:
+    def test_same_seed_draws_the_same_faults(self) -> None:
+        assert draw_lasting(5, 18.0) == draw_lasting(5, 18.0)
+
+    def test_every_fault_kind_is_drawn(self) -> None:
+        drawn = {
+            fault.kind for seed in range(1, 51) for fault in draw_lasting(seed, 18.0)
+        }
+        assert drawn == {*RACK_KINDS, *LASTING_HOLDER_KINDS, *OTHER_KINDS}
+
+    @pytest.mark.parametrize("seed", range(1, 11))
+    def test_racks_crash_after_the_standing_tasks_have_started(self, seed: int) -> None:
+        faults = draw_lasting(seed, 18.0)
+        assert any(fault.kind in RACK_KINDS for fault in faults)
+        assert all(3.0 <= fault.at_s <= 18.0 for fault in faults)
+
+
 class TestRunsAfterCompletion:
     def test_only_later_runs_of_the_job_are_found(self) -> None:
         spans = [
