Advice: members whose last request failed are asked last

Callers saw standing tasks, and others that need slow advice, wait without a bound beside idle workers: the holder asked itself first whenever it had no request in flight, then its peers in a fixed order, whatever had come of it. A holder that can't reach the advice service waits for a time-out (twice the expected time and 1 s) with each step that comes first in order, and so do peers that heartbeat but don't answer requests.

The tests failed before: the failing member was asked again at once, and no standing task started. Ruled out: a shorter time-out, since a request may wait behind another one of its host. Members that failed are still used while the others are busy, and by turns if all fail, so that none stays out for good once it works again.

--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/advice_pool.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/advice_pool.py
@@ -37,7 +37,11 @@
 
 
 class AdvicePool:
-    """Send each request through a member that has none in flight."""
+    """Send each request through a member that has none in flight.
+
+    Members whose last request failed are used last: one that is silent, or that can't
+    reach the service, mustn't delay steps that others could ask for.
+    """
 
     def __init__(
         self,
@@ -53,6 +57,8 @@
         self.lock = threading.Lock()
         self.addresses: tuple[str, ...] = ()
         self.busy: set[str] = set()
+        # Members whose last request failed, in the order of the failures.
+        self.failed: dict[str, None] = {}
         self.executor = threads.executor(MAX_CONCURRENT_REQUESTS, "advice")
 
     def set_peers(self, addresses: tuple[str, ...]) -> None:
@@ -67,13 +73,22 @@
     def acquire_member(self) -> str:
         """Reserve a free member and return its address, empty for this one."""
         with self.lock:
-            for address in ("", *self.addresses):
-                if address not in self.busy:
-                    self.busy.add(address)
-                    return address
-        # A member was removed while its request was in flight, so none is free: this
-        # request waits behind the one of this member.
-        return ""
+            free = [each for each in ("", *self.addresses) if each not in self.busy]
+            others = [address for address in free if address not in self.failed]
+            failed = [address for address in self.failed if address in free]
+            # If a member was removed while its request was in flight, none may be free:
+            # this request waits behind the one of this member.
+            address = [*others, *failed, ""][0]
+            self.busy.add(address)
+            return address
+
+    def release_member(self, address: str, has_failed: bool) -> None:
+        """Make a member free again after a request."""
+        with self.lock:
+            self.busy.discard(address)
+            self.failed.pop(address, None)
+            if has_failed:
+                self.failed[address] = None
 
     def ask(self, command: AskAdvice, post: Callable[[object], None]) -> None:
         """Send a request from the executor and post an ``AdviceCompleted`` message."""
@@ -83,6 +98,7 @@
         """Send a request through a free member and post its result."""
         address = self.acquire_member()
         asked_s = self.clock.monotonic()
+        has_failed = True
         try:
             if address:
                 advice = self.peers.advise(
@@ -97,7 +113,7 @@
         except AdviceFailedError as error:
             post(AdviceCompleted(command.step, None, asked_s, f"{address}: {error}"))
         else:
+            has_failed = False
             post(AdviceCompleted(command.step, advice, asked_s))
         finally:
-            with self.lock:
-                self.busy.discard(address)
+            self.release_member(address, has_failed)
