Advice: requests through a member that has left fail at once

Callers saw steps that need advice wait on after a host had frozen: the holder leaves a member out of the pool once its heartbeats stop for 1.5 s, but went on counting the request in flight through it, up to its time-out: twice the expected time, 1 s and 0.2 s, here 2.4 s. The step waited all that time, and as half of the requests in flight are for urgent steps, so did others: with two members, all steps that need slow advice.

A member that is back gets no request before the call to it has ended, since the service handles one request at a time for each host, and what the call returns then counts for nothing.

--- a/tests/member/test_advice_pool.py
+++ b/tests/member/test_advice_pool.py
@@ -158,6 +158,47 @@
         assert under_test.members_asked() == ["", *PEERS] * 2
 
 
+class TestMembersThatLeave:
+    # Guards against steps that wait for the time-out of a member known to be gone.
+    def test_request_through_a_member_that_left_fails_at_once(
+        self, under_test: PoolUnderTest
+    ) -> None:
+        under_test.service.silent.add("m2:1")
+        under_test.ask(0)
+        step = under_test.ask(1)
+        under_test.loop.run_for(0.6)
+        under_test.pool.set_peers(("m3:1", "m4:1"))
+        assert under_test.results(step) == [(0.6, False)]
+        assert under_test.pool.capacity() == 3
+        # The response, or its time-out, counts for nothing any more.
+        under_test.loop.run_for(2 * TIMEOUT_S)
+        assert under_test.results(step) == [(0.6, False)]
+
+    def test_member_that_is_back_gets_no_second_request_beside_the_first(
+        self, under_test: PoolUnderTest
+    ) -> None:
+        under_test.service.silent.add("m2:1")
+        under_test.ask(0)
+        under_test.ask(1)
+        under_test.pool.set_peers(("m3:1", "m4:1"))
+        under_test.pool.set_peers(PEERS)
+        assert under_test.pool.capacity() == 3
+        under_test.ask(2)
+        under_test.ask(3)
+        assert under_test.service.overlaps == []
+        under_test.loop.run_for(TIMEOUT_S)
+        assert under_test.pool.capacity() == 4
+
+    def test_requests_through_members_that_stay_go_on(
+        self, under_test: PoolUnderTest
+    ) -> None:
+        steps = [under_test.ask(number) for number in range(2)]
+        under_test.pool.set_peers(("m2:1",))
+        under_test.loop.run_for(DURATION_S)
+        for step in steps:
+            assert under_test.results(step) == [(DURATION_S, True)]
+
+
 class StandingFleet(JoinedFleet):
     """A fleet whose tasks last, and that asks for slow advice through a pool."""
 
