--- a/soak/lasting.py
+++ b/soak/lasting.py
@@ -62,7 +62,7 @@
 DECIDE_MS = 400.0
 PER_ITEM_MS = 6.0
 VALID_FOR_MS = 2_500
-ALLOWED_SHARE = 0.35
+ALLOWED_SHARE = 0.7
 ADVICE_OPTIONS = (
     *("--decide-ms", str(DECIDE_MS)),
     *("--per-item-ms", str(PER_ITEM_MS)),
