Advice: a response that can't be read no longer holds a request for good

Callers would see steps that need advice wait for ever. A response nested thousands deep, in a field that isn't read, raises RecursionError, which is no MsgspecError; an address that a peer announced may raise ValueError. Either left the executor's thread without a result: the scheduler counted the request as in flight for good, and the step as asked for. Each such response takes one of the few requests in flight away.

The tests failed before: RecursionError from HttpAdviser, and no result from the pool. The adviser now reports a response that can't be decoded as one failure, and the pool posts a failure, with a line in the log, for an error of any type.

--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/advice_pool.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/advice_pool.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 
 import msgspec
+import structlog
 
 from gooseberrydeck_coordination.clock import Clock
 from gooseberrydeck_fleet.advice import Advice, AdviceFailedError, Adviser
@@ -18,6 +19,8 @@
 
 __all__ = ["AdviceCompleted", "AdvicePool"]
 
+log = structlog.get_logger(__name__)
+
 MAX_CONCURRENT_REQUESTS = 64
 """Limit on the members used. More would add threads but no benefit: an urgent request
 takes 30 ms."""
@@ -127,6 +130,10 @@
             advice = self.send(address, command)
         except AdviceFailedError as error:
             self.complete(address, request, None, str(error))
+        except Exception as error:
+            # Without a result, the request would count as in flight for good.
+            log.exception("advice request crashed", address=address)
+            self.complete(address, request, None, repr(error))
         else:
             self.complete(address, request, advice)
         finally:
--- a/tests/adapter/test_adapter.py
+++ b/tests/adapter/test_adapter.py
@@ -70,7 +70,7 @@
 from gooseberrydeck_platform.http import HttpResponse
 from gooseberrydeck_standins.faults import FaultKind, FaultSettings
 from gooseberrydeck_standins.fleet_worker import FleetWorkerEngine
-from gooseberrydeck_standins.http_service import Request, StandinServer
+from gooseberrydeck_standins.http_service import Reply, Request, StandinServer
 from gooseberrydeck_standins.processes import wait_for
 from gooseberrydeck_standins.store_engine import StoreEngine
 from network_support import refused_address
@@ -554,6 +554,16 @@
         assert len(reply.ends) == 1
 
 
+class FixedReply:
+    """A service with the same reply to every request."""
+
+    def __init__(self, reply: Reply) -> None:
+        self.reply = reply
+
+    def handle(self, _request: Request) -> Reply:
+        return self.reply
+
+
 class TestAdvice:
     def test_advice_has_ticket_for_each_allowed_worker(self) -> None:
         application = AdviceApplication(0, 0, share=1.0)
@@ -568,6 +578,15 @@
                 adviser.ask(step, (WORKER,), TIMEOUT_S)
             adviser.pool.close()
 
+    # Guards against a deeply nested response that crashes whoever reads it.
+    def test_response_that_cannot_be_read_is_a_failure(self) -> None:
+        nested = Reply(body=b'{"Good":[],"Other":' + b"[" * 5_000 + b"]" * 5_000 + b"}")
+        with StandinServer(FixedReply(nested)) as server:
+            adviser = HttpAdviser(server.address)
+            with pytest.raises(AdviceFailedError):
+                adviser.ask(StepRef(JobId("a"), 0, 0), (WORKER,), TIMEOUT_S)
+            adviser.pool.close()
+
     def test_requests_wait_only_for_those_of_their_caller(self) -> None:
         application = AdviceApplication(0, 0, share=1.0)
         lane = application.lanes["127.0.0.10"] = Lane()
--- a/tests/member/test_advice_pool.py
+++ b/tests/member/test_advice_pool.py
@@ -30,13 +30,15 @@
 class Service:
     """The advice service as seen through the members: this one is ``""``.
 
-    Those in ``silent`` give no response, those in ``failing`` one without advice.
+    Those in ``silent`` give no response, those in ``failing`` one without advice, and
+    those in ``crashing`` one that can't be read.
     """
 
     def __init__(self, loop: VirtualTime) -> None:
         self.loop = loop
         self.silent: set[str] = set()
         self.failing: set[str] = set()
+        self.crashing: set[str] = set()
         self.asked: list[tuple[str, StepRef]] = []
         self.in_flight: set[str] = set()
         self.overlaps: list[str] = []
@@ -55,6 +57,8 @@
         self.in_flight.add(address)
         self.loop.sleep(timeout_s if address in self.silent else DURATION_S)
         self.in_flight.discard(address)
+        if address in self.crashing:
+            raise RecursionError
         if address in self.silent | self.failing:
             raise AdviceFailedError("no advice")
         return Advice(dict.fromkeys(workers, "ticket"), VALID_S)
@@ -158,6 +162,18 @@
         assert under_test.members_asked() == ["", *PEERS] * 2
 
 
+class TestUnexpectedErrors:
+    # Guards against requests that count as in flight for good, so that no step can ask.
+    def test_error_of_any_type_is_posted_as_a_failure(
+        self, under_test: PoolUnderTest
+    ) -> None:
+        under_test.service.crashing.add("")
+        step = under_test.ask(0)
+        under_test.loop.run_for(DURATION_S)
+        assert under_test.results(step) == [(DURATION_S, False)]
+        assert under_test.pool.capacity() == 4
+
+
 class TestMembersThatLeave:
     # Guards against steps that wait for the time-out of a member known to be gone.
     def test_request_through_a_member_that_left_fails_at_once(
