Apply a predecessor's confirmation to workers that are read after it

A clean hand-over took longer than a killed holder.

Cause: the confirmation that a predecessor has stopped limits the leases of the workers that the scheduler knows. All predecessors of a planned hand-over answer within 10 ms, while the stored workers are still being read, so it limited none, and each worker was then added with the 12.3 s of a predecessor that may act.

Change: the registry of workers keeps the limit for those that it adds later.

test_confirmation_while_loading_limits_the_wait_for_silent_workers failed before.

--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
@@ -412,6 +412,7 @@
             self.jobs.job_looked_up(message, now_s)
         elif isinstance(message, PredecessorStopped):
             expiry_s = now_s + MAX_TASK_LEASE_S / (1 - CLOCK_DRIFT)
+            self.workers.predecessor_stopped(expiry_s)
             self.scheduler.predecessor_stopped(expiry_s)
         elif isinstance(message, WorkersRecorded):
             self.committer.workers_recorded(message)
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/worker_registry.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/worker_registry.py
@@ -61,6 +61,13 @@
         # Restarts of workers that have been removed, and may register again.
         self.former_restarts: dict[WorkerId, int] = {}
 
+    def predecessor_stopped(self, lease_expiry_s: float) -> None:
+        """Limit how long workers are waited for that have not been added yet.
+
+        The predecessor's confirmation may come before the stored workers are read.
+        """
+        self.unknown_until_s = min(self.unknown_until_s, lease_expiry_s)
+
     def registrations_changed(self, batch: WatchBatch, now_s: float) -> None:
         """Apply changes of registrations reported by the store."""
         for event in batch.events:
--- a/tests/member/test_takeover.py
+++ b/tests/member/test_takeover.py
@@ -32,6 +32,7 @@
 from gooseberrydeck_fleet.progress import Progress, StepProgress, encode_progress
 from gooseberrydeck_fleet.registrations import Registration
 from gooseberrydeck_fleet.start_permission import StartObstacle, find_start_obstacle
+from gooseberrydeck_fleet.state import CLOCK_DRIFT, MAX_TASK_LEASE_S
 from gooseberrydeck_fleet.work import EndedJob, JobRecord, JobState, StepSpec, WorkSpec
 from gooseberrydeck_fleet.worker_calls import (
     EndKind,
@@ -156,11 +157,13 @@
         self,
         *notifications: JobAccepted,
         was_silent: bool = False,
+        has_stopped: bool = False,
         configuration: FleetConfiguration | None = None,
     ) -> SchedulerTask:
         """Claim the shard and load the stored state.
 
-        The notifications arrive between the claim and the end of loading.
+        The notifications arrive between the claim and the end of loading, and so does
+        the confirmation of a predecessor that ``has_stopped``.
         """
         authority = Authority()
         authority.confirm(boottime_clock_s())
@@ -178,6 +181,8 @@
         )
         self.tasks.append(task)
         task.set_configuration(configuration or make_configuration())
+        if has_stopped:
+            task.predecessor_stopped()
         for notification in notifications:
             task.job_accepted(notification)
         assert task.take_over()
@@ -263,6 +268,26 @@
         assert expiry_s["w1"] <= 0.0
 
 
+class TestConfirmationsOfPredecessors:
+    # After a planned hand-over, long-running tasks on workers that had died stood still
+    # for 12.6 s: the former holder's confirmation came before the workers were read and
+    # limited the wait for none of them (issue 45).
+    def test_confirmation_while_loading_limits_the_wait_for_silent_workers(
+        self, successor: Successor
+    ) -> None:
+        successor.record_worker()
+        task = successor.take_over(was_silent=True, has_stopped=True)
+        (worker,) = task.scheduler.ledger.workers.values()
+        lease_s = MAX_TASK_LEASE_S / (1 - CLOCK_DRIFT)
+        assert worker.lease_expiry_s <= task.clock.monotonic() + lease_s
+
+    def test_confirmation_does_not_end_the_wait(self, successor: Successor) -> None:
+        successor.record_worker()
+        task = successor.take_over(was_silent=True, has_stopped=True)
+        (worker,) = task.scheduler.ledger.workers.values()
+        assert worker.lease_expiry_s > task.claimed_s + MAX_TASK_LEASE_S
+
+
 class TestJobsWithoutQueue:
     # A successor with an older configuration dropped the progress of jobs whose queue
     # it lacked, and ran them from the start once the queue was configured.
