Forget a silent member after 14 s in place of 20

Without the store, a holder stops after 3 s if a member that could claim the shard doesn't confirm that it hasn't, until the holder forgets it. A member has to be remembered for 8 s longer than a claimant may rely on having followed; 6 s of that are enough for a claim 1 to 2 s after the last answered heartbeat, and for one from the successor of a holder that was lost shortly before. The price remains for members lost in the last 14 s.

--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/claimants.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/claimants.py
@@ -14,12 +14,13 @@
 
 __all__ = ["CLAIMANT_TTL_S", "FOLLOWED_WITHIN_S", "Claimants"]
 
-CLAIMANT_TTL_S = 20.0
-"""Time since its last heartbeat after which the holder forgets a member."""
-
-FOLLOWED_WITHIN_S = CLAIMANT_TTL_S - AUTHORITY_TIMEOUT_S
+FOLLOWED_WITHIN_S = 6.0
 """A claimant whose last answered heartbeat is not older than this is certainly known to
-the former holder for as long as that may act."""
+the former holder for as long as that may act. A claim comes 1 to 2 s after it, or some
+seconds later from the successor of that holder."""
+
+CLAIMANT_TTL_S = FOLLOWED_WITHIN_S + AUTHORITY_TIMEOUT_S
+"""Time since its last heartbeat after which the holder forgets a member."""
 
 
 class Claimant(NamedTuple):
