Judge after the claim whether a former holder knows the claimant

What callers could see: a task that runs twice. A claimant that is frozen, or has no processor, between choosing its wait and the store's answer waited 4.6 s although the holder could act for 8 s more.

Cause: a holder forgets a member 20 s after its last heartbeat, and a claimant counts as known if a heartbeat was answered in the 12 s before the claim, so that the 8 s of the holder's authority fit in. That was judged before the claim was sent. A claim stored over 8 s later leaves less.

Ruled out: claims that are executed late without a response. Their sender claims again, and judges anew.

The judgement is made again once the store has answered, which is later than the claim.

--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/control.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/control.py
@@ -342,6 +342,9 @@
                 predecessors.addresses,
                 predecessors.incarnations,
             )
+            # A claim may take long, and a holder forget the claimant meanwhile.
+            are_limited = self.are_limited(predecessors.incarnations)
+            predecessors = predecessors._replace(are_limited=are_limited)
             log.info(
                 "claim",
                 won=won,
@@ -377,12 +380,20 @@
             for address, incarnation in earlier:
                 former.setdefault(address, incarnation)
         former.pop(self.cell.address, None)
+        incarnations = tuple(former.values())
+        are_limited = self.are_limited(incarnations)
+        return Predecessors(tuple(former), incarnations, are_limited)
+
+    def are_limited(self, incarnations: tuple[str, ...]) -> bool:
+        """Return True if former holders know this member until they can't act.
+
+        That holds for a claim that has succeeded by now.
+        """
         oldest_s = boottime_clock_s() - FOLLOWED_WITHIN_S
-        are_limited = all(
+        return all(
             self.followed_s.get(incarnation, oldest_s) > oldest_s
-            for incarnation in former.values()
+            for incarnation in incarnations
         )
-        return Predecessors(tuple(former), tuple(former.values()), are_limited)
 
     def claim_delay_s(self) -> float:
         """Return the delay before a claim, by host size and position in the roster.
--- a/tests/member/test_hand_over.py
+++ b/tests/member/test_hand_over.py
@@ -14,6 +14,7 @@
 from gooseberrydeck_coordination.store import Entry, Transaction, TransactionResult
 from gooseberrydeck_fleet.configuration import FleetConfiguration
 from gooseberrydeck_fleet.settings import Timing
+from gooseberrydeck_member import control
 from gooseberrydeck_member.authority import AUTHORITY_TIMEOUT_S, Authority
 from gooseberrydeck_member.cell import Cell
 from gooseberrydeck_member.claimants import FOLLOWED_WITHIN_S
@@ -488,6 +489,26 @@
         scheduler = self.claim_from(self.silent, self.member)
         assert scheduler.predecessors.max_lease_s() > AUTHORITY_TIMEOUT_S
 
+    # A frozen claimant went on after the holder had forgotten it, but waited as if it
+    # was known: the holder could act for 8 s more, and a task run twice.
+    def test_holder_may_have_forgotten_a_claimant_whose_claim_takes_long(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        clock = ManualClock()
+        monkeypatch.setattr(control, "boottime_clock_s", clock.monotonic)
+        self.follow(self.member)
+        commit = self.member.store.commit
+
+        def commit_late(
+            transaction: Transaction, timeout_s: float
+        ) -> TransactionResult:
+            clock.advance(FOLLOWED_WITHIN_S)
+            return commit(transaction, timeout_s)
+
+        monkeypatch.setattr(self.member.store, "commit", commit_late)
+        scheduler = self.claim_from(self.silent, self.member)
+        assert scheduler.predecessors.max_lease_s() > AUTHORITY_TIMEOUT_S
+
 
 class TestConfirmations:
     """Heartbeats tell a holder without the store that nobody has claimed."""
