Count a new holder's authority from when its claim was sent

What callers could see: a task that runs twice. A claimant that was frozen after its claim was stored acted for up to 8 s from the response (3 s since authority follows the members), though another member had claimed the shard meanwhile, waited, and started the same tasks.

Cause: `Authority` began as confirmed at its creation, which follows the response; `confirm` with the earlier time of the request changed nothing, since the later time wins.

Evidence: the new test failed before.

--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/authority.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/authority.py
@@ -50,8 +50,9 @@
         self,
         now_s: Callable[[], float] | None = None,
         followed_s: Callable[[], float] | None = None,
+        claimed_s: float | None = None,
     ) -> None:
-        """Start as confirmed now, because a claim has just succeeded.
+        """Start as confirmed at ``claimed_s``, when the claim was sent; now by default.
 
         ``now_s`` returns the time, by default that of ``boottime_clock_s``.
         ``followed_s`` returns the latest time at which no other member had claimed the
@@ -59,7 +60,7 @@
         """
         self.now_s = now_s or boottime_clock_s
         self.followed_s = followed_s or self.now_s
-        self.confirmed_s = self.now_s()
+        self.confirmed_s = self.now_s() if claimed_s is None else claimed_s
         self.is_revoked = False
         # When the store was last asked, whether or not it responded.
         self.asked_s = self.confirmed_s
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/control.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/control.py
@@ -418,8 +418,8 @@
         configuration = self.configuration.current
         if held is None or configuration is None:
             return
-        authority = Authority(followed_s=self.cell.claimants.followed_s)
-        authority.confirm(sent_s)
+        followed_s = self.cell.claimants.followed_s
+        authority = Authority(followed_s=followed_s, claimed_s=sent_s)
         scheduler = self.build_scheduler(authority, predecessors)
         scheduler.set_configuration(configuration)
         self.cell.scheduler = scheduler
--- a/tests/member/test_hand_over.py
+++ b/tests/member/test_hand_over.py
@@ -14,7 +14,7 @@
 from gooseberrydeck_coordination.store import Entry, Transaction, TransactionResult
 from gooseberrydeck_fleet.configuration import FleetConfiguration
 from gooseberrydeck_fleet.settings import Timing
-from gooseberrydeck_member import control
+from gooseberrydeck_member import authority, control
 from gooseberrydeck_member.authority import AUTHORITY_TIMEOUT_S, Authority
 from gooseberrydeck_member.cell import Cell
 from gooseberrydeck_member.claimants import FOLLOWED_WITHIN_S
@@ -275,6 +275,23 @@
         assert scheduler.lost.is_set()
         assert self.member.cell.holder_address == self.other.address
 
+    # A claimant that was frozen acted for 8 s from the response, though others may have
+    # claimed the shard meanwhile and started the tasks that it starts.
+    def test_authority_counts_from_when_the_claim_was_sent(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        clock = ManualClock()
+        monkeypatch.setattr(control, "boottime_clock_s", clock.monotonic)
+        monkeypatch.setattr(authority, "boottime_clock_s", clock.monotonic)
+
+        def freeze() -> None:
+            clock.advance(AUTHORITY_TIMEOUT_S)
+
+        self.member.store.commit = self.commit_and_run(freeze)  # type: ignore[method-assign]
+        self.member.control.find_holder()
+        (scheduler,) = self.member.schedulers
+        assert not scheduler.authority.may_act()
+
 
 class TestActivePredecessors:
     """A holder is silent, but may still act on workers that others can't reach."""
