Keep a member known although a heartbeat of its former process comes late

What callers could see: a task that runs twice. A member stops, says that it won't claim, and starts again at the same address. If its earlier word arrives after the new process' first heartbeats (a retransmission goes on after the process has ended), the holder forgot the new process too, until its next heartbeat. If that didn't come, the holder acted for up to 8 s beside it, as a successor that waits 4.6 s because it was known.

Cause: claimants were kept by address only. Now each process at an address is kept, and one that follows the holder later than the others there replaces them, as they have ended; so a member that was killed and is back is no longer waited for than before.

Evidence: the two tests of late heartbeats failed before.

--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/claimants.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/claimants.py
@@ -40,27 +40,42 @@
         self.incarnation = incarnation
         self.now_s = now_s
         self.lock = threading.Lock()
-        self.claimants: dict[str, Claimant] = {}
+        # By address and process, since heartbeats of a former process may come late.
+        self.claimants: dict[str, dict[str, Claimant]] = {}
 
     def record(self, heartbeat: Heartbeat) -> None:
-        """Record a heartbeat; a member that can't claim any more is forgotten."""
+        """Record a heartbeat; a process that can't claim any more is forgotten."""
         is_reply = heartbeat.holder_incarnation == self.incarnation
         followed_s = heartbeat.holder_time_s if is_reply else 0.0
+        address, incarnation = heartbeat.address, heartbeat.incarnation
         with self.lock:
             if not heartbeat.may_claim:
-                self.claimants.pop(heartbeat.address, None)
+                self.forget(address, incarnation)
                 return
-            known = self.claimants.get(heartbeat.address)
-            if known is not None:
-                followed_s = max(followed_s, known.followed_s)
-            self.claimants[heartbeat.address] = Claimant(followed_s, self.now_s())
+            processes = self.claimants.setdefault(address, {})
+            known_s = max((each.followed_s for each in processes.values()), default=0.0)
+            if followed_s > known_s:
+                # The others at the address have ended before this one started.
+                processes.clear()
+            followed_s = max(followed_s, known_s)
+            processes[incarnation] = Claimant(followed_s, self.now_s())
+
+    def forget(self, address: str, incarnation: str) -> None:
+        """Forget a process; the caller holds the lock."""
+        processes = self.claimants.get(address, {})
+        processes.pop(incarnation, None)
+        if not processes:
+            self.claimants.pop(address, None)
 
     def followed_s(self) -> float:
         """Return the latest time at which no known member had claimed the shard."""
         now_s = self.now_s()
+        times = []
         with self.lock:
-            for address, claimant in list(self.claimants.items()):
-                if now_s - claimant.heard_s > CLAIMANT_TTL_S:
-                    del self.claimants[address]
-            times = [claimant.followed_s for claimant in self.claimants.values()]
+            for address, processes in list(self.claimants.items()):
+                for incarnation, claimant in list(processes.items()):
+                    if now_s - claimant.heard_s > CLAIMANT_TTL_S:
+                        self.forget(address, incarnation)
+                    else:
+                        times.append(claimant.followed_s)
         return min(times, default=now_s)
--- a/tests/member/test_holding.py
+++ b/tests/member/test_holding.py
@@ -233,13 +233,19 @@
         self.clock.advance(100.0)
         self.claimants = Claimants("holder", self.clock.monotonic)
 
-    def follow(self, member: str, followed_s: float, may_claim: bool = True) -> None:
+    def follow(
+        self,
+        member: str,
+        followed_s: float,
+        may_claim: bool = True,
+        run: str = "run",
+    ) -> None:
         """Record a heartbeat that repeats a time of this holder."""
         self.claimants.record(
             Heartbeat(
                 member,
                 f"{member}:1",
-                "run",
+                run,
                 1,
                 holder_incarnation="holder",
                 holder_time_s=followed_s,
@@ -263,6 +269,31 @@
         self.follow("m1", 99.0, may_claim=False)
         assert self.claimants.followed_s() == self.clock.monotonic()
 
+    # A heartbeat of a process that had stopped arrived late, and the holder forgot the
+    # next one, which counts on being known. It could act for 8 s beside its successor.
+    def test_late_heartbeat_of_a_stopped_process_does_not_hide_the_next_one(
+        self,
+    ) -> None:
+        self.follow("m1", 97.0)
+        self.follow("m1", 99.0, run="next")
+        self.follow("m1", 97.0, may_claim=False)
+        assert self.claimants.followed_s() == 99.0
+
+    def test_late_heartbeats_of_a_stopped_process_do_not_hide_the_next_one(
+        self,
+    ) -> None:
+        self.follow("m1", 99.0, run="next")
+        self.follow("m1", 97.0)
+        self.follow("m1", 97.0, may_claim=False)
+        assert self.claimants.followed_s() == 99.0
+
+    def test_next_process_of_a_member_takes_its_place(self) -> None:
+        self.follow("m1", 95.0)
+        self.follow("m1", 0.0, run="next")
+        assert self.claimants.followed_s() == 95.0
+        self.follow("m1", 99.0, run="next")
+        assert self.claimants.followed_s() == 99.0
+
     def test_silent_member_is_remembered_until_the_holder_can_not_act(self) -> None:
         self.follow("m1", 99.0)
         self.clock.advance(FOLLOWED_WITHIN_S + AUTHORITY_TIMEOUT_S)
