Look at the members only if the store hasn't confirmed lately

A holder asked all claimants' times, under a lock, for each command, poll and round. While the store confirms, their times change nothing. Decisions are as before.

--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/authority.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/authority.py
@@ -118,7 +118,8 @@
         """
         if self.is_revoked or self.age_s() >= AUTHORITY_TIMEOUT_S:
             return False
-        if self.now_s() - self.sole_holder_s() >= COMMAND_TIMEOUT_S:
+        is_confirmed = self.age_s() < COMMAND_TIMEOUT_S
+        if not is_confirmed and self.now_s() - self.followed_s() >= COMMAND_TIMEOUT_S:
             return False
         if self.round_s is None:
             return True
