Write the record of a lapsed worker once, not ten times a second

The platform admits 400 writes a second in all and prices each.

Cause: such a worker counts as unrecorded, so that nothing starts there, and stays in the record since it may run something; so the record was never complete.

A lapsed worker's entry is now compared with the one that was stored. That nothing starts there until it has answered and is recorded again is as before.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/changes.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/changes.py
@@ -65,7 +65,7 @@
         self.crashes_in_flight: dict[int, dict[JobId, int]] = {}
         self.pending: list[PendingAcknowledgement] = []
         self.last_sequence = 0
-        self.recorded: set[WorkerId] = set()
+        self.recorded: dict[WorkerId, Registration] = {}
         self.observer: StoredObserver | None = None
 
     def take_batch(self, max_entries: int, wall_s: float) -> Changes:
@@ -218,26 +218,25 @@
             for worker in self.ledger.workers.values()
             if may_have_runs(worker)
         }
-        is_complete = all(
-            each.is_recorded and late_starts(each) == each.recorded_late_starts
-            for each in workers.values()
-        )
-        if is_complete and self.recorded <= workers.keys():
+        is_complete = all(map(self.is_recorded, workers.values()))
+        if is_complete and self.recorded.keys() <= workers.keys():
             return None
-        return [
-            msgspec.structs.replace(
-                worker.entry,
-                capacity=worker.largest_capacity,
-                may_hold_longest_lease=worker.may_hold_longest_lease,
-                late_starts=tuple(sorted(late_starts(worker))),
-            )
-            for worker in workers.values()
-        ]
+        return [to_record(worker) for worker in workers.values()]
+
+    def is_recorded(self, worker: Worker) -> bool:
+        """Return True if the stored list has all that a successor has to know.
+
+        That a worker has lapsed forbids to start anything there, but not to leave the
+        list as it is.
+        """
+        if worker.has_lapsed:
+            return self.recorded.get(worker.id) == to_record(worker)
+        return worker.is_recorded and late_starts(worker) == worker.recorded_late_starts
 
     def workers_recorded(self, entries: Iterable[Registration]) -> None:
         """Mark workers as recorded in the store, which lets new runs start on them."""
         recorded = {entry.worker: entry for entry in entries}
-        self.recorded = set(recorded)
+        self.recorded = recorded
         self.ledger.have_workers_changed = True
         for worker in self.ledger.workers.values():
             entry = recorded.get(worker.id)
@@ -251,6 +250,16 @@
             )
 
 
+def to_record(worker: Worker) -> Registration:
+    """Return what is stored of a worker for a successor."""
+    return msgspec.structs.replace(
+        worker.entry,
+        capacity=worker.largest_capacity,
+        may_hold_longest_lease=worker.may_hold_longest_lease,
+        late_starts=tuple(sorted(late_starts(worker))),
+    )
+
+
 def may_have_runs(worker: Worker) -> bool:
     """Return True if a worker may run tasks, or start them late."""
     if not worker.has_lapsed or not worker.has_reported:
--- a/tests/fleet/test_late_starts.py
+++ b/tests/fleet/test_late_starts.py
@@ -202,6 +202,18 @@
         assert recorded_starts(fleet) == [0]
         assert fleet.scheduler.changes.workers_to_record() is None
 
+    # The record was written ten times a second for as long as a worker whose leases had
+    # expired might start something late.
+    def test_record_of_a_lapsed_worker_is_written_once(self) -> None:
+        fleet = Fleet(workers=1)
+        silence_after_start(fleet)
+        fleet.run_for(EXPIRY_S)
+        changes = fleet.scheduler.changes
+        for _ in range(5):
+            fleet.run_for(0.1)
+            assert recorded_starts(fleet) == [1, 0]
+            assert changes.workers_to_record() is None
+
     def test_long_running_task_is_not_recorded_without_a_known_restart(self) -> None:
         fleet = Fleet(workers=1)
         silence_after_start(fleet, StepSpec(1, task_resources(), is_standing=True))
