Platform clients: a deeply nested response is a failed call

A response with a field nested 2,000 deep raised RecursionError, which no caller expects.

Fix: they decode by decode_json.

--- a/packages/gooseberrydeck-platform/src/gooseberrydeck_platform/etcd.py
+++ b/packages/gooseberrydeck-platform/src/gooseberrydeck_platform/etcd.py
@@ -28,6 +28,7 @@
     WatchBatch,
     WatchEvent,
 )
+from gooseberrydeck_platform.decoding import DecodingError, decode_json
 from gooseberrydeck_platform.etcd_messages import (
     CompareBody,
     DeleteBody,
@@ -208,8 +209,8 @@
         if response.status != 200:
             raise_error(response)
         try:
-            return msgspec.json.decode(response.body, type=response_type)
-        except msgspec.DecodeError as error:
+            return decode_json(response.body, response_type)
+        except DecodingError as error:
             raise StoreOutcomeUnknownError(str(error)) from error
 
     def close(self) -> None:
@@ -220,8 +221,8 @@
 def raise_error(response: HttpResponse) -> NoReturn:
     """Raise the store exception for an error response."""
     try:
-        failure = msgspec.json.decode(response.body, type=EtcdErrorResponse)
-    except msgspec.DecodeError:
+        failure = decode_json(response.body, EtcdErrorResponse)
+    except DecodingError:
         failure = EtcdErrorResponse(message=f"status {response.status}")
     raise error_type(failure)(failure.message)
 
@@ -246,8 +247,8 @@
     ``StoreUnavailableError`` if the message ends the watch or cannot be decoded.
     """
     try:
-        response = msgspec.json.decode(line, type=WatchResponse)
-    except msgspec.DecodeError as error:
+        response = decode_json(line, WatchResponse)
+    except DecodingError as error:
         raise StoreUnavailableError(
             f"watch message cannot be decoded: {error}"
         ) from error
--- a/packages/gooseberrydeck-platform/src/gooseberrydeck_platform/host_list_http.py
+++ b/packages/gooseberrydeck-platform/src/gooseberrydeck_platform/host_list_http.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from gooseberrydeck_platform.decoding import DecodingError, decode_json
 from gooseberrydeck_platform.exceptions import HostListUnavailableError
 from gooseberrydeck_platform.hosts import Host
 from gooseberrydeck_platform.http import HttpAddress, HttpError
@@ -37,8 +38,8 @@
                 f"host list returned status {response.status}"
             )
         try:
-            return msgspec.json.decode(response.body, type=HostListResponse).hosts
-        except msgspec.DecodeError as error:
+            return decode_json(response.body, HostListResponse).hosts
+        except DecodingError as error:
             raise HostListUnavailableError(str(error)) from error
 
     def close(self) -> None:
--- a/packages/gooseberrydeck-platform/src/gooseberrydeck_platform/worker_http.py
+++ b/packages/gooseberrydeck-platform/src/gooseberrydeck_platform/worker_http.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from gooseberrydeck_coordination.ids import TaskId
+from gooseberrydeck_platform.decoding import DecodingError, decode_json
 from gooseberrydeck_platform.exceptions import (
     OutcomeUnknownError,
     StaleFenceError,
@@ -121,8 +122,8 @@
         if response.status != 200:
             raise self.error_for(response)
         try:
-            return msgspec.json.decode(response.body, type=response_type)
-        except msgspec.DecodeError as error:
+            return decode_json(response.body, response_type)
+        except DecodingError as error:
             raise OutcomeUnknownError(f"{self.host.name}: {error}") from error
 
     def error_for(
@@ -134,8 +135,8 @@
         outcome is unknown.
         """
         try:
-            refusal = msgspec.json.decode(response.body, type=ErrorResponse)
-        except msgspec.DecodeError:
+            refusal = decode_json(response.body, ErrorResponse)
+        except DecodingError:
             return OutcomeUnknownError(f"{self.host.name}: status {response.status}")
         message = f"{self.host.name}: {refusal.message or refusal.error.value}"
         if refusal.error is ErrorKind.STALE_FENCE:
