--- a/tests/member/test_callers.py
+++ b/tests/member/test_callers.py
@@ -6,6 +6,8 @@
 
 import msgspec
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from gooseberrydeck_adapter import CallerCodec, decode_intent
 from gooseberrydeck_adapter.callers import DEFAULT_DEADLINE_S, MAX_DEADLINE_S
@@ -30,7 +32,7 @@
 from gooseberrydeck_standins.engine_store import EngineStore
 from gooseberrydeck_standins.faults import CallFault
 from gooseberrydeck_standins.store_engine import StoreEngine
-from odd_values import ODD_NUMBERS, deep, with_raw
+from odd_values import ODD_NUMBERS, deep, json_bytes, with_raw
 
 JOB = JobId("00000000000000aa")
 TOKEN = Epoch(7)
@@ -284,6 +286,41 @@
         assert self.call("DELETE")[0] == 503
 
 
+class TestOddRequests(CallerApplicationFixture):
+    # Guards against requests that end without a status.
+    @given(
+        st.sampled_from(["GET", "POST", "DELETE", "PUT", "\u00e4"]),
+        st.sampled_from(["/slow/", "/slow", ""]),
+        st.text(st.characters(max_codepoint=255), max_size=40),
+        st.sampled_from(["desk.example", "desk.example:x", ""]),
+        st.text(st.characters(max_codepoint=255), max_size=10),
+        st.binary(max_size=40) | json_bytes({"Steps": [STEP], "MaxRuns": 2}),
+        st.text(st.characters(max_codepoint=255), max_size=10),
+    )
+    def test_any_request_gets_a_status(
+        self,
+        method: str,
+        prefix: str,
+        job: str,
+        host: str,
+        key: str,
+        body: bytes,
+        deadline: str,
+    ) -> None:
+        lines: list[str] = []
+        environ = {
+            "REQUEST_METHOD": method,
+            "PATH_INFO": prefix + job,
+            "HTTP_HOST": host,
+            "HTTP_AUTHORIZATION": f"Bearer {key or 'key-1'}",
+            "HTTP_X_DEADLINE_MS": deadline,
+            "CONTENT_LENGTH": str(len(body)),
+            "wsgi.input": BytesIO(body),
+        }
+        self.application(environ, lambda line, _headers: lines.append(line))
+        assert 200 <= int(lines[0][:3]) < 500
+
+
 class TestOddBodies(CallerApplicationFixture):
     def submit_step(self, field: str, raw: bytes) -> int:
         body = with_raw({"Steps": [{**STEP, field: "RAW"}]}, raw)
