--- a/tests/platform_processes/test_members.py
+++ b/tests/platform_processes/test_members.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Iterator
 from pathlib import Path
 
+import msgspec
 import pytest
 
 from gooseberrydeck_adapter_standins.local_platform import (
@@ -13,6 +14,7 @@
 )
 from gooseberrydeck_standins.faults import FaultKind
 from gooseberrydeck_standins.processes import wait_for
+from odd_values import ODD_ADDRESSES, ODD_NUMBERS, deep, with_raw
 
 MEMBERS = ("m1", "m2", "m3")
 JOBS = 12
@@ -220,3 +222,41 @@
 def status_of(response: object) -> int:
     """Return the status of a response, or 0 without a response."""
     return int(getattr(response, "status", 0))
+
+
+class TestOddEntries:
+    # Guards against members that end by themselves, or stop following the workers,
+    # beside entries that another writer has left.
+    def test_jobs_run_beside_entries_of_another_writer(
+        self, cell: LocalPlatform
+    ) -> None:
+        entry: dict[str, object] = {
+            "Service": "desk",
+            "Address": "127.0.0.1:9",
+            "State": "ready",
+            "Capacity": {"Cpu": 4_000, "MemMb": 10},
+        }
+        odd = [
+            with_raw({**entry, "Extra": "RAW"}, deep(2_000)),
+            with_raw({**entry, "Extra": "RAW"}, deep(100_000)),
+            *(with_raw({**entry, "RemainingMs": "RAW"}, each) for each in ODD_NUMBERS),
+            *(with_raw({**entry, "born": "RAW"}, each) for each in ODD_NUMBERS),
+            *(
+                msgspec.json.encode({**entry, "Address": each})
+                for each in ODD_ADDRESSES
+            ),
+            b"\xff",
+        ]
+        for number, value in enumerate(odd):
+            cell.write(f"servers/odd-{number}", value)
+        submit_until_accepted(cell, path_of(1), job_body())
+        wait_state(cell, path_of(1), b"completed")
+        kill_holder(cell)
+        # A member that follows the list knows the new workers.
+        cell.workers[0].kill()
+        cell.add_workers(4)
+        cell.write("servers/odd-0", odd[-1])
+        submit_until_accepted(cell, path_of(2), job_body())
+        wait_state(cell, path_of(2), b"completed")
+        assert sum(member.is_alive() for member in cell.members.values()) == 2
+        assert cell.violations() == []
