Registrations: an id with blanks names no worker

With an entry at the key "servers/ w1" that has the address of w1, calls to " w1" were answered by w1 of the stand-ins: the id is sent in a header, and a server takes it without the blanks around it. The same worker is used twice then, and has twice its capacity.

Cause: any rest of a key was an id.

Evidence: the 7 cases of test_id_that_is_none failed before.

--- a/tests/adapter/test_odd_registrations.py
+++ b/tests/adapter/test_odd_registrations.py
@@ -74,6 +74,17 @@
     def test_bytes_that_are_no_entry(self, value: bytes) -> None:
         refuse(value)
 
+    # Guards against a worker that is used twice: its server takes the id in the header
+    # of a call without the blanks around it, and an empty one may count as none.
+    @pytest.mark.parametrize(
+        "name", ["", " w1", "w1 ", "w1\t", "w\n1", "w 1", "\u00e4"]
+    )
+    def test_id_that_is_none(self, name: str) -> None:
+        value = msgspec.json.encode(ENTRY)
+        assert decode_registration("servers/w-1.a_B", value).worker == "w-1.a_B"
+        with pytest.raises(DecodingError):
+            decode_registration(f"servers/{name}", value)
+
     def test_long_state_is_not_quoted_in_full(self) -> None:
         refuse(msgspec.json.encode({**ENTRY, "State": "x" * 100_000}))
 
