Registrations: an odd entry doesn't say that its worker has left

Cause: since a worker whose entry becomes unreadable counted as unregistered. The scheduler takes an unregistered worker that is silent for gone: it doesn't wait for starts that such a worker may execute late, and counts it among the crashed ones. An odd entry says neither.

Fix: such a worker has an obstacle of its own, worker_entry_unreadable: nothing new starts there, and what it may run or start late is waited for as before.

Evidence: the assertion on is_registered in test_worker_is_not_used_while_its_entry_is_odd, and the new obstacle among those of tests/member/test_changes_before_sending.py.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
@@ -156,7 +156,8 @@
             # Stored again, since a successor has to know that the worker may leave.
             worker.is_recorded = False
         worker.available_until_s = now_s + (entry.remaining_s or 0.0)
-        if entry != worker.entry or not worker.is_registered:
+        is_back = not (worker.is_registered and worker.has_readable_entry)
+        if entry != worker.entry or is_back:
             self.ledger.have_workers_changed = True
             self.ledger.freed[worker.id] = worker
         worker.has_had(entry.capacity)
@@ -164,7 +165,7 @@
             worker.free = worker.free + (entry.capacity - worker.entry.capacity)
             self.ledger.health.capacity_changed(worker.id)
         worker.entry = entry
-        worker.is_registered = True
+        worker.is_registered = worker.has_readable_entry = True
         return False
 
     def worker_recorded(self, entry: Registration, now_s: float) -> None:
@@ -184,6 +185,13 @@
             worker.is_registered = False
             self.ledger.have_workers_changed = True
 
+    def worker_unreadable(self, worker_id: WorkerId) -> None:
+        """Start nothing more on a worker until its entry can be read again."""
+        worker = self.ledger.workers.get(worker_id)
+        if worker is not None and worker.has_readable_entry:
+            worker.has_readable_entry = False
+            self.ledger.have_workers_changed = True
+
     def predecessor_may_act(self, until_s: float) -> None:
         """Mark a predecessor as possibly commanding workers until ``until_s``."""
         self.takeover.predecessor_may_act(until_s)
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
@@ -84,6 +84,7 @@
     HAS_ORPHANED_RUNS = "worker_has_orphaned_runs"
     UNREACHABLE = "worker_unreachable"
     UNREGISTERED = "worker_unregistered"
+    ENTRY_UNREADABLE = "worker_entry_unreadable"
     RESTARTING = "worker_restarting"
     DRAINING = "worker_draining"
 
@@ -432,6 +433,7 @@
         "free",
         "has_lapsed",
         "has_orphaned_runs",
+        "has_readable_entry",
         "has_reported",
         "id",
         "inherited_starts",
@@ -476,6 +478,8 @@
         # True from when all leases have expired on a silent worker until it answers.
         self.has_lapsed = False
         self.is_registered = True
+        # False while its entry names no worker, which doesn't say that it has left.
+        self.has_readable_entry = True
         self.is_restarting = False
         self.last_reply_s = 0.0
         # When it answered after its last silence.
@@ -518,6 +522,8 @@
             return WorkerObstacle.DRAINING
         if not self.is_registered:
             return WorkerObstacle.UNREGISTERED
+        if not self.has_readable_entry:
+            return WorkerObstacle.ENTRY_UNREADABLE
         if self.is_restarting:
             return WorkerObstacle.RESTARTING
         if not self.is_reachable:
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/worker_registry.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/worker_registry.py
@@ -117,7 +117,7 @@
     def registration_unreadable(self, key: str, value: bytes, reason: str) -> None:
         """Ignore an entry that names no worker, and log each new reason for that.
 
-        A worker that the entry named before starts nothing new, as after a takeover.
+        A worker that the entry named before starts nothing new, but may be alive.
         """
         self.metrics.unreadable_entries.labels("registration").inc()
         if self.unreadable.get(key) != reason:
@@ -125,7 +125,7 @@
             log.warning(
                 "registration unreadable", key=key, bytes=len(value), reason=reason
             )
-        self.scheduler.worker_unregistered(WorkerId(key.removeprefix(self.prefix)))
+        self.scheduler.worker_unreadable(WorkerId(key.removeprefix(self.prefix)))
 
     def add_worker(self, entry: Registration, now_s: float) -> None:
         """Register a worker with the scheduler and connect to its current address."""
--- a/tests/followed_task.py
+++ b/tests/followed_task.py
@@ -8,6 +8,7 @@
 from gooseberrydeck_coordination.ids import MemberId, Revision
 from gooseberrydeck_coordination.store import Operation, Put, Transaction
 from gooseberrydeck_fleet.registrations import Registration
+from gooseberrydeck_fleet.state import WorkerObstacle
 from gooseberrydeck_fleet.worker_calls import WorkerCalls
 from gooseberrydeck_member.advice_pool import AdvicePool
 from gooseberrydeck_member.authority import Authority, boottime_clock_s
@@ -88,7 +89,10 @@
     def usable(self) -> set[str]:
         """Return the workers on which tasks may start once they have answered."""
         workers = self.task.scheduler.ledger.workers.values()
-        return {str(each.id) for each in workers if each.is_registered}
+        unusable = (WorkerObstacle.UNREGISTERED, WorkerObstacle.ENTRY_UNREADABLE)
+        return {
+            str(each.id) for each in workers if each.find_obstacle() not in unusable
+        }
 
     def ignored(self, kind: str = "registration") -> float:
         """Return how many entries of a kind were ignored."""
--- a/tests/member/test_changes_before_sending.py
+++ b/tests/member/test_changes_before_sending.py
@@ -213,6 +213,9 @@
     WorkerObstacle.UNREGISTERED.value: (
         lambda each: each.scheduler.worker_unregistered(WORKER)
     ),
+    WorkerObstacle.ENTRY_UNREADABLE.value: (
+        lambda each: each.scheduler.worker_unreadable(WORKER)
+    ),
     WorkerObstacle.UNREACHABLE.value: (
         lambda each: each.scheduler.worker_silent(WORKER, each.now_s)
     ),
--- a/tests/member/test_odd_registrations.py
+++ b/tests/member/test_odd_registrations.py
@@ -94,6 +94,8 @@
         followed.watch()
         assert followed.usable() == set()
         assert WorkerId("odd") in followed.task.workers.poll_states
+        # It may be alive: what it may run or start late is waited for.
+        assert followed.task.scheduler.ledger.workers[WorkerId("odd")].is_registered
         followed.put("odd")
         followed.watch()
         assert followed.usable() == {"odd"}
