Soak: tasks of one size beside standing tasks, so that room is known

Jobs of two sizes made the check count each run as one of the larger, which left no room on workers that had some: standstills of 14 s went unreported.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -48,6 +48,9 @@
 class JobClient:
     """Client that submits jobs to random members, with retries."""
 
+    cpu_millis: tuple[int, ...] = (1_000, 3_000)
+    """What a task may use; drawn for each job."""
+
     def __init__(
         self, cell: Cell, seed: int, with_crashes: bool, with_periodic: bool
     ) -> None:
@@ -89,7 +92,7 @@
         body = job_body(
             seconds=self.rng.uniform(0.1, 1.2),
             tasks=self.rng.randint(1, 4),
-            cpu=self.rng.choice((1_000, 3_000)),
+            cpu=self.rng.choice(self.cpu_millis),
             steps=self.rng.randint(1, 2),
             crashing=0 if is_deadly else -1,
             occurrences=self.rng.randint(2, 4) if is_periodic else 0,
--- a/soak/lasting.py
+++ b/soak/lasting.py
@@ -52,9 +52,8 @@
 
 FIRST_STANDING_JOB = 0xF000
 MAX_ATTEMPTS = 20
-STANDING_CPU_MILLIS = 1_000
-MAX_CPU_MILLIS = 3_000
-"""The most that a task of another job uses."""
+CPU_MILLIS = 1_000
+"""What each task uses, standing or not."""
 
 SLOW_SHARE = 0.08
 """Share of the jobs on the queue ``slow``, whose steps need advice."""
@@ -126,6 +125,8 @@
 class LastingClient(JobClient):
     """Client that submits standing jobs before any others."""
 
+    cpu_millis = (CPU_MILLIS,)
+
     def __init__(self, cell: "LastingCell", seed: int, with_crashes: bool) -> None:
         """Create a client whose jobs are generated from a seed."""
         super().__init__(cell, seed, with_crashes, with_periodic=False)
@@ -145,7 +146,7 @@
 
     def submit_standing(self, path: str) -> None:
         """Submit a standing job under one id until it is accepted."""
-        body = job_body(tasks=TASKS_A_JOB, cpu=STANDING_CPU_MILLIS, LongRunning=True)
+        body = job_body(tasks=TASKS_A_JOB, cpu=CPU_MILLIS, LongRunning=True)
         for attempt in range(MAX_ATTEMPTS):
             response = self.connections.call(
                 self.cell.member(attempt), "POST", path, body
@@ -283,7 +284,7 @@
         lives = [self.life(each.worker, each.spans) for each in self.platform.ledgers()]
         spans = [span for life in lives for span in life.spans]
         standstills = find_standstills(client.standing_tasks(), spans, until_s)
-        rooms = Rooms(lives, self.outages, cpu_of, STANDING_CPU_MILLIS, ALLOWED_SHARE)
+        rooms = Rooms(lives, self.outages, ALLOWED_SHARE)
         return standstills, find_lost(standstills, self.outages, rooms.has_room)
 
     def life(self, worker: str, spans: list[RunSpan]) -> WorkerLife:
@@ -292,12 +293,7 @@
         return WorkerLife(
             worker,
             spans,
-            WORKER_CPUS * 1_000,
+            WORKER_CPUS * 1_000 // CPU_MILLIS,
             self.began_s[number],
             self.killed_s.get(number, time.time()),
         )
-
-
-def cpu_of(span: RunSpan) -> int:
-    """Return the most that a run may use."""
-    return STANDING_CPU_MILLIS if span.is_standing else MAX_CPU_MILLIS
--- a/soak/standing.py
+++ b/soak/standing.py
@@ -2,7 +2,7 @@
 
 import itertools
 import math
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Iterable, Mapping
 from typing import Protocol
 
 import msgspec
@@ -49,11 +49,14 @@
 
 
 class WorkerLife(msgspec.Struct, frozen=True):
-    """A worker with the spans of its runs, from its start to its end."""
+    """A worker with the spans of its runs, from its start to its end.
+
+    It has room for ``slots`` runs.
+    """
 
     worker: str
     spans: list[RunSpan]
-    cpu_millis: int
+    slots: int
     began_s: float = -math.inf
     ended_s: float = math.inf
 
@@ -152,18 +155,13 @@
         self,
         lives: list[WorkerLife],
         outages: Iterable[Outage],
-        cpu_of: Callable[[RunSpan], int],
-        task_cpu_millis: int,
         allowed_share: float = 1.0,
     ) -> None:
-        """Create a record of the room for tasks that use ``task_cpu_millis`` each.
+        """Create a record of the room on workers with tasks of one size.
 
-        ``cpu_of`` returns what a run uses, or the most that it may use.
         ``allowed_share`` is that of the workers which the advice allows for a step.
         """
         self.lives = lives
-        self.cpu_of = cpu_of
-        self.task_cpu_millis = task_cpu_millis
         self.allowed_share = allowed_share
         self.unavailable: dict[str, list[tuple[float, float]]] = {}
         for outage in outages:
@@ -175,14 +173,14 @@
         """Return True if several tasks like ``task`` could have been started."""
         step = step_name(task.step_ref)
         free = sum(
-            self.free_cpu_millis(life, at_s) // self.task_cpu_millis
+            self.free_slots(life, at_s)
             for life in self.lives
             if is_allowed(step, life.worker, self.allowed_share)
         )
         return free >= SPARE_TASKS
 
-    def free_cpu_millis(self, life: WorkerLife, at_s: float) -> int:
-        """Return the free capacity of a worker, 0 unless it was certainly available."""
+    def free_slots(self, life: WorkerLife, at_s: float) -> int:
+        """Return the free slots of a worker, 0 unless it was certainly available."""
         crashed_s = (each.ended_s for each in life.spans if each.kind == CRASHED)
         unavailable = itertools.chain(
             self.unavailable.get(life.worker, ()),
@@ -192,9 +190,5 @@
             began_s <= at_s <= ended_s for began_s, ended_s in unavailable
         ):
             return 0
-        used = sum(
-            self.cpu_of(span)
-            for span in life.spans
-            if span.began_s <= at_s <= span.ended_s
-        )
-        return max(0, life.cpu_millis - used)
+        used = sum(span.began_s <= at_s <= span.ended_s for span in life.spans)
+        return max(0, life.slots - used)
--- a/tests/platform_processes/test_standing.py
+++ b/tests/platform_processes/test_standing.py
@@ -17,8 +17,7 @@
 )
 
 TASK = TaskRef(JobId("000000000000f000"), 0, 0, 0)
-CPU_MILLIS = 8_000
-TASK_CPU_MILLIS = 1_000
+SLOTS = 8
 
 
 def span(run: int, began_s: float, ended_s: float, kind: str = "lapsed") -> RunSpan:
@@ -89,13 +88,11 @@
 def rooms(
     *lives: WorkerLife, outages: tuple[Outage, ...] = (), share: float = 1.0
 ) -> Rooms:
-    return Rooms(
-        list(lives), outages, lambda _span: TASK_CPU_MILLIS, TASK_CPU_MILLIS, share
-    )
+    return Rooms(list(lives), outages, share)
 
 
 def life(*spans: RunSpan, began_s: float = 0.0, ended_s: float = 99.0) -> WorkerLife:
-    return WorkerLife("w1", list(spans), CPU_MILLIS, began_s, ended_s)
+    return WorkerLife("w1", list(spans), SLOTS, began_s, ended_s)
 
 
 class TestRooms:
