--- a/soak/lasting.py
+++ b/soak/lasting.py
@@ -177,6 +177,8 @@
         self.began_s: list[float] = []
         self.killed_s: dict[int, float] = {}
         self.outages: list[Outage] = []
+        self.additions: list[threading.Thread] = []
+        self.addition_lock = threading.Lock()
         super().__init__(platform, with_rebirths=False)
         for _ in range(LASTING_WORKERS - WORKERS):
             self.add_worker()
@@ -226,10 +228,19 @@
         def end() -> None:
             for number in rack:
                 self.lapse_entry(number, 0.0)
-                self.add_worker()
+            # In a thread, since other faults end while workers start.
+            thread = threading.Thread(target=self.add_workers, args=(len(rack),))
+            thread.start()
+            self.additions.append(thread)
 
         return end
 
+    def add_workers(self, count: int) -> None:
+        """Start several workers."""
+        for _ in range(count):
+            with self.addition_lock:
+                self.add_worker()
+
     def begin_restart_rack(self, fault: Fault) -> Callable[[], None]:
         """Crash several workers together, which start again under their ids."""
         rack = self.rack(fault)
@@ -272,6 +283,8 @@
         """Clear all faults and let the cell run without any."""
         began_s = time.time()
         self.recover()
+        for thread in self.additions:
+            thread.join()
         self.platform.wait_ready()
         self.outages.append(Outage(began_s, time.time()))
         time.sleep(OBSERVED_S)
--- a/tests/platform_processes/test_soak.py
+++ b/tests/platform_processes/test_soak.py
@@ -19,8 +19,10 @@
 
 CRASH_SEED = 307
 SERIES_SEED = 501
+LASTING_SEED = 801
 LENGTH_S = 6.0
 SERIES_LENGTH_S = 10.0
+LASTING_LENGTH_S = 12.0
 JOB = "0000000000000003"
 
 
@@ -106,3 +108,12 @@
         assert report.broken == []
         assert report.accepted > 0
         assert report.shown_completed > 0
+
+    # Guards against standing tasks that stand still beside workers with room.
+    def test_standing_tasks_run_again_after_racks_have_crashed(
+        self, tmp_path: Path
+    ) -> None:
+        report = run_seed(LASTING_SEED, tmp_path, LASTING_LENGTH_S, draw=Draw.LASTING)
+        assert report.broken == []
+        assert report.accepted > 0
+        assert report.standstills
