Bound how long a long-running task waits as a suspect, from the loss

Cause: a task whose run was lost with a crashed worker is a suspect, and four waits followed one another without a common bound: the wait for evidence (up to 10 s), the pause that doubles with each crash ever counted, a queue of 0.5 s for each task whose worker had vanished, and the wait for a separate worker. Each began when the former ended, and not when the worker fell silent. The queue was worst: all tasks of all racks stood in one line, each behind the pauses of those before it.

Now a long-running task has no pause, waits up to 7 s for evidence and up to 8 s for a worker of its own, both from the moment its worker fell silent, also for a successor. The line of 0.5 s serves what it is for, crashes that must not coincide: only the tasks stand in it that have much of the blame, whether their workers vanished or not, and nobody waits in it beyond the other waits.

Evidence: tests/fleet/test_standing_crashes.py, without network. The bound, 9 s, is the rule's: 6 s after the last run, and 3 s more with room.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/crashes.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/crashes.py
@@ -145,7 +145,8 @@
 class Silence:
     """A worker that has stopped answering, and its runs then.
 
-    It did so between the Unix times ``from_s`` and ``since_s``. ``explained`` is the
+    It did so between the Unix times ``from_s`` and ``since_s``; ``monotonic_s`` is the
+    former on the local clock, unless a predecessor noticed it. ``explained`` is the
     blame, up to 1, of the suspect that it was most likely crashed by.
     ``unregistered_s`` is the monotonic time at which its registration was found
     removed, if it was.
@@ -158,6 +159,7 @@
         "from_s",
         "is_recorded",
         "is_vanished",
+        "monotonic_s",
         "runs",
         "since_s",
         "unregistered_s",
@@ -171,6 +173,7 @@
         born_ms: int,
         since_s: float,
         from_s: float,
+        monotonic_s: float | None = None,
     ) -> None:
         """Record that the worker's process answers no more."""
         self.worker = worker
@@ -178,6 +181,7 @@
         self.born_ms = born_ms
         self.since_s = since_s
         self.from_s = from_s
+        self.monotonic_s = monotonic_s
         self.runs: dict[tuple[TaskRef, int], PresentRun] = {}
         self.explained = 0.0
         self.is_recorded = False
@@ -207,7 +211,7 @@
 
     def set_time(self, now_s: float, wall_s: float) -> None:
         """Set the relation between the clocks."""
-        self.wall_offset_s = wall_s - now_s
+        self.wall_offset_s = self.suspects.wall_offset_s = wall_s - now_s
 
     # Silence.
 
@@ -224,12 +228,20 @@
             return
         since_s = now_s + self.wall_offset_s
         address = str(worker.entry.address)
-        earliest_s = since_s if from_s is None else from_s + self.wall_offset_s
-        silence = Silence(worker.id, address, worker.born_ms, since_s, earliest_s)
+        earliest_s = now_s if from_s is None else from_s
+        silence = Silence(
+            worker.id,
+            address,
+            worker.born_ms,
+            since_s,
+            earliest_s + self.wall_offset_s,
+            earliest_s,
+        )
         for key, run in worker.runs.items():
             age_s = max(0.0, now_s - run.started_s)
             silence.runs[key] = PresentRun(run.task, run.number, age_s)
             self.explain(silence, run.task)
+            self.suspects.worker_silent(run.task, earliest_s)
         self.add_silence(silence)
 
     def explain(self, silence: Silence, task: Task) -> None:
@@ -247,7 +259,7 @@
         """Apply a stored record of a task."""
         task.crashes[record.run] = record
         if record.is_counted:
-            self.suspects.add(task, record.age_s, 0.0)
+            self.suspects.add(task, record.age_s, 0.0, None)
             if not record.is_vanished:
                 return
         silence = self.silences.get(record.worker)
@@ -339,7 +351,8 @@
                 continue
             self.record(silence, present, share * relevance, relevance, is_vanished)
             if is_suspect:
-                self.suspects.add(task, present.age_s, now_s, is_vanished)
+                since_s = silence.monotonic_s
+                self.suspects.add(task, present.age_s, now_s, since_s)
             blamed.append(self.judge(present, share))
         self.reports.append(
             CrashReport(
@@ -510,7 +523,7 @@
             task = present.task
             is_waiting = task.is_waiting and not task.step.job.state.is_final
             if is_waiting and is_suspect and not self.suspects.is_suspect(task):
-                self.suspects.add(task, present.age_s, now_s)
+                self.suspects.add(task, present.age_s, now_s, silence.monotonic_s)
 
     def take_reports(self) -> list[CrashReport]:
         """Return the crashes since the last call, each once."""
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/serving.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/serving.py
@@ -367,7 +367,7 @@
         it may permit a separate worker.
         """
         suspects = self.ledger.suspects
-        retry_s = min(suspects.retry_s(task) for task in tasks)
+        retry_s = min(suspects.retry_s(task, now_s) for task in tasks)
         self.retry_at(step, max(retry_s, now_s + SUSPECT_RETRY_S))
         turns = [suspects.take_advice_turn(task) for task in tasks]
         if any(turns) or not has_room:
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/suspects.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/suspects.py
@@ -5,6 +5,7 @@
 names one of them. One that already has much of the blame gets a worker of its own.
 """
 
+import math
 from collections.abc import Collection, Iterable
 
 from gooseberrydeck_fleet.crash_records import total_blame
@@ -41,8 +42,19 @@
 one."""
 
 START_GAP_S = 0.5
-"""Time between the starts of tasks whose workers have vanished, so that workers that
-vanish again do so one after the other, and not for a common reason."""
+"""Time between the starts of the tasks that are most to blame for several crashes, so
+that workers that crash again do so one after the other, and not for a common reason."""
+
+MIN_RELATIVE_BLAME = 0.2
+"""Tasks wait for their turn whose blame is at least this part of the largest."""
+
+MAX_STANDING_PAUSE_S = 7.0
+"""Time after a worker has fallen silent from which its long-running tasks don't wait
+for evidence of a crash any more."""
+
+MAX_STANDING_WAIT_S = 8.0
+"""Time after a worker has fallen silent from which its long-running tasks may start on
+any worker. The platform counts a task as lost that doesn't run for 9 s."""
 
 RUN_BESIDE_PENALTY = 1.0
 """Rank penalty of a worker for each run that a suspect would endanger there."""
@@ -54,35 +66,47 @@
     It is cleared by a run that takes longer than ``age_s``.
     """
 
-    __slots__ = ("age_s", "has_asked_advice", "retry_s", "task", "waits_since_s")
+    __slots__ = (
+        "age_s",
+        "has_asked_advice",
+        "retry_s",
+        "silent_since_s",
+        "task",
+        "waits_since_s",
+    )
 
     def __init__(self, task: Task) -> None:
         """Suspect a task."""
         self.task = task
         self.age_s = 0.0
         self.retry_s = 0.0
+        # When the worker of its last lost run fell silent; None if that is only known
+        # from the records of a predecessor.
+        self.silent_since_s: float | None = None
         # When a start was first considered since the last crash.
         self.waits_since_s: float | None = None
         self.has_asked_advice = False
 
+    @property
+    def blame(self) -> float:
+        """Return all the blame of the task."""
+        return total_blame(self.task.crashes.values())
+
     @property
     def is_strong(self) -> bool:
         """Return True if the task has much of the blame for a crash."""
-        return total_blame(self.task.crashes.values()) >= STRONG_BLAME
+        return self.blame >= STRONG_BLAME
+
+    @property
+    def crashes(self) -> int:
+        """Return the number of crashes under the task."""
+        return sum(record.is_counted for record in self.task.crashes.values())
 
     @property
     def patience_s(self) -> float:
         """Return how long the task waits for a worker as it needs it."""
         return WAIT_FOR_OWN_S if self.is_strong else WAIT_FOR_SEPARATE_S
 
-    def waited_s(self, now_s: float) -> float:
-        """Return how long ago a start was first considered since the last crash."""
-        if now_s < self.retry_s:
-            return 0.0
-        if self.waits_since_s is None:
-            self.waits_since_s = now_s
-        return now_s - self.waits_since_s
-
 
 class SuspectTracker:
     """Keep suspects on separate workers until they are cleared or given up."""
@@ -94,28 +118,40 @@
         self.trials: dict[WorkerId, Run] = {}
         # Those workers on which nothing may start beside it.
         self.reserved: set[WorkerId] = set()
-        # When the next task may start whose workers have vanished.
-        self.next_start_s = 0.0
+        # When the next of the tasks that are most to blame may start.
+        self.next_turn_s = 0.0
+        self.largest_blame = 0.0
+        # Difference between Unix time and the monotonic clock.
+        self.wall_offset_s = 0.0
 
     def add(
-        self, task: Task, age_s: float, now_s: float, has_vanished: bool = False
+        self,
+        task: Task,
+        age_s: float,
+        now_s: float,
+        silent_since_s: float | None,
     ) -> None:
         """Suspect a task whose run was lost at an age of ``age_s``.
 
-        ``has_vanished`` says that its worker has only vanished.
+        Its worker fell silent at ``silent_since_s``, which is None if a predecessor has
+        recorded that.
         """
         suspect = self.suspects.get(task.ref)
         if suspect is None:
             suspect = self.suspects[task.ref] = Suspect(task)
         suspect.age_s = max(suspect.age_s, age_s)
+        self.worker_silent(task, silent_since_s)
         suspect.waits_since_s = None
         suspect.has_asked_advice = False
-        crashes = sum(record.is_counted for record in task.crashes.values())
-        if crashes > 1:
-            suspect.retry_s = now_s + FIRST_PAUSE_S * 2 ** (crashes - 2)
-            if has_vanished:
-                suspect.retry_s = max(suspect.retry_s, self.next_start_s)
-                self.next_start_s = suspect.retry_s + START_GAP_S
+        # A long-running task must run again soon; others have time for a pause.
+        if suspect.crashes > 1 and not task.step.spec.is_standing:
+            suspect.retry_s = now_s + FIRST_PAUSE_S * 2 ** (suspect.crashes - 2)
+
+    def worker_silent(self, task: Task, since_s: float | None) -> None:
+        """Note since when a worker with a run of a task has been silent, if known."""
+        suspect = self.suspects.get(task.ref)
+        if suspect is not None and since_s is not None:
+            suspect.silent_since_s = max(since_s, suspect.silent_since_s or 0.0)
 
     def is_suspect(self, task: Task) -> bool:
         """Return True if a task may have crashed a worker, and is not cleared."""
@@ -125,10 +161,25 @@
         """Stop suspecting a task."""
         self.suspects.pop(task.ref, None)
 
-    def retry_s(self, task: Task) -> float:
+    def retry_s(self, task: Task, now_s: float) -> float:
         """Return the monotonic time from which a task may start."""
         suspect = self.suspects.get(task.ref)
-        return 0.0 if suspect is None else suspect.retry_s
+        if suspect is None:
+            return 0.0
+        if not task.step.spec.is_standing:
+            return suspect.retry_s
+        return min(
+            suspect.retry_s, self.silent_since_s(suspect, now_s) + MAX_STANDING_PAUSE_S
+        )
+
+    def silent_since_s(self, suspect: Suspect, now_s: float) -> float:
+        """Return when the worker of a suspect's last lost run fell silent."""
+        if suspect.silent_since_s is None:
+            records = suspect.task.crashes.values()
+            silent_s = max((record.silent_s for record in records), default=math.inf)
+            # The predecessor's clock may be ahead.
+            suspect.silent_since_s = min(now_s, silent_s - self.wall_offset_s)
+        return suspect.silent_since_s
 
     def postpone(self, task: Task, until_s: float) -> None:
         """Keep a suspect from starting until a monotonic time at least."""
@@ -145,7 +196,9 @@
     def review(self, now_s: float) -> list[Task]:
         """Clear the suspects that work and return them; forget those that ended."""
         cleared = []
+        self.largest_blame = 0.0
         for suspect in list(self.suspects.values()):
+            self.largest_blame = max(self.largest_blame, suspect.blame)
             task = suspect.task
             if task.is_done or task.step.job.state.is_final:
                 self.discard(task)
@@ -185,15 +238,34 @@
         if suspect is None:
             return
         suspect.waits_since_s = None
+        if self.takes_turns(suspect):
+            self.next_turn_s = run.started_s + START_GAP_S
         self.trials[run.worker.id] = run
         if suspect.is_strong:
             self.reserved.add(run.worker.id)
 
+    def takes_turns(self, suspect: Suspect) -> bool:
+        """Return True if a suspect is among those that start one after the other."""
+        least = MIN_RELATIVE_BLAME * self.largest_blame
+        return suspect.crashes > 1 and suspect.blame >= least
+
+    def waited_s(self, suspect: Suspect, now_s: float) -> float:
+        """Return how long ago a start was first considered since the last crash."""
+        if now_s < self.retry_s(suspect.task, now_s):
+            return 0.0
+        if suspect.waits_since_s is None:
+            suspect.waits_since_s = now_s
+        return now_s - suspect.waits_since_s
+
     def has_waited_enough(self, task: Task, now_s: float) -> bool:
         """Return True if a suspect may start on any worker."""
         suspect = self.suspects[task.ref]
         limit_s = WAIT_FOR_ANY_FACTOR * suspect.patience_s
-        return suspect.waited_s(now_s) >= limit_s
+        if self.waited_s(suspect, now_s) >= limit_s:
+            return True
+        if not task.step.spec.is_standing:
+            return False
+        return now_s >= self.silent_since_s(suspect, now_s) + MAX_STANDING_WAIT_S
 
     def without_crashed(
         self, task: Task, workers: Iterable[Worker], now_s: float
@@ -223,14 +295,16 @@
         worker.
         """
         suspect = self.suspects[task.ref]
-        if now_s < suspect.retry_s:
-            return False
         if self.has_waited_enough(task, now_s):
             return True
+        if now_s < self.retry_s(task, now_s):
+            return False
+        if now_s < self.next_turn_s and self.takes_turns(suspect):
+            return False
         is_strong = suspect.is_strong
         is_occupied = worker.id in occupied
         is_separate = not is_occupied and len(occupied) < max_occupied
-        if suspect.waited_s(now_s) >= suspect.patience_s:
+        if self.waited_s(suspect, now_s) >= suspect.patience_s:
             return is_separate or (is_occupied and not is_strong)
         return is_separate and not (is_strong and worker.runs)
 
--- /dev/null
+++ b/tests/fleet/test_standing_crashes.py
@@ -0,0 +1,230 @@
+"""Tests that long-running tasks run again soon after the crashes of their workers.
+
+The platform counts a long-running task as lost that has no run from 6 s after its last
+one ended, for 3 s in which workers have room for it.
+"""
+
+import itertools
+import random
+
+import pytest
+
+from fleet_support import URGENT, Fleet, Rebirth, task_resources
+from gooseberrydeck_coordination.ids import JobId
+from gooseberrydeck_fleet.ids import TaskRef, WorkerId
+from gooseberrydeck_fleet.work import JobState, StepSpec
+from gooseberrydeck_fleet.worker_calls import StartRequest
+from gooseberrydeck_standins.fleet_worker import RunPlan
+
+MAX_WITHOUT_RUN_S = 6.0 + 3.0
+"""How long a long-running task may have no run, of which the last ``ROOM_S`` count only
+if a worker has room for it."""
+
+ROOM_S = 3.0
+RACKS = 3
+RACK_SIZE = 8
+TASKS = 8
+"""Tasks of each long-running job."""
+
+ONE = task_resources()
+BATCH = task_resources(cores=2.5)
+BATCH_JOBS_PER_S = 2.0
+TICK_S = 0.1
+BEFORE_S = 6.0
+AFTER_S = 40.0
+
+CRASHES = 3
+"""Crashes under a task after which the platform limits its starts."""
+
+MAX_LATER_STARTS = 2
+"""Starts after so many crashes."""
+
+
+class StandingFleet(Fleet):
+    """A fleet that observes how long each long-running task has had no run."""
+
+    def __init__(self, workers: int = RACKS * RACK_SIZE) -> None:
+        self.standing: list[TaskRef] = []
+        self.last_run_s: dict[TaskRef, float] = {}
+        self.room_since_s: float | None = None
+        # The longest time without a run, with room at its end.
+        self.longest_s: dict[TaskRef, float] = {}
+        self.rng = random.Random(1)
+        self.batch_numbers = itertools.count()
+        super().__init__(workers)
+
+    def submit_standing(self, jobs: int) -> None:
+        """Submit long-running jobs."""
+        for number in range(jobs):
+            spec = StepSpec(TASKS, ONE, is_standing=True)
+            job = self.submit(f"standing{number}", spec)
+            self.standing += [TaskRef(job, 0, 0, each) for each in range(TASKS)]
+
+    def step(self) -> None:
+        """Go on, and observe the long-running tasks."""
+        super().step()
+        running = {task for engine in self.engines.values() for task in engine.runs}
+        workers = self.scheduler.ledger.workers.values()
+        if not any(each.can_start and ONE.fits_in(each.free) for each in workers):
+            self.room_since_s = None
+        elif self.room_since_s is None:
+            self.room_since_s = self.now_s
+        has_room = (
+            self.room_since_s is not None and self.now_s - self.room_since_s >= ROOM_S
+        )
+        for task in self.standing:
+            without_s = self.now_s - self.last_run_s.get(task, self.now_s)
+            if task in running or task not in self.last_run_s:
+                self.last_run_s[task] = self.now_s
+            elif has_room and without_s > self.longest_s.get(task, 0.0):
+                self.longest_s[task] = without_s
+
+    def work_for(self, seconds: float) -> None:
+        """Go on while short jobs arrive."""
+        for _ in range(round(seconds / TICK_S)):
+            if self.rng.random() < BATCH_JOBS_PER_S * TICK_S:
+                name = f"batch{next(self.batch_numbers)}"
+                self.submit(name, StepSpec(6, BATCH), queue_name=URGENT, seconds=1.0)
+            self.run_for(TICK_S)
+
+    def crash_rack(self, rack: int) -> None:
+        """Crash the workers that are up in a rack."""
+        for worker in list(self.engines.keys() - self.down.keys()):
+            if self.place(worker) // RACK_SIZE == rack % RACKS:
+                self.crash_worker(worker)
+
+    def place(self, worker: WorkerId) -> int:
+        """Return the number of a worker, whatever it is called since its rebirth."""
+        return int(worker.strip("w-"))
+
+    def too_long(self) -> dict[TaskRef, float]:
+        """Return the tasks that stood still for too long, and how long."""
+        return {
+            task: round(seconds, 2)
+            for task, seconds in self.longest_s.items()
+            if seconds > MAX_WITHOUT_RUN_S
+        }
+
+
+def failed_jobs(fleet: Fleet) -> list[JobId]:
+    """Return the jobs that were given up."""
+    return [job for job, ended in fleet.ended.items() if ended.state is JobState.FAILED]
+
+
+class TestRacksThatCrash:
+    def crash_racks(self, fleet: StandingFleet, crashes: int, gap_s: float) -> None:
+        """Let racks crash one after the other while long-running tasks run."""
+        fleet.submit_standing(jobs=8)
+        fleet.work_for(BEFORE_S)
+        for number in range(crashes):
+            fleet.crash_rack(number)
+            fleet.work_for(gap_s)
+        fleet.work_for(AFTER_S)
+        assert fleet.too_long() == {}
+        assert failed_jobs(fleet) == []
+        assert fleet.violations() == []
+
+    # Guards against tasks that wait for one another's turns to start, for half a minute
+    # and more, after racks have crashed whose workers come back elsewhere.
+    @pytest.mark.parametrize("gap_s", [4.7, 5.5, 7.0])
+    @pytest.mark.parametrize("crashes", [3, 6])
+    def test_one_after_the_other_with_workers_that_come_back_elsewhere(
+        self, gap_s: float, crashes: int
+    ) -> None:
+        fleet = StandingFleet()
+        fleet.rebirth = Rebirth.ELSEWHERE
+        self.crash_racks(fleet, crashes, gap_s)
+
+    # Guards against a pause that doubles with each crash, whoever is to blame.
+    @pytest.mark.parametrize("rebirth", [Rebirth.SAME_ID, Rebirth.SAME_ADDRESS])
+    @pytest.mark.parametrize("gap_s", [6.0, 7.0])
+    def test_again_and_again(self, rebirth: Rebirth, gap_s: float) -> None:
+        fleet = StandingFleet()
+        fleet.rebirth = rebirth
+        self.crash_racks(fleet, crashes=9, gap_s=gap_s)
+
+    # Guards against a successor that begins to count when it takes over.
+    @pytest.mark.parametrize("rebirth", [Rebirth.SAME_ID, Rebirth.ELSEWHERE])
+    @pytest.mark.parametrize("ahead_s", [-5.0, 0.0, 5.0])
+    def test_before_the_holder_is_replaced(
+        self, rebirth: Rebirth, ahead_s: float
+    ) -> None:
+        fleet = StandingFleet()
+        fleet.rebirth = rebirth
+        fleet.submit_standing(jobs=8)
+        fleet.work_for(BEFORE_S)
+        for number in range(4):
+            fleet.crash_rack(number)
+            fleet.work_for(7.0)
+        fleet.work_for(2 * MAX_WITHOUT_RUN_S)
+        fleet.crash_rack(4)
+        fleet.work_for(0.5)
+        # The successor's clock is behind by as much.
+        fleet.wall_offset_s -= ahead_s
+        fleet.take_over()
+        fleet.work_for(AFTER_S)
+        assert fleet.too_long() == {}
+        assert failed_jobs(fleet) == []
+
+
+class TestCuts:
+    # Guards against a task that waits for what shows that its worker has crashed, while
+    # nothing can show that: another process has come behind a cut.
+    def test_worker_that_is_born_again_behind_a_cut(self) -> None:
+        fleet = StandingFleet()
+        fleet.submit_standing(jobs=1)
+        fleet.work_for(BEFORE_S)
+        fleet.crash_worker(fleet.starts[0][2])
+        fleet.run_for(5.0)
+        _, task, worker = fleet.starts[-1]
+        assert task in fleet.standing
+        fleet.unreachable.add(worker)
+        fleet.restart_worker(worker)
+        fleet.work_for(AFTER_S)
+        assert fleet.too_long() == {}
+
+
+class TestDeadlyTasks:
+    # Guards against tasks that are held back no longer, and take down workers without
+    # an end.
+    @pytest.mark.parametrize(
+        ("rebirth", "racks"),
+        [
+            (Rebirth.SAME_ID, 3),
+            (Rebirth.SAME_ADDRESS, 3),
+            (Rebirth.ELSEWHERE, 3),
+            (Rebirth.NEVER, 0),
+        ],
+    )
+    @pytest.mark.parametrize("after_s", [0.05, 1.5])
+    @pytest.mark.parametrize("deadly", [1, 4])
+    def test_long_running_ones_beside_racks_that_crash(
+        self, rebirth: Rebirth, racks: int, after_s: float, deadly: int
+    ) -> None:
+        fleet = StandingFleet()
+        fleet.rebirth = rebirth
+        fleet.submit_standing(jobs=6)
+        fleet.work_for(BEFORE_S)
+
+        def plan(request: StartRequest) -> RunPlan:
+            crashes_after_s = after_s if request.task.number == 0 else None
+            return RunPlan(
+                100.0, ONE, is_standing=True, crashes_after_s=crashes_after_s
+            )
+
+        spec = StepSpec(3, ONE, is_standing=True)
+        bad = [fleet.submit(f"bad{n}", spec, plan=plan) for n in range(deadly)]
+        for number in range(racks):
+            fleet.work_for(5.0)
+            fleet.crash_rack(number)
+        fleet.work_for(2 * AFTER_S)
+        assert sorted(failed_jobs(fleet)) == sorted(bad)
+        for job in bad:
+            task = TaskRef(job, 0, 0, 0)
+            crashes = [at_s for at_s, _, runs in fleet.crashes if task in runs]
+            starts = [at_s for at_s, started, _ in fleet.starts if started == task]
+            for crash_s in crashes[CRASHES - 1 : CRASHES]:
+                later = [at_s for at_s in starts if at_s > crash_s]
+                assert len(later) <= MAX_LATER_STARTS
+        assert fleet.too_long() == {}
+        assert fleet.violations() == []
