Bound the pause of ordinary tasks whose workers crash again and again

Callers would see a job of one task stand still with room for it, the longer the more crashes it has lived through.

Cause: the pause before the start of a suspect doubles with each crash that was ever counted under it, whoever was to blame: 4 s from the fifth, 32 s from the eighth. Being cleared halves the blame, and not the number.

Now it is 2 s at most. The platform counts a job as lost that nothing runs of for 3 s with room for it.

Ruled out: no pause at all, as for long-running tasks; others have the time.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/suspects.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/suspects.py
@@ -41,6 +41,10 @@
 """Pause before the start after a task's second crash; it doubles with each further
 one."""
 
+MAX_PAUSE_S = 2.0
+"""Longest such pause. Crashes add up over the life of a task, and the platform counts a
+job as lost that nothing runs of for 3 s with room for it."""
+
 START_GAP_S = 0.5
 """Time between the starts of the tasks that are most to blame for several crashes, so
 that workers that crash again do so one after the other, and not for a common reason."""
@@ -145,7 +149,8 @@
         suspect.has_asked_advice = False
         # A long-running task must run again soon; others have time for a pause.
         if suspect.crashes > 1 and not task.step.spec.is_standing:
-            suspect.retry_s = now_s + FIRST_PAUSE_S * 2 ** (suspect.crashes - 2)
+            pause_s = FIRST_PAUSE_S * 2 ** (suspect.crashes - 2)
+            suspect.retry_s = now_s + min(pause_s, MAX_PAUSE_S)
 
     def worker_silent(self, task: Task, since_s: float | None) -> None:
         """Note since when a worker with a run of a task has been silent, if known."""
--- a/tests/fleet/test_standing_crashes.py
+++ b/tests/fleet/test_standing_crashes.py
@@ -184,6 +184,33 @@
         assert fleet.too_long() == {}
 
 
+class TestOrdinaryTasks:
+    # Guards against a pause that doubles with each crash over the life of a task, so
+    # that a job of one task stands still for minutes with room for it.
+    @pytest.mark.parametrize("rebirth", [Rebirth.SAME_ID, Rebirth.ELSEWHERE])
+    def test_pause_has_a_bound(self, rebirth: Rebirth) -> None:
+        fleet = StandingFleet()
+        fleet.rebirth = rebirth
+        jobs = [
+            fleet.submit(f"long{number}", StepSpec(1, ONE), seconds=100.0)
+            for number in range(24)
+        ]
+        fleet.work_for(BEFORE_S)
+        longest_s = 0.0
+        for number in range(9):
+            fleet.crash_rack(number)
+            for _ in range(80):
+                fleet.run_for(TICK_S)
+                ledger = fleet.scheduler.ledger
+                for task in filter(
+                    None, (ledger.find_task(TaskRef(job, 0, 0, 0)) for job in jobs)
+                ):
+                    pause_s = ledger.suspects.retry_s(task, fleet.now_s) - fleet.now_s
+                    longest_s = max(longest_s, pause_s)
+        assert longest_s <= ROOM_S
+        assert failed_jobs(fleet) == []
+
+
 class TestDeadlyTasks:
     # Guards against tasks that are held back no longer, and take down workers without
     # an end.
