Let a long-running task start beside a suspect if no other worker has room

Cause: a task with much blame has its worker to itself until a run outlives its oldest lost one. For tasks that last these ages are tens of seconds, and one crash of a worker with one or two runs is enough blame. Where few workers are left, the reserved ones have the only room.

Reservations now bind ordinary tasks only. A worker with a suspect ranks behind nearly all others, and a suspect with much blame still looks for a worker of its own until its wait is over.

Evidence: the new test, without network: before, 38.1 s without a run with room on a reserved worker (bound 9 s, the rule's), now it starts there in time. tests/fleet/test_crashes.py and test_crash_machine.py unchanged: 198 passed with those of long-running tasks.

Ruled out: a reservation that ends after some seconds; a task lost together with the one that holds it would still wait too long.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/placement.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/placement.py
@@ -112,8 +112,12 @@
         return free
 
     def slots(self, worker: Worker, step: Step) -> int:
-        """Return how many tasks of a step fit on a worker now."""
-        if self.ledger.suspects.is_reserved(worker):
+        """Return how many tasks of a step fit on a worker now.
+
+        A long-running task may have to start beside a suspect, if ``rank`` finds no
+        better worker: that one may take long until it is cleared.
+        """
+        if not step.spec.is_standing and self.ledger.suspects.is_reserved(worker):
             return 0
         free = self.free_for(worker, step)
         need = step.allocation
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/suspects.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/suspects.py
@@ -120,7 +120,7 @@
         self.suspects: dict[TaskRef, Suspect] = {}
         # The last suspect started on each worker, until it is cleared or ends.
         self.trials: dict[WorkerId, Run] = {}
-        # Those workers on which nothing may start beside it.
+        # Those workers on which no ordinary task may start beside it.
         self.reserved: set[WorkerId] = set()
         # When the next of the tasks that are most to blame may start.
         self.next_turn_s = 0.0
@@ -229,7 +229,7 @@
         }
 
     def is_reserved(self, worker: Worker) -> bool:
-        """Return True if nothing may start on a worker beside a suspect."""
+        """Return True if no ordinary task may start on a worker beside a suspect."""
         return worker.id in self.reserved and self.is_on_trial(self.trials[worker.id])
 
     def is_endangered(self, worker: Worker) -> bool:
--- a/tests/fleet/test_standing_crashes.py
+++ b/tests/fleet/test_standing_crashes.py
@@ -27,6 +27,8 @@
 """Tasks of each long-running job."""
 
 ONE = task_resources()
+TEN = task_resources(cores=10)
+NEARLY_ALL = task_resources(cores=31.5)
 BATCH = task_resources(cores=2.5)
 BATCH_JOBS_PER_S = 2.0
 TICK_S = 0.1
@@ -93,6 +95,11 @@
             if self.place(worker) // RACK_SIZE == rack % RACKS:
                 self.crash_worker(worker)
 
+    def worker_of(self, task: TaskRef) -> WorkerId:
+        """Return the worker that runs a task."""
+        (worker,) = (each for each, by in self.engines.items() if task in by.runs)
+        return worker
+
     def place(self, worker: WorkerId) -> int:
         """Return the number of a worker, whatever it is called since its rebirth."""
         return int(worker.strip("w-"))
@@ -184,6 +191,31 @@
         assert fleet.too_long() == {}
 
 
+class TestReservedWorkers:
+    # Guards against a task that finds room only beside one that has its worker to
+    # itself, and waits until the latter is cleared.
+    def test_only_room_is_beside_a_task_with_much_blame(self) -> None:
+        fleet = StandingFleet(workers=4)
+        full = fleet.submit("full", StepSpec(1, NEARLY_ALL), seconds=1_000.0)
+        fleet.run_for(TICK_S)
+        spec = StepSpec(1, TEN, is_standing=True)
+        jobs = [fleet.submit(f"standing{number}", spec) for number in range(2)]
+        fleet.standing = [TaskRef(job, 0, 0, 0) for job in jobs]
+        fleet.run_for(AFTER_S)
+        (worker,) = {fleet.worker_of(task) for task in fleet.standing}
+        fleet.crash_worker(worker)
+        fleet.run_for(BEFORE_S)
+        stays, leaves = (fleet.worker_of(task) for task in fleet.standing)
+        assert fleet.scheduler.ledger.suspects.reserved == {stays, leaves}
+        fleet.rebirth = Rebirth.NEVER
+        others = {stays, fleet.worker_of(TaskRef(full, 0, 0, 0))}
+        for each in fleet.engines.keys() - others:
+            fleet.crash_worker(each)
+        fleet.run_for(AFTER_S)
+        assert fleet.too_long() == {}
+        assert len(fleet.engines[stays].runs) == 2
+
+
 class TestOrdinaryTasks:
     # Guards against a pause that doubles with each crash over the life of a task, so
     # that a job of one task stands still for minutes with room for it.
