Give every second turn for advice to the long-running step that has waited longest

A request for advice was sent for the best waiting rank; among long-running steps that is their due time and then their id, which says nothing. Those whose runs ended asked again before those that had never had advice.

Change: the order of requests is a module of its own. Steps whose turn has come keep their place until they use it, against others that become due in the same pass; among the long-running steps of one priority, every second turn goes to the one that has waited longest.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/serving.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/serving.py
@@ -11,6 +11,7 @@
 
 from gooseberrydeck_coordination.ids import TeamName
 from gooseberrydeck_fleet.advice_requests import AdviceRequests
+from gooseberrydeck_fleet.advice_turns import AdviceTurns
 from gooseberrydeck_fleet.candidates import AVOID_FAILED_S, Candidates
 from gooseberrydeck_fleet.commands import CommandQueue, StartRun
 from gooseberrydeck_fleet.ids import StepRef, WorkerId
@@ -137,7 +138,7 @@
         # By team, the priority of the most urgent step that its limit keeps waiting.
         # Less urgent steps must not take what remains of the limit.
         self.blocked: dict[TeamName, int] = {}
-        self.awaiting_advice: set[StepRef] = set()
+        self.advice_turns = AdviceTurns()
         self.retries: list[tuple[float, StepRef]] = []
         self.last_reviewed: Rank | None = None
         self.passes = 0
@@ -217,7 +218,7 @@
             quota,
             self.find_wait_reason(step, now_s, usable, len(permitted), slots, quota),
             suspects,
-            self.count_advice_turns_before(step),
+            self.advice_turns.count_before(step.ref, self.waiting.ranks),
             len(requests.in_flight),
             requests.slow_in_flight,
             requests.max_in_flight,
@@ -242,7 +243,7 @@
         if not permitted:
             if advice.pending:
                 return WaitReason.ADVICE_REPLY
-            if step.ref in self.awaiting_advice:
+            if step.ref in self.advice_turns:
                 return WaitReason.ADVICE_TURN
             if now_s < advice.retry_s:
                 return WaitReason.ADVICE_RETRY
@@ -253,11 +254,6 @@
             return WaitReason.SUSPECTED
         return WaitReason.START
 
-    def count_advice_turns_before(self, step: Step) -> int:
-        """Return how many steps that wait to request advice go before a step."""
-        rank = self.waiting.ranks[step.ref]
-        return sum(each < rank for each in self.waiting.in_order(self.awaiting_advice))
-
     def retry_at(self, step: Step, at_s: float) -> None:
         """Try a step again at a monotonic time."""
         heapq.heappush(self.retries, (at_s, step.ref))
@@ -274,20 +270,30 @@
         self.collect_advice_requests()
 
     def collect_advice_requests(self) -> None:
-        """Mark as due as many steps as may request advice now, in order."""
-        self.awaiting_advice &= self.waiting.ranks.keys()
-        if not self.awaiting_advice or not self.advice_requests.has_capacity(True):
-            return
-        left = self.advice_requests.free_requests()
-        left_for_slow = self.advice_requests.free_requests(is_urgent=False)
-        for rank in self.waiting.in_order(self.awaiting_advice):
-            is_urgent = rank[0] == 0
-            if not left or (not is_urgent and not left_for_slow):
-                break
-            left -= 1
-            left_for_slow -= not is_urgent
-            self.waiting.due.add(rank[-1])
-            self.awaiting_advice.discard(rank[-1])
+        """Mark the steps as due that may request advice now."""
+        free = self.advice_requests.free_requests()
+        free_for_slow = self.advice_requests.free_requests(is_urgent=False)
+        waiting = self.waiting
+        waiting.due.update(
+            self.advice_turns.grant(waiting.steps, waiting.ranks, free, free_for_slow)
+        )
+
+    def may_request_advice(self, step: Step, now_s: float) -> bool:
+        """Return True if a step may request advice now; otherwise, it has to wait.
+
+        Requests are kept free for the steps whose turn has come.
+        """
+        is_urgent = step.job.queue.priority == 0
+        turns = self.advice_turns
+        since_s = turns.take(step.ref)
+        free = self.advice_requests.free_requests(is_urgent)
+        if since_s is None:
+            free -= turns.count_granted(self.waiting.ranks, is_urgent)
+        if free > 0:
+            turns.remove(step.ref)
+            return True
+        turns.add(step.ref, now_s if since_s is None else since_s)
+        return False
 
     # A scheduling pass.
 
@@ -539,9 +545,7 @@
             return
         if now_s < advice.retry_s:
             self.retry_at(step, advice.retry_s)
-        elif not self.advice_requests.has_capacity(step.job.queue.priority == 0):
-            self.awaiting_advice.add(step.ref)
-        else:
+        elif self.may_request_advice(step, now_s):
             request = self.advice_requests.ask(step, wanted, now_s)
             if request is not None:
                 self.commands.add(request)
--- a/tests/fleet/test_decision_load.py
+++ b/tests/fleet/test_decision_load.py
@@ -225,10 +225,10 @@
         job = fleet.submit("waits", StepSpec(1, HALF))
         fleet.run_for(0.2)
         server = fleet.scheduler.server
-        assert len(server.awaiting_advice) == 1
+        assert len(server.advice_turns) == 1
         fleet.scheduler.ends.finish(
             fleet.scheduler.ledger.jobs[job], JobState.CANCELLED
         )
         fleet.run_for(0.2)
-        assert not server.awaiting_advice
+        assert len(server.advice_turns) == 0
         assert not server.waiting.due
