--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/suspects.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/suspects.py
@@ -5,7 +5,6 @@
 names one of them. One that already has much of the blame gets a worker of its own.
 """
 
-import heapq
 import math
 from collections.abc import Collection, Iterable
 
@@ -46,12 +45,12 @@
 """Longest such pause. Crashes add up over the life of a task, and the platform counts a
 job as lost that nothing runs of for 3 s with room for it."""
 
-START_GAP_S = 0.4
+START_GAP_S = 0.5
 """Time between the starts of the tasks that are most to blame for several crashes, so
 that workers that crash again do so one after the other, and not for a common reason."""
 
-MAX_TURNS = 8
-"""Number of tasks that wait for a turn, so that the wait has a bound."""
+MIN_RELATIVE_BLAME = 0.2
+"""Tasks wait for their turn whose blame is at least this part of the largest."""
 
 MAX_STANDING_PAUSE_S = 7.0
 """Time after a worker has fallen silent from which its long-running tasks don't wait
@@ -125,7 +124,7 @@
         self.reserved: set[WorkerId] = set()
         # When the next of the tasks that are most to blame may start.
         self.next_turn_s = 0.0
-        self.taking_turns: set[TaskRef] = set()
+        self.largest_blame = 0.0
         # Difference between Unix time and the monotonic clock.
         self.wall_offset_s = 0.0
 
@@ -202,16 +201,15 @@
     def review(self, now_s: float) -> list[Task]:
         """Clear the suspects that work and return them; forget those that ended."""
         cleared = []
+        self.largest_blame = 0.0
         for suspect in list(self.suspects.values()):
+            self.largest_blame = max(self.largest_blame, suspect.blame)
             task = suspect.task
             if task.is_done or task.step.job.state.is_final:
                 self.discard(task)
             elif any(has_outlived(run, suspect.age_s, now_s) for run in task.runs):
                 self.discard(task)
                 cleared.append(task)
-        repeated = [each for each in self.suspects.values() if each.crashes > 1]
-        most = heapq.nlargest(MAX_TURNS, repeated, key=lambda suspect: suspect.blame)
-        self.taking_turns = {suspect.task.ref for suspect in most}
         for worker_id, run in list(self.trials.items()):
             if not self.is_on_trial(run):
                 del self.trials[worker_id]
@@ -245,12 +243,17 @@
         if suspect is None:
             return
         suspect.waits_since_s = None
-        if run.task.ref in self.taking_turns:
+        if self.takes_turns(suspect):
             self.next_turn_s = run.started_s + START_GAP_S
         self.trials[run.worker.id] = run
         if suspect.is_strong:
             self.reserved.add(run.worker.id)
 
+    def takes_turns(self, suspect: Suspect) -> bool:
+        """Return True if a suspect is among those that start one after the other."""
+        least = MIN_RELATIVE_BLAME * self.largest_blame
+        return suspect.crashes > 1 and suspect.blame >= least
+
     def waited_s(self, suspect: Suspect, now_s: float) -> float:
         """Return how long ago a start was first considered since the last crash."""
         if now_s < self.retry_s(suspect.task, now_s):
@@ -301,7 +304,7 @@
             return True
         if now_s < self.retry_s(task, now_s):
             return False
-        if now_s < self.next_turn_s and task.ref in self.taking_turns:
+        if now_s < self.next_turn_s and self.takes_turns(suspect):
             return False
         is_strong = suspect.is_strong
         is_occupied = worker.id in occupied
