Know the time of day before the first reply of a worker

The relation between the clocks was set by the first decision, but a reply that shows a new process is handled before it, right after a takeover. Such a silence also had a wrong time of day, so others at the same moment weren't counted, and a successor would have read a silence of 1970 from its record. It is set when the stored state is loaded.

test_time_of_day_is_known_before_the_first_reply failed before.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
@@ -503,7 +503,7 @@
 
     def decide(self, now_s: float, wall_s: float) -> list[Command]:
         """Return the commands to execute now."""
-        self.crashes.set_time(now_s, wall_s)
+        self.set_time(now_s, wall_s)
         is_review_due = now_s >= self.next_housekeeping_s
         if is_review_due:
             self.next_housekeeping_s = now_s + HOUSEKEEPING_S
@@ -520,6 +520,10 @@
         self.send_stops(now_s)
         return self.commands.take_all()
 
+    def set_time(self, now_s: float, wall_s: float) -> None:
+        """Set the relation between the clocks, also before the first decision."""
+        self.crashes.set_time(now_s, wall_s)
+
     def find_send_obstacle(self, command: RunCommand, now_s: float) -> Obstacle | None:
         """Return what forbids to send a command that was decided on, or None."""
         return self.send_permission.find_obstacle(command, now_s)
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
@@ -305,6 +305,7 @@
         self.committer.record_revision = stored.workers_revision
         self.workers.recorded = stored.workers.keys()
         now_s = self.clock.monotonic()
+        self.scheduler.set_time(now_s, self.clock.wall())
         for entry in stored.registered.entries:
             self.workers.registration_changed(entry.key, entry.value, now_s)
         self.workers.restore_recorded(stored.workers.values(), now_s)
--- a/tests/member/test_takeover.py
+++ b/tests/member/test_takeover.py
@@ -288,6 +288,17 @@
         assert worker.lease_expiry_s > task.claimed_s + MAX_TASK_LEASE_S
 
 
+class TestClocks:
+    # A crash that a reply showed before the first decision was logged as a silence of
+    # minus 1.8e9 s, and its record had no time of day to compare others with.
+    def test_time_of_day_is_known_before_the_first_reply(
+        self, successor: Successor
+    ) -> None:
+        task = successor.take_over()
+        offset_s = task.clock.wall() - task.clock.monotonic()
+        assert abs(task.scheduler.crashes.wall_offset_s - offset_s) < 60.0
+
+
 class TestJobsWithoutQueue:
     # A successor with an older configuration dropped the progress of jobs whose queue
     # it lacked, and ran them from the start once the queue was configured.
