Decoder: move it below the coordination parts

Change: the module is gooseberrydeck_coordination.decoding now, without a second copy; all importers follow. No reader changes here.

--- a/packages/gooseberrydeck-platform/src/gooseberrydeck_platform/decoding.py
+++ b/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/decoding.py
@@ -1,6 +1,10 @@
-"""Decoding of what other processes wrote: stored entries, messages and replies."""
+"""Decoding of what other processes wrote: stored entries, messages and replies.
 
-from typing import Annotated, TypeVar
+No other module calls a parser, so that all readers meet the same exception. The linter
+checks this.
+"""
+
+from typing import Annotated, Any, Generic, TypeVar
 
 import msgspec
 
@@ -9,8 +13,11 @@
     "Amount",
     "Count",
     "DecodingError",
+    "FieldError",
+    "MessageDecoder",
     "Number",
     "WholeNumber",
+    "decode_document",
     "decode_json",
     "decode_yaml",
 ]
@@ -45,10 +52,15 @@
     def caused_by(cls, error: Exception) -> "DecodingError":
         """Return an error that describes its cause in bounded space."""
         text = f"{type(error).__name__}: {error}"
-        return cls(text[:MAX_REASON_CHARACTERS])
+        kind = FieldError if isinstance(error, msgspec.ValidationError) else cls
+        return kind(text[:MAX_REASON_CHARACTERS])
+
+
+class FieldError(DecodingError):
+    """The data is well-formed, but a field is missing or has an invalid value."""
 
 
-def decode_json(data: bytes, kind: type[T]) -> T:
+def decode_json(data: bytes | str, kind: type[T]) -> T:
     """Decode JSON into a type; raise ``DecodingError`` if that is not possible."""
     try:
         return msgspec.json.decode(data, type=kind)
@@ -56,9 +68,32 @@
         raise DecodingError.caused_by(error) from error
 
 
+def decode_document(data: bytes) -> Any:
+    """Decode JSON of any structure into builtins, or raise ``DecodingError``."""
+    try:
+        return msgspec.json.decode(data)
+    except PARSER_ERRORS as error:
+        raise DecodingError.caused_by(error) from error
+
+
 def decode_yaml(data: bytes, kind: type[T]) -> T:
     """Decode YAML into a type, also from numbers in quotes, or raise the same error."""
     try:
         return msgspec.yaml.decode(data, type=kind, strict=False)
     except PARSER_ERRORS as error:
         raise DecodingError.caused_by(error) from error
+
+
+class MessageDecoder(Generic[T]):
+    """Decoder for MessagePack of one type, which may be a union of messages."""
+
+    def __init__(self, kind: type[T]) -> None:
+        """Prepare the decoder, which is costly for a large union."""
+        self.decoder = msgspec.msgpack.Decoder(kind)
+
+    def decode(self, data: bytes) -> T:
+        """Decode a message; raise ``DecodingError`` if that is not possible."""
+        try:
+            return self.decoder.decode(data)
+        except PARSER_ERRORS as error:
+            raise DecodingError.caused_by(error) from error
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/progress.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/progress.py
@@ -2,8 +2,8 @@
 
 import msgspec
 
+from gooseberrydeck_coordination.decoding import DecodingError, decode_json
 from gooseberrydeck_fleet.crash_records import CrashRecord
-from gooseberrydeck_platform.decoding import DecodingError, decode_json
 
 __all__ = ["Progress", "decode_progress", "encode_progress"]
 
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/peer_server.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/peer_server.py
@@ -8,6 +8,7 @@
 import structlog
 
 from gooseberrydeck_coordination.clock import Clock, SystemClock
+from gooseberrydeck_coordination.decoding import DecodingError, decode_json
 from gooseberrydeck_coordination.ids import JobId
 from gooseberrydeck_fleet.advice import AdviceFailedError, Adviser
 from gooseberrydeck_fleet.ids import StepRef
@@ -30,7 +31,6 @@
     WaitingReply,
 )
 from gooseberrydeck_member.shard_lock import ShardView
-from gooseberrydeck_platform.decoding import DecodingError, decode_json
 from gooseberrydeck_service.responses import status_line
 
 __all__ = ["PeerApplication"]
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/peers.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/peers.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from gooseberrydeck_coordination.decoding import DecodingError, decode_json
 from gooseberrydeck_fleet.advice import Advice, AdviceFailedError
 from gooseberrydeck_fleet.ids import StepRef, WorkerId
 from gooseberrydeck_member.peer_messages import (
@@ -21,7 +22,6 @@
     WaitingReply,
 )
 from gooseberrydeck_member.shard_lock import ShardView
-from gooseberrydeck_platform.decoding import DecodingError, decode_json
 from gooseberrydeck_platform.http import (
     HttpAddress,
     HttpError,
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/records.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/records.py
@@ -2,10 +2,10 @@
 
 from typing import TypeVar
 
+from gooseberrydeck_coordination.decoding import DecodingError, decode_json
 from gooseberrydeck_coordination.exceptions import StoreError
 from gooseberrydeck_coordination.store import Entry
 from gooseberrydeck_fleet.progress import Progress, decode_progress
-from gooseberrydeck_platform.decoding import DecodingError, decode_json
 
 __all__ = ["RecordUnreadableError", "decode_record", "decode_progress_record"]
 
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/worker_registry.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/worker_registry.py
@@ -4,6 +4,7 @@
 
 import structlog
 
+from gooseberrydeck_coordination.decoding import DecodingError
 from gooseberrydeck_coordination.ids import Epoch
 from gooseberrydeck_coordination.store import Entry, EventKind, WatchBatch
 from gooseberrydeck_fleet.ids import WorkerId
@@ -15,7 +16,6 @@
 from gooseberrydeck_member.observability import Metrics
 from gooseberrydeck_member.worker_dispatcher import WorkerDispatcher
 from gooseberrydeck_member.worker_polling import WorkerPollState, worker_token
-from gooseberrydeck_platform.decoding import DecodingError
 
 __all__ = ["WorkerRegistry"]
 
--- a/packages/gooseberrydeck-platform/src/gooseberrydeck_platform/etcd.py
+++ b/packages/gooseberrydeck-platform/src/gooseberrydeck_platform/etcd.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from gooseberrydeck_coordination.decoding import DecodingError, decode_json
 from gooseberrydeck_coordination.exceptions import (
     StoreCompactedError,
     StoreError,
@@ -28,7 +29,6 @@
     WatchBatch,
     WatchEvent,
 )
-from gooseberrydeck_platform.decoding import DecodingError, decode_json
 from gooseberrydeck_platform.etcd_messages import (
     CompareBody,
     DeleteBody,
--- a/packages/gooseberrydeck-platform/src/gooseberrydeck_platform/host_list_http.py
+++ b/packages/gooseberrydeck-platform/src/gooseberrydeck_platform/host_list_http.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from gooseberrydeck_platform.decoding import DecodingError, decode_json
+from gooseberrydeck_coordination.decoding import DecodingError, decode_json
 from gooseberrydeck_platform.exceptions import HostListUnavailableError
 from gooseberrydeck_platform.hosts import Host
 from gooseberrydeck_platform.http import HttpAddress, HttpError
--- a/packages/gooseberrydeck-platform/src/gooseberrydeck_platform/worker_http.py
+++ b/packages/gooseberrydeck-platform/src/gooseberrydeck_platform/worker_http.py
@@ -5,8 +5,8 @@
 
 import msgspec
 
+from gooseberrydeck_coordination.decoding import DecodingError, decode_json
 from gooseberrydeck_coordination.ids import TaskId
-from gooseberrydeck_platform.decoding import DecodingError, decode_json
 from gooseberrydeck_platform.exceptions import (
     OutcomeUnknownError,
     StaleFenceError,
--- a/tests/adapter/test_adapter.py
+++ b/tests/adapter/test_adapter.py
@@ -37,6 +37,7 @@
     decode_run_plan,
 )
 from gooseberrydeck_coordination.clock import ManualClock
+from gooseberrydeck_coordination.decoding import DecodingError
 from gooseberrydeck_coordination.exceptions import (
     StoreCompactedError,
     StoreLeaseLostError,
@@ -67,7 +68,6 @@
     WorkerReplacedError,
     WorkerSilentError,
 )
-from gooseberrydeck_platform.decoding import DecodingError
 from gooseberrydeck_platform.http import HttpResponse
 from gooseberrydeck_standins.faults import FaultKind, FaultSettings
 from gooseberrydeck_standins.fleet_worker import FleetWorkerEngine
--- a/tests/adapter/test_odd_registrations.py
+++ b/tests/adapter/test_odd_registrations.py
@@ -6,8 +6,8 @@
 from hypothesis import strategies as st
 
 from gooseberrydeck_adapter import decode_registration
+from gooseberrydeck_coordination.decoding import MAX_REASON_CHARACTERS, DecodingError
 from gooseberrydeck_fleet.registrations import Registration
-from gooseberrydeck_platform.decoding import MAX_REASON_CHARACTERS, DecodingError
 from odd_values import ODD_ADDRESSES, ODD_NUMBERS, deep, json_bytes, with_raw
 
 KEY = "servers/odd"
--- a/tests/member/test_odd_jobs.py
+++ b/tests/member/test_odd_jobs.py
@@ -7,10 +7,10 @@
 from fleet_support import SLOW, TEAM, make_configuration
 from followed_task import FollowedTask
 from gooseberrydeck_adapter import CallerCodec
+from gooseberrydeck_coordination.decoding import MAX_NUMBER
 from gooseberrydeck_coordination.ids import JobId, Revision
 from gooseberrydeck_coordination.store import Entry
 from gooseberrydeck_fleet.work import InvalidWorkError, JobRecord, validate_work
-from gooseberrydeck_platform.decoding import MAX_NUMBER
 from odd_values import json_bytes
 
 LARGE = MAX_NUMBER
--- a/tests/member/test_odd_replies.py
+++ b/tests/member/test_odd_replies.py
@@ -6,6 +6,7 @@
 
 from fleet_support import SLOW, TEAM, make_configuration, task_resources
 from followed_task import FollowedTask
+from gooseberrydeck_coordination.decoding import MAX_NUMBER
 from gooseberrydeck_coordination.ids import JobId
 from gooseberrydeck_fleet.ids import TaskRef, WorkerId
 from gooseberrydeck_fleet.registrations import Registration
@@ -17,7 +18,6 @@
     RunReport,
 )
 from gooseberrydeck_member.worker_dispatcher import PollSucceeded
-from gooseberrydeck_platform.decoding import MAX_NUMBER
 
 WORKER = WorkerId("a")
 NUMBERS = st.sampled_from([0, 1, 2, 1_000_000, MAX_NUMBER - 1, MAX_NUMBER])
--- a/tests/member/test_takeover.py
+++ b/tests/member/test_takeover.py
@@ -16,6 +16,7 @@
     task_resources,
 )
 from gooseberrydeck_coordination.clock import ManualClock
+from gooseberrydeck_coordination.decoding import DecodingError
 from gooseberrydeck_coordination.ids import JobId, MemberId, Revision
 from gooseberrydeck_coordination.store import (
     Delete,
@@ -64,7 +65,6 @@
 from gooseberrydeck_member.shard_lock import ShardLock
 from gooseberrydeck_member.store_follower import PrefixChanged
 from gooseberrydeck_member.worker_dispatcher import PollSucceeded
-from gooseberrydeck_platform.decoding import DecodingError
 from gooseberrydeck_standins.engine_store import EngineStore
 from gooseberrydeck_standins.faults import CallFault
 from gooseberrydeck_standins.store_engine import StoreEngine
