gooseberryctl: an odd line or answer is counted or reported, not a traceback

What operators saw: one log line nested 3,000 deep ends `gooseberryctl logs check` with a traceback and exit 1, so that the starts after it are never checked; an answer of a member with such a field does the same to `jobs failure` and to the operators' commands.

Cause: the three modules called the parser themselves and caught DecodeError; the parser raises RecursionError for deep nesting. Besides, a line of a start or an end whose run or task are lists was used as a dictionary key (TypeError), and a start without a worker ended the check with an error of its own.

Ruled out: numbers of 5,000 digits and bytes that aren't UTF-8; their cases passed before.

Change: they decode by decode_json. Lines of starts and ends that name no run by numbers count as unreadable, as the command's closing line says.

--- a/packages/gooseberrydeck-ctl/src/gooseberrydeck_ctl/caller_view.py
+++ b/packages/gooseberrydeck-ctl/src/gooseberrydeck_ctl/caller_view.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from gooseberrydeck_coordination.decoding import DecodingError, decode_json
 from gooseberrydeck_ctl.exceptions import CtlError, NotFoundError, UnreachableError
 
 __all__ = ["CallerView", "read_job"]
@@ -52,8 +53,8 @@
             raise NotFoundError(f"no such job: {path}")
         if response.status == OK:
             try:
-                state = msgspec.json.decode(body, type=StateBody).state
-            except msgspec.DecodeError as error:
+                state = decode_json(body, StateBody).state
+            except DecodingError as error:
                 raise CtlError(f"the answer cannot be read: {error}") from error
             return CallerView(state, response.headers.get(FAILURE_HEADER, ""))
         errors.append(f"{address}: status {response.status}")
--- a/packages/gooseberrydeck-ctl/src/gooseberrydeck_ctl/client.py
+++ b/packages/gooseberrydeck-ctl/src/gooseberrydeck_ctl/client.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from gooseberrydeck_configuration import Difference, Problem
+from gooseberrydeck_coordination.decoding import DecodingError, decode_json
 from gooseberrydeck_ctl.exceptions import (
     ConflictError,
     CtlError,
@@ -74,8 +75,8 @@
         if status >= 400:
             raise error_from_response(status, data)
         try:
-            return msgspec.json.decode(data, type=response_type)
-        except msgspec.DecodeError as error:
+            return decode_json(data, response_type)
+        except DecodingError as error:
             raise CtlError(f"the answer cannot be read: {error}") from error
 
     def send(self, method: str, target: str, body: bytes | None) -> tuple[int, bytes]:
@@ -131,8 +132,8 @@
 def error_from_response(status: int, data: bytes) -> CtlError:
     """Return the exception for an error response."""
     try:
-        problem = msgspec.json.decode(data, type=ProblemDetails)
-    except msgspec.DecodeError:
+        problem = decode_json(data, ProblemDetails)
+    except DecodingError:
         return CtlError(f"the member answered {status}")
     message = ": ".join(part for part in (problem.title, problem.detail) if part)
     if status == 422:
--- a/packages/gooseberrydeck-ctl/src/gooseberrydeck_ctl/log_check.py
+++ b/packages/gooseberrydeck-ctl/src/gooseberrydeck_ctl/log_check.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from gooseberrydeck_coordination.decoding import DecodingError, decode_json
 from gooseberrydeck_ctl.exceptions import CtlError
 
 __all__ = ["EndKnown", "LogReport", "StartAfterEnd", "check_logs"]
@@ -15,6 +16,9 @@
 RUNS_PER_TOKEN = 1_000_000
 """The runs of a holder are numbered from this multiple of its token on."""
 
+TASK_EVENTS = ("start", "run ended")
+"""The events whose lines name a run of a task."""
+
 Task = NewType("Task", tuple[Any, ...])
 """The job of a task, followed by its occurrence, step and number."""
 
@@ -110,6 +114,9 @@
             self.newest_token = max(self.newest_token, line.token)
         if not isinstance(line.job, str):
             return
+        if line.event in TASK_EVENTS and not names_a_run(line):
+            self.report.unreadable += 1
+            return
         if line.event == "job ended":
             self.ended_jobs.setdefault(line.job, line)
         elif line.event == "run ended":
@@ -141,8 +148,9 @@
         }
         try:
             start = msgspec.convert(found, StartAfterEnd)
-        except msgspec.ValidationError as error:
-            raise CtlError(f"unexpected start line at {line.timestamp}") from error
+        except msgspec.ValidationError:
+            self.report.unreadable += 1
+            return
         is_superseded = start.run // RUNS_PER_TOKEN < self.newest_token
         self.report.found.append(
             msgspec.structs.replace(start, is_superseded=is_superseded)
@@ -160,6 +168,12 @@
         return self.report
 
 
+def names_a_run(line: LogLine) -> bool:
+    """Return True if a line names a run by numbers, and its task if there is one."""
+    numbers = line.task if isinstance(line.task, list) else []
+    return all(isinstance(each, int) for each in (line.run, *numbers))
+
+
 def task_of(line: LogLine) -> Task:
     """Return the task of a line."""
     numbers = line.task if isinstance(line.task, list) else []
@@ -205,8 +219,8 @@
         if not brace or not content.endswith("}"):
             continue
         try:
-            line = msgspec.json.decode(brace + content, type=LogLine)
-        except msgspec.DecodeError:
+            line = decode_json(brace + content, LogLine)
+        except DecodingError:
             report.unreadable += 1
             continue
         timestamp = line.timestamp or timestamp
--- a/tests/ctl/test_caller_view.py
+++ b/tests/ctl/test_caller_view.py
@@ -10,6 +10,7 @@
 from gooseberrydeck_ctl.exceptions import ExitCode
 from gooseberrydeck_ctl.options import ADDRESSES_VARIABLE, KEY_VARIABLE
 from network_support import refused_address
+from odd_values import deep, with_raw
 
 REASON = "task a.0.0.1 crashed 3 workers since 2026-12-04T14:00:00+00:00"
 
@@ -18,6 +19,11 @@
     """A member that knows one job, which was given up."""
 
     def do_GET(self) -> None:
+        if self.path == "/slow/odd":
+            self.send_response(200)
+            self.end_headers()
+            self.wfile.write(with_raw({"Extra": "RAW"}, deep(3_000)))
+            return
         is_known = self.path == "/slow/a" and self.headers["Host"] == "desk.example"
         self.send_response(200 if is_known else 410)
         if is_known:
@@ -48,3 +54,11 @@
     def test_unknown_job(self) -> None:
         arguments = ["jobs", "failure", "desk.example", "/slow/b"]
         assert run(arguments) == ExitCode.NOT_FOUND
+
+    # Guards against a traceback in place of the command's own error.
+    def test_answer_that_cannot_be_read(
+        self, capsys: pytest.CaptureFixture[str]
+    ) -> None:
+        arguments = ["jobs", "failure", "desk.example", "/slow/odd"]
+        assert run(arguments) == ExitCode.FAILED
+        assert "the answer cannot be read" in capsys.readouterr().err
--- a/tests/ctl/test_log_check.py
+++ b/tests/ctl/test_log_check.py
@@ -8,6 +8,7 @@
 from gooseberrydeck_ctl.__main__ import run
 from gooseberrydeck_ctl.exceptions import ExitCode
 from gooseberrydeck_ctl.log_check import EndKnown, check_logs
+from odd_values import deep, with_raw
 
 JOB = "0000000000000003"
 TASK = [0, 1, 0]
@@ -42,6 +43,21 @@
     return line("claim", second, member, job=None, won=True, token=token)
 
 
+ODD_LINES = {
+    "deep": with_raw({"event": "start", "task": "RAW"}, deep(3_000)),
+    "deep in another field": with_raw({"event": "x", "extra": "RAW"}, deep(3_000)),
+    "number": with_raw({"event": "x", "run": "RAW"}, b"9" * 5_000),
+    "bytes": b'{"event":"\xff","task":}',
+    "start of a nested task": with_raw(
+        {"event": "start", "job": JOB, "run": 1, "worker": "w", "task": "RAW"}, deep(3)
+    ),
+    "start without a worker": line("start", 4, task=TASK, run=1).encode(),
+    "end of a nested run": with_raw(
+        {"event": "run ended", "job": JOB, "task": TASK, "run": "RAW"}, deep(3)
+    ),
+}
+
+
 class LogFolder:
     """Log files of members."""
 
@@ -128,6 +144,19 @@
         report = check_logs(logs.paths)
         assert (report.dropped, report.unreadable) == (7, 1)
 
+    # Guards against a check that ends with a traceback at the first odd line: the
+    # starts after it were never looked at.
+    @pytest.mark.parametrize("odd", ODD_LINES.values(), ids=ODD_LINES)
+    def test_odd_line_is_counted_and_the_others_are_checked(
+        self, logs: LogFolder, odd: bytes
+    ) -> None:
+        logs.add(line("job ended", 3), "ODD", start(4))
+        path = logs.paths[0]
+        path.write_bytes(path.read_bytes().replace(b"ODD", odd))
+        report = check_logs(logs.paths)
+        assert report.unreadable == 1
+        assert len(report.faults) == 1
+
 
 class TestCommand:
     def test_faults_are_listed_and_fail(
