Coordination: a record that can't be read ends no process, and isn't taken for absent

What embedders saw: one entry nested 3,000 deep below members/, shards/ or slices/, or as the roster or the head of a versioned value, raises RecursionError in the thread that coordinates; with the daemon that ends its task. Also a key below shards/ that is no number.

Cause: each reader called the parser and knew of DecodeError at most; and no reader said what an unreadable record means.

Ruled out: to pass over every unreadable record. A shard whose record is left out looks as if nobody had ever claimed it, so it would be claimed at epoch 1 again; a member that is left out looks gone, so its shards and its seat would be taken from a running process; an unreadable roster or assignment table would be written anew.

Change, per reader: - members/: left out; its shards aren't claimed and its seat is kept. A member whose own record was overwritten writes it again under its lease. No session is opened over an unreadable record, since another run may have written it. - shards/: left out and not claimed; the owner gives the shard up until it can be read. - roster, assignments: the round ends with RecordUnreadableError, as in an outage. - slices/: nothing is admitted for its team, and the record isn't replaced. - versioned head: the last value stays in force. The poller still posts the number, so that a member with an unreadable head knows that it is behind. RecordUnreadableError and the decoding of an entry move from the member's package, where only it could use them. The daemon logs each of these, in bounded volume.

--- a/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/decoding.py
+++ b/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/decoding.py
@@ -51,7 +51,9 @@
     @classmethod
     def caused_by(cls, error: Exception) -> "DecodingError":
         """Return an error that describes its cause in bounded space."""
-        text = f"{type(error).__name__}: {error}"
+        text = str(error)
+        if not isinstance(error, msgspec.MsgspecError):
+            text = f"{type(error).__name__}: {text}"
         kind = FieldError if isinstance(error, msgspec.ValidationError) else cls
         return kind(text[:MAX_REASON_CHARACTERS])
 
--- a/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/exceptions.py
+++ b/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/exceptions.py
@@ -4,6 +4,7 @@
     "AuthorityLostError",
     "CoordinationError",
     "MemberNameTakenError",
+    "RecordUnreadableError",
     "StoreCompactedError",
     "StoreError",
     "StoreLeaseLostError",
@@ -45,6 +46,16 @@
     """
 
 
+class RecordUnreadableError(StoreError):
+    """A record can't be decoded: another version wrote it, or another writer."""
+
+    def __init__(self, key: str, reason: str) -> None:
+        """Name the record's ``key`` and why it can't be decoded."""
+        super().__init__(f"{key}: {reason}")
+        self.key = key
+        self.reason = reason
+
+
 class StoreLeaseLostError(StoreError):
     """The store lease has expired or was revoked."""
 
--- a/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/members.py
+++ b/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/members.py
@@ -1,14 +1,14 @@
 """Records of the members of a cell in the store."""
 
-from collections.abc import Iterable
-
 import msgspec
 
+from gooseberrydeck_coordination.exceptions import RecordUnreadableError
 from gooseberrydeck_coordination.ids import DataCentre, MemberId
 from gooseberrydeck_coordination.roster import Seat
 from gooseberrydeck_coordination.store import Entry
+from gooseberrydeck_coordination.stored_records import decode_entry
 
-__all__ = ["MemberRecord", "decode_members"]
+__all__ = ["MemberRecord", "decode_member", "member_of"]
 
 
 class MemberRecord(msgspec.Struct, frozen=True):
@@ -28,7 +28,17 @@
         return Seat(self.member, self.incarnation)
 
 
-def decode_members(entries: Iterable[Entry]) -> dict[MemberId, MemberRecord]:
-    """Return the member records in entries read under the members' prefix."""
-    records = (msgspec.json.decode(entry.value, type=MemberRecord) for entry in entries)
-    return {record.member: record for record in records}
+def decode_member(entry: Entry) -> MemberRecord:
+    """Return a member's record; raise ``RecordUnreadableError`` if it is malformed.
+
+    A record of another member than the key's counts as malformed.
+    """
+    record = decode_entry(entry, MemberRecord)
+    if record.member != member_of(entry):
+        raise RecordUnreadableError(entry.key, "the record is of another member")
+    return record
+
+
+def member_of(entry: Entry) -> MemberId:
+    """Return the member whose record an entry contains, by its key."""
+    return MemberId(entry.key.rsplit("/", 1)[-1])
--- a/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/roster_planner.py
+++ b/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/roster_planner.py
@@ -15,6 +15,7 @@
     Transaction,
     compare_unchanged,
 )
+from gooseberrydeck_coordination.stored_records import decode_entry
 from gooseberrydeck_coordination.timing import Timing
 
 __all__ = ["RosterPlanner", "declare_dead"]
@@ -42,20 +43,26 @@
         roster: RosterRecord | None,
         members: Mapping[MemberId, MemberRecord],
         informed_seats: Set[Seat],
+        unreadable: Set[MemberId] = frozenset(),
     ) -> RosterRecord | None:
         """Return the roster to write, or None if no change is due.
 
         ``informed_seats`` are the seats that have reported this version of the roster.
+        Members whose records are ``unreadable`` may be running and keep their seats.
         """
         staying = {each.seat for each in members.values() if not each.is_leaving}
         if roster is None:
             return RosterRecord(1, tuple(sorted(staying))) if staying else None
-        self._observe(roster, members)
+        self._observe(roster, members, unreadable)
         if not roster.is_settled:
             return (
                 roster.settled() if self._is_settled(roster, informed_seats) else None
             )
-        removed = {seat for seat in roster.seats if self._is_gone(seat, members)}
+        removed = {
+            seat
+            for seat in roster.seats
+            if seat.member not in unreadable and self._is_gone(seat, members)
+        }
         added = staying - set(roster.seats)
         if not added and not removed:
             return None
@@ -63,7 +70,10 @@
         return changed if changed.seats else None
 
     def _observe(
-        self, roster: RosterRecord, members: Mapping[MemberId, MemberRecord]
+        self,
+        roster: RosterRecord,
+        members: Mapping[MemberId, MemberRecord],
+        unreadable: Set[MemberId],
     ) -> None:
         """Record when seats lost their session and when the version was first seen."""
         now_s = self.clock.monotonic()
@@ -73,7 +83,7 @@
         self.absent_since_s = {
             seat: self.absent_since_s.get(seat, now_s)
             for seat in roster.seats
-            if seat not in present
+            if seat not in present and seat.member not in unreadable
         }
 
     def _is_settled(self, roster: RosterRecord, informed_seats: Set[Seat]) -> bool:
@@ -105,12 +115,12 @@
     This is needed after the loss of a majority at once. Until then, tasks of
     unreachable workers are placed again only after ``Timing.peer_authority_limit_s``.
     Return the roster that was written, or None if it changed concurrently or would
-    have no seat left.
+    have no seat left. Raise ``RecordUnreadableError`` if it can't be read.
     """
     entry = store.read(keys.roster, timeout_s)
     if entry is None:
         return None
-    roster = msgspec.json.decode(entry.value, type=RosterRecord).without_dead(dead)
+    roster = decode_entry(entry, RosterRecord).without_dead(dead)
     if not roster.seats:
         return None
     put = Put(keys.roster, msgspec.json.encode(roster))
--- a/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/rounds.py
+++ b/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/rounds.py
@@ -112,6 +112,8 @@
             if plan.is_leaving:
                 self.session.announce_leaving()
             snapshot = read_snapshot(self.store, self.keys, self.timing.store_timeout_s)
+            if self.seat.member in snapshot.unreadable_members:
+                self.session.rewrite(snapshot.entries[self.session.key])
             handover = self._write_changes(snapshot, plan)
         except CoordinationError as error:
             failure = error
@@ -129,7 +131,9 @@
             self._release(snapshot, release)
         self._write_roster(snapshot, plan)
         self._write_assignments(snapshot, plan)
-        self.balance.observe(snapshot.shards, snapshot.members)
+        self.balance.observe(
+            snapshot.shards, snapshot.members, snapshot.withheld_shards()
+        )
         if not self.session.is_live:
             return None
         claims = self.balance.claims(snapshot.shards, snapshot.members)
@@ -185,7 +189,9 @@
         roster = snapshot.roster
         is_known = roster is not None and roster.version == plan.roster_version
         informed_seats = plan.informed_seats if is_known else frozenset()
-        planned = self.roster_planner.plan(roster, snapshot.members, informed_seats)
+        planned = self.roster_planner.plan(
+            roster, snapshot.members, informed_seats, snapshot.unreadable_members
+        )
         if planned is not None:
             compares = (_compare(snapshot, self.keys.roster),)
             self._commit(self.keys.roster, planned, compares)
--- a/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/sessions.py
+++ b/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/sessions.py
@@ -9,14 +9,16 @@
 )
 from gooseberrydeck_coordination.ids import StoreLeaseId
 from gooseberrydeck_coordination.keys import StoreKeys
-from gooseberrydeck_coordination.members import MemberRecord
+from gooseberrydeck_coordination.members import MemberRecord, decode_member
 from gooseberrydeck_coordination.store import (
     Compare,
     CompareTarget,
+    Entry,
     Put,
     Store,
     Transaction,
     compare_absent,
+    compare_unchanged,
 )
 from gooseberrydeck_coordination.timing import Timing
 
@@ -58,7 +60,8 @@
         """Renew the session's lease, or open a session if there is none.
 
         Raise ``MemberNameTakenError`` while another run of the member has a session,
-        and ``StoreError`` if a call to the store fails.
+        and ``StoreError`` if a call to the store fails. A session can't be opened while
+        the member's record is unreadable: another run may have written it.
         """
         if self.lease is not None:
             try:
@@ -81,6 +84,14 @@
         if self.store.commit(change, self.timing.store_timeout_s).succeeded:
             self.record = record
 
+    def rewrite(self, unreadable: Entry) -> None:
+        """Replace an unreadable record, written over this member's, by its own."""
+        if self.lease is None:
+            return
+        put = Put(self.key, msgspec.json.encode(self.record), self.lease)
+        change = Transaction((compare_unchanged(unreadable),), (put,))
+        self.store.commit(change, self.timing.store_timeout_s)
+
     def close(self) -> None:
         """End the session and delete the member's record."""
         if self.lease is not None:
@@ -94,7 +105,7 @@
         entry = self.store.read(self.key, timeout_s)
         if entry is not None:
             # An earlier attempt may have succeeded although its answer was lost.
-            found = msgspec.json.decode(entry.value, type=MemberRecord)
+            found = decode_member(entry)
             if found.seat != self.record.seat:
                 raise MemberNameTakenError(self.record.member)
             self._keep_alive(entry.lease)
--- a/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/shards.py
+++ b/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/shards.py
@@ -1,12 +1,14 @@
 """The stored ownership of shards, and the balance of shards between members."""
 
 import hashlib
+import re
 from collections import Counter
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Set
 
 import msgspec
 
 from gooseberrydeck_coordination.clock import Clock
+from gooseberrydeck_coordination.exceptions import RecordUnreadableError
 from gooseberrydeck_coordination.ids import Epoch, MemberId, ShardId
 from gooseberrydeck_coordination.members import MemberRecord
 from gooseberrydeck_coordination.roster import Seat
@@ -17,12 +19,13 @@
     "ShardBalance",
     "ShardRecord",
     "claimed_record",
-    "decode_shards",
     "free_shards",
     "released_record",
     "shard_of",
 ]
 
+SHARD_NAME = re.compile(r"[0-9]{4,9}")
+
 FIRST_EPOCH = Epoch(1)
 """The epoch of a shard that has had only one owner."""
 
@@ -80,17 +83,15 @@
     return msgspec.structs.replace(record, is_released=True, is_settled=is_settled)
 
 
-def decode_shards(entries: Iterable[Entry]) -> dict[ShardId, ShardRecord]:
-    """Return the shard records in entries read under the shards' prefix."""
-    return {
-        shard_of(entry): msgspec.json.decode(entry.value, type=ShardRecord)
-        for entry in entries
-    }
-
-
 def shard_of(entry: Entry) -> ShardId:
-    """Return the shard whose record an entry contains, by its key."""
-    return ShardId(int(entry.key.rsplit("/", 1)[-1]))
+    """Return the shard whose record an entry contains, by its key.
+
+    Raise ``RecordUnreadableError`` if the key names no shard.
+    """
+    name = entry.key.rsplit("/", 1)[-1]
+    if not SHARD_NAME.fullmatch(name):
+        raise RecordUnreadableError(entry.key, "the key names no shard")
+    return ShardId(int(name))
 
 
 def free_shards(
@@ -138,8 +139,12 @@
         self,
         shards: Mapping[ShardId, ShardRecord],
         members: Mapping[MemberId, MemberRecord],
+        withheld: Set[ShardId] = frozenset(),
     ) -> None:
-        """Update from newly read records, before ``claims`` and ``handover``."""
+        """Update from newly read records, before ``claims`` and ``handover``.
+
+        The ``withheld`` shards may have a running owner whatever the records say.
+        """
         now_s = self.clock.monotonic()
         if self.first_claims_from_s is None:
             # Wait for members that start at the same time, so that the shards are
@@ -152,7 +157,11 @@
             pause_s = self.timing.session_ttl_s + self.timing.round_interval_s
             self.claims_from_s = now_s + self.timing.lengthen_for_drift(pause_s)
         self.last_read_s = now_s
-        free = free_shards(self.shard_count, shards, members)
+        free = [
+            shard
+            for shard in free_shards(self.shard_count, shards, members)
+            if shard not in withheld
+        ]
         self.free_since_s = {
             shard: self.free_since_s.get(shard, now_s) for shard in free
         }
--- a/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/slices/controller.py
+++ b/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/slices/controller.py
@@ -7,6 +7,7 @@
 
 from gooseberrydeck_coordination.clock import Clock
 from gooseberrydeck_coordination.exceptions import (
+    RecordUnreadableError,
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
@@ -21,6 +22,7 @@
     split_evenly,
 )
 from gooseberrydeck_coordination.store import (
+    ABSENT,
     Compare,
     CompareTarget,
     Entry,
@@ -29,6 +31,11 @@
     Transaction,
     compare_absent,
 )
+from gooseberrydeck_coordination.stored_records import (
+    UnreadableReport,
+    decode_entry,
+    ignore_report,
+)
 
 __all__ = ["MoveOutcome", "SliceController"]
 
@@ -59,6 +66,7 @@
         prefix: str,
         key_of_shard: Callable[[ShardId], str],
         raise_delay_s: float,
+        report_unreadable: UnreadableReport = ignore_report,
     ) -> None:
         """Initialize for all ``shards`` of the cell; records are at ``prefix`` + team.
 
@@ -73,12 +81,31 @@
         self.prefix = prefix
         self.key_of_shard = key_of_shard
         self.raise_delay_s = raise_delay_s
+        self.report_unreadable = report_unreadable
         self.lowered_at_s: dict[TeamName, float] = {}
+        # The revisions of records that can't be read.
+        self.unreadable: dict[TeamName, Revision] = {}
 
     def observe(self, entry: Entry) -> None:
-        """Process a slice record read from the store or its watch."""
-        record = msgspec.json.decode(entry.value, type=SliceRecord)
-        self._observe(StoredSlices(record, entry.mod_revision))
+        """Process a slice record read from the store or its watch.
+
+        An unreadable one is reported. Nothing is admitted for its team, and its record
+        isn't replaced, until a later one can be read: units may have been moved by it.
+        """
+        team = TeamName(entry.key.removeprefix(self.prefix))
+        try:
+            record = decode_entry(entry, SliceRecord)
+            if record.team != team:
+                raise RecordUnreadableError(entry.key, "the record is of another team")
+        except RecordUnreadableError as error:
+            if entry.mod_revision > self.unreadable.get(team, ABSENT):
+                self.unreadable[team] = entry.mod_revision
+                self.ledger.withdraw(team, entry.mod_revision)
+                self.report_unreadable(error)
+            return
+        if entry.mod_revision > self.unreadable.get(team, ABSENT):
+            self.unreadable.pop(team, None)
+            self._observe(StoredSlices(record, entry.mod_revision))
 
     def refresh_all(self) -> None:
         """Read every record, which allows the ledger to admit again.
@@ -89,6 +116,10 @@
         snapshot = self.store.read_prefix(self.prefix, STORE_TIMEOUT_S)
         for entry in snapshot.entries:
             self.observe(entry)
+        listed = {entry.key for entry in snapshot.entries}
+        for team in list(self.unreadable):
+            if self._key_of(team) not in listed:
+                del self.unreadable[team]
         self.ledger.confirm(number)
 
     def take_shard(
@@ -180,6 +211,8 @@
         return self._replace(stored, stored.record, ())
 
     def _write_limit(self, limit: TeamLimit) -> MoveOutcome:
+        if limit.team in self.unreadable:
+            return MoveOutcome.OUTDATED
         stored = self.ledger.stored.get(limit.team)
         if stored is None:
             record = split_evenly(limit, self.shards)
--- a/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/slices/ledger.py
+++ b/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/slices/ledger.py
@@ -96,6 +96,13 @@
             for use in self.shards.values():
                 _drop_older_offer(use, team, stored.revision)
 
+    def withdraw(self, team: TeamName, revision: Revision) -> None:
+        """Admit nothing for a team whose record of ``revision`` can't be read."""
+        with self._lock:
+            self.stored.pop(team, None)
+            for use in self.shards.values():
+                _drop_older_offer(use, team, revision)
+
     def add_shard(
         self,
         shard: ShardId,
--- a/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/versioned/holder.py
+++ b/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/versioned/holder.py
@@ -3,15 +3,18 @@
 from collections.abc import Callable
 from enum import Enum
 
-import msgspec
-
+from gooseberrydeck_coordination.exceptions import RecordUnreadableError
 from gooseberrydeck_coordination.ids import Revision
-from gooseberrydeck_coordination.store import EventKind, Snapshot, WatchBatch
+from gooseberrydeck_coordination.store import Entry, EventKind, Snapshot, WatchBatch
+from gooseberrydeck_coordination.stored_records import (
+    UnreadableReport,
+    decode_entry,
+    ignore_report,
+)
 from gooseberrydeck_coordination.versioned.records import (
     NO_VERSION,
     VersionedRecord,
     VersionNumber,
-    decode_record,
 )
 
 __all__ = ["Follower", "OfferResult", "VersionedHolder"]
@@ -79,10 +82,19 @@
     and after the requested revision has been compacted.
     """
 
-    def __init__(self, offer: Callable[[VersionedRecord], object], head: str) -> None:
-        """Initialize; records read from the key ``head`` are passed to ``offer``."""
+    def __init__(
+        self,
+        offer: Callable[[VersionedRecord], object],
+        head: str,
+        report_unreadable: UnreadableReport = ignore_report,
+    ) -> None:
+        """Initialize; records read from the key ``head`` are passed to ``offer``.
+
+        A record that can't be read is passed over: the last value stays in force.
+        """
         self.offer = offer
         self.head = head
+        self.report_unreadable = report_unreadable
         self.start: Revision | None = None
         self.undecodable = 0
 
@@ -90,7 +102,7 @@
         """Process a read of the head."""
         for entry in snapshot.entries:
             if entry.key == self.head:
-                self.offer_encoded(entry.value)
+                self.offer_entry(entry)
         self.start = Revision(snapshot.revision + 1)
 
     def on_batch(self, batch: WatchBatch) -> None:
@@ -100,18 +112,19 @@
         """
         for event in batch.events:
             if event.kind is EventKind.PUT and event.entry.key == self.head:
-                self.offer_encoded(event.entry.value)
+                self.offer_entry(event.entry)
         self.start = Revision(batch.revision + 1)
 
     def on_compacted(self) -> None:
         """Require a read of the head before the next watch."""
         self.start = None
 
-    def offer_encoded(self, value: bytes) -> None:
-        """Decode and offer a stored value; count it if it cannot be decoded."""
+    def offer_entry(self, entry: Entry) -> None:
+        """Decode and offer a stored value; count and report an unreadable one."""
         try:
-            record = decode_record(value)
-        except msgspec.DecodeError:
+            record = decode_entry(entry, VersionedRecord)
+        except RecordUnreadableError as error:
             self.undecodable += 1
+            self.report_unreadable(error)
             return
         self.offer(record)
--- a/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/versioned/records.py
+++ b/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/versioned/records.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from gooseberrydeck_coordination.decoding import decode_json
+
 __all__ = [
     "NO_VERSION",
     "Publication",
@@ -82,5 +84,5 @@
 
 
 def decode_record(data: bytes) -> VersionedRecord:
-    """Decode a record from JSON, or raise ``msgspec.DecodeError``."""
-    return msgspec.json.decode(data, type=VersionedRecord)
+    """Decode a record from JSON, or raise ``DecodingError``."""
+    return decode_json(data, VersionedRecord)
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/controllers/configuration/__init__.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/controllers/configuration/__init__.py
@@ -14,6 +14,7 @@
     FetchFailed,
     NumberRead,
     RecordFound,
+    RecordUnreadable,
 )
 from gooseberrydeck_daemon.controllers.configuration.reader import (
     ConfigurationPoller,
@@ -40,6 +41,7 @@
     "NumberRead",
     "ConfigurationAwaited",
     "RecordFound",
+    "RecordUnreadable",
     "StoreFreshness",
     "decode_configuration_record",
 ]
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/controllers/configuration/messages.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/controllers/configuration/messages.py
@@ -18,6 +18,7 @@
     "NumberRead",
     "ConfigurationAwaited",
     "RecordFound",
+    "RecordUnreadable",
 ]
 
 
@@ -49,6 +50,13 @@
     record: VersionedRecord
 
 
+class RecordUnreadable(msgspec.Struct, frozen=True):
+    """A record or number could not be decoded; the configuration stays in force."""
+
+    key: str
+    reason: str
+
+
 class NumberRead(msgspec.Struct, frozen=True):
     """The store's newest number was read by a call that was sent at ``sent_s``."""
 
@@ -68,4 +76,6 @@
     """A peer did not return a usable configuration."""
 
 
-ConfigurationMessage = RecordFound | NumberRead | ConfigurationAwaited | FetchFailed
+ConfigurationMessage = (
+    RecordFound | RecordUnreadable | NumberRead | ConfigurationAwaited | FetchFailed
+)
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/controllers/configuration/reader.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/controllers/configuration/reader.py
@@ -4,19 +4,24 @@
 from collections.abc import Callable
 
 from gooseberrydeck_coordination.clock import Clock
-from gooseberrydeck_coordination.exceptions import StoreCompactedError, StoreError
-from gooseberrydeck_coordination.store import Store
+from gooseberrydeck_coordination.exceptions import (
+    RecordUnreadableError,
+    StoreCompactedError,
+    StoreError,
+)
+from gooseberrydeck_coordination.store import Entry, Store
+from gooseberrydeck_coordination.stored_records import decode_entry
 from gooseberrydeck_coordination.versioned import (
     Follower,
     VersionedKeys,
     VersionedRecord,
     VersionNumber,
-    decode_record,
 )
 from gooseberrydeck_daemon.controllers.configuration.messages import (
     ConfigurationMessage,
     NumberRead,
     RecordFound,
+    RecordUnreadable,
 )
 from gooseberrydeck_daemon.metrics import Metrics
 
@@ -43,7 +48,7 @@
         self.metrics = metrics
         # Bounds the time that a stop takes, since a pending watch can't be cancelled.
         self.watch_timeout_s = WATCH_TIMEOUT_S
-        self.follower = Follower(self.post_record, keys.head)
+        self.follower = Follower(self.post_record, keys.head, self.post_unreadable)
         self.stopping = threading.Event()
 
     def post_record(self, record: VersionedRecord) -> None:
@@ -52,6 +57,11 @@
             self.metrics.count("configuration.watch.dropped")
             self.follower.on_compacted()
 
+    def post_unreadable(self, error: RecordUnreadableError) -> None:
+        """Count a head that can't be read, and pass it on to be logged."""
+        self.metrics.count("configuration.undecodable")
+        self.post(RecordUnreadable(error.key, error.reason))
+
     def run(self) -> None:
         """Watch the head until stopped."""
         while not self.stopping.is_set():
@@ -115,8 +125,9 @@
                 self.poll_once()
             except StoreError:
                 self.metrics.count("configuration.confirm.failed")
-            except ValueError:
+            except ValueError as error:
                 self.metrics.count("configuration.confirm.undecodable")
+                self.post(RecordUnreadable(self.keys.number, str(error)))
             self.stopping.wait(POLL_PERIOD_S)
 
     def poll_once(self) -> None:
@@ -127,9 +138,20 @@
         if number > self.get_held_number():
             head = self.store.read(self.keys.head, CALL_TIMEOUT_S)
             if head is not None:
-                self.post(RecordFound(decode_record(head.value)))
+                self.post_head(head)
+        # Also posted without the head, so that the member knows that it is behind.
         self.post(NumberRead(number, sent_s))
 
+    def post_head(self, head: Entry) -> None:
+        """Post the record of the head, or why it can't be read."""
+        try:
+            record = decode_entry(head, VersionedRecord)
+        except RecordUnreadableError as error:
+            self.metrics.count("configuration.confirm.undecodable")
+            self.post(RecordUnreadable(error.key, error.reason))
+        else:
+            self.post(RecordFound(record))
+
     def stop(self) -> None:
         """Request the thread to end."""
         self.stopping.set()
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/controllers/configuration/task.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/controllers/configuration/task.py
@@ -10,6 +10,7 @@
 from gooseberrydeck_configuration.objects import Configuration
 from gooseberrydeck_coordination.authority import NEVER_S
 from gooseberrydeck_coordination.clock import Clock
+from gooseberrydeck_coordination.decoding import DecodingError, decode_json
 from gooseberrydeck_coordination.ids import ConfigurationNumber, MemberId
 from gooseberrydeck_coordination.versioned import (
     OfferResult,
@@ -30,11 +31,13 @@
     FetchFailed,
     NumberRead,
     RecordFound,
+    RecordUnreadable,
 )
 from gooseberrydeck_daemon.metrics import Metrics
 from gooseberrydeck_daemon.peers import Inbound, Peers
 from gooseberrydeck_daemon.views import MembershipView
 from gooseberrydeck_service.tasks import Task
+from gooseberrydeck_service.unreadable_log import UnreadableEvent, UnreadableLog
 
 __all__ = ["ConfigurationSink", "ConfigurationTask", "decode_configuration_record"]
 
@@ -63,9 +66,9 @@
 def decode_configuration_record(record: VersionedRecord) -> Configuration:
     """Return the record's configuration with the record's number.
 
-    Raise ``msgspec.DecodeError`` if this version of the software can't decode it.
+    Raise ``DecodingError`` if this version of the software can't decode it.
     """
-    content = msgspec.json.decode(record.content, type=Configuration)
+    content = decode_json(bytes(record.content), Configuration)
     return msgspec.structs.replace(content, number=ConfigurationNumber(record.number))
 
 
@@ -99,6 +102,7 @@
         self.metrics = metrics
         self.rng = rng or random.Random()
         self.holder = VersionedHolder()
+        self.unreadable = UnreadableLog(clock.monotonic)
         self.confirmed_at_s = NEVER_S
         self.fresh_until_s = NEVER_S
         self.was_fresh = False
@@ -149,6 +153,8 @@
                 self.record_number(number, sent_s)
             case ConfigurationAwaited():
                 self.add_waiting_peer(message)
+            case RecordUnreadable(key, reason):
+                self.unreadable.report(UnreadableEvent.CONFIGURATION, key, reason)
             case FetchFailed():
                 self.fetch_timeout_at_s = NEVER_S
         self.tick()
@@ -164,17 +170,21 @@
             self.next_fetch_s = now_s + FETCH_PERIOD_S
             self.fetch()
         self.update_freshness(now_s)
+        self.unreadable.summarize()
 
     def apply_record(self, record: VersionedRecord) -> None:
         """Store a record if it is newer, and reply to the peers that wait for it."""
         self.fetch_timeout_at_s = NEVER_S
         try:
             configuration = decode_configuration_record(record)
-        except msgspec.DecodeError:
+        except DecodingError as error:
             # The number exists, so this member counts as behind until it can decode
             # the record.
             self.holder.observe_number(record.number)
             self.metrics.count("configuration.undecodable")
+            self.unreadable.report(
+                UnreadableEvent.CONFIGURATION, f"number {record.number}", str(error)
+            )
             return
         result = self.holder.offer(record)
         self.metrics.count(f"configuration.offers.{result.value}")
@@ -247,8 +257,9 @@
         if isinstance(content, ConfigurationContent) and content.record:
             try:
                 message = RecordFound(decode_record(content.record))
-            except msgspec.DecodeError:
+            except DecodingError as error:
                 self.metrics.count("configuration.undecodable")
+                self.post(RecordUnreadable("a peer's record", str(error)))
         self.post(message)
 
     def update_freshness(self, now_s: float) -> None:
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/controllers/ownership/task.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/controllers/ownership/task.py
@@ -17,7 +17,7 @@
     StoreRounds,
     Timing,
 )
-from gooseberrydeck_coordination.exceptions import StoreError
+from gooseberrydeck_coordination.exceptions import RecordUnreadableError, StoreError
 from gooseberrydeck_coordination.ids import ConfigurationNumber, ShardId
 from gooseberrydeck_daemon.controllers.ownership.holder import OwnershipHolder
 from gooseberrydeck_daemon.controllers.ownership.messages import (
@@ -34,6 +34,7 @@
 from gooseberrydeck_daemon.peers import Inbound, PeerError, Peers
 from gooseberrydeck_platform.hosts import Host
 from gooseberrydeck_service.tasks import Task
+from gooseberrydeck_service.unreadable_log import UnreadableEvent, UnreadableLog
 
 __all__ = ["OwnershipTask"]
 
@@ -82,6 +83,7 @@
         self.on_initial_view = on_initial_view
         self.has_initial_view = False
         self.store_executor = ThreadPoolExecutor(1, thread_name_prefix="store")
+        self.unreadable = UnreadableLog(clock.monotonic)
         self.pending_round: Future[RoundResult] | None = None
         self.next_round_s = 0.0
         self.next_attestation_s = 0.0
@@ -164,6 +166,7 @@
             self.metrics.count("ownership.name_taken")
         if result.failure is not None:
             self.metrics.count("ownership.rounds.failed")
+        self.report_unreadable(result)
         is_store_reachable = result.snapshot is not None
         if is_store_reachable != self.is_store_reachable:
             log.info(
@@ -178,11 +181,31 @@
             if self.coordinator.has_left:
                 self.has_left_roster.set()
 
+    def report_unreadable(self, result: RoundResult) -> None:
+        """Log and count the records that the round could not read."""
+        unreadable = [] if result.snapshot is None else list(result.snapshot.unreadable)
+        if isinstance(result.failure, RecordUnreadableError):
+            unreadable.append(result.failure)
+        for error in unreadable:
+            self.metrics.count("ownership.records.unreadable")
+            self.unreadable.report(
+                UnreadableEvent.COORDINATION_RECORD, error.key, error.reason
+            )
+        self.unreadable.forget_missing(
+            UnreadableEvent.COORDINATION_RECORD, {error.key for error in unreadable}
+        )
+        self.unreadable.summarize()
+
     def is_initial_view_complete(self, result: RoundResult) -> bool:
-        """Return True if every shard has an owner or the store can't be reached."""
+        """Return True if every shard has an owner or the store can't be reached.
+
+        Shards whose records can't be read have no owner that is known.
+        """
         owners = len(self.coordinator.owners)
+        if result.snapshot is not None:
+            owners += len(result.snapshot.unreadable_shards)
         is_store_out = isinstance(result.failure, StoreError)
-        return is_store_out or owners == self.rounds.shard_count
+        return is_store_out or owners >= self.rounds.shard_count
 
     def request_attestations(self) -> None:
         """Send an attestation request to every other member."""
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/limits/task.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/limits/task.py
@@ -7,7 +7,7 @@
 
 from gooseberrydeck_configuration.objects import Configuration
 from gooseberrydeck_coordination.clock import Clock
-from gooseberrydeck_coordination.exceptions import StoreError
+from gooseberrydeck_coordination.exceptions import RecordUnreadableError, StoreError
 from gooseberrydeck_coordination.ids import Epoch, MemberId, Revision, ShardId, TeamName
 from gooseberrydeck_coordination.keys import StoreKeys
 from gooseberrydeck_coordination.ownership import OwnedShard, OwnershipView
@@ -41,6 +41,7 @@
 from gooseberrydeck_daemon.peers import Inbound, Peers
 from gooseberrydeck_daemon.views import ConfigurationView
 from gooseberrydeck_service.tasks import Task
+from gooseberrydeck_service.unreadable_log import UnreadableEvent, UnreadableLog
 
 __all__ = ["LimitsTask", "OwnershipSource"]
 
@@ -87,6 +88,7 @@
         self.peers = peers
         self.metrics = metrics
         self.ledger = SliceLedger()
+        self.unreadable = UnreadableLog(clock.monotonic)
         self.admission = TeamAdmission(self.ledger, metrics)
         self.demand = DemandTracker(clock)
         self.controller = SliceController(
@@ -97,6 +99,7 @@
             keys.slices_prefix,
             keys.shard,
             raise_delay_s,
+            self.report_unreadable,
         )
         self.on_change: list[Callable[[], None]] = []
         self.owned_shards: dict[ShardId, tuple[Epoch, Revision]] = {}
@@ -130,6 +133,7 @@
 
     def tick(self) -> None:
         """Apply ownership and configuration, and request units that are needed."""
+        self.unreadable.summarize()
         self.sync_configuration()
         self.sync_ownership()
         for team_shard, units in self.admission.pop_demand().items():
@@ -155,6 +159,13 @@
         # hashes to rewrites the record of that team.
         self.call_store(lambda: self.controller.write_limits(self.is_writer_of))
 
+    def report_unreadable(self, error: RecordUnreadableError) -> None:
+        """Log and count a slice record that can't be read; its team has to wait."""
+        self.metrics.count("limits.records.unreadable")
+        self.unreadable.report(
+            UnreadableEvent.COORDINATION_RECORD, error.key, error.reason
+        )
+
     def is_writer_of(self, team: TeamName) -> bool:
         """Return True if this member is responsible for rewriting a team's record."""
         shard = self.shards[zlib.crc32(team.encode()) % len(self.shards)]
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/job_arrivals.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/job_arrivals.py
@@ -4,8 +4,10 @@
 
 import structlog
 
+from gooseberrydeck_coordination.exceptions import RecordUnreadableError
 from gooseberrydeck_coordination.ids import Epoch
 from gooseberrydeck_coordination.store import Entry, EventKind, WatchBatch
+from gooseberrydeck_coordination.stored_records import decode_entry
 from gooseberrydeck_fleet.configuration import FleetConfiguration
 from gooseberrydeck_fleet.scheduler import Scheduler
 from gooseberrydeck_fleet.work import JobRecord
@@ -13,7 +15,6 @@
 from gooseberrydeck_member.known_ends import KnownEnds
 from gooseberrydeck_member.observability import Metrics
 from gooseberrydeck_member.peer_messages import JobAccepted
-from gooseberrydeck_member.records import RecordUnreadableError, decode_record
 from gooseberrydeck_member.threads import Event
 
 __all__ = ["JobArrivals"]
@@ -78,7 +79,7 @@
     def read_record(self, entry: Entry) -> JobRecord | None:
         """Return a job's record, or None if it is ignored as unreadable."""
         try:
-            return decode_record(entry, JobRecord)
+            return decode_entry(entry, JobRecord)
         except RecordUnreadableError as error:
             self.record_unreadable(error)
             return None
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/job_lookups.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/job_lookups.py
@@ -8,10 +8,11 @@
 from gooseberrydeck_coordination.exceptions import StoreError
 from gooseberrydeck_coordination.ids import JobId
 from gooseberrydeck_coordination.store import Store
+from gooseberrydeck_coordination.stored_records import decode_entry
 from gooseberrydeck_fleet.progress import Progress
 from gooseberrydeck_fleet.work import EndedJob, JobRecord, JobState
 from gooseberrydeck_member.keys import ended_key, job_key, progress_key
-from gooseberrydeck_member.records import decode_progress_record, decode_record
+from gooseberrydeck_member.records import decode_progress_record
 from gooseberrydeck_member.threads import SYSTEM_THREADS, Threads
 
 __all__ = ["JobAbsent", "JobFound", "JobLookups", "LookupFailed"]
@@ -93,12 +94,12 @@
         """
         ended = self.store.read(ended_key(job), CALL_TIMEOUT_S)
         if ended is not None:
-            state = decode_record(ended, EndedJob).state
+            state = decode_entry(ended, EndedJob).state
             return JobAbsent(job, state)
         entry = self.store.read(job_key(job), CALL_TIMEOUT_S)
         if entry is None:
             return JobAbsent(job, None)
-        record = decode_record(entry, JobRecord)
+        record = decode_entry(entry, JobRecord)
         stored = self.store.read(progress_key(job), CALL_TIMEOUT_S)
         if stored is None:
             return JobFound(record, int(entry.mod_revision))
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/jobs.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/jobs.py
@@ -12,9 +12,9 @@
 )
 from gooseberrydeck_coordination.ids import JobId, Revision
 from gooseberrydeck_coordination.store import Put, Store, Transaction
+from gooseberrydeck_coordination.stored_records import decode_entry
 from gooseberrydeck_fleet.work import EndedJob, JobRecord, JobState
 from gooseberrydeck_member.keys import ended_key, job_key, progress_key
-from gooseberrydeck_member.records import decode_record
 from gooseberrydeck_member.shard_lock import mod_revision_equals
 
 __all__ = ["JobStore"]
@@ -97,7 +97,7 @@
         entry = self.store.read(key, call_timeout_s(deadline_s))
         if entry is None:
             return self.read_final_state(job, deadline_s)
-        record = decode_record(entry, JobRecord)
+        record = decode_entry(entry, JobRecord)
         if record.is_cancelled:
             return JobState.CANCELLED
         cancelled = msgspec.structs.replace(record, is_cancelled=True)
@@ -118,7 +118,7 @@
         entry = self.store.read(job_key(job), call_timeout_s(deadline_s))
         if entry is None:
             return self.read_final_state(job, deadline_s)
-        record = decode_record(entry, JobRecord)
+        record = decode_entry(entry, JobRecord)
         if record.is_cancelled:
             return JobState.CANCELLED
         progress = self.store.read(progress_key(job), call_timeout_s(deadline_s))
@@ -129,14 +129,14 @@
         entry = self.store.read(ended_key(job), call_timeout_s(deadline_s))
         if entry is None:
             return ""
-        return decode_record(entry, EndedJob).failure
+        return decode_entry(entry, EndedJob).failure
 
     def read_final_state(self, job: JobId, deadline_s: float) -> JobState | None:
         """Return the state in which a job ended, or None if it has not."""
         entry = self.store.read(ended_key(job), call_timeout_s(deadline_s))
         if entry is None:
             return None
-        return decode_record(entry, EndedJob).state
+        return decode_entry(entry, EndedJob).state
 
 
 def back_off(attempt: int) -> None:
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/shard_lock.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/shard_lock.py
@@ -11,8 +11,8 @@
     Store,
     Transaction,
 )
+from gooseberrydeck_coordination.stored_records import decode_entry
 from gooseberrydeck_member.keys import ALIVE_KEY, SHARD_KEY
-from gooseberrydeck_member.records import decode_record
 
 __all__ = [
     "TOKENS_PER_CLAIM",
@@ -81,7 +81,7 @@
         entry = self.store.read(SHARD_KEY, timeout_s)
         if entry is None:
             return ShardView(ShardRecord(Epoch(0)), Revision(0))
-        record = decode_record(entry, ShardRecord)
+        record = decode_entry(entry, ShardRecord)
         return ShardView(record, entry.mod_revision)
 
     def is_alive(self, timeout_s: float) -> bool:
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/stored_state.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/stored_state.py
@@ -4,18 +4,16 @@
 
 import msgspec
 
+from gooseberrydeck_coordination.exceptions import RecordUnreadableError
 from gooseberrydeck_coordination.ids import JobId, Revision
 from gooseberrydeck_coordination.store import Snapshot, Store
+from gooseberrydeck_coordination.stored_records import decode_entry
 from gooseberrydeck_fleet.ids import WorkerId
 from gooseberrydeck_fleet.progress import Progress
 from gooseberrydeck_fleet.registrations import Registration
 from gooseberrydeck_fleet.work import JobRecord
 from gooseberrydeck_member.keys import JOB_PREFIX, PROGRESS_PREFIX, WORKERS_KEY
-from gooseberrydeck_member.records import (
-    RecordUnreadableError,
-    decode_progress_record,
-    decode_record,
-)
+from gooseberrydeck_member.records import decode_progress_record
 from gooseberrydeck_member.threads import SYSTEM_THREADS, Threads
 
 __all__ = ["StoredState", "read_stored_state"]
@@ -85,7 +83,7 @@
     records: list[tuple[JobRecord, int]] = []
     for entry in jobs.entries:
         try:
-            record = decode_record(entry, JobRecord)
+            record = decode_entry(entry, JobRecord)
         except RecordUnreadableError as error:
             unreadable.append(error)
         else:
@@ -93,7 +91,7 @@
                 records.append((record, int(entry.mod_revision)))
     recorded: list[Registration] = []
     if workers is not None:
-        recorded = decode_record(workers, list[Registration])
+        recorded = decode_entry(workers, list[Registration])
     return StoredState(
         # In order of acceptance, so that the same jobs fall within their teams'
         # shares as before the takeover.
--- a/tests/daemon/test_configuration_task.py
+++ b/tests/daemon/test_configuration_task.py
@@ -6,6 +6,7 @@
 
 import msgspec
 import pytest
+from structlog.testing import capture_logs
 
 from gooseberrydeck_configuration import (
     Authenticator,
@@ -49,6 +50,7 @@
     FetchConfiguration,
     NumberRead,
     RecordFound,
+    RecordUnreadable,
 )
 from gooseberrydeck_daemon.metrics import InMemoryMetrics
 from gooseberrydeck_daemon.peers import Inbound, PeerMessage, PeerTimeoutError
@@ -56,6 +58,7 @@
 from gooseberrydeck_daemon.views import ConfigurationHolder, StaticMembership
 from gooseberrydeck_standins.engine_store import EngineStore
 from gooseberrydeck_standins.store_engine import PutKey, StoreEngine
+from odd_values import ODD_RECORDS
 
 NAMES = [MemberId(name) for name in ("m1", "m2", "m3")]
 SEATS = [Seat(name, "1") for name in NAMES]
@@ -268,6 +271,30 @@
         member.confirm(2)
         assert not member.task.is_fresh()
 
+    # Guards against a configuration task that ends by the parser's error.
+    @pytest.mark.parametrize("odd", ODD_RECORDS.values(), ids=ODD_RECORDS)
+    def test_odd_content_leaves_the_last_one_in_force(
+        self, cell: Cell, odd: bytes
+    ) -> None:
+        member = cell.members[0]
+        record = msgspec.structs.replace(make_record(2), content=msgspec.Raw(odd))
+        with capture_logs() as logs:
+            member.deliver(RecordFound(record))
+            member.deliver(RecordFound(record))
+        assert member.view.current.number == 1
+        assert member.task.holder.is_behind
+        lines = [each for each in logs if each["event"] == "configuration unreadable"]
+        assert [each["key"] for each in lines] == ["number 2"]
+
+    @pytest.mark.parametrize("odd", ODD_RECORDS.values(), ids=ODD_RECORDS)
+    def test_odd_record_of_a_peer_is_ignored(self, cell: Cell, odd: bytes) -> None:
+        member = cell.members[0]
+        future: Future[Any] = Future()
+        future.set_result(ConfigurationContent(odd))
+        member.task.post_fetch_result(future)
+        member.process_inbox()
+        assert member.view.current.number == 1
+
     @pytest.mark.parametrize(
         "content",
         [b"", b"{", b"null", encode_record(make_record(3))[:-2], b"\xff" * 100],
@@ -344,3 +371,31 @@
             RecordFound(make_record(1)),
             NumberRead(VersionNumber(1), clock.monotonic()),
         ]
+
+    # Guards against readers that end by the parser's error, and members that don't
+    # know that they are behind.
+    @pytest.mark.parametrize("odd", ODD_RECORDS.values(), ids=ODD_RECORDS)
+    def test_odd_head_is_reported_and_its_number_read(self, odd: bytes) -> None:
+        engine = StoreEngine(ManualClock())
+        store = EngineStore(engine, waits=False)
+        engine.transact(
+            [], [PutKey(KEYS.head.encode(), odd), PutKey(KEYS.number.encode(), b"2")]
+        )
+        found: list[ConfigurationMessage] = []
+
+        def post(message: ConfigurationMessage) -> bool:
+            found.append(message)
+            return True
+
+        clock, metrics = ManualClock(), InMemoryMetrics()
+        poller = ConfigurationPoller(
+            store, KEYS, clock, post, lambda: VersionNumber(1), metrics
+        )
+        poller.poll_once()
+        watch = ConfigurationWatch(store, KEYS, post, metrics)
+        watch.watch_once()
+        assert [type(each) for each in found] == [
+            RecordUnreadable,
+            NumberRead,
+            RecordUnreadable,
+        ]
--- a/tests/member/test_odd_records.py
+++ b/tests/member/test_odd_records.py
@@ -10,6 +10,7 @@
 from followed_task import FollowedTask
 from gooseberrydeck_coordination.clock import ManualClock
 from gooseberrydeck_coordination.exceptions import (
+    RecordUnreadableError,
     StoreError,
 )
 from gooseberrydeck_coordination.ids import JobId, MemberId, Revision
@@ -25,7 +26,6 @@
     job_key,
     progress_key,
 )
-from gooseberrydeck_member.records import RecordUnreadableError
 from gooseberrydeck_member.shard_lock import ShardLock
 from gooseberrydeck_member.store_follower import (
     PrefixChanged,
--- a/tests/odd_values.py
+++ b/tests/odd_values.py
@@ -5,7 +5,14 @@
 import msgspec
 from hypothesis import strategies as st
 
-__all__ = ["ODD_ADDRESSES", "ODD_NUMBERS", "deep", "json_bytes", "with_raw"]
+__all__ = [
+    "ODD_ADDRESSES",
+    "ODD_NUMBERS",
+    "ODD_RECORDS",
+    "deep",
+    "json_bytes",
+    "with_raw",
+]
 
 PLACE = "RAW"
 
@@ -62,6 +69,15 @@
     return msgspec.json.encode(document).replace(f'"{PLACE}"'.encode(), raw)
 
 
+ODD_RECORDS = {
+    "deep": with_raw({"X": PLACE}, deep(3_000)),
+    "number": b"9" * 5_000,
+    "bytes": b"\xff",
+    "empty": b"",
+    "other type": b"[]",
+}
+"""Values that are no record of any kind, by what is odd."""
+
 JSON_VALUES = st.recursive(
     st.none()
     | st.booleans()
