Member: odd entries write a bounded number of log lines

Cause: one line for each key and each new reason, however many there are; an unreadable record of a job was logged at each read.

Change: both go through UnreadableLog. The counters have each entry, as before.

--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/job_arrivals.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/job_arrivals.py
@@ -16,6 +16,7 @@
 from gooseberrydeck_member.observability import Metrics
 from gooseberrydeck_member.peer_messages import JobAccepted
 from gooseberrydeck_member.threads import Event
+from gooseberrydeck_service.unreadable_log import UnreadableEvent, UnreadableLog
 
 __all__ = ["JobArrivals"]
 
@@ -30,6 +31,7 @@
         scheduler: Scheduler,
         known_ends: KnownEnds,
         metrics: Metrics,
+        unreadable: UnreadableLog,
         token: Epoch,
         lost: Event,
         mark_shard_lost: Callable[[], None],
@@ -41,6 +43,7 @@
         self.scheduler = scheduler
         self.known_ends = known_ends
         self.metrics = metrics
+        self.unreadable = unreadable
         self.token = token
         self.lost = lost
         self.mark_shard_lost = mark_shard_lost
@@ -87,7 +90,7 @@
     def record_unreadable(self, error: RecordUnreadableError) -> None:
         """Log and count a record that is ignored."""
         self.metrics.unreadable_entries.labels("record").inc()
-        log.error("record unreadable", key=error.key, reason=error.reason)
+        self.unreadable.report(UnreadableEvent.RECORD, error.key, error.reason)
 
     def add_job(
         self, record: JobRecord, revision: int, predates_takeover: bool
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
@@ -76,6 +76,7 @@
 )
 from gooseberrydeck_member.worker_polls import WorkerPolls
 from gooseberrydeck_member.worker_registry import WorkerRegistry
+from gooseberrydeck_service.unreadable_log import UnreadableLog
 
 __all__ = ["SchedulerTask"]
 
@@ -188,10 +189,12 @@
         self.claimed_s = clock.monotonic()
         if predecessors.may_act():
             self.scheduler.predecessor_may_act(self.claimed_s + SUPERSEDED_NOTICE_S)
+        self.unreadable = UnreadableLog(clock.monotonic)
         self.jobs = JobArrivals(
             self.scheduler,
             self.known_ends,
             metrics,
+            self.unreadable,
             self.token,
             self.lost,
             self.mark_shard_lost,
@@ -201,6 +204,7 @@
             self.dispatcher,
             self.known_ends,
             metrics,
+            self.unreadable,
             self.token,
             connect,
             decode_registration,
@@ -374,6 +378,7 @@
             self.lookups.look_up(job)
         self.polls.poll_due_workers(now_s)
         self.polls.acknowledge(self.committer.send_due(now_s), now_s)
+        self.unreadable.summarize()
 
     def report_lost_runs(self) -> None:
         """Log and count the runs that have ended without a reported end."""
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/worker_registry.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/worker_registry.py
@@ -16,11 +16,14 @@
 from gooseberrydeck_member.observability import Metrics
 from gooseberrydeck_member.worker_dispatcher import WorkerDispatcher
 from gooseberrydeck_member.worker_polling import WorkerPollState, worker_token
+from gooseberrydeck_service.unreadable_log import UnreadableEvent, UnreadableLog
 
 __all__ = ["WorkerRegistry"]
 
 log = structlog.get_logger(__name__)
 
+REGISTRATION = UnreadableEvent.REGISTRATION
+
 
 class WorkerRegistry:
     """The workers that are polled, as registered and as recorded by a predecessor."""
@@ -31,6 +34,7 @@
         dispatcher: WorkerDispatcher,
         known_ends: KnownEnds,
         metrics: Metrics,
+        unreadable: UnreadableLog,
         token: Epoch,
         connect: Callable[[Registration], WorkerCalls],
         decode_registration: Callable[[str, bytes], Registration],
@@ -48,6 +52,7 @@
         self.dispatcher = dispatcher
         self.known_ends = known_ends
         self.metrics = metrics
+        self.unreadable = unreadable
         self.token = token
         self.connect = connect
         self.decode_registration = decode_registration
@@ -56,8 +61,6 @@
         # The workers on which a predecessor may have started tasks.
         self.recorded: Set[WorkerId] = frozenset()
         self.poll_states: dict[WorkerId, WorkerPollState] = {}
-        # Why entries that name no worker can't be used, by key.
-        self.unreadable: dict[str, str] = {}
         # Restarts of workers that have been removed, and may register again.
         self.former_restarts: dict[WorkerId, int] = {}
 
@@ -81,8 +84,7 @@
         listed = {entry.key for entry in entries}
         for entry in entries:
             self.registration_changed(entry.key, entry.value, now_s)
-        for key in self.unreadable.keys() - listed:
-            del self.unreadable[key]
+        self.unreadable.forget_missing(REGISTRATION, listed)
         for worker in list(self.poll_states):
             if self.prefix + worker not in listed:
                 self.registration_removed(self.prefix + worker, now_s)
@@ -103,7 +105,7 @@
         except DecodingError as error:
             self.registration_unreadable(key, value, str(error))
             return
-        self.unreadable.pop(key, None)
+        self.unreadable.forget(REGISTRATION, key)
         worker = self.scheduler.ledger.workers.get(entry.worker)
         if worker is not None and worker.entry.is_draining != entry.is_draining:
             log.info(
@@ -120,11 +122,7 @@
         A worker that the entry named before starts nothing new, but may be alive.
         """
         self.metrics.unreadable_entries.labels("registration").inc()
-        if self.unreadable.get(key) != reason:
-            self.unreadable[key] = reason
-            log.warning(
-                "registration unreadable", key=key, bytes=len(value), reason=reason
-            )
+        self.unreadable.report(REGISTRATION, key, reason, bytes=len(value))
         self.scheduler.worker_unreadable(WorkerId(key.removeprefix(self.prefix)))
 
     def add_worker(self, entry: Registration, now_s: float) -> None:
@@ -157,7 +155,7 @@
 
     def registration_removed(self, key: str, now_s: float) -> None:
         """Unregister a worker whose registration was removed."""
-        self.unreadable.pop(key, None)
+        self.unreadable.forget(REGISTRATION, key)
         worker = WorkerId(key.removeprefix(self.prefix))
         log.info("worker entry removed", worker=worker)
         self.scheduler.worker_unregistered(worker)
--- a/tests/member/test_odd_registrations.py
+++ b/tests/member/test_odd_registrations.py
@@ -9,6 +9,7 @@
 from followed_task import ENTRY, PREFIX, FollowedTask
 from gooseberrydeck_coordination.store import Delete
 from gooseberrydeck_fleet.ids import WorkerId
+from gooseberrydeck_service.unreadable_log import MAX_LINES
 from odd_values import deep, with_raw
 
 BAD_KEY = f"{PREFIX}odd"
@@ -119,3 +120,18 @@
             followed.put("odd", odd)
             followed.watch()
         assert "registration unreadable" in [each["event"] for each in logs]
+
+
+# Guards against a log that grows with each odd entry and each new reason of it.
+class TestVolume:
+    def test_many_odd_entries_write_few_lines(self, followed: FollowedTask) -> None:
+        followed.task.unreadable.monotonic = lambda: 0.0
+        odd = list(ODD_ENTRIES.values())
+        with capture_logs() as logs:
+            for turn in range(6):
+                for number in range(200):
+                    followed.put(f"odd-{number}", odd[(turn + number) % len(odd)])
+                followed.read()
+        about = [each for each in logs if "unreadable" in each["event"]]
+        assert 0 < len(about) <= MAX_LINES
+        assert followed.ignored() == 6 * 200
