Daemon: stored records that can't be read end no task, and no job is dropped in silence

Cause: each reader called the parser and caught DecodeError only, or nothing.

Change, per reader: - jobs: the others are loaded; the unreadable one is left alone in the store, logged as an error and counted at each scan, and accepted once a scan can read it. Peers: the message counts as none. - submissions, operators' bodies, settings and configuration files use the decoder. DecodingError keeps msgspec's own words, so that callers' error texts stay as they were.

--- a/packages/gooseberrydeck-configuration/src/gooseberrydeck_configuration/files.py
+++ b/packages/gooseberrydeck-configuration/src/gooseberrydeck_configuration/files.py
@@ -19,6 +19,7 @@
     Share,
     Team,
 )
+from gooseberrydeck_coordination.decoding import DecodingError, decode_document
 from gooseberrydeck_coordination.ids import ConfigurationNumber
 
 __all__ = ["MAX_FILE_BYTES", "SECTIONS", "decode_configuration", "load_configuration"]
@@ -94,8 +95,8 @@
             )
             return
         try:
-            document = msgspec.json.decode(data)
-        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+            document = decode_document(data)
+        except DecodingError as error:
             self.problems.append(
                 FILE_NOT_JSON.make_problem("", "", str(error), file=file)
             )
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/checks/settings.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/checks/settings.py
@@ -7,6 +7,7 @@
 import msgspec
 import zmq
 
+from gooseberrydeck_coordination.decoding import DecodingError, decode_document
 from gooseberrydeck_daemon.checks.messages import CheckMessage
 from gooseberrydeck_daemon.checks.structure import find_structure_problems
 from gooseberrydeck_daemon.checks.timing import find_timing_problems
@@ -24,11 +25,11 @@
     Values are checked only if the file has the expected structure.
     """
     try:
-        raw = msgspec.json.decode(path.read_bytes())
+        raw = decode_document(path.read_bytes())
     except OSError as error:
         hint = "Name a file that this user may read."
         return [CheckMessage("$", "settings.E001", str(error), hint)], None
-    except msgspec.DecodeError as error:
+    except DecodingError as error:
         hint = "Write one JSON object, in UTF-8."
         return [CheckMessage("$", "settings.E001", str(error), hint)], None
     problems = list(find_structure_problems(raw, Settings))
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/idempotency/guard.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/idempotency/guard.py
@@ -5,12 +5,14 @@
 from functools import partial
 
 import msgspec
+import structlog
 
-from gooseberrydeck_coordination.exceptions import StoreError
+from gooseberrydeck_coordination.exceptions import RecordUnreadableError, StoreError
 from gooseberrydeck_coordination.group_commit import WriteOutcome
 from gooseberrydeck_coordination.ids import MemberId
 from gooseberrydeck_coordination.keys import StoreKeys
 from gooseberrydeck_coordination.store import Entry, Store
+from gooseberrydeck_coordination.stored_records import decode_entry
 from gooseberrydeck_daemon.dispatch.exceptions import DispatchError, Outcome
 from gooseberrydeck_daemon.http.problems import ProblemError, ProblemType
 from gooseberrydeck_daemon.idempotency.records import (
@@ -24,6 +26,8 @@
 
 __all__ = ["IdempotencyGuard"]
 
+log = structlog.get_logger(__name__)
+
 STORE_TIMEOUT_S = 2.0
 MAX_STORED_BODY_BYTES = 65_536
 
@@ -126,7 +130,7 @@
             return self.run_claimed(path, record, claim, run)
         first_use = None
         if entry is not None:
-            first_use = msgspec.json.decode(entry.value, type=RequestRecord)
+            first_use = self.read_first_use(entry)
         if first_use is not None and first_use.fingerprint != record.fingerprint:
             detail = "the key was used with another body or content type"
             raise ProblemError(ProblemType.REPEATED, detail)
@@ -138,6 +142,23 @@
         stored = first_use.answer
         return EndpointResponse(stored.status, stored.content_type, stored.body)
 
+    def read_first_use(self, entry: Entry) -> RequestRecord:
+        """Return the record of a used key.
+
+        Raise ``ProblemError`` if it is unreadable: the first use may have run.
+        """
+        try:
+            return decode_entry(entry, RequestRecord)
+        except RecordUnreadableError as error:
+            self.metrics.count("requests.records.unreadable")
+            log.error("request record unreadable", key=error.key, reason=error.reason)
+            raise ProblemError(
+                ProblemType.REPEATED,
+                "the record of the first use can't be read",
+                Outcome.UNKNOWN,
+                retry_after_s=1.0,
+            ) from error
+
     def read_claim(self, path: str) -> Entry | None:
         """Return the claim; raise ``ProblemError`` if the store is unavailable."""
         try:
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/jobs/acceptance.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/jobs/acceptance.py
@@ -10,13 +10,13 @@
 from gooseberrydeck_coordination.ids import JobId, QueueName, ShardId, TeamName
 from gooseberrydeck_coordination.resources import Resources
 from gooseberrydeck_coordination.store import Store
+from gooseberrydeck_coordination.stored_records import decode_entry
 from gooseberrydeck_daemon.jobs.records import JobWrites, RecordWriter
 from gooseberrydeck_scheduling import (
     JobRecord,
     JobSpec,
     QueueRules,
     SchedulerSettings,
-    decode_record,
     new_record,
 )
 from gooseberrydeck_scheduling.checks import find_refusal
@@ -117,12 +117,13 @@
     def find(self, job: JobId) -> tuple[ShardId, JobRecord | None]:
         """Return the shard of a job and its record; raise ``StoreError`` on failure.
 
-        The record is None if the job is unknown.
+        The record is None if the job is unknown. A record that can't be read is a
+        failure: the job may have been accepted.
         """
         keys = self.writes.keys
         index = self.store.read(keys.job_index(job), STORE_TIMEOUT_S)
         if index is None:
             return ShardId(-1), None
-        shard = ShardId(int(index.value))
+        shard = ShardId(decode_entry(index, int))
         entry = self.store.read(keys.job(shard, job), STORE_TIMEOUT_S)
-        return shard, decode_record(entry.value) if entry is not None else None
+        return shard, decode_entry(entry, JobRecord) if entry is not None else None
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/jobs/handlers.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/jobs/handlers.py
@@ -5,7 +5,10 @@
 from concurrent.futures import TimeoutError as FutureTimeoutError
 from typing import Any
 
+import structlog
+
 from gooseberrydeck_configuration.objects import Queue
+from gooseberrydeck_coordination.decoding import DecodingError
 from gooseberrydeck_coordination.exceptions import StoreError
 from gooseberrydeck_coordination.group_commit import WriteOutcome
 from gooseberrydeck_coordination.ids import JobId, MemberId, ShardId, TeamName
@@ -36,6 +39,8 @@
 
 __all__ = ["JobsHandler"]
 
+log = structlog.get_logger(__name__)
+
 MAX_WAIT_S = 60.0
 ASK_TIMEOUT_S = 7.0
 ANY_SHARD = ShardId(-1)
@@ -122,9 +127,17 @@
         query = JobQuery(shard, record.spec.id, record.spec.team, parse_wait(request))
         answer = self.query_owner(shard, query)
         if answer is not None and answer.record:
-            record = decode_record(answer.record)
+            record = self.newer_record(answer.record) or record
         return json_response(200, build_view(record))
 
+    def newer_record(self, encoded: bytes) -> JobRecord | None:
+        """Return the owner's record of a job, or None if it can't be read."""
+        try:
+            return decode_record(encoded)
+        except DecodingError as error:
+            log.warning("owner's answer unreadable", reason=str(error))
+            return None
+
     def find(self, request: Request) -> tuple[ShardId, JobRecord]:
         """Return the shard and the record of a job that the caller may see."""
         try:
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/jobs/messages.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/jobs/messages.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from gooseberrydeck_coordination.exceptions import RecordUnreadableError
 from gooseberrydeck_coordination.ids import JobId, QueueName, ShardId, TeamName
 from gooseberrydeck_daemon.jobs.record_table import JobWriteResult
 from gooseberrydeck_daemon.peers import Inbound, PeerMessage
@@ -82,11 +83,15 @@
 
 
 class RecordsLoaded(msgspec.Struct, frozen=True):
-    """The records of a shard, read for one epoch; None if the store was unavailable."""
+    """The records of a shard, read for one epoch; None if the store was unavailable.
+
+    ``unreadable`` says which records were left out.
+    """
 
     shard: ShardId
     epoch: int
     records: tuple[JobRecord, ...] | None
+    unreadable: tuple[RecordUnreadableError, ...] = ()
 
 
 class LocalQuery(msgspec.Struct, frozen=True):
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/jobs/submission.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/jobs/submission.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from gooseberrydeck_coordination.decoding import DecodingError, FieldError, decode_json
 from gooseberrydeck_coordination.ids import JobId, QueueName, TeamName
 from gooseberrydeck_coordination.resources import Resources
 from gooseberrydeck_daemon.http.problems import ProblemError, ProblemType
@@ -66,10 +67,10 @@
 def parse_submission(body: bytes, team: TeamName, queue: QueueRules) -> JobSpec:
     """Return the job that a request body describes, or raise ``ProblemError``."""
     try:
-        submission = msgspec.json.decode(body, type=JobSubmission)
-    except msgspec.ValidationError as error:
+        submission = decode_json(body, JobSubmission)
+    except FieldError as error:
         raise ProblemError(ProblemType.BAD_FIELD, str(error)) from error
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DecodingError as error:
         raise ProblemError(ProblemType.BAD_JSON, str(error)) from error
     validate_fields(submission)
     is_standing = submission.standing or queue.policy is OrderPolicy.STANDING
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/jobs/task.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/jobs/task.py
@@ -6,10 +6,12 @@
 import structlog
 
 from gooseberrydeck_coordination.clock import Clock
-from gooseberrydeck_coordination.exceptions import StoreError
+from gooseberrydeck_coordination.decoding import DecodingError
+from gooseberrydeck_coordination.exceptions import RecordUnreadableError, StoreError
 from gooseberrydeck_coordination.ids import Epoch, ShardId
 from gooseberrydeck_coordination.ownership import OwnedShard, OwnershipView
-from gooseberrydeck_coordination.store import Store
+from gooseberrydeck_coordination.store import Entry, Store
+from gooseberrydeck_coordination.stored_records import decode_entry
 from gooseberrydeck_daemon.jobs.dependencies import (
     CellRules,
     InboxRunner,
@@ -41,6 +43,7 @@
     decode_record,
 )
 from gooseberrydeck_service.tasks import Task
+from gooseberrydeck_service.unreadable_log import UnreadableEvent, UnreadableLog
 
 __all__ = ["JobsTask"]
 
@@ -85,6 +88,7 @@
         self.usage = usage
         self.summaries: tuple[ShardUsage, ...] = ()
         """The newest summaries of the owned shards; safe to read from any thread."""
+        self.unreadable = UnreadableLog(clock.monotonic)
         self.summary_sequence = 0
         self.summary_s = float("-inf")
         self.shards: dict[ShardId, ShardJobs] = {}
@@ -272,13 +276,19 @@
             except StoreError:
                 self.inbox.put(RecordsLoaded(shard, epoch, None))
                 return
-            records = tuple(decode_record(entry.value) for entry in found.entries)
-            self.inbox.put(RecordsLoaded(shard, epoch, records))
+            records, unreadable = decode_records(found.entries)
+            self.inbox.put(RecordsLoaded(shard, epoch, records, unreadable))
 
         self.executor.submit(read)
 
     def apply_records(self, loaded: RecordsLoaded) -> None:
-        """Add the records read from the store to their shard."""
+        """Add the records read from the store to their shard.
+
+        A job whose record can't be read is left alone until a later scan can read it.
+        """
+        for error in loaded.unreadable:
+            self.metrics.count("jobs.records.unreadable")
+            self.unreadable.report(UnreadableEvent.RECORD, error.key, error.reason)
         jobs = self.shards.get(loaded.shard)
         if jobs is None or jobs.owned.epoch != loaded.epoch:
             return
@@ -298,7 +308,15 @@
         """Accept a job that was bound to a shard."""
         jobs = self.shards.get(bound.shard)
         if jobs is not None:
-            self.accept(jobs, decode_record(bound.record))
+            try:
+                record = decode_record(bound.record)
+            except DecodingError as error:
+                # The next scan finds the job in the store.
+                self.metrics.count("jobs.messages.unreadable")
+                name = f"notification for shard {bound.shard}"
+                self.unreadable.report(UnreadableEvent.RECORD, name, str(error))
+                return
+            self.accept(jobs, record)
 
     def accept(self, jobs: ShardJobs, record: JobRecord) -> None:
         """Accept a job, or read it again later if its queue is not known here yet.
@@ -331,3 +349,16 @@
     scheduler.set_rules(rules.queues.values())
     scheduler.set_shares(rules.weights)
     scheduler.set_team_limits(rules.limits)
+
+
+def decode_records(
+    entries: Iterable[Entry],
+) -> tuple[tuple[JobRecord, ...], tuple[RecordUnreadableError, ...]]:
+    """Return the records of jobs, and why the others can't be read."""
+    records, unreadable = [], []
+    for entry in entries:
+        try:
+            records.append(decode_entry(entry, JobRecord))
+        except RecordUnreadableError as error:
+            unreadable.append(error)
+    return tuple(records), tuple(unreadable)
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/operators/parameters.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/operators/parameters.py
@@ -2,8 +2,7 @@
 
 from typing import TypeVar
 
-import msgspec
-
+from gooseberrydeck_coordination.decoding import DecodingError, decode_json
 from gooseberrydeck_daemon.http.requests import Request
 from gooseberrydeck_daemon.operators.problems import (
     OperatorProblem,
@@ -56,6 +55,6 @@
 def decode_body(request: Request, body_type: type[BodyT]) -> BodyT:
     """Decode the JSON body; raise ``OperatorProblemError`` if it is invalid."""
     try:
-        return msgspec.json.decode(request.read_body(), type=body_type)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        return decode_json(request.read_body(), body_type)
+    except DecodingError as error:
         raise OperatorProblemError(OperatorProblem.BAD_BODY, str(error)) from error
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/peers/messages.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/peers/messages.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from gooseberrydeck_coordination.decoding import DecodingError, MessageDecoder
 from gooseberrydeck_coordination.ids import MemberId
 
 __all__ = ["Frame", "FrameKind", "Handler", "Inbound", "MessageRegistry", "PeerMessage"]
@@ -76,7 +77,7 @@
         """Create an empty registry."""
         self.handlers: dict[type[PeerMessage], Handler | None] = {}
         self.encoder = msgspec.msgpack.Encoder()
-        self.decoder: msgspec.msgpack.Decoder[Any] | None = None
+        self.decoder: MessageDecoder[Any] | None = None
 
     def register(
         self, message_type: type[PeerMessage], handler: Handler | None = None
@@ -99,8 +100,8 @@
             if not self.handlers:
                 return None
             union: Any = functools.reduce(operator.or_, self.handlers)
-            self.decoder = msgspec.msgpack.Decoder(union)
+            self.decoder = MessageDecoder(union)
         try:
             return self.decoder.decode(payload)
-        except (msgspec.DecodeError, UnicodeDecodeError):
+        except DecodingError:
             return None
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/reports/snapshots.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/reports/snapshots.py
@@ -8,7 +8,7 @@
 import structlog
 
 from gooseberrydeck_coordination.clock import Clock
-from gooseberrydeck_coordination.exceptions import StoreError
+from gooseberrydeck_coordination.exceptions import RecordUnreadableError, StoreError
 from gooseberrydeck_coordination.ids import MemberId
 from gooseberrydeck_coordination.keys import StoreKeys
 from gooseberrydeck_coordination.store import (
@@ -19,6 +19,7 @@
     Store,
     Transaction,
 )
+from gooseberrydeck_coordination.stored_records import decode_entry
 from gooseberrydeck_daemon.metrics import Metrics
 from gooseberrydeck_daemon.reports.accumulator import BurnAccumulator, BurnSnapshot
 from gooseberrydeck_daemon.reports.usage import UsageSnapshot, UsageSource
@@ -68,9 +69,9 @@
             if entry.key.rpartition("/")[2] != name or entry.key == own:
                 continue
             try:
-                found.append(msgspec.json.decode(entry.value, type=snapshot_type))
-            except msgspec.DecodeError:
-                log.warning("report snapshot could not be decoded", key=entry.key)
+                found.append(decode_entry(entry, snapshot_type))
+            except RecordUnreadableError as error:
+                report_unreadable(error)
         return found
 
 
@@ -137,9 +138,9 @@
         if entry is None:
             return
         try:
-            snapshot = msgspec.json.decode(entry.value, type=BurnSnapshot)
-        except msgspec.DecodeError:
-            log.warning("report snapshot could not be decoded", key=key)
+            snapshot = decode_entry(entry, BurnSnapshot)
+        except RecordUnreadableError as error:
+            report_unreadable(error)
         else:
             self.burn.restore(snapshot)
 
@@ -175,6 +176,11 @@
 def snapshot_time_s(entry: Entry) -> float:
     """Return the time of a snapshot; 0 if it cannot be decoded."""
     try:
-        return msgspec.json.decode(entry.value, type=SnapshotHeader).taken_s
-    except msgspec.DecodeError:
+        return decode_entry(entry, SnapshotHeader).taken_s
+    except RecordUnreadableError:
         return 0.0
+
+
+def report_unreadable(error: RecordUnreadableError) -> None:
+    """Log a snapshot that is left out of a report."""
+    log.warning("report snapshot unreadable", key=error.key, reason=error.reason)
--- a/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/jobs.py
+++ b/packages/gooseberrydeck-scheduling/src/gooseberrydeck_scheduling/jobs.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from gooseberrydeck_coordination.decoding import decode_json
 from gooseberrydeck_coordination.ids import (
     HostName,
     JobId,
@@ -134,8 +135,11 @@
 
 
 def decode_record(value: bytes) -> JobRecord:
-    """Decode a record from the JSON in the store."""
-    return msgspec.json.decode(value, type=JobRecord)
+    """Decode a record from the JSON in the store, or raise ``DecodingError``.
+
+    An accepted job whose record can't be read must not be forgotten: report its key.
+    """
+    return decode_json(value, JobRecord)
 
 
 def task_id(job: JobId, index: int, attempt: int) -> TaskId:
--- a/tests/daemon/test_idempotency.py
+++ b/tests/daemon/test_idempotency.py
@@ -27,6 +27,7 @@
 from gooseberrydeck_coordination.group_commit import WriteOutcome
 from gooseberrydeck_coordination.ids import CellName, MemberId, RequestId, TeamName
 from gooseberrydeck_coordination.keys import StoreKeys
+from gooseberrydeck_coordination.store import Put, Transaction
 from gooseberrydeck_daemon.dispatch import (
     DispatchError,
     NotRunError,
@@ -45,6 +46,7 @@
 from gooseberrydeck_standins.engine_store import EngineStore
 from gooseberrydeck_standins.faults import CallFault
 from gooseberrydeck_standins.store_engine import StoreEngine
+from odd_values import ODD_RECORDS
 
 NOT_RUN = NotRunError(Reason.ENDPOINT_NOT_REACHED)
 UNKNOWN = OutcomeUnknownError(Reason.ENDPOINT_FAILED)
@@ -166,6 +168,21 @@
         assert members[1].use("k", runs.ending_with(None), b"seat 8") == "not_run"
         assert runs.count == 1
 
+    # Guards against a failure without an outcome: the first use may have run.
+    @pytest.mark.parametrize("odd", ODD_RECORDS.values(), ids=ODD_RECORDS)
+    def test_unreadable_record_of_the_first_use_is_an_unknown_outcome(
+        self, members: tuple[GuardedMember, GuardedMember], odd: bytes
+    ) -> None:
+        runs = RunCounter()
+        members[0].use("k", runs.ending_with(None))
+        store = members[0].store
+        prefix = StoreKeys(CellName("test")).root
+        for entry in store.read_prefix(prefix, 1.0).entries:
+            if "/requests/" in entry.key:
+                store.commit(Transaction((), (Put(entry.key, odd),)), 1.0)
+        assert members[1].use("k", runs.ending_with(None)) == "unknown"
+        assert runs.count == 1
+
     def test_keys_are_separate_per_team(
         self, members: tuple[GuardedMember, GuardedMember]
     ) -> None:
--- a/tests/daemon/test_jobs_http.py
+++ b/tests/daemon/test_jobs_http.py
@@ -5,10 +5,12 @@
 import threading
 from collections.abc import Iterator
 from concurrent.futures import Future, ThreadPoolExecutor
+from contextlib import contextmanager
 from typing import Any
 
 import msgspec
 import pytest
+from structlog.testing import capture_logs
 
 from gooseberrydeck_configuration.objects import (
     Configuration,
@@ -22,6 +24,7 @@
     DataCentre,
     Epoch,
     HostName,
+    JobId,
     MemberId,
     QueueName,
     Rack,
@@ -41,6 +44,7 @@
 from gooseberrydeck_daemon.http.router import Router
 from gooseberrydeck_daemon.jobs.component import JobsComponent
 from gooseberrydeck_daemon.jobs.handlers import JobsHandler
+from gooseberrydeck_daemon.jobs.messages import JobBound
 from gooseberrydeck_daemon.jobs.task import JobsTask
 from gooseberrydeck_daemon.limits import TeamAdmission
 from gooseberrydeck_daemon.metrics import InMemoryMetrics
@@ -56,6 +60,7 @@
 from gooseberrydeck_standins.store_engine import StoreEngine
 from gooseberrydeck_standins.worker_engine import WorkerEngine
 from jobs_support import CAPACITY, CELL, KEYS, SHARD, TIMING
+from odd_values import ODD_RECORDS, deep, with_raw
 
 OWNER, OTHER = MemberId("owner"), MemberId("other")
 HOST = HostName("host-0")
@@ -188,17 +193,24 @@
         return response
 
 
-@pytest.fixture(name="cell")
-def make_cell() -> Iterator[JobsCell]:
-    cell = JobsCell()
+@contextmanager
+def running(cell: JobsCell) -> Iterator[JobsCell]:
     for thread in cell.threads:
         thread.start()
-    yield cell
-    for task in cell.side.tasks():
-        task.stop()
-    for thread in cell.threads:
-        thread.join(5.0)
-    cell.executor.shutdown()
+    try:
+        yield cell
+    finally:
+        for task in cell.side.tasks():
+            task.stop()
+        for thread in cell.threads:
+            thread.join(5.0)
+        cell.executor.shutdown()
+
+
+@pytest.fixture(name="cell")
+def make_cell() -> Iterator[JobsCell]:
+    with running(JobsCell()) as cell:
+        yield cell
 
 
 def job(name: str = "job", run_s: float = 0.0, **fields: object) -> dict[str, object]:
@@ -206,6 +218,9 @@
     return {"id": name, "payload": payload, "max_run_s": 600.0, **fields}
 
 
+DEEP_JOB = with_raw({"labels": {"a": "RAW"}, **job()}, deep(3_000))
+
+
 def read(response: Response) -> dict[str, Any]:
     value: dict[str, Any] = msgspec.json.decode(response.body)
     return value
@@ -260,6 +275,7 @@
             ("/v1/queues/gang/jobs", job(), ProblemType.NOT_PERMITTED),
             ("/v1/queues/batch/jobs", b"{", ProblemType.BAD_JSON),
             ("/v1/queues/batch/jobs", b"\xff", ProblemType.BAD_JSON),
+            ("/v1/queues/batch/jobs", DEEP_JOB, ProblemType.BAD_FIELD),
             ("/v1/queues/batch/jobs", job(colour="red"), ProblemType.BAD_FIELD),
             ("/v1/queues/batch/jobs", job(tasks=0), ProblemType.BAD_FIELD),
             ("/v1/queues/batch/jobs", job(cpus=-1), ProblemType.BAD_FIELD),
@@ -313,3 +329,48 @@
         with pytest.raises(ProblemError) as refused:
             cell.call("GET", "/v1/jobs/job", query=query)
         assert refused.value.kind is ProblemType.BAD_REQUEST
+
+
+# Guards against a job that is dropped in silence, and against one odd record that
+# keeps the others of its shard from running.
+class TestUnreadableRecords:
+    @pytest.mark.parametrize("odd", ODD_RECORDS.values(), ids=ODD_RECORDS)
+    def test_others_run_and_the_job_is_reported(self, odd: bytes) -> None:
+        cell = JobsCell()
+        store = cell.store
+        puts = (
+            Put(KEYS.job(SHARD, JobId("bad")), odd),
+            Put(KEYS.job_index(JobId("bad")), b"0"),
+        )
+        store.commit(Transaction((), puts), 1.0)
+        with capture_logs() as logs, running(cell):
+            cell.call("POST", "/v1/queues/batch/jobs", job())
+            answer = cell.call("GET", "/v1/jobs/job", query="wait_s=30")
+            assert read(answer)["state"] == "succeeded"
+            with pytest.raises(ProblemError) as refused:
+                cell.call("GET", "/v1/jobs/bad")
+            assert refused.value.kind is ProblemType.STORE_UNAVAILABLE
+            with pytest.raises(ProblemError) as refused:
+                cell.call("POST", "/v1/queues/batch/jobs", job("bad"))
+            assert refused.value.outcome is Outcome.UNKNOWN
+        lines = [each for each in logs if each["event"] == "record unreadable"]
+        assert {each["key"] for each in lines} == {KEYS.job(SHARD, JobId("bad"))}
+        entry = store.read(KEYS.job(SHARD, JobId("bad")), 1.0)
+        assert entry is not None
+        assert entry.value == odd
+
+    def test_odd_index_is_no_unknown_job(self, cell: JobsCell) -> None:
+        for odd in ODD_RECORDS.values():
+            put = Put(KEYS.job_index(JobId("bad")), odd)
+            cell.store.commit(Transaction((), (put,)), 1.0)
+            with pytest.raises(ProblemError) as refused:
+                cell.call("GET", "/v1/jobs/bad")
+            assert refused.value.kind is ProblemType.STORE_UNAVAILABLE
+
+    def test_odd_notification_ends_no_task(self, cell: JobsCell) -> None:
+        for odd in ODD_RECORDS.values():
+            cell.side.task.receive(Inbound(OTHER, JobBound(SHARD, odd), print))
+            cell.side.task.post(JobBound(SHARD, odd))
+        cell.call("POST", "/v1/queues/batch/jobs", job())
+        answer = cell.call("GET", "/v1/jobs/job", query="wait_s=30")
+        assert read(answer)["state"] == "succeeded"
--- a/tests/daemon/test_peer_network.py
+++ b/tests/daemon/test_peer_network.py
@@ -52,6 +52,10 @@
     text: str
 
 
+class Nested(PeerMessage, frozen=True):
+    content: Any
+
+
 def make_network(
     member: MemberId,
     ports: dict[MemberId, int],
@@ -272,3 +276,19 @@
         network.run()
         network.stop()
         network.wake()
+
+
+class TestOddPayloads:
+    # Guards against a network task that ends by the parser's error.
+    @pytest.mark.parametrize(
+        "payload",
+        [b"", b"\xc1", b"\x91" * 3_000 + b"\xc0", b"\x92\xa8Question\xa1\xff"],
+        ids=["empty", "reserved", "deep", "bytes"],
+    )
+    def test_payload_is_no_message(self, payload: bytes) -> None:
+        registry = MessageRegistry()
+        registry.register(Question)
+        registry.register(Nested)
+        assert registry.decode(payload) is None
+        nested = b"\x92\xa6Nested" + payload
+        assert registry.decode(nested) is None
--- a/tests/reports/test_snapshots.py
+++ b/tests/reports/test_snapshots.py
@@ -15,6 +15,7 @@
 )
 from gooseberrydeck_standins.engine_store import CallFault, EngineStore
 from gooseberrydeck_standins.store_engine import PutKey, StoreEngine
+from odd_values import ODD_RECORDS
 
 KEYS = StoreKeys(CellName("test"))
 CLAIM_CHECK = ServiceName("claim-check")
@@ -101,6 +102,18 @@
         cell.engine.transact([], [PutKey(key, b"{")])
         assert cell.read_failed() == [1]
 
+    # Guards against a report, and a report writer, that end by the parser's error.
+    @pytest.mark.parametrize("odd", ODD_RECORDS.values(), ids=ODD_RECORDS)
+    def test_odd_snapshots_are_left_out(self, cell: Cell, odd: bytes) -> None:
+        writer = cell.start_writer("m1", failed=1)
+        for member in ("m1", "m2"):
+            key = KEYS.report(MemberId(member), BURN).encode()
+            cell.engine.transact([], [PutKey(key, odd)])
+        writer.restore()
+        writer.save()
+        writer.delete_expired()
+        assert cell.read_failed() == [1]
+
     def test_reader_raises_if_the_store_is_unavailable(self, cell: Cell) -> None:
         store = EngineStore(cell.engine)
         store.fault = CallFault.DOWN
