--- a/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/decoding.py
+++ b/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/decoding.py
@@ -70,7 +70,7 @@
         raise DecodingError.caused_by(error) from error
 
 
-def decode_document(data: bytes) -> Any:
+def decode_document(data: bytes | str) -> Any:
     """Decode JSON of any structure into builtins, or raise ``DecodingError``."""
     try:
         return msgspec.json.decode(data)
--- a/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/endpoint_engine.py
+++ b/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/endpoint_engine.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from gooseberrydeck_coordination.clock import Clock, SystemClock
+from gooseberrydeck_coordination.decoding import DecodingError, decode_json
 from gooseberrydeck_coordination.ids import HostName
 from gooseberrydeck_standins.faults import FaultKind, Faults
 
@@ -123,6 +124,6 @@
     if not body.startswith(b"{"):
         return EndpointDirectives()
     try:
-        return msgspec.json.decode(body, type=EndpointDirectives)
-    except msgspec.DecodeError:
+        return decode_json(body, EndpointDirectives)
+    except DecodingError:
         return EndpointDirectives()
--- a/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/host_list_server.py
+++ b/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/host_list_server.py
@@ -11,6 +11,7 @@
 import typer
 
 from gooseberrydeck_coordination.clock import Clock, SystemClock
+from gooseberrydeck_coordination.decoding import DecodingError, decode_json
 from gooseberrydeck_coordination.ids import HostName
 from gooseberrydeck_platform.host_list_http import HostListResponse
 from gooseberrydeck_platform.hosts import Host, HostState
@@ -106,8 +107,8 @@
         """Apply a change of the hosts; unknown names give a 404 response."""
         if request.path == "/hosts":
             try:
-                hosts = msgspec.json.decode(request.body, type=tuple[Host, ...])
-            except msgspec.DecodeError as error:
+                hosts = decode_json(request.body, tuple[Host, ...])
+            except DecodingError as error:
                 return Reply(400, msgspec.json.encode({"message": str(error)}))
             self.hosts.register(*hosts)
             return Reply()
--- a/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/http_service.py
+++ b/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/http_service.py
@@ -15,6 +15,7 @@
 import waitress
 from waitress import wasyncore
 
+from gooseberrydeck_coordination.decoding import DecodingError, decode_json
 from gooseberrydeck_platform.http import HttpAddress
 from gooseberrydeck_standins.faults import Faults, FaultSettings
 
@@ -67,8 +68,8 @@
     """Return the fault settings, after replacing them if the method is ``PUT``."""
     if request.method == "PUT":
         try:
-            faults.apply(msgspec.json.decode(request.body, type=FaultSettings))
-        except msgspec.DecodeError as error:
+            faults.apply(decode_json(request.body, FaultSettings))
+        except DecodingError as error:
             return Reply(400, msgspec.json.encode({"message": str(error)}))
     return Reply(body=msgspec.json.encode(faults.settings))
 
--- a/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/local_cell.py
+++ b/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/local_cell.py
@@ -9,6 +9,7 @@
 import msgspec
 import zmq
 
+from gooseberrydeck_coordination.decoding import decode_document, decode_json
 from gooseberrydeck_coordination.ids import HostName
 from gooseberrydeck_coordination.resources import Resources
 from gooseberrydeck_platform.hosts import Host
@@ -85,7 +86,7 @@
     def configuration_number(self) -> int:
         """Return the number of the configuration that the member holds."""
         response = self.operate("GET", "/v1/configuration")
-        return int(json.loads(response.body)["header"]["number"])
+        return int(decode_document(response.body)["header"]["number"])
 
     def operate(self, method: str, path: str, body: bytes = b"") -> HttpResponse:
         """Send an operator's request on a new connection."""
@@ -241,7 +242,7 @@
         """Return a ledger of the runs of all workers."""
         runs: list[Run] = []
         for process in self.workers:
-            runs.extend(msgspec.json.decode(process.fetch("/ledger"), type=list[Run]))
+            runs.extend(decode_json(process.fetch("/ledger"), list[Run]))
         return Ledger(runs)
 
     def capacities(self) -> dict[HostName, Resources]:
@@ -256,7 +257,7 @@
                 connection = HttpConnection(HttpAddress(host.address, host.port))
                 body = connection.request("GET", "/runs").body
                 connection.close()
-                found.append(msgspec.json.decode(body, type=EndpointSummary))
+                found.append(decode_json(body, EndpointSummary))
         return found
 
     def requests_run(self) -> list[str]:
--- a/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/processes.py
+++ b/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/processes.py
@@ -1,7 +1,6 @@
 """Child processes of tests, benchmarks and the demo."""
 
 import fcntl
-import json
 import os
 import random
 import signal
@@ -17,6 +16,7 @@
 
 import msgspec
 
+from gooseberrydeck_coordination.decoding import decode_document
 from gooseberrydeck_platform.hosts import Host
 from gooseberrydeck_platform.http import HttpAddress, HttpConnection
 from gooseberrydeck_standins.faults import FaultKind, FaultSettings
@@ -210,7 +210,7 @@
 
     def announcement(self) -> Any:
         """Return the decoded first line of the stand-in's output."""
-        return json.loads(self.log.read_text().splitlines()[0])
+        return decode_document(self.log.read_text().splitlines()[0])
 
     def set_fault(
         self, kind: FaultKind, path: str = "", slow_s: float = 0.0, calls: int = 0
--- a/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/store_server.py
+++ b/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/store_server.py
@@ -9,6 +9,7 @@
 import typer
 
 from gooseberrydeck_coordination.clock import Clock, SystemClock
+from gooseberrydeck_coordination.decoding import decode_json
 from gooseberrydeck_platform.etcd_messages import (
     EtcdErrorResponse,
     Header,
@@ -112,7 +113,7 @@
                 if route is None:
                     return error_reply(EtcdErrorResponse(5, "Not Found"))
                 return route(request.body)
-        except (InvalidRequestError, msgspec.DecodeError, ValueError) as error:
+        except (InvalidRequestError, ValueError) as error:
             return error_reply(EtcdErrorResponse(3, str(error)))
         except LeaseNotFoundError as error:
             return error_reply(EtcdErrorResponse(5, str(error)))
@@ -128,7 +129,7 @@
 
     def range(self, body: bytes) -> Reply:
         """Read a key or a range of keys."""
-        request = msgspec.json.decode(body, type=RangeRequest)
+        request = decode_json(body, RangeRequest)
         found = self.engine.range(request.key, request.range_end)
         return success_reply(
             RangeResponse(
@@ -138,13 +139,13 @@
 
     def put(self, body: bytes) -> Reply:
         """Write one key."""
-        request = msgspec.json.decode(body, type=PutBody)
+        request = decode_json(body, PutBody)
         self.engine.transact([], [decode_put(request)])
         return success_reply(RangeResponse(self.header()))
 
     def transact(self, body: bytes) -> Reply:
         """Apply a transaction; failure branches are not supported."""
-        request = msgspec.json.decode(body, type=TransactionRequest)
+        request = decode_json(body, TransactionRequest)
         if request.failure:
             raise InvalidRequestError("this stand-in takes no failure branch")
         succeeded = self.engine.transact(
@@ -155,13 +156,13 @@
 
     def grant(self, body: bytes) -> Reply:
         """Grant a lease."""
-        request = msgspec.json.decode(body, type=LeaseGrantRequest)
+        request = decode_json(body, LeaseGrantRequest)
         lease = self.engine.grant_lease(int(request.TTL))
         return success_reply(LeaseGrantResponse(str(lease), str(request.TTL)))
 
     def keep_alive(self, body: bytes) -> Reply:
         """Renew a lease; as in etcd, the TTL is omitted if the lease is gone."""
-        lease = msgspec.json.decode(body, type=LeaseRequest).ID
+        lease = decode_json(body, LeaseRequest).ID
         try:
             ttl = str(self.engine.keep_alive(int(lease)))
         except LeaseNotFoundError:
@@ -171,12 +172,12 @@
 
     def revoke(self, body: bytes) -> Reply:
         """Revoke a lease."""
-        self.engine.revoke_lease(int(msgspec.json.decode(body, type=LeaseRequest).ID))
+        self.engine.revoke_lease(int(decode_json(body, LeaseRequest).ID))
         return success_reply(RangeResponse(self.header()))
 
     def watch(self, body: bytes) -> Reply:
         """Open a watch stream, by default from the next revision."""
-        create = msgspec.json.decode(body, type=WatchRequest).create_request
+        create = decode_json(body, WatchRequest).create_request
         start = int(create.start_revision) or self.engine.revision + 1
         return Reply(stream=self.watch_lines(start, create.key, create.range_end))
 
--- a/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/worker_engine.py
+++ b/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/worker_engine.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from gooseberrydeck_coordination.clock import Clock
+from gooseberrydeck_coordination.decoding import DecodingError, decode_json
 from gooseberrydeck_coordination.ids import HostName, TaskId
 from gooseberrydeck_coordination.resources import NO_RESOURCES, Resources
 from gooseberrydeck_platform.exceptions import StaleFenceError
@@ -77,8 +78,8 @@
     if not payload:
         return TaskPayload()
     try:
-        return msgspec.json.decode(payload, type=TaskPayload)
-    except msgspec.DecodeError:
+        return decode_json(payload, TaskPayload)
+    except DecodingError:
         return TaskPayload(run_s=0.0, fail=True)
 
 
@@ -179,7 +180,7 @@
         payload = decode_payload(start.payload)
         progress = 0.0
         if start.checkpoint:
-            saved = msgspec.json.decode(start.checkpoint, type=TaskProgress)
+            saved = decode_json(start.checkpoint, TaskProgress)
             progress = saved.done_s
         run = Run(start.task, self.host, start.team, start.resources, now)
         self.ledger.add(run)
--- a/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/worker_server.py
+++ b/packages/gooseberrydeck-standins/src/gooseberrydeck_standins/worker_server.py
@@ -10,6 +10,7 @@
 import typer
 
 from gooseberrydeck_coordination.clock import Clock, SystemClock
+from gooseberrydeck_coordination.decoding import DecodingError, decode_json
 from gooseberrydeck_coordination.ids import DataCentre, HostName, Rack
 from gooseberrydeck_coordination.resources import Resources
 from gooseberrydeck_platform.exceptions import StaleFenceError
@@ -91,44 +92,44 @@
             response = route(request.body)
         except StaleFenceError as error:
             return error_reply(ErrorKind.STALE_FENCE, str(error))
-        except msgspec.DecodeError as error:
+        except DecodingError as error:
             return error_reply(ErrorKind.INVALID, str(error))
         return Reply(body=msgspec.json.encode({} if response is None else response))
 
     def adopt(self, body: bytes) -> msgspec.Struct:
         """Set the fence."""
-        return self.engine.adopt(msgspec.json.decode(body, type=AdoptRequest).fence)
+        return self.engine.adopt(decode_json(body, AdoptRequest).fence)
 
     def start(self, body: bytes) -> msgspec.Struct:
         """Start tasks."""
-        request = msgspec.json.decode(body, type=StartRequest)
+        request = decode_json(body, StartRequest)
         return StartResponse(self.engine.start(request.fence, request.starts))
 
     def renew(self, body: bytes) -> msgspec.Struct:
         """Renew leases."""
-        request = msgspec.json.decode(body, type=RenewRequest)
+        request = decode_json(body, RenewRequest)
         return RenewResponse(
             self.engine.renew(request.fence, request.tasks, request.lease_s)
         )
 
     def checkpoint(self, body: bytes) -> None:
         """Checkpoint a task."""
-        request = msgspec.json.decode(body, type=CheckpointRequest)
+        request = decode_json(body, CheckpointRequest)
         self.engine.checkpoint(request.fence, request.task)
 
     def throttle(self, body: bytes) -> None:
         """Limit the processor use of a task."""
-        request = msgspec.json.decode(body, type=ThrottleRequest)
+        request = decode_json(body, ThrottleRequest)
         self.engine.throttle(request.fence, request.task, request.cpu_millis)
 
     def stop(self, body: bytes) -> None:
         """Stop tasks."""
-        request = msgspec.json.decode(body, type=TasksRequest)
+        request = decode_json(body, TasksRequest)
         self.engine.stop(request.fence, request.tasks)
 
     def acknowledge(self, body: bytes) -> None:
         """Drop the reports of ended tasks."""
-        request = msgspec.json.decode(body, type=TasksRequest)
+        request = decode_json(body, TasksRequest)
         self.engine.acknowledge(request.fence, request.tasks)
 
 
