Store client and reports: an odd key or histogram ends no task

What would be seen: a key of another writer that isn't UTF-8 makes every read of its prefix raise UnicodeDecodeError in the daemon's client of etcd; a stored histogram that can't be decoded ends the report's thread by an error of its codec.

Change: bytes of a key that are not UTF-8 are escaped; such a key is none of ours. An hour's histogram that can't be decoded is left out and logged, the counts remain.

Ruled out by reading: the platform's client of the store, which gets keys as JSON text and takes a value that isn't base64 for an empty one; the frames between members.

--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/reports/accumulator.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/reports/accumulator.py
@@ -1,9 +1,16 @@
 """Request counts and waiting times for the burn report."""
 
 import threading
+import zlib
 from typing import Any
 
 import msgspec
+import structlog
+from hdrh.codec import (
+    HdrCookieException,
+    HdrHistogramSettingsException,
+    HdrLengthException,
+)
 from hdrh.histogram import HdrHistogram
 
 from gooseberrydeck_coordination.clock import Clock
@@ -23,6 +30,18 @@
 HISTOGRAM_PERIOD_S = 3_600
 NO_TEAM = "(open)"
 
+CODEC_ERRORS = (
+    HdrCookieException,
+    HdrHistogramSettingsException,
+    HdrLengthException,
+    ValueError,
+    IndexError,
+    OverflowError,
+    zlib.error,
+)
+
+log = structlog.get_logger(__name__)
+
 
 class WaitHistograms:
     """Histograms of waiting times, in milliseconds, per hour.
@@ -61,9 +80,15 @@
         }
 
     def merge(self, encoded: dict[int, str]) -> None:
-        """Add encoded histograms to these."""
+        """Add encoded histograms to these, but for those that can't be decoded."""
         for index, text in encoded.items():
-            self.hour_histogram(index).add(HdrHistogram.decode(text))
+            try:
+                histogram = HdrHistogram.decode(text)
+            except CODEC_ERRORS as error:
+                reason = f"{type(error).__name__}: {error}"
+                log.warning("waiting times unreadable", hour=index, reason=reason)
+            else:
+                self.hour_histogram(index).add(histogram)
 
     def percentile_ms(self, percentile: float) -> int:
         """Return a percentile over all hours kept, or 0 without recorded values."""
--- a/packages/gooseberrydeck-platform/src/gooseberrydeck_platform/etcd.py
+++ b/packages/gooseberrydeck-platform/src/gooseberrydeck_platform/etcd.py
@@ -266,9 +266,12 @@
 
 
 def to_entry(kv: KeyValueBody) -> Entry:
-    """Convert a key-value pair of a response to an entry."""
+    """Convert a key-value pair of a response to an entry.
+
+    Bytes of a key that are not UTF-8, as only other writers use, are escaped.
+    """
     return Entry(
-        kv.key.decode(),
+        kv.key.decode(errors="backslashreplace"),
         kv.value,
         Revision(int(kv.mod_revision)),
         int(kv.version),
--- a/tests/platform/test_odd_responses.py
+++ b/tests/platform/test_odd_responses.py
@@ -1,5 +1,8 @@
 """Tests of responses that are nested too deeply to be decoded."""
 
+import base64
+
+import msgspec
 import pytest
 
 from gooseberrydeck_coordination.exceptions import StoreError, StoreUnavailableError
@@ -60,3 +63,18 @@
         self.respond(hosts, status, monkeypatch)
         with pytest.raises(HostListUnavailableError):
             hosts.read(TIMEOUT_S)
+
+
+# Guards against readers that end because another writer's key isn't text.
+class TestOddKeys:
+    def test_other_entries_are_read(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        bodies = [
+            {"key": base64.b64encode(key).decode(), "value": "", "mod_revision": "1"}
+            for key in (b"/a/\xff", b"/a/b")
+        ]
+        content = msgspec.json.encode({"header": {"revision": "3"}, "kvs": bodies})
+        store = EtcdStore([NOWHERE])
+        response = HttpResponse(200, {}, content)
+        monkeypatch.setattr(store.pool, "request", lambda *_, **__: response)
+        snapshot = store.read_prefix("/a/", TIMEOUT_S)
+        assert [each.key for each in snapshot.entries] == ["/a/\\xff", "/a/b"]
--- a/tests/reports/test_snapshots.py
+++ b/tests/reports/test_snapshots.py
@@ -114,6 +114,27 @@
         writer.delete_expired()
         assert cell.read_failed() == [1]
 
+    # Guards against a report that ends by the error of the histograms' codec.
+    @pytest.mark.parametrize(
+        "odd", ["", "x", "AAAA", "A" * 1_000, "HISTFAAAACJ42pNpmSzMwMDAxAAB", "\u00e9"]
+    )
+    def test_odd_histogram_is_left_out(self, cell: Cell, odd: str) -> None:
+        first = cell.start_writer("m1", failed=2)
+        first.restore()
+        first.burn.record(CLAIM_CHECK, None, 1.0, True, 50.0)
+        first.save()
+        key = KEYS.report(MemberId("m1"), BURN)
+        entry = EngineStore(cell.engine).read(key, 1.0)
+        assert entry is not None
+        snapshot = msgspec.json.decode(entry.value, type=BurnSnapshot)
+        (hour,) = snapshot.services[CLAIM_CHECK].waits
+        snapshot.services[CLAIM_CHECK].waits[hour] = odd
+        cell.engine.transact([], [PutKey(key.encode(), msgspec.json.encode(snapshot))])
+        second = cell.start_writer("m1")
+        second.restore()
+        second.save()
+        assert cell.read_failed() == [2]
+
     def test_reader_raises_if_the_store_is_unavailable(self, cell: Cell) -> None:
         store = EngineStore(cell.engine)
         store.fault = CallFault.DOWN
