Jobs of a removed queue go on at the next holder

The steps that are left never start, on idle workers.

Cause: a job's record names its queue only. The holder that has seen the queue keeps its settings in memory; the next one has never had them, and takes the queue for one that isn't configured yet.

Ruled out: to have the holder store the settings when a queue vanishes; it may be gone before it has. To use stored settings whatever their version: a holder that is behind could start work of a team whose limit it doesn't know.

Change: the accepting member stores the queue's settings (about 100 bytes) and their configuration version with the job. They apply while the configuration doesn't hold the queue; a holder whose configuration is older waits for it, as before. Records without them, of a former version, are handled as before.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/configuration.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/configuration.py
@@ -11,7 +11,9 @@
     "ConfigurationUnreadableError",
     "FleetConfiguration",
     "Queue",
+    "QueueSettings",
     "Team",
+    "accepted_queue",
     "unconfigured_queue",
 ]
 
@@ -37,6 +39,22 @@
     valid_s: float
 
 
+class QueueSettings(msgspec.Struct, frozen=True, array_like=True):
+    """What a queue says of the running of its jobs, as stored with each job.
+
+    ``version`` is that of the configuration; the other fields are those of ``Queue``.
+    New fields go to the end, with a default.
+    """
+
+    version: int
+    service: ServiceName
+    slack_s: float
+    stretch: float
+    priority: int
+    max_attempts: int
+    advice: AdvicePolicy | None = None
+
+
 class Queue(msgspec.Struct, frozen=True):
     """A queue that jobs are submitted to.
 
@@ -55,24 +73,52 @@
     advice: AdvicePolicy | None
     is_open: bool
 
+    def settings(self, version: int) -> QueueSettings:
+        """Return what has to be known of the queue once a job has been accepted.
 
-def unconfigured_queue(name: QueueName) -> Queue:
-    """Return the settings for jobs of a queue that the configuration doesn't hold yet.
+        ``version`` is that of the configuration which holds the queue.
+        """
+        return QueueSettings(
+            version,
+            self.service,
+            self.slack_s,
+            self.stretch,
+            self.priority,
+            self.max_attempts,
+            self.advice,
+        )
 
-    No worker serves the queue, so that its jobs start nothing and none of them fails.
-    """
+
+def accepted_queue(name: QueueName, settings: QueueSettings) -> Queue:
+    """Return a queue as it was when a job was accepted; it takes no further jobs."""
     return Queue(
         name=name,
         host="",
         path_prefix="",
+        service=settings.service,
+        slack_s=settings.slack_s,
+        stretch=settings.stretch,
+        priority=settings.priority,
+        max_attempts=settings.max_attempts,
+        advice=settings.advice,
+        is_open=False,
+    )
+
+
+def unconfigured_queue(name: QueueName) -> Queue:
+    """Return the settings for jobs of a queue that the configuration doesn't hold yet.
+
+    No worker serves the queue, so that its jobs start nothing and none of them fails.
+    """
+    settings = QueueSettings(
+        version=0,
         service=UNSERVED,
         slack_s=0.0,
         stretch=1.0,
         priority=LAST_PRIORITY,
         max_attempts=UNLIMITED_ATTEMPTS,
-        advice=None,
-        is_open=False,
     )
+    return accepted_queue(name, settings)
 
 
 class Team(msgspec.Struct, frozen=True):
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/job_intake.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/job_intake.py
@@ -5,6 +5,7 @@
 from gooseberrydeck_fleet.configuration import (
     FleetConfiguration,
     Queue,
+    accepted_queue,
     unconfigured_queue,
 )
 from gooseberrydeck_fleet.crashes import CrashTracker
@@ -44,22 +45,26 @@
         self.crashes = crashes
         # All jobs stored up to this revision have been read or watched.
         self.jobs_revision = 0
+        self.configuration_version = 0
         self.queues: dict[QueueName, Queue] = {}
         self.periodic_jobs: dict[JobId, Job] = {}
 
     def set_configuration(self, configuration: FleetConfiguration) -> None:
         """Apply the queues and shares of a version of the configuration.
 
-        Jobs of a queue that is no longer configured keep that queue's old settings.
+        Jobs of a queue that is no longer configured keep that queue's last settings.
         Jobs whose queue was not configured before may start now. Jobs whose queue
         allows fewer attempts than before may have used them up.
         """
+        self.configuration_version = configuration.version
         self.queues = {queue.name: queue for queue in configuration.queues}
         self.shares.set_rates({team.name: team.weight for team in configuration.teams})
         for job in list(self.ledger.jobs.values()):
             queue = self.queues.get(job.record.queue)
+            was_unconfigured = job.has_unconfigured_queue
+            if queue is None and was_unconfigured:
+                queue = self.queue_of(job.record)
             if queue is not None:
-                was_unconfigured = job.has_unconfigured_queue
                 are_attempts_fewer = queue.max_attempts < job.queue.max_attempts
                 job.queue = queue
                 if was_unconfigured:
@@ -67,10 +72,24 @@
                 if are_attempts_fewer:
                     self.ends.fail_if_exhausted(job)
 
+    def queue_of(self, record: JobRecord) -> Queue:
+        """Return a job's queue: as configured, else as it was at the acceptance.
+
+        A job that was accepted under a newer configuration waits for that, which may
+        also limit its team.
+        """
+        queue = self.queues.get(record.queue)
+        if queue is not None:
+            return queue
+        accepted = record.queue_settings
+        if accepted is not None and accepted.version <= self.configuration_version:
+            return accepted_queue(record.queue, accepted)
+        return unconfigured_queue(record.queue)
+
     def accept(
         self, record: JobRecord, revision: int, predates_takeover: bool = False
     ) -> bool:
-        """Add or update a stored job; return False if its queue is not configured.
+        """Add or update a stored job; return False if its queue is not known.
 
         Such a job starts nothing until the queue is configured, but its runs and ends
         count.
@@ -90,8 +109,7 @@
                 self.takeover.hold_if_unsafe(known)
             self.update(known, record, revision)
             return not known.has_unconfigured_queue
-        queue = self.queues.get(record.queue) or unconfigured_queue(record.queue)
-        job = Job(record, queue, revision)
+        job = Job(record, self.queue_of(record), revision)
         job.late_starts = self.ledger.late_starts
         # Only a predecessor can have started a job that is not known yet.
         was_started = record.id in self.poll_replies.unknown_jobs
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
@@ -7,7 +7,7 @@
 from gooseberrydeck_fleet.advice_requests import AdviceRequests
 from gooseberrydeck_fleet.changes import ChangeLog
 from gooseberrydeck_fleet.commands import Command, CommandQueue, RunCommand, StopRun
-from gooseberrydeck_fleet.configuration import FleetConfiguration
+from gooseberrydeck_fleet.configuration import UNSERVED, FleetConfiguration
 from gooseberrydeck_fleet.crashes import CrashReport, CrashTracker
 from gooseberrydeck_fleet.evacuation import Evacuator
 from gooseberrydeck_fleet.housekeeping import Housekeeper
@@ -236,6 +236,10 @@
         """Add a job that a member announces; return False if that tells nothing new."""
         return self.intake.accept_announced(record, revision)
 
+    def is_queue_known(self, record: JobRecord) -> bool:
+        """Return True if a job's queue is configured, or was stored with the job."""
+        return self.intake.queue_of(record).service != UNSERVED
+
     def jobs_without_queue(self) -> list[Job]:
         """Return the jobs whose queue is not configured."""
         return [job for job in self.ledger.jobs.values() if job.has_unconfigured_queue]
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/work.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/work.py
@@ -6,6 +6,7 @@
 
 from gooseberrydeck_coordination.ids import Epoch, JobId, QueueName, TeamName
 from gooseberrydeck_coordination.resources import Resources
+from gooseberrydeck_fleet.configuration import QueueSettings
 
 __all__ = [
     "EndedJob",
@@ -101,6 +102,9 @@
 
     ``holder_token`` is the fencing token of the newest holder that the accepting member
     knew, which is never older than the holder that it notifies; 0 if it isn't stated.
+
+    ``queue_settings`` are those at the acceptance. They apply while the configuration
+    doesn't hold the queue: an accepted job runs even if its queue is removed.
     """
 
     id: JobId
@@ -110,6 +114,7 @@
     accepted_s: float
     is_cancelled: bool = False
     holder_token: Epoch = Epoch(0)
+    queue_settings: QueueSettings | None = None
 
 
 class EndedJob(msgspec.Struct, frozen=True):
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/callers.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/callers.py
@@ -12,7 +12,7 @@
     StoreOutcomeUnknownError,
 )
 from gooseberrydeck_coordination.ids import Epoch, JobId, QueueName, Revision, TeamName
-from gooseberrydeck_fleet.configuration import Queue
+from gooseberrydeck_fleet.configuration import Queue, QueueSettings
 from gooseberrydeck_fleet.work import (
     InvalidWorkError,
     JobRecord,
@@ -208,13 +208,19 @@
             return CallerResponse(404)
         if call.method == "POST":
             team_name = team.name if team is not None else TeamName("")
-            return self.submit(queue, team_name, job, call)
+            settings = queue.settings(configuration.version)
+            return self.submit(queue.name, settings, team_name, job, call)
         if call.method == "DELETE":
             return self.cancel(job, call)
         return CallerResponse(405)
 
     def submit(
-        self, queue: Queue, team: TeamName, job: JobId, call: CallerRequest
+        self,
+        queue: QueueName,
+        queue_settings: QueueSettings,
+        team: TeamName,
+        job: JobId,
+        call: CallerRequest,
     ) -> CallerResponse:
         """Store a job, or relay the call to a peer if the store cannot be reached.
 
@@ -228,11 +234,12 @@
             return CallerResponse(400)
         record = JobRecord(
             job,
-            queue.name,
+            queue,
             team,
             work,
             time.time(),
             holder_token=self.directory.newest_token(),
+            queue_settings=queue_settings,
         )
         unknown = False
         try:
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/job_arrivals.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/job_arrivals.py
@@ -148,7 +148,7 @@
             is_new=is_new,
             has_ended=record.id in self.scheduler.changes.ended,
         )
-        if is_new and record.queue not in self.scheduler.intake.queues:
+        if is_new and not self.scheduler.is_queue_known(record):
             self.report_unconfigured_queue(record, revision)
 
     def job_looked_up(
@@ -180,7 +180,7 @@
                 self.known_ends.progress_stored(
                     job, result.progress, now_s, is_inherited=True
                 )
-            if result.record.queue not in self.scheduler.intake.queues:
+            if not self.scheduler.is_queue_known(result.record):
                 self.report_unconfigured_queue(result.record, result.revision)
         self.metrics.job_lookups.labels(outcome).inc()
         log.info(
--- a/tests/fleet_support.py
+++ b/tests/fleet_support.py
@@ -31,6 +31,7 @@
     AdvicePolicy,
     FleetConfiguration,
     Queue,
+    QueueSettings,
     Team,
 )
 from gooseberrydeck_fleet.ids import TaskRef, WorkerId
@@ -317,6 +318,7 @@
         plan: Callable[[StartRequest], RunPlan] | None = None,
         work: WorkSpec | None = None,
         team: TeamName = TEAM,
+        queue_settings: QueueSettings | None = None,
     ) -> JobId:
         """Store a job whose tasks take ``seconds`` each, and announce it."""
         record = self.store(
@@ -327,6 +329,7 @@
             plan=plan,
             work=work,
             team=team,
+            queue_settings=queue_settings,
         )
         self.scheduler.accept(record, self.revisions[record.id])
         assert record.id in self.scheduler.ledger.jobs
@@ -342,10 +345,12 @@
         work: WorkSpec | None = None,
         team: TeamName = TEAM,
         holder_token: int | None = None,
+        queue_settings: QueueSettings | None = None,
     ) -> JobRecord:
         """Store a job that the scheduler doesn't learn of yet.
 
-        Without ``holder_token``, its member knows the current holder.
+        Without ``holder_token``, its member knows the current holder. Without
+        ``queue_settings``, it is a member of a version that doesn't store them.
         """
         job = JobId(name)
         spec = work or WorkSpec(steps=steps)
@@ -362,7 +367,13 @@
         self.teams[job] = team
         token = Epoch(self.token if holder_token is None else holder_token)
         self.records[job] = JobRecord(
-            job, queue_name, team, spec, self.clock.wall(), holder_token=token
+            job,
+            queue_name,
+            team,
+            spec,
+            self.clock.wall(),
+            holder_token=token,
+            queue_settings=queue_settings,
         )
         self.revisions[job] = len(self.revisions) + 1
         return self.records[job]
--- a/tests/member/test_callers.py
+++ b/tests/member/test_callers.py
@@ -161,6 +161,17 @@
         assert record.holder_token == TOKEN
         assert self.directory.notified == [(JOB, entry.mod_revision)]
 
+    # Guards against accepted jobs that no later holder can run.
+    def test_record_keeps_the_settings_of_its_queue(self) -> None:
+        self.submit()
+        entry = self.store.read(job_key(JOB), 1.0)
+        assert entry is not None
+        settings = msgspec.json.decode(entry.value, type=JobRecord).queue_settings
+        configuration = self.configuration.current
+        assert configuration is not None
+        (slow,) = (each for each in configuration.queues if each.name == "slow")
+        assert settings == slow.settings(configuration.version)
+
     # During a rolling replacement, members of both versions read each other's records.
     def test_record_of_an_earlier_version_states_no_holder(self) -> None:
         self.submit()
