Daemon: only the cell's own shards count as unreadable; counts of lines are logged in time

Found by reading the change again. An unreadable entry below shards/ beyond the number of the cell's shards counted as a shard that has been decided on, so a member could call its first view complete without an owner of a real shard. The jobs' task logged how many lines it had left out only with the next unreadable record, and a slice record that broke again after its repair wasn't logged.

--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/controllers/ownership/task.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/controllers/ownership/task.py
@@ -201,11 +201,11 @@
 
         Shards whose records can't be read have no owner that is known.
         """
-        owners = len(self.coordinator.owners)
+        known = set(self.coordinator.owners)
         if result.snapshot is not None:
-            owners += len(result.snapshot.unreadable_shards)
+            known |= result.snapshot.unreadable_shards
         is_store_out = isinstance(result.failure, StoreError)
-        return is_store_out or owners >= self.rounds.shard_count
+        return is_store_out or known.issuperset(range(self.rounds.shard_count))
 
     def request_attestations(self) -> None:
         """Send an attestation request to every other member."""
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/jobs/task.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/jobs/task.py
@@ -155,6 +155,7 @@
             self.scan_if_due(shard, jobs)
             jobs.step()
         self.report_adoption()
+        self.unreadable.summarize()
         self.pending_requests.resolve()
         self.schedule_rescans()
         if self.last_step_s - self.summary_s >= SUMMARY_INTERVAL_S:
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/limits/task.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/limits/task.py
@@ -162,6 +162,8 @@
     def report_unreadable(self, error: RecordUnreadableError) -> None:
         """Log and count a slice record that can't be read; its team has to wait."""
         self.metrics.count("limits.records.unreadable")
+        # Called once for each revision: the record may have been repaired in between.
+        self.unreadable.forget(UnreadableEvent.COORDINATION_RECORD, error.key)
         self.unreadable.report(
             UnreadableEvent.COORDINATION_RECORD, error.key, error.reason
         )
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/reports/snapshots.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/reports/snapshots.py
@@ -24,6 +24,7 @@
 from gooseberrydeck_daemon.reports.accumulator import BurnAccumulator, BurnSnapshot
 from gooseberrydeck_daemon.reports.usage import UsageSnapshot, UsageSource
 from gooseberrydeck_daemon.reports.windows import Level
+from gooseberrydeck_service.unreadable_log import UnreadableEvent
 
 __all__ = ["BURN", "USAGE", "ReportWriter", "SnapshotReader"]
 
@@ -183,4 +184,4 @@
 
 def report_unreadable(error: RecordUnreadableError) -> None:
     """Log a snapshot that is left out of a report."""
-    log.warning("report snapshot unreadable", key=error.key, reason=error.reason)
+    log.warning(UnreadableEvent.REPORT.value, key=error.key, reason=error.reason)
