Refuse a submission that no other member can have received

Cause: with the store refusing writes, a member relays a submission to others. Ruled out: lost responses of the store; each of these had a certain 503. Change: a relay reports when no peer can have received the call; the answer is 503 with Retry-After then. A peer that is silent still leaves the outcome unknown.

--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/callers.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/callers.py
@@ -26,6 +26,7 @@
 from gooseberrydeck_service.responses import status_line
 
 __all__ = [
+    "NOT_RELAYED",
     "CallerApplication",
     "CallerRequest",
     "CallerResponse",
@@ -96,7 +97,11 @@
         """Return whether the holder cannot reach the store either."""
 
     def relay(self, call: "CallerRequest", timeout_s: float) -> "CallerResponse | None":
-        """Relay a call to a peer; return its response, or None if no peer responds."""
+        """Relay a call to a peer and return its response.
+
+        Returns ``NOT_RELAYED`` if no peer can have received the call, and None if one
+        may have but none responds.
+        """
 
 
 class CallerRequest(msgspec.Struct, frozen=True):
@@ -123,6 +128,10 @@
     failure: str = ""
 
 
+NOT_RELAYED = CallerResponse(503, retry_after_s=RETRY_AFTER_S)
+"""The refusal of a call that no peer can have received."""
+
+
 class CallerApplication:
     """Handle submissions, cancellations and queries about jobs and queues."""
 
@@ -315,8 +324,10 @@
         peers would be too busy waiting for the store to respond.
         """
         remaining_s = call.deadline_s - time.monotonic()
-        if call.is_relayed or remaining_s <= 0:
+        if call.is_relayed:
             return None
+        if remaining_s <= 0:
+            return NOT_RELAYED
         if self.directory.is_store_unavailable():
             return CallerResponse(503, retry_after_s=RETRY_AFTER_S)
         return self.directory.relay(call, remaining_s)
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/cell.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/cell.py
@@ -11,7 +11,11 @@
 from gooseberrydeck_coordination.ids import Epoch, JobId, QueueName, Revision
 from gooseberrydeck_fleet.work import JobRecord, JobState
 from gooseberrydeck_member.authority import AUTHORITY_TIMEOUT_S, boottime_clock_s
-from gooseberrydeck_member.callers import CallerRequest, CallerResponse
+from gooseberrydeck_member.callers import (
+    NOT_RELAYED,
+    CallerRequest,
+    CallerResponse,
+)
 from gooseberrydeck_member.claimants import Claimants
 from gooseberrydeck_member.peer_messages import (
     Heartbeat,
@@ -19,7 +23,7 @@
     JobAccepted,
     StateQuery,
 )
-from gooseberrydeck_member.peers import PeerCallError, PeerClient
+from gooseberrydeck_member.peers import PeerCallError, PeerClient, PeerRefusedError
 from gooseberrydeck_member.scheduler_task import SchedulerTask
 from gooseberrydeck_member.shard_lock import ShardLostError
 
@@ -235,13 +239,15 @@
     def relay(self, call: CallerRequest, timeout_s: float) -> CallerResponse | None:
         """Relay a call to the peers in turn and return the first response.
 
-        Returns None if no peer responds in time.
+        Returns a refusal if no peer can have received the call, and None if one may
+        have but none has responded in time.
         """
         end_s = time.monotonic() + timeout_s
+        may_be_received = False
         for address in self.peer_addresses():
             remaining_s = end_s - time.monotonic()
             if remaining_s < MIN_RELAY_S:
-                return None
+                break
             try:
                 # Monotonic times differ between hosts, so the time left is sent.
                 relayed = msgspec.structs.replace(call, deadline_s=remaining_s)
@@ -250,4 +256,6 @@
                 )
             except PeerCallError as error:
                 log.info("relay failed", address=address, reason=str(error))
-        return None
+                if not isinstance(error, PeerRefusedError):
+                    may_be_received = True
+        return None if may_be_received else NOT_RELAYED
--- a/tests/member/test_callers.py
+++ b/tests/member/test_callers.py
@@ -244,6 +244,13 @@
         assert "Retry-After" in dict(self.headers)
         assert self.directory.relayed == []
 
+    # Guards against 504 for a job that the store has refused and no peer was sent:
+    # callers can't submit it again then (23 callers in a play of deap-thess-grown).
+    def test_refusal_by_the_store_at_the_deadline_is_a_refusal(self) -> None:
+        self.store.fault = CallFault.DOWN
+        assert self.call("POST", body=job_body(), deadline_ms=1)[0] == 503
+        assert self.directory.relayed == []
+
     def test_missing_peer_response_leaves_the_outcome_unknown(self) -> None:
         self.store.fault = CallFault.DOWN
         self.directory.peer = None
