Evacuation: nothing starts in a data centre while the operator requests it

Cause: operators had no way to keep new work off the workers of a data centre.

Change: with EvacMs in the settings, the holder reads the keys below op/evacuate/ with the stored state, before it starts anything, and follows them; a complete read replaces the set. A worker of an evacuated data centre has the obstacle worker_evacuated, which forbids decisions as well as starts that wait to be sent. Reservations there are dropped and all steps are tried again; a team's limit is freed by runs elsewhere first. Log lines for request, last start and withdrawal, a gauge of the remaining runs, and the age of the last known set. Without the setting, nothing is read.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/placement.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/placement.py
@@ -271,6 +271,11 @@
                 self.release(reservation)
                 return
 
+    def cancel_reservations(self, worker: Worker) -> None:
+        """Remove all reservations on a worker on which nothing may start any more."""
+        for reservation in self.reservations.pop(worker.id, ()):
+            self.release(reservation)
+
     def release(self, reservation: Reservation) -> None:
         """Count a reservation of a step less."""
         self.reserved[reservation.step] -= 1
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/preemption.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/preemption.py
@@ -82,7 +82,11 @@
             heapq.heappush(offers, (cost, index, victims))
 
     def free_quota(self, step: Step, wanted: int) -> None:
-        """Stop other runs of a step's team to get ``wanted`` tasks under its limit."""
+        """Stop other runs of a step's team to get ``wanted`` tasks under its limit.
+
+        Runs on evacuated workers are stopped only if the others are too few: their
+        capacity can't be used again.
+        """
         team = step.job.record.team
         runs = list(self.placer.ledger.team_runs.get(team, ()))
         self.placer.checked += len(runs)
@@ -97,7 +101,11 @@
             need = need + step.spec.resources
         candidates = [run for run in runs if may_preempt(run, step)]
         quota_usage = [(run, run.quota_usage) for run in candidates]
-        for run in choose_victims(free, need, quota_usage, partial=True) or ():
+        remaining = [pair for pair in quota_usage if not pair[0].worker.is_evacuated]
+        victims = choose_victims(free, need, remaining)
+        if victims is None:
+            victims = choose_victims(free, need, quota_usage, partial=True)
+        for run in victims or ():
             self.ends.request_stop(run, StopReason.PREEMPTED)
 
     def victims_on(self, worker: Worker, step: Step) -> list[Run] | None:
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
@@ -2,13 +2,14 @@
 
 import math
 
-from gooseberrydeck_coordination.ids import JobId, QueueName
+from gooseberrydeck_coordination.ids import DataCentre, JobId, QueueName
 from gooseberrydeck_fleet.advice import Advice
 from gooseberrydeck_fleet.advice_requests import AdviceRequests
 from gooseberrydeck_fleet.changes import ChangeLog
 from gooseberrydeck_fleet.commands import Command, CommandQueue, RunCommand, StopRun
 from gooseberrydeck_fleet.configuration import UNSERVED, FleetConfiguration
 from gooseberrydeck_fleet.crashes import CrashReport, CrashTracker
+from gooseberrydeck_fleet.evacuated_data_centres import EvacuatedDataCentres
 from gooseberrydeck_fleet.evacuation import Evacuator
 from gooseberrydeck_fleet.housekeeping import Housekeeper
 from gooseberrydeck_fleet.ids import StepRef, TaskRef, WorkerId
@@ -79,6 +80,7 @@
             self.ledger, self.ends, self.unknown_jobs, timing.task_lease_s
         )
         self.placer = Placer(self.ledger)
+        self.evacuated = EvacuatedDataCentres(self.ledger, self.placer)
         self.send_permission = SendPermission(self.ledger, self.placer)
         self.preemptor = Preemptor(self.placer, self.ends, timing.task_stop_s)
         self.changes = ChangeLog(self.ledger)
@@ -151,6 +153,7 @@
             worker.may_have_restarted = entry.worker in self.former_workers
             self.former_workers.add(entry.worker)
             self.crashes.worker_registered(entry, now_s)
+            self.evacuated.apply(worker)
             return True
         if entry.is_draining != worker.entry.is_draining:
             # Stored again, since a successor has to know that the worker may leave.
@@ -166,8 +169,16 @@
             self.ledger.health.capacity_changed(worker.id)
         worker.entry = entry
         worker.is_registered = worker.has_readable_entry = True
+        self.evacuated.apply(worker)
         return False
 
+    def set_evacuated(self, data_centres: frozenset[DataCentre], now_s: float) -> None:
+        """Start nothing more on the workers of the given data centres.
+
+        The workers of data centres that are left out accept runs again.
+        """
+        self.evacuated.replace(data_centres, now_s)
+
     def worker_recorded(self, entry: Registration, now_s: float) -> None:
         """Apply a predecessor's record of a worker."""
         worker = self.ledger.workers.get(entry.worker)
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/settings.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/settings.py
@@ -16,7 +16,9 @@
 
     ``task_lease_s`` limits how long a worker keeps running tasks without contact to its
     scheduler. For ``turn_s``, a member that has lost its shard must not claim it again.
-    ``status_s`` is how long the status of ended jobs stays available.
+    ``status_s`` is how long the status of ended jobs stays available. ``evacuation_s``
+    is the time within which a requested evacuation of a data centre takes effect; if it
+    is None, such requests are not read.
     """
 
     min_lease_s: float = 1.0
@@ -32,6 +34,7 @@
     harm_s: float = 4.0
     checkpoint_s: float = 2.0
     registration_s: float = 1.5
+    evacuation_s: float | None = None
 
 
 class MemberSettings(msgspec.Struct, frozen=True):
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
@@ -87,6 +87,7 @@
     ENTRY_UNREADABLE = "worker_entry_unreadable"
     RESTARTING = "worker_restarting"
     DRAINING = "worker_draining"
+    EVACUATED = "worker_evacuated"
 
 
 class Run:
@@ -437,6 +438,7 @@
         "has_reported",
         "id",
         "inherited_starts",
+        "is_evacuated",
         "is_reachable",
         "is_recorded",
         "is_registered",
@@ -481,6 +483,8 @@
         # False while its entry names no worker, which doesn't say that it has left.
         self.has_readable_entry = True
         self.is_restarting = False
+        # True while an evacuation of its data centre is requested.
+        self.is_evacuated = False
         self.last_reply_s = 0.0
         # When it answered after its last silence.
         self.answers_since_s = 0.0
@@ -520,6 +524,8 @@
         """
         if self.entry.is_draining:
             return WorkerObstacle.DRAINING
+        if self.is_evacuated:
+            return WorkerObstacle.EVACUATED
         if not self.is_registered:
             return WorkerObstacle.UNREGISTERED
         if not self.has_readable_entry:
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/composition.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/composition.py
@@ -21,7 +21,7 @@
     load_settings,
 )
 from gooseberrydeck_adapter.configuration import CONFIGURATION_KEY
-from gooseberrydeck_adapter.discovery import REGISTRATION_PREFIX
+from gooseberrydeck_adapter.discovery import EVACUATION_PREFIX, REGISTRATION_PREFIX
 from gooseberrydeck_coordination.clock import SystemClock
 from gooseberrydeck_coordination.ids import MemberId
 from gooseberrydeck_fleet.configuration import FleetConfiguration
@@ -176,6 +176,7 @@
         self, authority: Authority, predecessors: Predecessors
     ) -> SchedulerTask:
         """Build the task that schedules while this member holds the shard."""
+        is_on = self.settings.timing.evacuation_s is not None
         return SchedulerTask(
             HttpStore(self.settings.store),
             self.shard_lock,
@@ -187,6 +188,7 @@
             REGISTRATION_PREFIX,
             self.metrics,
             predecessors,
+            evacuations=EVACUATION_PREFIX if is_on else None,
         )
 
     def connect_worker(self, entry: Registration) -> WorkerCalls:
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/observability.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/observability.py
@@ -223,6 +223,17 @@
             "Time since the configuration in force was confirmed as the newest",
             registry=registry,
         )
+        self.evacuated_runs = prometheus_client.Gauge(
+            "gooseberrydeck_evacuated_runs",
+            "Runs that remain in a data centre whose evacuation is requested",
+            ["data_centre"],
+            registry=registry,
+        )
+        self.evacuations_age_seconds = prometheus_client.Gauge(
+            "gooseberrydeck_evacuations_age_seconds",
+            "Time since the store last confirmed which evacuations are requested",
+            registry=registry,
+        )
         self.takeovers = prometheus_client.Counter(
             "gooseberrydeck_takeovers", "Claims of the shard", registry=registry
         )
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
@@ -42,6 +42,7 @@
 )
 from gooseberrydeck_member.crash_reports import report_crashes
 from gooseberrydeck_member.ended_jobs import EndedJobRemover
+from gooseberrydeck_member.evacuations import Evacuations
 from gooseberrydeck_member.held_jobs import HeldJobsReporter
 from gooseberrydeck_member.job_arrivals import JobArrivals
 from gooseberrydeck_member.job_lookups import (
@@ -129,10 +130,12 @@
         predecessors: Predecessors,
         clock: Clock = SYSTEM_CLOCK,
         threads: Threads = SYSTEM_THREADS,
+        evacuations: str | None = None,
     ) -> None:
         """Prepare for scheduling under the shard lock held by ``shard_lock``.
 
-        ``predecessors`` are those that may still be sending commands.
+        ``predecessors`` are those that may still be sending commands. Requests to
+        evacuate a data centre have keys below ``evacuations``; None ignores them.
         """
         if shard_lock.held is None:
             raise ShardLostError("this member does not hold the shard")
@@ -177,7 +180,7 @@
             StoreFollower(store, JOB_PREFIX, self.inbox.put, threads),
             StoreFollower(store, registrations, self.inbox.put, threads),
         ]
-        self.followers_pool = threads.executor(len(self.followers) + 1, "follow")
+        self.evacuations: Evacuations | None = None
         self.ended_jobs = EndedJobRemover(
             store,
             shard_lock,
@@ -190,6 +193,17 @@
         if predecessors.may_act():
             self.scheduler.predecessor_may_act(self.claimed_s + SUPERSEDED_NOTICE_S)
         self.unreadable = UnreadableLog(clock.monotonic)
+        if evacuations is not None:
+            follower = StoreFollower(store, evacuations, self.inbox.put, threads, clock)
+            self.followers.append(follower)
+            self.evacuations = Evacuations(
+                self.scheduler,
+                follower,
+                metrics,
+                self.unreadable,
+                timing.evacuation_s or 0.0,
+            )
+        self.followers_pool = threads.executor(len(self.followers) + 1, "follow")
         self.jobs = JobArrivals(
             self.scheduler,
             self.known_ends,
@@ -299,7 +313,11 @@
     def load(self) -> None:
         """Restore jobs, progress and workers from the store."""
         stored = read_stored_state(
-            self.store, self.registrations, STORE_TIMEOUT_S, self.threads
+            self.store,
+            self.registrations,
+            STORE_TIMEOUT_S,
+            self.threads,
+            None if self.evacuations is None else self.evacuations.prefix,
         )
         for error in stored.unreadable:
             self.jobs.record_unreadable(error)
@@ -313,6 +331,8 @@
         for entry in stored.registered.entries:
             self.workers.registration_changed(entry.key, entry.value, now_s)
         self.workers.restore_recorded(stored.workers.values(), now_s)
+        if self.evacuations is not None and stored.evacuations is not None:
+            self.evacuations.loaded(stored.evacuations, now_s)
         for record, revision in stored.jobs:
             self.jobs.add_job(record, revision, predates_takeover=True)
         for job, (progress, revision) in stored.progress.items():
@@ -372,6 +392,8 @@
                 self.execute(command)
         report_long_waits(self.scheduler.take_long_waits())
         self.held_jobs.report(now_s)
+        if self.evacuations is not None:
+            self.evacuations.report(now_s)
         self.report_lost_runs()
         report_crashes(self.scheduler.take_crash_reports(), self.metrics)
         for job in self.scheduler.take_lookups():
@@ -432,9 +454,11 @@
             self.answer_query(message)
 
     def store_changed(self, message: PrefixChanged, now_s: float) -> None:
-        """Apply changes of jobs or registrations reported by the store."""
+        """Apply changes of a prefix reported by the store."""
         if message.prefix == JOB_PREFIX:
             self.jobs.jobs_changed(message.batch)
+        elif self.evacuations is not None and self.evacuations.reads(message.prefix):
+            self.evacuations.changed(message.batch, now_s)
         else:
             self.workers.registrations_changed(message.batch, now_s)
 
@@ -442,6 +466,8 @@
         """Apply a complete read of a prefix, made when watch events may be missing."""
         if message.prefix == JOB_PREFIX:
             self.jobs.jobs_read(message.entries)
+        elif self.evacuations is not None and self.evacuations.reads(message.prefix):
+            self.evacuations.replaced(message.entries, now_s)
         else:
             self.workers.registrations_read(message.entries, now_s)
 
@@ -569,6 +595,8 @@
         for follower in self.followers:
             follower.stop()
         self.followers_pool.shutdown(wait=False, cancel_futures=True)
+        if self.evacuations is not None:
+            self.evacuations.close()
         self.dispatcher.close()
         self.committer.close()
         self.lookups.close()
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/store_follower.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/store_follower.py
@@ -5,10 +5,11 @@
 import msgspec
 import structlog
 
+from gooseberrydeck_coordination.clock import Clock
 from gooseberrydeck_coordination.exceptions import StoreCompactedError, StoreError
 from gooseberrydeck_coordination.ids import Revision
 from gooseberrydeck_coordination.store import Entry, Store, WatchBatch
-from gooseberrydeck_member.threads import SYSTEM_THREADS, Threads
+from gooseberrydeck_member.threads import SYSTEM_CLOCK, SYSTEM_THREADS, Threads
 
 __all__ = ["PrefixChanged", "PrefixRead", "StoreFollower"]
 
@@ -50,18 +51,23 @@
         prefix: str,
         post: Callable[[object], None],
         threads: Threads = SYSTEM_THREADS,
+        clock: Clock = SYSTEM_CLOCK,
     ) -> None:
         """Follow ``prefix``; ``post`` is called in the follower's thread."""
         self.name = f"follow {prefix}"
         self.store = store
         self.prefix = prefix
         self.post = post
+        self.clock = clock
         self.stopping = threads.event()
+        # When the store last responded, in monotonic seconds. Other threads read it.
+        self.confirmed_s = clock.monotonic()
         self.revision: Revision | None = None
         self.is_lost = False
 
     def start_at(self, revision: Revision) -> None:
         """Skip the initial read and watch from a revision that has been read."""
+        self.confirmed_s = self.clock.monotonic()
         self.revision = revision
 
     def run(self) -> None:
@@ -90,6 +96,7 @@
         for batch in self.store.watch(self.prefix, start, CALL_TIMEOUT_S):
             if self.stopping.is_set():
                 return
+            self.confirmed_s = self.clock.monotonic()
             self.report_recovery()
             if batch.events:
                 self.post(PrefixChanged(self.prefix, batch))
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/stored_state.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/stored_state.py
@@ -18,7 +18,7 @@
 
 __all__ = ["StoredState", "read_stored_state"]
 
-CONCURRENT_READS = 4
+CONCURRENT_READS = 5
 """Reads made in parallel; a slow store takes a quarter of a second for each."""
 
 
@@ -28,6 +28,7 @@
     ``jobs`` are sorted by acceptance time and paired with their revisions. ``workers``
     are those on which a predecessor may have started tasks, as of
     ``workers_revision``; ``registered`` are the workers' own registrations.
+    ``evacuations`` are the operators' requests, if they are to be followed.
     ``unreadable`` says which records were left out. A job whose progress can't be read
     is left out, too: its tasks may have ended.
     """
@@ -38,6 +39,7 @@
     workers: Mapping[WorkerId, Registration]
     workers_revision: Revision
     registered: Snapshot
+    evacuations: Snapshot | None = None
     unreadable: tuple[RecordUnreadableError, ...] = ()
 
     def count_done(self) -> int:
@@ -54,18 +56,23 @@
     registrations: str,
     timeout_s: float,
     threads: Threads = SYSTEM_THREADS,
+    evacuations: str | None = None,
 ) -> StoredState:
     """Read the stored state, with worker registrations below ``registrations``.
 
+    Requested evacuations have keys below ``evacuations``, if it is given.
+
     The shard must be held, so that no other member writes progress or the record of
     workers meanwhile. Raises a ``StoreError`` if any of the reads fails, or if the
     record of workers is unreadable: it says where a predecessor's tasks may run.
     """
     with threads.executor(CONCURRENT_READS, "load") as readers:
         workers_read = readers.submit(store.read, WORKERS_KEY, timeout_s)
-        registered, progress, jobs = readers.map(
-            lambda prefix: store.read_prefix(prefix, timeout_s),
-            (registrations, PROGRESS_PREFIX, JOB_PREFIX),
+        prefixes = [registrations, PROGRESS_PREFIX, JOB_PREFIX]
+        if evacuations is not None:
+            prefixes.append(evacuations)
+        registered, progress, jobs, *evacuated = readers.map(
+            lambda prefix: store.read_prefix(prefix, timeout_s), prefixes
         )
         workers = workers_read.result()
     unreadable: list[RecordUnreadableError] = []
@@ -101,5 +108,6 @@
         workers={entry.worker: entry for entry in recorded},
         workers_revision=Revision(0) if workers is None else workers.mod_revision,
         registered=registered,
+        evacuations=evacuated[0] if evacuated else None,
         unreadable=tuple(unreadable),
     )
--- a/packages/gooseberrydeck-service/src/gooseberrydeck_service/unreadable_log.py
+++ b/packages/gooseberrydeck-service/src/gooseberrydeck_service/unreadable_log.py
@@ -28,6 +28,7 @@
 
     CONFIGURATION = "configuration unreadable"
     COORDINATION_RECORD = "coordination record unreadable"
+    EVACUATION = "evacuation unreadable"
     RECORD = "record unreadable"
     REGISTRATION = "registration unreadable"
     REPORT = "report snapshot unreadable"
--- a/tests/adapter/test_odd_settings.py
+++ b/tests/adapter/test_odd_settings.py
@@ -36,6 +36,15 @@
         settings = decode_settings(msgspec.json.encode(SETTINGS))
         assert (settings.peer_port, settings.timing.task_lease_s) == (65_520, 10.0)
 
+    # Guards against evacuations that are followed on deployments without the setting.
+    def test_evacuations_are_off_without_the_setting(self) -> None:
+        assert (
+            decode_settings(msgspec.json.encode(SETTINGS)).timing.evacuation_s is None
+        )
+        on = {**SETTINGS, "Bounds": {"EvacMs": 5_000}}
+        settings = decode_settings(msgspec.json.encode(on))
+        assert settings.timing.evacuation_s == 5.0
+
     # Guards against a process that ends by itself when the file changes: a number of
     # 400 digits raised OverflowError.
     @large_numbers
--- a/tests/fleet_support.py
+++ b/tests/fleet_support.py
@@ -126,13 +126,14 @@
     born_ms: int = 0,
     address: str = "",
     may_hold_longest_lease: bool = False,
+    data_centre: str = "centre",
 ) -> Registration:
     """Return the registration of a worker, by default at an address of its own."""
     return Registration(
         WorkerId(name),
         SERVICE,
         HttpAddress(address or f"{name}.example", 1),
-        DataCentre("centre"),
+        DataCentre(data_centre),
         Rack(rack),
         labels,
         "a",
--- a/tests/followed_task.py
+++ b/tests/followed_task.py
@@ -21,10 +21,11 @@
 from gooseberrydeck_standins.engine_store import EngineStore
 from gooseberrydeck_standins.store_engine import StoreEngine
 
-__all__ = ["ENTRY", "PREFIX", "FollowedTask"]
+__all__ = ["ENTRY", "EVACUATIONS", "PREFIX", "FollowedTask"]
 
 TIMEOUT_S = 1.0
 PREFIX = "servers/"
+EVACUATIONS = "op/evacuate/"
 
 ENTRY: dict[str, object] = {
     "Service": "desk",
@@ -42,7 +43,7 @@
 class FollowedTask:
     """A scheduler's task with a follower of the registrations, one watch at a time."""
 
-    def __init__(self) -> None:
+    def __init__(self, evacuations: str | None = None) -> None:
         self.store = EngineStore(StoreEngine(ManualClock()), waits=False)
         shard_lock = ShardLock(self.store, MemberId("m1"), "m1:1", "run-1")
         assert shard_lock.claim(shard_lock.read(TIMEOUT_S), (), 2.0, TIMEOUT_S)
@@ -60,6 +61,7 @@
             PREFIX,
             self.metrics,
             predecessors=NO_PREDECESSORS,
+            evacuations=evacuations,
         )
         self.follower = StoreFollower(
             self.store, PREFIX, lambda message: self.task.handle(message, 0.0)
--- a/tests/member/test_changes_before_sending.py
+++ b/tests/member/test_changes_before_sending.py
@@ -206,6 +206,11 @@
 CHANGES: dict[str, Callable[[WaitingCommands], object]] = {
     SendObstacle.LIMIT_EXCEEDED.value: lower_limit,
     WorkerObstacle.DRAINING.value: lambda each: each.register(is_draining=True),
+    WorkerObstacle.EVACUATED.value: (
+        lambda each: each.scheduler.set_evacuated(
+            frozenset({each.registration.data_centre}), each.now_s
+        )
+    ),
     SendObstacle.CAPACITY_EXCEEDED.value: (
         lambda each: each.register(capacity=task_resources(10.0, 65_536))
     ),
--- a/tests/member/test_stored_state.py
+++ b/tests/member/test_stored_state.py
@@ -66,3 +66,10 @@
         self.store.next_faults.extend([CallFault.NONE] * failing + [CallFault.DOWN])
         with pytest.raises(StoreError):
             self.read()
+
+    # Guards against a holder that starts tasks before it knows the evacuations.
+    @pytest.mark.parametrize("failing", range(5))
+    def test_any_failed_read_raises_with_evacuations(self, failing: int) -> None:
+        self.store.next_faults.extend([CallFault.NONE] * failing + [CallFault.DOWN])
+        with pytest.raises(StoreError):
+            read_stored_state(self.store, "registered/", 1.0, evacuations="op/")
