Recovery: claimants don't count the predecessors of a sole holder

Cause: a claimant that has just started doesn't know for how long the token that it replaces has been in use. It counted every predecessor that the record names, also a host that had been removed long before, and waited 12.3 s for silent workers.

Change: a holder stores its token in shards/0000/sole once none of its predecessors can act or extend leases any more: at once if it has none, when each has confirmed the announcement, or 8 s (AUTHORITY_TIMEOUT_S) after its claim. The scheduler counts as the only one 1.5 s after the claim; that is too weak for the mark, since a predecessor that reaches neither the store nor a fenced worker acts for up to 8 s. The write is conditional on the ownership and repeated until the store confirms it. A claimant that finds the mark of exactly the token it replaces drops that holder's predecessors; the holder itself is counted as before. Missing, unreadable and other marks change nothing.

Why it is safe: the statement stays true for good, so a paused holder or a late write can't make it false, and the condition keeps it from replacing the mark of a successor. Leases that predecessors granted before the mark was stored end within 4.3 s of any later claim, the shortest wait there is.

--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/control.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/control.py
@@ -36,6 +36,7 @@
     ShardView,
     next_token,
 )
+from gooseberrydeck_member.sole_mark import is_marked_sole
 
 __all__ = ["ControlTask"]
 
@@ -368,10 +369,12 @@
         """Return the former holders that may act after a claim.
 
         Those before the last holder may have outlived it. Their authority was confirmed
-        last before the record's token was in use.
+        last before the record's token was in use. The mark of just this token says that
+        it had ended when the mark was stored.
         """
         former = {record.address: record.incarnation} if was_silent else {}
-        if self.cell.token_age_s(int(record.token)) < AUTHORITY_TIMEOUT_S:
+        is_new = self.cell.token_age_s(int(record.token)) < AUTHORITY_TIMEOUT_S
+        if is_new and record.active_predecessors and not self.is_sole(record):
             incarnations = record.predecessor_incarnations
             # Members of earlier releases store no incarnations.
             earlier = zip_longest(
@@ -384,6 +387,10 @@
         are_limited = self.are_limited(incarnations)
         return Predecessors(tuple(former), incarnations, are_limited)
 
+    def is_sole(self, record: ShardRecord) -> bool:
+        """Return True if the last holder's predecessors are known not to act."""
+        return is_marked_sole(self.store, record.token, STORE_TIMEOUT_S)
+
     def are_limited(self, incarnations: tuple[str, ...]) -> bool:
         """Return True if former holders know this member until they can't act.
 
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/keys.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/keys.py
@@ -8,6 +8,7 @@
     "JOB_PREFIX",
     "PROGRESS_PREFIX",
     "SHARD_KEY",
+    "SOLE_KEY",
     "WORKERS_KEY",
     "ended_key",
     "job_key",
@@ -20,6 +21,9 @@
 ALIVE_KEY = "shards/0000/alive"
 """Exists while the holder's store lease is in force."""
 
+SOLE_KEY = "shards/0000/sole"
+"""The token of a holder whose predecessors can't act any more; see ``SoleMark``."""
+
 WORKERS_KEY = "shards/0000/workers"
 """The workers that may run tasks, for a new holder that they cannot reach."""
 
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
@@ -57,6 +57,7 @@
 from gooseberrydeck_member.predecessors import Predecessors
 from gooseberrydeck_member.run_audit import RunAudit
 from gooseberrydeck_member.shard_lock import ShardLock, ShardLostError
+from gooseberrydeck_member.sole_mark import SoleMarkWriter, SoleMarkWritten
 from gooseberrydeck_member.store_follower import (
     PrefixChanged,
     PrefixRead,
@@ -189,6 +190,9 @@
         self.claimed_s = clock.monotonic()
         if predecessors.may_act():
             self.scheduler.predecessor_may_act(self.claimed_s + SUPERSEDED_NOTICE_S)
+        self.sole_mark = SoleMarkWriter(
+            store, shard_lock, predecessors, self.claimed_s, self.inbox.put, threads
+        )
         self.unreadable = UnreadableLog(clock.monotonic)
         self.jobs = JobArrivals(
             self.scheduler,
@@ -378,6 +382,7 @@
             self.lookups.look_up(job)
         self.polls.poll_due_workers(now_s)
         self.polls.acknowledge(self.committer.send_due(now_s), now_s)
+        self.sole_mark.send_due(now_s)
         self.unreadable.summarize()
 
     def report_lost_runs(self) -> None:
@@ -420,8 +425,11 @@
             expiry_s = now_s + MAX_TASK_LEASE_S / (1 - CLOCK_DRIFT)
             self.workers.predecessor_stopped(expiry_s)
             self.scheduler.predecessor_stopped(expiry_s)
+            self.sole_mark.predecessor_stopped(now_s)
         elif isinstance(message, WorkersRecorded):
             self.committer.workers_recorded(message)
+        elif isinstance(message, SoleMarkWritten):
+            self.sole_mark.written(message, now_s)
         elif isinstance(message, PrefixChanged):
             self.store_changed(message, now_s)
         elif isinstance(message, PrefixRead):
@@ -571,6 +579,7 @@
         self.followers_pool.shutdown(wait=False, cancel_futures=True)
         self.dispatcher.close()
         self.committer.close()
+        self.sole_mark.close()
         self.lookups.close()
         while True:
             try:
--- a/tests/member/test_hand_over.py
+++ b/tests/member/test_hand_over.py
@@ -11,7 +11,12 @@
 from fleet_support import make_configuration
 from gooseberrydeck_coordination.clock import ManualClock
 from gooseberrydeck_coordination.ids import MemberId
-from gooseberrydeck_coordination.store import Entry, Transaction, TransactionResult
+from gooseberrydeck_coordination.store import (
+    Entry,
+    Put,
+    Transaction,
+    TransactionResult,
+)
 from gooseberrydeck_fleet.configuration import FleetConfiguration
 from gooseberrydeck_fleet.settings import Timing
 from gooseberrydeck_member import authority, control
@@ -20,6 +25,7 @@
 from gooseberrydeck_member.claimants import FOLLOWED_WITHIN_S
 from gooseberrydeck_member.configuration import ConfigurationCache
 from gooseberrydeck_member.control import ControlTask
+from gooseberrydeck_member.keys import SOLE_KEY
 from gooseberrydeck_member.observability import Metrics
 from gooseberrydeck_member.peer_messages import (
     HandOver,
@@ -377,6 +383,50 @@
         (scheduler,) = self.other.schedulers
         assert not scheduler.was_silent
 
+    def mark_sole(self, value: bytes) -> None:
+        put = Put(SOLE_KEY, value)
+        assert self.member.store.commit(Transaction((), (put,)), 1.0).succeeded
+
+    # A claimant that started after a kill of all hosts held jobs back for 12.3 s, for a
+    # host that had been removed ten seconds before (Part 3).
+    def test_predecessors_of_a_sole_holder_are_not_waited_for(self) -> None:
+        self.claim_from_silent_holder()
+        self.mark_sole(b'{"token":%d}' % self.member.schedulers[0].token)
+        self.member.control.hand_over()
+        self.other.control.find_holder()
+        (scheduler,) = self.other.schedulers
+        assert not scheduler.was_silent
+        assert self.other.shard_lock.read(1.0).record.active_predecessors == ()
+
+    def test_silent_sole_holder_is_waited_for_without_its_predecessors(self) -> None:
+        self.claim_from_silent_holder()
+        self.mark_sole(b'{"token":%d}' % self.member.schedulers[0].token)
+        seen = self.other.shard_lock.read(1.0)
+        assert self.other.control.take_over(seen)
+        (scheduler,) = self.other.schedulers
+        assert scheduler.predecessors.addresses == (self.member.address,)
+
+    # The mark of an earlier holder says nothing about the predecessors of a later one.
+    @pytest.mark.parametrize("value", [b'{"token":1000}', b'{"token":3000}', b"?"])
+    def test_other_marks_shorten_no_wait(self, value: bytes) -> None:
+        self.claim_from_silent_holder()
+        assert self.member.schedulers[0].token == 2_000
+        self.mark_sole(value)
+        self.member.control.hand_over()
+        self.other.control.find_holder()
+        (scheduler,) = self.other.schedulers
+        assert scheduler.was_silent
+
+    def test_mark_that_cannot_be_read_shortens_no_wait(self) -> None:
+        self.claim_from_silent_holder()
+        self.mark_sole(b'{"token":%d}' % self.member.schedulers[0].token)
+        self.member.control.hand_over()
+        # The record is read first.
+        self.other.store.next_faults.extend([CallFault.NONE, CallFault.DOWN])
+        self.other.control.find_holder()
+        (scheduler,) = self.other.schedulers
+        assert scheduler.was_silent
+
     def test_holder_that_refuses_connections_is_replaced_at_once_and_waited_for(
         self,
     ) -> None:
--- a/tests/member/test_successions.py
+++ b/tests/member/test_successions.py
@@ -48,10 +48,13 @@
 from gooseberrydeck_member.peers import PeerCallError, PeerRefusedError
 from gooseberrydeck_member.predecessors import Predecessors
 from gooseberrydeck_member.shard_lock import ShardLock, ShardView
+from gooseberrydeck_member.sole_mark import SoleMarkWriter, SoleMarkWritten
 from gooseberrydeck_standins.engine_store import EngineStore
 from gooseberrydeck_standins.store_engine import StoreEngine
 
-SEEDS = 60
+SEEDS = (*range(60), 311, 365)
+"""On the last two days a mark that is stored at once after a claim is wrong."""
+
 DAY_S = 120.0
 STEP_S = 0.05
 MAX_DEPTH = 2
@@ -107,6 +110,14 @@
         self.predecessors = former
         wait_s = former.max_lease_s() * (1 - CLOCK_DRIFT)
         self.waits_until_s = process.day.clock.now_s + wait_s
+        self.sole_mark = SoleMarkWriter(
+            EngineStore(process.day.engine, waits=False),
+            process.lock,
+            former,
+            process.day.clock.now_s,
+            self.mark_written,
+            self,  # type: ignore[arg-type]
+        )
 
     def set_configuration(self, _configuration: object) -> None:
         pass
@@ -114,6 +125,24 @@
     def predecessor_stopped(self) -> None:
         now_s = self.process.day.clock.now_s
         self.waits_until_s = min(self.waits_until_s, now_s + MAX_TASK_LEASE_S)
+        self.sole_mark.predecessor_stopped(now_s)
+
+    def executor(self, _max_threads: int, _name: str) -> "GrantingScheduler":
+        return self
+
+    def submit(self, write: Callable[[], None]) -> None:
+        """Stand in for the mark's executor: the store may execute the write late."""
+        day = self.process.day
+        if self.process.is_store_cut:
+            self.mark_written(SoleMarkWritten(None))
+        else:
+            day.do_later(day.mark_rng.choice((0.0, 0.0, 0.3, 6.0)), write)
+
+    def mark_written(self, message: SoleMarkWritten) -> None:
+        day = self.process.day
+        if day.mark_rng.random() < day.answer_loss:
+            message = SoleMarkWritten(None)
+        self.sole_mark.written(message, day.clock.now_s)
 
     def mark_shard_lost(self) -> None:
         self.authority.revoke()
@@ -133,6 +162,7 @@
         if not self.authority.may_act():
             return
         now_s = day.clock.now_s
+        self.sole_mark.send_due(now_s)
         lease_s = min(MAX_TASK_LEASE_S, self.authority.lease_limit_s())
         self.leases_end_s = max(self.leases_end_s, now_s + lease_s)
         if now_s < self.waits_until_s:
@@ -419,6 +449,8 @@
 
     def __init__(self, seed: int, clock: ManualClock) -> None:
         self.rng = random.Random(seed)
+        # Apart from the other draws, so that marks leave a day as it is.
+        self.mark_rng = random.Random(seed)
         self.clock = clock
         self.began_s = clock.now_s
         self.engine = StoreEngine(self.clock)
@@ -580,7 +612,7 @@
 class TestSuccessions:
     # A successor waits 4.6 s for a silent holder that knew it, which counts on what the
     # members confirm to that holder: a task would run twice otherwise.
-    @pytest.mark.parametrize("seed", range(SEEDS))
+    @pytest.mark.parametrize("seed", SEEDS)
     def test_no_lease_outlasts_the_wait_of_a_successor(
         self, seed: int, clock: ManualClock
     ) -> None:
