Cold workers: work goes to warm ones while they have room

Cause: workers are slow for some seconds after their start, and say so in their registration (ColdLeftMs), which was ignored. Work went to them as to others, and their speeds were learned from runs that began then.

Change: a registration's cold_s sets until when a worker is cold. Such workers rank behind others for a step, unless those are in another rack or may be about to crash; a step that needs one rack takes one whose warm workers suffice; room for urgent work is made on a warm worker where the cost is the same. Runs that began on a cold worker give no sample of speed. The remaining time isn't kept in the worker's entry: it counts down with each registration, which is no change and isn't recorded for a successor. A hint of another type counts as warm and doesn't make the entry unreadable. The line of a start says whether its worker is cold.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/placement.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/placement.py
@@ -27,6 +27,12 @@
 ENDANGERED_PENALTY = 8.0
 """Ranks workers last on which a task may be about to cause a crash."""
 
+COLD_PENALTY = 7.0
+"""Ranks workers last that are still slow after their start.
+
+It exceeds the penalty of a worker that is ten times as slow, but not that of a crash.
+"""
+
 
 class Reservation:
     """Capacity that is being freed for one step, held until a deadline."""
@@ -51,12 +57,14 @@
         self.ready: dict[ServiceName, dict[WorkerId, Worker]] = {}
         # Counts the workers that were considered, as a measure of the work done.
         self.checked = 0
+        self.now_s = 0.0
 
     def refresh(self, now_s: float) -> None:
-        """Update the workers that accept runs, if that may have changed.
+        """Update the time, and the workers that accept runs if that may have changed.
 
         Workers that accept runs again count as freed.
         """
+        self.now_s = now_s
         ledger = self.ledger
         if not (ledger.have_workers_changed or ledger.health.has_changed):
             return
@@ -188,6 +196,8 @@
             rank += INTERFERENCE_PENALTY
         if self.ledger.suspects.is_endangered(worker):
             rank += ENDANGERED_PENALTY
+        if worker.is_cold(self.now_s):
+            rank += COLD_PENALTY
         return rank
 
     def is_in_other_rack(self, worker: Worker, step: Step) -> bool:
@@ -236,9 +246,9 @@
     ) -> list[Worker]:
         """Return candidate workers for ``wanted`` tasks, from one rack if required.
 
-        The rack with the least free processors that fits all tasks is chosen, or all
-        workers if none does. Once tasks of the step run, ``rank`` keeps the others in
-        their rack.
+        The rack with the least free processors that fits all tasks is chosen, if
+        possible one that needs no cold workers for it, or all workers if none fits.
+        Once tasks of the step run, ``rank`` keeps the others in their rack.
         """
         workers = list(workers)
         if not step.spec.same_rack or any(task.runs for task in step.tasks):
@@ -246,16 +256,18 @@
         by_rack: dict[str, list[Worker]] = {}
         for worker in workers:
             by_rack.setdefault(worker.entry.rack, []).append(worker)
-        fitting = [
-            rack
-            for rack in by_rack.values()
-            if sum(self.slots(worker, step) for worker in rack) >= wanted
-        ]
+        fitting: list[tuple[bool, int, list[Worker]]] = []
+        for rack in by_rack.values():
+            slots = {worker: self.slots(worker, step) for worker in rack}
+            if sum(slots.values()) < wanted:
+                continue
+            cold = sum(slots[each] for each in rack if each.is_cold(self.now_s))
+            needs_cold = sum(slots.values()) - cold < wanted
+            free_cpu_millis = sum(worker.free.cpu_millis for worker in rack)
+            fitting.append((needs_cold, free_cpu_millis, rack))
         if not fitting:
             return workers
-        return min(
-            fitting, key=lambda rack: sum(worker.free.cpu_millis for worker in rack)
-        )
+        return min(fitting, key=lambda each: each[:2])[2]
 
     def reserve(self, worker: Worker, reservation: Reservation) -> None:
         """Add a reservation on a worker."""
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/preemption.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/preemption.py
@@ -18,8 +18,8 @@
 The time covers one more poll and a start.
 """
 
-Offer = tuple[int, int, list[Run]]
-"""The cost of victims, the index of their worker, and the victims.
+Offer = tuple[int, bool, int, list[Run]]
+"""The cost of victims, whether their worker is cold, its index, and the victims.
 
 The cost is the processor time that they have allocated.
 """
@@ -48,7 +48,7 @@
         allocation = step.allocation
         made = 0
         while made < missing and offers:
-            _, index, victims = heapq.heappop(offers)
+            _, _, index, victims = heapq.heappop(offers)
             worker = workers[index]
             for run in victims:
                 self.ends.request_stop(run, StopReason.PREEMPTED)
@@ -76,10 +76,12 @@
     ) -> None:
         """Add the victims on a worker to a heap, if it can make room for a task."""
         self.placer.checked += 1
-        victims = self.victims_on(workers[index], step)
+        worker = workers[index]
+        victims = self.victims_on(worker, step)
         if victims is not None:
             cost = sum(run.quota_usage.cpu_millis for run in victims)
-            heapq.heappush(offers, (cost, index, victims))
+            is_cold = worker.is_cold(self.placer.now_s)
+            heapq.heappush(offers, (cost, is_cold, index, victims))
 
     def free_quota(self, step: Step, wanted: int) -> None:
         """Stop other runs of a step's team to get ``wanted`` tasks under its limit.
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/registrations.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/registrations.py
@@ -14,7 +14,8 @@
     """A worker's entry in the service registry.
 
     ``remaining_s`` is the minimum time until a draining worker leaves. ``born_ms`` is
-    the start of the worker's process, in Unix milliseconds. The record of a holder says
+    the start of the worker's process, in Unix milliseconds. For ``cold_s`` from now on,
+    the worker is slow, since it has started lately. The record of a holder says
     besides whether the worker may hold the longest lease that it grants, and which
     tasks it may start late.
     """
@@ -32,3 +33,4 @@
     born_ms: int = 0
     may_hold_longest_lease: bool = False
     late_starts: tuple[TaskRef, ...] = ()
+    cold_s: float = 0.0
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
@@ -2,6 +2,8 @@
 
 import math
 
+import msgspec
+
 from gooseberrydeck_coordination.ids import DataCentre, JobId, QueueName
 from gooseberrydeck_fleet.advice import Advice
 from gooseberrydeck_fleet.advice_requests import AdviceRequests
@@ -144,10 +146,15 @@
         Until ``unknown_until_s``, or until its first reply, a new worker may run tasks
         that a predecessor started and that this scheduler doesn't know.
         """
+        cold_until_s = now_s + entry.cold_s
+        if entry.cold_s:
+            # It counts down with each registration, which is no change of the worker.
+            entry = msgspec.structs.replace(entry, cold_s=0.0)
         worker = self.ledger.workers.get(entry.worker)
         if worker is None:
             self.ledger.have_workers_changed = True
             worker = Worker(entry, max(now_s, unknown_until_s))
+            worker.cold_until_s = cold_until_s
             worker.available_until_s = now_s + (entry.remaining_s or 0.0)
             self.ledger.workers[entry.worker] = worker
             worker.may_have_restarted = entry.worker in self.former_workers
@@ -159,6 +166,7 @@
             # Stored again, since a successor has to know that the worker may leave.
             worker.is_recorded = False
         worker.available_until_s = now_s + (entry.remaining_s or 0.0)
+        worker.cold_until_s = cold_until_s
         is_back = not (worker.is_registered and worker.has_readable_entry)
         if entry != worker.entry or is_back:
             self.ledger.have_workers_changed = True
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
@@ -152,8 +152,8 @@
         self.stop_reason: StopReason | None = None
         self.stop_sent_s = 0.0
         # A run that resumes from a checkpoint doesn't show the duration of the whole
-        # task.
-        self.skip_duration_sample = bool(task.checkpoint)
+        # task, and one that begins on a cold worker is slower than later ones there.
+        self.skip_duration_sample = bool(task.checkpoint) or worker.is_cold(now_s)
 
 
 class Task:
@@ -429,6 +429,7 @@
         "born_ms",
         "clock_ms",
         "clock_read_s",
+        "cold_until_s",
         "entry",
         "fenced_from_s",
         "free",
@@ -504,6 +505,12 @@
         # Numbers of ends whose job is not known.
         self.unresolved_ends: set[int] = set()
         self.available_until_s = 0.0
+        # Until then, in monotonic seconds, it is slow after its start.
+        self.cold_until_s = 0.0
+
+    def is_cold(self, now_s: float) -> bool:
+        """Return True if the worker is still slow after its start."""
+        return now_s < self.cold_until_s
 
     @property
     def acknowledgeable_end(self) -> int:
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/run_audit.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/run_audit.py
@@ -70,6 +70,7 @@
             run=command.request.run,
             worker=command.worker,
             resumes=bool(command.request.checkpoint),
+            is_cold=self.scheduler.ledger.workers[command.worker].is_cold(now_s),
             waited_s=round(waited_s, 3),
             **self.input_ages(job, task, now_s),
         )
--- a/tests/adapter/test_odd_registrations.py
+++ b/tests/adapter/test_odd_registrations.py
@@ -88,6 +88,26 @@
     def test_long_state_is_not_quoted_in_full(self) -> None:
         refuse(msgspec.json.encode({**ENTRY, "State": "x" * 100_000}))
 
+    # Guards against losing a worker for a hint that is odd.
+    @pytest.mark.parametrize(
+        ("value", "cold_s"),
+        [
+            (b"2500", 2.5),
+            (b"0.5", 0.0005),
+            (b"-1", 0.0),
+            (b"null", 0.0),
+            (b'"1"', 0.0),
+            (b"[1]", 0.0),
+            (b"1e400", 0.0),
+            (b"9" * 400, 0.0),
+        ],
+    )
+    def test_time_until_a_worker_is_warm(self, value: bytes, cold_s: float) -> None:
+        found = decode_registration(
+            KEY, with_raw({**ENTRY, "ColdLeftMs": "RAW"}, value)
+        )
+        assert found.cold_s == cold_s
+
     def test_number_of_another_field_does_not_matter(self) -> None:
         found = decode_registration(KEY, with_raw({**ENTRY, "Slots": "RAW"}, b"1e300"))
         assert found.worker == "odd"
--- a/tests/fleet_support.py
+++ b/tests/fleet_support.py
@@ -127,6 +127,7 @@
     address: str = "",
     may_hold_longest_lease: bool = False,
     data_centre: str = "centre",
+    cold_s: float = 0.0,
 ) -> Registration:
     """Return the registration of a worker, by default at an address of its own."""
     return Registration(
@@ -142,6 +143,7 @@
         remaining_s,
         born_ms,
         may_hold_longest_lease,
+        cold_s=cold_s,
     )
 
 
