Learn the durations of tasks from finished runs

Order and due times followed the callers' estimates, which are off by up to 90 %, and what a step's siblings showed was forgotten with the step.

For each team, queue and step number, a decayed regression of the duration on the estimate is learned, with a histogram of its residuals. A team without a history gets the median of the others. The expectation is used for a queue's lateness, due times and moves off draining workers while its error over the last runs is clearly below that of the estimates. Each use has a switch in DurationUses; by default all are off and nothing is learned.

--- /dev/null
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/duration_learner.py
@@ -0,0 +1,316 @@
+"""Expected durations of tasks, learned from finished runs.
+
+What is learned is kept by team, so that no team distorts or displaces what is learned
+for another one. A team without a history of its own gets the median of the others.
+"""
+
+import math
+from collections import Counter
+from collections.abc import Sequence
+from statistics import median_low
+from typing import TypeVar
+
+from gooseberrydeck_coordination.ids import QueueName, TeamName
+from gooseberrydeck_fleet.duration_errors import (
+    BETTER_RATIO,
+    MIN_WEIGHT,
+    ErrorRecord,
+)
+from gooseberrydeck_fleet.durations import (
+    TRUSTED_WEIGHT,
+    DurationGroup,
+    log_estimate,
+)
+from gooseberrydeck_fleet.expectations import (
+    Expectation,
+    ExpectationSource,
+    GroupKey,
+    JudgedRun,
+    Refusal,
+    find_odd_duration,
+    find_weight,
+    to_key,
+)
+from gooseberrydeck_fleet.settings import DurationUses
+from gooseberrydeck_fleet.work import StepSpec
+
+K = TypeVar("K")
+V = TypeVar("V")
+
+__all__ = ["DurationLearner"]
+
+MAX_GROUPS_PER_TEAM = 32
+"""Groups kept for a team, and queues whose errors are kept; about 30 kB."""
+
+MAX_TEAMS = 100
+"""Teams for which durations are kept; five times the number on a large deployment."""
+
+MAX_AGE_S = 3_600.0
+"""What has not been confirmed for this long is forgotten."""
+
+MIN_TEAMS = 3
+"""Teams that a shared value needs: the median of fewer follows a single team."""
+
+MIN_SHARED_WEIGHT = 0.5
+"""Weight, in steps, from which a team counts for a shared value."""
+
+REFRESH_S = 0.5
+"""Interval at which jobs may take on new expectations."""
+
+MAX_JUDGED = 1_000
+"""Judged runs kept until they are reported."""
+
+
+class TeamDurations:
+    """What is learned for one team, the least recently confirmed first."""
+
+    __slots__ = ("errors", "groups")
+
+    def __init__(self) -> None:
+        """Create a team without a history."""
+        self.groups: dict[GroupKey, DurationGroup] = {}
+        self.errors: dict[QueueName, ErrorRecord] = {}
+
+
+class DurationLearner:
+    """Learn the durations of tasks, and tell what to expect of the next ones."""
+
+    def __init__(self, uses: DurationUses | None = None) -> None:
+        """Create a learner that has seen nothing; without uses, it learns nothing."""
+        self.uses = uses or DurationUses()
+        self.is_learning = self.uses.is_any
+        self.teams: dict[TeamName, TeamDurations] = {}
+        # Changes when jobs may take on new expectations.
+        self.generation = 0
+        self.refresh_s = 0.0
+        self.refused: Counter[Refusal] = Counter()
+        self.judged: list[JudgedRun] = []
+        # What holds for teams without a history, found once for each generation: the
+        # groups of several teams, and the queues whose learned durations are better.
+        self.shared: dict[GroupKey | QueueName, list[DurationGroup]] = {}
+        self.verdicts: dict[QueueName, bool] = {}
+
+    # Expectations.
+
+    def expected_steps(
+        self, queue: QueueName, team: TeamName, steps: Sequence[StepSpec]
+    ) -> list[float]:
+        """Return the expected durations of the tasks of a job's steps, in seconds."""
+        if not self.is_better(queue, team):
+            return [step.estimate_s for step in steps]
+        expected = []
+        for number, step in enumerate(steps):
+            found = (
+                None if step.is_standing else self.predict(queue, team, number, step)
+            )
+            expected.append(step.estimate_s if found is None else math.exp(found[0]))
+        return expected
+
+    def expect(
+        self, queue: QueueName, team: TeamName, number: int, step: StepSpec
+    ) -> Expectation:
+        """Return what to expect of a run that starts now."""
+        own = self.own_group(team, to_key(queue, number, step))
+        found = self.predict(queue, team, number, step)
+        if found is None:
+            estimate_s = step.estimate_s
+            source = ExpectationSource.ESTIMATE
+            return Expectation(estimate_s, estimate_s, source, False, own)
+        typical, high, source = found
+        is_used = self.is_better(queue, team)
+        return Expectation(math.exp(typical), math.exp(high), source, is_used, own)
+
+    def own_group(self, team: TeamName, key: GroupKey) -> DurationGroup | None:
+        """Return a team's group, if it has one."""
+        known = self.teams.get(team)
+        return None if known is None else known.groups.get(key)
+
+    def predict(
+        self, queue: QueueName, team: TeamName, number: int, step: StepSpec
+    ) -> tuple[float, float, ExpectationSource] | None:
+        """Return the logarithms of a typical duration and what nine of ten stay below.
+
+        Returns None if nothing is known but the caller's estimate.
+        """
+        key = to_key(queue, number, step)
+        estimate = log_estimate(step.estimate_s) or 0.0
+        group = self.own_group(team, key)
+        if group is not None and group.is_trusted:
+            return (
+                group.typical(estimate),
+                group.nine_of_ten(estimate),
+                ExpectationSource.TEAM,
+            )
+        groups = self.shared_groups(key) or (
+            self.shared_groups(queue) if key.has_estimate else []
+        )
+        if not groups:
+            return None
+        return (
+            median_low(each.typical(estimate) for each in groups),
+            median_low(each.nine_of_ten(estimate) for each in groups),
+            ExpectationSource.QUEUE,
+        )
+
+    def shared_groups(self, key: GroupKey | QueueName) -> list[DurationGroup]:
+        """Return the groups of a step number or queue, if there are enough of them.
+
+        Of a queue, each team counts with the group that has seen most.
+        """
+        found = self.shared.get(key)
+        if found is None:
+            found = []
+            for team in self.teams.values():
+                if isinstance(key, GroupKey):
+                    own = [team.groups[key]] if key in team.groups else []
+                else:
+                    own = [
+                        group
+                        for each, group in team.groups.items()
+                        if each.queue == key and each.has_estimate
+                    ]
+                most = max(own, key=lambda group: group.weight, default=None)
+                if most is not None and most.weight >= MIN_SHARED_WEIGHT:
+                    found.append(most)
+            if not is_enough([group.weight for group in found], TRUSTED_WEIGHT):
+                found = []
+            self.shared[key] = found
+        return found
+
+    def is_better(self, queue: QueueName, team: TeamName) -> bool:
+        """Return True if what is learned predicts a team's runs better than it does.
+
+        Until the team has a history in the queue, the median errors of all decide.
+        """
+        known = self.teams.get(team)
+        record = None if known is None else known.errors.get(queue)
+        if record is not None and record.is_conclusive:
+            return record.is_better
+        verdict = self.verdicts.get(queue)
+        if verdict is None:
+            verdict = self.verdicts[queue] = self.is_better_for_most(queue)
+        return verdict
+
+    def is_better_for_most(self, queue: QueueName) -> bool:
+        """Return True if most teams' runs are predicted better by what is learned."""
+        records = [
+            each
+            for team in self.teams.values()
+            if (each := team.errors.get(queue)) is not None
+            and each.weight >= MIN_SHARED_WEIGHT
+        ]
+        if not is_enough([each.weight for each in records], MIN_WEIGHT):
+            return False
+        learned = median_low(each.learned for each in records)
+        return learned < BETTER_RATIO * median_low(each.estimate for each in records)
+
+    # Learning.
+
+    def learn(
+        self,
+        queue: QueueName,
+        team: TeamName,
+        number: int,
+        step: StepSpec,
+        expected: Expectation,
+        seconds: float,
+        slowness: float,
+        now_s: float,
+    ) -> None:
+        """Learn from a run, after judging what was expected of it.
+
+        ``slowness`` is that of its worker, as a natural logarithm.
+        """
+        refusal = find_odd_duration(seconds)
+        if refusal is not None:
+            self.refused[refusal] += 1
+            return
+        known = self.keep_team(team)
+        value = math.log(seconds) - slowness
+        weight = find_weight(step)
+        if expected.source is not ExpectationSource.ESTIMATE:
+            self.judge(known, queue, value, expected.typical_s, step, weight)
+        key = to_key(queue, number, step)
+        group = known.groups.pop(key, None) or DurationGroup()
+        group.learn(log_estimate(step.estimate_s) or 0.0, value, weight, now_s)
+        # The last one is the most recently confirmed.
+        known.groups[key] = group
+        keep_newest(known.groups, MAX_GROUPS_PER_TEAM)
+
+    def judge(
+        self,
+        known: TeamDurations,
+        queue: QueueName,
+        value: float,
+        learned_s: float,
+        step: StepSpec,
+        weight: float,
+    ) -> None:
+        """Compare the duration of a run with what was expected of it."""
+        record = known.errors.pop(queue, None) or ErrorRecord()
+        estimate = log_estimate(step.estimate_s)
+        learned_error = value - math.log(learned_s)
+        record.add(
+            learned_error, None if estimate is None else value - estimate, weight
+        )
+        known.errors[queue] = record
+        keep_newest(known.errors, MAX_GROUPS_PER_TEAM)
+        if len(self.judged) < MAX_JUDGED:
+            actual_s = math.exp(value)
+            self.judged.append(JudgedRun(queue, actual_s, learned_s, step.estimate_s))
+
+    def keep_team(self, team: TeamName) -> TeamDurations:
+        """Return what is kept for a team, as the most recently confirmed."""
+        known = self.teams.pop(team, None) or TeamDurations()
+        self.teams[team] = known
+        keep_newest(self.teams, MAX_TEAMS)
+        return known
+
+    def refuse(self, reason: Refusal) -> None:
+        """Count a run from which nothing is learned."""
+        self.refused[reason] += 1
+
+    def is_refresh_due(self, now_s: float) -> bool:
+        """Return True if ``refresh`` should be called."""
+        return self.is_learning and now_s >= self.refresh_s
+
+    def refresh(
+        self,
+        outlasting: dict[DurationGroup, list[tuple[float, float]]],
+        now_s: float,
+    ) -> None:
+        """Let jobs take on new expectations, and forget what is old.
+
+        ``outlasting`` has the runs in progress that have outlasted what is typical of
+        their group, as residuals and weights.
+        """
+        self.refresh_s = now_s + REFRESH_S
+        self.generation += 1
+        self.shared.clear()
+        self.verdicts.clear()
+        for team, known in list(self.teams.items()):
+            for key, group in list(known.groups.items()):
+                if now_s - group.learned_s > MAX_AGE_S:
+                    del known.groups[key]
+                elif group in outlasting or group.outlasting:
+                    group.set_outlasting(outlasting.get(group, ()))
+            if not known.groups:
+                del self.teams[team]
+
+    def take_judged(self) -> list[JudgedRun]:
+        """Return the runs judged since the last call, each once."""
+        judged, self.judged = self.judged, []
+        return judged
+
+
+def is_enough(weights: Sequence[float], least: float) -> bool:
+    """Return True if what several teams have seen suffices, each counted alike."""
+    return (
+        len(weights) >= MIN_TEAMS and sum(min(1.0, each) for each in weights) >= least
+    )
+
+
+def keep_newest(entries: dict[K, V], count: int) -> None:
+    """Remove the oldest entries beyond a count."""
+    while len(entries) > count:
+        del entries[next(iter(entries))]
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/evacuation.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/evacuation.py
@@ -4,6 +4,8 @@
 another worker from a checkpoint that is as recent as possible.
 """
 
+from gooseberrydeck_fleet.duration_samples import learned_remaining_s
+from gooseberrydeck_fleet.ledger import Ledger
 from gooseberrydeck_fleet.placement import Placer
 from gooseberrydeck_fleet.run_ends import RunEndHandler
 from gooseberrydeck_fleet.state import Run, RunState, Step, StopReason, Worker
@@ -58,7 +60,7 @@
         spec = run.task.step.spec
         if spec.is_standing:
             return True
-        needed_s = remaining_s(run, now_s)
+        needed_s = remaining_s(run, self.placer.ledger, now_s)
         if needed_s + RUN_END_MARGIN_S < left_s:
             return False
         if spec.saves_progress or spec.is_gang:
@@ -83,17 +85,21 @@
         )
 
 
-def remaining_s(run: Run, now_s: float) -> float:
+def remaining_s(run: Run, ledger: Ledger, now_s: float) -> float:
     """Return the expected remaining duration of a run, in seconds.
 
     It is based on the run's progress so far, or else on the typical duration of the
-    step or the caller's estimate.
+    step, on what was learned from other jobs, or on the caller's estimate.
     """
     elapsed_s = now_s - run.started_s
     observed_s = run.progress_changed_s - run.started_s
     if run.progress >= MIN_PROGRESS_PERCENT and not run.skip_duration_sample:
         return max(0.0, observed_s * 100 / run.progress - elapsed_s)
     typical_s = run.task.step.durations.typical_s()
+    if typical_s is None and ledger.durations.uses.moves:
+        learned_s = learned_remaining_s(run, ledger, now_s)
+        if learned_s is not None:
+            return learned_s
     expected_s = typical_s or run.task.step.spec.estimate_s
     left = 1 - min(run.progress, 100.0) / 100
     return expected_s * left
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/job_intake.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/job_intake.py
@@ -109,7 +109,8 @@
                 self.takeover.hold_if_unsafe(known)
             self.update(known, record, revision)
             return not known.has_unconfigured_queue
-        job = Job(record, self.queue_of(record), revision)
+        durations = self.ledger.durations
+        job = Job(record, self.queue_of(record), revision, durations)
         job.late_starts = self.ledger.late_starts
         # Only a predecessor can have started a job that is not known yet.
         was_started = record.id in self.poll_replies.unknown_jobs
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/ledger.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/ledger.py
@@ -3,6 +3,7 @@
 import math
 
 from gooseberrydeck_coordination.ids import JobId, TeamName
+from gooseberrydeck_fleet.duration_learner import DurationLearner
 from gooseberrydeck_fleet.health import HealthTracker
 from gooseberrydeck_fleet.ids import (
     MAX_NUMBERED_FAILURES,
@@ -48,7 +49,7 @@
 class Ledger:
     """All jobs, workers and runs, and the jobs with changes to store."""
 
-    def __init__(self, token: int) -> None:
+    def __init__(self, token: int, durations: DurationLearner | None = None) -> None:
         """Create an empty ledger for a fencing token."""
         self.run_numbers = RunNumbers(token)
         self.jobs: dict[JobId, Job] = {}
@@ -68,6 +69,7 @@
         self.health = HealthTracker()
         self.suspects = SuspectTracker()
         self.speeds = SpeedEstimator()
+        self.durations = durations or DurationLearner()
         self.stopping: set[Run] = set()
         # Tasks that silent workers may start late for a predecessor; jobs share it.
         self.late_starts: set[TaskRef] = set()
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/run_ends.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/run_ends.py
@@ -3,6 +3,7 @@
 from enum import Enum
 from typing import NamedTuple
 
+from gooseberrydeck_fleet.duration_samples import learn_from
 from gooseberrydeck_fleet.ids import (
     MAX_NUMBERED_FAILURES,
     TaskRef,
@@ -60,6 +61,9 @@
             self.apply_end(task, end, worker, now_s, None)
             return None
         self.ledger.remove_run(run)
+        if end.kind is EndKind.SUCCEEDED:
+            # Before the speed of the worker, which it would show as that of the task.
+            learn_from(self.ledger, run, now_s)
         if end.kind is EndKind.SUCCEEDED and not run.skip_duration_sample:
             kind = run.worker.entry.kind
             seconds = now_s - run.started_s
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
@@ -9,6 +9,8 @@
 from gooseberrydeck_fleet.commands import Command, CommandQueue, RunCommand, StopRun
 from gooseberrydeck_fleet.configuration import UNSERVED, FleetConfiguration
 from gooseberrydeck_fleet.crashes import CrashReport, CrashTracker
+from gooseberrydeck_fleet.duration_learner import DurationLearner
+from gooseberrydeck_fleet.duration_samples import refresh_expectations
 from gooseberrydeck_fleet.evacuation import Evacuator
 from gooseberrydeck_fleet.housekeeping import Housekeeper
 from gooseberrydeck_fleet.ids import StepRef, TaskRef, WorkerId
@@ -27,7 +29,7 @@
 from gooseberrydeck_fleet.run_ends import LossReason, LostRun, RunEndHandler
 from gooseberrydeck_fleet.send_permission import Obstacle, SendPermission
 from gooseberrydeck_fleet.serving import LongWait, StepServer
-from gooseberrydeck_fleet.settings import Timing
+from gooseberrydeck_fleet.settings import DurationUses, Timing
 from gooseberrydeck_fleet.shares import ShareTracker
 from gooseberrydeck_fleet.speculation import Speculator
 from gooseberrydeck_fleet.state import (
@@ -68,10 +70,15 @@
     ``start_unanswered``.
     """
 
-    def __init__(self, token: int, timing: Timing) -> None:
-        """Create a scheduler without jobs or workers, for the given fencing token."""
+    def __init__(
+        self, token: int, timing: Timing, uses: DurationUses | None = None
+    ) -> None:
+        """Create a scheduler without jobs or workers, for the given fencing token.
+
+        ``uses`` says what learned durations are used for; by default, nothing.
+        """
         self.timing = timing
-        self.ledger = Ledger(token)
+        self.ledger = Ledger(token, DurationLearner(uses))
         self.ends = RunEndHandler(self.ledger)
         self.crashes = CrashTracker(self.ledger, self.ends)
         self.unknown_jobs = UnknownJobs()
@@ -514,6 +521,8 @@
             self.changes.forget_ended(now_s - self.timing.status_s - ENDED_JOB_MARGIN_S)
             self.housekeeper.run(now_s)
             self.crashes.review(now_s)
+            if self.ledger.durations.is_refresh_due(now_s):
+                refresh_expectations(self.ledger, now_s)
         self.intake.open_due_occurrences(wall_s)
         # After all that changes which runs may be unknown, before anything starts.
         self.takeover.update_unknown_usage()
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/serving.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/serving.py
@@ -14,6 +14,7 @@
 from gooseberrydeck_fleet.advice_turns import AdviceTurns
 from gooseberrydeck_fleet.candidates import AVOID_FAILED_S, Candidates
 from gooseberrydeck_fleet.commands import CommandQueue, StartRun
+from gooseberrydeck_fleet.duration_samples import expect_run
 from gooseberrydeck_fleet.ids import StepRef, WorkerId
 from gooseberrydeck_fleet.ledger import Ledger
 from gooseberrydeck_fleet.placement import Placer
@@ -520,6 +521,7 @@
         """Record a new run and queue its start command."""
         valid_s = COPY_VALID_S if task.runs else START_VALID_S
         run = self.ledger.add_run(task, worker, number, now_s)
+        expect_run(self.ledger.durations, run)
         self.ledger.suspects.started(run)
         self.placer.consume_reservation(worker, task.step)
         until_ms = worker.clock_at(now_s) + int(valid_s * 1000)
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/settings.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/settings.py
@@ -4,7 +4,7 @@
 
 from gooseberrydeck_platform.http import HttpAddress
 
-__all__ = ["MemberSettings", "SettingsError", "Timing"]
+__all__ = ["DurationUses", "MemberSettings", "SettingsError", "Timing"]
 
 
 class SettingsError(Exception):
@@ -34,6 +34,30 @@
     registration_s: float = 1.5
 
 
+class DurationUses(msgspec.Struct, frozen=True):
+    """What durations learned from finished runs are used for; by default, nothing.
+
+    Without any use, nothing is learned.
+    """
+
+    lateness: bool = False
+    due_time: bool = False
+    moves: bool = False
+    preemption: bool = False
+    copies: bool = False
+    placement: bool = False
+
+    @property
+    def is_any(self) -> bool:
+        """Return True if learned durations are used for anything."""
+        return any(msgspec.structs.astuple(self))
+
+    @staticmethod
+    def all() -> "DurationUses":
+        """Return the settings with every use."""
+        return DurationUses(*[True] * len(DurationUses.__struct_fields__))
+
+
 class MemberSettings(msgspec.Struct, frozen=True):
     """A member's name, addresses and resources."""
 
@@ -49,3 +73,4 @@
     processor_share: float
     memory_mib: int
     timing: Timing
+    durations: DurationUses = DurationUses()
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
@@ -8,6 +8,8 @@
 from gooseberrydeck_fleet.advice import AdviceCache
 from gooseberrydeck_fleet.configuration import UNSERVED, Queue
 from gooseberrydeck_fleet.crash_records import CrashRecord
+from gooseberrydeck_fleet.duration_learner import DurationLearner
+from gooseberrydeck_fleet.expectations import Expectation
 from gooseberrydeck_fleet.ids import StepRef, TaskRef, WorkerId
 from gooseberrydeck_fleet.progress import Progress, StepProgress
 from gooseberrydeck_fleet.registrations import Registration
@@ -100,6 +102,7 @@
     __slots__ = (
         "allocation",
         "checkpoint",
+        "expectation",
         "has_unanswered_start",
         "load",
         "number",
@@ -116,6 +119,7 @@
         "stop_sent_s",
         "task",
         "team",
+        "was_partial_at_start",
         "worker",
     )
 
@@ -153,6 +157,10 @@
         # A run that resumes from a checkpoint doesn't show the duration of the whole
         # task.
         self.skip_duration_sample = bool(task.checkpoint)
+        # The same at the start: later, the run may have served as a sample already.
+        self.was_partial_at_start = self.skip_duration_sample
+        # What was expected of its duration, if it was started here.
+        self.expectation: Expectation | None = None
 
 
 class Task:
@@ -261,6 +269,10 @@
         "crashes_counted",
         "crashes_stored",
         "due_s",
+        "durations",
+        "estimated_s",
+        "expected_generation",
+        "expected_s",
         "failure",
         "id",
         "is_within_share",
@@ -278,8 +290,17 @@
         "steps",
     )
 
-    def __init__(self, record: JobRecord, queue: Queue, revision: int) -> None:
-        """Create a queued job without open occurrences."""
+    def __init__(
+        self,
+        record: JobRecord,
+        queue: Queue,
+        revision: int,
+        durations: DurationLearner | None = None,
+    ) -> None:
+        """Create a queued job without open occurrences.
+
+        Without ``durations``, its estimates are all that is known of its work.
+        """
         self.id: JobId = record.id
         self.record = record
         self.queue = queue
@@ -303,7 +324,14 @@
         # Why the job has failed, if not by the failures of a task.
         self.failure = ""
         self.due_s = 0.0
-        self.compute_due()
+        self.durations = durations or DurationLearner()
+        # The durations of a task of each step, as estimated by the caller and as
+        # expected, and when the latter were looked up.
+        self.estimated_s = [step.estimate_s for step in record.work.steps]
+        self.expected_s = self.estimated_s
+        self.expected_generation = -1
+        if not self.refresh_expected():
+            self.compute_due()
 
     @property
     def has_unconfigured_queue(self) -> bool:
@@ -320,12 +348,35 @@
         """Return True if the job's occurrences start at given times."""
         return self.record.work.occurrences > 0
 
+    def refresh_expected(self) -> bool:
+        """Look up the expected durations again if they may have changed.
+
+        Returns True if the job has been given new ones, and a new due time with them.
+        """
+        durations = self.durations
+        if not durations.is_learning:
+            return False
+        if durations.generation == self.expected_generation:
+            return False
+        self.expected_generation = durations.generation
+        record = self.record
+        self.expected_s = durations.expected_steps(
+            record.queue, record.team, record.work.steps
+        )
+        self.compute_due()
+        return True
+
+    def step_durations_s(self, use_learned: bool) -> list[float]:
+        """Return the durations of a task of each step: as learned, or as estimated."""
+        return self.expected_s if use_learned else self.estimated_s
+
     def allowance_s(self) -> float:
         """Return the longest duration of one occurrence that is still on time."""
         longest: list[float] = []
-        for step in self.record.work.steps:
+        seconds = self.step_durations_s(self.durations.uses.due_time)
+        for number, step in enumerate(self.record.work.steps):
             before = max((longest[earlier] for earlier in step.after), default=0.0)
-            longest.append(before + step.estimate_s)
+            longest.append(before + seconds[number])
         return self.queue.stretch * max(longest, default=0.0) + self.queue.slack_s
 
     def will_be_late(self, step: Step, wall_s: float) -> bool:
@@ -347,13 +398,14 @@
         return self.due_s - MIN_WORK_SHARE * self.critical_path_s(step)
 
     def critical_path_s(self, step: Step) -> float:
-        """Return the estimated duration of the critical path from a step on."""
+        """Return the expected duration of the critical path from a step on."""
         specs = self.record.work.steps
-        longest: dict[int, float] = {step.ref.step: step.spec.estimate_s}
+        seconds = self.step_durations_s(self.durations.uses.lateness)
+        longest: dict[int, float] = {step.ref.step: seconds[step.ref.step]}
         for number in range(step.ref.step + 1, len(specs)):
             before = [longest[each] for each in specs[number].after if each in longest]
             if before:
-                longest[number] = max(before) + specs[number].estimate_s
+                longest[number] = max(before) + seconds[number]
         return max(longest.values())
 
     def occurrence_due_s(self, occurrence: int) -> float:
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/waiting.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/waiting.py
@@ -67,6 +67,8 @@
         """Evaluate the steps of a job, which may have ended."""
         job = self.ledger.jobs.get(job_id)
         gone = set(self.by_job.get(job_id, ()))
+        if job is not None:
+            job.refresh_expected()
         for step in ready_steps(job):
             if step.ready_s is None:
                 step.ready_s = now_s
