Use learned durations for preemption, copies and placement

Preemption took the first of equal victims, also one about to end; a stalled task without siblings got no copy; the long chains of a queue had no claim to its fast workers. Each is a use with its own switch.

The correction for a worker's speed is relative to the mean of the fleet. Placement is not concerned, since it compares workers.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/duration_learner.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/duration_learner.py
@@ -57,6 +57,15 @@
 REFRESH_S = 0.5
 """Interval at which jobs may take on new expectations."""
 
+MAX_SPEED_PREFERENCE = 0.5
+"""How much more, or less, than others the longest chains of work prefer fast workers.
+
+Small, so that a short chain still takes a fast worker before it waits.
+"""
+
+CHAIN_MEMORY = 100.0
+"""Number of steps over which the mean length of a queue's chains is taken."""
+
 MAX_JUDGED = 1_000
 """Judged runs kept until they are reported."""
 
@@ -89,15 +98,20 @@
         # groups of several teams, and the queues whose learned durations are better.
         self.shared: dict[GroupKey | QueueName, list[DurationGroup]] = {}
         self.verdicts: dict[QueueName, bool] = {}
+        # The mean logarithm of the lengths of the chains of work, by queue.
+        self.chains: dict[QueueName, float] = {}
 
     # Expectations.
 
     def expected_steps(
         self, queue: QueueName, team: TeamName, steps: Sequence[StepSpec]
-    ) -> list[float]:
-        """Return the expected durations of the tasks of a job's steps, in seconds."""
+    ) -> list[float] | None:
+        """Return the expected durations of the tasks of a job's steps, in seconds.
+
+        Returns None while the caller's estimates are as good.
+        """
         if not self.is_better(queue, team):
-            return [step.estimate_s for step in steps]
+            return None
         expected = []
         for number, step in enumerate(steps):
             found = (
@@ -204,6 +218,20 @@
         learned = median_low(each.learned for each in records)
         return learned < BETTER_RATIO * median_low(each.estimate for each in records)
 
+    def speed_preference(self, queue: QueueName, chain_s: float) -> float:
+        """Return how much a step prefers fast workers, around one.
+
+        ``chain_s`` is the expected length of the chain of work that starts with it,
+        which is compared with those of its queue's other steps.
+        """
+        length = log_estimate(chain_s)
+        if length is None:
+            return 1.0
+        mean = self.chains.get(queue, length)
+        self.chains[queue] = mean + (length - mean) / CHAIN_MEMORY
+        excess = min(1.0, max(-1.0, length - mean))
+        return 1.0 + MAX_SPEED_PREFERENCE * excess
+
     # Learning.
 
     def learn(
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/duration_samples.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/duration_samples.py
@@ -45,7 +45,7 @@
         step.spec,
         expected,
         now_s - run.started_s,
-        ledger.speeds.slowness(run.worker.id, run.worker.entry.kind),
+        ledger.speeds.relative_slowness(run.worker.id, run.worker.entry.kind),
         now_s,
     )
 
@@ -77,7 +77,7 @@
     expected = run.expectation
     if expected is None or not expected.is_used or run.was_partial_at_start:
         return None
-    slowness = ledger.speeds.slowness(run.worker.id, run.worker.entry.kind)
+    slowness = ledger.speeds.relative_slowness(run.worker.id, run.worker.entry.kind)
     factor = math.exp(slowness)
     return factor * expected.remaining_s((now_s - run.started_s) / factor)
 
@@ -89,10 +89,17 @@
     short runs of a new kind of work end first, and would pass for typical.
     """
     found: dict[DurationGroup, list[tuple[float, float]]] = {}
+    ledger.speeds.update_mean(
+        {
+            worker.id: worker.entry.kind
+            for worker in ledger.workers.values()
+            if worker.is_reachable
+        }
+    )
     for worker in ledger.workers.values():
         if not worker.is_reachable:
             continue
-        slowness = ledger.speeds.slowness(worker.id, worker.entry.kind)
+        slowness = ledger.speeds.relative_slowness(worker.id, worker.entry.kind)
         speed = math.exp(-slowness)
         for run in worker.runs.values():
             expected = run.expectation
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/placement.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/placement.py
@@ -181,7 +181,7 @@
             1, capacity.cpu_millis
         )
         slowness = self.ledger.speeds.slowness(worker.id, worker.entry.kind)
-        rank += SLOWNESS_WEIGHT * slowness
+        rank += SLOWNESS_WEIGHT * step.speed_preference * slowness
         if self.is_in_other_rack(worker, step):
             rank += OTHER_RACK_PENALTY
         if self.would_interfere(worker, step):
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/preemption.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/preemption.py
@@ -6,6 +6,7 @@
 import heapq
 
 from gooseberrydeck_coordination.resources import NO_RESOURCES, Resources
+from gooseberrydeck_fleet.duration_samples import learned_remaining_s
 from gooseberrydeck_fleet.placement import Placer, Reservation
 from gooseberrydeck_fleet.run_ends import RunEndHandler
 from gooseberrydeck_fleet.state import Run, RunState, Step, StopReason, Worker
@@ -18,10 +19,11 @@
 The time covers one more poll and a start.
 """
 
-Offer = tuple[int, int, list[Run]]
-"""The cost of victims, the index of their worker, and the victims.
+Offer = tuple[int, float, int, list[Run]]
+"""The cost of victims, their time left, the index of their worker, and the victims.
 
-The cost is the processor time that they have allocated.
+The cost is the processors that they have allocated. The time left is negative, so that
+of equal victims those come first that have most left to run.
 """
 
 
@@ -44,11 +46,11 @@
         missing = wanted - self.placer.reserved[step.ref]
         if missing <= 0:
             return 0
-        offers = self.find_offers(step, workers)
+        offers = self.find_offers(step, workers, now_s)
         allocation = step.allocation
         made = 0
         while made < missing and offers:
-            _, index, victims = heapq.heappop(offers)
+            _, _, index, victims = heapq.heappop(offers)
             worker = workers[index]
             for run in victims:
                 self.ends.request_stop(run, StopReason.PREEMPTED)
@@ -56,10 +58,12 @@
                 worker, Reservation(step.ref, allocation, now_s + self.hold_s)
             )
             made += 1
-            self.add_offer(offers, step, workers, index)
+            self.add_offer(offers, step, workers, index, now_s)
         return made
 
-    def find_offers(self, step: Step, workers: list[Worker]) -> list[Offer]:
+    def find_offers(
+        self, step: Step, workers: list[Worker], now_s: float
+    ) -> list[Offer]:
         """Return a heap with the victims on each worker that can make room."""
         self.placer.checked += len(workers)
         has_stopping = {run.worker.id for run in self.placer.ledger.stopping}
@@ -68,18 +72,31 @@
         for index, worker in enumerate(workers):
             may_free = worker.preemptible_runs or worker.id in has_stopping
             if may_free or worker.free.cpu_millis >= cpu_millis:
-                self.add_offer(offers, step, workers, index)
+                self.add_offer(offers, step, workers, index, now_s)
         return offers
 
     def add_offer(
-        self, offers: list[Offer], step: Step, workers: list[Worker], index: int
+        self,
+        offers: list[Offer],
+        step: Step,
+        workers: list[Worker],
+        index: int,
+        now_s: float,
     ) -> None:
         """Add the victims on a worker to a heap, if it can make room for a task."""
         self.placer.checked += 1
-        victims = self.victims_on(workers[index], step)
+        victims = self.victims_on(workers[index], step, now_s)
         if victims is not None:
             cost = sum(run.quota_usage.cpu_millis for run in victims)
-            heapq.heappush(offers, (cost, index, victims))
+            left_s = sum(self.left_s(run, now_s) for run in victims)
+            heapq.heappush(offers, (cost, -left_s, index, victims))
+
+    def left_s(self, run: Run, now_s: float) -> float:
+        """Return how long a run still takes by what was learned, or 0 if unknown."""
+        ledger = self.placer.ledger
+        if not ledger.durations.uses.preemption:
+            return 0.0
+        return learned_remaining_s(run, ledger, now_s) or 0.0
 
     def free_quota(self, step: Step, wanted: int) -> None:
         """Stop other runs of a step's team to get ``wanted`` tasks under its limit."""
@@ -100,7 +117,7 @@
         for run in choose_victims(free, need, quota_usage, partial=True) or ():
             self.ends.request_stop(run, StopReason.PREEMPTED)
 
-    def victims_on(self, worker: Worker, step: Step) -> list[Run] | None:
+    def victims_on(self, worker: Worker, step: Step, now_s: float) -> list[Run] | None:
         """Return the runs to stop so that one task fits, or None if it can't."""
         if self.placer.ledger.suspects.is_reserved(worker):
             return None
@@ -117,6 +134,9 @@
         candidates = [run for run in worker.preemptible_runs if may_preempt(run, step)]
         if not candidates:
             return [] if step.allocation.fits_in(free) else None
+        if self.placer.ledger.durations.uses.preemption:
+            # Of equals, the first are stopped: those with most left to run.
+            candidates.sort(key=lambda run: -self.left_s(run, now_s))
         rooms = [(run, run.allocation) for run in candidates]
         return choose_victims(free, step.allocation, rooms)
 
@@ -130,9 +150,9 @@
     """Return runs whose end frees enough for ``need``, or None if there are too few.
 
     Each candidate comes with the resources that its end frees. The largest are chosen
-    first, so that few runs are stopped; runs that turn out to be unnecessary are then
-    dropped again, the smallest first. With ``partial``, all candidates are returned if
-    even they don't free enough.
+    first, so that few runs are stopped, in the given order among equals; runs that turn
+    out to be unnecessary are then dropped again, the smallest first. With ``partial``,
+    all candidates are returned if even they don't free enough.
     """
     chosen: list[tuple[Run, Resources]] = []
     for run, amount in sorted(candidates, key=lambda pair: -pair[1].cpu_millis):
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/speculation.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/speculation.py
@@ -35,15 +35,33 @@
         self.placer = placer
 
     def stragglers(self, step: Step, now_s: float) -> list[Run]:
-        """Return the runs without copies that are far behind their siblings."""
+        """Return the runs without copies that are far behind their siblings.
+
+        Until enough siblings have ended, a run is far behind that nine of ten others of
+        its kind would have ended by now.
+        """
         typical_s = step.durations.typical_s()
-        if typical_s is None:
-            return []
-        return [
-            task.runs[0]
-            for task in step.tasks
-            if may_copy(task) and is_straggler(task.runs[0], typical_s, now_s)
-        ]
+        found = []
+        for task in step.tasks:
+            if not may_copy(task):
+                continue
+            run = task.runs[0]
+            limit = self.learned_limit(run) if typical_s is None else None
+            if typical_s is not None:
+                limit = STRAGGLER_FACTOR * typical_s, typical_s
+            if limit is not None and is_straggler(run, *limit, now_s):
+                found.append(run)
+        return found
+
+    def learned_limit(self, run: Run) -> tuple[float, float] | None:
+        """Return what nine of ten runs stay below, and the typical duration."""
+        ledger, expected = self.placer.ledger, run.expectation
+        if not ledger.durations.uses.copies or expected is None:
+            return None
+        if not expected.is_used or run.was_partial_at_start:
+            return None
+        limit_s = max(STRAGGLER_FACTOR * expected.typical_s, expected.nine_of_ten_s)
+        return limit_s, expected.typical_s
 
     def choose(self, run: Run, now_s: float) -> Worker | None:
         """Return the best worker for a copy of a run, or None."""
@@ -67,10 +85,13 @@
         return own - other > MIN_SLOWNESS_GAP
 
 
-def is_straggler(run: Run, typical_s: float, now_s: float) -> bool:
-    """Return True if a copy would probably end before the run itself."""
+def is_straggler(run: Run, limit_s: float, typical_s: float, now_s: float) -> bool:
+    """Return True if a copy would probably end before the run itself.
+
+    The run has to have taken longer than ``limit_s`` so far.
+    """
     elapsed_s = now_s - run.started_s
-    if run.state is not RunState.RUNNING or elapsed_s < STRAGGLER_FACTOR * typical_s:
+    if run.state is not RunState.RUNNING or elapsed_s < limit_s:
         return False
     if now_s - run.progress_changed_s > NO_PROGRESS_S:
         return True
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/speeds.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/speeds.py
@@ -6,6 +6,7 @@
 """
 
 import math
+from collections.abc import Mapping
 
 from gooseberrydeck_fleet.ids import WorkerId
 
@@ -57,6 +58,8 @@
         """Create an estimator in which all workers are equally fast."""
         self.kinds: dict[str, tuple[float, float]] = {}
         self.workers: dict[WorkerId, float] = {}
+        # The mean slowness of the fleet when it was last computed.
+        self.mean_slowness = 0.0
 
     def kind_slowness(self, kind: str) -> float:
         """Return the slowness of a kind of worker."""
@@ -67,6 +70,19 @@
         """Return the slowness of a worker, including that of its kind."""
         return self.kind_slowness(kind) + self.workers.get(worker, 0.0)
 
+    def relative_slowness(self, worker: WorkerId, kind: str) -> float:
+        """Return the slowness of a worker compared with the mean of the fleet.
+
+        Only differences of slowness are observed: the tasks of a step that end later
+        are longer on average, by which all estimates rise together.
+        """
+        return self.slowness(worker, kind) - self.mean_slowness
+
+    def update_mean(self, kinds: Mapping[WorkerId, str]) -> None:
+        """Compute the mean slowness of the workers in use, given with their kinds."""
+        total = sum(self.slowness(worker, kind) for worker, kind in kinds.items())
+        self.mean_slowness = total / max(1, len(kinds))
+
     def observe(
         self, worker: WorkerId, kind: str, seconds: float, step: StepDurations
     ) -> None:
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
@@ -39,6 +39,9 @@
 Callers' estimates are off by up to half.
 """
 
+LEARNED_WORK_SHARE = 0.9
+"""The same, of learned durations: half of the tasks take at least this long."""
+
 MAX_TASK_LEASE_S = 4.2
 """Longest lease of a task.
 
@@ -232,6 +235,7 @@
         "ref",
         "remaining_tasks",
         "spec",
+        "speed_preference",
         "tasks",
         "tried_in_pass",
         "waits_since_s",
@@ -255,6 +259,8 @@
         # When it last began to have tasks to start, and whether that was reported.
         self.waits_since_s: float | None = None
         self.is_wait_reported = False
+        # How much it prefers fast workers, compared with others of its queue.
+        self.speed_preference = 1.0
 
     @property
     def is_done(self) -> bool:
@@ -274,6 +280,7 @@
         "expected_generation",
         "expected_s",
         "failure",
+        "has_learned",
         "id",
         "is_within_share",
         "late_starts",
@@ -329,6 +336,7 @@
         # expected, and when the latter were looked up.
         self.estimated_s = [step.estimate_s for step in record.work.steps]
         self.expected_s = self.estimated_s
+        self.has_learned = False
         self.expected_generation = -1
         if not self.refresh_expected():
             self.compute_due()
@@ -360,9 +368,11 @@
             return False
         self.expected_generation = durations.generation
         record = self.record
-        self.expected_s = durations.expected_steps(
+        expected_s = durations.expected_steps(
             record.queue, record.team, record.work.steps
         )
+        self.has_learned = expected_s is not None
+        self.expected_s = expected_s or self.estimated_s
         self.compute_due()
         return True
 
@@ -383,7 +393,8 @@
         """Return True if the job can't finish on time even if a step starts now.
 
         Estimates are rough, so a job counts as late only if ``MIN_WORK_SHARE`` of its
-        remaining estimate already takes too long. Long-running steps are never late.
+        remaining estimate already takes too long, or ``LEARNED_WORK_SHARE`` of what was
+        learned of it. Long-running steps are never late.
         """
         late_from_s = self.late_from_s(step)
         return late_from_s is not None and wall_s > late_from_s
@@ -395,7 +406,9 @@
         """
         if step.spec.is_standing:
             return None
-        return self.due_s - MIN_WORK_SHARE * self.critical_path_s(step)
+        is_learned = self.has_learned and self.durations.uses.lateness
+        share = LEARNED_WORK_SHARE if is_learned else MIN_WORK_SHARE
+        return self.due_s - share * self.critical_path_s(step)
 
     def critical_path_s(self, step: Step) -> float:
         """Return the expected duration of the critical path from a step on."""
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/waiting.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/waiting.py
@@ -77,6 +77,7 @@
                 if step.ref not in self.ranks:
                     step.waits_since_s = now_s
                     step.is_wait_reported = False
+                    self.set_speed_preference(step)
                 self.put(step, wall_s)
                 self.due.add(step.ref)
             elif step.spec.is_speculative and step.job.queue.priority == 0:
@@ -84,6 +85,14 @@
         for ref in gone:
             self.remove(ref)
 
+    def set_speed_preference(self, step: Step) -> None:
+        """Have a step that begins a long chain of work prefer fast workers."""
+        durations = self.ledger.durations
+        if durations.uses.placement:
+            step.speed_preference = durations.speed_preference(
+                step.job.record.queue, step.job.critical_path_s(step)
+            )
+
     def put(self, step: Step, wall_s: float) -> None:
         """Insert a step, or move it if its rank has changed."""
         ref, job = step.ref, step.job
