--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
@@ -8,6 +8,8 @@
 from gooseberrydeck_fleet.advice import AdviceCache
 from gooseberrydeck_fleet.configuration import UNSERVED, Queue
 from gooseberrydeck_fleet.crash_records import CrashRecord
+from gooseberrydeck_fleet.duration_learner import DurationLearner
+from gooseberrydeck_fleet.expectations import Expectation
 from gooseberrydeck_fleet.ids import StepRef, TaskRef, WorkerId
 from gooseberrydeck_fleet.progress import Progress, StepProgress
 from gooseberrydeck_fleet.registrations import Registration
@@ -37,6 +39,9 @@
 Callers' estimates are off by up to half.
 """
 
+LEARNED_WORK_SHARE = 0.9
+"""The same, of learned durations: half of the tasks take at least this long."""
+
 MAX_TASK_LEASE_S = 4.2
 """Longest lease of a task.
 
@@ -101,6 +106,7 @@
     __slots__ = (
         "allocation",
         "checkpoint",
+        "expectation",
         "has_unanswered_start",
         "load",
         "number",
@@ -117,6 +123,7 @@
         "stop_sent_s",
         "task",
         "team",
+        "was_partial_at_start",
         "worker",
     )
 
@@ -154,6 +161,10 @@
         # A run that resumes from a checkpoint doesn't show the duration of the whole
         # task, and one that begins on a cold worker is slower than later ones there.
         self.skip_duration_sample = bool(task.checkpoint) or worker.is_cold(now_s)
+        # The same at the start: later, the run may have served as a sample already.
+        self.was_partial_at_start = self.skip_duration_sample
+        # What was expected of its duration, if it was started here.
+        self.expectation: Expectation | None = None
 
 
 class Task:
@@ -225,6 +236,7 @@
         "ref",
         "remaining_tasks",
         "spec",
+        "speed_preference",
         "tasks",
         "tried_in_pass",
         "waits_since_s",
@@ -248,6 +260,8 @@
         # When it last began to have tasks to start, and whether that was reported.
         self.waits_since_s: float | None = None
         self.is_wait_reported = False
+        # How much it prefers fast workers, compared with others of its queue.
+        self.speed_preference = 1.0
 
     @property
     def is_done(self) -> bool:
@@ -262,7 +276,12 @@
         "crashes_counted",
         "crashes_stored",
         "due_s",
+        "durations",
+        "estimated_s",
+        "expected_generation",
+        "expected_s",
         "failure",
+        "has_learned",
         "id",
         "is_within_share",
         "late_starts",
@@ -279,8 +298,17 @@
         "steps",
     )
 
-    def __init__(self, record: JobRecord, queue: Queue, revision: int) -> None:
-        """Create a queued job without open occurrences."""
+    def __init__(
+        self,
+        record: JobRecord,
+        queue: Queue,
+        revision: int,
+        durations: DurationLearner | None = None,
+    ) -> None:
+        """Create a queued job without open occurrences.
+
+        Without ``durations``, its estimates are all that is known of its work.
+        """
         self.id: JobId = record.id
         self.record = record
         self.queue = queue
@@ -304,7 +332,15 @@
         # Why the job has failed, if not by the failures of a task.
         self.failure = ""
         self.due_s = 0.0
-        self.compute_due()
+        self.durations = durations or DurationLearner()
+        # The durations of a task of each step, as estimated by the caller and as
+        # expected, and when the latter were looked up.
+        self.estimated_s = [step.estimate_s for step in record.work.steps]
+        self.expected_s = self.estimated_s
+        self.has_learned = False
+        self.expected_generation = -1
+        if not self.refresh_expected():
+            self.compute_due()
 
     @property
     def has_unconfigured_queue(self) -> bool:
@@ -321,19 +357,45 @@
         """Return True if the job's occurrences start at given times."""
         return self.record.work.occurrences > 0
 
+    def refresh_expected(self) -> bool:
+        """Look up the expected durations again if they may have changed.
+
+        Returns True if the job has been given new ones, and a new due time with them.
+        """
+        durations = self.durations
+        if not durations.is_learning:
+            return False
+        if durations.generation == self.expected_generation:
+            return False
+        self.expected_generation = durations.generation
+        record = self.record
+        expected_s = durations.expected_steps(
+            record.queue, record.team, record.work.steps
+        )
+        self.has_learned = expected_s is not None
+        self.expected_s = expected_s or self.estimated_s
+        self.compute_due()
+        return True
+
+    def step_durations_s(self, use_learned: bool) -> list[float]:
+        """Return the durations of a task of each step: as learned, or as estimated."""
+        return self.expected_s if use_learned else self.estimated_s
+
     def allowance_s(self) -> float:
         """Return the longest duration of one occurrence that is still on time."""
         longest: list[float] = []
-        for step in self.record.work.steps:
+        seconds = self.step_durations_s(self.durations.uses.due_time)
+        for number, step in enumerate(self.record.work.steps):
             before = max((longest[earlier] for earlier in step.after), default=0.0)
-            longest.append(before + step.estimate_s)
+            longest.append(before + seconds[number])
         return self.queue.stretch * max(longest, default=0.0) + self.queue.slack_s
 
     def will_be_late(self, step: Step, wall_s: float) -> bool:
         """Return True if the job can't finish on time even if a step starts now.
 
         Estimates are rough, so a job counts as late only if ``MIN_WORK_SHARE`` of its
-        remaining estimate already takes too long. Long-running steps are never late.
+        remaining estimate already takes too long, or ``LEARNED_WORK_SHARE`` of what was
+        learned of it. Long-running steps are never late.
         """
         late_from_s = self.late_from_s(step)
         return late_from_s is not None and wall_s > late_from_s
@@ -345,16 +407,19 @@
         """
         if step.spec.is_standing:
             return None
-        return self.due_s - MIN_WORK_SHARE * self.critical_path_s(step)
+        is_learned = self.has_learned and self.durations.uses.lateness
+        share = LEARNED_WORK_SHARE if is_learned else MIN_WORK_SHARE
+        return self.due_s - share * self.critical_path_s(step)
 
     def critical_path_s(self, step: Step) -> float:
-        """Return the estimated duration of the critical path from a step on."""
+        """Return the expected duration of the critical path from a step on."""
         specs = self.record.work.steps
-        longest: dict[int, float] = {step.ref.step: step.spec.estimate_s}
+        seconds = self.step_durations_s(self.durations.uses.lateness)
+        longest: dict[int, float] = {step.ref.step: seconds[step.ref.step]}
         for number in range(step.ref.step + 1, len(specs)):
             before = [longest[each] for each in specs[number].after if each in longest]
             if before:
-                longest[number] = max(before) + specs[number].estimate_s
+                longest[number] = max(before) + seconds[number]
         return max(longest.values())
 
     def occurrence_due_s(self, occurrence: int) -> float:
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/waiting.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/waiting.py
@@ -67,6 +67,8 @@
         """Evaluate the steps of a job, which may have ended."""
         job = self.ledger.jobs.get(job_id)
         gone = set(self.by_job.get(job_id, ()))
+        if job is not None:
+            job.refresh_expected()
         for step in ready_steps(job):
             if step.ready_s is None:
                 step.ready_s = now_s
@@ -75,6 +77,7 @@
                 if step.ref not in self.ranks:
                     step.waits_since_s = now_s
                     step.is_wait_reported = False
+                    self.set_speed_preference(step)
                 self.put(step, wall_s)
                 self.due.add(step.ref)
             elif step.spec.is_speculative and step.job.queue.priority == 0:
@@ -82,6 +85,14 @@
         for ref in gone:
             self.remove(ref)
 
+    def set_speed_preference(self, step: Step) -> None:
+        """Have a step that begins a long chain of work prefer fast workers."""
+        durations = self.ledger.durations
+        if durations.uses.placement:
+            step.speed_preference = durations.speed_preference(
+                step.job.record.queue, step.job.critical_path_s(step)
+            )
+
     def put(self, step: Step, wall_s: float) -> None:
         """Insert a step, or move it if its rank has changed."""
         ref, job = step.ref, step.job
