Shares: buckets rebuilt in order of acceptance, and returned to waiting jobs

Cause: a job beyond its team's share when it arrived remained so for life, and after a takeover tokens went to jobs in the order of the store's keys. Change: arrivals take tokens at the next decision, in the order of acceptance; a token that becomes available goes to the team's oldest waiting job beyond the share, those that can still end on time first. A returned job ranks as if it had been accepted when the token became available: otherwise a burst's jobs would go before later jobs of teams that keep to their shares (test_other_teams_go_before_jobs_beyond_a_share). The bucket's clock is anchored to monotonic time, so a clock that steps back holds back no share. After a takeover, the tokens since the last acceptance are dropped: the predecessor gave them to jobs that waited. Switches: SharePolicy.orders_arrivals and SharePolicy.returns_shares.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/job_intake.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/job_intake.py
@@ -114,7 +114,7 @@
         # Only a predecessor can have started a job that is not known yet.
         was_started = record.id in self.poll_replies.unknown_jobs
         job.predates_takeover = predates_takeover or was_started
-        job.is_within_share = self.shares.admits(record.team, record.accepted_s)
+        self.shares.job_arrived(job)
         self.takeover.hold_if_unsafe(job)
         self.ledger.jobs[record.id] = job
         if job.is_periodic:
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
@@ -28,6 +28,8 @@
 from gooseberrydeck_fleet.send_permission import Obstacle, SendPermission
 from gooseberrydeck_fleet.serving import LongWait, StepServer
 from gooseberrydeck_fleet.settings import Timing
+from gooseberrydeck_fleet.share_policy import SharePolicy
+from gooseberrydeck_fleet.share_returns import ShareReturner
 from gooseberrydeck_fleet.shares import ShareTracker
 from gooseberrydeck_fleet.speculation import Speculator
 from gooseberrydeck_fleet.state import (
@@ -68,7 +70,9 @@
     ``start_unanswered``.
     """
 
-    def __init__(self, token: int, timing: Timing) -> None:
+    def __init__(
+        self, token: int, timing: Timing, share_policy: SharePolicy | None = None
+    ) -> None:
         """Create a scheduler without jobs or workers, for the given fencing token."""
         self.timing = timing
         self.ledger = Ledger(token)
@@ -85,7 +89,7 @@
         self.advice_requests = AdviceRequests(self.placer)
         self.takeover = Takeover(self.ledger, token, timing.task_lease_s)
         self.late_starts = LateStarts(self.ledger, timing.task_lease_s)
-        self.shares = ShareTracker()
+        self.shares = ShareTracker(share_policy)
         self.intake = JobIntake(
             self.ledger,
             self.ends,
@@ -104,6 +108,9 @@
             Speculator(self.placer),
             self.commands,
         )
+        self.share_returner = ShareReturner(
+            self.ledger, self.shares, self.server.waiting
+        )
         self.housekeeper = Housekeeper(
             self.ledger,
             self.placer,
@@ -509,6 +516,7 @@
         """Return the commands to execute now."""
         self.set_time(now_s, wall_s)
         is_review_due = now_s >= self.next_housekeeping_s
+        self.update_shares(is_review_due)
         if is_review_due:
             self.next_housekeeping_s = now_s + HOUSEKEEPING_S
             self.changes.forget_ended(now_s - self.timing.status_s - ENDED_JOB_MARGIN_S)
@@ -527,6 +535,17 @@
     def set_time(self, now_s: float, wall_s: float) -> None:
         """Set the relation between the clocks, also before the first decision."""
         self.crashes.set_time(now_s, wall_s)
+        self.shares.set_time(now_s, wall_s)
+
+    def update_shares(self, is_review_due: bool) -> None:
+        """Return shares to waiting jobs, and give what is left to those that arrived.
+
+        Jobs that wait go before those that arrive, whenever a token becomes available.
+        """
+        has_returns = is_review_due or self.shares.arrivals
+        if self.shares.policy.returns_shares and has_returns:
+            self.share_returner.run()
+        self.shares.admit_arrivals()
 
     def find_send_obstacle(self, command: RunCommand, now_s: float) -> Obstacle | None:
         """Return what forbids to send a command that was decided on, or None."""
--- /dev/null
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/share_policy.py
@@ -0,0 +1,18 @@
+"""Which parts of the policy on teams' shares are in force."""
+
+import msgspec
+
+__all__ = ["SharePolicy"]
+
+
+class SharePolicy(msgspec.Struct, frozen=True):
+    """Switches for the parts of the policy; each applies to teams with a weight.
+
+    Without ``orders_arrivals``, jobs take tokens in the order in which the scheduler
+    learns of them, which after a takeover is that of the store's keys. Without
+    ``returns_shares``, a job that was beyond its team's share when it arrived remains
+    so.
+    """
+
+    orders_arrivals: bool = True
+    returns_shares: bool = True
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
@@ -272,6 +272,7 @@
         "progress_revision",
         "queue",
         "record",
+        "returned_s",
         "revision",
         "runs",
         "state",
@@ -297,6 +298,8 @@
         # scheduler took over, or workers reported it first.
         self.predates_takeover = False
         self.is_within_share = True
+        # When a job beyond its team's share came to be within it, in Unix time.
+        self.returned_s = 0.0
         # Crashes that its tasks were blamed for, and how many of them are stored.
         self.crashes_counted = 0
         self.crashes_stored = 0
@@ -378,10 +381,29 @@
 
     def compute_due(self) -> None:
         """Set when the newest occurrence is due to end, by the queue's settings."""
-        begins_s = self.record.accepted_s
+        self.due_s = self.begins_s() + self.allowance_s()
+
+    def begins_s(self) -> float:
+        """Return the Unix time from which the newest occurrence may start."""
         if self.is_periodic and self.next_occurrence:
-            begins_s = self.occurrence_due_s(self.next_occurrence - 1)
-        self.due_s = begins_s + self.allowance_s()
+            return self.occurrence_due_s(self.next_occurrence - 1)
+        return self.record.accepted_s
+
+    def return_share(self, at_s: float) -> None:
+        """Count a job as within its team's share from a Unix time on."""
+        self.is_within_share = True
+        self.returned_s = at_s
+
+    def ranked_due_s(self) -> float:
+        """Return the due time by which the job's steps are ordered.
+
+        A job that came to be within its team's share later than it was accepted ranks
+        as if it had been accepted then. Otherwise, a team's burst would go before all
+        later jobs of teams that keep to their shares.
+        """
+        if not self.returned_s:
+            return self.due_s
+        return self.due_s + max(0.0, self.returned_s - self.begins_s())
 
     def is_complete(self) -> bool:
         """Return True if every task of every occurrence has succeeded."""
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/waiting.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/waiting.py
@@ -41,6 +41,8 @@
         self.ranks: dict[StepRef, Rank] = {}
         self.by_job: dict[JobId, set[StepRef]] = {}
         self.by_team: dict[TeamName, set[StepRef]] = {}
+        # The jobs with waiting steps that are beyond their team's share.
+        self.beyond: dict[TeamName, dict[JobId, Job]] = {}
         # Processor needs of the steps, sorted.
         self.cpu_needs: list[int] = []
         self.late_times: list[tuple[float, StepRef]] = []
@@ -87,7 +89,8 @@
         ref, job = step.ref, step.job
         late_from_s = job.late_from_s(step)
         is_late = late_from_s is not None and wall_s > late_from_s
-        rank = (job.queue.priority, not job.is_within_share, is_late, job.due_s, ref)
+        due_s = job.ranked_due_s()
+        rank = (job.queue.priority, not job.is_within_share, is_late, due_s, ref)
         known = self.ranks.get(ref)
         if known == rank:
             return
@@ -100,9 +103,20 @@
             self.by_team.setdefault(job.record.team, set()).add(ref)
         self.ranks[ref] = rank
         bisect.insort(self.order, rank)
+        self.track_share(job, job.is_within_share)
         if late_from_s is not None and not is_late:
             heapq.heappush(self.late_times, (late_from_s, ref))
 
+    def track_share(self, job: Job, is_within: bool) -> None:
+        """Record whether a job waits beyond its team's share."""
+        team = job.record.team
+        if not is_within:
+            self.beyond.setdefault(team, {})[job.id] = job
+            return
+        jobs = self.beyond.get(team)
+        if jobs is not None and jobs.pop(job.id, None) is not None and not jobs:
+            del self.beyond[team]
+
     def remove(self, ref: StepRef) -> None:
         """Remove a step that has no more tasks to start."""
         rank = self.ranks.pop(ref, None)
@@ -118,6 +132,7 @@
             refs.discard(ref)
         if not self.by_job[ref.job]:
             del self.by_job[ref.job]
+            self.track_share(step.job, is_within=True)
         # Less urgent steps of the team may have waited for this one.
         self.ledger.freed_teams.add(team)
 
--- a/tests/fleet_support.py
+++ b/tests/fleet_support.py
@@ -39,6 +39,7 @@
 from gooseberrydeck_fleet.registrations import Registration
 from gooseberrydeck_fleet.scheduler import Scheduler
 from gooseberrydeck_fleet.settings import Timing
+from gooseberrydeck_fleet.share_policy import SharePolicy
 from gooseberrydeck_fleet.work import (
     EndedJob,
     JobRecord,
@@ -167,8 +168,14 @@
 class Fleet:
     """A scheduler, its workers, and a simulated network and store between them."""
 
-    def __init__(self, workers: int = 4, capacity: Resources = HOST) -> None:
+    def __init__(
+        self,
+        workers: int = 4,
+        capacity: Resources = HOST,
+        share_policy: SharePolicy | None = None,
+    ) -> None:
         """Create a configured scheduler and idle workers that have reported."""
+        self.share_policy = share_policy
         self.clock = ManualClock()
         self.timing = Timing()
         self.capacity = capacity
@@ -216,7 +223,7 @@
     def new_scheduler(self) -> Scheduler:
         """Return an empty scheduler with the next token."""
         self.token += TOKENS_PER_CLAIM
-        scheduler = Scheduler(self.token, self.timing)
+        scheduler = Scheduler(self.token, self.timing, self.share_policy)
         scheduler.set_configuration(self.configuration)
         scheduler.set_max_advice_requests(6)
         return scheduler
