Shares: jobs beyond their share are ordered by their team's use

Cause: among jobs beyond their team's share, the team that submitted first got all that was left over. The excess in the rank of a step is one more than the level; a team's steps beyond its share are moved only when its level changes, at a review. The order within a team is as before.

--- a/bench/decision_cost.py
+++ b/bench/decision_cost.py
@@ -6,6 +6,10 @@
 
     python bench/decision_cost.py
     python bench/decision_cost.py --advice
+    python bench/decision_cost.py --teams 20
+
+With ``--teams``, all teams have a weight far below what they submit, so that the order
+of jobs beyond their team's share counts.
 """
 
 import random
@@ -48,7 +52,7 @@
 from gooseberrydeck_platform.http import HttpAddress
 
 SERVICE = ServiceName("desk")
-TEAM = TeamName("team")
+TEAM_WEIGHT = 1.0
 CAPACITY = Resources(32_000, 131_072, 0)
 TASKS = 16
 WARM_UP_PASSES = 40
@@ -64,8 +68,11 @@
 class LoadedFleet:
     """A scheduler with full workers and waiting jobs."""
 
-    def __init__(self, workers: int, jobs: int, has_advice: bool) -> None:
-        """Create the fleet; all workers have reported."""
+    def __init__(self, workers: int, jobs: int, has_advice: bool, teams: int) -> None:
+        """Create the fleet; all workers have reported.
+
+        With ``teams``, that many have a weight; otherwise, there is one without.
+        """
         self.random = random.Random(1)
         self.now_s = 100.0
         self.scheduler = Scheduler(1, Timing())
@@ -85,8 +92,12 @@
             )
             for name, priority in (("urgent", 0), ("batch", 2))
         )
-        teams = (Team(TEAM, frozenset(), 0.0, NO_RESOURCES),)
-        self.scheduler.set_configuration(FleetConfiguration(1, queues, teams))
+        weight = TEAM_WEIGHT if teams else 0.0
+        self.teams = [TeamName(f"team{number}") for number in range(max(1, teams))]
+        configured = tuple(
+            Team(name, frozenset(), weight, NO_RESOURCES) for name in self.teams
+        )
+        self.scheduler.set_configuration(FleetConfiguration(1, queues, configured))
         self.scheduler.set_max_advice_requests(MAX_ADVICE_REQUESTS)
         self.submitted = 0
         self.waiting_jobs = jobs
@@ -124,7 +135,7 @@
         record = JobRecord(
             JobId(f"j{self.submitted:05}"),
             QueueName(name),
-            TEAM,
+            self.teams[self.submitted % len(self.teams)],
             WorkSpec(steps=(step,)),
             self.now_s,
         )
@@ -193,9 +204,11 @@
             self.keep_waiting()
 
 
-def measure(workers: int, jobs: int, has_advice: bool, passes: int) -> list[float]:
+def measure(
+    workers: int, jobs: int, has_advice: bool, teams: int, passes: int
+) -> list[float]:
     """Return the durations of decisions with ``jobs`` waiting, in milliseconds."""
-    fleet = LoadedFleet(workers, jobs, has_advice)
+    fleet = LoadedFleet(workers, jobs, has_advice, teams)
     fleet.fill()
     durations = []
     for _ in range(passes):
@@ -209,16 +222,18 @@
     workers: Annotated[str, typer.Option(help="numbers of workers")] = "24,270,1000",
     jobs: Annotated[str, typer.Option(help="numbers of jobs")] = "0,50,200,800,2000",
     advice: Annotated[bool, typer.Option(help="queues need advice")] = False,
+    teams: Annotated[int, typer.Option(help="teams with a weight")] = 0,
     passes: Annotated[int, typer.Option(help="decisions to measure")] = PASSES,
 ) -> None:
-    """Print the median, the 99th percentile and the maximum in milliseconds."""
-    print("workers  jobs  median    p99    max (ms)")
+    """Print the mean, the median, the 99th percentile and the maximum in ms."""
+    print("workers  jobs    mean  median    p99    max (ms)")
     for worker_count in map(int, workers.split(",")):
         for job_count in map(int, jobs.split(",")):
-            found = sorted(measure(worker_count, job_count, advice, passes))
+            found = sorted(measure(worker_count, job_count, advice, teams, passes))
             p99 = found[int(0.99 * (len(found) - 1))]
             print(
-                f"{worker_count:7} {job_count:5} {statistics.median(found):7.2f}"
+                f"{worker_count:7} {job_count:5} {statistics.mean(found):7.2f}"
+                f" {statistics.median(found):7.2f}"
                 f" {p99:6.2f} {found[-1]:6.2f}",
                 flush=True,
             )
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
@@ -41,6 +41,7 @@
     Worker,
 )
 from gooseberrydeck_fleet.takeover import Takeover
+from gooseberrydeck_fleet.team_use import TeamUse
 from gooseberrydeck_fleet.unknown_jobs import UnknownJobs
 from gooseberrydeck_fleet.work import JobRecord, JobState
 from gooseberrydeck_fleet.worker_calls import PollReply, StartOutcome
@@ -111,6 +112,7 @@
         self.share_returner = ShareReturner(
             self.ledger, self.shares, self.server.waiting
         )
+        self.team_use = TeamUse(self.ledger, self.placer, self.shares)
         self.housekeeper = Housekeeper(
             self.ledger,
             self.placer,
@@ -526,6 +528,7 @@
         # After all that changes which runs may be unknown, before anything starts.
         self.takeover.update_unknown_usage()
         if is_review_due:
+            self.review_use(now_s, wall_s)
             self.server.review(now_s)
             self.long_waits += self.server.take_long_waits(now_s)
         self.server.run(now_s, wall_s)
@@ -547,6 +550,14 @@
             self.share_returner.run()
         self.shares.admit_arrivals()
 
+    def review_use(self, now_s: float, wall_s: float) -> None:
+        """Rank the steps of teams again whose level of use has changed."""
+        changed = self.team_use.update(now_s)
+        if self.shares.policy.ranks_by_use:
+            for team in changed:
+                level = self.team_use.levels[team]
+                self.server.waiting.set_level(team, level, wall_s)
+
     def find_send_obstacle(self, command: RunCommand, now_s: float) -> Obstacle | None:
         """Return what forbids to send a command that was decided on, or None."""
         return self.send_permission.find_obstacle(command, now_s)
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/share_policy.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/share_policy.py
@@ -11,8 +11,10 @@
     Without ``orders_arrivals``, jobs take tokens in the order in which the scheduler
     learns of them, which after a takeover is that of the store's keys. Without
     ``returns_shares``, a job that was beyond its team's share when it arrived remains
-    so.
+    so. Without ``ranks_by_use``, jobs beyond their team's share are ordered as if they
+    were of one team.
     """
 
     orders_arrivals: bool = True
     returns_shares: bool = True
+    ranks_by_use: bool = True
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/waiting.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/waiting.py
@@ -19,8 +19,11 @@
 
 __all__ = ["Rank", "WaitingSteps"]
 
-Rank = tuple[int, bool, bool, float, StepRef]
-"""Priority, whether the job exceeds its team's share, whether it is late, its due time.
+Rank = tuple[int, int, bool, float, StepRef]
+"""Priority, excess over the team's share, whether the job is late, its due time.
+
+The excess is zero for a job within its team's share, and otherwise one more than the
+level of the team's use.
 
 Jobs that can still finish on time go before jobs that can't. In plain order of due
 times, a burst would make every job after it late as well.
@@ -43,6 +46,8 @@
         self.by_team: dict[TeamName, set[StepRef]] = {}
         # The jobs with waiting steps that are beyond their team's share.
         self.beyond: dict[TeamName, dict[JobId, Job]] = {}
+        # The level of use of each team, zero if it isn't named.
+        self.levels: dict[TeamName, int] = {}
         # Processor needs of the steps, sorted.
         self.cpu_needs: list[int] = []
         self.late_times: list[tuple[float, StepRef]] = []
@@ -90,7 +95,10 @@
         late_from_s = job.late_from_s(step)
         is_late = late_from_s is not None and wall_s > late_from_s
         due_s = job.ranked_due_s()
-        rank = (job.queue.priority, not job.is_within_share, is_late, due_s, ref)
+        excess = 0
+        if not job.is_within_share:
+            excess = 1 + self.levels.get(job.record.team, 0)
+        rank = (job.queue.priority, excess, is_late, due_s, ref)
         known = self.ranks.get(ref)
         if known == rank:
             return
@@ -104,7 +112,9 @@
         self.ranks[ref] = rank
         bisect.insort(self.order, rank)
         self.track_share(job, job.is_within_share)
-        if late_from_s is not None and not is_late:
+        # A step that changes its place by its excess alone is in the heap already.
+        is_new_time = known is None or known[2] or known[3] != due_s
+        if late_from_s is not None and not is_late and is_new_time:
             heapq.heappush(self.late_times, (late_from_s, ref))
 
     def track_share(self, job: Job, is_within: bool) -> None:
@@ -117,6 +127,13 @@
         if jobs is not None and jobs.pop(job.id, None) is not None and not jobs:
             del self.beyond[team]
 
+    def set_level(self, team: TeamName, level: int, wall_s: float) -> None:
+        """Move the steps of a team's jobs beyond its share by its level of use."""
+        self.levels[team] = level
+        for job in list(self.beyond.get(team, {}).values()):
+            for ref in self.by_job[job.id]:
+                self.put(self.steps[ref], wall_s)
+
     def remove(self, ref: StepRef) -> None:
         """Remove a step that has no more tasks to start."""
         rank = self.ranks.pop(ref, None)
