Preemption: runs of jobs beyond their team's share stop first

Cause: the runs to stop were chosen by their processors alone, so a team within its share could lose work to make room while others exceeded theirs. Change: of the runs that may be stopped, those of jobs beyond their share go first, from the team with the highest level of use, then the fewest processors; this orders the offers of workers and the runs on one worker. A run within its team's share gives way to no step beyond its share of another team; within a team's own limit, an urgent step stops batch runs as before. Switch: SharePolicy.preempts_by_share.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/preemption.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/preemption.py
@@ -1,16 +1,20 @@
 """Preemption of runs that save their progress, in favour of urgent steps.
 
 Without it, urgent jobs that arrive at a fully allocated fleet wait for long tasks.
+Teams that use more than their share give way first.
 """
 
 import heapq
+from collections.abc import Mapping
+from typing import NamedTuple
 
+from gooseberrydeck_coordination.ids import TeamName
 from gooseberrydeck_coordination.resources import NO_RESOURCES, Resources
 from gooseberrydeck_fleet.placement import Placer, Reservation
 from gooseberrydeck_fleet.run_ends import RunEndHandler
 from gooseberrydeck_fleet.state import Run, RunState, Step, StopReason, Worker
 
-__all__ = ["Preemptor"]
+__all__ = ["Preemptor", "VictimOrder"]
 
 RESERVATION_MARGIN_S = 0.6
 """How long a reservation outlasts the longest stop.
@@ -18,18 +22,77 @@
 The time covers one more poll and a start.
 """
 
-Offer = tuple[int, int, list[Run]]
-"""The cost of victims, the index of their worker, and the victims.
 
-The cost is the processor time that they have allocated.
-"""
+class Cost(NamedTuple):
+    """What it costs to stop some runs; the least is preferred.
+
+    The amounts are the processors that the runs have allocated: first those of jobs
+    within their team's share. ``least_excess`` is the negative excess of the runs' team
+    that is the least above its share.
+    """
+
+    within_millis: int
+    least_excess: int
+    cpu_millis: int
+
+
+Offer = tuple[Cost, int, list[Run]]
+"""The cost of victims, the index of their worker, and the victims."""
+
+NO_VICTIMS = Cost(0, -(1 << 30), 0)
+"""A cost below that of any victims."""
+
+
+class VictimOrder:
+    """The order in which teams' runs are stopped."""
+
+    def __init__(self, levels: Mapping[TeamName, int] | None) -> None:
+        """Order runs by share and by the teams' levels of use, or not if it is None."""
+        self.levels = levels
+
+    def excess(self, run: Run) -> int:
+        """Return how much a run's job exceeds its team's share, zero if it doesn't.
+
+        It is one more than the level of the team's use.
+        """
+        if self.levels is None or run.task.step.job.is_within_share:
+            return 0
+        return 1 + self.levels.get(run.team, 0)
+
+    def cost(self, runs: list[Run]) -> Cost:
+        """Return the cost of stopping some runs."""
+        if not runs:
+            return NO_VICTIMS
+        excess = {run: self.excess(run) for run in runs}
+        within = sum(run.quota_usage.cpu_millis for run in runs if not excess[run])
+        total = sum(run.quota_usage.cpu_millis for run in runs)
+        return Cost(within, -min(excess.values()), total)
+
+    def may_preempt(self, run: Run, step: Step) -> bool:
+        """Return True if a run may be preempted for a step.
+
+        One within its team's share gives way to no other team's step beyond its share.
+        """
+        job = step.job
+        if self.levels is not None and run.team != job.record.team:
+            is_within = run.task.step.job.is_within_share
+            if is_within and not job.is_within_share:
+                return False
+        return may_preempt(run, step)
 
 
 class Preemptor:
     """Stop the smallest set of lower-priority runs that makes room for a step."""
 
-    def __init__(self, placer: Placer, ends: RunEndHandler, stop_s: float) -> None:
+    def __init__(
+        self,
+        placer: Placer,
+        ends: RunEndHandler,
+        stop_s: float,
+        victims: VictimOrder,
+    ) -> None:
         """Create a preemptor for runs that take up to ``stop_s`` seconds to stop."""
+        self.victims = victims
         self.placer = placer
         self.ends = ends
         self.hold_s = stop_s + RESERVATION_MARGIN_S
@@ -78,8 +141,7 @@
         self.placer.checked += 1
         victims = self.victims_on(workers[index], step)
         if victims is not None:
-            cost = sum(run.quota_usage.cpu_millis for run in victims)
-            heapq.heappush(offers, (cost, index, victims))
+            heapq.heappush(offers, (self.victims.cost(victims), index, victims))
 
     def free_quota(self, step: Step, wanted: int) -> None:
         """Stop other runs of a step's team to get ``wanted`` tasks under its limit."""
@@ -95,8 +157,11 @@
         need = NO_RESOURCES
         for _ in range(wanted):
             need = need + step.spec.resources
-        candidates = [run for run in runs if may_preempt(run, step)]
-        quota_usage = [(run, run.quota_usage) for run in candidates]
+        candidates = [run for run in runs if self.victims.may_preempt(run, step)]
+        quota_usage = [
+            Candidate(run, run.quota_usage, self.victims.excess(run))
+            for run in candidates
+        ]
         for run in choose_victims(free, need, quota_usage, partial=True) or ():
             self.ends.request_stop(run, StopReason.PREEMPTED)
 
@@ -114,39 +179,59 @@
                 free = free + run.allocation
         for reservation in self.placer.reservations.get(worker.id, ()):
             free = free - reservation.amount
-        candidates = [run for run in worker.preemptible_runs if may_preempt(run, step)]
+        candidates = [
+            run
+            for run in worker.preemptible_runs
+            if self.victims.may_preempt(run, step)
+        ]
         if not candidates:
             return [] if step.allocation.fits_in(free) else None
-        rooms = [(run, run.allocation) for run in candidates]
+        rooms = [
+            Candidate(run, run.allocation, self.victims.excess(run))
+            for run in candidates
+        ]
         return choose_victims(free, step.allocation, rooms)
 
 
+class Candidate(NamedTuple):
+    """A run that may be stopped, what its end frees, and its excess over its share."""
+
+    run: Run
+    amount: Resources
+    excess: int
+
+    @property
+    def order(self) -> tuple[int, int]:
+        """Return the key by which candidates are in the order of choice."""
+        return -self.excess, -self.amount.cpu_millis
+
+
 def choose_victims(
     free: Resources,
     need: Resources,
-    candidates: list[tuple[Run, Resources]],
+    candidates: list[Candidate],
     partial: bool = False,
 ) -> list[Run] | None:
     """Return runs whose end frees enough for ``need``, or None if there are too few.
 
-    Each candidate comes with the resources that its end frees. The largest are chosen
-    first, so that few runs are stopped; runs that turn out to be unnecessary are then
-    dropped again, the smallest first. With ``partial``, all candidates are returned if
-    even they don't free enough.
+    Those with the largest excess are chosen first, and of these the largest, so that
+    few runs are stopped; runs that turn out to be unnecessary are then dropped again,
+    in the reverse order. With ``partial``, all candidates are returned if even they
+    don't free enough.
     """
-    chosen: list[tuple[Run, Resources]] = []
-    for run, amount in sorted(candidates, key=lambda pair: -pair[1].cpu_millis):
+    chosen: list[Candidate] = []
+    for candidate in sorted(candidates, key=lambda each: each.order):
         if need.fits_in(free):
             break
-        chosen.append((run, amount))
-        free = free + amount
+        chosen.append(candidate)
+        free = free + candidate.amount
     if not need.fits_in(free):
-        return [run for run, _ in chosen] if partial else None
-    for run, amount in sorted(chosen, key=lambda pair: pair[1].cpu_millis):
-        if need.fits_in(free - amount):
-            chosen.remove((run, amount))
-            free = free - amount
-    return [run for run, _ in chosen]
+        return [each.run for each in chosen] if partial else None
+    for candidate in sorted(chosen, key=lambda each: each.order, reverse=True):
+        if need.fits_in(free - candidate.amount):
+            chosen.remove(candidate)
+            free = free - candidate.amount
+    return [each.run for each in chosen]
 
 
 def may_preempt(run: Run, step: Step) -> bool:
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
@@ -21,7 +21,7 @@
     PollReplyHandler,
     is_outdated,
 )
-from gooseberrydeck_fleet.preemption import Preemptor
+from gooseberrydeck_fleet.preemption import Preemptor, VictimOrder
 from gooseberrydeck_fleet.progress import Progress
 from gooseberrydeck_fleet.registrations import Registration
 from gooseberrydeck_fleet.run_ends import LossReason, LostRun, RunEndHandler
@@ -85,12 +85,19 @@
         )
         self.placer = Placer(self.ledger)
         self.send_permission = SendPermission(self.ledger, self.placer)
-        self.preemptor = Preemptor(self.placer, self.ends, timing.task_stop_s)
+        self.shares = ShareTracker(share_policy)
+        self.team_use = TeamUse(self.ledger, self.placer, self.shares)
+        by_share = self.shares.policy.preempts_by_share
+        self.preemptor = Preemptor(
+            self.placer,
+            self.ends,
+            timing.task_stop_s,
+            VictimOrder(self.team_use.levels if by_share else None),
+        )
         self.changes = ChangeLog(self.ledger)
         self.advice_requests = AdviceRequests(self.placer)
         self.takeover = Takeover(self.ledger, token, timing.task_lease_s)
         self.late_starts = LateStarts(self.ledger, timing.task_lease_s)
-        self.shares = ShareTracker(share_policy)
         self.intake = JobIntake(
             self.ledger,
             self.ends,
@@ -112,7 +119,6 @@
         self.share_returner = ShareReturner(
             self.ledger, self.shares, self.server.waiting
         )
-        self.team_use = TeamUse(self.ledger, self.placer, self.shares)
         self.housekeeper = Housekeeper(
             self.ledger,
             self.placer,
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/share_policy.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/share_policy.py
@@ -12,9 +12,11 @@
     learns of them, which after a takeover is that of the store's keys. Without
     ``returns_shares``, a job that was beyond its team's share when it arrived remains
     so. Without ``ranks_by_use``, jobs beyond their team's share are ordered as if they
-    were of one team.
+    were of one team. Without ``preempts_by_share``, the runs to stop are chosen by
+    their work alone.
     """
 
     orders_arrivals: bool = True
     returns_shares: bool = True
     ranks_by_use: bool = True
+    preempts_by_share: bool = True
