--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
@@ -26,13 +26,15 @@
     PollReplyHandler,
     is_outdated,
 )
-from gooseberrydeck_fleet.preemption import Preemptor
+from gooseberrydeck_fleet.preemption import Preemptor, VictimOrder
 from gooseberrydeck_fleet.progress import Progress
 from gooseberrydeck_fleet.registrations import Registration
 from gooseberrydeck_fleet.run_ends import LossReason, LostRun, RunEndHandler
 from gooseberrydeck_fleet.send_permission import Obstacle, SendPermission
 from gooseberrydeck_fleet.serving import LongWait, StepServer
 from gooseberrydeck_fleet.settings import DurationUses, Timing
+from gooseberrydeck_fleet.share_policy import SharePolicy
+from gooseberrydeck_fleet.share_returns import ShareReturner
 from gooseberrydeck_fleet.shares import ShareTracker
 from gooseberrydeck_fleet.speculation import Speculator
 from gooseberrydeck_fleet.state import (
@@ -44,6 +46,7 @@
     Worker,
 )
 from gooseberrydeck_fleet.takeover import Takeover
+from gooseberrydeck_fleet.team_use import TeamUse
 from gooseberrydeck_fleet.unknown_jobs import UnknownJobs
 from gooseberrydeck_fleet.work import JobRecord, JobState
 from gooseberrydeck_fleet.worker_calls import PollReply, StartOutcome
@@ -74,7 +77,11 @@
     """
 
     def __init__(
-        self, token: int, timing: Timing, uses: DurationUses | None = None
+        self,
+        token: int,
+        timing: Timing,
+        uses: DurationUses | None = None,
+        share_policy: SharePolicy | None = None,
     ) -> None:
         """Create a scheduler without jobs or workers, for the given fencing token.
 
@@ -91,12 +98,19 @@
         self.placer = Placer(self.ledger)
         self.evacuated = EvacuatedDataCentres(self.ledger, self.placer)
         self.send_permission = SendPermission(self.ledger, self.placer)
-        self.preemptor = Preemptor(self.placer, self.ends, timing.task_stop_s)
+        self.shares = ShareTracker(share_policy)
+        self.team_use = TeamUse(self.ledger, self.placer, self.shares)
+        by_share = self.shares.policy.preempts_by_share
+        self.preemptor = Preemptor(
+            self.placer,
+            self.ends,
+            timing.task_stop_s,
+            VictimOrder(self.team_use.levels if by_share else None),
+        )
         self.changes = ChangeLog(self.ledger)
         self.advice_requests = AdviceRequests(self.placer)
         self.takeover = Takeover(self.ledger, token, timing.task_lease_s)
         self.late_starts = LateStarts(self.ledger, timing.task_lease_s)
-        self.shares = ShareTracker()
         self.intake = JobIntake(
             self.ledger,
             self.ends,
@@ -115,6 +129,9 @@
             Speculator(self.placer),
             self.commands,
         )
+        self.share_returner = ShareReturner(
+            self.ledger, self.shares, self.server.waiting
+        )
         self.housekeeper = Housekeeper(
             self.ledger,
             self.placer,
@@ -535,6 +552,7 @@
         """Return the commands to execute now."""
         self.set_time(now_s, wall_s)
         is_review_due = now_s >= self.next_housekeeping_s
+        self.update_shares(is_review_due)
         if is_review_due:
             self.next_housekeeping_s = now_s + HOUSEKEEPING_S
             self.changes.forget_ended(now_s - self.timing.status_s - ENDED_JOB_MARGIN_S)
@@ -546,6 +564,7 @@
         # After all that changes which runs may be unknown, before anything starts.
         self.takeover.update_unknown_usage()
         if is_review_due:
+            self.review_use(now_s, wall_s)
             self.server.review(now_s)
             self.long_waits += self.server.take_long_waits(now_s)
         self.server.run(now_s, wall_s)
@@ -555,6 +574,25 @@
     def set_time(self, now_s: float, wall_s: float) -> None:
         """Set the relation between the clocks, also before the first decision."""
         self.crashes.set_time(now_s, wall_s)
+        self.shares.set_time(now_s, wall_s)
+
+    def update_shares(self, is_review_due: bool) -> None:
+        """Return shares to waiting jobs, and give what is left to those that arrived.
+
+        Jobs that wait go before those that arrive, whenever a token becomes available.
+        """
+        has_returns = is_review_due or self.shares.arrivals
+        if self.shares.policy.returns_shares and has_returns:
+            self.share_returner.run()
+        self.shares.admit_arrivals()
+
+    def review_use(self, now_s: float, wall_s: float) -> None:
+        """Rank the steps of teams again whose level of use has changed."""
+        changed = self.team_use.update(now_s)
+        if self.shares.policy.ranks_by_use:
+            for team in changed:
+                level = self.team_use.levels[team]
+                self.server.waiting.set_level(team, level, wall_s)
 
     def find_send_obstacle(self, command: RunCommand, now_s: float) -> Obstacle | None:
         """Return what forbids to send a command that was decided on, or None."""
