Recovery: later jobs don't wait for workers that were closed before

Cause: a successor held back each job of its predecessor until every recorded worker had answered or its leases had expired, although a worker that had been silent or draining for long can't run a job stored since.

Change: a holder closes workers that drain or have been silent for over 1 s. Their entry in the record of workers says up to which revision jobs may run there (closed_revision). Nothing starts there until a record without it is confirmed, whatever became of earlier writes. A successor holds a job back only for silent workers that are open, or closed at a revision not below the job's. "jobs held" says how many are open and closed.

Considered, each with its reason in the code or in a test: - starts in flight, waiting, or executed late, also by a worker's next process, are of jobs known when the worker is closed; - jobs that only a predecessor knew: nothing is closed before the sole holder's mark is stored, and its revision is the least recorded one (is_sole_scheduler, 1.5 s after the claim, would be too weak); - a job without a revision: nothing is closed beside it; - a cancelled job, stored again at a higher revision, is held as before; - an inherited closed_revision is kept until this holder's own record opens the worker: no holder in between can have started anything there; - a holder of an earlier release rewrites the record without the field, which leaves the workers open; - no worker is closed while the store's last confirmation is older than 1.5 s: it couldn't be used until the store responds.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/changes.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/changes.py
@@ -210,7 +210,8 @@
         """Return the workers that may have runs, or None if the list hasn't changed.
 
         Each is recorded with the largest capacity that it is known to have had, and
-        with whether it may hold the longest lease, and the tasks it may start late.
+        with whether it may hold the longest lease, the tasks it may start late, and the
+        revision of jobs at which it was closed.
         A successor doesn't wait for other workers.
         """
         workers = {
@@ -231,6 +232,15 @@
         """
         if worker.has_lapsed:
             return self.recorded.get(worker.id) == to_record(worker)
+        if worker.closed_revision is not None:
+            entry = self.recorded.get(worker.id)
+            return (
+                entry is not None
+                and entry.closed_revision == worker.closed_revision
+                and entry.is_draining == worker.entry.is_draining
+                and frozenset(entry.late_starts) == late_starts(worker)
+                and has_all(entry, worker)
+            )
         return worker.is_recorded and late_starts(worker) == worker.recorded_late_starts
 
     def workers_recorded(self, entries: Iterable[Registration]) -> None:
@@ -245,8 +255,9 @@
             worker.is_recorded = (
                 entry is not None
                 and not worker.has_lapsed
-                and worker.largest_capacity.fits_in(entry.capacity)
-                and entry.may_hold_longest_lease >= worker.may_hold_longest_lease
+                and worker.closed_revision is None
+                and entry.closed_revision is None
+                and has_all(entry, worker)
             )
 
 
@@ -257,6 +268,15 @@
         capacity=worker.largest_capacity,
         may_hold_longest_lease=worker.may_hold_longest_lease,
         late_starts=tuple(sorted(late_starts(worker))),
+        closed_revision=worker.closed_revision,
+    )
+
+
+def has_all(entry: Registration, worker: Worker) -> bool:
+    """Return True if a record allows for all capacity and leases of a worker."""
+    return (
+        worker.largest_capacity.fits_in(entry.capacity)
+        and entry.may_hold_longest_lease >= worker.may_hold_longest_lease
     )
 
 
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/registrations.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/registrations.py
@@ -16,7 +16,9 @@
     ``remaining_s`` is the minimum time until a draining worker leaves. ``born_ms`` is
     the start of the worker's process, in Unix milliseconds. The record of a holder says
     besides whether the worker may hold the longest lease that it grants, and which
-    tasks it may start late.
+    tasks it may start late. ``closed_revision`` says that no task of a job that was
+    stored at a higher revision has been started there, or will be before the record
+    says otherwise. A holder of an earlier release leaves it out.
     """
 
     worker: WorkerId
@@ -32,3 +34,4 @@
     born_ms: int = 0
     may_hold_longest_lease: bool = False
     late_starts: tuple[TaskRef, ...] = ()
+    closed_revision: int | None = None
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
@@ -6,6 +6,7 @@
 from gooseberrydeck_fleet.advice import Advice
 from gooseberrydeck_fleet.advice_requests import AdviceRequests
 from gooseberrydeck_fleet.changes import ChangeLog
+from gooseberrydeck_fleet.closed_workers import ClosedWorkers
 from gooseberrydeck_fleet.commands import Command, CommandQueue, RunCommand, StopRun
 from gooseberrydeck_fleet.configuration import UNSERVED, FleetConfiguration
 from gooseberrydeck_fleet.crashes import CrashReport, CrashTracker
@@ -85,6 +86,7 @@
         self.advice_requests = AdviceRequests(self.placer)
         self.takeover = Takeover(self.ledger, token, timing.task_lease_s)
         self.late_starts = LateStarts(self.ledger, timing.task_lease_s)
+        self.closed_workers = ClosedWorkers(self.ledger)
         self.shares = ShareTracker()
         self.intake = JobIntake(
             self.ledger,
@@ -146,6 +148,7 @@
         if worker is None:
             self.ledger.have_workers_changed = True
             worker = Worker(entry, max(now_s, unknown_until_s))
+            worker.known_since_s = now_s
             worker.available_until_s = now_s + (entry.remaining_s or 0.0)
             self.ledger.workers[entry.worker] = worker
             worker.may_have_restarted = entry.worker in self.former_workers
@@ -174,6 +177,7 @@
         if worker is not None:
             worker.has_had(entry.capacity)
             worker.may_have_restarted = True
+            worker.closed_revision = entry.closed_revision
             if entry.may_hold_longest_lease:
                 self.takeover.longest_lease_recorded(worker)
             self.late_starts.recorded(worker, entry.late_starts, now_s)
@@ -200,6 +204,10 @@
         """Mark the predecessor as stopped; its leases expire by ``lease_expiry_s``."""
         self.takeover.predecessor_stopped(lease_expiry_s)
 
+    def sole_holder_recorded(self, revision: int) -> None:
+        """Record that at a revision of the store no predecessor could act any more."""
+        self.closed_workers.sole_holder_recorded(revision)
+
     def authority_confirmed(self, at_s: float) -> None:
         """Record that this scheduler had no successor at a monotonic time.
 
@@ -514,6 +522,7 @@
             self.changes.forget_ended(now_s - self.timing.status_s - ENDED_JOB_MARGIN_S)
             self.housekeeper.run(now_s)
             self.crashes.review(now_s)
+            self.closed_workers.review(now_s)
         self.intake.open_due_occurrences(wall_s)
         # After all that changes which runs may be unknown, before anything starts.
         self.takeover.update_unknown_usage()
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
@@ -428,6 +428,7 @@
         "born_ms",
         "clock_ms",
         "clock_read_s",
+        "closed_revision",
         "entry",
         "fenced_from_s",
         "free",
@@ -441,6 +442,7 @@
         "is_recorded",
         "is_registered",
         "is_restarting",
+        "known_since_s",
         "largest_capacity",
         "last_end_number",
         "last_reply_s",
@@ -475,6 +477,9 @@
         self.is_reachable = False
         self.is_recorded = False
         self.has_orphaned_runs = False
+        # While nothing starts on it, the highest revision of a job that may run there.
+        self.closed_revision: int | None = None
+        self.known_since_s = 0.0
         # True from when all leases have expired on a silent worker until it answers.
         self.has_lapsed = False
         self.is_registered = True
@@ -536,6 +541,22 @@
             return WorkerObstacle.HAS_ORPHANED_RUNS
         return None
 
+    def close(self, revision: int) -> None:
+        """Start nothing until the worker is open and recorded so.
+
+        Jobs that were stored at a higher ``revision`` can't run on it.
+        """
+        self.closed_revision = revision
+        self.is_recorded = False
+
+    def open(self) -> None:
+        """Let runs start once a record is stored that doesn't show it as closed.
+
+        It isn't known whether a write without a response has shown it so.
+        """
+        self.closed_revision = None
+        self.is_recorded = False
+
     def has_had(self, capacity: Resources) -> None:
         """Record a capacity of the worker; a larger one has to be stored.
 
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/takeover.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/takeover.py
@@ -1,5 +1,6 @@
 """What a scheduler may do before it knows all runs that a predecessor started."""
 
+import math
 from typing import NamedTuple
 
 from gooseberrydeck_coordination.ids import JobId
@@ -23,7 +24,8 @@
     """Hold back jobs that may have unknown runs, and release them.
 
     A predecessor may have started any task of a job that it knew. Such jobs are held
-    until every worker has reported its runs, or its leases have expired.
+    until every worker has reported its runs, or its leases have expired. Workers that
+    were closed before a job was stored don't count.
     """
 
     def __init__(self, ledger: Ledger, token: int, max_lease_s: float) -> None:
@@ -98,7 +100,7 @@
     def hold_if_unsafe(self, job: Job) -> None:
         """Hold a new job if a predecessor may have started tasks of it."""
         is_safe = self.ledger.is_sole_scheduler and not self.may_predecessor_know(job)
-        if not is_safe and not self.have_all_reported():
+        if not is_safe and self.may_run_unreported(job, self.unreported_revision()):
             job.may_have_unknown_runs = True
             self.held[job.id] = job
             self.unknown_usage.job_held(job)
@@ -123,20 +125,41 @@
         self.ledger.touch(job)
 
     def release_held_jobs(self) -> None:
-        """Let all jobs start tasks if every worker has reported its runs."""
-        if not self.held or not self.have_all_reported():
+        """Let the jobs start tasks that can't run on workers that haven't reported."""
+        if not self.held:
+            return
+        revision = self.unreported_revision()
+        if revision == math.inf:
             return
         for job in list(self.held.values()):
-            self.release(job)
+            if not self.may_run_unreported(job, revision):
+                self.release(job)
+
+    def unreported_revision(self) -> float:
+        """Return up to which revision jobs may run on workers that haven't reported."""
+        return max(
+            (
+                math.inf if worker.closed_revision is None else worker.closed_revision
+                for worker in self.ledger.workers.values()
+                if not worker.has_reported
+            ),
+            default=-math.inf,
+        )
+
+    def may_run_unreported(self, job: Job, revision: float) -> bool:
+        """Return True if a job may run on workers that haven't reported.
+
+        Jobs that were stored after ``revision`` can't. The record of a cancelled job
+        was stored again.
+        """
+        if revision == -math.inf:
+            return False
+        return job.record.is_cancelled or job.revision <= revision
 
     def update_unknown_usage(self) -> None:
         """Count the runs that held jobs may have against their teams' limits."""
         self.unknown_usage.update(self.held)
 
-    def have_all_reported(self) -> bool:
-        """Return True if every worker has reported its runs."""
-        return all(worker.has_reported for worker in self.ledger.workers.values())
-
     def take_released(self) -> list[ReleasedJob]:
         """Return the jobs that were released since the last call, each once."""
         released, self.released = self.released, []
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/held_jobs.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/held_jobs.py
@@ -55,6 +55,10 @@
             "jobs held",
             jobs=len(self.takeover.held),
             workers=len(workers),
+            open_workers=sum(worker.closed_revision is None for worker in workers),
+            closed_workers=sum(
+                worker.closed_revision is not None for worker in workers
+            ),
             worker_ids=[worker.id for worker in workers[:MAX_LISTED_WORKERS]],
             expires_in_s=round(expiry_s - now_s, 3),
         )
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
@@ -430,6 +430,8 @@
             self.committer.workers_recorded(message)
         elif isinstance(message, SoleMarkWritten):
             self.sole_mark.written(message, now_s)
+            if message.revision is not None:
+                self.scheduler.sole_holder_recorded(int(message.revision))
         elif isinstance(message, PrefixChanged):
             self.store_changed(message, now_s)
         elif isinstance(message, PrefixRead):
