--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/registrations.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/registrations.py
@@ -17,7 +17,9 @@
     the start of the worker's process, in Unix milliseconds. For ``cold_s`` from now on,
     the worker is slow, since it has started lately. The record of a holder says
     besides whether the worker may hold the longest lease that it grants, and which
-    tasks it may start late.
+    tasks it may start late. ``closed_revision`` says that no task of a job that was
+    stored at a higher revision has been started there, or will be before the record
+    says otherwise. A holder of an earlier release leaves it out.
     """
 
     worker: WorkerId
@@ -34,3 +36,4 @@
     may_hold_longest_lease: bool = False
     late_starts: tuple[TaskRef, ...] = ()
     cold_s: float = 0.0
+    closed_revision: int | None = None
