Bound what clients' connections hold and the work they cause

Clients that stay connected with unfinished requests made a member hold their bodies without a bound, also with a wrong API key. Chunks of one byte kept the event loop busy, and a failing accept did so without descriptors.

Each listener of a member now has a budget of connections and of bytes, derived from the settings' MemoryMb and MaxFds (listener_limits.py). waitress stays: its channel, parser and server are subclassed. - ConnectionBudget decides, without I/O. If the bytes are exceeded, the connections with the largest product of bytes held and lag behind a minimum rate are closed; without room for a connection, those that have not completed a request and have waited longest. A header has 6 s, a body 60 s and a lag of at most 20 s; a byte moves the lag by the time it takes at 4,096 bytes/s. Requests in handling are never cut; complete ones hold at most half of the bytes and are otherwise answered with 503. - Key, route and method of a request with a body are checked with its header; the body of a refused request is read and discarded, so that the client gets the response. - Chunked bodies are parsed in pieces of 256 bytes, 1,000 a second in all connections and 4 of one connection in a turn. - Accepting pauses for 0.1 s without room or descriptors. - The limit of a body is that of its content; a body as large as the limit is served. A header may have 20,480 bytes (65,536 before; 16,384 is permitted). - A relayed request may be as large as the largest caller's in base64 (524,288 bytes), within the budget of the peers' listener. - The daemon's server uses the same code with defaults.

--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/http/channels.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/http/channels.py
@@ -13,6 +13,7 @@
     431: ProblemType.HEADERS_TOO_LARGE,
     500: ProblemType.INTERNAL,
     501: ProblemType.NOT_IMPLEMENTED,
+    503: ProblemType.AT_CAPACITY,
 }
 
 
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/settings.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/settings.py
@@ -48,4 +48,5 @@
     adviser: HttpAddress | None
     processor_share: float
     memory_mib: int
+    max_fds: int
     timing: Timing
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/callers.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/callers.py
@@ -23,6 +23,7 @@
 from gooseberrydeck_member.configuration import ConfigurationCache
 from gooseberrydeck_member.jobs import JobStore
 from gooseberrydeck_member.observability import Metrics
+from gooseberrydeck_service.bounded_parser import HeaderFields
 from gooseberrydeck_service.responses import status_line
 
 __all__ = [
@@ -179,17 +180,49 @@
     def read(self, environ: dict[str, Any], started_s: float) -> CallerRequest:
         """Read a caller's request from the WSGI environment."""
         length = int(environ.get("CONTENT_LENGTH") or 0)
-        scheme, _, key = environ.get("HTTP_AUTHORIZATION", "").partition(" ")
         return CallerRequest(
             method=environ["REQUEST_METHOD"],
             host=environ.get("HTTP_HOST", ""),
             path=environ.get("PATH_INFO", ""),
-            key=key.strip() if scheme.lower() == "bearer" else "",
+            key=bearer_key(environ.get("HTTP_AUTHORIZATION", "")),
             body=environ["wsgi.input"].read(length) if length else b"",
             deadline_s=started_s + self.codec.time_left_s(environ) - RESPONSE_MARGIN_S,
             is_relayed="HTTP_X_RELAYED" in environ,
         )
 
+    def check_header(self, fields: HeaderFields) -> int | None:
+        """Return the status that refuses a request with a body, or None.
+
+        These are the checks of ``handle`` that need no body.
+        """
+        status = self.find_refusal(fields)
+        if status is not None:
+            method = fields.method
+            operation = method if method in ("POST", "DELETE") else "other"
+            self.metrics.requests.labels(operation, str(status)).inc()
+        return status
+
+    def find_refusal(self, fields: HeaderFields) -> int | None:
+        """Return the status that refuses a request with a body, or None."""
+        configuration = self.configuration.current
+        if configuration is None:
+            return 503
+        # As in the path of the WSGI environment.
+        path = "/" + fields.path.lstrip("/")
+        queue = configuration.find_queue(fields.host, path)
+        if queue is None:
+            return 404
+        if not queue.is_open and not configuration.find_team(
+            bearer_key(fields.authorization)
+        ):
+            return 401
+        job = path[len(queue.path_prefix) :]
+        if fields.method == "GET":
+            return None
+        if not job or "/" in job:
+            return 404
+        return None if fields.method in ("POST", "DELETE") else 405
+
     def handle(self, call: CallerRequest) -> CallerResponse:
         """Authenticate and route a call."""
         configuration = self.configuration.current
@@ -330,3 +363,9 @@
     def holder_timeout_s(self, call: CallerRequest) -> float:
         """Return the timeout of a query to the holder, in seconds."""
         return max(0.05, min(0.6, 0.4 * (call.deadline_s - time.monotonic())))
+
+
+def bearer_key(authorization: str) -> str:
+    """Return the API key of an authorization header, "" if it has none."""
+    scheme, _, key = authorization.partition(" ")
+    return key.strip() if scheme.lower() == "bearer" else ""
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/composition.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/composition.py
@@ -41,12 +41,14 @@
 )
 from gooseberrydeck_member.control import ControlTask
 from gooseberrydeck_member.jobs import JobStore
+from gooseberrydeck_member.listener_limits import derive_limits
 from gooseberrydeck_member.observability import Metrics
 from gooseberrydeck_member.peer_server import PeerApplication
 from gooseberrydeck_member.peers import PeerClient
 from gooseberrydeck_member.predecessors import Predecessors
 from gooseberrydeck_member.scheduler_task import SchedulerTask
 from gooseberrydeck_member.shard_lock import ShardLock
+from gooseberrydeck_service.connection_budget import ConnectionBudget
 from gooseberrydeck_service.http_server import HttpServer
 from gooseberrydeck_service.tasks import Supervisor
 
@@ -60,12 +62,15 @@
 PEER_THREADS = 16
 """Peers' requests handled concurrently; an advice request takes up to a second."""
 
-MAX_CONNECTIONS = 2_000
-"""Limit on open connections, within the file descriptors that a small host allows."""
-
 MAX_BODY_BYTES = 262_144
 """Largest request body that the platform allows callers to send."""
 
+MAX_PEER_BODY_BYTES = 524_288
+"""Largest message of a peer; a relayed request carries its body in base64."""
+
+MAX_PROBE_BODY_BYTES = 4_096
+"""Probes have no body, but a few bytes do no harm."""
+
 DRAIN_DELAY_S = 3.0
 """How long a stopping member keeps serving; the load balancer takes two seconds to
 notice that it is not ready."""
@@ -79,8 +84,8 @@
 
     port: int
     threads: int
-    max_connections: int = MAX_CONNECTIONS
-    max_body_bytes: int = MAX_BODY_BYTES
+    max_connections: int
+    max_body_bytes: int
 
 
 class ReadinessApplication:
@@ -169,6 +174,7 @@
         self.peer_application.callers = self.callers
         self.peer_application.take_over = self.control.take_over
         self.readiness = ReadinessApplication(self.configuration)
+        self.budgets: dict[str, ConnectionBudget] = {}
         self.stop_requested = threading.Event()
         self.reload_requested = threading.Event()
 
@@ -206,24 +212,48 @@
         signal.signal(signal.SIGHUP, lambda *_: self.reload_requested.set())
         settings = self.settings
         log.info("start", incarnation=self.incarnation, address=self.address)
+        limits = derive_limits(settings)
         peers = HttpServer(
             "peers",
             self.peer_application,
             settings.address,
-            Listener(settings.peer_port, PEER_THREADS),
+            Listener(
+                settings.peer_port,
+                PEER_THREADS,
+                limits.peers.max_connections,
+                MAX_PEER_BODY_BYTES,
+            ),
+            limits=limits.peers,
+            check=self.peer_application.check_header,
         )
         callers = HttpServer(
             "callers",
             self.callers,
             settings.callers.host,
-            Listener(settings.callers.port, CALLER_THREADS),
+            Listener(
+                settings.callers.port,
+                CALLER_THREADS,
+                limits.callers.max_connections,
+                MAX_BODY_BYTES,
+            ),
+            limits=limits.callers,
+            check=self.callers.check_header,
         )
         ready = HttpServer(
             "readiness",
             self.readiness,
             settings.readiness.host,
-            Listener(settings.readiness.port, 1),
+            Listener(
+                settings.readiness.port,
+                1,
+                limits.readiness.max_connections,
+                MAX_PROBE_BODY_BYTES,
+            ),
+            limits=limits.readiness,
         )
+        self.budgets = {
+            server.name: server.budget for server in (peers, callers, ready)
+        }
         supervisor = Supervisor(max_tasks=5)
         tasks = (peers, callers, ready, self.configuration_task, self.control)
         for task in tasks:
@@ -259,6 +289,9 @@
         log.info("reload", by_signal=by_signal, changed=settings != self.settings)
         self.settings = settings
         self.control.timing = settings.timing
+        limits = derive_limits(settings)
+        for name, budget in self.budgets.items():
+            budget.limits = getattr(limits, name)
 
     def shut_down(self, callers: HttpServer) -> None:
         """Hand the shard over, and serve until the load balancer has noticed."""
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/peer_server.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/peer_server.py
@@ -31,6 +31,7 @@
     WaitingReply,
 )
 from gooseberrydeck_member.shard_lock import ShardView
+from gooseberrydeck_service.bounded_parser import HeaderFields
 from gooseberrydeck_service.responses import status_line
 
 __all__ = ["PeerApplication"]
@@ -108,6 +109,10 @@
         start_response(status_line(status), headers)
         return [content]
 
+    def check_header(self, fields: HeaderFields) -> int | None:
+        """Return 404 for a message of an unknown kind, before its body is kept."""
+        return None if fields.path in self.handlers else 404
+
     def handle_heartbeat(self, body: bytes) -> HeartbeatReply | None:
         """Record a heartbeat and reply with the holder's state.
 
--- a/packages/gooseberrydeck-service/src/gooseberrydeck_service/http_server.py
+++ b/packages/gooseberrydeck-service/src/gooseberrydeck_service/http_server.py
@@ -5,17 +5,21 @@
 from collections.abc import Callable, Iterable
 from typing import Any, Protocol
 
-from waitress.channel import HTTPChannel
-from waitress.server import TcpWSGIServer, create_server
-from waitress.task import WSGITask
+from gooseberrydeck_service.bounded_channel import DrainableChannel
+from gooseberrydeck_service.bounded_parser import HeaderCheck, allow_all
+from gooseberrydeck_service.bounded_server import BoundedServer
+from gooseberrydeck_service.connection_budget import ConnectionBudget, ConnectionLimits
 
 __all__ = ["DrainableChannel", "HttpServer", "ListenerBounds", "WsgiApplication"]
 
-MAX_HEADER_BYTES = 65_536
-CHANNEL_TIMEOUT_S = 60
 BACKLOG = 1_024
 SHUTDOWN_TIMEOUT_S = 5.0
 LOOP_TIMEOUT_S = 1.0
+
+MAX_SILENCE_S = 3.0
+"""Time without a turn of the event loop, or with accepting blocked, after which the
+server counts as not responding; an idle loop turns every second."""
+
 FLUSH_TIMEOUT_S = 0.05
 
 WsgiApplication = Callable[
@@ -23,26 +27,6 @@
 ]
 
 
-class DrainableTask(WSGITask):  # type: ignore[misc]
-    """A request that closes its connection after the response on a draining server.
-
-    An application cannot do this itself: WSGI reserves the ``Connection`` header.
-    """
-
-    def build_response_header(self) -> bytes:
-        """Return the response header, with ``Connection: close`` while draining."""
-        if self.channel.server.is_draining:
-            self.set_close_on_finish()
-        header: bytes = super().build_response_header()
-        return header
-
-
-class DrainableChannel(HTTPChannel):  # type: ignore[misc]
-    """A client connection that closes after the next response on a draining server."""
-
-    task_class = DrainableTask
-
-
 class ListenerBounds(Protocol):
     """The port and the limits of a listener."""
 
@@ -72,37 +56,44 @@
         application: WsgiApplication,
         address: str,
         listener: ListenerBounds,
-        channel_class: type[HTTPChannel] = DrainableChannel,
+        channel_class: type[DrainableChannel] = DrainableChannel,
+        limits: ConnectionLimits | None = None,
+        check: HeaderCheck = allow_all,
     ) -> None:
         """Bind the port and set the ``port`` attribute to the actual one.
 
         ``channel_class`` handles the connections, and responds to requests that cannot
-        be parsed.
+        be parsed. ``limits`` bounds the connections in place of the defaults, and
+        ``check`` may refuse requests with a body before it is received.
         """
         self.name = name
         self.map: dict[int, Any] = {}
-        self.server: TcpWSGIServer = create_server(
+        limits = limits or ConnectionLimits(listener.max_connections)
+        self.budget = ConnectionBudget(limits, time.monotonic)
+        self.server = BoundedServer(
+            name,
             application,
+            self.budget,
+            check,
             map=self.map,
             listen=f"{address}:{listener.port}",
             threads=listener.threads,
-            connection_limit=listener.max_connections,
             backlog=BACKLOG,
-            max_request_header_size=MAX_HEADER_BYTES,
-            max_request_body_size=listener.max_body_bytes,
+            max_request_header_size=limits.max_header_bytes,
+            # waitress refuses a length that equals its limit.
+            max_request_body_size=listener.max_body_bytes + 1,
             # Hosts have no disks, so buffers must never overflow to temporary files.
             inbuf_overflow=2 * listener.max_body_bytes,
             outbuf_overflow=2 * listener.max_body_bytes,
-            channel_timeout=CHANNEL_TIMEOUT_S,
             channel_request_lookahead=1,
             expose_tracebacks=False,
             ident=None,
             clear_untrusted_proxy_headers=True,
         )
         self.server.channel_class = channel_class
-        self.server.is_draining = False
         self.port: int = self.server.effective_port
         self.stopping = threading.Event()
+        self.turn_s = time.monotonic()
 
     def run(self) -> None:
         """Serve until stopped, then until every response is sent or a timeout."""
@@ -119,8 +110,10 @@
 
     def loop_once(self, timeout_s: float) -> None:
         """Run one iteration of the event loop."""
+        wait_s = self.server.prepare_turn(timeout_s)
+        self.turn_s = time.monotonic()
         loop = self.server.asyncore.loop
-        loop(timeout=timeout_s, map=self.map, use_poll=True, count=1)
+        loop(timeout=wait_s, map=self.map, use_poll=True, count=1)
 
     def drain(self) -> None:
         """Close each connection after its next response, so that clients reconnect.
@@ -134,9 +127,11 @@
         self.server.del_channel(self.map)
         self.server.socket.close()
 
-    def channels(self) -> list[HTTPChannel]:
+    def channels(self) -> list[DrainableChannel]:
         """Return the open connections."""
-        return [item for item in self.map.values() if isinstance(item, HTTPChannel)]
+        return [
+            item for item in self.map.values() if isinstance(item, DrainableChannel)
+        ]
 
     def has_unfinished(self) -> bool:
         """Return whether a request is in progress or a response not fully sent."""
