Readiness and metrics of the listeners

The readiness probe stayed ready while the callers' listener answered nobody, and nothing showed what clients' connections hold. The probe now reports not ready if the callers' event loop has not turned, or could not accept a connection, for 3 s. /metrics has the bytes held, the connections by state and the connections closed by reason, for each listener, read from the budgets when they are rendered.

--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/composition.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/composition.py
@@ -4,7 +4,7 @@
 import signal
 import threading
 import time
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from pathlib import Path
 from typing import Any
 
@@ -42,6 +42,7 @@
 from gooseberrydeck_member.control import ControlTask
 from gooseberrydeck_member.jobs import JobStore
 from gooseberrydeck_member.listener_limits import derive_limits
+from gooseberrydeck_member.listener_metrics import ListenerCollector
 from gooseberrydeck_member.observability import Metrics
 from gooseberrydeck_member.peer_server import PeerApplication
 from gooseberrydeck_member.peers import PeerClient
@@ -92,15 +93,23 @@
     """The readiness probe of the load balancer."""
 
     def __init__(self, configuration: ConfigurationCache) -> None:
-        """Report ready once there is a configuration, until the member stops."""
+        """Report ready once there is a configuration, until the member stops.
+
+        Set ``is_responsive`` to what tells whether the callers' listener answers.
+        """
         self.configuration = configuration
         self.is_stopping = False
+        self.is_responsive: Callable[[], bool] = lambda: True
 
     def __call__(
         self, _environ: dict[str, Any], start_response: StartResponse
     ) -> Iterable[bytes]:
         """Respond with 200 if ready, otherwise with 503."""
-        is_ready = self.configuration.current is not None and not self.is_stopping
+        is_ready = (
+            self.configuration.current is not None
+            and not self.is_stopping
+            and self.is_responsive()
+        )
         status = "200 OK" if is_ready else "503 Service Unavailable"
         start_response(status, [("Content-Length", "0")])
         return [b""]
@@ -175,6 +184,7 @@
         self.peer_application.take_over = self.control.take_over
         self.readiness = ReadinessApplication(self.configuration)
         self.budgets: dict[str, ConnectionBudget] = {}
+        self.metrics.registry.register(ListenerCollector(self.budgets))
         self.stop_requested = threading.Event()
         self.reload_requested = threading.Event()
 
@@ -251,9 +261,9 @@
             ),
             limits=limits.readiness,
         )
-        self.budgets = {
-            server.name: server.budget for server in (peers, callers, ready)
-        }
+        for server in (peers, callers, ready):
+            self.budgets[server.name] = server.budget
+        self.readiness.is_responsive = callers.is_responsive
         supervisor = Supervisor(max_tasks=5)
         tasks = (peers, callers, ready, self.configuration_task, self.control)
         for task in tasks:
--- a/packages/gooseberrydeck-service/src/gooseberrydeck_service/http_server.py
+++ b/packages/gooseberrydeck-service/src/gooseberrydeck_service/http_server.py
@@ -115,6 +115,15 @@
         loop = self.server.asyncore.loop
         loop(timeout=wait_s, map=self.map, use_poll=True, count=1)
 
+    def is_responsive(self) -> bool:
+        """Return whether the event loop turns and accepts connections."""
+        now_s = time.monotonic()
+        blocked_since_s = self.server.blocked_since_s
+        is_blocked = (
+            blocked_since_s is not None and now_s - blocked_since_s > MAX_SILENCE_S
+        )
+        return now_s - self.turn_s <= MAX_SILENCE_S and not is_blocked
+
     def drain(self) -> None:
         """Close each connection after its next response, so that clients reconnect.
 
--- a/tests/adapter/test_adapter.py
+++ b/tests/adapter/test_adapter.py
@@ -698,13 +698,14 @@
 PortRange: [7000, 7015]
 platform: {Address: "10.0.0.9:1", TtlMinMs: 1000}
 Bounds: {MaxHoldMs: 10000, status_s: 120, FarX: 1.5}
-Limits: {CpuShare: 0.5, Cores: 2, MemoryMb: 300}
+Limits: {CpuShare: 0.5, Cores: 2, MemoryMb: 300, MaxFds: 1638}
 FieldOfTomorrow: 5
 """
         settings = decode_settings(text)
         assert settings.timing.task_lease_s == 10.0
         assert settings.timing.far_factor == 1.5
         assert settings.processor_share == 1.0
+        assert (settings.memory_mib, settings.max_fds) == (300, 1_638)
         assert settings.peer_port == 7000
         with pytest.raises(SettingsError):
             decode_settings(text.replace(b"PortRange: [7000, 7015]", b""))
--- a/tests/member/test_callers.py
+++ b/tests/member/test_callers.py
@@ -29,6 +29,7 @@
 from gooseberrydeck_member.jobs import JobStore
 from gooseberrydeck_member.keys import ended_key, job_key
 from gooseberrydeck_member.observability import Metrics
+from gooseberrydeck_service.bounded_parser import HeaderFields
 from gooseberrydeck_standins.engine_store import EngineStore
 from gooseberrydeck_standins.faults import CallFault
 from gooseberrydeck_standins.store_engine import StoreEngine
@@ -151,6 +152,30 @@
         assert self.submit() == 200
 
 
+class TestHeaderCheck(CallerApplicationFixture):
+    # Guards against a header check that differs from that of the whole request.
+    @pytest.mark.parametrize(
+        ("method", "path", "key"),
+        [
+            ("POST", PATH, "other"),
+            ("POST", "/nowhere/1", "key-1"),
+            ("POST", "/slow/", "key-1"),
+            ("DELETE", "/slow/1/2", "key-1"),
+            ("PUT", PATH, "key-1"),
+        ],
+    )
+    def test_refusals_agree(self, method: str, path: str, key: str) -> None:
+        fields = HeaderFields(method, "desk.example", path, f"Bearer {key}")
+        assert (
+            self.application.check_header(fields) == self.call(method, path, key=key)[0]
+        )
+
+    def test_other_requests_are_received(self) -> None:
+        for method in ("POST", "DELETE"):
+            fields = HeaderFields(method, "desk.example", PATH, "Bearer key-1")
+            assert self.application.check_header(fields) is None
+
+
 class TestSubmission(CallerApplicationFixture):
     def test_accepted_job_is_stored(self) -> None:
         assert self.submit() == 200
