--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/composition.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/composition.py
@@ -4,7 +4,7 @@
 import signal
 import threading
 import time
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from pathlib import Path
 from typing import Any
 
@@ -41,12 +41,15 @@
 )
 from gooseberrydeck_member.control import ControlTask
 from gooseberrydeck_member.jobs import JobStore
+from gooseberrydeck_member.listener_limits import derive_limits
+from gooseberrydeck_member.listener_metrics import ListenerCollector
 from gooseberrydeck_member.observability import Metrics
 from gooseberrydeck_member.peer_server import PeerApplication
 from gooseberrydeck_member.peers import PeerClient
 from gooseberrydeck_member.predecessors import Predecessors
 from gooseberrydeck_member.scheduler_task import SchedulerTask
 from gooseberrydeck_member.shard_lock import ShardLock
+from gooseberrydeck_service.connection_budget import ConnectionBudget
 from gooseberrydeck_service.http_server import HttpServer
 from gooseberrydeck_service.tasks import Supervisor
 
@@ -60,12 +63,15 @@
 PEER_THREADS = 16
 """Peers' requests handled concurrently; an advice request takes up to a second."""
 
-MAX_CONNECTIONS = 2_000
-"""Limit on open connections, within the file descriptors that a small host allows."""
-
 MAX_BODY_BYTES = 262_144
 """Largest request body that the platform allows callers to send."""
 
+MAX_PEER_BODY_BYTES = 524_288
+"""Largest message of a peer; a relayed request carries its body in base64."""
+
+MAX_PROBE_BODY_BYTES = 4_096
+"""Probes have no body, but a few bytes do no harm."""
+
 DRAIN_DELAY_S = 3.0
 """How long a stopping member keeps serving; the load balancer takes two seconds to
 notice that it is not ready."""
@@ -79,23 +85,31 @@
 
     port: int
     threads: int
-    max_connections: int = MAX_CONNECTIONS
-    max_body_bytes: int = MAX_BODY_BYTES
+    max_connections: int
+    max_body_bytes: int
 
 
 class ReadinessApplication:
     """The readiness probe of the load balancer."""
 
     def __init__(self, configuration: ConfigurationCache) -> None:
-        """Report ready once there is a configuration, until the member stops."""
+        """Report ready once there is a configuration, until the member stops.
+
+        Set ``is_responsive`` to what tells whether the callers' listener answers.
+        """
         self.configuration = configuration
         self.is_stopping = False
+        self.is_responsive: Callable[[], bool] = lambda: True
 
     def __call__(
         self, _environ: dict[str, Any], start_response: StartResponse
     ) -> Iterable[bytes]:
         """Respond with 200 if ready, otherwise with 503."""
-        is_ready = self.configuration.current is not None and not self.is_stopping
+        is_ready = (
+            self.configuration.current is not None
+            and not self.is_stopping
+            and self.is_responsive()
+        )
         status = "200 OK" if is_ready else "503 Service Unavailable"
         start_response(status, [("Content-Length", "0")])
         return [b""]
@@ -169,6 +183,8 @@
         self.peer_application.callers = self.callers
         self.peer_application.take_over = self.control.take_over
         self.readiness = ReadinessApplication(self.configuration)
+        self.budgets: dict[str, ConnectionBudget] = {}
+        self.metrics.registry.register(ListenerCollector(self.budgets))
         self.stop_requested = threading.Event()
         self.reload_requested = threading.Event()
 
@@ -208,24 +224,48 @@
         signal.signal(signal.SIGHUP, lambda *_: self.reload_requested.set())
         settings = self.settings
         log.info("start", incarnation=self.incarnation, address=self.address)
+        limits = derive_limits(settings)
         peers = HttpServer(
             "peers",
             self.peer_application,
             settings.address,
-            Listener(settings.peer_port, PEER_THREADS),
+            Listener(
+                settings.peer_port,
+                PEER_THREADS,
+                limits.peers.max_connections,
+                MAX_PEER_BODY_BYTES,
+            ),
+            limits=limits.peers,
+            check=self.peer_application.check_header,
         )
         callers = HttpServer(
             "callers",
             self.callers,
             settings.callers.host,
-            Listener(settings.callers.port, CALLER_THREADS),
+            Listener(
+                settings.callers.port,
+                CALLER_THREADS,
+                limits.callers.max_connections,
+                MAX_BODY_BYTES,
+            ),
+            limits=limits.callers,
+            check=self.callers.check_header,
         )
         ready = HttpServer(
             "readiness",
             self.readiness,
             settings.readiness.host,
-            Listener(settings.readiness.port, 1),
+            Listener(
+                settings.readiness.port,
+                1,
+                limits.readiness.max_connections,
+                MAX_PROBE_BODY_BYTES,
+            ),
+            limits=limits.readiness,
         )
+        for server in (peers, callers, ready):
+            self.budgets[server.name] = server.budget
+        self.readiness.is_responsive = callers.is_responsive
         supervisor = Supervisor(max_tasks=5)
         tasks = (peers, callers, ready, self.configuration_task, self.control)
         for task in tasks:
@@ -261,6 +301,9 @@
         log.info("reload", by_signal=by_signal, changed=settings != self.settings)
         self.settings = settings
         self.control.timing = settings.timing
+        limits = derive_limits(settings)
+        for name, budget in self.budgets.items():
+            budget.limits = getattr(limits, name)
 
     def shut_down(self, callers: HttpServer) -> None:
         """Hand the shard over, and serve until the load balancer has noticed."""
