Advice: reserve for urgent steps what they lately used, not half

Cause: half of the requests for advice that may be in flight were reserved for urgent steps. Ruled out: the order of turns (the same steps waited in any order), and the service itself, which handles one request for each calling host. Change: reserved are twice the urgent requests in flight, averaged over 3 s, at least four and at most half. With up to eight members that is half, as before.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/advice_requests.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/advice_requests.py
@@ -1,9 +1,12 @@
 """Scheduling of the requests for advice.
 
 Advice for batch work is slow, and the service handles one request at a time for each
-member, so part of the capacity is kept free for urgent steps.
+member, so part of the capacity is kept free for urgent steps: as much as they need by
+what they have lately used.
 """
 
+import math
+
 from gooseberrydeck_fleet.advice import Advice, advice_duration_s
 from gooseberrydeck_fleet.commands import AskAdvice
 from gooseberrydeck_fleet.configuration import AdvicePolicy
@@ -32,6 +35,25 @@
 MAX_ADVICE_WORKERS = 100
 """Maximum number of workers that the service accepts in one request."""
 
+MAX_RESERVED_SHARE = 0.5
+"""Largest share of the allowed requests in flight that is reserved for urgent steps."""
+
+URGENT_LOAD_FACTOR = 2.0
+"""Requests reserved for each that urgent steps have lately had in flight on average.
+
+Urgent load may double within a second.
+"""
+
+MIN_RESERVED = 4
+"""Least number of reserved requests, as far as ``MAX_RESERVED_SHARE`` permits.
+
+An urgent step that finds all requests in flight waits for a slow one to end, which
+takes up to a second divided by their number.
+"""
+
+URGENT_LOAD_PERIOD_S = 3.0
+"""Period over which the urgent requests in flight are averaged."""
+
 CAPACITY_MARGIN = 1.3
 """Capacity to ask about for each wanted task.
 
@@ -39,10 +61,34 @@
 """
 
 
+class UrgentLoad:
+    """The number of urgent requests in flight, averaged over the last seconds."""
+
+    def __init__(self) -> None:
+        """Start without load."""
+        self.mean = 0.0
+        self.in_flight = 0
+        self.at_s: float | None = None
+
+    def observe(self, in_flight: int, now_s: float) -> None:
+        """Record the number of urgent requests in flight from now on.
+
+        A time before the last one is ignored.
+        """
+        if self.at_s is None:
+            self.at_s = now_s
+        elapsed_s = now_s - self.at_s
+        if elapsed_s > 0:
+            weight = -math.expm1(-elapsed_s / URGENT_LOAD_PERIOD_S)
+            self.mean += weight * (self.in_flight - self.mean)
+            self.at_s = now_s
+        self.in_flight = in_flight
+
+
 class AdviceRequests:
     """Create advice requests and track those in flight.
 
-    Half of the allowed requests in flight are reserved for urgent steps.
+    Part of the allowed requests in flight are reserved for urgent steps.
     """
 
     def __init__(self, placer: Placer) -> None:
@@ -50,6 +96,19 @@
         self.placer = placer
         self.max_in_flight = 1
         self.in_flight: dict[StepRef, bool] = {}
+        self.urgent_load = UrgentLoad()
+
+    def observe(self, now_s: float) -> None:
+        """Measure how many urgent requests are in flight."""
+        urgent = len(self.in_flight) - self.slow_in_flight
+        self.urgent_load.observe(urgent, now_s)
+
+    @property
+    def reserved(self) -> int:
+        """The number of requests that are reserved for urgent steps."""
+        most = self.max_in_flight - int((1 - MAX_RESERVED_SHARE) * self.max_in_flight)
+        wanted = math.ceil(URGENT_LOAD_FACTOR * self.urgent_load.mean)
+        return min(most, max(MIN_RESERVED, wanted))
 
     def ask(self, step: Step, wanted: int, now_s: float) -> AskAdvice | None:
         """Return an advice request that could help a step to start, or None."""
@@ -100,7 +159,7 @@
         free = self.max_in_flight - len(self.in_flight)
         if is_urgent:
             return max(0, free)
-        max_slow = max(1, self.max_in_flight // 2)
+        max_slow = max(1, self.max_in_flight - self.reserved)
         return max(0, min(free, max_slow - self.slow_in_flight))
 
     @property
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/serving.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/serving.py
@@ -268,10 +268,11 @@
             del self.blocked[team]
             self.waiting.team_freed(team)
         freed_teams.clear()
-        self.collect_advice_requests()
+        self.collect_advice_requests(now_s)
 
-    def collect_advice_requests(self) -> None:
+    def collect_advice_requests(self, now_s: float) -> None:
         """Mark the steps as due that may request advice now."""
+        self.advice_requests.observe(now_s)
         free = self.advice_requests.free_requests()
         free_for_slow = self.advice_requests.free_requests(is_urgent=False)
         waiting = self.waiting
