--- a/tests/joined_checks.py
+++ b/tests/joined_checks.py
@@ -45,6 +45,11 @@
                 late_s = now_s - drained_s
                 self.found.append(f"{task} sent {late_s:.2f} s after {worker} drained")
 
+            evacuated_s = self.evacuated_s.get(self.data_centre_of(worker))
+            if evacuated_s is not None and now_s > evacuated_s + CHANGE_NOTICE_S:
+                late_s = now_s - evacuated_s
+                self.found.append(f"{task} sent {late_s:.2f} s after an evacuation")
+
     def known_end_s(self, request: StartRequest) -> float | None:
         """Return since when the holder knows that a task, or its job, has ended."""
         task, known = request.task, self.task.known_ends
--- a/tests/joined_support.py
+++ b/tests/joined_support.py
@@ -23,7 +23,7 @@
 from gooseberrydeck_coordination.exceptions import StoreError
 from gooseberrydeck_coordination.ids import JobId, MemberId, QueueName
 from gooseberrydeck_coordination.resources import Resources
-from gooseberrydeck_coordination.store import EventKind, Put, Transaction
+from gooseberrydeck_coordination.store import Delete, EventKind, Put, Transaction
 from gooseberrydeck_fleet.ids import TaskRef, WorkerId
 from gooseberrydeck_fleet.registrations import Registration
 from gooseberrydeck_fleet.settings import Timing
@@ -46,6 +46,9 @@
 from virtual_time import VirtualTime
 
 REGISTRATIONS = "servers/"
+EVACUATIONS = "op/evacuate/"
+DATA_CENTRES = "east", "north", "west"
+"""The workers are in these in turn."""
 ATTEMPTS = 3
 HOST_CORES = 4
 RENEWAL_S = 0.4
@@ -82,6 +85,8 @@
         self.completed_s: dict[JobId, float] = {}
         self.cancelled_s: dict[JobId, float] = {}
         self.drained_s: dict[WorkerId, float] = {}
+        # By data centre, when its evacuation was requested.
+        self.evacuated_s: dict[str, float] = {}
         self.maxima: list[tuple[float, int]] = []
         self.sent_s: dict[tuple[TaskRef, int], float] = {}
         self.runs: dict[TaskRef, set[int]] = {}
@@ -95,17 +100,31 @@
         self.hosts = [self.new_host(f"w{number}") for number in range(workers)]
         for host in self.hosts:
             self.register(host)
+        self.lock_store = VirtualStore(self.loop, self.engine, f"{self.seed} lock")
+        self.claim("m1")
+        self.task = self.new_task()
+        self.set_maximum(0)
+        self.loop.spawn(self.task.run)
+        self.loop.spawn(self.renew)
+        self.run_for(1.0)
+
+    def claim(self, member: str) -> None:
+        """Claim the shard for a member."""
         self.authority = Authority(self.loop.clock.monotonic)
-        self.lock = ShardLock(self.outside, MemberId("m1"), "m1:1", "run-1")
+        self.lock = ShardLock(
+            self.outside, MemberId(member), f"{member}:1", f"run-{member}"
+        )
         view = self.lock.read(TIMEOUT_S)
         assert self.lock.claim(view, (), LEASE_TTL_S, TIMEOUT_S)
-        self.lock_store = VirtualStore(self.loop, self.engine, f"{self.seed} lock")
         self.lock.store = self.lock_store
-        self.task = SchedulerTask(
+
+    def new_task(self) -> SchedulerTask:
+        """Build the task of the member that holds the shard."""
+        return SchedulerTask(
             self.store,
             self.lock,
             self.authority,
-            Timing(),
+            Timing(evacuation_s=5.0),
             AdvicePool(None, PeerClient(), self.loop.clock, self.loop),
             lambda entry: HostCalls(self.host(entry.worker)),
             lambda _key, value: msgspec.json.decode(value, type=Registration),
@@ -114,11 +133,16 @@
             predecessors=NO_PREDECESSORS,
             clock=self.loop.clock,
             threads=self.loop,
+            evacuations=EVACUATIONS,
         )
+
+    def replace_holder(self) -> None:
+        """Let the holder stop, and another member take over at once."""
+        self.task.stop()
+        self.claim("m2")
+        self.task = self.new_task()
         self.set_maximum(0)
         self.loop.spawn(self.task.run)
-        self.loop.spawn(self.renew)
-        self.run_for(1.0)
 
     def close(self) -> None:
         """End all threads."""
@@ -134,15 +158,17 @@
         """Renew the lease as the member does while it holds the shard."""
         while True:
             sent_s = self.loop.now_s
+            lock, task, authority = self.lock, self.task, self.authority
             try:
-                self.lock.renew_lease(LEASE_TTL_S, TIMEOUT_S)
+                lock.renew_lease(LEASE_TTL_S, TIMEOUT_S)
             except ShardLostError:
-                self.task.mark_shard_lost()
-                return
+                task.mark_shard_lost()
+                if task is self.task:
+                    return
             except StoreError:
-                self.authority.not_confirmed(sent_s)
+                authority.not_confirmed(sent_s)
             else:
-                self.authority.confirm(sent_s)
+                authority.confirm(sent_s)
             self.loop.sleep(RENEWAL_S)
 
     # Workers.
@@ -172,9 +198,25 @@
             is_draining=is_draining,
             remaining_s=20.0 if is_draining else None,
             born_ms=host.born_ms,
+            data_centre=self.data_centre_of(host.worker),
         )
         self.write(f"{REGISTRATIONS}{host.worker}", msgspec.json.encode(entry))
 
+    def data_centre_of(self, worker: WorkerId) -> str:
+        """Return the data centre of a worker."""
+        return DATA_CENTRES[int(worker.removeprefix("w")) % len(DATA_CENTRES)]
+
+    def evacuate(self, name: str) -> None:
+        """Request the evacuation of a data centre."""
+        self.write(f"{EVACUATIONS}{name}", b"{}")
+        self.evacuated_s.setdefault(name, self.loop.now_s)
+
+    def take_back(self, name: str) -> None:
+        """Withdraw the request to evacuate a data centre."""
+        delete = Delete(f"{EVACUATIONS}{name}")
+        self.outside.commit(Transaction((), (delete,)), TIMEOUT_S)
+        self.evacuated_s.pop(name, None)
+
     def drain(self, host: Host) -> None:
         """Let a worker drain until its process starts again."""
         if not host.is_down and host.worker not in self.drained_s:
--- a/tests/member/test_joined_machine.py
+++ b/tests/member/test_joined_machine.py
@@ -1,7 +1,8 @@
 """A stateful test of the scheduler's task joined with all its parts.
 
 Starts wait for threads behind calls to workers that have fallen silent, while runs end,
-jobs are cancelled, limits are lowered, workers drain or restart and the store is slow.
+jobs are cancelled, limits are lowered, workers drain or restart, data centres are
+evacuated and the store is slow.
 """
 
 import contextlib
@@ -20,7 +21,7 @@
 from gooseberrydeck_coordination.ids import JobId
 from gooseberrydeck_fleet.work import StepSpec
 from joined_checks import CheckedFleet
-from joined_support import HOST_CORES, Behaviour
+from joined_support import DATA_CENTRES, HOST_CORES, Behaviour
 
 WORKERS = 48
 NUMBERS = strategies.integers(0, WORKERS - 1)
@@ -158,6 +159,16 @@
             self.fleet.drain(host)
         self.fleet.run_for(then_s)
 
+    @rule(name=strategies.sampled_from(DATA_CENTRES), then_s=PAUSES_S)
+    def evacuate(self, name: str, then_s: float) -> None:
+        self.fleet.evacuate(name)
+        self.fleet.run_for(then_s)
+
+    @rule(name=strategies.sampled_from(DATA_CENTRES), then_s=PAUSES_S)
+    def take_back(self, name: str, then_s: float) -> None:
+        self.fleet.take_back(name)
+        self.fleet.run_for(then_s)
+
     @rule(
         first=NUMBERS,
         count=strategies.integers(1, 40),
@@ -231,6 +242,8 @@
         """Let all jobs end."""
         self.heal(0.0)
         self.fleet.set_maximum(0)
+        for name in DATA_CENTRES:
+            self.fleet.take_back(name)
         for host in self.fleet.hosts:
             if host.worker in self.fleet.drained_s:
                 self.fleet.restart(host, 0.5)
