--- a/packages/gooseberrydeck-service/src/gooseberrydeck_service/bounded_channel.py
+++ b/packages/gooseberrydeck-service/src/gooseberrydeck_service/bounded_channel.py
@@ -70,7 +70,14 @@
 
     def readable(self) -> bool:
         """Return whether more may be received."""
-        return not self.pending and bool(super().readable())
+        # waitress's conditions are repeated, as each turn asks all connections.
+        return not (
+            self.pending
+            or self.will_close
+            or self.close_when_flushed
+            or self.total_outbufs_len
+            or len(self.requests) > self.adj.channel_request_lookahead
+        )
 
     def received(self, data: bytes) -> bool:
         """Parse received data as far as the work of a turn allows."""
--- a/packages/gooseberrydeck-service/src/gooseberrydeck_service/bounded_server.py
+++ b/packages/gooseberrydeck-service/src/gooseberrydeck_service/bounded_server.py
@@ -90,11 +90,10 @@
             connection, address = accepted
             try:
                 self.set_socket_options(connection)
+                self.channel_class(self, connection, address, self.adj, map=self._map)
             except OSError:
                 # The client has already left, which isn't worth a line.
                 connection.close()
-                continue
-            self.channel_class(self, connection, address, self.adj, map=self._map)
 
     def pause(self, reason: str) -> None:
         """Accept nothing for a moment."""
--- a/packages/gooseberrydeck-service/src/gooseberrydeck_service/connection_budget.py
+++ b/packages/gooseberrydeck-service/src/gooseberrydeck_service/connection_budget.py
@@ -9,6 +9,7 @@
 import msgspec
 
 __all__ = [
+    "MAX_HELD_BYTES",
     "CloseReason",
     "Connection",
     "ConnectionBudget",
@@ -36,7 +37,7 @@
 """How far a request may fall behind; conforming clients may pause for 15 s."""
 
 MAX_HELD_BYTES = 64 << 20
-"""Bytes held for a listener whose process has no limits in its settings."""
+"""Bytes held for a listener without limits of its own, at least."""
 
 COMPLETE_FRACTION = 0.5
 """Part of the bytes that complete requests may hold while they are handled; the rest
@@ -166,7 +167,8 @@
     """The connections of one listener, and what they hold together.
 
     The event loop adds and closes connections; the threads that handle complete
-    requests release these.
+    requests release these, and may close a connection that has failed. Loops therefore
+    use a copy of the connections.
     """
 
     def __init__(
@@ -196,6 +198,8 @@
 
     def hold(self, progress: ConnectionProgress, held_bytes: int) -> None:
         """Record the bytes that an unfinished request holds now."""
+        if held_bytes == progress.held_bytes:
+            return
         with self.lock:
             self.unfinished_bytes += held_bytes - progress.held_bytes
             progress.held_bytes = held_bytes
@@ -233,7 +237,7 @@
         excess = self.held_bytes() - LOW_WATER_FRACTION * self.limits.max_held_bytes
         holding = [
             each
-            for each in self.connections
+            for each in self.connections.copy()
             if each.progress.held_bytes and not each.is_handling()
         ]
         holding.sort(key=lambda each: each.progress.cost(now_s), reverse=True)
@@ -251,7 +255,7 @@
         """
         now_s = self.monotonic()
         waiting = []
-        for connection in self.connections:
+        for connection in self.connections.copy():
             progress = connection.progress
             is_idle = progress.since_s is None
             wait_s = now_s - progress.idle_since_s if is_idle else progress.lag_s(now_s)
@@ -266,7 +270,7 @@
     def close_expired(self) -> None:
         """Close the connections whose deadline has passed."""
         now_s = self.monotonic()
-        for connection in list(self.connections):
+        for connection in self.connections.copy():
             if connection.is_handling():
                 connection.progress.idle_since_s = now_s
                 continue
@@ -290,7 +294,6 @@
 
     def states(self) -> Counter[ConnectionState]:
         """Return the number of connections by state."""
-        # A copy, as the event loop may add connections meanwhile.
         return Counter(
             ConnectionState.HANDLING if each.is_handling() else each.progress.state()
             for each in self.connections.copy()
--- a/packages/gooseberrydeck-service/src/gooseberrydeck_service/http_server.py
+++ b/packages/gooseberrydeck-service/src/gooseberrydeck_service/http_server.py
@@ -8,7 +8,11 @@
 from gooseberrydeck_service.bounded_channel import DrainableChannel
 from gooseberrydeck_service.bounded_parser import HeaderCheck, allow_all
 from gooseberrydeck_service.bounded_server import BoundedServer
-from gooseberrydeck_service.connection_budget import ConnectionBudget, ConnectionLimits
+from gooseberrydeck_service.connection_budget import (
+    MAX_HELD_BYTES,
+    ConnectionBudget,
+    ConnectionLimits,
+)
 
 __all__ = ["DrainableChannel", "HttpServer", "ListenerBounds", "WsgiApplication"]
 
@@ -16,6 +20,9 @@
 SHUTDOWN_TIMEOUT_S = 5.0
 LOOP_TIMEOUT_S = 1.0
 
+DEFAULT_BODIES = 32
+"""Largest bodies that a listener without limits of its own may hold."""
+
 MAX_SILENCE_S = 3.0
 """Time without a turn of the event loop, or with accepting blocked, after which the
 server counts as not responding; an idle loop turns every second."""
@@ -68,7 +75,10 @@
         """
         self.name = name
         self.map: dict[int, Any] = {}
-        limits = limits or ConnectionLimits(listener.max_connections)
+        limits = limits or ConnectionLimits(
+            listener.max_connections,
+            max(MAX_HELD_BYTES, DEFAULT_BODIES * listener.max_body_bytes),
+        )
         self.budget = ConnectionBudget(limits, time.monotonic)
         self.server = BoundedServer(
             name,
