Members return the memory of large bodies to the system

glibc gives each of a member's 40 threads a heap of its own and raises the size from which blocks are returned, so that every thread kept the memory of the largest body it had handled. mallopt fixes both at the start; another C library is left as it is.

--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/__main__.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/__main__.py
@@ -6,6 +6,7 @@
 
 from gooseberrydeck_adapter import load_settings
 from gooseberrydeck_fleet.settings import SettingsError
+from gooseberrydeck_member.allocator import return_freed_memory
 from gooseberrydeck_member.composition import Member
 from gooseberrydeck_member.observability import configure_logs
 
@@ -41,6 +42,7 @@
         sys.stdout.write(f"{path}: settings of {settings.name} are valid\n")
         return 0
     configure_logs(settings.name)
+    return_freed_memory()
     Member(path, settings).run()
     return 0
 
