Show and bound what is learned of durations; a setting for it

LearnDurations of the settings file switches all uses on; it is off by default. The line of a start has the expectation with its source, and metrics show durations in proportion to what was expected, the errors, the learned durations by queue and step, and the runs refused by reason. The gauges go with the shard.

Tests guard the bounds: no team displaces the groups of others or moves their expectations, a new team gets the median of at least three others, and what is old is forgotten.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/duration_learner.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/duration_learner.py
@@ -8,19 +8,16 @@
 from collections import Counter
 from collections.abc import Sequence
 from statistics import median_low
-from typing import TypeVar
 
 from gooseberrydeck_coordination.ids import QueueName, TeamName
-from gooseberrydeck_fleet.duration_errors import (
-    BETTER_RATIO,
-    MIN_WEIGHT,
-    ErrorRecord,
-)
-from gooseberrydeck_fleet.durations import (
-    TRUSTED_WEIGHT,
-    DurationGroup,
-    log_estimate,
+from gooseberrydeck_fleet.beliefs import (
+    QueueBelief,
+    StepBelief,
+    summarize_errors,
+    summarize_groups,
 )
+from gooseberrydeck_fleet.duration_errors import ErrorRecord
+from gooseberrydeck_fleet.durations import DurationGroup, log_estimate
 from gooseberrydeck_fleet.expectations import (
     Expectation,
     ExpectationSource,
@@ -32,28 +29,21 @@
     to_key,
 )
 from gooseberrydeck_fleet.settings import DurationUses
+from gooseberrydeck_fleet.team_durations import (
+    MAX_GROUPS_PER_TEAM,
+    MAX_TEAMS,
+    TeamDurations,
+    find_shared_groups,
+    is_better_for_most,
+    keep_newest,
+)
 from gooseberrydeck_fleet.work import StepSpec
 
-K = TypeVar("K")
-V = TypeVar("V")
-
 __all__ = ["DurationLearner"]
 
-MAX_GROUPS_PER_TEAM = 32
-"""Groups kept for a team, and queues whose errors are kept; about 30 kB."""
-
-MAX_TEAMS = 100
-"""Teams for which durations are kept; five times the number on a large deployment."""
-
 MAX_AGE_S = 3_600.0
 """What has not been confirmed for this long is forgotten."""
 
-MIN_TEAMS = 3
-"""Teams that a shared value needs: the median of fewer follows a single team."""
-
-MIN_SHARED_WEIGHT = 0.5
-"""Weight, in steps, from which a team counts for a shared value."""
-
 REFRESH_S = 0.5
 """Interval at which jobs may take on new expectations."""
 
@@ -70,17 +60,6 @@
 """Judged runs kept until they are reported."""
 
 
-class TeamDurations:
-    """What is learned for one team, the least recently confirmed first."""
-
-    __slots__ = ("errors", "groups")
-
-    def __init__(self) -> None:
-        """Create a team without a history."""
-        self.groups: dict[GroupKey, DurationGroup] = {}
-        self.errors: dict[QueueName, ErrorRecord] = {}
-
-
 class DurationLearner:
     """Learn the durations of tasks, and tell what to expect of the next ones."""
 
@@ -167,28 +146,10 @@
         )
 
     def shared_groups(self, key: GroupKey | QueueName) -> list[DurationGroup]:
-        """Return the groups of a step number or queue, if there are enough of them.
-
-        Of a queue, each team counts with the group that has seen most.
-        """
+        """Return the groups of several teams for a step number or a whole queue."""
         found = self.shared.get(key)
         if found is None:
-            found = []
-            for team in self.teams.values():
-                if isinstance(key, GroupKey):
-                    own = [team.groups[key]] if key in team.groups else []
-                else:
-                    own = [
-                        group
-                        for each, group in team.groups.items()
-                        if each.queue == key and each.has_estimate
-                    ]
-                most = max(own, key=lambda group: group.weight, default=None)
-                if most is not None and most.weight >= MIN_SHARED_WEIGHT:
-                    found.append(most)
-            if not is_enough([group.weight for group in found], TRUSTED_WEIGHT):
-                found = []
-            self.shared[key] = found
+            found = self.shared[key] = find_shared_groups(self.teams.values(), key)
         return found
 
     def is_better(self, queue: QueueName, team: TeamName) -> bool:
@@ -202,22 +163,11 @@
             return record.is_better
         verdict = self.verdicts.get(queue)
         if verdict is None:
-            verdict = self.verdicts[queue] = self.is_better_for_most(queue)
+            verdict = self.verdicts[queue] = is_better_for_most(
+                self.teams.values(), queue
+            )
         return verdict
 
-    def is_better_for_most(self, queue: QueueName) -> bool:
-        """Return True if most teams' runs are predicted better by what is learned."""
-        records = [
-            each
-            for team in self.teams.values()
-            if (each := team.errors.get(queue)) is not None
-            and each.weight >= MIN_SHARED_WEIGHT
-        ]
-        if not is_enough([each.weight for each in records], MIN_WEIGHT):
-            return False
-        learned = median_low(each.learned for each in records)
-        return learned < BETTER_RATIO * median_low(each.estimate for each in records)
-
     def speed_preference(self, queue: QueueName, chain_s: float) -> float:
         """Return how much a step prefers fast workers, around one.
 
@@ -325,20 +275,24 @@
             if not known.groups:
                 del self.teams[team]
 
-    def take_judged(self) -> list[JudgedRun]:
-        """Return the runs judged since the last call, each once."""
-        judged, self.judged = self.judged, []
-        return judged
+    # Reports.
 
+    def queue_beliefs(self) -> list[QueueBelief]:
+        """Return what is known of the errors in each queue."""
+        teams = self.teams.values()
+        return summarize_errors(pair for each in teams for pair in each.errors.items())
 
-def is_enough(weights: Sequence[float], least: float) -> bool:
-    """Return True if what several teams have seen suffices, each counted alike."""
-    return (
-        len(weights) >= MIN_TEAMS and sum(min(1.0, each) for each in weights) >= least
-    )
+    def step_beliefs(self) -> list[StepBelief]:
+        """Return what is believed of the steps of each queue."""
+        teams = self.teams.values()
+        return summarize_groups(pair for each in teams for pair in each.groups.items())
 
+    def take_refused(self) -> Counter[Refusal]:
+        """Return why runs were refused since the last call, with their numbers."""
+        refused, self.refused = self.refused, Counter()
+        return refused
 
-def keep_newest(entries: dict[K, V], count: int) -> None:
-    """Remove the oldest entries beyond a count."""
-    while len(entries) > count:
-        del entries[next(iter(entries))]
+    def take_judged(self) -> list[JudgedRun]:
+        """Return the runs judged since the last call, each once."""
+        judged, self.judged = self.judged, []
+        return judged
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/composition.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/composition.py
@@ -187,6 +187,7 @@
             REGISTRATION_PREFIX,
             self.metrics,
             predecessors,
+            uses=self.settings.durations,
         )
 
     def connect_worker(self, entry: Registration) -> WorkerCalls:
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/observability.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/observability.py
@@ -17,6 +17,9 @@
 LATENCY_BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0)
 """Histogram bounds, from one store call to the longest time that a caller waits."""
 
+RATIO_BUCKETS = (0.1, 0.25, 0.5, 0.7, 0.8, 0.9, 1.0, 1.1, 1.25, 1.5, 2.0, 4.0, 10.0)
+"""Histogram bounds; the rare runs that take seven times as long are told apart."""
+
 HELD_JOBS_BUCKETS_S = (0.1, 0.5, 1.0, 2.0, 3.0, 4.0, 5.0, 6.0, 8.0, 12.0, 16.0)
 """Histogram bounds; a long-running task has to run again within 9 s."""
 
@@ -233,6 +236,38 @@
             buckets=HELD_JOBS_BUCKETS_S,
         )
 
+        self.duration_ratio = prometheus_client.Histogram(
+            "gooseberrydeck_duration_ratio",
+            "Durations of runs in proportion to what was expected of them",
+            ["queue", "of"],
+            registry=registry,
+            buckets=RATIO_BUCKETS,
+        )
+        self.duration_error = prometheus_client.Gauge(
+            "gooseberrydeck_duration_error",
+            "Mean error over a queue's last runs, as a natural logarithm",
+            ["queue", "of"],
+            registry=registry,
+        )
+        self.duration_teams = prometheus_client.Gauge(
+            "gooseberrydeck_duration_teams",
+            "Teams whose durations in a queue are judged, by what is used for them",
+            ["queue", "use"],
+            registry=registry,
+        )
+        self.duration_seconds = prometheus_client.Gauge(
+            "gooseberrydeck_duration_seconds",
+            "Learned duration of a task, the median of the teams",
+            ["queue", "step", "quantile"],
+            registry=registry,
+        )
+        self.durations_refused = prometheus_client.Counter(
+            "gooseberrydeck_durations_refused",
+            "Runs that succeeded and were not learned from, by the reason",
+            ["reason"],
+            registry=registry,
+        )
+
     def render(self) -> bytes:
         """Return all metrics in the text format of Prometheus."""
         return bytes(prometheus_client.generate_latest(self.registry))
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/run_audit.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/run_audit.py
@@ -72,6 +72,7 @@
             resumes=bool(command.request.checkpoint),
             waited_s=round(waited_s, 3),
             **self.input_ages(job, task, now_s),
+            **self.describe_expectation(command),
         )
 
     def refuse_start(
@@ -110,6 +111,20 @@
             if at_s is not None
         }
 
+    def describe_expectation(self, command: StartRun) -> dict[str, object]:
+        """Return what is expected of a run's duration, if durations are learned."""
+        request = command.request
+        run = self.scheduler.find_run(command.worker, request.task, request.run)
+        expected = None if run is None else run.expectation
+        if expected is None:
+            return {}
+        return {
+            "expected_s": round(expected.typical_s, 3),
+            "nine_of_ten_s": round(expected.nine_of_ten_s, 3),
+            "expected_from": expected.source.value,
+            "is_expectation_used": expected.is_used,
+        }
+
     def observe_wait(self, job: Job) -> None:
         """Record a job's waiting time in the metrics when its first run starts."""
         if job.state is JobState.QUEUED and len(job.runs) == 1:
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
@@ -28,7 +28,7 @@
 from gooseberrydeck_fleet.registrations import Registration
 from gooseberrydeck_fleet.scheduler import Scheduler
 from gooseberrydeck_fleet.send_permission import SendObstacle
-from gooseberrydeck_fleet.settings import Timing
+from gooseberrydeck_fleet.settings import DurationUses, Timing
 from gooseberrydeck_fleet.state import CLOCK_DRIFT, MAX_TASK_LEASE_S
 from gooseberrydeck_fleet.work import JobState
 from gooseberrydeck_fleet.worker_calls import StartOutcome, WorkerCalls
@@ -41,6 +41,7 @@
     WorkersRecorded,
 )
 from gooseberrydeck_member.crash_reports import report_crashes
+from gooseberrydeck_member.duration_reports import DurationReporter
 from gooseberrydeck_member.ended_jobs import EndedJobRemover
 from gooseberrydeck_member.held_jobs import HeldJobsReporter
 from gooseberrydeck_member.job_arrivals import JobArrivals
@@ -129,10 +130,12 @@
         predecessors: Predecessors,
         clock: Clock = SYSTEM_CLOCK,
         threads: Threads = SYSTEM_THREADS,
+        uses: DurationUses | None = None,
     ) -> None:
         """Prepare for scheduling under the shard lock held by ``shard_lock``.
 
-        ``predecessors`` are those that may still be sending commands.
+        ``predecessors`` are those that may still be sending commands, ``uses`` what
+        learned durations are used for.
         """
         if shard_lock.held is None:
             raise ShardLostError("this member does not hold the shard")
@@ -147,8 +150,9 @@
         self.threads = threads
         self.token = shard_lock.held.record.token
         self.inbox = threads.inbox()
-        self.scheduler = Scheduler(self.token, timing)
+        self.scheduler = Scheduler(self.token, timing, uses)
         self.held_jobs = HeldJobsReporter(self.scheduler, metrics)
+        self.durations = DurationReporter(self.scheduler.ledger.durations, metrics)
         self.known_ends = KnownEnds()
         self.scheduler.changes.observer = self.known_ends
         self.audit = RunAudit(self.scheduler, self.known_ends, metrics, clock)
@@ -372,6 +376,7 @@
                 self.execute(command)
         report_long_waits(self.scheduler.take_long_waits())
         self.held_jobs.report(now_s)
+        self.durations.report(now_s)
         self.report_lost_runs()
         report_crashes(self.scheduler.take_crash_reports(), self.metrics)
         for job in self.scheduler.take_lookups():
@@ -572,6 +577,7 @@
         self.dispatcher.close()
         self.committer.close()
         self.lookups.close()
+        self.durations.close()
         while True:
             try:
                 message = self.inbox.get_nowait()
--- a/tests/adapter/test_adapter.py
+++ b/tests/adapter/test_adapter.py
@@ -57,7 +57,7 @@
 )
 from gooseberrydeck_fleet.advice import AdviceFailedError
 from gooseberrydeck_fleet.ids import StepRef, TaskRef, WorkerId
-from gooseberrydeck_fleet.settings import SettingsError
+from gooseberrydeck_fleet.settings import DurationUses, SettingsError
 from gooseberrydeck_fleet.work import InvalidWorkError, JobState
 from gooseberrydeck_fleet.worker_calls import (
     EndKind,
@@ -708,6 +708,9 @@
         assert settings.peer_port == 7000
         with pytest.raises(SettingsError):
             decode_settings(text.replace(b"PortRange: [7000, 7015]", b""))
+        assert settings.durations == DurationUses()
+        learning = decode_settings(text + b"LearnDurations: true\n")
+        assert learning.durations == DurationUses.all()
 
 
 class TestPlatformFolder:
--- a/tests/fleet/test_durations.py
+++ b/tests/fleet/test_durations.py
@@ -7,7 +7,7 @@
 import pytest
 
 from gooseberrydeck_coordination.ids import QueueName, TeamName
-from gooseberrydeck_fleet.duration_learner import DurationLearner
+from gooseberrydeck_fleet.duration_learner import MAX_AGE_S, DurationLearner
 from gooseberrydeck_fleet.durations import DurationGroup
 from gooseberrydeck_fleet.expectations import (
     Expectation,
@@ -15,6 +15,7 @@
     Refusal,
 )
 from gooseberrydeck_fleet.settings import DurationUses
+from gooseberrydeck_fleet.team_durations import MAX_GROUPS_PER_TEAM
 from gooseberrydeck_fleet.work import StepSpec
 
 QUEUE = QueueName("urgent")
@@ -145,6 +146,63 @@
         assert expected.remaining_s(elapsed_s) == left_s
 
 
+class TestTeams:
+    TEAMS = tuple(TeamName(f"t{number}") for number in range(4))
+
+    # Guards against a team without a history that is left with bad estimates.
+    def test_new_team_gets_the_median_of_the_others(self) -> None:
+        history = History()
+        for team in self.TEAMS:
+            history.feed(wrong_by_up_to(0.9), 15, team)
+        expected = history.expect(0.2, TeamName("new"))
+        assert expected.source is ExpectationSource.QUEUE
+        assert expected.is_used
+        assert 0.5 < expected.typical_s < 1.2
+
+    # Guards against values shared by two teams, of which one team's may be the median.
+    def test_new_team_has_its_estimates_until_enough_others_are_known(self) -> None:
+        history = History()
+        for team in self.TEAMS[:2]:
+            history.feed(wrong_by_up_to(0.9), 30, team)
+        expected = history.expect(0.2, TeamName("new"))
+        assert expected.source is ExpectationSource.ESTIMATE
+        assert (expected.typical_s, expected.is_used) == (0.2, False)
+
+    # Guards against a team that distorts what is learned for others by runs that take a
+    # hundred times as long as it says.
+    def test_no_team_distorts_the_expectations_of_others(self) -> None:
+        history = History()
+        for team in self.TEAMS[1:]:
+            history.feed(wrong_by_up_to(0.9), 15, team)
+        before = history.expect(0.5, self.TEAMS[1])
+        history.feed(lambda _rng, _: (1.0, 100.0), 200, self.TEAMS[0])
+        assert history.expect(0.5, self.TEAMS[1])[:4] == before[:4]
+        assert history.expect(0.5, TeamName("new")).typical_s < 1.5
+
+    # Guards against a team that displaces the groups of others by many queues, and a
+    # step that fills the history of its group by many tasks.
+    def test_no_team_displaces_the_groups_of_others(self) -> None:
+        history = History()
+        history.feed(wrong_by(2.0), 10)
+        learner = history.learner
+        before = history.expect(1.0)
+        spec = StepSpec(1, estimate_s=1.0)
+        for number in range(500):
+            queue = QueueName(f"q{number}")
+            expected = learner.expect(queue, self.TEAMS[0], number, spec)
+            learner.learn(
+                queue, self.TEAMS[0], number, spec, expected, 1.0, 0.0, history.now_s
+            )
+        assert len(learner.teams[self.TEAMS[0]].groups) == MAX_GROUPS_PER_TEAM
+        assert history.expect(1.0)[:4] == before[:4]
+
+    def test_old_groups_are_forgotten(self) -> None:
+        history = History()
+        history.feed(wrong_by(2.0), 10)
+        history.learner.refresh({}, history.now_s + MAX_AGE_S + 1)
+        assert not history.learner.teams
+
+
 class TestRefusals:
     # Guards against a clock step or a run that only its start took time from moving
     # what is learned.
