--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/duration_samples.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/duration_samples.py
@@ -5,16 +5,23 @@
 from gooseberrydeck_fleet.duration_learner import DurationLearner
 from gooseberrydeck_fleet.durations import DurationGroup, log_estimate
 from gooseberrydeck_fleet.expectations import Refusal, find_weight
+from gooseberrydeck_fleet.ids import WorkerId
 from gooseberrydeck_fleet.ledger import Ledger
-from gooseberrydeck_fleet.state import Run, RunState
+from gooseberrydeck_fleet.state import Run, RunState, Worker
 
 __all__ = [
+    "RunCensus",
     "expect_run",
     "learn_from",
     "learned_remaining_s",
-    "refresh_expectations",
 ]
 
+MAX_WORKERS_COUNTED = 30
+"""Workers whose runs are counted in one pass, at intervals of a tenth of a second.
+
+A full fleet has thousands of runs, too many for one pass on a small host.
+"""
+
 
 def expect_run(learner: DurationLearner, run: Run) -> None:
     """Note what is expected of a run that is about to start."""
@@ -82,25 +89,41 @@
     return factor * expected.remaining_s((now_s - run.started_s) / factor)
 
 
-def refresh_expectations(ledger: Ledger, now_s: float) -> None:
-    """Let jobs take on new expectations, with the runs in progress taken into account.
+class RunCensus:
+    """Take the runs in progress into account, and let jobs take on new expectations.
 
-    Those that have outlasted the typical duration count as longer than so far. The
-    short runs of a new kind of work end first, and would pass for typical.
+    Runs that have outlasted the typical duration count as longer than so far. The short
+    runs of a new kind of work end first, and would pass for typical.
     """
-    found: dict[DurationGroup, list[tuple[float, float]]] = {}
-    ledger.speeds.update_mean(
-        {
-            worker.id: worker.entry.kind
-            for worker in ledger.workers.values()
-            if worker.is_reachable
-        }
-    )
-    for worker in ledger.workers.values():
-        if not worker.is_reachable:
-            continue
-        slowness = ledger.speeds.relative_slowness(worker.id, worker.entry.kind)
-        speed = math.exp(-slowness)
+
+    def __init__(self, ledger: Ledger) -> None:
+        """Create a census of a ledger's runs that has not begun."""
+        self.ledger = ledger
+        self.left: list[Worker] = []
+        self.kinds: dict[WorkerId, str] = {}
+        self.found: dict[DurationGroup, list[tuple[float, float]]] = {}
+
+    def advance(self, now_s: float) -> None:
+        """Count the runs of the next workers; begin and complete it when it is due."""
+        learner = self.ledger.durations
+        if not learner.is_refresh_due(now_s):
+            return
+        if not self.left:
+            self.left = list(self.ledger.workers.values())
+        for _ in range(min(MAX_WORKERS_COUNTED, len(self.left))):
+            worker = self.left.pop()
+            if worker.is_reachable:
+                self.kinds[worker.id] = worker.entry.kind
+                self.count_runs(worker, now_s)
+        if not self.left:
+            self.ledger.speeds.update_mean(self.kinds)
+            learner.refresh(self.found, now_s)
+            self.kinds, self.found = {}, {}
+
+    def count_runs(self, worker: Worker, now_s: float) -> None:
+        """Count the runs of a worker that have outlasted the typical duration."""
+        speeds = self.ledger.speeds
+        speed = math.exp(-speeds.relative_slowness(worker.id, worker.entry.kind))
         for run in worker.runs.values():
             expected = run.expectation
             if expected is None or expected.group is None:
@@ -111,9 +134,9 @@
             spec = run.task.step.spec
             estimate = log_estimate(spec.estimate_s) or 0.0
             residual = math.log(seconds) - expected.group.predict(estimate)
-            weight = find_weight(spec)
-            found.setdefault(expected.group, []).append((residual, weight))
-    ledger.durations.refresh(found, now_s)
+            self.found.setdefault(expected.group, []).append(
+                (residual, find_weight(spec))
+            )
 
 
 def is_whole(run: Run) -> bool:
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
@@ -10,7 +10,7 @@
 from gooseberrydeck_fleet.configuration import UNSERVED, FleetConfiguration
 from gooseberrydeck_fleet.crashes import CrashReport, CrashTracker
 from gooseberrydeck_fleet.duration_learner import DurationLearner
-from gooseberrydeck_fleet.duration_samples import refresh_expectations
+from gooseberrydeck_fleet.duration_samples import RunCensus
 from gooseberrydeck_fleet.evacuation import Evacuator
 from gooseberrydeck_fleet.housekeeping import Housekeeper
 from gooseberrydeck_fleet.ids import StepRef, TaskRef, WorkerId
@@ -79,6 +79,7 @@
         """
         self.timing = timing
         self.ledger = Ledger(token, DurationLearner(uses))
+        self.census = RunCensus(self.ledger)
         self.ends = RunEndHandler(self.ledger)
         self.crashes = CrashTracker(self.ledger, self.ends)
         self.unknown_jobs = UnknownJobs()
@@ -521,8 +522,7 @@
             self.changes.forget_ended(now_s - self.timing.status_s - ENDED_JOB_MARGIN_S)
             self.housekeeper.run(now_s)
             self.crashes.review(now_s)
-            if self.ledger.durations.is_refresh_due(now_s):
-                refresh_expectations(self.ledger, now_s)
+            self.census.advance(now_s)
         self.intake.open_due_occurrences(wall_s)
         # After all that changes which runs may be unknown, before anything starts.
         self.takeover.update_unknown_usage()
