--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/team_durations.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/team_durations.py
@@ -30,7 +30,7 @@
 V = TypeVar("V")
 
 MAX_GROUPS_PER_TEAM = 32
-"""Groups kept for a team, and queues whose errors are kept; about 30 kB."""
+"""Groups kept for a team, and queues whose errors are kept; about 36 kB."""
 
 MAX_TEAMS = 100
 """Teams for which durations are kept; five times the number on a large deployment."""
