Show learned durations with gooseberryctl logs durations

gooseberryctl has no access to the metrics of members on the users' platform, so that the holder logs a line a minute for each queue, and the tool shows the newest from the log files.

--- a/packages/gooseberrydeck-ctl/src/gooseberrydeck_ctl/log_commands.py
+++ b/packages/gooseberrydeck-ctl/src/gooseberrydeck_ctl/log_commands.py
@@ -5,10 +5,11 @@
 
 import typer
 
+from gooseberrydeck_ctl.duration_view import read_durations
 from gooseberrydeck_ctl.exceptions import CtlError
 from gooseberrydeck_ctl.log_check import check_logs
 from gooseberrydeck_ctl.options import JsonOption
-from gooseberrydeck_ctl.output import print_json, print_table
+from gooseberrydeck_ctl.output import print_json, print_table, show
 
 __all__ = ["application"]
 
@@ -77,3 +78,16 @@
     typer.echo(counts, err=json)
     if report.faults:
         raise CtlError(f"{len(report.faults)} starts after the stored end of their job")
+
+
+@application.command()
+def durations(
+    paths: Annotated[list[Path], typer.Argument(help="The logs of all members.")],
+    queue: Annotated[str | None, typer.Option(help="Show only this queue.")] = None,
+    json: JsonOption = False,
+) -> None:
+    """Show what the holder has learned of the durations of tasks, by queue and step."""
+    view = read_durations(paths, queue)
+    show(view.rows, json, view)
+    if view.unreadable:
+        typer.echo(f"incomplete: {view.unreadable} lines cannot be decoded", err=True)
--- a/tests/member/test_duration_reports.py
+++ b/tests/member/test_duration_reports.py
@@ -1,6 +1,13 @@
 """Tests of the metrics and log fields about learned durations."""
 
+import json
+from pathlib import Path
+
+import structlog
+
 from fleet_support import TEAM, URGENT, Fleet, task_resources
+from gooseberrydeck_ctl.__main__ import run
+from gooseberrydeck_ctl.duration_view import read_durations
 from gooseberrydeck_fleet.commands import StartRun
 from gooseberrydeck_fleet.duration_learner import DurationLearner
 from gooseberrydeck_fleet.settings import DurationUses
@@ -51,6 +58,29 @@
         reporter.close()
         assert self.value(teams, queue="urgent", use="learned") is None
 
+    # Guards against a line that gooseberryctl can't read, and one in each pass.
+    def test_line_of_a_queue_is_shown_by_gooseberryctl(self, tmp_path: Path) -> None:
+        learner = DurationLearner(DurationUses.all())
+        teach(learner, 4.0)
+        reporter = DurationReporter(learner, Metrics())
+        with structlog.testing.capture_logs() as lines:
+            for second in range(100):
+                reporter.report(float(second))
+        (line,) = lines
+        path = tmp_path / "m1.log"
+        entry = {**line, "member": "m1", "timestamp": "2026-12-06T06:00:00Z"}
+        older = {**entry, "steps": [], "timestamp": "2026-12-06T05:00:00Z"}
+        texts = [json.dumps(each) for each in (entry, older)]
+        path.write_text("\n".join([*texts, '{"event":"durations learned"}']))
+        view = read_durations([path])
+        (row,) = view.rows
+        assert (row.queue, row.step, row.member) == ("urgent", 0, "m1")
+        assert 3.5 < row.typical_s < 4.5
+        assert row.teams_by_learned == 1
+        assert view.unreadable == 1
+        assert run(["logs", "durations", "--queue", "urgent", str(path)]) == 0
+        assert read_durations([path], "other").rows == []
+
     def test_nothing_is_reported_without_a_use(self) -> None:
         self.metrics = Metrics()
         before = self.metrics.render()
