Evaluate a step again at the lateness that was learned last

A step whose rank stayed the same while its time of lateness moved was evaluated at the former time, or not at all: with learned lateness and due times by estimates, it did not count as late.

Ran: tests/fleet/test_duration_uses.py (16 passed; the new test fails without the change), test_order.py, test_decision_load.py; ruff, mypy.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/waiting.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/waiting.py
@@ -44,6 +44,8 @@
         # Processor needs of the steps, sorted.
         self.cpu_needs: list[int] = []
         self.late_times: list[tuple[float, StepRef]] = []
+        # The newest entry of each step in it: what was learned may have moved it.
+        self.late_from: dict[StepRef, float] = {}
         self.due: set[StepRef] = set()
         # Urgent steps whose tasks all run, and that allow copies.
         self.speculative: dict[StepRef, Step] = {}
@@ -99,6 +101,8 @@
         late_from_s = job.late_from_s(step)
         is_late = late_from_s is not None and wall_s > late_from_s
         rank = (job.queue.priority, not job.is_within_share, is_late, job.due_s, ref)
+        if late_from_s is not None and not is_late:
+            self.push_late_time(ref, late_from_s)
         known = self.ranks.get(ref)
         if known == rank:
             return
@@ -111,7 +115,11 @@
             self.by_team.setdefault(job.record.team, set()).add(ref)
         self.ranks[ref] = rank
         bisect.insort(self.order, rank)
-        if late_from_s is not None and not is_late:
+
+    def push_late_time(self, ref: StepRef, late_from_s: float) -> None:
+        """Have a step evaluated again when it becomes late."""
+        if self.late_from.get(ref) != late_from_s:
+            self.late_from[ref] = late_from_s
             heapq.heappush(self.late_times, (late_from_s, ref))
 
     def remove(self, ref: StepRef) -> None:
@@ -119,6 +127,7 @@
         rank = self.ranks.pop(ref, None)
         if rank is None:
             return
+        self.late_from.pop(ref, None)
         del self.order[bisect.bisect_left(self.order, rank)]
         step = self.steps.pop(ref)
         team = step.job.record.team
--- a/tests/fleet/test_duration_uses.py
+++ b/tests/fleet/test_duration_uses.py
@@ -63,6 +63,31 @@
         assert job.critical_path_s(first) == pytest.approx(4.0, abs=0.5)
 
 
+class TestLateness:
+    # Guards against a job that never counts as late, since it was evaluated by an
+    # earlier time than what was learned meanwhile gives.
+    def test_job_becomes_late_at_the_time_that_was_learned_last(self) -> None:
+        fleet = trained_fleet(DurationUses(lateness=True), URGENT, 0.5)
+        fleet.submit("full", StepSpec(2, WHOLE, estimate_s=9.0), seconds=60.0)
+        fleet.run_for(0.2)
+        step = StepSpec(1, WHOLE, estimate_s=1.0)
+        job = find_job(fleet, fleet.submit("a", step, queue_name=URGENT))
+        fleet.step()
+        first = next(iter(job.steps.values()))
+        learned_s = job.late_from_s(first)
+        job.durations.teams.clear()
+        job.durations.refresh({}, fleet.now_s)
+        fleet.scheduler.ledger.touch(job)
+        fleet.step()
+        estimated_s = job.late_from_s(first)
+        assert learned_s is not None
+        assert estimated_s is not None
+        assert estimated_s + 0.1 < learned_s
+        fleet.run_for(estimated_s + 0.1 - fleet.clock.wall())
+        rank = fleet.scheduler.server.waiting.ranks[first.ref]
+        assert rank[2]
+
+
 class TestMoves:
     # Guards against a run that is lost with its worker, since its estimate says that it
     # ends in time.
