--- a/packages/gooseberrydeck-configuration/src/gooseberrydeck_configuration/checks/__init__.py
+++ b/packages/gooseberrydeck-configuration/src/gooseberrydeck_configuration/checks/__init__.py
@@ -3,7 +3,7 @@
 Checks report all problems together instead of stopping at the first one.
 """
 
-from gooseberrydeck_configuration.checks import capacity, teams, work
+from gooseberrydeck_configuration.checks import capacity, reach, teams, work
 from gooseberrydeck_configuration.checks.cell import CellCapacity
 from gooseberrydeck_configuration.checks.messages import Level, Problem, ProblemKind
 from gooseberrydeck_configuration.checks.registry import (
@@ -22,6 +22,7 @@
     "ProblemKind",
     "capacity",
     "has_errors",
+    "reach",
     "registry",
     "run_checks",
     "teams",
--- a/packages/gooseberrydeck-ctl/src/gooseberrydeck_ctl/configuration_commands.py
+++ b/packages/gooseberrydeck-ctl/src/gooseberrydeck_ctl/configuration_commands.py
@@ -22,7 +22,12 @@
     VersionResponse,
 )
 from gooseberrydeck_ctl.client import Client
-from gooseberrydeck_ctl.exceptions import ExitCode, InvalidError, NotFoundError
+from gooseberrydeck_ctl.exceptions import (
+    ExitCode,
+    InvalidError,
+    NotFoundError,
+    UsageError,
+)
 from gooseberrydeck_ctl.options import JsonOption, make_client
 from gooseberrydeck_ctl.output import print_json, print_lines, show
 
@@ -89,10 +94,17 @@
     offline: Annotated[
         bool, typer.Option(help="Check without a member, so not against the hosts.")
     ] = False,
+    with_differences: Annotated[
+        bool,
+        typer.Option("--differences", help="Show what publishing would change, too."),
+    ] = False,
     json: JsonOption = False,
 ) -> None:
-    """List every problem of a configuration."""
+    """List every problem of a configuration, by the checks of a publication."""
+    if offline and with_differences:
+        raise UsageError("without a member, the configuration in force isn't known")
     configuration = load(path)
+    response = None
     if offline:
         problems = run_checks(configuration)
     else:
@@ -100,11 +112,15 @@
             "POST", "/v1/configuration/check", CheckResponse, encode(configuration)
         )
         problems = response.problems
+    shown = response if with_differences else None
     if json:
-        print_json(problems)
+        print_json(problems if shown is None else shown)
     else:
         print_lines(problems)
         typer.echo(f"{len(problems)} problems")
+        if shown is not None:
+            print_lines(shown.differences)
+            typer.echo(f"{len(shown.differences)} changes after {shown.number}")
     exit_if_invalid(problems)
 
 
--- a/tests/configuration/test_checks.py
+++ b/tests/configuration/test_checks.py
@@ -150,6 +150,12 @@
         "service claim-check",
         set_field("services", "teams", ["radio"] * 2),
     ),
+    ("queues.W002", "queue reviews", remove_first("keys")),
+    (
+        "services.W003",
+        "service claim-check",
+        set_field("limits", "max_running", 0),
+    ),
     ("cell.E001", "configuration", exceed_maximum_size),
 ]
 
@@ -188,6 +194,15 @@
         assert found[0].message
         assert found[0].hint
 
+    # Guards against a warning for an entry that one of its teams can use.
+    def test_entry_that_a_team_can_use_is_reachable(self) -> None:
+        document = valid_document()
+        document["queues"][0]["teams"] = ["radio", "print"]
+        del document["keys"][0]
+        document["services"][0]["open_team"] = "radio"
+        ids = {problem.id for problem in run_checks(decode(document), LARGE_CELL)}
+        assert not ids & {"queues.W002", "services.W003"}
+
     def test_all_problems_are_listed_at_once(self) -> None:
         document = valid_document()
         for id, _, change in CHECK_FAULTS:
--- a/tests/ctl/test_ctl.py
+++ b/tests/ctl/test_ctl.py
@@ -71,6 +71,14 @@
         assert runner.run("config", "check", EXAMPLE)[0] == ExitCode.DONE
         _, out, _ = runner.run("config", "diff", EXAMPLE)
         assert "added teams/radio" in out
+        # Guards against another list of problems than that of the publication.
+        arguments = ("config", "check", EXAMPLE, "--differences")
+        code, out, _ = runner.run(*arguments)
+        assert code == ExitCode.DONE
+        assert "added teams/radio" in out
+        checked = json.loads(runner.run(*arguments, "--json")[1])
+        assert checked.keys() == {"number", "problems", "differences"}
+        assert runner.run(*arguments, "--offline")[0] == ExitCode.USAGE
         code, out, _ = runner.run("config", "publish", EXAMPLE, "--comment", "first")
         assert (code, cell.configuration_numbers()) == (ExitCode.DONE, [1])
         assert "published 1: in force on 1 of 1 members" in out
--- a/tests/fleet/test_duration_arrivals.py
+++ b/tests/fleet/test_duration_arrivals.py
@@ -25,7 +25,7 @@
 TAIL_SHARE = 0.01
 TAIL_FACTOR = 7.0
 STRETCH, SLACK_S = 1.5, 0.25
-SEEDS = (1, 2)
+SEEDS = (1, 2, 3)
 
 
 class Arrivals:
