--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/waiting.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/waiting.py
@@ -51,6 +51,8 @@
         # Processor needs of the steps, sorted.
         self.cpu_needs: list[int] = []
         self.late_times: list[tuple[float, StepRef]] = []
+        # The newest entry of each step in it: what was learned may have moved it.
+        self.late_from: dict[StepRef, float] = {}
         self.due: set[StepRef] = set()
         # Urgent steps whose tasks all run, and that allow copies.
         self.speculative: dict[StepRef, Step] = {}
@@ -110,6 +112,8 @@
         if not job.is_within_share:
             excess = 1 + self.levels.get(job.record.team, 0)
         rank = (job.queue.priority, excess, is_late, due_s, ref)
+        if late_from_s is not None and not is_late:
+            self.push_late_time(ref, late_from_s)
         known = self.ranks.get(ref)
         if known == rank:
             return
@@ -123,9 +127,11 @@
         self.ranks[ref] = rank
         bisect.insort(self.order, rank)
         self.track_share(job, job.is_within_share)
-        # A step that changes its place by its excess alone is in the heap already.
-        is_new_time = known is None or known[2] or known[3] != due_s
-        if late_from_s is not None and not is_late and is_new_time:
+
+    def push_late_time(self, ref: StepRef, late_from_s: float) -> None:
+        """Have a step evaluated again when it becomes late."""
+        if self.late_from.get(ref) != late_from_s:
+            self.late_from[ref] = late_from_s
             heapq.heappush(self.late_times, (late_from_s, ref))
 
     def track_share(self, job: Job, is_within: bool) -> None:
@@ -150,6 +156,7 @@
         rank = self.ranks.pop(ref, None)
         if rank is None:
             return
+        self.late_from.pop(ref, None)
         del self.order[bisect.bisect_left(self.order, rank)]
         step = self.steps.pop(ref)
         team = step.job.record.team
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/composition.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/composition.py
@@ -205,6 +205,7 @@
             self.metrics,
             predecessors,
             evacuations=EVACUATION_PREFIX if is_on else None,
+            uses=self.settings.durations,
         )
 
     def connect_worker(self, entry: Registration) -> WorkerCalls:
