--- a/soak/faults.py
+++ b/soak/faults.py
@@ -1,7 +1,7 @@
 """Fault schedules, generated from a seed, and the injection of each fault."""
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import msgspec
 import structlog
@@ -13,9 +13,10 @@
 from gooseberrydeck_platform.http import HttpAddress, HttpError
 from gooseberrydeck_standins.faults import FaultKind
 from gooseberrydeck_standins.processes import StandinProcess
+from soak.crowds import connect_crowd
 from soak.proxy import LinkFault, Proxy
 
-__all__ = ["Cell", "Fault", "draw_schedule", "source_address"]
+__all__ = ["CROWD_KINDS", "Cell", "Fault", "draw_schedule", "source_address"]
 
 log = structlog.get_logger(__name__)
 
@@ -47,6 +48,9 @@
 The others draw from ``KINDS``, so that seeds that failed before draw the same faults.
 """
 
+CROWD_KINDS = ("crowd", "crowd", "crowd", "kill_member", "kill_all_members")
+"""The kinds of runs with clients outside the limits beside kills."""
+
 LINK_FAULTS = [fault for fault in LinkFault if fault is not LinkFault.NONE]
 
 
@@ -61,10 +65,13 @@
 
 
 def draw_schedule(
-    seed: int, length_s: float, with_crashes: bool = False
+    seed: int,
+    length_s: float,
+    with_crashes: bool = False,
+    kinds: Sequence[str] | None = None,
 ) -> list[Fault]:
     """Return the faults of a run in order of time; deterministic for a seed."""
-    kinds = WORKER_KINDS if with_crashes else KINDS
+    kinds = kinds or (WORKER_KINDS if with_crashes else KINDS)
     rng = random.Random(seed)
     faults = [
         Fault(
@@ -263,6 +270,10 @@
         except HttpError as error:
             log.info("worker not resized", reason=str(error))
 
+    def begin_crowd(self, fault: Fault) -> Callable[[], None]:
+        """Connect clients outside the limits to a member."""
+        return connect_crowd(self.member(fault.target).callers_address)
+
     def recover(self) -> None:
         """Clear all link faults and restart the members that have ended."""
         links = [*self.store_links.values(), *self.advice_links.values()]
--- a/soak/run.py
+++ b/soak/run.py
@@ -24,7 +24,7 @@
 from gooseberrydeck_ctl.log_check import check_logs
 from gooseberrydeck_standins.fleet_worker import CRASHED, RunSpan
 from soak.callers import JobClient, StateClient, job_of
-from soak.faults import Cell, Fault, draw_schedule
+from soak.faults import CROWD_KINDS, Cell, Fault, draw_schedule
 from soak.lasting import (
     ADVICE_OPTIONS,
     LASTING_LENGTH_S,
@@ -68,12 +68,16 @@
     LASTING = "lasting"
     """Racks that crash and changes of the holder, beside standing tasks."""
 
+    CROWDS = "crowds"
+    """Clients outside the limits, beside kills of members."""
+
 
 LENGTHS_S = {
     Draw.FAULTS: LENGTH_S,
     Draw.SERIES: SERIES_LENGTH_S,
     Draw.REBIRTHS: SERIES_LENGTH_S,
     Draw.LASTING: LASTING_LENGTH_S,
+    Draw.CROWDS: LENGTH_S,
 }
 
 
@@ -216,6 +220,8 @@
     """Return what a seed draws."""
     if draw is Draw.FAULTS:
         return draw_schedule(seed, length_s, with_crashes)
+    if draw is Draw.CROWDS:
+        return draw_schedule(seed, length_s, kinds=CROWD_KINDS)
     if draw is Draw.LASTING:
         return draw_lasting(seed, length_s)
     return draw_series(seed, length_s, draw is Draw.REBIRTHS)
@@ -227,7 +233,7 @@
         platform.publish(lasting_configuration())
         return LastingCell(platform)
     platform.publish(default_configuration(with_advice=seed % 2 == 0))
-    if draw is Draw.FAULTS:
+    if draw in (Draw.FAULTS, Draw.CROWDS):
         return Cell(platform)
     return SeriesCell(platform, draw is Draw.REBIRTHS)
 
