Count complete requests once, also with Expect: 100-continue

waitress sends 100 Continue also for a complete request without a body, and then takes it for unfinished. It would have stayed counted among the complete requests for good, so that a client could fill their half of the budget.

Ran: tests/service (31 passed, twice); without the change, the new test of an expectation without a body fails. ruff, mypy.

--- a/packages/gooseberrydeck-service/src/gooseberrydeck_service/bounded_parser.py
+++ b/packages/gooseberrydeck-service/src/gooseberrydeck_service/bounded_parser.py
@@ -128,8 +128,11 @@
             consumed = self.receive_chunks(data)
         else:
             consumed = super().received(data)
-        if self.completed and not self.empty:
-            self.finish()
+        if self.completed:
+            # waitress would send "100 Continue" and take the request for unfinished.
+            self.expect_continue = False
+            if not self.empty:
+                self.finish()
         return consumed
 
     def start_body(self, data: bytes, consumed: int) -> int:
@@ -142,7 +145,6 @@
             return consumed
         if self.chunked or self.expect_continue:
             # The end of the body is unknown, or the client waits for the response.
-            self.expect_continue = False
             self.completed = True
             return len(data)
         self.body_rcv = FixedStreamReceiver(self.content_length, DiscardingBuffer())
--- a/tests/service/test_bounded_connections.py
+++ b/tests/service/test_bounded_connections.py
@@ -130,6 +130,22 @@
         assert b"200 OK" not in received
         wait_released(server)
 
+    # Guards against requests that count as complete but are never handled.
+    def test_expectation_without_a_body(self, server: HttpServer) -> None:
+        sent = request(b"").replace(b"Host", b"Expect: 100-continue\r\nHost")
+        for _ in range(3):
+            assert b" 200 OK" in exchange(server, [sent], b"\r\n\r\n")
+        wait_released(server)
+
+    def test_expectation_with_a_body(self, server: HttpServer) -> None:
+        body = request(b"body").replace(b"Host", b"Expect: 100-continue\r\nHost")
+        for path, status in ((b"/", b" 200 OK"), (b"/refused", b" 401 ")):
+            sent = body.replace(b"POST /", b"POST " + path)
+            received = exchange(server, [sent[:-4], sent[-4:]], b"body")
+            assert status in received
+            assert (b" 100 Continue" in received) is (path == b"/")
+        wait_released(server)
+
     # Guards against memory that counts as held after its connection has ended.
     def test_left_connections_hold_nothing(self, server: HttpServer) -> None:
         for chunk_bytes in (0, 1, 500):
