Recovery: a worker that misses one held poll isn't closed

Cause: silence counted from the last reply. A poll is held for 1 s, so one that failed closed its worker at once, which then waited for two writes of the whole record of workers (about 60 kB at 176 workers, by estimate).

Change: the 1 s counts from the first call without a response.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/closed_workers.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/closed_workers.py
@@ -10,8 +10,10 @@
 __all__ = ["CLOSE_AFTER_S", "ClosedWorkers"]
 
 CLOSE_AFTER_S = 1.0
-"""Silence after which a worker is closed. Most silences are shorter, and a closed
-worker that answers again has to wait for a write to the store."""
+"""Time since the first call without a response after which a worker is closed.
+
+Most silences are shorter, and a closed worker that answers again has to wait for a
+write to the store."""
 
 MAX_STORE_AGE_S = 1.5
 """Age of the store's last confirmation above which no worker is closed. A closed worker
@@ -56,9 +58,9 @@
             self.ledger.have_workers_changed = True
 
     def is_silent(self, worker: Worker, now_s: float) -> bool:
-        """Return True if a worker hasn't answered for long."""
-        heard_s = max(worker.last_reply_s, worker.known_since_s)
-        return not worker.is_reachable and now_s - heard_s > CLOSE_AFTER_S
+        """Return True if a worker hasn't been reached for long."""
+        silent_s = now_s - worker.unreachable_since_s
+        return not worker.is_reachable and silent_s > CLOSE_AFTER_S
 
     def may_close(self, now_s: float) -> bool:
         """Return True if it is known which jobs may run on workers.
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
@@ -148,7 +148,7 @@
         if worker is None:
             self.ledger.have_workers_changed = True
             worker = Worker(entry, max(now_s, unknown_until_s))
-            worker.known_since_s = now_s
+            worker.unreachable_since_s = now_s
             worker.available_until_s = now_s + (entry.remaining_s or 0.0)
             self.ledger.workers[entry.worker] = worker
             worker.may_have_restarted = entry.worker in self.former_workers
@@ -368,6 +368,7 @@
             from_s = worker.last_reply_s if has_timed_out else now_s
             self.crashes.worker_silent(worker, now_s, from_s)
             worker.is_reachable = False
+            worker.unreachable_since_s = now_s
             self.ledger.have_workers_changed = True
 
     def worker_restarting(self, worker_id: WorkerId) -> None:
@@ -391,6 +392,7 @@
         lost = self.poll_replies.lose_runs(worker, LossReason.WORKER_GONE)
         self.ledger.have_workers_changed = True
         worker.is_reachable = False
+        worker.unreachable_since_s = now_s
         worker.has_reported = True
         worker.lease_expiry_s = now_s
         worker.lease_until_ms = 0
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
@@ -442,7 +442,6 @@
         "is_recorded",
         "is_registered",
         "is_restarting",
-        "known_since_s",
         "largest_capacity",
         "last_end_number",
         "last_reply_s",
@@ -454,6 +453,7 @@
         "recorded_late_starts",
         "runs",
         "unanswered_starts",
+        "unreachable_since_s",
         "unresolved_ends",
     )
 
@@ -475,11 +475,11 @@
         self.born_ms = 0
         self.has_reported = False
         self.is_reachable = False
+        self.unreachable_since_s = 0.0
         self.is_recorded = False
         self.has_orphaned_runs = False
         # While nothing starts on it, the highest revision of a job that may run there.
         self.closed_revision: int | None = None
-        self.known_since_s = 0.0
         # True from when all leases have expired on a silent worker until it answers.
         self.has_lapsed = False
         self.is_registered = True
--- a/tests/fleet/test_closed_workers.py
+++ b/tests/fleet/test_closed_workers.py
@@ -48,6 +48,16 @@
         fleet.silence()
         assert fleet.recorded().closed_revision == fleet.revisions[fleet.earlier]
 
+    # Each worker that was closed waits for a write to the store when it answers again.
+    def test_worker_that_is_silent_for_a_moment_is_not_closed(self) -> None:
+        fleet = ClosedFleet()
+        fleet.unreachable.add(SILENT)
+        fleet.run_for(CLOSE_AFTER_S - 0.1)
+        fleet.unreachable.clear()
+        fleet.run_for(0.3)
+        assert fleet.scheduler.ledger.workers[SILENT].closed_revision is None
+        assert fleet.scheduler.ledger.workers[SILENT].is_recorded
+
     def test_draining_worker_is_closed_and_opened_when_it_stays(self) -> None:
         fleet = ClosedFleet()
         entry = fleet.scheduler.ledger.workers[SILENT].entry
