--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
@@ -24,6 +24,7 @@
 )
 from gooseberrydeck_fleet.preemption import Preemptor
 from gooseberrydeck_fleet.progress import Progress
+from gooseberrydeck_fleet.registration_news import RegistrationNews
 from gooseberrydeck_fleet.registrations import Registration
 from gooseberrydeck_fleet.run_ends import LossReason, LostRun, RunEndHandler
 from gooseberrydeck_fleet.send_permission import Obstacle, SendPermission
@@ -87,6 +88,7 @@
         self.takeover = Takeover(self.ledger, token, timing.task_lease_s)
         self.late_starts = LateStarts(self.ledger, timing.task_lease_s)
         self.closed_workers = ClosedWorkers(self.ledger)
+        self.registration_news = RegistrationNews(self.ledger, timing)
         self.shares = ShareTracker()
         self.intake = JobIntake(
             self.ledger,
@@ -196,6 +198,10 @@
             worker.has_readable_entry = False
             self.ledger.have_workers_changed = True
 
+    def registrations_heard(self, asked_s: float) -> None:
+        """Record that all registrations stored up to ``asked_s`` are known."""
+        self.registration_news.heard(asked_s)
+
     def predecessor_may_act(self, until_s: float) -> None:
         """Mark a predecessor as possibly commanding workers until ``until_s``."""
         self.takeover.predecessor_may_act(until_s)
@@ -518,6 +524,7 @@
     def decide(self, now_s: float, wall_s: float) -> list[Command]:
         """Return the commands to execute now."""
         self.set_time(now_s, wall_s)
+        self.registration_news.review(now_s)
         is_review_due = now_s >= self.next_housekeeping_s
         if is_review_due:
             self.next_housekeeping_s = now_s + HOUSEKEEPING_S
@@ -541,6 +548,7 @@
 
     def find_send_obstacle(self, command: RunCommand, now_s: float) -> Obstacle | None:
         """Return what forbids to send a command that was decided on, or None."""
+        self.registration_news.review(now_s)
         return self.send_permission.find_obstacle(command, now_s)
 
     @property
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/settings.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/settings.py
@@ -16,7 +16,8 @@
 
     ``task_lease_s`` limits how long a worker keeps running tasks without contact to its
     scheduler. For ``turn_s``, a member that has lost its shard must not claim it again.
-    ``status_s`` is how long the status of ended jobs stays available.
+    ``status_s`` is how long the status of ended jobs stays available. A capacity that
+    has shrunk counts ``contact_s`` and ``registration_s`` later.
     """
 
     min_lease_s: float = 1.0
@@ -32,6 +33,7 @@
     harm_s: float = 4.0
     checkpoint_s: float = 2.0
     registration_s: float = 1.5
+    contact_s: float = 3.0
 
 
 class MemberSettings(msgspec.Struct, frozen=True):
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
@@ -87,6 +87,7 @@
     ENTRY_UNREADABLE = "worker_entry_unreadable"
     RESTARTING = "worker_restarting"
     DRAINING = "worker_draining"
+    CAPACITY_OUTDATED = "worker_capacity_outdated"
 
 
 class Run:
@@ -438,6 +439,7 @@
         "has_reported",
         "id",
         "inherited_starts",
+        "is_capacity_outdated",
         "is_reachable",
         "is_recorded",
         "is_registered",
@@ -486,6 +488,8 @@
         # False while its entry names no worker, which doesn't say that it has left.
         self.has_readable_entry = True
         self.is_restarting = False
+        # True while it may have shrunk unseen.
+        self.is_capacity_outdated = False
         self.last_reply_s = 0.0
         # When it answered after its last silence.
         self.answers_since_s = 0.0
@@ -539,6 +543,8 @@
             return WorkerObstacle.NOT_RECORDED
         if self.has_orphaned_runs:
             return WorkerObstacle.HAS_ORPHANED_RUNS
+        if self.is_capacity_outdated:
+            return WorkerObstacle.CAPACITY_OUTDATED
         return None
 
     def close(self, revision: int) -> None:
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
@@ -52,6 +52,7 @@
 )
 from gooseberrydeck_member.keys import JOB_PREFIX
 from gooseberrydeck_member.known_ends import KnownEnds
+from gooseberrydeck_member.news_reports import NewsReporter
 from gooseberrydeck_member.observability import Metrics
 from gooseberrydeck_member.peer_messages import JobAccepted
 from gooseberrydeck_member.predecessors import Predecessors
@@ -60,6 +61,7 @@
 from gooseberrydeck_member.sole_mark import SoleMarkWriter, SoleMarkWritten
 from gooseberrydeck_member.store_follower import (
     PrefixChanged,
+    PrefixHeard,
     PrefixRead,
     StoreFollower,
 )
@@ -150,6 +152,7 @@
         self.inbox = threads.inbox()
         self.scheduler = Scheduler(self.token, timing)
         self.held_jobs = HeldJobsReporter(self.scheduler, metrics)
+        self.news_reporter = NewsReporter(self.scheduler)
         self.known_ends = KnownEnds()
         self.scheduler.changes.observer = self.known_ends
         self.audit = RunAudit(self.scheduler, self.known_ends, metrics, clock)
@@ -176,7 +179,9 @@
         self.lookups = JobLookups(store, self.inbox.put, threads)
         self.followers = [
             StoreFollower(store, JOB_PREFIX, self.inbox.put, threads),
-            StoreFollower(store, registrations, self.inbox.put, threads),
+            StoreFollower(
+                store, registrations, self.inbox.put, threads, clock, posts_heard=True
+            ),
         ]
         self.followers_pool = threads.executor(len(self.followers) + 1, "follow")
         self.ended_jobs = EndedJobRemover(
@@ -302,6 +307,7 @@
 
     def load(self) -> None:
         """Restore jobs, progress and workers from the store."""
+        asked_s = self.clock.monotonic()
         stored = read_stored_state(
             self.store, self.registrations, STORE_TIMEOUT_S, self.threads
         )
@@ -325,6 +331,7 @@
         self.scheduler.release_held_jobs()
         self.followers[0].start_at(stored.jobs_revision)
         self.followers[1].start_at(stored.registered.revision)
+        self.scheduler.registrations_heard(asked_s)
         self.ended_jobs.state_read(stored.jobs_revision)
         log.info(
             "shard taken over",
@@ -374,6 +381,7 @@
             self.scheduler.set_max_advice_requests(self.advice_pool.capacity())
             for command in self.scheduler.decide(now_s, self.clock.wall()):
                 self.execute(command)
+        self.news_reporter.report(now_s)
         report_long_waits(self.scheduler.take_long_waits())
         self.held_jobs.report(now_s)
         self.report_lost_runs()
@@ -436,6 +444,8 @@
             self.store_changed(message, now_s)
         elif isinstance(message, PrefixRead):
             self.store_read(message, now_s)
+        elif isinstance(message, PrefixHeard):
+            self.scheduler.registrations_heard(message.asked_s)
         elif isinstance(message, FleetConfiguration):
             self.jobs.configuration_changed(message)
         elif isinstance(message, Query):
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/store_follower.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/store_follower.py
@@ -5,12 +5,13 @@
 import msgspec
 import structlog
 
+from gooseberrydeck_coordination.clock import Clock
 from gooseberrydeck_coordination.exceptions import StoreCompactedError, StoreError
 from gooseberrydeck_coordination.ids import Revision
 from gooseberrydeck_coordination.store import Entry, Store, WatchBatch
-from gooseberrydeck_member.threads import SYSTEM_THREADS, Threads
+from gooseberrydeck_member.threads import SYSTEM_CLOCK, SYSTEM_THREADS, Threads
 
-__all__ = ["PrefixChanged", "PrefixRead", "StoreFollower"]
+__all__ = ["PrefixChanged", "PrefixHeard", "PrefixRead", "StoreFollower"]
 
 log = structlog.get_logger(__name__)
 
@@ -41,6 +42,16 @@
     batch: WatchBatch
 
 
+class PrefixHeard(msgspec.Struct, frozen=True):
+    """All changes have been posted that were stored when the store was asked.
+
+    ``asked_s`` is monotonic. The store's response may have taken long.
+    """
+
+    prefix: str
+    asked_s: float
+
+
 class StoreFollower:
     """Read a prefix once, then watch it and post its changes."""
 
@@ -50,12 +61,19 @@
         prefix: str,
         post: Callable[[object], None],
         threads: Threads = SYSTEM_THREADS,
+        clock: Clock = SYSTEM_CLOCK,
+        posts_heard: bool = False,
     ) -> None:
-        """Follow ``prefix``; ``post`` is called in the follower's thread."""
+        """Follow ``prefix``; ``post`` is called in the follower's thread.
+
+        With ``posts_heard``, each response is posted, also if nothing has changed.
+        """
         self.name = f"follow {prefix}"
         self.store = store
         self.prefix = prefix
         self.post = post
+        self.clock = clock
+        self.posts_heard = posts_heard
         self.stopping = threads.event()
         self.revision: Revision | None = None
         self.is_lost = False
@@ -82,10 +100,13 @@
 
     def follow(self) -> None:
         """Read the prefix if needed, then watch it until a call fails."""
+        asked_s = self.clock.monotonic()
         if self.revision is None:
             snapshot = self.store.read_prefix(self.prefix, CALL_TIMEOUT_S)
             self.post(PrefixRead(self.prefix, snapshot.entries))
             self.revision = snapshot.revision
+            self.heard(asked_s)
+            asked_s = self.clock.monotonic()
         start = Revision(self.revision + 1)
         for batch in self.store.watch(self.prefix, start, CALL_TIMEOUT_S):
             if self.stopping.is_set():
@@ -94,9 +115,16 @@
             if batch.events:
                 self.post(PrefixChanged(self.prefix, batch))
             self.revision = batch.revision
+            self.heard(asked_s)
             if batch.events:
                 # Changes during the delay are returned at once by the next call.
                 self.stopping.wait(BATCH_DELAY_S)
+            asked_s = self.clock.monotonic()
+
+    def heard(self, asked_s: float) -> None:
+        """Post that the store has responded, after what it responded with."""
+        if self.posts_heard:
+            self.post(PrefixHeard(self.prefix, asked_s))
 
     def report_failure(self, error: StoreError) -> None:
         """Log the first of consecutive failures."""
--- a/tests/adapter/test_adapter.py
+++ b/tests/adapter/test_adapter.py
@@ -704,6 +704,9 @@
         settings = decode_settings(text)
         assert settings.timing.task_lease_s == 10.0
         assert settings.timing.far_factor == 1.5
+        assert settings.timing.contact_s == 3.0
+        changed = decode_settings(text.replace(b"FarX", b"ContactMs: 5000, FarX"))
+        assert changed.timing.contact_s == 5.0
         assert settings.processor_share == 1.0
         assert settings.peer_port == 7000
         with pytest.raises(SettingsError):
