--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
@@ -29,6 +29,7 @@
 )
 from gooseberrydeck_fleet.preemption import Preemptor, VictimOrder
 from gooseberrydeck_fleet.progress import Progress
+from gooseberrydeck_fleet.registration_news import RegistrationNews
 from gooseberrydeck_fleet.registrations import Registration
 from gooseberrydeck_fleet.run_ends import LossReason, LostRun, RunEndHandler
 from gooseberrydeck_fleet.send_permission import Obstacle, SendPermission
@@ -114,6 +115,7 @@
         self.takeover = Takeover(self.ledger, token, timing.task_lease_s)
         self.late_starts = LateStarts(self.ledger, timing.task_lease_s)
         self.closed_workers = ClosedWorkers(self.ledger)
+        self.registration_news = RegistrationNews(self.ledger, timing)
         self.intake = JobIntake(
             self.ledger,
             self.ends,
@@ -182,7 +184,7 @@
             self.ledger.have_workers_changed = True
             worker = Worker(entry, max(now_s, unknown_until_s))
             worker.cold_until_s = cold_until_s
-            worker.known_since_s = now_s
+            worker.unreachable_since_s = now_s
             worker.available_until_s = now_s + (entry.remaining_s or 0.0)
             self.ledger.workers[entry.worker] = worker
             worker.may_have_restarted = entry.worker in self.former_workers
@@ -240,6 +242,10 @@
             worker.has_readable_entry = False
             self.ledger.have_workers_changed = True
 
+    def registrations_heard(self, asked_s: float) -> None:
+        """Record that all registrations stored up to ``asked_s`` are known."""
+        self.registration_news.heard(asked_s)
+
     def predecessor_may_act(self, until_s: float) -> None:
         """Mark a predecessor as possibly commanding workers until ``until_s``."""
         self.takeover.predecessor_may_act(until_s)
@@ -412,6 +418,7 @@
             from_s = worker.last_reply_s if has_timed_out else now_s
             self.crashes.worker_silent(worker, now_s, from_s)
             worker.is_reachable = False
+            worker.unreachable_since_s = now_s
             self.ledger.have_workers_changed = True
 
     def worker_restarting(self, worker_id: WorkerId) -> None:
@@ -435,6 +442,7 @@
         lost = self.poll_replies.lose_runs(worker, LossReason.WORKER_GONE)
         self.ledger.have_workers_changed = True
         worker.is_reachable = False
+        worker.unreachable_since_s = now_s
         worker.has_reported = True
         worker.lease_expiry_s = now_s
         worker.lease_until_ms = 0
@@ -560,6 +568,7 @@
     def decide(self, now_s: float, wall_s: float) -> list[Command]:
         """Return the commands to execute now."""
         self.set_time(now_s, wall_s)
+        self.registration_news.review(now_s)
         is_review_due = now_s >= self.next_housekeeping_s
         self.update_shares(is_review_due)
         if is_review_due:
@@ -605,6 +614,7 @@
 
     def find_send_obstacle(self, command: RunCommand, now_s: float) -> Obstacle | None:
         """Return what forbids to send a command that was decided on, or None."""
+        self.registration_news.review(now_s)
         return self.send_permission.find_obstacle(command, now_s)
 
     @property
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/settings.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/settings.py
@@ -18,7 +18,8 @@
     scheduler. For ``turn_s``, a member that has lost its shard must not claim it again.
     ``status_s`` is how long the status of ended jobs stays available. ``evacuation_s``
     is the time within which a requested evacuation of a data centre takes effect; if it
-    is None, such requests are not read.
+    is None, such requests are not read. A capacity that has shrunk counts
+    ``contact_s`` and ``registration_s`` later.
     """
 
     min_lease_s: float = 1.0
@@ -35,6 +36,7 @@
     checkpoint_s: float = 2.0
     registration_s: float = 1.5
     evacuation_s: float | None = None
+    contact_s: float = 3.0
 
 
 class DurationUses(msgspec.Struct, frozen=True):
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
@@ -93,6 +93,7 @@
     RESTARTING = "worker_restarting"
     DRAINING = "worker_draining"
     EVACUATED = "worker_evacuated"
+    CAPACITY_OUTDATED = "worker_capacity_outdated"
 
 
 class Run:
@@ -527,12 +528,12 @@
         "has_reported",
         "id",
         "inherited_starts",
+        "is_capacity_outdated",
         "is_evacuated",
         "is_reachable",
         "is_recorded",
         "is_registered",
         "is_restarting",
-        "known_since_s",
         "largest_capacity",
         "last_end_number",
         "last_reply_s",
@@ -544,6 +545,7 @@
         "recorded_late_starts",
         "runs",
         "unanswered_starts",
+        "unreachable_since_s",
         "unresolved_ends",
     )
 
@@ -565,11 +567,11 @@
         self.born_ms = 0
         self.has_reported = False
         self.is_reachable = False
+        self.unreachable_since_s = 0.0
         self.is_recorded = False
         self.has_orphaned_runs = False
         # While nothing starts on it, the highest revision of a job that may run there.
         self.closed_revision: int | None = None
-        self.known_since_s = 0.0
         # True from when all leases have expired on a silent worker until it answers.
         self.has_lapsed = False
         self.is_registered = True
@@ -578,6 +580,8 @@
         self.is_restarting = False
         # True while an evacuation of its data centre is requested.
         self.is_evacuated = False
+        # True while it may have shrunk unseen.
+        self.is_capacity_outdated = False
         self.last_reply_s = 0.0
         # When it answered after its last silence.
         self.answers_since_s = 0.0
@@ -639,6 +643,8 @@
             return WorkerObstacle.NOT_RECORDED
         if self.has_orphaned_runs:
             return WorkerObstacle.HAS_ORPHANED_RUNS
+        if self.is_capacity_outdated:
+            return WorkerObstacle.CAPACITY_OUTDATED
         return None
 
     def close(self, revision: int) -> None:
