--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/preemption.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/preemption.py
@@ -91,6 +91,14 @@
             left_s = sum(self.left_s(run, now_s) for run in victims)
             heapq.heappush(offers, (cost, -left_s, index, victims))
 
+    def sort_by_time_left(self, runs: list[Run], now_s: float) -> None:
+        """Put the runs with most left to run first: of equals, the first are stopped.
+
+        The order stays as it is if durations are not learned, or not used for this.
+        """
+        if self.placer.ledger.durations.uses.preemption:
+            runs.sort(key=lambda run: -self.left_s(run, now_s))
+
     def left_s(self, run: Run, now_s: float) -> float:
         """Return how long a run still takes by what was learned, or 0 if unknown."""
         ledger = self.placer.ledger
@@ -98,7 +106,7 @@
             return 0.0
         return learned_remaining_s(run, ledger, now_s) or 0.0
 
-    def free_quota(self, step: Step, wanted: int) -> None:
+    def free_quota(self, step: Step, wanted: int, now_s: float) -> None:
         """Stop other runs of a step's team to get ``wanted`` tasks under its limit."""
         team = step.job.record.team
         runs = list(self.placer.ledger.team_runs.get(team, ()))
@@ -113,6 +121,7 @@
         for _ in range(wanted):
             need = need + step.spec.resources
         candidates = [run for run in runs if may_preempt(run, step)]
+        self.sort_by_time_left(candidates, now_s)
         quota_usage = [(run, run.quota_usage) for run in candidates]
         for run in choose_victims(free, need, quota_usage, partial=True) or ():
             self.ends.request_stop(run, StopReason.PREEMPTED)
@@ -134,9 +143,7 @@
         candidates = [run for run in worker.preemptible_runs if may_preempt(run, step)]
         if not candidates:
             return [] if step.allocation.fits_in(free) else None
-        if self.placer.ledger.durations.uses.preemption:
-            # Of equals, the first are stopped: those with most left to run.
-            candidates.sort(key=lambda run: -self.left_s(run, now_s))
+        self.sort_by_time_left(candidates, now_s)
         rooms = [(run, run.allocation) for run in candidates]
         return choose_victims(free, step.allocation, rooms)
 
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/serving.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/serving.py
@@ -382,7 +382,7 @@
             team, step.spec.resources, len(waiting)
         )
         if allowed < len(waiting) and priority == 0:
-            self.preemptor.free_quota(step, len(waiting) - allowed)
+            self.preemptor.free_quota(step, len(waiting) - allowed, now_s)
         if step.spec.is_gang:
             if allowed == step.spec.count and len(waiting) == allowed:
                 self.start_gang(step, now_s)
--- a/tests/fleet/test_duration_uses.py
+++ b/tests/fleet/test_duration_uses.py
@@ -2,7 +2,15 @@
 
 import pytest
 
-from fleet_support import SLOW, TEAM, URGENT, Fleet, registration, task_resources
+from fleet_support import (
+    SLOW,
+    TEAM,
+    URGENT,
+    Fleet,
+    make_configuration,
+    registration,
+    task_resources,
+)
 from gooseberrydeck_coordination.ids import JobId, QueueName
 from gooseberrydeck_fleet.expectations import Refusal
 from gooseberrydeck_fleet.ids import WorkerId
@@ -118,6 +126,24 @@
         fleet.run_for(0.1)
         assert [task.job for _, task, _ in fleet.stops] == [jobs[uses != NO_USES]]
 
+    # The same, where the team's limit keeps the urgent step waiting.
+    @USES
+    def test_run_with_most_left_makes_room_in_its_teams_limit(
+        self, uses: DurationUses
+    ) -> None:
+        fleet = trained_fleet(uses, SLOW, 10.0)
+        limit = task_resources(cores=20.0, memory_mib=1_000)
+        fleet.scheduler.set_configuration(make_configuration(maximum=limit))
+        half = task_resources(cores=10.0)
+        step = StepSpec(1, half, estimate_s=1.0, saves_progress=True)
+        jobs = []
+        for name in ("first", "second"):
+            jobs.append(fleet.submit(name, step, seconds=10.0))
+            fleet.run_for(3.0)
+        fleet.submit("urgent", StepSpec(1, half, estimate_s=1.0), queue_name=URGENT)
+        fleet.run_for(0.1)
+        assert [task.job for _, task, _ in fleet.stops] == [jobs[uses != NO_USES]]
+
 
 class TestCopies:
     # Guards against a stalled task without siblings that gets no copy.
