Bound what expectations for new teams and large jobs cost

A team without a history got a median over the other teams for each step of each evaluated job; a thousand steps would have held a pass up. The values are kept for estimates within an eighth of each other, and jobs of more than 32 steps keep their estimates.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/duration_learner.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/duration_learner.py
@@ -7,7 +7,6 @@
 import math
 from collections import Counter
 from collections.abc import Sequence
-from statistics import median_low
 
 from gooseberrydeck_coordination.ids import QueueName, TeamName
 from gooseberrydeck_fleet.beliefs import (
@@ -32,9 +31,8 @@
 from gooseberrydeck_fleet.team_durations import (
     MAX_GROUPS_PER_TEAM,
     MAX_TEAMS,
+    SharedDurations,
     TeamDurations,
-    find_shared_groups,
-    is_better_for_most,
     keep_newest,
 )
 from gooseberrydeck_fleet.work import StepSpec
@@ -56,6 +54,9 @@
 CHAIN_MEMORY = 100.0
 """Number of steps over which the mean length of a queue's chains is taken."""
 
+MAX_EXPECTED_STEPS = 32
+"""Jobs with more steps keep their estimates: each step takes a look-up at a refresh."""
+
 MAX_JUDGED = 1_000
 """Judged runs kept until they are reported."""
 
@@ -73,10 +74,7 @@
         self.refresh_s = 0.0
         self.refused: Counter[Refusal] = Counter()
         self.judged: list[JudgedRun] = []
-        # What holds for teams without a history, found once for each generation: the
-        # groups of several teams, and the queues whose learned durations are better.
-        self.shared: dict[GroupKey | QueueName, list[DurationGroup]] = {}
-        self.verdicts: dict[QueueName, bool] = {}
+        self.shared = SharedDurations(self.teams)
         # The mean logarithm of the lengths of the chains of work, by queue.
         self.chains: dict[QueueName, float] = {}
 
@@ -87,9 +85,9 @@
     ) -> list[float] | None:
         """Return the expected durations of the tasks of a job's steps, in seconds.
 
-        Returns None while the caller's estimates are as good.
+        Returns None while the caller's estimates are as good, and for very many steps.
         """
-        if not self.is_better(queue, team):
+        if len(steps) > MAX_EXPECTED_STEPS or not self.is_better(queue, team):
             return None
         expected = []
         for number, step in enumerate(steps):
@@ -134,23 +132,8 @@
                 group.nine_of_ten(estimate),
                 ExpectationSource.TEAM,
             )
-        groups = self.shared_groups(key) or (
-            self.shared_groups(queue) if key.has_estimate else []
-        )
-        if not groups:
-            return None
-        return (
-            median_low(each.typical(estimate) for each in groups),
-            median_low(each.nine_of_ten(estimate) for each in groups),
-            ExpectationSource.QUEUE,
-        )
-
-    def shared_groups(self, key: GroupKey | QueueName) -> list[DurationGroup]:
-        """Return the groups of several teams for a step number or a whole queue."""
-        found = self.shared.get(key)
-        if found is None:
-            found = self.shared[key] = find_shared_groups(self.teams.values(), key)
-        return found
+        shared = self.shared.predict(key, estimate)
+        return None if shared is None else (*shared, ExpectationSource.QUEUE)
 
     def is_better(self, queue: QueueName, team: TeamName) -> bool:
         """Return True if what is learned predicts a team's runs better than it does.
@@ -161,12 +144,7 @@
         record = None if known is None else known.errors.get(queue)
         if record is not None and record.is_conclusive:
             return record.is_better
-        verdict = self.verdicts.get(queue)
-        if verdict is None:
-            verdict = self.verdicts[queue] = is_better_for_most(
-                self.teams.values(), queue
-            )
-        return verdict
+        return self.shared.is_better(queue)
 
     def speed_preference(self, queue: QueueName, chain_s: float) -> float:
         """Return how much a step prefers fast workers, around one.
@@ -265,7 +243,6 @@
         self.refresh_s = now_s + REFRESH_S
         self.generation += 1
         self.shared.clear()
-        self.verdicts.clear()
         for team, known in list(self.teams.items()):
             for key, group in list(known.groups.items()):
                 if now_s - group.learned_s > MAX_AGE_S:
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/team_durations.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/team_durations.py
@@ -4,11 +4,11 @@
 beyond what those have seen.
 """
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from statistics import median_low
 from typing import TypeVar
 
-from gooseberrydeck_coordination.ids import QueueName
+from gooseberrydeck_coordination.ids import QueueName, TeamName
 from gooseberrydeck_fleet.duration_errors import (
     BETTER_RATIO,
     MIN_WEIGHT,
@@ -20,15 +20,17 @@
 __all__ = [
     "MAX_GROUPS_PER_TEAM",
     "MAX_TEAMS",
+    "SharedDurations",
     "TeamDurations",
-    "find_shared_groups",
-    "is_better_for_most",
     "keep_newest",
 ]
 
 K = TypeVar("K")
 V = TypeVar("V")
 
+ESTIMATE_STEP = 0.125
+"""Estimates closer than this, as a natural logarithm, share one value of the queue."""
+
 MAX_GROUPS_PER_TEAM = 32
 """Groups kept for a team, and queues whose errors are kept; about 36 kB."""
 
@@ -53,6 +55,54 @@
         self.errors: dict[QueueName, ErrorRecord] = {}
 
 
+class SharedDurations:
+    """What holds for teams without a history, found once until it is cleared."""
+
+    def __init__(self, teams: Mapping[TeamName, TeamDurations]) -> None:
+        """Find what several of the teams have in common."""
+        self.teams = teams
+        self.groups: dict[GroupKey | QueueName, list[DurationGroup]] = {}
+        self.values: dict[tuple[GroupKey, int], tuple[float, float] | None] = {}
+        self.verdicts: dict[QueueName, bool] = {}
+
+    def clear(self) -> None:
+        """Have everything found again."""
+        self.groups.clear()
+        self.values.clear()
+        self.verdicts.clear()
+
+    def predict(self, key: GroupKey, estimate: float) -> tuple[float, float] | None:
+        """Return the logarithms of a typical duration and what nine of ten stay below.
+
+        Estimates within an eighth of each other share a value, so that the cost is
+        bounded however many jobs come.
+        """
+        place = round(estimate / ESTIMATE_STEP)
+        if (key, place) not in self.values:
+            groups = self.find_groups(key)
+            if not groups and key.has_estimate:
+                groups = self.find_groups(key.queue)
+            near = place * ESTIMATE_STEP
+            self.values[key, place] = None
+            if groups:
+                typical = median_low(each.typical(near) for each in groups)
+                high = median_low(each.nine_of_ten(near) for each in groups)
+                self.values[key, place] = typical, high
+        return self.values[key, place]
+
+    def find_groups(self, key: GroupKey | QueueName) -> list[DurationGroup]:
+        """Return the groups of several teams for a step number or a whole queue."""
+        if key not in self.groups:
+            self.groups[key] = find_shared_groups(self.teams.values(), key)
+        return self.groups[key]
+
+    def is_better(self, queue: QueueName) -> bool:
+        """Return True if most teams' runs are predicted better by what is learned."""
+        if queue not in self.verdicts:
+            self.verdicts[queue] = is_better_for_most(self.teams.values(), queue)
+        return self.verdicts[queue]
+
+
 def find_shared_groups(
     teams: Iterable[TeamDurations], key: GroupKey | QueueName
 ) -> list[DurationGroup]:
--- a/tests/fleet/test_durations.py
+++ b/tests/fleet/test_durations.py
@@ -7,7 +7,11 @@
 import pytest
 
 from gooseberrydeck_coordination.ids import QueueName, TeamName
-from gooseberrydeck_fleet.duration_learner import MAX_AGE_S, DurationLearner
+from gooseberrydeck_fleet.duration_learner import (
+    MAX_AGE_S,
+    MAX_EXPECTED_STEPS,
+    DurationLearner,
+)
 from gooseberrydeck_fleet.durations import DurationGroup
 from gooseberrydeck_fleet.expectations import (
     Expectation,
@@ -196,6 +200,19 @@
         assert len(learner.teams[self.TEAMS[0]].groups) == MAX_GROUPS_PER_TEAM
         assert history.expect(1.0)[:4] == before[:4]
 
+    # Guards against a pass that takes a look-up for each of thousands of estimates.
+    def test_cost_of_values_for_new_teams_is_bounded(self) -> None:
+        history = History()
+        for team in self.TEAMS:
+            history.feed(wrong_by_up_to(0.9), 15, team)
+        new = TeamName("new")
+        for number in range(2_000):
+            history.expect(0.5 + number * 1e-4, new)
+        assert len(history.learner.shared.values) < 10
+        many = [StepSpec(1, estimate_s=0.5)] * (MAX_EXPECTED_STEPS + 1)
+        assert history.learner.expected_steps(QUEUE, new, many[1:]) is not None
+        assert history.learner.expected_steps(QUEUE, new, many) is None
+
     def test_old_groups_are_forgotten(self) -> None:
         history = History()
         history.feed(wrong_by(2.0), 10)
