--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/preemption.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/preemption.py
@@ -160,6 +160,14 @@
             left_s = sum(self.left_s(run, now_s) for run in victims)
             heapq.heappush(offers, (cost, is_cold, -left_s, index, victims))
 
+    def sort_by_time_left(self, runs: list[Run], now_s: float) -> None:
+        """Put the runs with most left to run first: of equals, the first are stopped.
+
+        The order stays as it is if durations are not learned, or not used for this.
+        """
+        if self.placer.ledger.durations.uses.preemption:
+            runs.sort(key=lambda run: -self.left_s(run, now_s))
+
     def left_s(self, run: Run, now_s: float) -> float:
         """Return how long a run still takes by what was learned, or 0 if unknown."""
         ledger = self.placer.ledger
@@ -167,7 +175,7 @@
             return 0.0
         return learned_remaining_s(run, ledger, now_s) or 0.0
 
-    def free_quota(self, step: Step, wanted: int) -> None:
+    def free_quota(self, step: Step, wanted: int, now_s: float) -> None:
         """Stop other runs of a step's team to get ``wanted`` tasks under its limit.
 
         Runs on evacuated workers are stopped only if the others are too few: their
@@ -186,6 +194,7 @@
         for _ in range(wanted):
             need = need + step.spec.resources
         candidates = [run for run in runs if self.victims.may_preempt(run, step)]
+        self.sort_by_time_left(candidates, now_s)
         quota_usage = [
             Candidate(run, run.quota_usage, self.victims.excess(run))
             for run in candidates
@@ -218,9 +227,7 @@
         ]
         if not candidates:
             return [] if step.allocation.fits_in(free) else None
-        if self.placer.ledger.durations.uses.preemption:
-            # Of equals, the first are stopped: those with most left to run.
-            candidates.sort(key=lambda run: -self.left_s(run, now_s))
+        self.sort_by_time_left(candidates, now_s)
         rooms = [
             Candidate(run, run.allocation, self.victims.excess(run))
             for run in candidates
