Shares: a token goes to no job that can't end on time any more

Cause: a waiting job that got its share and then became late, or was late already, went before on-time jobs beyond their shares, also those of its own team. Jobs of a team that loses its weight are within its share, also late ones. Only jobs that may get a share are looked at.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/job_intake.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/job_intake.py
@@ -54,12 +54,15 @@
 
         Jobs of a queue that is no longer configured keep that queue's last settings.
         Jobs whose queue was not configured before may start now. Jobs whose queue
-        allows fewer attempts than before may have used them up.
+        allows fewer attempts than before may have used them up. All jobs of a team
+        without a share are within it.
         """
         self.configuration_version = configuration.version
         self.queues = {queue.name: queue for queue in configuration.queues}
         self.shares.set_rates({team.name: team.weight for team in configuration.teams})
         for job in list(self.ledger.jobs.values()):
+            if self.shares.returns_all(job.record.team):
+                job.is_within_share = True
             queue = self.queues.get(job.record.queue)
             was_unconfigured = job.has_unconfigured_queue
             if queue is None and was_unconfigured:
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/shares.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/shares.py
@@ -83,6 +83,10 @@
             else:
                 del self.buckets[team]
 
+    def returns_all(self, team: TeamName) -> bool:
+        """Return True if no job of a team is beyond a share any more."""
+        return self.policy.returns_shares and self.rates.get(team, 0.0) <= 0
+
     def set_time(self, now_s: float, wall_s: float) -> None:
         """Advance the tracker's clock to a monotonic time."""
         if self.offset_s is None:
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/waiting.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/waiting.py
@@ -22,8 +22,8 @@
 Rank = tuple[int, int, bool, float, StepRef]
 """Priority, excess over the team's share, whether the job is late, its due time.
 
-The excess is zero for a job within its team's share, and otherwise one more than the
-level of the team's use.
+The excess is zero for a job within its team's share, unless it got the share while it
+waited and is late. Otherwise, it is one more than the level of the team's use.
 
 Jobs that can still finish on time go before jobs that can't. In plain order of due
 times, a burst would make every job after it late as well.
@@ -44,8 +44,9 @@
         self.ranks: dict[StepRef, Rank] = {}
         self.by_job: dict[JobId, set[StepRef]] = {}
         self.by_team: dict[TeamName, set[StepRef]] = {}
-        # The jobs with waiting steps that are beyond their team's share.
-        self.beyond: dict[TeamName, dict[JobId, Job]] = {}
+        # The jobs with waiting steps that may get a share: they are beyond that of
+        # their team, and not late.
+        self.returnable: dict[TeamName, dict[JobId, Job]] = {}
         # The level of use of each team, zero if it isn't named.
         self.levels: dict[TeamName, int] = {}
         # Processor needs of the steps, sorted.
@@ -94,10 +95,10 @@
         ref, job = step.ref, step.job
         late_from_s = job.late_from_s(step)
         is_late = late_from_s is not None and wall_s > late_from_s
-        due_s = job.ranked_due_s()
-        excess = 0
-        if not job.is_within_share:
-            excess = 1 + self.levels.get(job.record.team, 0)
+        excess, due_s = 0, job.ranked_due_s()
+        if not job.is_within_share or (job.returned_s and is_late):
+            # A share that was returned to a job that is late now would be of no use.
+            excess, due_s = 1 + self.levels.get(job.record.team, 0), job.due_s
         rank = (job.queue.priority, excess, is_late, due_s, ref)
         known = self.ranks.get(ref)
         if known == rank:
@@ -111,27 +112,27 @@
             self.by_team.setdefault(job.record.team, set()).add(ref)
         self.ranks[ref] = rank
         bisect.insort(self.order, rank)
-        self.track_share(job, job.is_within_share)
+        self.track_returnable(job, not (job.is_within_share or is_late))
         # A step that changes its place by its excess alone is in the heap already.
         is_new_time = known is None or known[2] or known[3] != due_s
         if late_from_s is not None and not is_late and is_new_time:
             heapq.heappush(self.late_times, (late_from_s, ref))
 
-    def track_share(self, job: Job, is_within: bool) -> None:
-        """Record whether a job waits beyond its team's share."""
+    def track_returnable(self, job: Job, is_returnable: bool) -> None:
+        """Record whether a waiting job may get a share."""
         team = job.record.team
-        if not is_within:
-            self.beyond.setdefault(team, {})[job.id] = job
+        if is_returnable:
+            self.returnable.setdefault(team, {})[job.id] = job
             return
-        jobs = self.beyond.get(team)
+        jobs = self.returnable.get(team)
         if jobs is not None and jobs.pop(job.id, None) is not None and not jobs:
-            del self.beyond[team]
+            del self.returnable[team]
 
     def set_level(self, team: TeamName, level: int, wall_s: float) -> None:
-        """Move the steps of a team's jobs beyond its share by its level of use."""
+        """Move the steps of a team that have an excess by its level of use."""
         self.levels[team] = level
-        for job in list(self.beyond.get(team, {}).values()):
-            for ref in self.by_job[job.id]:
+        for ref in self.by_team.get(team, ()):
+            if self.ranks[ref][1]:
                 self.put(self.steps[ref], wall_s)
 
     def remove(self, ref: StepRef) -> None:
@@ -149,7 +150,7 @@
             refs.discard(ref)
         if not self.by_job[ref.job]:
             del self.by_job[ref.job]
-            self.track_share(step.job, is_within=True)
+            self.track_returnable(step.job, is_returnable=False)
         # Less urgent steps of the team may have waited for this one.
         self.ledger.freed_teams.add(team)
 
--- a/tests/fleet/test_share_returns.py
+++ b/tests/fleet/test_share_returns.py
@@ -90,10 +90,43 @@
 
     def test_jobs_of_a_team_whose_weight_is_removed_are_within_its_share(self) -> None:
         jobs = self.submit_burst(self.fleet)
+        step = StepSpec(1, WHOLE)
+        jobs.append(self.fleet.submit("late", step, queue_name=URGENT, team=TEAM))
+        self.fleet.run_for(1.0)
         self.set_shares(self.fleet, {OTHERS: RATE})
         self.fleet.run_for(0.2)
         assert self.within(self.fleet, jobs) == jobs
 
+    def test_late_jobs_leave_the_share_to_those_that_arrive(self) -> None:
+        for number in range(BURST):
+            name = f"late{number}"
+            self.fleet.submit(name, StepSpec(1, WHOLE), queue_name=URGENT, team=TEAM)
+        self.fleet.run_for(2.0)
+        step = StepSpec(1, WHOLE, estimate_s=60.0)
+        fresh = self.fleet.submit("fresh", step, queue_name=URGENT, team=TEAM)
+        self.fleet.run_for(0.1)
+        order = [rank[-1].job for rank in self.fleet.scheduler.server.waiting.order]
+        late = [JobId("late0"), JobId("late1")]
+        assert self.within(self.fleet, order) == [fresh, *late]
+
+    def test_returned_share_of_a_job_that_becomes_late_delays_no_other(self) -> None:
+        for number in range(6):
+            step = StepSpec(1, WHOLE, estimate_s=1.0)
+            self.fleet.submit(f"j{number}", step, queue_name=URGENT, team=TEAM)
+        self.fleet.run_for(1.0)
+        returned = [JobId("j2"), JobId("j3")]
+        waiting = self.fleet.scheduler.server.waiting
+        order = [rank[-1].job for rank in waiting.order]
+        assert order[2:4] == returned
+        fresh = StepSpec(1, WHOLE, estimate_s=60.0)
+        beyond = [
+            self.fleet.submit(f"k{number}", fresh, queue_name=URGENT, team=TEAM)
+            for number in range(8)
+        ]
+        self.fleet.run_for(1.0)
+        order = [rank[-1].job for rank in waiting.order]
+        assert all(order.index(job) > order.index(beyond[-1]) for job in returned)
+
     def test_returned_job_does_not_go_before_an_earlier_job_of_another_team(
         self,
     ) -> None:
