--- a/packages/gooseberrydeck-ctl/src/gooseberrydeck_ctl/report_commands.py
+++ b/packages/gooseberrydeck-ctl/src/gooseberrydeck_ctl/report_commands.py
@@ -14,6 +14,7 @@
 from gooseberrydeck_ctl.exceptions import CtlError
 from gooseberrydeck_ctl.options import JsonOption, make_client
 from gooseberrydeck_ctl.output import print_json, print_table, show
+from gooseberrydeck_ctl.team_view import read_teams
 
 __all__ = ["application"]
 
@@ -69,3 +70,14 @@
     """Show the utilization of the workers."""
     response = make_client().get("/v1/reports/packing", PackingResponse)
     show((response,), json, response)
+
+
+@application.command()
+def teams(
+    addresses: Annotated[
+        list[str], typer.Argument(help="Where members serve metrics, ADDRESS:PORT.")
+    ],
+    json: JsonOption = False,
+) -> None:
+    """Show the teams' shares, use and waiting jobs, on the users' platform."""
+    show(read_teams(addresses), json)
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/serving.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/serving.py
@@ -87,7 +87,7 @@
 
     ``slots`` is how many tasks fit on the ``permitted`` workers now, ``quota`` how many
     the team's limit admits. ``advice_turns_before`` is the number of steps whose
-    requests for advice go first.
+    requests for advice go first. ``use_level`` is the level of the team's use.
     """
 
     step: StepRef
@@ -106,6 +106,8 @@
     advice_in_flight: int
     slow_advice_in_flight: int
     max_advice_in_flight: int
+    is_within_share: bool
+    use_level: int
 
 
 class FreedWorker(NamedTuple):
@@ -222,6 +224,8 @@
             len(requests.in_flight),
             requests.slow_in_flight,
             requests.max_in_flight,
+            step.job.is_within_share,
+            self.waiting.levels.get(step.job.record.team, 0),
         )
 
     def find_wait_reason(
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/observability.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/observability.py
@@ -232,6 +232,30 @@
             registry=registry,
             buckets=HELD_JOBS_BUCKETS_S,
         )
+        self.team_share = prometheus_client.Gauge(
+            "gooseberrydeck_team_share",
+            "Share of a team, in jobs per second, zero without one",
+            ["team"],
+            registry=registry,
+        )
+        self.team_use = prometheus_client.Gauge(
+            "gooseberrydeck_team_use",
+            "Part of the fleet that a team has used lately, of its dominant resource",
+            ["team"],
+            registry=registry,
+        )
+        self.team_weighted_use = prometheus_client.Gauge(
+            "gooseberrydeck_team_weighted_use",
+            "Use of a team in proportion to its part of all weights",
+            ["team"],
+            registry=registry,
+        )
+        self.team_waiting_jobs = prometheus_client.Gauge(
+            "gooseberrydeck_team_waiting_jobs",
+            "Jobs of a team with tasks to start, within its share and beyond it",
+            ["team", "share"],
+            registry=registry,
+        )
 
     def render(self) -> bytes:
         """Return all metrics in the text format of Prometheus."""
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/peer_server.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/peer_server.py
@@ -12,6 +12,7 @@
 from gooseberrydeck_coordination.ids import JobId
 from gooseberrydeck_fleet.advice import AdviceFailedError, Adviser
 from gooseberrydeck_fleet.ids import StepRef
+from gooseberrydeck_fleet.team_views import TeamView
 from gooseberrydeck_member.callers import CallerApplication, CallerRequest
 from gooseberrydeck_member.cell import Cell
 from gooseberrydeck_member.configuration import ConfigurationCache
@@ -76,6 +77,7 @@
             "/accepted": self.handle_job_accepted,
             "/state": self.handle_state_query,
             "/waiting": self.handle_waiting_query,
+            "/teams": self.handle_team_query,
             "/advise": self.handle_advice_query,
             "/relay": self.handle_relayed_call,
         }
@@ -108,6 +110,13 @@
         start_response(status_line(status), headers)
         return [content]
 
+    def handle_team_query(self, _body: bytes) -> tuple[TeamView, ...] | None:
+        """Return the teams as last reported, or None if another member schedules."""
+        scheduler = self.cell.scheduler
+        if scheduler is None or scheduler.stopping.is_set():
+            return None
+        return scheduler.teams.views
+
     def handle_heartbeat(self, body: bytes) -> HeartbeatReply | None:
         """Record a heartbeat and reply with the holder's state.
 
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/run_audit.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/run_audit.py
@@ -71,6 +71,8 @@
             worker=command.worker,
             resumes=bool(command.request.checkpoint),
             waited_s=round(waited_s, 3),
+            is_within_share=job.is_within_share,
+            use_level=self.scheduler.team_use.levels.get(job.record.team, 0),
             **self.input_ages(job, task, now_s),
         )
 
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
@@ -63,6 +63,7 @@
     StoreFollower,
 )
 from gooseberrydeck_member.stored_state import read_stored_state
+from gooseberrydeck_member.team_reports import TeamReporter
 from gooseberrydeck_member.threads import SYSTEM_CLOCK, SYSTEM_THREADS, Threads
 from gooseberrydeck_member.wait_reports import report_long_waits
 from gooseberrydeck_member.worker_dispatcher import (
@@ -149,6 +150,7 @@
         self.inbox = threads.inbox()
         self.scheduler = Scheduler(self.token, timing)
         self.held_jobs = HeldJobsReporter(self.scheduler, metrics)
+        self.teams = TeamReporter(self.scheduler, metrics)
         self.known_ends = KnownEnds()
         self.scheduler.changes.observer = self.known_ends
         self.audit = RunAudit(self.scheduler, self.known_ends, metrics, clock)
@@ -372,6 +374,7 @@
                 self.execute(command)
         report_long_waits(self.scheduler.take_long_waits())
         self.held_jobs.report(now_s)
+        self.teams.report(now_s)
         self.report_lost_runs()
         report_crashes(self.scheduler.take_crash_reports(), self.metrics)
         for job in self.scheduler.take_lookups():
@@ -566,6 +569,7 @@
         """Stop the threads and fail pending queries; calls in flight may finish."""
         self.authority.revoke()
         self.stopping.set()
+        self.teams.clear()
         for follower in self.followers:
             follower.stop()
         self.followers_pool.shutdown(wait=False, cancel_futures=True)
