Tests: only the member that holds the shard answers the question for teams

Cause: the handler of /teams had no test. Change: a test with and without a scheduler in the member; it encodes the views.

--- a/tests/member/test_team_reports.py
+++ b/tests/member/test_team_reports.py
@@ -1,12 +1,16 @@
 """Tests of the metrics by team while one team exceeds its share."""
 
+from unittest.mock import Mock
+
 import msgspec
+import pytest
 
 from fleet_support import TEAM, URGENT, Fleet, make_configuration, task_resources
 from gooseberrydeck_coordination.ids import TeamName
 from gooseberrydeck_fleet.team_views import TeamView
 from gooseberrydeck_fleet.work import StepSpec
 from gooseberrydeck_member.observability import Metrics
+from gooseberrydeck_member.peer_server import PeerApplication
 from gooseberrydeck_member.team_reports import REPORT_INTERVAL_S, TeamReporter
 
 OTHERS = TeamName("others")
@@ -63,7 +67,20 @@
         self.reporter.clear()
         assert "editors" not in self.metrics.render().decode()
 
-    def test_views_can_be_sent(self) -> None:
+    @pytest.mark.parametrize("is_holder", [True, False])
+    def test_only_the_holder_answers_the_question_for_teams(
+        self, is_holder: bool
+    ) -> None:
         self.report()
-        content = msgspec.json.encode(self.reporter.views)
-        assert msgspec.json.decode(content, type=tuple[TeamView, ...])
+        cell = Mock(scheduler=None)
+        if is_holder:
+            cell.scheduler = Mock(teams=self.reporter)
+            cell.scheduler.stopping.is_set.return_value = False
+        peer = PeerApplication(cell, Mock(), None, self.metrics, "run")
+        start_response = Mock()
+        environ = {"PATH_INFO": "/teams"}
+        content = b"".join(peer(environ, start_response))
+        status = start_response.call_args.args[0]
+        assert status.startswith("200" if is_holder else "503")
+        answer = msgspec.json.decode(content, type=tuple[TeamView, ...] | None)
+        assert answer == (self.reporter.views if is_holder else None)
