--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/run_audit.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/run_audit.py
@@ -72,6 +72,8 @@
             resumes=bool(command.request.checkpoint),
             is_cold=self.scheduler.ledger.workers[command.worker].is_cold(now_s),
             waited_s=round(waited_s, 3),
+            is_within_share=job.is_within_share,
+            use_level=self.scheduler.team_use.levels.get(job.record.team, 0),
             **self.input_ages(job, task, now_s),
             **self.describe_expectation(command),
         )
