Soak and gooseberryctl: evacuations

Cause: no test with processes evacuated a data centre, and an operator had no view of the requests in the store.

The soak's draw "evacuations" requests one beside a series of faults around changes of the holder, and reports runs that began in the data centre once that is forbidden; the other draws are as before. "gooseberryctl evacuation list" reads the requests from the store. request and finish are omitted: no command of the tool has the operator's access to the platform's store.

--- a/packages/gooseberrydeck-ctl/src/gooseberrydeck_ctl/__main__.py
+++ b/packages/gooseberrydeck-ctl/src/gooseberrydeck_ctl/__main__.py
@@ -8,6 +8,7 @@
 from gooseberrydeck_ctl import (
     cell_commands,
     configuration_commands,
+    evacuation_commands,
     key_commands,
     log_commands,
     report_commands,
@@ -23,6 +24,7 @@
     help="Operate a cell: publish objects, grant keys, look at the cell, report.",
 )
 application.add_typer(configuration_commands.application, name="config")
+application.add_typer(evacuation_commands.application, name="evacuation")
 application.add_typer(key_commands.application, name="key")
 application.add_typer(log_commands.application, name="logs")
 application.add_typer(report_commands.application, name="report")
--- a/soak/run.py
+++ b/soak/run.py
@@ -24,6 +24,11 @@
 from gooseberrydeck_ctl.log_check import check_logs
 from gooseberrydeck_standins.fleet_worker import CRASHED, RunSpan
 from soak.callers import JobClient, StateClient, job_of
+from soak.evacuations import (
+    EVACUATION_LENGTH_S,
+    EvacuationCell,
+    draw_evacuations,
+)
 from soak.faults import Cell, Fault, draw_schedule
 from soak.lasting import (
     ADVICE_OPTIONS,
@@ -65,6 +70,9 @@
     KNOWN-RED.txt lists.
     """
 
+    EVACUATIONS = "evacuations"
+    """Series beside the evacuation of a data centre."""
+
     LASTING = "lasting"
     """Racks that crash and changes of the holder, beside standing tasks."""
 
@@ -73,6 +81,7 @@
     Draw.FAULTS: LENGTH_S,
     Draw.SERIES: SERIES_LENGTH_S,
     Draw.REBIRTHS: SERIES_LENGTH_S,
+    Draw.EVACUATIONS: EVACUATION_LENGTH_S,
     Draw.LASTING: LASTING_LENGTH_S,
 }
 
@@ -204,6 +213,10 @@
     report.broken.extend(f"internal error: {path}" for path in client.failed)
     report.broken.extend(cell.platform.violations())
     check_failures(cell, client, report)
+    if isinstance(cell, EvacuationCell):
+        report.broken.extend(
+            f"started during an evacuation: {span}" for span in cell.find_starts()
+        )
     started = {span.task for span in cell.platform.spans()}
     for path in client.refused:
         if any(job_of(path) in task for task in started):
@@ -218,6 +231,8 @@
         return draw_schedule(seed, length_s, with_crashes)
     if draw is Draw.LASTING:
         return draw_lasting(seed, length_s)
+    if draw is Draw.EVACUATIONS:
+        return draw_evacuations(seed, length_s)
     return draw_series(seed, length_s, draw is Draw.REBIRTHS)
 
 
@@ -229,6 +244,8 @@
     platform.publish(default_configuration(with_advice=seed % 2 == 0))
     if draw is Draw.FAULTS:
         return Cell(platform)
+    if draw is Draw.EVACUATIONS:
+        return EvacuationCell(platform)
     return SeriesCell(platform, draw is Draw.REBIRTHS)
 
 
--- a/tests/platform_processes/test_soak.py
+++ b/tests/platform_processes/test_soak.py
@@ -5,6 +5,7 @@
 import pytest
 
 from gooseberrydeck_standins.fleet_worker import RunSpan
+from soak.evacuations import EVACUATION_LENGTH_S
 from soak.faults import KINDS, WORKER_KINDS, draw_schedule
 from soak.lasting import HOLDER_KINDS as LASTING_HOLDER_KINDS
 from soak.lasting import OTHER_KINDS, RACK_KINDS, draw_lasting
@@ -19,6 +20,7 @@
 
 CRASH_SEED = 307
 SERIES_SEED = 501
+EVACUATION_SEED = 1
 LASTING_SEED = 801
 LENGTH_S = 6.0
 SERIES_LENGTH_S = 10.0
@@ -109,6 +111,14 @@
         assert report.accepted > 0
         assert report.shown_completed > 0
 
+    # Guards against starts in a data centre that is evacuated while holders change.
+    def test_nothing_starts_in_an_evacuated_data_centre(self, tmp_path: Path) -> None:
+        report = run_seed(
+            EVACUATION_SEED, tmp_path, EVACUATION_LENGTH_S, draw=Draw.EVACUATIONS
+        )
+        assert report.broken == []
+        assert report.accepted > 0
+
     # Guards against standing tasks that stand still beside workers with room.
     def test_standing_tasks_run_again_after_racks_have_crashed(
         self, tmp_path: Path
