After an outage of the store, starts wait until workers have registered again

Change: after a gap of over 2.5 s between responses, a response is news only once a registration interval and 0.3 s have passed. Until then the age counts from the last response before the outage.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/registration_news.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/registration_news.py
@@ -18,11 +18,19 @@
 That of an idle watch, which is answered each second, is up to 2 s."""
 
 
+OUTAGE_GAP_S = 2.5
+"""Time between two responses from which workers may not have registered meanwhile.
+
+A slow store takes up to 2 s for a response."""
+
+
 class RegistrationNews:
     """Let nothing start while a capacity may have shrunk that counts already.
 
     A smaller capacity counts ``contact_s`` and one registration interval after it has
-    shrunk. Starts go on until shortly before that time after the last news.
+    shrunk. Starts go on until shortly before that time after the last news. After an
+    outage of the store, nothing is news before each worker has had the time to register
+    again: the first responses hold what was stored before the outage.
     """
 
     def __init__(self, ledger: Ledger, timing: Timing) -> None:
@@ -30,7 +38,11 @@
         self.ledger = ledger
         counts_after_s = timing.contact_s + timing.registration_s
         self.limit_s = max(MIN_LIMIT_S, counts_after_s - NEWS_MARGIN_S)
+        self.settling_s = timing.registration_s + NEWS_MARGIN_S
+        # The last news, the last response, and from when on responses are news.
         self.heard_s: float | None = None
+        self.response_s = 0.0
+        self.settled_s = 0.0
         self.is_outdated = False
 
     def heard(self, asked_s: float) -> None:
@@ -38,7 +50,13 @@
 
         That nothing has changed is news as well.
         """
-        self.heard_s = asked_s if self.heard_s is None else max(self.heard_s, asked_s)
+        if self.heard_s is None:
+            self.heard_s = self.response_s = asked_s
+        if asked_s - self.response_s > OUTAGE_GAP_S:
+            self.settled_s = asked_s + self.settling_s
+        self.response_s = max(self.response_s, asked_s)
+        if asked_s >= self.settled_s:
+            self.heard_s = max(self.heard_s, asked_s)
 
     def age_s(self, now_s: float) -> float:
         """Return the age of the last news, or 0 if there has not been any."""
