Advice: nothing is reserved after a pause of urgent work

Change: after 5 s without urgent requests none are reserved. Test: test_nothing_is_reserved_after_a_pause_of_urgent_work.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/advice_requests.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/advice_requests.py
@@ -61,6 +61,14 @@
 """
 
 
+URGENT_PAUSE_S = 5.0
+"""Time without urgent requests after which none are reserved.
+
+An urgent step that comes then may have to wait for one slow request. With two members
+left, the only request for batch work was too few: jobs had not started after 90 s.
+"""
+
+
 class UrgentLoad:
     """The number of urgent requests in flight, averaged over the last seconds."""
 
@@ -69,6 +77,12 @@
         self.mean = 0.0
         self.in_flight = 0
         self.at_s: float | None = None
+        self.last_s = -math.inf
+
+    @property
+    def is_paused(self) -> bool:
+        """Return True if there has been no urgent request for long."""
+        return self.at_s is not None and self.at_s - self.last_s > URGENT_PAUSE_S
 
     def observe(self, in_flight: int, now_s: float) -> None:
         """Record the number of urgent requests in flight from now on.
@@ -76,7 +90,9 @@
         A time before the last one is ignored.
         """
         if self.at_s is None:
-            self.at_s = now_s
+            self.at_s = self.last_s = now_s
+        if in_flight or self.in_flight:
+            self.last_s = max(self.last_s, now_s)
         elapsed_s = now_s - self.at_s
         if elapsed_s > 0:
             weight = -math.expm1(-elapsed_s / URGENT_LOAD_PERIOD_S)
@@ -106,6 +122,8 @@
     @property
     def reserved(self) -> int:
         """The number of requests that are reserved for urgent steps."""
+        if self.urgent_load.is_paused:
+            return 0
         most = self.max_in_flight - int((1 - MAX_RESERVED_SHARE) * self.max_in_flight)
         wanted = math.ceil(URGENT_LOAD_FACTOR * self.urgent_load.mean)
         return min(most, max(MIN_RESERVED, wanted))
--- a/tests/fleet/test_advice_load.py
+++ b/tests/fleet/test_advice_load.py
@@ -7,10 +7,14 @@
 import pytest
 
 from fleet_support import SLOW, URGENT, Fleet, make_configuration, queue, task_resources
-from gooseberrydeck_fleet.advice_requests import URGENT_LOAD_PERIOD_S, UrgentLoad
+from gooseberrydeck_fleet.advice_requests import (
+    URGENT_LOAD_PERIOD_S,
+    URGENT_PAUSE_S,
+    UrgentLoad,
+)
 from gooseberrydeck_fleet.commands import AskAdvice
 from gooseberrydeck_fleet.configuration import AdvicePolicy
-from gooseberrydeck_fleet.work import StepSpec
+from gooseberrydeck_fleet.work import JobState, StepSpec
 
 MEMBERS = 40
 QUICK = AdvicePolicy(0.052, 0.000455, 2.5)
@@ -78,6 +82,28 @@
         submit(fleet, 20, is_urgent=False)
         assert requested(fleet, fleet.now_s).count(False) == max(1, members // 2)
 
+    # Guards against batch jobs that starve on a small deployment after its urgent load
+    # has ended (review/5: not started after 90 s, with idle workers).
+    def test_nothing_is_reserved_after_a_pause_of_urgent_work(self) -> None:
+        fleet = loaded_fleet(2)
+        submit(fleet, 1, is_urgent=True)
+        now_s = fleet.now_s
+        assert requested(fleet, now_s) == [True]
+        fleet.scheduler.advice_answered(
+            fleet.scheduler.server.advice_requests.in_flight.copy().popitem()[0],
+            None,
+            now_s,
+            now_s,
+        )
+        submit(fleet, 20, is_urgent=False)
+        assert requested(fleet, now_s + 0.01).count(False) == 1
+        fleet.scheduler.intake.ends.finish(
+            next(iter(fleet.scheduler.ledger.jobs.values())), JobState.CANCELLED
+        )
+        for step in range(1, 12):
+            fleet.scheduler.decide(now_s + step * URGENT_PAUSE_S / 10, now_s)
+        assert fleet.scheduler.advice_requests.reserved == 0
+
 
 class TestUrgentLoad:
     def test_load_is_averaged_over_time(self) -> None:
