--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/settings.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/settings.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from gooseberrydeck_fleet.share_policy import SharePolicy
 from gooseberrydeck_platform.http import HttpAddress
 
 __all__ = ["DurationUses", "MemberSettings", "SettingsError", "Timing"]
@@ -80,3 +81,4 @@
     max_fds: int
     timing: Timing
     durations: DurationUses = DurationUses()
+    shares: SharePolicy = SharePolicy()
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/share_policy.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/share_policy.py
@@ -2,15 +2,12 @@
 
 import msgspec
 
-__all__ = ["SharePolicy"]
+__all__ = ["BY_USE", "SharePolicy"]
 
 
 class SharePolicy(msgspec.Struct, frozen=True):
     """Switches for the parts of the policy; each applies to teams with a weight.
 
-    Shares are not returned by default: tokens for jobs that waited leave fewer for
-    those that arrive, and fewer of a hot team's jobs end in time.
-
     Without ``orders_arrivals``, jobs take tokens in the order in which the scheduler
     learns of them, which after a takeover is that of the store's keys. Without
     ``returns_shares``, a job that was beyond its team's share when it arrived remains
@@ -21,5 +18,13 @@
 
     orders_arrivals: bool = True
     returns_shares: bool = False
-    ranks_by_use: bool = True
-    preempts_by_share: bool = True
+    ranks_by_use: bool = False
+    preempts_by_share: bool = False
+
+
+BY_USE = SharePolicy(ranks_by_use=True, preempts_by_share=True)
+"""The policy in which the teams' use orders what exceeds their shares.
+
+Shares aren't returned: tokens for jobs that waited leave fewer for those that arrive,
+and fewer of a hot team's jobs end in time.
+"""
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/composition.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/composition.py
@@ -206,6 +206,7 @@
             predecessors,
             evacuations=EVACUATION_PREFIX if is_on else None,
             uses=self.settings.durations,
+            share_policy=self.settings.shares,
         )
 
     def connect_worker(self, entry: Registration) -> WorkerCalls:
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
@@ -29,6 +29,7 @@
 from gooseberrydeck_fleet.scheduler import Scheduler
 from gooseberrydeck_fleet.send_permission import SendObstacle
 from gooseberrydeck_fleet.settings import DurationUses, Timing
+from gooseberrydeck_fleet.share_policy import SharePolicy
 from gooseberrydeck_fleet.state import CLOCK_DRIFT, MAX_TASK_LEASE_S
 from gooseberrydeck_fleet.work import JobState
 from gooseberrydeck_fleet.worker_calls import StartOutcome, WorkerCalls
@@ -137,11 +138,13 @@
         threads: Threads = SYSTEM_THREADS,
         evacuations: str | None = None,
         uses: DurationUses | None = None,
+        share_policy: SharePolicy | None = None,
     ) -> None:
         """Prepare for scheduling under the shard lock held by ``shard_lock``.
 
         ``predecessors`` are those that may still be sending commands, ``uses`` what
-        learned durations are used for. Requests to evacuate a data centre have keys
+        learned durations are used for, ``share_policy`` how jobs beyond their team's
+        share are ordered. Requests to evacuate a data centre have keys
         below ``evacuations``; None ignores them.
         """
         if shard_lock.held is None:
@@ -157,7 +160,7 @@
         self.threads = threads
         self.token = shard_lock.held.record.token
         self.inbox = threads.inbox()
-        self.scheduler = Scheduler(self.token, timing, uses)
+        self.scheduler = Scheduler(self.token, timing, uses, share_policy)
         self.held_jobs = HeldJobsReporter(self.scheduler, metrics)
         self.durations = DurationReporter(self.scheduler.ledger.durations, metrics)
         self.news_reporter = NewsReporter(self.scheduler)
--- a/tests/adapter/test_adapter.py
+++ b/tests/adapter/test_adapter.py
@@ -58,6 +58,7 @@
 from gooseberrydeck_fleet.advice import AdviceFailedError
 from gooseberrydeck_fleet.ids import StepRef, TaskRef, WorkerId
 from gooseberrydeck_fleet.settings import DurationUses, SettingsError
+from gooseberrydeck_fleet.share_policy import BY_USE, SharePolicy
 from gooseberrydeck_fleet.work import InvalidWorkError, JobState
 from gooseberrydeck_fleet.worker_calls import (
     EndKind,
@@ -715,6 +716,9 @@
         assert settings.durations == DurationUses()
         learning = decode_settings(text + b"LearnDurations: true\n")
         assert learning.durations == DurationUses.all()
+        # Jobs are ordered by use only where the deployment's settings ask for it.
+        assert settings.shares == SharePolicy()
+        assert decode_settings(text + b"ShareByUse: true\n").shares == BY_USE
 
 
 class TestPlatformFolder:
