--- a/packages/gooseberrydeck-ctl/src/gooseberrydeck_ctl/duration_view.py
+++ b/packages/gooseberrydeck-ctl/src/gooseberrydeck_ctl/duration_view.py
@@ -13,7 +13,7 @@
 EVENT = "durations learned"
 
 
-class StepBelief(msgspec.Struct, frozen=True):
+class StepSummary(msgspec.Struct, frozen=True):
     """What is typical of the tasks of the steps with one number."""
 
     number: int
@@ -32,11 +32,11 @@
     estimate_error: float
     teams_by_learned: int
     teams_by_estimate: int
-    steps: tuple[StepBelief, ...] = ()
+    steps: tuple[StepSummary, ...] = ()
 
 
 class DurationRow(msgspec.Struct, frozen=True):
-    """What is believed of one step number of a queue, by whom, and since when.
+    """What is learned of one step number of a queue, by whom, and since when.
 
     The errors are those of the queue, as natural logarithms.
     """
@@ -54,14 +54,14 @@
 
 
 class DurationView(msgspec.Struct):
-    """The newest beliefs, and the number of lines that can't be decoded."""
+    """The newest summaries, and the number of lines that can't be decoded."""
 
     rows: list[DurationRow] = []
     unreadable: int = 0
 
 
 def read_durations(paths: Sequence[Path], queue: str | None = None) -> DurationView:
-    """Return the newest beliefs of each queue, or of one, from log files.
+    """Return the newest summaries of each queue, or of one, from log files.
 
     Raise ``CtlError`` if a file cannot be read.
     """
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/duration_learner.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/duration_learner.py
@@ -9,13 +9,13 @@
 from collections.abc import Sequence
 
 from gooseberrydeck_coordination.ids import QueueName, TeamName
-from gooseberrydeck_fleet.beliefs import (
-    QueueBelief,
-    StepBelief,
+from gooseberrydeck_fleet.duration_errors import ErrorRecord
+from gooseberrydeck_fleet.duration_summaries import (
+    QueueSummary,
+    StepSummary,
     summarize_errors,
     summarize_groups,
 )
-from gooseberrydeck_fleet.duration_errors import ErrorRecord
 from gooseberrydeck_fleet.durations import DurationGroup, log_estimate
 from gooseberrydeck_fleet.expectations import (
     Expectation,
@@ -254,13 +254,13 @@
 
     # Reports.
 
-    def queue_beliefs(self) -> list[QueueBelief]:
+    def summarize_queues(self) -> list[QueueSummary]:
         """Return what is known of the errors in each queue."""
         teams = self.teams.values()
         return summarize_errors(pair for each in teams for pair in each.errors.items())
 
-    def step_beliefs(self) -> list[StepBelief]:
-        """Return what is believed of the steps of each queue."""
+    def summarize_steps(self) -> list[StepSummary]:
+        """Return what is learned of the steps of each queue."""
         teams = self.teams.values()
         return summarize_groups(pair for each in teams for pair in each.groups.items())
 
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/duration_samples.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/duration_samples.py
@@ -10,7 +10,7 @@
 from gooseberrydeck_fleet.state import Run, RunState, Worker
 
 __all__ = [
-    "RunCensus",
+    "RunningSamples",
     "expect_run",
     "learn_from",
     "learned_remaining_s",
@@ -89,7 +89,7 @@
     return factor * expected.remaining_s((now_s - run.started_s) / factor)
 
 
-class RunCensus:
+class RunningSamples:
     """Take the runs in progress into account, and let jobs take on new expectations.
 
     Runs that have outlasted the typical duration count as longer than so far. The short
@@ -97,7 +97,7 @@
     """
 
     def __init__(self, ledger: Ledger) -> None:
-        """Create a census of a ledger's runs that has not begun."""
+        """Prepare to sample the runs in progress of a ledger."""
         self.ledger = ledger
         self.left: list[Worker] = []
         self.kinds: dict[WorkerId, str] = {}
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/beliefs.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/duration_summaries.py
@@ -1,4 +1,4 @@
-"""What is believed of the durations in each queue, for operators."""
+"""Summaries of the durations learned in each queue, for operators."""
 
 import math
 from collections.abc import Iterable
@@ -10,10 +10,10 @@
 from gooseberrydeck_fleet.durations import DurationGroup
 from gooseberrydeck_fleet.expectations import GroupKey
 
-__all__ = ["QueueBelief", "StepBelief", "summarize_errors", "summarize_groups"]
+__all__ = ["QueueSummary", "StepSummary", "summarize_errors", "summarize_groups"]
 
 
-class QueueBelief(NamedTuple):
+class QueueSummary(NamedTuple):
     """The median errors of a queue's teams, and for how many each source is used."""
 
     name: QueueName
@@ -23,7 +23,7 @@
     worse: int
 
 
-class StepBelief(NamedTuple):
+class StepSummary(NamedTuple):
     """What is typical of the tasks of a queue's steps with one number."""
 
     queue: QueueName
@@ -34,13 +34,13 @@
 
 def summarize_errors(
     entries: Iterable[tuple[QueueName, ErrorRecord]],
-) -> list[QueueBelief]:
+) -> list[QueueSummary]:
     """Return a summary for each queue of which a team has errors."""
     by_queue: dict[QueueName, list[ErrorRecord]] = {}
     for queue, record in entries:
         by_queue.setdefault(queue, []).append(record)
     return [
-        QueueBelief(
+        QueueSummary(
             queue,
             median(each.learned for each in records),
             median(each.estimate for each in records),
@@ -53,13 +53,13 @@
 
 def summarize_groups(
     entries: Iterable[tuple[GroupKey, DurationGroup]],
-) -> list[StepBelief]:
+) -> list[StepSummary]:
     """Return a summary for each step number of a queue, at the usual estimates."""
     by_step: dict[tuple[QueueName, int], list[DurationGroup]] = {}
     for key, group in entries:
         by_step.setdefault((key.queue, key.number), []).append(group)
     return [
-        StepBelief(
+        StepSummary(
             queue,
             number,
             median(math.exp(each.typical(each.mean_estimate)) for each in groups),
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/scheduler.py
@@ -13,7 +13,7 @@
 from gooseberrydeck_fleet.configuration import UNSERVED, FleetConfiguration
 from gooseberrydeck_fleet.crashes import CrashReport, CrashTracker
 from gooseberrydeck_fleet.duration_learner import DurationLearner
-from gooseberrydeck_fleet.duration_samples import RunCensus
+from gooseberrydeck_fleet.duration_samples import RunningSamples
 from gooseberrydeck_fleet.evacuated_data_centres import EvacuatedDataCentres
 from gooseberrydeck_fleet.evacuation import Evacuator
 from gooseberrydeck_fleet.housekeeping import Housekeeper
@@ -29,7 +29,7 @@
 )
 from gooseberrydeck_fleet.preemption import Preemptor, VictimOrder
 from gooseberrydeck_fleet.progress import Progress
-from gooseberrydeck_fleet.registration_news import RegistrationNews
+from gooseberrydeck_fleet.registration_age import RegistrationAge
 from gooseberrydeck_fleet.registrations import Registration
 from gooseberrydeck_fleet.run_ends import LossReason, LostRun, RunEndHandler
 from gooseberrydeck_fleet.send_permission import Obstacle, SendPermission
@@ -91,7 +91,7 @@
         """
         self.timing = timing
         self.ledger = Ledger(token, DurationLearner(uses))
-        self.census = RunCensus(self.ledger)
+        self.running_samples = RunningSamples(self.ledger)
         self.ends = RunEndHandler(self.ledger)
         self.crashes = CrashTracker(self.ledger, self.ends)
         self.unknown_jobs = UnknownJobs()
@@ -115,7 +115,7 @@
         self.takeover = Takeover(self.ledger, token, timing.task_lease_s)
         self.late_starts = LateStarts(self.ledger, timing.task_lease_s)
         self.closed_workers = ClosedWorkers(self.ledger)
-        self.registration_news = RegistrationNews(self.ledger, timing)
+        self.registration_age = RegistrationAge(self.ledger, timing)
         self.intake = JobIntake(
             self.ledger,
             self.ends,
@@ -242,9 +242,9 @@
             worker.has_readable_entry = False
             self.ledger.have_workers_changed = True
 
-    def registrations_heard(self, asked_s: float) -> None:
+    def registrations_confirmed(self, asked_s: float) -> None:
         """Record that all registrations stored up to ``asked_s`` are known."""
-        self.registration_news.heard(asked_s)
+        self.registration_age.confirmed(asked_s)
 
     def predecessor_may_act(self, until_s: float) -> None:
         """Mark a predecessor as possibly commanding workers until ``until_s``."""
@@ -568,7 +568,7 @@
     def decide(self, now_s: float, wall_s: float) -> list[Command]:
         """Return the commands to execute now."""
         self.set_time(now_s, wall_s)
-        self.registration_news.review(now_s)
+        self.registration_age.review(now_s)
         is_review_due = now_s >= self.next_housekeeping_s
         self.update_shares(is_review_due)
         if is_review_due:
@@ -576,7 +576,7 @@
             self.changes.forget_ended(now_s - self.timing.status_s - ENDED_JOB_MARGIN_S)
             self.housekeeper.run(now_s)
             self.crashes.review(now_s)
-            self.census.advance(now_s)
+            self.running_samples.advance(now_s)
             self.closed_workers.review(now_s)
         self.intake.open_due_occurrences(wall_s)
         # After all that changes which runs may be unknown, before anything starts.
@@ -614,7 +614,7 @@
 
     def find_send_obstacle(self, command: RunCommand, now_s: float) -> Obstacle | None:
         """Return what forbids to send a command that was decided on, or None."""
-        self.registration_news.review(now_s)
+        self.registration_age.review(now_s)
         return self.send_permission.find_obstacle(command, now_s)
 
     @property
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/duration_reports.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/duration_reports.py
@@ -2,15 +2,15 @@
 
 import structlog
 
-from gooseberrydeck_fleet.beliefs import QueueBelief, StepBelief
 from gooseberrydeck_fleet.duration_learner import DurationLearner
+from gooseberrydeck_fleet.duration_summaries import QueueSummary, StepSummary
 from gooseberrydeck_member.observability import Metrics
 
 __all__ = ["DurationReporter"]
 
 log = structlog.get_logger(__name__)
 
-BELIEFS_INTERVAL_S = 5.0
+SUMMARY_INTERVAL_S = 5.0
 """Interval at which the gauges are set; metrics are read less often."""
 
 LOG_INTERVAL_S = 60.0
@@ -27,7 +27,7 @@
         """Report on one learner."""
         self.learner = learner
         self.metrics = metrics
-        self.beliefs_due_s = 0.0
+        self.summaries_due_s = 0.0
         self.log_due_s: float | None = None
 
     def report(self, now_s: float) -> None:
@@ -43,9 +43,9 @@
                 ratio.labels(run.queue, "estimate").observe(by_estimate)
         for reason, count in learner.take_refused().items():
             metrics.durations_refused.labels(reason.value).inc(count)
-        if now_s >= self.beliefs_due_s:
-            self.beliefs_due_s = now_s + BELIEFS_INTERVAL_S
-            self.report_beliefs(self.is_log_due(now_s))
+        if now_s >= self.summaries_due_s:
+            self.summaries_due_s = now_s + SUMMARY_INTERVAL_S
+            self.report_summaries(self.is_log_due(now_s))
 
     def is_log_due(self, now_s: float) -> bool:
         """Return True if the queues are to be logged; the first time after a while."""
@@ -54,11 +54,11 @@
             self.log_due_s = now_s + LOG_INTERVAL_S
         return is_due
 
-    def report_beliefs(self, is_logged: bool) -> None:
+    def report_summaries(self, is_logged: bool) -> None:
         """Set the gauges, and remove those of queues that are forgotten."""
         self.close()
-        steps = self.learner.step_beliefs()
-        queues = self.learner.queue_beliefs()
+        steps = self.learner.summarize_steps()
+        queues = self.learner.summarize_queues()
         if is_logged:
             for queue in queues[:MAX_LOGGED_QUEUES]:
                 log_queue(queue, steps)
@@ -73,14 +73,14 @@
             gauge.labels(step.queue, step.number, "0.9").set(step.nine_of_ten_s)
 
     def close(self) -> None:
-        """Remove the gauges: the beliefs are those of another holder from now on."""
+        """Remove the gauges: those of another holder count from now on."""
         self.metrics.duration_error.clear()
         self.metrics.duration_teams.clear()
         self.metrics.duration_seconds.clear()
 
 
-def log_queue(queue: QueueBelief, steps: list[StepBelief]) -> None:
-    """Log what is believed of a queue."""
+def log_queue(queue: QueueSummary, steps: list[StepSummary]) -> None:
+    """Log what is learned of a queue."""
     log.info(
         "durations learned",
         queue=queue.name,
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/scheduler_task.py
@@ -35,6 +35,7 @@
 from gooseberrydeck_fleet.worker_calls import StartOutcome, WorkerCalls
 from gooseberrydeck_member.advice_pool import AdviceCompleted, AdvicePool
 from gooseberrydeck_member.authority import Authority
+from gooseberrydeck_member.capacity_reports import CapacityReporter
 from gooseberrydeck_member.command_audit import CommandAudit
 from gooseberrydeck_member.committer import (
     CommitDone,
@@ -55,7 +56,6 @@
 )
 from gooseberrydeck_member.keys import JOB_PREFIX
 from gooseberrydeck_member.known_ends import KnownEnds
-from gooseberrydeck_member.news_reports import NewsReporter
 from gooseberrydeck_member.observability import Metrics
 from gooseberrydeck_member.peer_messages import JobAccepted
 from gooseberrydeck_member.predecessors import Predecessors
@@ -64,7 +64,7 @@
 from gooseberrydeck_member.sole_mark import SoleMarkWriter, SoleMarkWritten
 from gooseberrydeck_member.store_follower import (
     PrefixChanged,
-    PrefixHeard,
+    PrefixConfirmed,
     PrefixRead,
     StoreFollower,
 )
@@ -163,7 +163,7 @@
         self.scheduler = Scheduler(self.token, timing, uses, share_policy)
         self.held_jobs = HeldJobsReporter(self.scheduler, metrics)
         self.durations = DurationReporter(self.scheduler.ledger.durations, metrics)
-        self.news_reporter = NewsReporter(self.scheduler)
+        self.capacity_reporter = CapacityReporter(self.scheduler)
         self.teams = TeamReporter(self.scheduler, metrics)
         self.known_ends = KnownEnds()
         self.scheduler.changes.observer = self.known_ends
@@ -192,7 +192,12 @@
         self.followers = [
             StoreFollower(store, JOB_PREFIX, self.inbox.put, threads),
             StoreFollower(
-                store, registrations, self.inbox.put, threads, clock, posts_heard=True
+                store,
+                registrations,
+                self.inbox.put,
+                threads,
+                clock,
+                posts_confirmations=True,
             ),
         ]
         self.evacuations: Evacuations | None = None
@@ -360,7 +365,7 @@
         self.scheduler.release_held_jobs()
         self.followers[0].start_at(stored.jobs_revision)
         self.followers[1].start_at(stored.registered.revision)
-        self.scheduler.registrations_heard(asked_s)
+        self.scheduler.registrations_confirmed(asked_s)
         self.ended_jobs.state_read(stored.jobs_revision)
         log.info(
             "shard taken over",
@@ -410,7 +415,7 @@
             self.scheduler.set_max_advice_requests(self.advice_pool.capacity())
             for command in self.scheduler.decide(now_s, self.clock.wall()):
                 self.execute(command)
-        self.news_reporter.report(now_s)
+        self.capacity_reporter.report(now_s)
         report_long_waits(self.scheduler.take_long_waits())
         self.held_jobs.report(now_s)
         if self.evacuations is not None:
@@ -477,8 +482,8 @@
             self.store_changed(message, now_s)
         elif isinstance(message, PrefixRead):
             self.store_read(message, now_s)
-        elif isinstance(message, PrefixHeard):
-            self.scheduler.registrations_heard(message.asked_s)
+        elif isinstance(message, PrefixConfirmed):
+            self.scheduler.registrations_confirmed(message.asked_s)
         elif isinstance(message, FleetConfiguration):
             self.jobs.configuration_changed(message)
         elif isinstance(message, Query):
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/store_follower.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/store_follower.py
@@ -11,7 +11,7 @@
 from gooseberrydeck_coordination.store import Entry, Store, WatchBatch
 from gooseberrydeck_member.threads import SYSTEM_CLOCK, SYSTEM_THREADS, Threads
 
-__all__ = ["PrefixChanged", "PrefixHeard", "PrefixRead", "StoreFollower"]
+__all__ = ["PrefixChanged", "PrefixConfirmed", "PrefixRead", "StoreFollower"]
 
 log = structlog.get_logger(__name__)
 
@@ -42,7 +42,7 @@
     batch: WatchBatch
 
 
-class PrefixHeard(msgspec.Struct, frozen=True):
+class PrefixConfirmed(msgspec.Struct, frozen=True):
     """All changes have been posted that were stored when the store was asked.
 
     ``asked_s`` is monotonic. The store's response may have taken long.
@@ -62,18 +62,18 @@
         post: Callable[[object], None],
         threads: Threads = SYSTEM_THREADS,
         clock: Clock = SYSTEM_CLOCK,
-        posts_heard: bool = False,
+        posts_confirmations: bool = False,
     ) -> None:
         """Follow ``prefix``; ``post`` is called in the follower's thread.
 
-        With ``posts_heard``, each response is posted, also if nothing has changed.
+        With ``posts_confirmations``, each response is posted, also one without changes.
         """
         self.name = f"follow {prefix}"
         self.store = store
         self.prefix = prefix
         self.post = post
         self.clock = clock
-        self.posts_heard = posts_heard
+        self.posts_confirmations = posts_confirmations
         self.stopping = threads.event()
         # When the store last responded, in monotonic seconds. Other threads read it.
         self.confirmed_s = clock.monotonic()
@@ -108,7 +108,7 @@
             snapshot = self.store.read_prefix(self.prefix, CALL_TIMEOUT_S)
             self.post(PrefixRead(self.prefix, snapshot.entries))
             self.revision = snapshot.revision
-            self.heard(asked_s)
+            self.post_confirmation(asked_s)
             asked_s = self.clock.monotonic()
         start = Revision(self.revision + 1)
         for batch in self.store.watch(self.prefix, start, CALL_TIMEOUT_S):
@@ -119,16 +119,16 @@
             if batch.events:
                 self.post(PrefixChanged(self.prefix, batch))
             self.revision = batch.revision
-            self.heard(asked_s)
+            self.post_confirmation(asked_s)
             if batch.events:
                 # Changes during the delay are returned at once by the next call.
                 self.stopping.wait(BATCH_DELAY_S)
             asked_s = self.clock.monotonic()
 
-    def heard(self, asked_s: float) -> None:
+    def post_confirmation(self, asked_s: float) -> None:
         """Post that the store has responded, after what it responded with."""
-        if self.posts_heard:
-            self.post(PrefixHeard(self.prefix, asked_s))
+        if self.posts_confirmations:
+            self.post(PrefixConfirmed(self.prefix, asked_s))
 
     def report_failure(self, error: StoreError) -> None:
         """Log the first of consecutive failures."""
--- a/tests/member/test_duration_reports.py
+++ b/tests/member/test_duration_reports.py
@@ -31,7 +31,7 @@
     def value(self, name: str, **labels: str) -> float | None:
         return self.metrics.registry.get_sample_value(name, labels)
 
-    def test_errors_and_beliefs_are_shown_until_the_shard_is_lost(self) -> None:
+    def test_errors_and_summaries_are_shown_until_the_shard_is_lost(self) -> None:
         self.metrics = Metrics()
         learner = DurationLearner(DurationUses.all())
         teach(learner, 4.0)
@@ -54,7 +54,7 @@
         assert 3.5 < typical_s < 4.5
         teams = "gooseberrydeck_duration_teams"
         assert self.value(teams, queue="urgent", use="learned") == 1
-        # Guards against the beliefs of a former holder beside those of its successor.
+        # Guards against the summaries of a former holder beside those of its successor.
         reporter.close()
         assert self.value(teams, queue="urgent", use="learned") is None
 
--- a/tests/member/test_registration_news.py
+++ b/tests/member/test_registration_age.py
@@ -12,32 +12,32 @@
 from gooseberrydeck_coordination.store import WatchBatch
 from gooseberrydeck_fleet.commands import StartRun
 from gooseberrydeck_fleet.ids import WorkerId
-from gooseberrydeck_fleet.registration_news import NEWS_MARGIN_S
+from gooseberrydeck_fleet.registration_age import AGE_MARGIN_S
 from gooseberrydeck_fleet.state import StopReason, WorkerObstacle
 from gooseberrydeck_fleet.work import StepSpec
-from gooseberrydeck_member.news_reports import NewsReporter
-from gooseberrydeck_member.store_follower import PrefixHeard, StoreFollower
+from gooseberrydeck_member.capacity_reports import CapacityReporter
+from gooseberrydeck_member.store_follower import PrefixConfirmed, StoreFollower
 
 ONE = StepSpec(1, task_resources())
 W0 = WorkerId("w0")
 PREFIX = "servers/"
 
 
-class NewsFleet(Fleet):
+class ConfirmedFleet(Fleet):
     """A worker whose registration was heard of just now."""
 
     def __init__(self) -> None:
         super().__init__(workers=1)
         timing = self.timing
-        self.limit_s = timing.contact_s + timing.registration_s - NEWS_MARGIN_S
-        self.settling_s = timing.registration_s + NEWS_MARGIN_S
-        self.scheduler.registrations_heard(self.now_s)
+        self.limit_s = timing.contact_s + timing.registration_s - AGE_MARGIN_S
+        self.settling_s = timing.registration_s + AGE_MARGIN_S
+        self.scheduler.registrations_confirmed(self.now_s)
 
-    def hear_for(self, seconds: float) -> None:
+    def confirm_for(self, seconds: float) -> None:
         """Run with a store that responds, without changes, ten times a second."""
         end_s = self.now_s + seconds
         while self.now_s < end_s:
-            self.scheduler.registrations_heard(self.now_s)
+            self.scheduler.registrations_confirmed(self.now_s)
             self.run_for(0.1)
 
 
@@ -46,7 +46,7 @@
     # down for 6.2 s. With starts as soon as the store responded again, 25 did: workers
     # had not registered yet.
     def test_nothing_starts_on_figures_that_may_have_shrunk(self) -> None:
-        fleet = NewsFleet()
+        fleet = ConfirmedFleet()
         fleet.run_for(fleet.limit_s - 0.2)
         fleet.submit("in time", ONE)
         fleet.run_for(0.1)
@@ -55,14 +55,14 @@
         late = fleet.submit("late", ONE)
         fleet.run_for(2.0)
         assert len(fleet.starts) == 1
-        fleet.hear_for(fleet.settling_s - 0.1)
+        fleet.confirm_for(fleet.settling_s - 0.1)
         assert len(fleet.starts) == 1
-        fleet.hear_for(0.3)
+        fleet.confirm_for(0.3)
         assert len(fleet.running(late)) == 1
 
-    # A start that waits for a thread was decided on before the news was too old.
+    # A start that waits for a thread was decided on before the confirmation was old.
     def test_start_that_waits_is_dropped(self) -> None:
-        fleet = NewsFleet()
+        fleet = ConfirmedFleet()
         fleet.submit("a", ONE)
         fleet.clock.advance(0.05)
         commands = fleet.scheduler.decide(fleet.now_s, fleet.clock.wall())
@@ -73,7 +73,7 @@
         assert obstacle is WorkerObstacle.CAPACITY_OUTDATED
 
     def test_runs_leases_and_stops_go_on(self) -> None:
-        fleet = NewsFleet()
+        fleet = ConfirmedFleet()
         job = fleet.submit("a", ONE, seconds=60.0)
         fleet.run_for(fleet.limit_s + 6.0)
         assert len(fleet.running(job)) == 1
@@ -84,13 +84,13 @@
         assert fleet.running(job) == []
 
     def test_one_line_tells_the_beginning_and_one_the_end(self) -> None:
-        fleet = NewsFleet()
-        reporter = NewsReporter(fleet.scheduler)
+        fleet = ConfirmedFleet()
+        reporter = CapacityReporter(fleet.scheduler)
         with capture_logs() as logs:
             for _ in range(120):
                 fleet.run_for(0.05)
                 reporter.report(fleet.now_s)
-            fleet.hear_for(fleet.settling_s + 0.2)
+            fleet.confirm_for(fleet.settling_s + 0.2)
             reporter.report(fleet.now_s)
         events = [each["event"] for each in logs]
         assert events == ["capacities unknown", "capacities known again"]
@@ -126,20 +126,20 @@
             PREFIX,
             messages.append,
             clock=clock,
-            posts_heard=True,
+            posts_confirmations=True,
         )
         follower.stopping = threading.Event()
         follower.start_at(Revision(1))
         follower.follow()
         asked = [began_s + number * seconds for number in range(3)]
-        assert messages == [PrefixHeard(PREFIX, each) for each in asked]
+        assert messages == [PrefixConfirmed(PREFIX, each) for each in asked]
 
     # The age is at most that of two responses in a row: one is known, one under way.
     def test_slow_store_is_no_store_without_news(self) -> None:
-        fleet = NewsFleet()
+        fleet = ConfirmedFleet()
         response_s = 2.0
         for _ in range(5):
             asked_s = fleet.now_s
             fleet.run_for(response_s)
-            assert not fleet.scheduler.registration_news.is_outdated
-            fleet.scheduler.registrations_heard(asked_s)
+            assert not fleet.scheduler.registration_age.is_outdated
+            fleet.scheduler.registrations_confirmed(asked_s)
