--- a/tests/member/test_hand_over.py
+++ b/tests/member/test_hand_over.py
@@ -388,7 +388,7 @@
         assert self.member.store.commit(Transaction((), (put,)), 1.0).succeeded
 
     # A claimant that started after a kill of all hosts held jobs back for 12.3 s, for a
-    # host that had been removed ten seconds before (Part 3).
+    # host that had been removed ten seconds before.
     def test_predecessors_of_a_sole_holder_are_not_waited_for(self) -> None:
         self.claim_from_silent_holder()
         self.mark_sole(b'{"token":%d}' % self.member.schedulers[0].token)
--- a/tests/member/test_registration_age.py
+++ b/tests/member/test_registration_age.py
@@ -1,4 +1,4 @@
-"""Tests of starts while the workers' capacities are not heard of (review/4)."""
+"""Tests of starts while the workers' capacities are not confirmed (review/4)."""
 
 import threading
 from collections.abc import Iterator
