Review case 8: accepted jobs wait for a former address of the advice service

Breaks LOST: accepted jobs have nothing running although all minions are idle.

Member.reload applies timings and limits, but keeps the addresses of the start.

--- a/review/world_2.py
+++ b/review/world_2.py
@@ -35,6 +35,9 @@
 """Length from which a task stands for one that lasts."""
 
 STARTUP_S = 0.3
+DECIDE_MS = 21.0
+PER_ITEM_MS = 0.3
+VALID_FOR_MS = 2_500
 STATUS_TEXT = {200: "OK", 404: "Not Found", 409: "Conflict", 410: "Gone"}
 
 Query = dict[str, str]
@@ -417,6 +420,8 @@
             return 409, self.reply(Reason="old")
         if self.clock_ms() > deadline_ms:
             return 409, self.reply(Reason="late")
+        if self.world.has_advice and fields.get("Ticket") != f"ticket-{self.id}":
+            return 409, self.reply(Reason="ticket")
         if not self.runs:
             self.deadline_ms = 0.0
         self.extend(deadline_ms)
@@ -443,6 +448,30 @@
         return 200, self.reply(Running=rows, Ended=self.ends[:500])
 
 
+class Advice:
+    """The service that knows which minions may run a step: here, all of them."""
+
+    def __init__(self, world: "World") -> None:
+        """Create a service that isn't up."""
+        self.world = world
+        self.calls = 0
+        self.is_up = True
+
+    async def handle(
+        self, _: str, __: str, ___: Query, ____: dict[str, str], body: object
+    ) -> Answer | None:
+        """Answer a call after the time that the queue's configuration says."""
+        fields = body if isinstance(body, dict) else {}
+        if not self.is_up:
+            return None
+        self.calls += 1
+        await asyncio.sleep(
+            (DECIDE_MS + PER_ITEM_MS * len(fields["Workers"])) / 1000,
+        )
+        good = [[each, f"ticket-{each}"] for each in fields["Workers"]]
+        return 200, {"Good": good, "ValidForMs": VALID_FOR_MS}
+
+
 class Member:
     """A process of the project on an entry host."""
 
@@ -602,6 +631,9 @@
         self.tasks: list[asyncio.Task[None]] = []
         self.servers: list[asyncio.Server] = []
         self.random = random.Random(7)
+        self.has_advice = False
+        self.advice = Advice(self)
+        self.advice_server: asyncio.Server | None = None
 
     def spawn(self, work: Awaitable[None]) -> asyncio.Task[None]:
         """Run something beside, until the end."""
@@ -618,10 +650,16 @@
 
     def configuration(self, version: int = 1) -> dict[str, object]:
         """Return a configuration with one queue and one tenant."""
+        advice = {
+            "DecideMs": DECIDE_MS,
+            "PerItemMs": PER_ITEM_MS,
+            "ValidForMs": VALID_FOR_MS,
+        }
         return {
             "Version": version,
             "Routes": [
                 {
+                    **({"Advice": advice} if self.has_advice else {}),
                     "Name": "r-quick",
                     "Host": HOST,
                     "Prefix": "/quick/",
@@ -660,6 +698,26 @@
                 await asyncio.sleep(0.1)
         await asyncio.sleep(3.0)
 
+    async def add_advice(self, host: str) -> None:
+        """Start the advice service, and have it named by the settings."""
+        self.has_advice = True
+        self.advice_server = await self.listen(self.advice.handle, host, self.port)
+        for member in self.members:
+            member.settings["Advice"] = f"{host}:{self.port}"
+            member.write_settings()
+
+    def close_advice(self) -> None:
+        """Stop the advice service, with its open connections."""
+        self.advice.is_up = False
+        if self.advice_server is not None:
+            self.advice_server.close()
+
+    async def listen(self, handler: Handler, host: str, port: int) -> asyncio.Server:
+        """Serve at an address until the end."""
+        server = await listen(handler, host, port)
+        self.servers.append(server)
+        return server
+
     async def ready(self, member: Member) -> int:
         """Return the status of a member's readiness."""
         return (await member.call("GET", "/ready", port=self.port + 1))[0]
@@ -697,7 +755,7 @@
     """Return the first of 40 ports that are free on all addresses."""
     hosts = [f"127.0.0.{10 + number}" for number in range(members)]
     hosts += [f"127.0.0.{110 + number}" for number in range(members)]
-    hosts.append("127.0.0.200")
+    hosts += ["127.0.0.200", "127.0.0.210", "127.0.0.211"]
     for _ in range(50):
         first = random.randrange(12_000, 30_000, 50)
         if all(is_free(host, first + each) for host in hosts for each in range(40)):
@@ -724,14 +782,21 @@
     return {"Spec": json.dumps({"ms": milliseconds}), "Steps": [{**step, **fields}]}
 
 
-def play(folder: Path, case: Callable[[World, bool], Awaitable[int]]) -> int:
-    """Play a case; return 1 if the rule was broken, 0 if it held, 2 if it can't run."""
+def play(
+    folder: Path, case: Callable[[World, bool], Awaitable[int]], advice: str = ""
+) -> int:
+    """Play a case; return 1 if the rule was broken, 0 if it held, 2 if it can't run.
+
+    ``advice`` is the host of the advice service, if the queue has one.
+    """
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def run() -> int:
         world = World(folder)
         try:
             async with asyncio.timeout(115):
+                if advice:
+                    await world.add_advice(advice)
                 await world.begin()
                 return await case(world, has_trouble)
         except TimeoutError:
