--- a/review/world_2.py
+++ b/review/world_2.py
@@ -593,6 +593,7 @@
             self.process = await asyncio.create_subprocess_exec(
                 *command, cwd=ROOT, env=environment, stdout=log, stderr=log
             )
+        self.world.processes.append(self.process)
 
     def send_signal(self, number: signal.Signals) -> None:
         """Send a signal to the process if it runs."""
@@ -662,6 +663,7 @@
         self.starts: dict[str, list[tuple[float, str, int, str]]] = {}
         self.tasks: list[asyncio.Task[None]] = []
         self.servers: list[asyncio.Server] = []
+        self.processes: list[asyncio.subprocess.Process] = []
         self.random = random.Random(7)
         self.has_advice = False
         self.advice = Advice(self)
@@ -769,9 +771,8 @@
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
-        for member in self.members:
-            process = member.process
-            if process is not None and process.returncode is None:
+        for process in self.processes:
+            if process.returncode is None:
                 process.send_signal(signal.SIGCONT)
                 process.kill()
                 await process.wait()
