--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,4 +1,7 @@
-"""A job that a client is told was not accepted runs all the same."""
+"""A job that a client is told was not accepted runs all the same.
+
+Writes record.txt, beside this file, with what was sent, answered and run.
+"""
 
 import asyncio
 import signal
