Log each relayed call with its job and the peer's outcome

"relay failed" named no job, and nothing was logged for a relay that was answered, so a refusal could not be assigned to a peer.

Both lines now name the call, the peer, its status or the kind of failure, and whether a peer asked before may have received the call. No behaviour changes.

--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/cell.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/cell.py
@@ -251,11 +251,28 @@
             try:
                 # Monotonic times differ between hosts, so the time left is sent.
                 relayed = msgspec.structs.replace(call, deadline_s=remaining_s)
-                return self.peers.call(
+                response = self.peers.call(
                     address, "/relay", relayed, CallerResponse, remaining_s
                 )
             except PeerCallError as error:
-                log.info("relay failed", address=address, reason=str(error))
+                log.info(
+                    "relay failed",
+                    operation=call.method,
+                    path=call.path,
+                    address=address,
+                    failure=type(error).__name__,
+                    reason=str(error),
+                )
                 if not isinstance(error, PeerRefusedError):
                     may_be_received = True
+                continue
+            log.info(
+                "relayed",
+                operation=call.method,
+                path=call.path,
+                address=address,
+                status=response.status,
+                may_be_received=may_be_received,
+            )
+            return response
         return None if may_be_received else NOT_RELAYED
