Leave the outcome open when a peer refuses after a relay that broke off

Cause: a member that the store turns away relays a submission to its peers in turn. Cell.relay remembered that an earlier peer may have received the call, but looked at it only if no peer responded; any response was returned as it was. The holder stored the job and was killed before it responded, the next peer was turned away by the store, too, and its refusal, true of its own attempt only, became the answer to the caller.

Change: what is known of a call is a type, Outcome (not run, unknown, ran), and followed_by combines the attempts. A response has an outcome, and CallerResponse.after turns a refusal into 504 if an earlier attempt may have run. Cell.relay returns a response in each case, so that no caller can drop the distinction; None no longer stands for "unknown".

The test that expected None for an unknown outcome now expects the 504 that the caller gets.

--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/callers.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/callers.py
@@ -12,6 +12,7 @@
     StoreOutcomeUnknownError,
 )
 from gooseberrydeck_coordination.ids import Epoch, JobId, QueueName, Revision, TeamName
+from gooseberrydeck_coordination.outcomes import Outcome
 from gooseberrydeck_fleet.configuration import Queue, QueueSettings
 from gooseberrydeck_fleet.work import (
     InvalidWorkError,
@@ -28,6 +29,7 @@
 
 __all__ = [
     "NOT_RELAYED",
+    "OUTCOME_UNKNOWN",
     "CallerApplication",
     "CallerRequest",
     "CallerResponse",
@@ -97,11 +99,11 @@
     def is_store_unavailable(self) -> bool:
         """Return whether the holder cannot reach the store either."""
 
-    def relay(self, call: "CallerRequest", timeout_s: float) -> "CallerResponse | None":
-        """Relay a call to a peer and return its response.
+    def relay(self, call: "CallerRequest", timeout_s: float) -> "CallerResponse":
+        """Relay a call to peers and return the response to the caller.
 
-        Returns ``NOT_RELAYED`` if no peer can have received the call, and None if one
-        may have but none responds.
+        Returns a refusal only if no peer can have run the call, and
+        ``OUTCOME_UNKNOWN`` if one may have.
         """
 
 
@@ -128,10 +130,31 @@
     retry_after_s: int | None = None
     failure: str = ""
 
+    @property
+    def outcome(self) -> Outcome:
+        """Whether the request has run; a missing job (410) needs no further attempt."""
+        if self.status in (200, 410):
+            return Outcome.RAN
+        return Outcome.NOT_RUN if self.status in REFUSALS else Outcome.UNKNOWN
+
+    def after(self, earlier: Outcome) -> "CallerResponse":
+        """Return the response to a caller whose request was attempted before.
+
+        A refusal would be untrue if an earlier attempt may have run.
+        """
+        is_true = earlier.followed_by(self.outcome) is self.outcome
+        return self if is_true else OUTCOME_UNKNOWN
+
+
+REFUSALS = frozenset({400, 401, 404, 405, 429, 503})
+"""Statuses which say that a request has not run and never will."""
 
 NOT_RELAYED = CallerResponse(503, retry_after_s=RETRY_AFTER_S)
 """The refusal of a call that no peer can have received."""
 
+OUTCOME_UNKNOWN = CallerResponse(504)
+"""The response to a call that may have run or may still run."""
+
 
 class CallerApplication:
     """Handle submissions, cancellations and queries about jobs and queues."""
@@ -283,32 +306,22 @@
             holder_token=self.directory.newest_token(),
             queue_settings=queue_settings,
         )
-        unknown = False
         try:
             revision = self.jobs.accept(record, self.store_deadline_s(call))
-        except StoreOutcomeUnknownError as error:
-            unknown = True
-            reason = str(error)
         except StoreError as error:
-            reason = str(error)
-        else:
-            if revision is not None:
-                self.directory.notify_job_accepted(record, revision)
-            return CallerResponse(200)
-        relayed = self.relay(call)
-        log.warning(
-            "job not stored here",
-            job=job,
-            reason=reason,
-            may_be_stored=unknown,
-            peer_status=None if relayed is None else relayed.status,
-        )
-        if relayed is not None and (relayed.status == 200 or not unknown):
-            return relayed
-        # The peer may have stored the job although its response was lost.
-        if unknown or (relayed is None and not call.is_relayed):
-            return CallerResponse(504)
-        return CallerResponse(503, retry_after_s=RETRY_AFTER_S)
+            relayed = self.relay(call)
+            unknown = isinstance(error, StoreOutcomeUnknownError)
+            log.warning(
+                "job not stored here",
+                job=job,
+                reason=str(error),
+                may_be_stored=unknown,
+                peer_status=None if call.is_relayed else relayed.status,
+            )
+            return relayed.after(Outcome.UNKNOWN if unknown else Outcome.NOT_RUN)
+        if revision is not None:
+            self.directory.notify_job_accepted(record, revision)
+        return CallerResponse(200)
 
     def cancel(self, job: JobId, call: CallerRequest) -> CallerResponse:
         """Cancel a job, or relay the call to a peer if the store cannot be reached."""
@@ -317,7 +330,7 @@
         except StoreError as error:
             relayed = self.relay(call)
             log.warning("job not cancelled here", job=job, reason=str(error))
-            return relayed or CallerResponse(503, retry_after_s=RETRY_AFTER_S)
+            return available(relayed)
         return CallerResponse(410) if state is None else CallerResponse(200)
 
     def state(self, job: JobId, call: CallerRequest) -> CallerResponse:
@@ -329,7 +342,7 @@
             except StoreError as error:
                 relayed = self.relay(call)
                 log.warning("job not found here", job=job, reason=str(error))
-                return relayed or CallerResponse(503, retry_after_s=RETRY_AFTER_S)
+                return available(relayed)
         if state is None:
             return CallerResponse(410)
         failure = self.failure(job, call) if state is JobState.FAILED else ""
@@ -350,19 +363,17 @@
             return CallerResponse(503, retry_after_s=RETRY_AFTER_S)
         return CallerResponse(200, self.codec.encode_waiting(counts.get(queue.name, 0)))
 
-    def relay(self, call: CallerRequest) -> CallerResponse | None:
-        """Relay a call to a peer, unless it was relayed before.
+    def relay(self, call: CallerRequest) -> CallerResponse:
+        """Relay a call to peers, unless it was relayed before.
 
         While the holder cannot reach the store either, callers are refused at once: the
         peers would be too busy waiting for the store to respond.
         """
         remaining_s = call.deadline_s - time.monotonic()
-        if call.is_relayed:
-            return None
-        if remaining_s <= 0:
+        if call.is_relayed or remaining_s <= 0:
             return NOT_RELAYED
         if self.directory.is_store_unavailable():
-            return CallerResponse(503, retry_after_s=RETRY_AFTER_S)
+            return NOT_RELAYED
         return self.directory.relay(call, remaining_s)
 
     def store_deadline_s(self, call: CallerRequest) -> float:
@@ -376,6 +387,13 @@
         return max(0.05, min(0.6, 0.4 * (call.deadline_s - time.monotonic())))
 
 
+def available(response: CallerResponse) -> CallerResponse:
+    """Return a response, or a refusal if the outcome is unknown."""
+    if response.outcome is Outcome.UNKNOWN:
+        return CallerResponse(503, retry_after_s=RETRY_AFTER_S)
+    return response
+
+
 def bearer_key(authorization: str) -> str:
     """Return the API key of an authorization header, "" if it has none."""
     scheme, _, key = authorization.partition(" ")
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/cell.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/cell.py
@@ -9,6 +9,7 @@
 import structlog
 
 from gooseberrydeck_coordination.ids import Epoch, JobId, QueueName, Revision
+from gooseberrydeck_coordination.outcomes import Outcome
 from gooseberrydeck_fleet.work import JobRecord, JobState
 from gooseberrydeck_member.authority import AUTHORITY_TIMEOUT_S, boottime_clock_s
 from gooseberrydeck_member.callers import (
@@ -23,7 +24,7 @@
     JobAccepted,
     StateQuery,
 )
-from gooseberrydeck_member.peers import PeerCallError, PeerClient, PeerRefusedError
+from gooseberrydeck_member.peers import PeerCallError, PeerClient
 from gooseberrydeck_member.scheduler_task import SchedulerTask
 from gooseberrydeck_member.shard_lock import ShardLostError
 
@@ -236,14 +237,14 @@
             return scheduler.authority.age_s() > STORE_SILENCE_LIMIT_S
         return self.holder_store_age_s > STORE_SILENCE_LIMIT_S
 
-    def relay(self, call: CallerRequest, timeout_s: float) -> CallerResponse | None:
-        """Relay a call to the peers in turn and return the first response.
+    def relay(self, call: CallerRequest, timeout_s: float) -> CallerResponse:
+        """Relay a call to the peers in turn until one responds.
 
-        Returns a refusal if no peer can have received the call, and None if one may
-        have but none has responded in time.
+        Returns a refusal only if no peer can have run the call, and
+        ``OUTCOME_UNKNOWN`` if one may have.
         """
         end_s = time.monotonic() + timeout_s
-        may_be_received = False
+        outcome = Outcome.NOT_RUN
         for address in self.peer_addresses():
             remaining_s = end_s - time.monotonic()
             if remaining_s < MIN_RELAY_S:
@@ -263,8 +264,7 @@
                     failure=type(error).__name__,
                     reason=str(error),
                 )
-                if not isinstance(error, PeerRefusedError):
-                    may_be_received = True
+                outcome = outcome.followed_by(error.outcome)
                 continue
             log.info(
                 "relayed",
@@ -272,7 +272,7 @@
                 path=call.path,
                 address=address,
                 status=response.status,
-                may_be_received=may_be_received,
+                earlier_outcome=outcome.value,
             )
-            return response
-        return None if may_be_received else NOT_RELAYED
+            return response.after(outcome)
+        return NOT_RELAYED.after(outcome)
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/peers.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/peers.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from gooseberrydeck_coordination.decoding import DecodingError, decode_json
+from gooseberrydeck_coordination.outcomes import Outcome
 from gooseberrydeck_fleet.advice import Advice, AdviceFailedError
 from gooseberrydeck_fleet.ids import StepRef, WorkerId
 from gooseberrydeck_member.peer_messages import (
@@ -39,12 +40,19 @@
 
 
 class PeerCallError(Exception):
-    """A call to a peer failed or returned no usable reply."""
+    """A call to a peer failed or returned no usable reply.
+
+    ``outcome`` says whether the peer may have handled it.
+    """
+
+    outcome = Outcome.UNKNOWN
 
 
 class PeerRefusedError(PeerCallError):
     """The peer's host refused the connection: its process has ended."""
 
+    outcome = Outcome.NOT_RUN
+
 
 class PeerClient:
     """Call other members over persistent connections."""
--- a/tests/member/test_callers.py
+++ b/tests/member/test_callers.py
@@ -21,6 +21,7 @@
 from gooseberrydeck_fleet.work import EndedJob, JobRecord, JobState
 from gooseberrydeck_member import jobs as jobs_module
 from gooseberrydeck_member.callers import (
+    OUTCOME_UNKNOWN,
     CallerApplication,
     CallerRequest,
     CallerResponse,
@@ -67,9 +68,9 @@
     def is_store_unavailable(self) -> bool:
         return self.is_store_down
 
-    def relay(self, call: CallerRequest, timeout_s: float) -> CallerResponse | None:
+    def relay(self, call: CallerRequest, timeout_s: float) -> CallerResponse:
         self.relayed.append(call)
-        return self.peer
+        return self.peer or OUTCOME_UNKNOWN
 
 
 class CallerApplicationFixture:
