Remember a lost response when the store rejects a later attempt

What callers would see: 503 or 400 for a job that runs.

Cause: JobStore.accept remembers an attempt without a response only if a later one ends with StoreUnavailableError. Any other StoreError of a later attempt, for example StoreRequestRefusedError for status 403, was raised as it was, and CallerApplication.submit took each error but StoreOutcomeUnknownError for "not stored".

Change: a StoreError has an outcome; the base class says unknown, and each error that excludes an effect says so. JobStore.accept combines the outcomes with Outcome.followed_by, and submit asks the error's outcome in place of its class.

Tests: test_job_store.py, both tests failed before the change ("assert True is (1 == 0)" for the orders of three results, and no StoreOutcomeUnknownError after a lost response and two rejections).

--- a/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/exceptions.py
+++ b/packages/gooseberrydeck-coordination/src/gooseberrydeck_coordination/exceptions.py
@@ -1,5 +1,7 @@
 """Exceptions of the coordination package."""
 
+from gooseberrydeck_coordination.outcomes import Outcome
+
 __all__ = [
     "AuthorityLostError",
     "CoordinationError",
@@ -27,12 +29,19 @@
 
 
 class StoreError(CoordinationError):
-    """Base class of failures of calls to the store."""
+    """Base class of failures of calls to the store.
+
+    ``outcome`` says whether the call has had an effect or may still have one.
+    """
+
+    outcome = Outcome.UNKNOWN
 
 
 class StoreUnavailableError(StoreError):
     """The store was not reached: the call had no effect."""
 
+    outcome = Outcome.NOT_RUN
+
 
 class StoreOutcomeUnknownError(StoreError):
     """The call was sent but not answered: it may or may not take effect."""
@@ -45,10 +54,14 @@
     operations.
     """
 
+    outcome = Outcome.NOT_RUN
+
 
 class RecordUnreadableError(StoreError):
     """A record can't be decoded: another version wrote it, or another writer."""
 
+    outcome = Outcome.NOT_RUN
+
     def __init__(self, key: str, reason: str) -> None:
         """Name the record's ``key`` and why it can't be decoded."""
         super().__init__(f"{key}: {reason}")
@@ -59,6 +72,10 @@
 class StoreLeaseLostError(StoreError):
     """The store lease has expired or was revoked."""
 
+    outcome = Outcome.NOT_RUN
+
 
 class StoreCompactedError(StoreError):
     """The revision requested by a watch or a read has been compacted."""
+
+    outcome = Outcome.NOT_RUN
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/callers.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/callers.py
@@ -7,10 +7,7 @@
 import msgspec
 import structlog
 
-from gooseberrydeck_coordination.exceptions import (
-    StoreError,
-    StoreOutcomeUnknownError,
-)
+from gooseberrydeck_coordination.exceptions import StoreError
 from gooseberrydeck_coordination.ids import Epoch, JobId, QueueName, Revision, TeamName
 from gooseberrydeck_coordination.outcomes import Outcome
 from gooseberrydeck_fleet.configuration import Queue, QueueSettings
@@ -310,15 +307,14 @@
             revision = self.jobs.accept(record, self.store_deadline_s(call))
         except StoreError as error:
             relayed = self.relay(call)
-            unknown = isinstance(error, StoreOutcomeUnknownError)
             log.warning(
                 "job not stored here",
                 job=job,
                 reason=str(error),
-                may_be_stored=unknown,
+                may_be_stored=error.outcome is Outcome.UNKNOWN,
                 peer_status=None if call.is_relayed else relayed.status,
             )
-            return relayed.after(Outcome.UNKNOWN if unknown else Outcome.NOT_RUN)
+            return relayed.after(error.outcome)
         if revision is not None:
             self.directory.notify_job_accepted(record, revision)
         return CallerResponse(200)
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/jobs.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/jobs.py
@@ -8,9 +8,9 @@
 from gooseberrydeck_coordination.exceptions import (
     StoreError,
     StoreOutcomeUnknownError,
-    StoreUnavailableError,
 )
 from gooseberrydeck_coordination.ids import JobId, Revision
+from gooseberrydeck_coordination.outcomes import Outcome
 from gooseberrydeck_coordination.store import Put, Store, Transaction
 from gooseberrydeck_coordination.stored_records import decode_entry
 from gooseberrydeck_fleet.work import EndedJob, JobRecord, JobState
@@ -45,8 +45,8 @@
     def accept(self, record: JobRecord, deadline_s: float) -> Revision | None:
         """Store a job and return its revision, or None if its id is already in use.
 
-        Raises ``StoreUnavailableError`` only if the job is certain not to be stored,
-        now or later, and ``StoreOutcomeUnknownError`` if it may be stored.
+        Raises ``StoreOutcomeUnknownError`` if the job may be stored, now or later, and
+        another ``StoreError`` only if it certainly isn't.
         """
         key = job_key(record.id)
         transaction = Transaction(
@@ -56,17 +56,14 @@
             ),
             (Put(key, msgspec.json.encode(record)),),
         )
-        may_be_stored = False
+        outcome = Outcome.NOT_RUN
         for attempt in itertools.count(1):
             is_last = attempt == MAX_ATTEMPTS or time.monotonic() >= deadline_s
             try:
                 result = self.store.commit(transaction, call_timeout_s(deadline_s))
-            except StoreOutcomeUnknownError:
-                may_be_stored = True
-                if is_last:
-                    raise
-            except StoreUnavailableError as error:
-                if not may_be_stored:
+            except StoreError as error:
+                outcome = outcome.followed_by(error.outcome)
+                if outcome is Outcome.NOT_RUN:
                     raise
                 if is_last:
                     raise StoreOutcomeUnknownError(str(error)) from error
--- /dev/null
+++ b/tests/member/test_job_store.py
@@ -0,0 +1,103 @@
+"""Tests of what is known of a job after several attempts to store a change."""
+
+import itertools
+import time
+from collections import deque
+
+import msgspec
+import pytest
+
+from gooseberrydeck_coordination.clock import ManualClock
+from gooseberrydeck_coordination.exceptions import (
+    StoreError,
+    StoreOutcomeUnknownError,
+    StoreRequestRefusedError,
+)
+from gooseberrydeck_coordination.ids import JobId, QueueName, TeamName
+from gooseberrydeck_coordination.outcomes import Outcome
+from gooseberrydeck_coordination.store import Entry, Transaction, TransactionResult
+from gooseberrydeck_fleet.work import JobRecord, StepSpec, WorkSpec
+from gooseberrydeck_member import jobs as jobs_module
+from gooseberrydeck_member.jobs import MAX_ATTEMPTS, JobStore
+from gooseberrydeck_member.keys import job_key
+from gooseberrydeck_standins.engine_store import EngineStore
+from gooseberrydeck_standins.faults import CallFault
+from gooseberrydeck_standins.store_engine import StoreEngine
+
+JOB = JobId("00000000000000aa")
+
+REFUSED = "refused"
+"""The store rejects the call as invalid, for example as not allowed (403)."""
+
+Fault = CallFault | str
+
+LOST = (CallFault.REQUEST_LOST, CallFault.ANSWER_LOST)
+FAULTS: tuple[Fault, ...] = (CallFault.DOWN, REFUSED, *LOST)
+
+
+class FaultyStore(EngineStore):
+    """A store with a fault for each of the next calls; later ones succeed.
+
+    ``lost`` counts the commits without a response.
+    """
+
+    def __init__(self, engine: StoreEngine, faults: tuple[Fault, ...] = ()) -> None:
+        super().__init__(engine, waits=False)
+        self.faults = deque(faults)
+        self.lost = 0
+
+    def read(self, key: str, timeout_s: float) -> Entry | None:
+        self.apply_next()
+        return super().read(key, timeout_s)
+
+    def commit(self, transaction: Transaction, timeout_s: float) -> TransactionResult:
+        self.lost += self.apply_next() in LOST
+        return super().commit(transaction, timeout_s)
+
+    def apply_next(self) -> Fault:
+        fault = self.faults.popleft() if self.faults else CallFault.NONE
+        if isinstance(fault, str):
+            raise StoreRequestRefusedError("status 403")
+        self.next_faults.append(fault)
+        return fault
+
+
+def job_record() -> JobRecord:
+    work = WorkSpec(steps=(StepSpec(),))
+    return JobRecord(JOB, QueueName("slow"), TeamName("editors"), work, 0.0)
+
+
+class JobStoreFixture:
+    @pytest.fixture(autouse=True)
+    def no_delay(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        monkeypatch.setattr(jobs_module, "INITIAL_RETRY_DELAY_S", 0.0)
+
+    def setup_method(self) -> None:
+        self.engine = StoreEngine(ManualClock())
+
+    def stored_record(self) -> JobRecord | None:
+        entry = EngineStore(self.engine, waits=False).read(job_key(JOB), 1.0)
+        return (
+            None if entry is None else msgspec.json.decode(entry.value, type=JobRecord)
+        )
+
+
+class TestAccept(JobStoreFixture):
+    # Guards against a refusal of a job that an earlier attempt has stored.
+    def test_refusal_after_a_lost_response_leaves_the_outcome_unknown(self) -> None:
+        faults = (CallFault.ANSWER_LOST, REFUSED, REFUSED)
+        jobs = JobStore(FaultyStore(self.engine, faults))
+        with pytest.raises(StoreOutcomeUnknownError):
+            jobs.accept(job_record(), time.monotonic() + 5.0)
+        assert self.stored_record() is not None
+
+    def test_refusal_is_reported_only_if_no_attempt_may_have_stored_the_job(
+        self,
+    ) -> None:
+        for faults in itertools.product(FAULTS, repeat=MAX_ATTEMPTS):
+            self.setup_method()
+            store = FaultyStore(self.engine, faults)
+            with pytest.raises(StoreError) as caught:
+                JobStore(store).accept(job_record(), time.monotonic() + 5.0)
+            is_refusal = caught.value.outcome is Outcome.NOT_RUN
+            assert is_refusal is (store.lost == 0), faults
