Answer 504 for a cancellation that may have been stored

What callers would see: 503 for a DELETE whose job is cancelled all the same, from this member's own attempt, from a peer's, or from a relay that broke off.

JobStore.cancel raised the error of its last attempt, and CallerApplication.cancel answered 503 for each error, whatever was known of its own attempts and of the peers'.

Change: both combine the outcomes. A read that is not answered no longer counts as unknown, since it has no effect (JobStore.read), so that a member whose reads fail still refuses with 503 and Retry-After. The log line has may_be_stored and peer_status like that of a submission.

--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/callers.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/callers.py
@@ -320,13 +320,23 @@
         return CallerResponse(200)
 
     def cancel(self, job: JobId, call: CallerRequest) -> CallerResponse:
-        """Cancel a job, or relay the call to a peer if the store cannot be reached."""
+        """Cancel a job, or relay the call to a peer if the store cannot be reached.
+
+        503 means that the job is certainly not cancelled by this call, 504 that it may
+        be.
+        """
         try:
             state = self.jobs.cancel(job, self.store_deadline_s(call))
         except StoreError as error:
             relayed = self.relay(call)
-            log.warning("job not cancelled here", job=job, reason=str(error))
-            return available(relayed)
+            log.warning(
+                "job not cancelled here",
+                job=job,
+                reason=str(error),
+                may_be_stored=error.outcome is Outcome.UNKNOWN,
+                peer_status=None if call.is_relayed else relayed.status,
+            )
+            return relayed.after(error.outcome)
         return CallerResponse(410) if state is None else CallerResponse(200)
 
     def state(self, job: JobId, call: CallerRequest) -> CallerResponse:
@@ -338,7 +348,9 @@
             except StoreError as error:
                 relayed = self.relay(call)
                 log.warning("job not found here", job=job, reason=str(error))
-                return available(relayed)
+                # A query has no effect, so that it can be refused in each case.
+                is_known = relayed.outcome is not Outcome.UNKNOWN
+                return relayed if is_known else NOT_RELAYED
         if state is None:
             return CallerResponse(410)
         failure = self.failure(job, call) if state is JobState.FAILED else ""
@@ -383,13 +395,6 @@
         return max(0.05, min(0.6, 0.4 * (call.deadline_s - time.monotonic())))
 
 
-def available(response: CallerResponse) -> CallerResponse:
-    """Return a response, or a refusal if the outcome is unknown."""
-    if response.outcome is Outcome.UNKNOWN:
-        return CallerResponse(503, retry_after_s=RETRY_AFTER_S)
-    return response
-
-
 def bearer_key(authorization: str) -> str:
     """Return the API key of an authorization header, "" if it has none."""
     scheme, _, key = authorization.partition(" ")
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/jobs.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/jobs.py
@@ -8,10 +8,11 @@
 from gooseberrydeck_coordination.exceptions import (
     StoreError,
     StoreOutcomeUnknownError,
+    StoreUnavailableError,
 )
 from gooseberrydeck_coordination.ids import JobId, Revision
 from gooseberrydeck_coordination.outcomes import Outcome
-from gooseberrydeck_coordination.store import Put, Store, Transaction
+from gooseberrydeck_coordination.store import Entry, Put, Store, Transaction
 from gooseberrydeck_coordination.stored_records import decode_entry
 from gooseberrydeck_fleet.work import EndedJob, JobRecord, JobState
 from gooseberrydeck_member.keys import ended_key, job_key, progress_key
@@ -75,23 +76,28 @@
     def cancel(self, job: JobId, deadline_s: float) -> JobState | None:
         """Mark a job as cancelled and return its state, or None if it does not exist.
 
-        A job that has ended keeps its state. Raises a ``StoreError`` if the
-        cancellation may not have been stored.
+        A job that has ended keeps its state. Raises ``StoreOutcomeUnknownError`` if the
+        job may be marked, now or later, and another ``StoreError`` only if it certainly
+        isn't.
         """
+        outcome = Outcome.NOT_RUN
         for attempt in itertools.count(1):
             is_last = attempt == MAX_ATTEMPTS or time.monotonic() >= deadline_s
             try:
                 return self.cancel_once(job, deadline_s)
-            except StoreError:
-                if is_last:
+            except StoreError as error:
+                outcome = outcome.followed_by(error.outcome)
+                if is_last and outcome is Outcome.NOT_RUN:
                     raise
+                if is_last:
+                    raise StoreOutcomeUnknownError(str(error)) from error
             back_off(attempt)
         raise AssertionError("the last attempt returns or raises")
 
     def cancel_once(self, job: JobId, deadline_s: float) -> JobState | None:
         """Make one attempt to mark a job as cancelled."""
         key = job_key(job)
-        entry = self.store.read(key, call_timeout_s(deadline_s))
+        entry = self.read(key, deadline_s)
         if entry is None:
             return self.read_final_state(job, deadline_s)
         record = decode_entry(entry, JobRecord)
@@ -106,31 +112,42 @@
             return JobState.CANCELLED
         # A record is only ever created, cancelled and deleted, so a changed record has
         # been either deleted because the job ended, or cancelled by another call.
-        if self.store.read(key, call_timeout_s(deadline_s)) is None:
+        if self.read(key, deadline_s) is None:
             return self.read_final_state(job, deadline_s)
         return JobState.CANCELLED
 
+    def read(self, key: str, deadline_s: float) -> Entry | None:
+        """Return the entry of a key, or None if there is none.
+
+        Raises a ``StoreError``, but never ``StoreOutcomeUnknownError``: a read has no
+        effect.
+        """
+        try:
+            return self.store.read(key, call_timeout_s(deadline_s))
+        except StoreOutcomeUnknownError as error:
+            raise StoreUnavailableError(str(error)) from error
+
     def state(self, job: JobId, deadline_s: float) -> JobState | None:
         """Return a job's stored state, or None if the job does not exist."""
-        entry = self.store.read(job_key(job), call_timeout_s(deadline_s))
+        entry = self.read(job_key(job), deadline_s)
         if entry is None:
             return self.read_final_state(job, deadline_s)
         record = decode_entry(entry, JobRecord)
         if record.is_cancelled:
             return JobState.CANCELLED
-        progress = self.store.read(progress_key(job), call_timeout_s(deadline_s))
+        progress = self.read(progress_key(job), deadline_s)
         return JobState.QUEUED if progress is None else JobState.RUNNING
 
     def failure(self, job: JobId, deadline_s: float) -> str:
         """Return why a job was given up, or "" if its attempts were used up."""
-        entry = self.store.read(ended_key(job), call_timeout_s(deadline_s))
+        entry = self.read(ended_key(job), deadline_s)
         if entry is None:
             return ""
         return decode_entry(entry, EndedJob).failure
 
     def read_final_state(self, job: JobId, deadline_s: float) -> JobState | None:
         """Return the state in which a job ended, or None if it has not."""
-        entry = self.store.read(ended_key(job), call_timeout_s(deadline_s))
+        entry = self.read(ended_key(job), deadline_s)
         if entry is None:
             return None
         return decode_entry(entry, EndedJob).state
--- a/tests/member/test_callers.py
+++ b/tests/member/test_callers.py
@@ -21,6 +21,7 @@
 from gooseberrydeck_fleet.work import EndedJob, JobRecord, JobState
 from gooseberrydeck_member import jobs as jobs_module
 from gooseberrydeck_member.callers import (
+    NOT_RELAYED,
     OUTCOME_UNKNOWN,
     CallerApplication,
     CallerRequest,
@@ -313,6 +314,10 @@
 
 
 class TestCancellation(CallerApplicationFixture):
+    @pytest.fixture(autouse=True)
+    def no_delay(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        monkeypatch.setattr(jobs_module, "INITIAL_RETRY_DELAY_S", 0.0)
+
     def test_cancelled_job_stays_cancelled(self) -> None:
         self.submit()
         assert self.call("DELETE")[0] == 200
@@ -327,7 +332,35 @@
     def test_cancellation_that_cannot_be_stored_is_not_confirmed(self) -> None:
         self.submit()
         self.store.fault = CallFault.DOWN
+        self.directory.peer = NOT_RELAYED
         assert self.call("DELETE")[0] == 503
+        assert "Retry-After" in dict(self.headers)
+
+    # Guards against "not cancelled" for a job that is cancelled all the same: a client
+    # repeats the request after 504, but not after 503.
+    @pytest.mark.parametrize("peer", [None, CallerResponse(504)])
+    def test_cancellation_that_a_peer_may_have_stored_is_not_refused(
+        self, peer: CallerResponse | None
+    ) -> None:
+        self.submit()
+        self.store.fault = CallFault.DOWN
+        self.directory.peer = peer
+        assert self.call("DELETE")[0] == 504
+
+    def test_cancellation_that_may_be_stored_here_is_not_refused(self) -> None:
+        self.submit()
+        self.directory.peer = NOT_RELAYED
+        faults = (CallFault.NONE, CallFault.ANSWER_LOST)
+        self.store.next_faults.extend(faults)
+        self.store.fault = CallFault.DOWN
+        assert self.call("DELETE")[0] == 504
+
+    def test_cancellation_by_a_peer_is_confirmed(self) -> None:
+        self.submit()
+        self.store.fault = CallFault.DOWN
+        for status in (200, 410):
+            self.directory.peer = CallerResponse(status)
+            assert self.call("DELETE")[0] == status
 
 
 class TestOddRequests(CallerApplicationFixture):
--- a/tests/member/test_job_store.py
+++ b/tests/member/test_job_store.py
@@ -101,3 +101,43 @@
                 JobStore(store).accept(job_record(), time.monotonic() + 5.0)
             is_refusal = caught.value.outcome is Outcome.NOT_RUN
             assert is_refusal is (store.lost == 0), faults
+
+
+class TestCancel(JobStoreFixture):
+    def setup_method(self) -> None:
+        super().setup_method()
+        JobStore(FaultyStore(self.engine)).accept(job_record(), 0.0)
+
+    # Guards against "not cancelled" for a job that an earlier attempt has cancelled.
+    def test_refusal_after_a_lost_response_leaves_the_outcome_unknown(self) -> None:
+        faults = (CallFault.NONE, CallFault.ANSWER_LOST, *[CallFault.DOWN] * 2)
+        jobs = JobStore(FaultyStore(self.engine, faults))
+        with pytest.raises(StoreOutcomeUnknownError):
+            jobs.cancel(JOB, time.monotonic() + 5.0)
+        record = self.stored_record()
+        assert record is not None
+        assert record.is_cancelled
+
+    # Guards against an unknown outcome of a job that was only read.
+    def test_lost_response_to_a_read_is_a_refusal(self) -> None:
+        store = FaultyStore(self.engine, (CallFault.ANSWER_LOST,) * MAX_ATTEMPTS)
+        with pytest.raises(StoreError) as caught:
+            JobStore(store).cancel(JOB, time.monotonic() + 5.0)
+        assert caught.value.outcome is Outcome.NOT_RUN
+
+    def test_refusal_is_reported_only_if_no_attempt_may_have_cancelled_the_job(
+        self,
+    ) -> None:
+        choices = (CallFault.NONE, *FAULTS)
+        for faults in itertools.product(choices, repeat=4):
+            self.setup_method()
+            store = FaultyStore(self.engine, (*faults, CallFault.DOWN, CallFault.DOWN))
+            try:
+                JobStore(store).cancel(JOB, time.monotonic() + 5.0)
+            except StoreError as error:
+                is_refusal = error.outcome is Outcome.NOT_RUN
+                assert is_refusal is (store.lost == 0), faults
+            else:
+                record = self.stored_record()
+                assert record is not None
+                assert record.is_cancelled, faults
