Refuse truly when no peer has handled a relayed call

What callers saw before: 504 for a job that nobody has, if a peer's host did not accept the connection in time, or if the peer's listener answered 503 (full, or the member still starts) or 404.

Cause: PeerClient.request turned every HttpNotSentError but a refused connection into a plain PeerCallError, and call did so with every status but 200.

Change: PeerNotHandledError says that the peer has certainly not handled the call: nothing of it was sent, or its listener refused it before the handler. Refused connections are a kind of it. Any other PeerCallError has an unknown outcome. The `relay failed` line names the kind.

Tests: TestPeerFailures with the real PeerClient over pools with set results; 4 of its 9 tests failed before (not connected in time, 503, 404, malformed address).

--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/peers.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/peers.py
@@ -31,13 +31,23 @@
 )
 from gooseberrydeck_platform.http_pool import HttpPool
 
-__all__ = ["RELAYED_HEADER", "PeerCallError", "PeerClient", "PeerRefusedError"]
+__all__ = [
+    "RELAYED_HEADER",
+    "PeerCallError",
+    "PeerClient",
+    "PeerNotHandledError",
+    "PeerRefusedError",
+]
 
 ReplyT = TypeVar("ReplyT")
 
 RELAYED_HEADER = "X-Relayed"
 """Marks a caller's request as relayed by another member; it is relayed only once."""
 
+NOT_HANDLED_STATUSES = frozenset({404, 503})
+"""Statuses with which a peer's listener refuses a message before handling it: of a kind
+that it doesn't know, or while it is busy or not ready."""
+
 
 class PeerCallError(Exception):
     """A call to a peer failed or returned no usable reply.
@@ -48,12 +58,16 @@
     outcome = Outcome.UNKNOWN
 
 
-class PeerRefusedError(PeerCallError):
-    """The peer's host refused the connection: its process has ended."""
+class PeerNotHandledError(PeerCallError):
+    """The peer has certainly not handled the call, and never will."""
 
     outcome = Outcome.NOT_RUN
 
 
+class PeerRefusedError(PeerNotHandledError):
+    """The peer's host refused the connection: its process has ended."""
+
+
 class PeerClient:
     """Call other members over persistent connections."""
 
@@ -65,7 +79,7 @@
     def pool(self, address: str) -> HttpPool:
         """Return the connection pool of a peer, creating it if needed.
 
-        Raises ``PeerCallError`` if the address is malformed.
+        Raises ``PeerNotHandledError`` if the address is malformed.
         """
         with self.lock:
             pool = self.pools.get(address)
@@ -73,7 +87,7 @@
                 try:
                     pool = HttpPool([HttpAddress.parse(address)])
                 except ValueError as error:
-                    raise PeerCallError(str(error)) from error
+                    raise PeerNotHandledError(str(error)) from error
                 self.pools[address] = pool
             return pool
 
@@ -88,8 +102,9 @@
     ) -> HttpResponse:
         """Send an HTTP request and return its response.
 
-        Raises ``PeerRefusedError`` if the connection was refused, otherwise
-        ``PeerCallError``.
+        Raises ``PeerRefusedError`` if the connection was refused,
+        ``PeerNotHandledError`` if the request was not sent for another reason, and
+        otherwise ``PeerCallError``.
         """
         pool = self.pool(address)
         try:
@@ -98,7 +113,7 @@
             pool.close()
             if isinstance(error.__cause__, ConnectionRefusedError):
                 raise PeerRefusedError(str(error)) from error
-            raise PeerCallError(str(error)) from error
+            raise PeerNotHandledError(str(error)) from error
         except HttpError as error:
             pool.close()
             raise PeerCallError(str(error)) from error
@@ -111,10 +126,16 @@
         reply: type[ReplyT],
         timeout_s: float,
     ) -> ReplyT:
-        """Send a message and return the decoded reply, or raise ``PeerCallError``."""
+        """Send a message and return the decoded reply.
+
+        Raises ``PeerNotHandledError`` if the peer has certainly not handled the
+        message, otherwise ``PeerCallError``.
+        """
         body = msgspec.json.encode(message)
         headers = {"Content-Type": "application/json"}
         response = self.request(address, "POST", path, body, headers, timeout_s)
+        if response.status in NOT_HANDLED_STATUSES:
+            raise PeerNotHandledError(f"{address}{path}: status {response.status}")
         if response.status != 200:
             raise PeerCallError(f"{address}{path}: status {response.status}")
         try:
--- a/tests/member/test_relay.py
+++ b/tests/member/test_relay.py
@@ -2,6 +2,7 @@
 
 import itertools
 
+import msgspec
 import pytest
 
 from gooseberrydeck_coordination.outcomes import Outcome
@@ -12,7 +13,13 @@
     CallerResponse,
 )
 from gooseberrydeck_member.cell import MIN_RELAY_S, Cell
-from gooseberrydeck_member.peers import PeerCallError, PeerRefusedError
+from gooseberrydeck_member.peers import PeerCallError, PeerClient, PeerRefusedError
+from gooseberrydeck_platform.http import (
+    HttpError,
+    HttpNotSentError,
+    HttpOutcomeUnknownError,
+    HttpResponse,
+)
 
 CALL = CallerRequest("POST", "desk.example", "/slow/aa", "key-1", b"{}", 0.0)
 
@@ -104,3 +111,73 @@
             else:
                 assert response.outcome is Outcome.NOT_RUN, results
             assert (response.status == 200) is (CallerResponse(200) in used), results
+
+
+class FakePool:
+    """An HTTP pool with one result for each request."""
+
+    def __init__(self, result: HttpResponse | HttpError) -> None:
+        self.result = result
+
+    def request(self, *_arguments: object) -> HttpResponse:
+        if isinstance(self.result, HttpError):
+            raise self.result
+        return self.result
+
+    def close(self) -> None:
+        pass
+
+
+def http_reply(status: int, body: bytes = b"null") -> HttpResponse:
+    return HttpResponse(status, {}, body)
+
+
+def refused_connection() -> HttpNotSentError:
+    error = HttpNotSentError("m2:1: connection refused")
+    error.__cause__ = ConnectionRefusedError()
+    return error
+
+
+NOT_HANDLED = {
+    "connection refused": refused_connection(),
+    "not connected in time": HttpNotSentError("m2:1: timed out"),
+    "listener full, or no callers' interface yet": http_reply(503),
+    "call unknown to an earlier release": http_reply(404),
+}
+
+MAYBE_HANDLED = {
+    "no response": HttpOutcomeUnknownError("m2:1: timed out"),
+    "broken off": HttpOutcomeUnknownError("m2:1: connection closed"),
+    "handler failed": http_reply(500),
+    "unreadable reply": http_reply(200, b'{"status":'),
+}
+
+
+class TestPeerFailures:
+    def relay(self, *results: HttpResponse | HttpError) -> CallerResponse:
+        peers = PeerClient()
+        cell = Cell("m1", "m1:1", peers)
+        addresses = tuple(f"m{number}:1" for number in range(2, 2 + len(results)))
+        cell.set_roster(addresses)
+        for address, result in zip(addresses, results, strict=True):
+            peers.pools[address] = FakePool(result)  # type: ignore[assignment]
+        return cell.relay(CALL, 1.0)
+
+    # Guards against 504 for a job that no peer has handled: the refusal is true, and
+    # says when to come back.
+    @pytest.mark.parametrize("failure", NOT_HANDLED)
+    def test_call_that_was_not_handled_is_refused(self, failure: str) -> None:
+        assert self.relay(NOT_HANDLED[failure]) == NOT_RELAYED
+        refusal = http_reply(200, msgspec.json.encode(NOT_RELAYED))
+        assert self.relay(NOT_HANDLED[failure], refusal) == NOT_RELAYED
+
+    @pytest.mark.parametrize("failure", MAYBE_HANDLED)
+    def test_call_that_may_have_been_handled_is_not_refused(self, failure: str) -> None:
+        assert self.relay(MAYBE_HANDLED[failure]) == OUTCOME_UNKNOWN
+        refusal = http_reply(200, msgspec.json.encode(NOT_RELAYED))
+        assert self.relay(MAYBE_HANDLED[failure], refusal) == OUTCOME_UNKNOWN
+
+    def test_malformed_address_is_refused(self) -> None:
+        cell = Cell("m1", "m1:1", PeerClient())
+        cell.set_roster(("no address",))
+        assert cell.relay(CALL, 1.0) == NOT_RELAYED
