Ask another peer when the store fails the first one

What callers saw: a true 503, or a 504, although another host could have stored their job. A relay ended with the first response of a peer; while a holder is being replaced, the next peer in the list may be one that the store turns away as well.

Change: after 429, 503 or 504 of a peer one further peer is asked, within the caller's time. Other statuses (success, 400, 401, 404, 405, 410) settle the call. The job stays one job: it is stored under its id.

What it costs: a second peer calls the store for the same job, at most MAX_RELAY_RESPONSES (2) in all, and none if the holder has lost the store meanwhile; is_store_unavailable is asked again before each. Without a limit a store that turns all hosts away would get a call from every member for each job. Peers that don't respond use up the caller's time as before.

Tests: TestFurtherPeers; 4 of its 9 tests failed before (429, 503, 504, the limit).

--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/cell.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/cell.py
@@ -50,6 +50,13 @@
 MIN_RELAY_S = 0.1
 """Time left below which a caller's request is no longer relayed."""
 
+MAX_RELAY_RESPONSES = 2
+"""Peers that may respond to one relayed call. Each calls the store, which may be in
+trouble for all members."""
+
+STORE_FAILURE_STATUSES = frozenset({429, 503, 504})
+"""Responses of a peer that the store has failed; it may still serve another one."""
+
 
 class Cell:
     """A thread-safe view of the cell, and access to its holder.
@@ -238,13 +245,15 @@
         return self.holder_store_age_s > STORE_SILENCE_LIMIT_S
 
     def relay(self, call: CallerRequest, timeout_s: float) -> CallerResponse:
-        """Relay a call to the peers in turn until one responds.
+        """Relay a call to the peers in turn until one can settle it.
 
         Returns a refusal only if no peer can have run the call, and
         ``OUTCOME_UNKNOWN`` if one may have.
         """
         end_s = time.monotonic() + timeout_s
         outcome = Outcome.NOT_RUN
+        response = NOT_RELAYED
+        responses = 0
         for address in self.peer_addresses():
             remaining_s = end_s - time.monotonic()
             if remaining_s < MIN_RELAY_S:
@@ -274,5 +283,10 @@
                 status=response.status,
                 earlier_outcome=outcome.value,
             )
-            return response.after(outcome)
-        return NOT_RELAYED.after(outcome)
+            outcome = outcome.followed_by(response.outcome)
+            responses += 1
+            is_settled = response.status not in STORE_FAILURE_STATUSES
+            is_last = responses == MAX_RELAY_RESPONSES or self.is_store_unavailable()
+            if is_settled or is_last:
+                break
+        return response.after(outcome)
--- a/tests/member/test_relay.py
+++ b/tests/member/test_relay.py
@@ -12,7 +12,12 @@
     CallerRequest,
     CallerResponse,
 )
-from gooseberrydeck_member.cell import MIN_RELAY_S, Cell
+from gooseberrydeck_member.cell import (
+    MAX_RELAY_RESPONSES,
+    MIN_RELAY_S,
+    STORE_SILENCE_LIMIT_S,
+    Cell,
+)
 from gooseberrydeck_member.peers import PeerCallError, PeerClient, PeerRefusedError
 from gooseberrydeck_platform.http import (
     HttpError,
@@ -113,6 +118,34 @@
             assert (response.status == 200) is (CallerResponse(200) in used), results
 
 
+class TestFurtherPeers:
+    # Guards against a refusal of a job that a third host could have stored, as while a
+    # holder is replaced and the store turns some hosts away.
+    @pytest.mark.parametrize("status", [429, 503, 504])
+    def test_another_peer_is_asked_when_the_store_fails_one(self, status: int) -> None:
+        cell = make_cell(REFUSED, CallerResponse(status), CallerResponse(200))
+        assert cell.relay(CALL, 1.0) == CallerResponse(200)
+
+    # Guards against a store in trouble that is called by every member for each job.
+    def test_number_of_peers_that_call_the_store_is_limited(self) -> None:
+        cell = make_cell(*[NOT_RELAYED] * 50)
+        assert cell.relay(CALL, 1.0) == NOT_RELAYED
+        assert len(cell.peers.used) == MAX_RELAY_RESPONSES  # type: ignore[attr-defined]
+
+    def test_no_further_peer_is_asked_when_the_holder_lost_the_store(self) -> None:
+        cell = make_cell(NOT_RELAYED, CallerResponse(200))
+        cell.set_holder_store_age(2 * STORE_SILENCE_LIMIT_S)
+        assert cell.relay(CALL, 1.0) == NOT_RELAYED
+
+    # Guards against a hopeless request that is tried at several peers.
+    @pytest.mark.parametrize("status", [400, 401, 404, 405])
+    def test_refusal_that_does_not_depend_on_the_store_is_final(
+        self, status: int
+    ) -> None:
+        cell = make_cell(CallerResponse(status), CallerResponse(200))
+        assert cell.relay(CALL, 1.0) == CallerResponse(status)
+
+
 class FakePool:
     """An HTTP pool with one result for each request."""
 
