Report a request that may have run as unknown after a later refusal

What callers would see: 503 with `"outcome": "not_run"` from gooseberryd for an idempotent request that an endpoint may have run.

Cause: Dispatcher.run_with_retries repeats an idempotent request whose first attempt ended without an answer, and raised the error of the last attempt alone: a later one that reached no endpoint made it "not run".

Change: the attempts' outcomes are combined with Outcome.followed_by, which now is the one Outcome type of both products (same values in messages and responses), and the error raised is that of the last attempt that may have run: 502 endpoint-failed, outcome unknown, here.

--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/dispatch/dispatcher.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/dispatch/dispatcher.py
@@ -106,8 +106,12 @@
             raise
 
     def run_with_retries(self, request: ServiceRequest) -> EndpointResponse:
-        """Run a request, retrying failures that are safe to retry."""
+        """Run a request, retrying failures that are safe to retry.
+
+        If an attempt may have run, the error is that of the last such attempt.
+        """
         attempt = 1
+        outcome = Outcome.NOT_RUN
         wait_until_s = min(request.deadline_s, time.monotonic() + MOVE_WAIT_S)
         while True:
             try:
@@ -117,8 +121,13 @@
                     self.metrics.count("dispatch.waits.ownership")
                     time.sleep(MOVE_CHECK_INTERVAL_S)
                     continue
+                outcome = outcome.followed_by(error.outcome)
+                if error.outcome is outcome:
+                    failure = error
                 if not self.should_retry(request, error, attempt):
-                    raise
+                    if failure is error:
+                        raise
+                    raise failure from error
             attempt += 1
             request.is_retry = True
             self.metrics.count("dispatch.retries")
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/dispatch/exceptions.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/dispatch/exceptions.py
@@ -2,18 +2,12 @@
 
 from enum import Enum
 
+from gooseberrydeck_coordination.outcomes import Outcome
 from gooseberrydeck_daemon.exceptions import DaemonError
 
 __all__ = ["DispatchError", "NotRunError", "Outcome", "OutcomeUnknownError", "Reason"]
 
 
-class Outcome(Enum):
-    """Whether a failed request may have run."""
-
-    NOT_RUN = "not_run"
-    UNKNOWN = "unknown"
-
-
 class Reason(Enum):
     """The reason why a request failed."""
 
--- a/tests/daemon/test_endpoint_faults.py
+++ b/tests/daemon/test_endpoint_faults.py
@@ -82,6 +82,21 @@
             assert [call(cell["m1"])[0] for _ in range(5)] == 5 * [200]
         assert [name for name, _ in endpoints.runs].count("e1") == 1
 
+    # Guards against "not run" for a request that an earlier attempt may have run.
+    @pytest.mark.parametrize("later", ["not reached", "refused"])
+    def test_refusal_after_an_attempt_that_may_have_run_is_not_a_refusal(
+        self, later: str
+    ) -> None:
+        behaviours = iter([FAULTS["died"], FAULTS[later], FAULTS[later]])
+        endpoints = FakeEndpoints(
+            lambda request, timeout_s: next(behaviours)(request, timeout_s)
+        )
+        hosts = [endpoint_host(f"e{n}") for n in range(3)]
+        with running_cell(hosts, endpoints) as cell:
+            answer = call(cell["m1"])
+        assert problem(answer) == (502, "endpoint-failed", "unknown")
+        assert len(endpoints.runs) == 3
+
     def test_non_idempotent_request_that_may_have_run_is_not_retried(self) -> None:
         endpoints = FakeEndpoints(FAULTS["died"])
         hosts = [endpoint_host(f"e{n}", SEAT_HOLD) for n in range(4)]
