Report a change as unknown when a member refuses after a lost attempt

What operators would see: "nothing was published" (exit code 5) or "not found" (7) from gooseberryctl for a publication, a new key or a withdrawal that one member had made before its answer was lost.

Cause: Client.send remembered an attempt that may have taken effect, but looked at it only if no member responded: a later 503 or any other status was returned.

Change: the outcomes of the attempts, with that stated in a 503's body, are combined with Outcome.followed_by. An error response is reported only if it says all that is known; otherwise OutcomeUnknownError (exit code 8) names the attempts. Queries have no effect, and are reported as before.

--- a/packages/gooseberrydeck-ctl/src/gooseberrydeck_ctl/client.py
+++ b/packages/gooseberrydeck-ctl/src/gooseberrydeck_ctl/client.py
@@ -2,7 +2,7 @@
 
 import http.client
 import time
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from typing import Any, TypeVar
 from urllib.parse import urlencode
 
@@ -10,6 +10,7 @@
 
 from gooseberrydeck_configuration import Difference, Problem
 from gooseberrydeck_coordination.decoding import DecodingError, decode_json
+from gooseberrydeck_coordination.outcomes import Outcome
 from gooseberrydeck_ctl.exceptions import (
     ConflictError,
     CtlError,
@@ -80,36 +81,49 @@
             raise CtlError(f"the answer cannot be read: {error}") from error
 
     def send(self, method: str, target: str, body: bytes | None) -> tuple[int, bytes]:
-        """Return the status and body of the first response other than a 503.
+        """Return the status and body of the response that settles a request.
 
-        All addresses are tried up to ``MAX_PASSES`` times. If every response was a 503,
-        the last one is returned. Without any response, raise ``OutcomeUnknownError`` if
-        the request may have taken effect, and ``UnreachableError`` otherwise.
+        That is the first one other than a 503. All addresses are tried up to
+        ``MAX_PASSES`` times; if every response was a 503, the last one is returned. An
+        error of one member is no answer if an earlier attempt may have taken effect:
+        then, and without any response, raise ``OutcomeUnknownError``, or
+        ``UnreachableError`` if nothing can have taken effect.
         """
         errors: list[str] = []
-        unavailable: tuple[int, bytes] | None = None
-        may_have_taken_effect = False
+        refusal: tuple[int, bytes] | None = None
+        outcome = Outcome.NOT_RUN
+        for address in self.attempts():
+            try:
+                response = self.send_once(address, method, target, body)
+            except ConnectionRefusedError as error:
+                errors.append(f"{address}: {error}")
+                continue
+            except (OSError, http.client.HTTPException, ValueError) as error:
+                outcome = outcome.followed_by(Outcome.UNKNOWN)
+                errors.append(f"{address}: {error or type(error).__name__}")
+                continue
+            status, data = response
+            if status < 400:
+                return response
+            refusal = response
+            outcome = outcome.followed_by(outcome_of_refusal(status, data))
+            errors.append(f"{address}: status {status}")
+            if status != RETRIED_STATUS:
+                break
+        is_query = method == "GET"
+        if refusal and (is_query or outcome_of_refusal(*refusal) is outcome):
+            return refusal
+        message = "no certain answer: " + "; ".join(dict.fromkeys(errors))
+        if is_query or outcome is Outcome.NOT_RUN:
+            raise UnreachableError(message)
+        raise OutcomeUnknownError(message)
+
+    def attempts(self) -> Iterator[str]:
+        """Yield the addresses in turn, with a pause between the passes."""
         for pass_number in range(MAX_PASSES):
             if pass_number:
                 time.sleep(PASS_PAUSE_S)
-            for address in self.addresses:
-                try:
-                    response = self.send_once(address, method, target, body)
-                except ConnectionRefusedError as error:
-                    errors.append(f"{address}: {error}")
-                except (OSError, http.client.HTTPException, ValueError) as error:
-                    may_have_taken_effect = True
-                    errors.append(f"{address}: {error or type(error).__name__}")
-                else:
-                    if response[0] != RETRIED_STATUS:
-                        return response
-                    unavailable = response
-        if unavailable is not None:
-            return unavailable
-        message = "no member answers: " + "; ".join(dict.fromkeys(errors))
-        if may_have_taken_effect and method != "GET":
-            raise OutcomeUnknownError(message)
-        raise UnreachableError(message)
+            yield from self.addresses
 
     def send_once(
         self, address: str, method: str, target: str, body: bytes | None
@@ -129,6 +143,18 @@
             connection.close()
 
 
+def outcome_of_refusal(status: int, data: bytes) -> Outcome:
+    """Return whether a request that got an error response may have taken effect."""
+    if status < 500:
+        return Outcome.NOT_RUN
+    try:
+        problem = decode_json(data, ProblemDetails)
+    except DecodingError:
+        return Outcome.UNKNOWN
+    is_not_run = problem.outcome == Outcome.NOT_RUN.value
+    return Outcome.NOT_RUN if is_not_run else Outcome.UNKNOWN
+
+
 def error_from_response(status: int, data: bytes) -> CtlError:
     """Return the exception for an error response."""
     try:
@@ -145,6 +171,6 @@
     if status == 404:
         return NotFoundError(message)
     if status == RETRIED_STATUS:
-        is_not_run = problem.outcome == "not_run"
+        is_not_run = outcome_of_refusal(status, data) is Outcome.NOT_RUN
         return (UnreachableError if is_not_run else OutcomeUnknownError)(message)
     return CtlError(message)
