Give up a task after five early crashes, whatever its blame

The platform permits two more starts after three crashes.

Cause: the blame for a crash is divided by the workers that may have fallen silent with it, here three to six, so that a task's blame stays below the limit for any number of crashes, and no number alone was enough (CrashTracker.judge).

Change: five crashes within a second of the run's start are enough, certain ones and workers that have vanished. The limit is the platform's, three and two more; the age keeps out tasks that are lost by chance, at any age of their runs.

Tried first and dropped: 3 s in place of 1 s.

Tests: test_task_whose_crashes_coincide_with_others_is_given_up failed before with 7 starts (workers back under their ids) and without an end (workers that vanish).

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/crashes.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/crashes.py
@@ -48,6 +48,14 @@
 MANY_CRASHES_BLAME = 1.0
 """Blame from which a task is given up that was there at that many crashes."""
 
+MAX_EARLY_CRASHES = 5
+"""Number of crashes soon after its start from which a task is given up whatever its
+blame, which stays low if other workers crash at the same moments: after three, the
+platform permits two more starts."""
+
+EARLY_CRASH_AGE_S = 1.0
+"""Greatest age of a run that counts for that; others are rather lost by chance."""
+
 VANISHED_WEIGHT = 0.5
 """Weight of a worker that has vanished, relative to one that has certainly crashed."""
 
@@ -414,7 +422,7 @@
             job.crashes_counted += 1
 
     def judge(self, present: PresentRun, share: float) -> BlamedRun:
-        """Give up a task if it is to blame for crashes beyond doubt.
+        """Give up a task that is to blame for crashes, or had too many.
 
         Unless there are many, two have to be certain.
         """
@@ -424,7 +432,9 @@
         has_many = len(records) >= MANY_CRASHES
         enough = MANY_CRASHES_BLAME if has_many else GIVE_UP_BLAME
         certain = sum(not record.is_vanished for record in records)
+        early = sum(record.age_s <= EARLY_CRASH_AGE_S for record in records)
         is_guilty = (has_many or certain >= MIN_CRASHES) and total >= enough
+        is_guilty = is_guilty or early >= MAX_EARLY_CRASHES
         if is_guilty:
             job = task.step.job
             first = min(record.silent_s for record in records)
--- a/tests/fleet/test_crashes.py
+++ b/tests/fleet/test_crashes.py
@@ -132,6 +132,29 @@
         self.fleet.run_for(60.0)
         self.assert_given_up(bad)
 
+    # Guards against a task that is started three times more after three crashes, since
+    # other workers crash at the same moment each time: none of them has much blame.
+    @pytest.mark.parametrize("rebirth", [Rebirth.SAME_ID, Rebirth.ELSEWHERE])
+    def test_task_whose_crashes_coincide_with_others_is_given_up(
+        self, rebirth: Rebirth
+    ) -> None:
+        self.fleet = Fleet(workers=24)
+        self.fleet.rebirth = rebirth
+        jobs = [self.submit_ordinary(f"good{n}", seconds=4.0) for n in range(4)]
+        bad = self.submit_deadly(spec=StepSpec(1, TASK))
+        ref = TaskRef(bad, 0, 0, 0)
+        crashes = 0
+        for _ in range(1200):
+            self.fleet.run_for(0.05)
+            under = [worker for _, worker, runs in self.fleet.crashes if ref in runs]
+            if len(under) > crashes:
+                crashes = len(under)
+                up = sorted(self.fleet.engines.keys() - self.fleet.down.keys())
+                for worker in up[:5]:
+                    self.fleet.crash_worker(worker)
+        self.assert_given_up(bad, 0)
+        assert {self.fleet.state(job) for job in jobs} == {JobState.COMPLETED}
+
     def test_reason_names_the_task_and_its_crashes(self) -> None:
         bad = self.submit_deadly()
         self.fleet.run_for(60.0)
