--- a/packages/gooseberrydeck-platform/src/gooseberrydeck_platform/http_pool.py
+++ b/packages/gooseberrydeck-platform/src/gooseberrydeck_platform/http_pool.py
@@ -18,7 +18,7 @@
 __all__ = ["HttpPool"]
 
 MAX_IDLE_CONNECTIONS = 16
-"""The number of idle connections kept for each address."""
+"""The default number of idle connections kept for each address."""
 
 
 class HttpPool:
@@ -30,16 +30,21 @@
     """
 
     def __init__(
-        self, addresses: Sequence[HttpAddress], stall_timeout_s: float = math.inf
+        self,
+        addresses: Sequence[HttpAddress],
+        stall_timeout_s: float = math.inf,
+        max_idle: int = MAX_IDLE_CONNECTIONS,
     ) -> None:
         """Create an empty pool; raise ``ValueError`` without an address.
 
-        A request fails early if nothing is sent or received for ``stall_timeout_s``.
+        A request fails early if nothing is sent or received for ``stall_timeout_s``. Up
+        to ``max_idle`` connections to each address are kept between requests.
         """
         if not addresses:
             raise ValueError("HttpPool requires at least one address")
         self.addresses = tuple(addresses)
         self.stall_timeout_s = stall_timeout_s
+        self.max_idle = max_idle
         self.preferred_index = 0
         self.lock = threading.Lock()
         self.idle: list[deque[HttpConnection]] = [deque() for _ in self.addresses]
@@ -111,7 +116,7 @@
         """
         with self.lock:
             self.preferred_index = index
-            if len(self.idle[index]) < MAX_IDLE_CONNECTIONS:
+            if len(self.idle[index]) < self.max_idle:
                 self.idle[index].append(connection)
                 return
         connection.close()
