Follow the address of the advice service in the settings

Cause: Member.reload applied timings and limits only; the client of the service kept the address of the start, both for the holder's own requests and for those that it sends through peers.

Change: ReloadableAdviser has the client of the address in force, which the scheduler and the peers' interface share; a reload replaces it and closes the idle connections of the former one. A request in progress ends where it began. Also without a signal, when the changed file is noticed. The store's address still stays until the next start (docs/howto/deploy-on-the-platform.md).

--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/composition.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/composition.py
@@ -47,6 +47,7 @@
 from gooseberrydeck_member.peer_server import PeerApplication
 from gooseberrydeck_member.peers import PeerClient
 from gooseberrydeck_member.predecessors import Predecessors
+from gooseberrydeck_member.reloadable_adviser import ReloadableAdviser
 from gooseberrydeck_member.scheduler_task import SchedulerTask
 from gooseberrydeck_member.shard_lock import ShardLock
 from gooseberrydeck_service.connection_budget import ConnectionBudget
@@ -152,7 +153,7 @@
         self.metrics.configuration_age_seconds.set_function(
             lambda: time.monotonic() - self.configuration.confirmed_s
         )
-        self.adviser = HttpAdviser(settings.adviser) if settings.adviser else None
+        self.adviser = ReloadableAdviser(HttpAdviser, settings.adviser)
         self.shard_lock = ShardLock(
             self.control_store,
             MemberId(settings.name),
@@ -290,7 +291,10 @@
                 self.reload(by_signal)
 
     def reload(self, by_signal: bool) -> None:
-        """Apply changed settings; addresses change only at the next start."""
+        """Apply changed settings.
+
+        Except that of the advice service, addresses change only at the next start.
+        """
         try:
             settings = load_settings(self.path)
         except SettingsError as error:
@@ -303,6 +307,7 @@
         log.info("reload", by_signal=by_signal, changed=settings != self.settings)
         self.settings = settings
         self.control.timing = settings.timing
+        self.adviser.set_address(settings.adviser)
         limits = derive_limits(settings)
         for name, budget in self.budgets.items():
             budget.limits = getattr(limits, name)
