Forget early crashes once a task has worked longer since

A lasting task would have been given up at its fifth early crash, however long it had worked between them: counted records whose blame had been halved because the task had worked longer (CrashRecord.cleared). A cleared record says so now, in a new last field; records of earlier releases lack it, and those ignore it.

Test: test_early_crashes_count_until_the_task_works[True] failed before.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/crash_records.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/crash_records.py
@@ -28,7 +28,7 @@
     ``blame`` is the task's share of the blame for the crash, and ``relevance``, up to
     1, is less the more workers fell silent at once. Both are 0 as long as the worker
     may only be out of reach, and less if it has only vanished: nothing has shown that
-    its process ended.
+    its process ended. ``is_cleared`` says that the task has worked longer since.
     """
 
     run: int
@@ -40,6 +40,7 @@
     relevance: float = 0.0
     address: str = ""
     is_vanished: bool = False
+    is_cleared: bool = False
 
     @property
     def is_counted(self) -> bool:
@@ -52,6 +53,7 @@
             self,
             blame=self.blame * CLEARED_FACTOR,
             relevance=self.relevance * CLEARED_FACTOR,
+            is_cleared=True,
         )
 
 
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/crashes.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/crashes.py
@@ -54,7 +54,8 @@
 platform permits two more starts."""
 
 EARLY_CRASH_AGE_S = 1.0
-"""Greatest age of a run that counts for that; others are rather lost by chance."""
+"""Greatest age of a run whose crash counts as early; a run that is lost by chance is
+lost at any age."""
 
 VANISHED_WEIGHT = 0.5
 """Weight of a worker that has vanished, relative to one that has certainly crashed."""
@@ -432,7 +433,10 @@
         has_many = len(records) >= MANY_CRASHES
         enough = MANY_CRASHES_BLAME if has_many else GIVE_UP_BLAME
         certain = sum(not record.is_vanished for record in records)
-        early = sum(record.age_s <= EARLY_CRASH_AGE_S for record in records)
+        early = sum(
+            record.age_s <= EARLY_CRASH_AGE_S and not record.is_cleared
+            for record in records
+        )
         is_guilty = (has_many or certain >= MIN_CRASHES) and total >= enough
         is_guilty = is_guilty or early >= MAX_EARLY_CRASHES
         if is_guilty:
--- a/tests/fleet/test_crashes.py
+++ b/tests/fleet/test_crashes.py
@@ -433,6 +433,21 @@
             present = PresentRun(task, crashes, 1.0)
             assert tracker.judge(present, 1.0).is_given_up is is_given_up
 
+    # Guards against lasting tasks that are given up for crashes of long ago.
+    @pytest.mark.parametrize("has_worked_since", [False, True])
+    def test_early_crashes_count_until_the_task_works(
+        self, has_worked_since: bool
+    ) -> None:
+        job = self.submit_ordinary(seconds=30.0)
+        self.fleet.run_for(1.0)
+        task = self.task(job)
+        for number in range(1, 6):
+            record = CrashRecord(number, WorkerId("w"), 1, 1.0, 0.1, 0.05, 0.2)
+            is_earlier = has_worked_since and number < 5
+            task.crashes[number] = record.cleared() if is_earlier else record
+        judged = self.fleet.scheduler.crashes.judge(PresentRun(task, 5, 0.1), 0.2)
+        assert judged.is_given_up is not has_worked_since
+
 
 class TestEvidence(CrashFixture):
     def crash(self, after_s: float = 1.0) -> WorkerId:
