Review case 13: a late order runs a task again on a minion that is back

Rule TWICE: a task is started after its end was taken note of, by an order to the former life of a minion that crashed and is back under its id.

review/13/run.sh has 0.4 of the orders carried out late for 5.5 s, and four single minions crash.

--- a/review/13/play.py
+++ b/review/13/play.py
@@ -1,6 +1,8 @@
-"""Tasks that report less than a percent in 2.5 s are stopped again and again."""
+"""A minion that is back under its id carries out orders to its former life."""
 
+import random
 import sys
+import threading
 import time
 from pathlib import Path
 
@@ -8,49 +10,88 @@
 
 from world_3 import World, job, main
 
-ESTIMATE_S = 6.0
-FACTOR = 60.0
-"""How many times as long a task of the long job takes."""
+LATE_SHARE = 0.4
+LATE_FOR_S = 5.5
+LATE_S = (2.0, 12.0)
+DOWN_S = 2.0
+CRASHES_S = (4.0, 6.5, 9.0, 11.5)
+"""When single minions crash, in seconds after the first late order."""
 
-LONG = "00000000000000aa"
-TASKS = 6
-ORDINARY_S = (24.0, 54.0)
-WATCHED_S = 75.0
-IDLE_S = 3.0
+TRAFFIC_S = 16.0
+JOBS_PER_S = 8
+TASKS = 24
+
+
+class Lateness:
+    """Have a share of the orders carried out late, for a while."""
+
+    def __init__(self, world: World) -> None:
+        """Begin now."""
+        self.world = world
+        self.until_s = world.record.now() + LATE_FOR_S
+        self.random = random.Random(66)
+        self.lock = threading.Lock()
+
+    def of(self, _document: dict[str, object]) -> float | None:
+        """Return after how many seconds an order is carried out, or None."""
+        with self.lock:
+            if self.world.record.now() > self.until_s:
+                return None
+            if self.random.random() >= LATE_SHARE:
+                return None
+            return self.random.uniform(*LATE_S)
 
 
 def play(world: World) -> list[str]:
-    """Run a job with long tasks, and two ordinary ones while it runs."""
+    """Run small jobs while orders are carried out late and minions crash."""
     record = world.record
-    fields = {"Count": TASKS, "Cpu": 4000, "MaxPerServer": 1, "label": "long"}
-    work_s = ESTIMATE_S * FACTOR if world.trouble else ESTIMATE_S
-    document = job(work_s, **fields, EstimateMs=int(ESTIMATE_S * 1000))
-    if world.submit(f"/slow/{LONG}", document) != 200:
-        raise RuntimeError("the job isn't accepted")
-    accepted = {LONG: record.now()}
-    for number, at_s in enumerate(ORDINARY_S, 1):
-        time.sleep(max(0.0, at_s - record.now()))
-        name = f"{number:016x}"
-        if world.submit(f"/urgent/{name}", job(0.3), number) == 200:
-            accepted[name] = record.now()
-    time.sleep(max(0.0, WATCHED_S - record.now()))
+    begin_s = record.now() + 3
+    if world.trouble:
+
+        def disturb() -> None:
+            time.sleep(max(0.0, begin_s - record.now()))
+            lateness = Lateness(world)
+            for minion in world.minions:
+                minion.lateness = lateness.of
+            record.write("orders are carried out late from now on")
+            for minion, at_s in zip(world.minions, CRASHES_S, strict=False):
+                time.sleep(max(0.0, begin_s + at_s - record.now()))
+                threading.Thread(target=minion.crash, args=(DOWN_S,)).start()
+
+        threading.Thread(target=disturb, daemon=True).start()
+    senders = []
+    for number in range(1, int(TRAFFIC_S * JOBS_PER_S) + 1):
+        document = job(0.3, Count=TASKS, label="")
+        path = f"/urgent/{number:016x}"
+        sender = threading.Thread(target=world.submit, args=(path, document, number))
+        sender.start()
+        senders.append(sender)
+        time.sleep(1 / JOBS_PER_S)
+    for sender in senders:
+        sender.join(20)
+    time.sleep(15)
     end_s = record.now()
     broken = []
-    for name, from_s in accepted.items():
-        rows = world.history(name)
-        tasks = TASKS if name == LONG else 2
-        is_done = len({row["task"] for row in rows if row["how"] == "done"}) == tasks
-        until_s = max(row["end"] for row in rows) if is_done else end_s
-        idle = [
-            (a, b) for a, b in world.idle_spans(rows, from_s, until_s) if b - a > IDLE_S
-        ]
-        if idle:
-            spans = ", ".join(f"{a:.1f} to {b:.1f}" for a, b in idle)
-            broken.append(
-                f"LOST: {name}, accepted at {from_s:.1f}, had nothing running from "
-                f"{spans}; {len(rows)} starts, "
-                f"{sum(row['how'] == 'stopped' for row in rows)} stopped by an order"
-            )
+    by_task: dict[str, list[dict[str, object]]] = {}
+    for row in world.history():
+        by_task.setdefault(row["task"], []).append(row)
+    for task, rows in by_task.items():
+        for first in rows:
+            for second in rows:
+                if second is first or second["start"] < first["start"]:
+                    continue
+                until_s = end_s if first["end"] is None else first["end"]
+                text = (
+                    f"{task}: run {first['run']} on {first['minion']} from "
+                    f"{first['start']:.2f} to {until_s:.2f} ({first['how']}); run "
+                    f"{second['run']} on {second['minion']} from {second['start']:.2f}"
+                )
+                if second["start"] < until_s:
+                    broken.append(f"TWICE: two runs at the same time, {text}")
+                elif first["how"] == "done" and first["noted"]:
+                    noted = f"taken note of at {first['noted']:.2f}"
+                    broken.append(f"TWICE: a start after the end, {noted}, {text}")
+    record.write(f"{len(by_task)} tasks")
     return broken
 
 
--- a/review/world_3.py
+++ b/review/world_3.py
@@ -135,9 +135,9 @@
     daemon_threads = True
     request_queue_size = 512
 
-    def __init__(self, owner: Any) -> None:
+    def __init__(self, owner: Any, port: int = 0) -> None:
         """Set up the object."""
-        super().__init__((LOOPBACK, 0), Handler)
+        super().__init__((LOOPBACK, port), Handler)
         self.owner = owner
         self.text = f"{LOOPBACK}:{self.server_address[1]}"
         threading.Thread(target=self.serve_forever, args=(0.1,), daemon=True).start()
@@ -328,6 +328,7 @@
         self.label: str = plan.get("label", "")
         self.base_s = int(checkpoint, 16) / 1000 if checkpoint else 0.0
         self.began_s = time.monotonic() + (0.25 if checkpoint else 0.0)
+        self.entry: dict[str, Any] = {}
 
     def done_s(self) -> float:
         """Return the seconds of work that are done."""
@@ -349,12 +350,18 @@
         self.store, self.record, self.cpu = store, record, cpu
         self.born_ms = int(time.time() * 1000)
         self.zero_s = time.monotonic()
+        self.seq = 0
         self.fence = 0
         self.lease_ms = 0
         self.runs: dict[tuple[str, int], Run] = {}
         self.highest: dict[str, int] = {}
         self.ended: list[list[Any]] = []
         self.last_end = 0
+        self.lapsed_s = 0.0
+        self.is_down = False
+        # Called with the body of a start. Returns after how many seconds it is carried
+        # out without an answer, or None.
+        self.lateness: Callable[[dict[str, Any]], float | None] = lambda _body: None
         # What was run: task, run, label, start, end (or None), how it ended.
         self.history: list[dict[str, Any]] = []
         self.changed = threading.Condition()
@@ -369,25 +376,29 @@
 
     def beat(self) -> None:
         """Write the entry in the store at intervals."""
-        seq = 0
         while True:
-            seq += 1
-            entry = {
-                "Service": "desk",
-                "Address": self.server.text,
-                "Zone": "zone-a",
-                "Version": "v1",
-                "Slots": 8,
-                "State": "ready",
-                "ColdLeftMs": 0,
-                "Capacity": {"Cpu": self.cpu, "MemMb": 65536, "Gpu": 0},
-                "Labels": ["a", self.rack],
-                "Seq": seq,
-                "born": self.born_ms,
-            }
-            self.store.put(f"servers/{self.id}", entry)
+            if not self.is_down:
+                self.register()
             time.sleep(1.5)
 
+    def register(self) -> None:
+        """Write the entry in the store."""
+        self.seq += 1
+        entry = {
+            "Service": "desk",
+            "Address": self.server.text,
+            "Zone": "zone-a",
+            "Version": "v1",
+            "Slots": 8,
+            "State": "ready",
+            "ColdLeftMs": 0,
+            "Capacity": {"Cpu": self.cpu, "MemMb": 65536, "Gpu": 0},
+            "Labels": ["a", self.rack],
+            "Seq": self.seq,
+            "born": self.born_ms,
+        }
+        self.store.put(f"servers/{self.id}", entry)
+
     def work(self) -> None:
         """End the runs that are done or whose lease has expired."""
         while True:
@@ -407,10 +418,10 @@
         self.last_end += 1
         saved = "" if how == "done" else self.saved(run)
         self.ended.append([self.last_end, run.task, run.number, how, saved])
-        for each in self.history:
-            if each["task"] == run.task and each["run"] == run.number:
-                each["end"], each["how"] = self.record.now(), how
-                each["percent"] = 100 if how == "done" else run.percent()
+        entry = run.entry
+        entry["end"], entry["how"] = self.record.now(), how
+        entry["number"] = self.last_end
+        entry["percent"] = 100 if how == "done" else run.percent()
         if run.label:
             self.record.write(
                 f"{self.id}: {run.task} run {run.number} ({run.label}) ended {how} "
@@ -426,10 +437,37 @@
         self, method: str, path: str, fields: dict[str, str], body: bytes, headers: Any
     ) -> Reply:
         """Answer a call."""
+        if self.is_down:
+            return None
         expected = headers.get("X-Expect-Instance", self.id)
         if expected != self.id:
             return self.reply(421)
         document = json.loads(body or b"{}")
+        if path == "/run-start":
+            late_s = self.lateness(document)
+            if late_s is not None:
+                timer = threading.Timer(late_s, self.carry_out_late, (document,))
+                timer.daemon = True
+                timer.start()
+                time.sleep(1.0)
+                return None
+        born_ms = self.born_ms
+        reply = self.execute(path, document)
+        return None if self.is_down or self.born_ms != born_ms else reply
+
+    def carry_out_late(self, document: dict[str, Any]) -> None:
+        """Carry an order out that had no answer, perhaps in a later life."""
+        if self.is_down:
+            return
+        reply = self.execute("/run-start", document)
+        status, fields = reply or (0, {})
+        self.record.write(
+            f"{self.id}: late order to start {document['Task']} run {document['Run']}: "
+            f"{status} {fields.get('Reason', '')}"
+        )
+
+    def execute(self, path: str, document: dict[str, Any]) -> Reply:
+        """Execute a call."""
         with self.changed:
             if document.get("FencingToken", 0) < self.fence:
                 return self.reply(409, Reason="fence")
@@ -470,10 +508,20 @@
         checkpoint = document.get("Checkpoint", "")
         run = Run(task, number, document["Spec"], checkpoint, self.record.now())
         self.runs[task, number] = run
-        entry = {"task": task, "run": number, "label": run.label, "minion": self.id}
-        self.history.append(
-            {**entry, "start": run.at, "end": None, "how": "", "percent": 0}
-        )
+        run.entry = {
+            "task": task,
+            "run": number,
+            "label": run.label,
+            "minion": self.id,
+            "born": self.born_ms,
+            "start": run.at,
+            "end": None,
+            "how": "",
+            "percent": 0,
+            "number": 0,
+            "noted": None,
+        }
+        self.history.append(run.entry)
         if run.label:
             self.record.write(f"{self.id}: start of {task} run {number} ({run.label})")
         return self.reply(200)
@@ -483,10 +531,12 @@
         self.extend(document)
         end_s = time.monotonic() + min(2000, document.get("WaitMs", 0)) / 1000
         seen = document.get("LastSeen", 0)
+        self.note_ends(seen)
+        born_ms = self.born_ms
         while True:
             self.ended = [row for row in self.ended if row[0] > seen]
             left_s = end_s - time.monotonic()
-            if self.ended or left_s <= 0:
+            if self.ended or left_s <= 0 or self.is_down or self.born_ms != born_ms:
                 break
             self.changed.wait(left_s)
         running = [
@@ -495,6 +545,40 @@
         ]
         return self.reply(200, Running=running, Ended=self.ended[:500])
 
+    def note_ends(self, seen: int) -> None:
+        """Record which ends were taken note of, with no lapsed lease in between."""
+        if self.clock() >= self.lease_ms:
+            self.lapsed_s = self.record.now()
+        for entry in self.history:
+            if entry["end"] is None or entry["noted"] or entry["born"] != self.born_ms:
+                continue
+            if 0 < entry["number"] <= seen and entry["end"] > self.lapsed_s:
+                entry["noted"] = self.record.now()
+
+    def crash(self, down_s: float) -> None:
+        """Crash now, and start again under the same id and address after a while."""
+        with self.changed:
+            self.is_down = True
+            for run in self.runs.values():
+                run.entry["end"], run.entry["how"] = self.record.now(), "crashed"
+            self.runs.clear()
+            self.highest.clear()
+            self.ended.clear()
+            self.last_end = self.fence = self.lease_ms = 0
+            self.record.write(f"{self.id}: crashed")
+            self.changed.notify_all()
+        port = self.server.server_address[1]
+        self.server.shutdown()
+        self.server.server_close()
+        time.sleep(down_s)
+        with self.changed:
+            self.born_ms = int(time.time() * 1000)
+            self.zero_s = time.monotonic()
+            self.is_down = False
+            self.server = Server(self, port)
+            self.record.write(f"{self.id}: started again, born {self.born_ms}")
+        self.register()
+
     def reply(self, status: int, **fields: Any) -> Reply:
         """Return an answer with the common fields."""
         return status, {"ClockMs": self.clock(), "born": self.born_ms, **fields}
