Review case 13: show the late order behind a cut, at the site's doses

Rule TWICE: a task is started after its end was taken note of, by an order to the former life of a minion that starts again behind a cut.

review/13/run.sh has 0.055 of the orders carried out late for 5.5 s, and cuts off one of six minions for 5.5 s, twice.

--- a/review/13/play.py
+++ b/review/13/play.py
@@ -1,4 +1,4 @@
-"""A minion that is back under its id carries out orders to its former life."""
+"""A minion that starts again behind a cut carries out orders to its former life."""
 
 import random
 import sys
@@ -10,15 +10,20 @@
 
 from world_3 import World, job, main
 
-LATE_SHARE = 0.4
+LATE_SHARE = 0.055
 LATE_FOR_S = 5.5
 LATE_S = (2.0, 12.0)
-DOWN_S = 2.0
-CRASHES_S = (4.0, 6.5, 9.0, 11.5)
-"""When single minions crash, in seconds after the first late order."""
+CUT_S = 5.5
+"""The doses of ``applied_late`` and of ``node_cut`` in the site file."""
 
-TRAFFIC_S = 16.0
-JOBS_PER_S = 8
+CUTS_S = (4.0, 10.0)
+"""When single minions are cut off, in seconds after the first late order."""
+
+CRASH_AFTER_S = 0.5
+DOWN_S = 1.0
+
+TRAFFIC_S = 14.0
+JOBS_PER_S = 10
 TASKS = 24
 
 
@@ -43,7 +48,7 @@
 
 
 def play(world: World) -> list[str]:
-    """Run small jobs while orders are carried out late and minions crash."""
+    """Run small jobs while orders are carried out late and minions are cut off."""
     record = world.record
     begin_s = record.now() + 3
     if world.trouble:
@@ -54,9 +59,10 @@
             for minion in world.minions:
                 minion.lateness = lateness.of
             record.write("orders are carried out late from now on")
-            for minion, at_s in zip(world.minions, CRASHES_S, strict=False):
+            for minion, at_s in zip(world.minions, CUTS_S, strict=False):
                 time.sleep(max(0.0, begin_s + at_s - record.now()))
-                threading.Thread(target=minion.crash, args=(DOWN_S,)).start()
+                cut = (CUT_S, CRASH_AFTER_S, DOWN_S)
+                threading.Thread(target=minion.cut_off, args=cut).start()
 
         threading.Thread(target=disturb, daemon=True).start()
     senders = []
--- a/review/world_3.py
+++ b/review/world_3.py
@@ -359,6 +359,7 @@
         self.last_end = 0
         self.lapsed_s = 0.0
         self.is_down = False
+        self.cut_until_s = 0.0
         # Called with the body of a start. Returns after how many seconds it is carried
         # out without an answer, or None.
         self.lateness: Callable[[dict[str, Any]], float | None] = lambda _body: None
@@ -437,7 +438,7 @@
         self, method: str, path: str, fields: dict[str, str], body: bytes, headers: Any
     ) -> Reply:
         """Answer a call."""
-        if self.is_down:
+        if self.is_down or self.wait_for_cut():
             return None
         expected = headers.get("X-Expect-Instance", self.id)
         if expected != self.id:
@@ -453,7 +454,22 @@
                 return None
         born_ms = self.born_ms
         reply = self.execute(path, document)
-        return None if self.is_down or self.born_ms != born_ms else reply
+        is_lost = self.wait_for_cut() or self.is_down or self.born_ms != born_ms
+        return None if is_lost else reply
+
+    def wait_for_cut(self) -> bool:
+        """Wait while the minion is cut off; return whether it was."""
+        left_s = self.cut_until_s - time.monotonic()
+        if left_s > 0:
+            time.sleep(left_s)
+        return left_s > 0
+
+    def cut_off(self, for_s: float, crash_after_s: float, down_s: float) -> None:
+        """Cut the minion off from all members; it crashes and starts behind the cut."""
+        self.cut_until_s = time.monotonic() + for_s
+        self.record.write(f"{self.id}: cut off from the members for {for_s} s")
+        time.sleep(crash_after_s)
+        self.crash(down_s)
 
     def carry_out_late(self, document: dict[str, Any]) -> None:
         """Carry an order out that had no answer, perhaps in a later life."""
