Review: members of the cases get addresses of their own, and end together

No rule is broken by this change: a run of case 11 could not start, as two scripts that ran side by side chose the same port. The scripts also end all processes if their time is up.

--- a/review/world_3.py
+++ b/review/world_3.py
@@ -600,25 +600,38 @@
         return status, {"ClockMs": self.clock(), "born": self.born_ms, **fields}
 
 
-def free_port(address: str) -> int:
-    """Return a free port of an address."""
-    with socket.socket() as found:
-        found.bind((address, 0))
-        return int(found.getsockname()[1])
+FRONT, READY, PEERS = 8183, 8184, 7420
+"""The ports of a member, the same on all machines, as in the example of DEPLOY."""
+
+
+def free_addresses(count: int) -> list[str]:
+    """Return loopback addresses on which the ports of a member are free."""
+    found: list[str] = []
+    prefix = f"127.{64 + os.getpid() % 128}.{1 + os.getpid() // 128 % 250}"
+    for last in range(10, 250):
+        try:
+            for port in (FRONT, READY, PEERS):
+                with socket.socket() as probe:
+                    probe.bind((f"{prefix}.{last}", port))
+        except OSError:
+            continue
+        found.append(f"{prefix}.{last}")
+        if len(found) == count:
+            return found
+    raise RuntimeError("no free addresses")
 
 
 class Member:
     """A member process, started with the command of the deploy file."""
 
-    def __init__(self, number: int, store: Store, folder: Path, record: Record) -> None:
+    def __init__(
+        self, number: int, address: str, store: Store, folder: Path, record: Record
+    ) -> None:
         """Set up the object."""
         self.name = f"front-zone-a-{number}"
         self.record = record
-        self.address = f"127.0.0.{10 + number}"
-        ports = [free_port(self.address) for _ in range(3)]
-        self.front, ready, first = ports
-        self.ready = ready
-        first = min(first, 60_000)
+        self.address = address
+        self.front, self.ready = FRONT, READY
         settings = {
             "NodeName": self.name,
             "Role": "member",
@@ -630,9 +643,9 @@
             "Zones": {"zone-a": "region-a"},
             "Listen": {
                 "Front": f"{self.address}:{self.front}",
-                "Ready": f"{self.address}:{ready}",
+                "Ready": f"{self.address}:{self.ready}",
             },
-            "PortRange": [first, first + 15],
+            "PortRange": [PEERS, PEERS + 15],
             "Seeds": [],
             "Bootstrap": True,
             "InTolerance": False,
@@ -739,16 +752,19 @@
         finally:
             connection.close()
 
-    def close(self) -> None:
-        """End all processes that were started."""
+    def terminate(self) -> None:
+        """Send SIGTERM to the process, unless it has ended."""
         if self.process.poll() is None:
             self.process.send_signal(signal.SIGCONT)
             self.process.terminate()
-            try:
-                self.process.wait(8)
-            except subprocess.TimeoutExpired:
-                self.process.kill()
-                self.process.wait()
+
+    def close(self, timeout_s: float) -> None:
+        """Wait for the end of the process, and kill it after a while."""
+        try:
+            self.process.wait(max(0.1, timeout_s))
+        except subprocess.TimeoutExpired:
+            self.process.kill()
+            self.process.wait()
 
 
 def configuration(version: int = 1, maximum_cpu: int = 0) -> dict[str, Any]:
@@ -844,8 +860,10 @@
         self.minions = [Minion(self.store, n, self.record, cpu) for n in range(minions)]
         self.members: list[Member] = []
         try:
-            for number in range(members):
-                member = Member(number, self.store, self.temporary, self.record)
+            for number, address in enumerate(free_addresses(members)):
+                member = Member(
+                    number, address, self.store, self.temporary, self.record
+                )
                 self.members.append(member)
             end_s = time.monotonic() + 25
             while not all(member.is_ready() for member in self.members):
@@ -919,8 +937,11 @@
 
     def close(self) -> None:
         """End all processes that were started."""
+        end_s = time.monotonic() + 7
         for member in self.members:
-            member.close()
+            member.terminate()
+        for member in self.members:
+            member.close(end_s - time.monotonic())
         if keep := os.environ.get("KEEP_LOGS"):
             shutil.copytree(self.temporary, keep, dirs_exist_ok=True)
         shutil.rmtree(self.temporary, ignore_errors=True)
@@ -928,6 +949,11 @@
 
 def main(case: str, play: Callable[[World], list[str]], **options: Any) -> None:
     """Play a case; exit with 1 if the rule was broken, 0 if it held, 2 on failure."""
+
+    def time_is_up(*_arguments: object) -> None:
+        raise RuntimeError("the time is up")
+
+    signal.signal(signal.SIGTERM, time_is_up)
     try:
         world = World(Path(case).resolve().parent, **options)
     except Exception as error:
