--- a/review/13/play.py
+++ b/review/13/play.py
@@ -1,5 +1,6 @@
-"""A minion that starts again behind a cut carries out orders to its former life."""
+"""A cancelling is acknowledged with 410, and the job is stored and runs afterwards."""
 
+import json
 import random
 import sys
 import threading
@@ -8,96 +9,94 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from world_3 import World, job, main
+from world_3 import BOUNDS, World, job, main
 
-LATE_SHARE = 0.055
-LATE_FOR_S = 5.5
-LATE_S = (2.0, 12.0)
-CUT_S = 5.5
-"""The doses of ``applied_late`` and of ``node_cut`` in the site file."""
+LOST_SHARE = 0.35
+LOST_S = 4.5
+LATE_S = (1.0, 6.0)
+"""The dose of ``platform_lost``, ``how = late``, in the site file and its kinds."""
 
-CUTS_S = (4.0, 10.0)
-"""When single minions are cut off, in seconds after the first late order."""
+JOBS = 30
+PATIENCE_S = 0.6
+"""Within half of the objective of jobs with tasks that last (2,500 ms)."""
 
-CRASH_AFTER_S = 0.5
-DOWN_S = 1.0
+CALM_S = 10.0
 
-TRAFFIC_S = 14.0
-JOBS_PER_S = 10
-TASKS = 24
 
-
-class Lateness:
-    """Have a share of the orders carried out late, for a while."""
+class Loss:
+    """Lose the answers of a share of the writes, which are done later."""
 
     def __init__(self, world: World) -> None:
-        """Begin now."""
+        """Begin to lose answers now."""
         self.world = world
-        self.until_s = world.record.now() + LATE_FOR_S
+        self.until_s = world.record.now() + LOST_S
         self.random = random.Random(66)
         self.lock = threading.Lock()
 
-    def of(self, _document: dict[str, object]) -> float | None:
-        """Return after how many seconds an order is carried out, or None."""
+    def lateness(self, document: dict[str, object]) -> float | None:
+        """Return after how many seconds a write is done, or None if it is answered."""
         with self.lock:
             if self.world.record.now() > self.until_s:
                 return None
-            if self.random.random() >= LATE_SHARE:
+            if self.random.random() >= LOST_SHARE:
                 return None
-            return self.random.uniform(*LATE_S)
+            late_s = self.random.uniform(*LATE_S)
+        keys = [row["Key"] for row in document.get("Writes") or []]  # type: ignore[attr-defined]
+        self.world.record.write(f"store: write of {keys} is done {late_s:.1f} s late")
+        return late_s
+
+
+def hand_in(world: World, number: int, cancelled: dict[str, float]) -> None:
+    """Hand a job in; without an answer in time, leave and cancel it at other nodes."""
+    record = world.record
+    name = f"{number:016x}"
+    path = f"/urgent/{name}"
+    body = json.dumps(job(0.5, Count=1, Cpu=100, LongRunning=True, label="unasked"))
+    first = world.members[number % 3]
+    status, _ = first.call("POST", path, body.encode(), PATIENCE_S)
+    record.write(f"POST {path} at {first.name}: {status or 'no answer, client leaves'}")
+    if status == 200:
+        return
+    for attempt in range(1, 7):
+        member = world.members[(number + attempt) % 3]
+        status, _ = member.call("DELETE", path)
+        record.write(f"DELETE {path} at {member.name}: {status or 'no answer'}")
+        if status in (200, 410):
+            cancelled[name] = record.now()
+            return
 
 
 def play(world: World) -> list[str]:
-    """Run small jobs while orders are carried out late and minions are cut off."""
+    """Hand jobs in while answers of the store are lost, and cancel some of them."""
     record = world.record
-    begin_s = record.now() + 3
+    time.sleep(3)
+    cancelled: dict[str, float] = {}
     if world.trouble:
-
-        def disturb() -> None:
-            time.sleep(max(0.0, begin_s - record.now()))
-            lateness = Lateness(world)
-            for minion in world.minions:
-                minion.lateness = lateness.of
-            record.write("orders are carried out late from now on")
-            for minion, at_s in zip(world.minions, CUTS_S, strict=False):
-                time.sleep(max(0.0, begin_s + at_s - record.now()))
-                cut = (CUT_S, CRASH_AFTER_S, DOWN_S)
-                threading.Thread(target=minion.cut_off, args=cut).start()
-
-        threading.Thread(target=disturb, daemon=True).start()
-    senders = []
-    for number in range(1, int(TRAFFIC_S * JOBS_PER_S) + 1):
-        document = job(0.3, Count=TASKS, label="")
-        path = f"/urgent/{number:016x}"
-        sender = threading.Thread(target=world.submit, args=(path, document, number))
-        sender.start()
-        senders.append(sender)
-        time.sleep(1 / JOBS_PER_S)
-    for sender in senders:
-        sender.join(20)
-    time.sleep(15)
+        world.store.lateness = Loss(world).lateness
+    clients = []
+    for number in range(1, JOBS + 1):
+        client = threading.Thread(target=hand_in, args=(world, number, cancelled))
+        client.start()
+        clients.append(client)
+        time.sleep(LOST_S / JOBS)
+    for client in clients:
+        client.join(20)
+    calm_s = record.now() + LATE_S[1] + CALM_S
+    record.write(f"cancelled: {len(cancelled)} jobs")
+    while record.now() < calm_s + 5:
+        time.sleep(0.5)
     end_s = record.now()
+    allowed_s = (BOUNDS["cancel_ms"] + BOUNDS["StopTimeoutMs"]) / 1000
     broken = []
-    by_task: dict[str, list[dict[str, object]]] = {}
-    for row in world.history():
-        by_task.setdefault(row["task"], []).append(row)
-    for task, rows in by_task.items():
-        for first in rows:
-            for second in rows:
-                if second is first or second["start"] < first["start"]:
-                    continue
-                until_s = end_s if first["end"] is None else first["end"]
-                text = (
-                    f"{task}: run {first['run']} on {first['minion']} from "
-                    f"{first['start']:.2f} to {until_s:.2f} ({first['how']}); run "
-                    f"{second['run']} on {second['minion']} from {second['start']:.2f}"
+    for name, at_s in cancelled.items():
+        for row in world.history(name):
+            until_s = end_s if row["end"] is None else row["end"]
+            if until_s > max(at_s + allowed_s, calm_s):
+                broken.append(
+                    f"UNASKED: {row['task']} started at {row['start']:.1f} and runs at "
+                    f"{until_s:.1f}; its cancelling was acknowledged at {at_s:.1f}; "
+                    f"state {world.state(f'/urgent/{name}')}"
                 )
-                if second["start"] < until_s:
-                    broken.append(f"TWICE: two runs at the same time, {text}")
-                elif first["how"] == "done" and first["noted"]:
-                    noted = f"taken note of at {first['noted']:.2f}"
-                    broken.append(f"TWICE: a start after the end, {noted}, {text}")
-    record.write(f"{len(by_task)} tasks")
     return broken
 
 
