--- a/review/world_3.py
+++ b/review/world_3.py
@@ -840,8 +840,9 @@
             f"{member.name} killed at {used_mb:.0f} MB of {MEMORY_MB} MB"
         )
         time.sleep(0.3)
-        if not self.stopping:
-            member.start()
+        with self.world.closing:
+            if not self.world.is_closed:
+                member.start()
 
 
 class World:
@@ -859,6 +860,8 @@
         self.store.put("op/config", configuration())
         self.minions = [Minion(self.store, n, self.record, cpu) for n in range(minions)]
         self.members: list[Member] = []
+        self.closing = threading.Lock()
+        self.is_closed = False
         try:
             for number, address in enumerate(free_addresses(members)):
                 member = Member(
@@ -937,6 +940,8 @@
 
     def close(self) -> None:
         """End all processes that were started."""
+        with self.closing:
+            self.is_closed = True
         end_s = time.monotonic() + 7
         for member in self.members:
             member.terminate()
