--- a/review/world_3.py
+++ b/review/world_3.py
@@ -849,10 +849,10 @@
     """The store, minions and members of a small deployment."""
 
     def __init__(
-        self, folder: Path, members: int = 3, minions: int = 6, cpu: int = 32_000
+        self, record: Path, members: int = 3, minions: int = 6, cpu: int = 32_000
     ):
         """Set up the object."""
-        self.record = Record(folder / "record.txt")
+        self.record = Record(record)
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
         self.record.write(f"trouble: {self.trouble}")
         self.temporary = Path(tempfile.mkdtemp())
@@ -952,15 +952,18 @@
         shutil.rmtree(self.temporary, ignore_errors=True)
 
 
-def main(case: str, play: Callable[[World], list[str]], **options: Any) -> None:
-    """Play a case; exit with 1 if the rule was broken, 0 if it held, 2 on failure."""
+def main(record: Path, play: Callable[[World], list[str]], **options: Any) -> None:
+    """Play a case, and write to ``record`` what was sent, answered and run.
+
+    Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+    """
 
     def time_is_up(*_arguments: object) -> None:
         raise RuntimeError("the time is up")
 
     signal.signal(signal.SIGTERM, time_is_up)
     try:
-        world = World(Path(case).resolve().parent, **options)
+        world = World(record, **options)
     except Exception as error:
         print(f"can't run: {error!r}")
         sys.exit(2)
