Log a cancelling that finds no job, and the attempt that stored a job

The 410 of a job whose submission is still on its way looked like that of a job which ended long ago, and nothing said whether a job was stored by the first attempt, a later one, or by a call without an answer. Cancellings without a job are logged with the final state found ("ended", null if there is none). A submission is logged with its attempt if it took more than one ("job stored"), or found its id in use ("job id in use", which after a lost answer means that a late write stored it).

--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/jobs.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/jobs.py
@@ -4,6 +4,7 @@
 import time
 
 import msgspec
+import structlog
 
 from gooseberrydeck_coordination.exceptions import (
     StoreError,
@@ -20,6 +21,8 @@
 
 __all__ = ["JobStore"]
 
+log = structlog.get_logger(__name__)
+
 CALL_TIMEOUT_S = 0.9
 """Timeout of one store call; leaves time for a retry before the caller gives up."""
 
@@ -69,6 +72,12 @@
                 if is_last:
                     raise StoreOutcomeUnknownError(str(error)) from error
             else:
+                if attempt > 1 or not result.succeeded:
+                    log.info(
+                        "job stored" if result.succeeded else "job id in use",
+                        job=record.id,
+                        attempt=attempt,
+                    )
                 return result.revision if result.succeeded else None
             back_off(attempt)
         raise AssertionError("the last attempt returns or raises")
@@ -99,7 +108,10 @@
         key = job_key(job)
         entry = self.read(key, deadline_s)
         if entry is None:
-            return self.read_final_state(job, deadline_s)
+            state = self.read_final_state(job, deadline_s)
+            ended = None if state is None else state.value
+            log.info("no job to cancel", job=job, ended=ended)
+            return state
         record = decode_entry(entry, JobRecord)
         if record.is_cancelled:
             return JobState.CANCELLED
