Keep a job from being stored after its cancellation was acknowledged

What callers saw: a POST gets no answer in time, the client leaves and cancels the job at another member, which answers 410 at once.

Cause: the cancellation read the job's two keys and left nothing in the store, so that no later write of the submission failed.

Fix: a cancellation that finds no record stores one, ended/ID with was_submitted false, under the condition that there is none. Submissions have required the absence of that key all along, so each way in which one may come late fails, whatever its length. A wait before the 410 would cover none of them. Lookups answer 410 for such a job. A submission that arrives later is answered 200 and shown as cancelled, as one that follows its own cancellation already is: 429 and 503 would only make its client send it again. The record is removed with those of the ended jobs after 12 minutes or more. Unknown outcomes of the write are 504, certain failures 503. An id whose key the store would refuse is answered at once, as the cancellation is a write now.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/work.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/work.py
@@ -121,12 +121,20 @@
     """The stored record of a job that has ended.
 
     ``failure`` says why it has failed, unless a task has used up its attempts.
+    ``was_submitted`` is False if the job was cancelled before its submission arrived;
+    the record then keeps the submission from being stored.
     """
 
     state: JobState
     ended_s: float
     team: TeamName = TeamName("")
     failure: str = ""
+    was_submitted: bool = True
+
+    @property
+    def shown_state(self) -> JobState | None:
+        """Return the state shown to callers, or None if the job does not exist."""
+        return self.state if self.was_submitted else None
 
 
 def validate_work(work: WorkSpec) -> None:
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/callers.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/callers.py
@@ -46,6 +46,9 @@
 FAILURE_HEADER = "X-Failure-Reason"
 """Response header with the reason why a job was given up."""
 
+MAX_JOB_ID_BYTES = 160
+"""Longer ids are refused: the store allows keys of 200 bytes."""
+
 RETRY_AFTER_S = 1
 """Retry delay sent with a refusal; faults of the store or a member pass within
 seconds."""
@@ -268,6 +271,8 @@
             return self.state(job, call) if job else self.waiting(queue, call)
         if not job or "/" in job:
             return CallerResponse(404)
+        if len(job.encode()) > MAX_JOB_ID_BYTES and call.method in ("POST", "DELETE"):
+            return CallerResponse(400 if call.method == "POST" else 410)
         if call.method == "POST":
             team_name = team.name if team is not None else TeamName("")
             settings = queue.settings(configuration.version)
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/job_lookups.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/job_lookups.py
@@ -94,8 +94,7 @@
         """
         ended = self.store.read(ended_key(job), CALL_TIMEOUT_S)
         if ended is not None:
-            state = decode_entry(ended, EndedJob).state
-            return JobAbsent(job, state)
+            return JobAbsent(job, decode_entry(ended, EndedJob).shown_state)
         entry = self.store.read(job_key(job), CALL_TIMEOUT_S)
         if entry is None:
             return JobAbsent(job, None)
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/jobs.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/jobs.py
@@ -49,6 +49,9 @@
     def accept(self, record: JobRecord, deadline_s: float) -> Revision | None:
         """Store a job and return its revision, or None if its id is already in use.
 
+        The id of a job that was cancelled before its submission is in use; the job is
+        then shown as cancelled.
+
         Raises ``StoreOutcomeUnknownError`` if the job may be stored, now or later, and
         another ``StoreError`` only if it certainly isn't.
         """
@@ -65,6 +68,17 @@
             is_last = attempt == MAX_ATTEMPTS or time.monotonic() >= deadline_s
             try:
                 result = self.store.commit(transaction, call_timeout_s(deadline_s))
+                if attempt > 1 or not result.succeeded:
+                    log.info(
+                        "job stored" if result.succeeded else "job id in use",
+                        job=record.id,
+                        attempt=attempt,
+                    )
+                if result.succeeded:
+                    return result.revision
+                # A refusal would be untrue from here on: the job may be stored.
+                outcome = Outcome.UNKNOWN
+                self.record_submission(record.id, deadline_s)
             except StoreError as error:
                 outcome = outcome.followed_by(error.outcome)
                 if outcome is Outcome.NOT_RUN:
@@ -72,22 +86,38 @@
                 if is_last:
                     raise StoreOutcomeUnknownError(str(error)) from error
             else:
-                if attempt > 1 or not result.succeeded:
-                    log.info(
-                        "job stored" if result.succeeded else "job id in use",
-                        job=record.id,
-                        attempt=attempt,
-                    )
-                return result.revision if result.succeeded else None
+                return None
             back_off(attempt)
         raise AssertionError("the last attempt returns or raises")
 
+    def record_submission(self, job: JobId, deadline_s: float) -> None:
+        """Show a job as cancelled that was cancelled before its submission arrived.
+
+        Raises a ``StoreError`` if that is not certain.
+        """
+        key = ended_key(job)
+        entry = self.read(key, deadline_s)
+        if entry is None:
+            return
+        ended = decode_entry(entry, EndedJob)
+        if ended.was_submitted:
+            return
+        log.info("submitted job was cancelled before", job=job)
+        submitted = msgspec.structs.replace(ended, was_submitted=True)
+        transaction = Transaction(
+            (mod_revision_equals(key, entry.mod_revision),),
+            (Put(key, msgspec.json.encode(submitted)),),
+        )
+        if not self.store.commit(transaction, call_timeout_s(deadline_s)).succeeded:
+            raise StoreOutcomeUnknownError(f"{key} was changed meanwhile")
+
     def cancel(self, job: JobId, deadline_s: float) -> JobState | None:
         """Mark a job as cancelled and return its state, or None if it does not exist.
 
-        A job that has ended keeps its state. Raises ``StoreOutcomeUnknownError`` if the
-        job may be marked, now or later, and another ``StoreError`` only if it certainly
-        isn't.
+        A job that has ended keeps its state. One that does not exist can't be stored
+        later either: its submission may still be on its way, or be repeated. Raises
+        ``StoreOutcomeUnknownError`` if the job may be marked, now or later, and another
+        ``StoreError`` only if it certainly isn't.
         """
         outcome = Outcome.NOT_RUN
         for attempt in itertools.count(1):
@@ -105,26 +135,59 @@
 
     def cancel_once(self, job: JobId, deadline_s: float) -> JobState | None:
         """Make one attempt to mark a job as cancelled."""
-        key = job_key(job)
-        entry = self.read(key, deadline_s)
-        if entry is None:
-            state = self.read_final_state(job, deadline_s)
-            ended = None if state is None else state.value
-            log.info("no job to cancel", job=job, ended=ended)
-            return state
+        while True:
+            entry = self.read(job_key(job), deadline_s)
+            if entry is not None:
+                return self.mark_cancelled(job, entry, deadline_s)
+            ended = self.read(ended_key(job), deadline_s)
+            if ended is not None:
+                final = decode_entry(ended, EndedJob)
+                log.info(
+                    "no job to cancel",
+                    job=job,
+                    ended=final.state.value,
+                    was_submitted=final.was_submitted,
+                )
+                return final.shown_state
+            if self.prevent_submission(job, deadline_s):
+                log.info("job cancelled before its submission", job=job)
+                return None
+            # Another call has stored or cancelled the job since it was read.
+
+    def prevent_submission(self, job: JobId, deadline_s: float) -> bool:
+        """Store that a job is cancelled; return False if it has a record already.
+
+        The condition keeps a write that is applied late from a job that was submitted
+        after it.
+        """
+        key = ended_key(job)
+        ended = EndedJob(JobState.CANCELLED, time.time(), was_submitted=False)
+        transaction = Transaction(
+            (
+                mod_revision_equals(job_key(job), ABSENT_REVISION),
+                mod_revision_equals(key, ABSENT_REVISION),
+            ),
+            (Put(key, msgspec.json.encode(ended)),),
+        )
+        return self.store.commit(transaction, call_timeout_s(deadline_s)).succeeded
+
+    def mark_cancelled(
+        self, job: JobId, entry: Entry, deadline_s: float
+    ) -> JobState | None:
+        """Mark a job as cancelled whose record was read, and return its state."""
         record = decode_entry(entry, JobRecord)
         if record.is_cancelled:
             return JobState.CANCELLED
         cancelled = msgspec.structs.replace(record, is_cancelled=True)
         transaction = Transaction(
-            (mod_revision_equals(key, entry.mod_revision),),
-            (Put(key, msgspec.json.encode(cancelled)),),
+            (mod_revision_equals(entry.key, entry.mod_revision),),
+            (Put(entry.key, msgspec.json.encode(cancelled)),),
         )
         if self.store.commit(transaction, call_timeout_s(deadline_s)).succeeded:
             return JobState.CANCELLED
         # A record is only ever created, cancelled and deleted, so a changed record has
         # been either deleted because the job ended, or cancelled by another call.
-        if self.read(key, deadline_s) is None:
+        if self.read(entry.key, deadline_s) is None:
             return self.read_final_state(job, deadline_s)
         return JobState.CANCELLED
 
@@ -162,7 +225,7 @@
         entry = self.read(ended_key(job), deadline_s)
         if entry is None:
             return None
-        return decode_entry(entry, EndedJob).state
+        return decode_entry(entry, EndedJob).shown_state
 
 
 def back_off(attempt: int) -> None:
--- a/tests/member/test_callers.py
+++ b/tests/member/test_callers.py
@@ -21,6 +21,7 @@
 from gooseberrydeck_fleet.work import EndedJob, JobRecord, JobState
 from gooseberrydeck_member import jobs as jobs_module
 from gooseberrydeck_member.callers import (
+    MAX_JOB_ID_BYTES,
     NOT_RELAYED,
     OUTCOME_UNKNOWN,
     CallerApplication,
@@ -328,6 +329,47 @@
 
     def test_unknown_job_is_gone(self) -> None:
         assert self.call("DELETE")[0] == 410
+        assert self.call("DELETE")[0] == 410
+        assert self.call("GET")[0] == 410
+
+    # Guards against a job that runs although its cancelling was acknowledged while its
+    # submission was on its way to the store.
+    def test_submission_after_the_cancelling_is_not_run(self) -> None:
+        assert self.call("DELETE")[0] == 410
+        assert self.submit() == 200
+        assert self.store.read(job_key(JOB), 1.0) is None
+        assert self.directory.notified == []
+        assert self.call("GET") == (200, b'{"State":"cancelled"}')
+        assert self.call("DELETE")[0] == 200
+
+    def test_repeated_cancelling_of_an_unknown_job_writes_once(self) -> None:
+        self.call("DELETE")
+        revision = self.engine.revision
+        self.call("DELETE")
+        assert self.engine.revision == revision
+
+    @pytest.mark.parametrize("fault", [CallFault.REQUEST_LOST, CallFault.ANSWER_LOST])
+    def test_cancelling_of_an_unknown_job_that_may_not_be_stored_is_not_confirmed(
+        self, fault: CallFault
+    ) -> None:
+        self.store.next_faults.extend([CallFault.NONE, CallFault.NONE, fault])
+        self.store.fault = CallFault.DOWN
+        assert self.call("DELETE")[0] == 504
+
+    def test_cancelling_of_an_unknown_job_that_is_not_stored_is_refused(self) -> None:
+        self.store.next_faults.extend([CallFault.NONE, CallFault.NONE])
+        self.store.fault = CallFault.DOWN
+        self.directory.peer = NOT_RELAYED
+        assert self.call("DELETE")[0] == 503
+        assert "Retry-After" in dict(self.headers)
+
+    # The store refuses such keys, and would be asked again and again.
+    def test_id_that_is_too_long_is_answered_at_once(self) -> None:
+        self.store.fault = CallFault.DOWN
+        path = f"/slow/{'a' * (MAX_JOB_ID_BYTES + 1)}"
+        assert self.call("POST", path, job_body())[0] == 400
+        assert self.call("DELETE", path)[0] == 410
+        assert self.directory.relayed == []
 
     def test_cancellation_that_cannot_be_stored_is_not_confirmed(self) -> None:
         self.submit()
--- a/tests/member/test_ended_jobs.py
+++ b/tests/member/test_ended_jobs.py
@@ -144,6 +144,29 @@
         assert self.store.read(job_key(JOB), TIMEOUT_S) is None
 
 
+class TestCancelledBeforeTheSubmission(EndedJobsFixture):
+    """Records that keep the submission of a cancelled job from being stored."""
+
+    def test_record_is_removed_after_the_limit(self) -> None:
+        jobs = JobStore(self.store)
+        assert jobs.cancel(JOB, NO_DEADLINE_S) is None
+        self.run_for(KEPT_S - 1)
+        assert self.ended() == [JOB]
+        self.run_for(KEPT_S + 60)
+        assert self.ended() == []
+
+    def test_late_cancelling_leaves_a_later_job_with_the_id(self) -> None:
+        jobs = JobStore(self.store)
+        jobs.cancel(JOB, NO_DEADLINE_S)
+        (_, prevention) = self.store.transactions[-1]
+        self.run_for(2 * KEPT_S + 60)
+        assert self.ended() == []
+        record = JobRecord(JOB, SLOW, TEAM, WorkSpec(steps=(StepSpec(),)), 0.0)
+        assert jobs.accept(record, NO_DEADLINE_S) is not None
+        assert not self.store.commit(prevention, TIMEOUT_S).succeeded
+        assert jobs.state(JOB, NO_DEADLINE_S) is JobState.QUEUED
+
+
 class TestRates(EndedJobsFixture):
     def test_records_of_a_day_are_removed_within_the_store_s_rates(self) -> None:
         count = 13_000
