Report the step for whose sake a less urgent step is held back

"step waits" gave reason "start" or "limit" for a step that its team's limit admits and that is held back for a more urgent one, so that an operator couldn't tell this from a step that was about to start. The reason is "held_back" now, and held_by names the other step.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/serving.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/serving.py
@@ -68,6 +68,8 @@
     """What a step lacks first, of what a start takes."""
 
     LIMIT = "limit"
+    HELD_BACK = "held_back"
+    """A more urgent step of its team waits for the team's limit."""
     WORKERS = "workers"
     """No worker fits, whatever runs there."""
     ADVICE_TURN = "advice_turn"
@@ -87,8 +89,9 @@
     """What keeps a step waiting, in numbers of workers and of tasks.
 
     ``slots`` is how many tasks fit on the ``permitted`` workers now, ``quota`` how many
-    the team's limit admits. ``advice_turns_before`` is the number of steps whose
-    requests for advice go first. ``use_level`` is the level of the team's use.
+    the team's limit admits. ``held_by`` is the more urgent step for whose sake the step
+    is held back. ``advice_turns_before`` is the number of steps whose requests for
+    advice go first. ``use_level`` is the level of the team's use.
     """
 
     step: StepRef
@@ -102,6 +105,7 @@
     slots: int
     quota: int
     reason: WaitReason
+    held_by: StepRef | None
     suspects: int
     advice_turns_before: int
     advice_in_flight: int
@@ -111,6 +115,13 @@
     use_level: int
 
 
+class Blocker(NamedTuple):
+    """A step that waits for its team's limit, and keeps less urgent steps waiting."""
+
+    priority: int
+    step: StepRef
+
+
 class FreedWorker(NamedTuple):
     """A worker with more free capacity than before a pass."""
 
@@ -138,9 +149,9 @@
         self.speculator = speculator
         self.commands = commands
         self.waiting = WaitingSteps(ledger)
-        # By team, the priority of the most urgent step that its limit keeps waiting.
-        # Less urgent steps must not take what remains of the limit.
-        self.blocked: dict[TeamName, int] = {}
+        # By team, the most urgent step that its limit keeps waiting. Less urgent steps
+        # must not take what remains of the limit.
+        self.blocked: dict[TeamName, Blocker] = {}
         self.advice_turns = AdviceTurns()
         self.retries: list[tuple[float, StepRef]] = []
         self.last_reviewed: Rank | None = None
@@ -176,10 +187,11 @@
     def review_limits(self) -> None:
         """Let the steps of a team go on if no step waits for its limit any more."""
         waiting = self.waiting
-        for team, priority in list(self.blocked.items()):
+        for team, blocker in list(self.blocked.items()):
             steps = (waiting.steps[ref] for ref in waiting.by_team.get(team, ()))
             if not any(
-                step.job.queue.priority == priority and self.waits_for_limit(step)
+                step.job.queue.priority == blocker.priority
+                and self.waits_for_limit(step)
                 for step in steps
             ):
                 del self.blocked[team]
@@ -208,6 +220,12 @@
         quota = self.ledger.quotas.count_allowed(team, step.spec.resources, len(tasks))
         suspects = sum(self.ledger.suspects.is_suspect(task) for task in tasks)
         requests = self.advice_requests
+        held_by = self.find_blocker(step)
+        reason = WaitReason.HELD_BACK
+        if held_by is None:
+            reason = self.find_wait_reason(
+                step, now_s, usable, len(permitted), slots, quota
+            )
         return LongWait(
             step.ref,
             waited_s,
@@ -219,7 +237,8 @@
             len(permitted),
             slots,
             quota,
-            self.find_wait_reason(step, now_s, usable, len(permitted), slots, quota),
+            reason,
+            held_by,
             suspects,
             self.advice_turns.count_before(step.ref, self.waiting.ranks),
             len(requests.in_flight),
@@ -380,7 +399,7 @@
         waiting = startable_tasks(step)
         team = step.job.record.team
         priority = step.job.queue.priority
-        if not waiting or priority > self.blocked.get(team, priority):
+        if not waiting or self.find_blocker(step) is not None:
             self.waiting.started(step)
             return
         allowed = self.ledger.quotas.count_allowed(
@@ -394,9 +413,18 @@
         elif allowed:
             self.start_tasks(step, waiting[:allowed], now_s)
         if self.waits_for_limit(step):
-            self.blocked[team] = min(self.blocked.get(team, priority), priority)
+            blocker = self.blocked.get(team)
+            if blocker is None or priority < blocker.priority:
+                self.blocked[team] = Blocker(priority, step.ref)
         self.waiting.started(step)
 
+    def find_blocker(self, step: Step) -> StepRef | None:
+        """Return the step that keeps a less urgent one of its team waiting, or None."""
+        blocker = self.blocked.get(step.job.record.team)
+        if blocker is None or step.job.queue.priority <= blocker.priority:
+            return None
+        return blocker.step
+
     def waits_for_limit(self, step: Step) -> bool:
         """Return True if a step could start more if its team had less running.
 
--- a/packages/gooseberrydeck-member/src/gooseberrydeck_member/wait_reports.py
+++ b/packages/gooseberrydeck-member/src/gooseberrydeck_member/wait_reports.py
@@ -18,4 +18,6 @@
         del fields["step"]
         fields["waited_s"] = round(wait.waited_s, 3)
         fields["reason"] = wait.reason.value
+        if wait.held_by is not None:
+            fields["held_by"] = [wait.held_by.job, *wait.held_by[1:]]
         log.info("step waits", job=wait.step.job, step=wait.step[1:], **fields)
--- a/tests/fleet/test_long_waits.py
+++ b/tests/fleet/test_long_waits.py
@@ -56,6 +56,24 @@
         (wait,) = take_waits(fleet)
         assert (wait.reason, wait.quota) == (WaitReason.LIMIT, 0)
 
+    # Logs didn't say which step kept others of its team waiting.
+    def test_step_that_is_held_back_for_a_more_urgent_one(self) -> None:
+        fleet = Fleet(workers=2)
+        fleet.configuration = make_configuration(maximum=task_resources(cores=32))
+        fleet.scheduler.set_configuration(fleet.configuration)
+        half = task_resources(cores=16)
+        fleet.submit("running", StepSpec(1, half, estimate_s=8.0), seconds=8.0)
+        fleet.run_for(0.2)
+        wide = StepSpec(1, WHOLE_WORKER, estimate_s=1.0)
+        urgent = fleet.submit("urgent", wide, queue_name=URGENT)
+        small = fleet.submit("small", StepSpec(1, half, estimate_s=30.0), seconds=30.0)
+        fleet.run_for(LONG_S)
+        held, first = take_waits(fleet)
+        assert (held.step.job, held.reason) == (small, WaitReason.HELD_BACK)
+        assert held.held_by is not None
+        assert held.held_by.job == urgent
+        assert (first.reason, first.held_by) == (WaitReason.LIMIT, None)
+
     # Logs of steps without advice didn't say whether they had asked for it.
     def test_steps_that_wait_for_advice(self, monkeypatch: pytest.MonkeyPatch) -> None:
         fleet = advised_fleet()
