Hold a team's limit back only until the waiting step can start

What callers saw: a team has 20 of its 60 cores in use by tasks that last, and a gang of 50 cores waits.

Cause: a step that waits for its team's limit blocked all less urgent steps of the team, and nothing asked whether what is in use would ever end. By the new reason in "step waits" all ten jobs waited for the gang, with the limit and the workers free for them.

Fix: the first waiting step that can have one gets a reservation of the limit for the time at which enough of it is expected to be free; others start meanwhile if they end before, or leave what it needs (EASY backfilling). Nothing is held back without such a time, beyond 30 s, or if the step would find no workers. A hold ends after twice the expected time, after 30 s at most, and after 2 s while the team uses less than half of its limit, so that a time which moves away holds nothing back for good; pauses between holds double.

The test of long waits named a limit of memory by mistake, which the block hid: its less urgent step lacked the limit itself; it has processors only now, and still requires the reason held_back.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/quotas.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/quotas.py
@@ -95,6 +95,19 @@
                 allowed = min(allowed, max(0, limit - taken) // each)
         return allowed
 
+    def is_underused(self, team: TeamName, used: Resources) -> bool:
+        """Return True if ``used`` is less than half of each limit of a team."""
+        maximum = self.maximum.get(team, NO_RESOURCES)
+        return all(
+            2 * taken < limit
+            for limit, taken in (
+                (maximum.cpu_millis, used.cpu_millis),
+                (maximum.memory_mib, used.memory_mib),
+                (maximum.accelerators, used.accelerators),
+            )
+            if limit
+        )
+
     def remaining(self, team: TeamName) -> Resources | None:
         """Return what known runs leave of a team's limit, or None if it has no limit.
 
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/serving.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/serving.py
@@ -9,7 +9,6 @@
 from enum import Enum
 from typing import NamedTuple
 
-from gooseberrydeck_coordination.ids import TeamName
 from gooseberrydeck_fleet.advice_requests import AdviceRequests
 from gooseberrydeck_fleet.advice_turns import AdviceTurns
 from gooseberrydeck_fleet.candidates import AVOID_FAILED_S, Candidates
@@ -17,10 +16,11 @@
 from gooseberrydeck_fleet.duration_samples import expect_run
 from gooseberrydeck_fleet.ids import StepRef, WorkerId
 from gooseberrydeck_fleet.ledger import Ledger
+from gooseberrydeck_fleet.limit_reservations import LimitReservations
 from gooseberrydeck_fleet.placement import Placer
 from gooseberrydeck_fleet.preemption import Preemptor
 from gooseberrydeck_fleet.speculation import Speculator
-from gooseberrydeck_fleet.start_permission import has_startable_tasks, startable_tasks
+from gooseberrydeck_fleet.start_permission import startable_tasks
 from gooseberrydeck_fleet.state import Step, Task, Worker
 from gooseberrydeck_fleet.waiting import Rank, WaitingSteps
 from gooseberrydeck_fleet.worker_calls import StartRequest
@@ -115,13 +115,6 @@
     use_level: int
 
 
-class Blocker(NamedTuple):
-    """A step that waits for its team's limit, and keeps less urgent steps waiting."""
-
-    priority: int
-    step: StepRef
-
-
 class FreedWorker(NamedTuple):
     """A worker with more free capacity than before a pass."""
 
@@ -149,9 +142,7 @@
         self.speculator = speculator
         self.commands = commands
         self.waiting = WaitingSteps(ledger)
-        # By team, the most urgent step that its limit keeps waiting. Less urgent steps
-        # must not take what remains of the limit.
-        self.blocked: dict[TeamName, Blocker] = {}
+        self.limit_reservations = LimitReservations(ledger, placer, self.waiting)
         self.advice_turns = AdviceTurns()
         self.retries: list[tuple[float, StepRef]] = []
         self.last_reviewed: Rank | None = None
@@ -171,7 +162,7 @@
 
     def limits_changed(self) -> None:
         """Try all steps again, since limits or priorities have changed."""
-        self.blocked.clear()
+        self.limit_reservations.limits_changed()
         self.ledger.touch_all()
 
     def review(self, now_s: float) -> None:
@@ -180,23 +171,10 @@
         self.last_reviewed = order[-1] if len(order) == REVIEW_STEPS else None
         for rank in order + self.waiting.after(None, REVIEW_URGENT_STEPS):
             self.waiting.due.add(rank[-1])
-        self.review_limits()
+        self.limit_reservations.review(now_s)
         for step in self.waiting.speculative_steps():
             self.start_copies(step, now_s)
 
-    def review_limits(self) -> None:
-        """Let the steps of a team go on if no step waits for its limit any more."""
-        waiting = self.waiting
-        for team, blocker in list(self.blocked.items()):
-            steps = (waiting.steps[ref] for ref in waiting.by_team.get(team, ()))
-            if not any(
-                step.job.queue.priority == blocker.priority
-                and self.waits_for_limit(step)
-                for step in steps
-            ):
-                del self.blocked[team]
-                waiting.team_freed(team)
-
     def take_long_waits(self, now_s: float) -> list[LongWait]:
         """Return the steps that have waited long, each once."""
         waits = []
@@ -220,7 +198,7 @@
         quota = self.ledger.quotas.count_allowed(team, step.spec.resources, len(tasks))
         suspects = sum(self.ledger.suspects.is_suspect(task) for task in tasks)
         requests = self.advice_requests
-        held_by = self.find_blocker(step)
+        held_by = self.limit_reservations.find_blocker(step)
         reason = WaitReason.HELD_BACK
         if held_by is None:
             reason = self.find_wait_reason(
@@ -287,8 +265,7 @@
         while self.retries and self.retries[0][0] <= now_s:
             self.waiting.due.add(heapq.heappop(self.retries)[1])
         freed_teams = self.ledger.freed_teams
-        for team in freed_teams & self.blocked.keys():
-            del self.blocked[team]
+        for team in freed_teams & self.limit_reservations.teams.keys():
             self.waiting.team_freed(team)
         freed_teams.clear()
         self.collect_advice_requests(now_s)
@@ -399,7 +376,7 @@
         waiting = startable_tasks(step)
         team = step.job.record.team
         priority = step.job.queue.priority
-        if not waiting or self.find_blocker(step) is not None:
+        if not waiting:
             self.waiting.started(step)
             return
         allowed = self.ledger.quotas.count_allowed(
@@ -407,40 +384,17 @@
         )
         if allowed < len(waiting) and priority == 0:
             self.preemptor.free_quota(step, len(waiting) - allowed, now_s)
+        allowed = self.limit_reservations.count_startable(step, allowed, now_s)
+        running = len(step.job.runs)
         if step.spec.is_gang:
             if allowed == step.spec.count and len(waiting) == allowed:
                 self.start_gang(step, now_s)
         elif allowed:
             self.start_tasks(step, waiting[:allowed], now_s)
-        if self.waits_for_limit(step):
-            blocker = self.blocked.get(team)
-            if blocker is None or priority < blocker.priority:
-                self.blocked[team] = Blocker(priority, step.ref)
+        started = len(step.job.runs) - running
+        self.limit_reservations.step_tried(step, started, now_s)
         self.waiting.started(step)
 
-    def find_blocker(self, step: Step) -> StepRef | None:
-        """Return the step that keeps a less urgent one of its team waiting, or None."""
-        blocker = self.blocked.get(step.job.record.team)
-        if blocker is None or step.job.queue.priority <= blocker.priority:
-            return None
-        return blocker.step
-
-    def waits_for_limit(self, step: Step) -> bool:
-        """Return True if a step could start more if its team had less running.
-
-        A step that lacks workers leaves the rest of the limit to others, and so does
-        one that the limit never admits.
-        """
-        if not has_startable_tasks(step):
-            return False
-        team, amount = step.job.record.team, step.spec.resources
-        wanted = step.spec.count if step.spec.is_gang else 1
-        quotas = self.ledger.quotas
-        return (
-            quotas.count_allowed(team, amount, wanted) < wanted
-            and quotas.count_admitted(team, amount, wanted) == wanted
-        )
-
     def start_tasks(self, step: Step, waiting: list[Task], now_s: float) -> None:
         """Start waiting tasks of a step on permitted workers with free capacity."""
         permitted = self.placer.permitted(step, now_s)
--- a/tests/fleet/test_long_waits.py
+++ b/tests/fleet/test_long_waits.py
@@ -11,6 +11,7 @@
     queue,
     task_resources,
 )
+from gooseberrydeck_coordination.resources import Resources
 from gooseberrydeck_fleet.configuration import AdvicePolicy
 from gooseberrydeck_fleet.ids import WorkerId
 from gooseberrydeck_fleet.serving import LongWait, WaitReason
@@ -59,7 +60,7 @@
     # Logs didn't say which step kept others of its team waiting.
     def test_step_that_is_held_back_for_a_more_urgent_one(self) -> None:
         fleet = Fleet(workers=2)
-        fleet.configuration = make_configuration(maximum=task_resources(cores=32))
+        fleet.configuration = make_configuration(maximum=Resources(32_000, 0, 0))
         fleet.scheduler.set_configuration(fleet.configuration)
         half = task_resources(cores=16)
         fleet.submit("running", StepSpec(1, half, estimate_s=8.0), seconds=8.0)
