Daemon: read a shard's jobs before a queue's cancellation is confirmed

DELETE of a queue's jobs, or of those with a label, answered 200 with the number of jobs that the shards' owners knew. A job that was accepted (202) and whose notification to its owner was lost was not among them, and ran when the next scan found it, up to 30 s later. So was each job of a shard that its owner had claimed but not set up yet.

The owner now reads the records of its shards, in a read that begins after the request, and cancels then. If the store can't be read, the cancellation isn't confirmed, as before for one that can't be stored. It takes up to a second more, the delay of an early scan.

test_cancel_many_includes_jobs_that_the_owner_does_not_know failed before (cancelled 0).

--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/jobs/messages.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/jobs/messages.py
@@ -85,11 +85,13 @@
 class RecordsLoaded(msgspec.Struct, frozen=True):
     """The records of a shard, read for one epoch; None if the store was unavailable.
 
-    ``unreadable`` says which records were left out.
+    The read began at ``begun_s`` in monotonic seconds. ``unreadable`` says which
+    records were left out.
     """
 
     shard: ShardId
     epoch: int
+    begun_s: float
     records: tuple[JobRecord, ...] | None
     unreadable: tuple[RecordUnreadableError, ...] = ()
 
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/jobs/owner.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/jobs/owner.py
@@ -75,6 +75,8 @@
         self.links = self.calls.links
         self.last_cleanup_s = clock.monotonic()
         self.is_loaded = False
+        # When the newest read of the shard's records began, in monotonic seconds.
+        self.read_s = float("-inf")
         self.early_records: list[JobRecord] = []
         """Jobs bound to the shard before its records were loaded."""
         self.is_superseded = False
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/jobs/pending_requests.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/jobs/pending_requests.py
@@ -30,10 +30,14 @@
 
 
 class PendingCancel(msgspec.Struct):
-    """A cancellation that is not stored yet; ``jobs`` is None until it is applied."""
+    """A cancellation that is not stored yet; ``jobs`` is None until it is applied.
+
+    It arrived at ``arrived_s`` in monotonic seconds.
+    """
 
     cancel: CancelJobs
     reply: Callable[[CancelAnswer], None]
+    arrived_s: float
     deadline_s: float
     jobs: frozenset[JobId] | None = None
 
@@ -79,13 +83,17 @@
 
     def cancel(self, cancel: CancelJobs, reply: Callable[[CancelAnswer], None]) -> None:
         """Cancel the matching jobs of the owned shards; reply once this is stored."""
-        deadline_s = self.clock.monotonic() + CANCEL_TIMEOUT_S
-        pending = PendingCancel(cancel, reply, deadline_s)
+        now_s = self.clock.monotonic()
+        pending = PendingCancel(cancel, reply, now_s, now_s + CANCEL_TIMEOUT_S)
         self.apply_cancel(pending)
         self.cancels.append(pending)
 
     def apply_cancel(self, pending: PendingCancel) -> None:
-        """Cancel the matching jobs once the shards and the job are loaded."""
+        """Cancel the matching jobs once the shards and the job are loaded.
+
+        Jobs of a queue may have been accepted of which the owner has not been notified.
+        They are read first, or they would run after the cancellation was confirmed.
+        """
         cancel = pending.cancel
         targets = [
             jobs
@@ -99,6 +107,15 @@
         ):
             self.shards_to_rescan.add(cancel.shard)
             return
+        if not cancel.job:
+            unread = {
+                shard
+                for shard, jobs in self.shards.items()
+                if jobs in targets and jobs.read_s < pending.arrived_s
+            }
+            if unread:
+                self.shards_to_rescan.update(unread)
+                return
         cancelled: set[JobId] = set()
         for jobs in targets:
             records = jobs.record_table.records
--- a/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/jobs/task.py
+++ b/packages/gooseberrydeck-daemon/src/gooseberrydeck_daemon/jobs/task.py
@@ -20,6 +20,7 @@
 from gooseberrydeck_daemon.jobs.links import Authority, WorkerLink
 from gooseberrydeck_daemon.jobs.messages import (
     CallDone,
+    CancelAnswer,
     CancelJobs,
     JobBound,
     JobQuery,
@@ -128,7 +129,7 @@
             case LocalQuery():
                 self.pending_requests.query(message.query, message.reply)
             case LocalCancel():
-                self.pending_requests.cancel(message.cancel, message.reply)
+                self.cancel(message.cancel, message.reply)
             case Inbound():
                 self.handle_peer_message(message)
         if self.clock.monotonic() - self.last_step_s >= TICK_S:
@@ -142,7 +143,12 @@
             case JobQuery():
                 self.pending_requests.query(inbound.message, inbound.reply)
             case CancelJobs():
-                self.pending_requests.cancel(inbound.message, inbound.reply)
+                self.cancel(inbound.message, inbound.reply)
+
+    def cancel(self, cancel: CancelJobs, reply: Callable[[CancelAnswer], None]) -> None:
+        """Cancel jobs of all owned shards, including one that has just been claimed."""
+        self.sync_ownership(self.dependencies.view())
+        self.pending_requests.cancel(cancel, reply)
 
     def tick(self) -> None:
         """Apply ownership, rules and workers, then run a step of each shard."""
@@ -275,10 +281,10 @@
             try:
                 found = self.store.read_prefix(prefix, STORE_TIMEOUT_S)
             except StoreError:
-                self.inbox.put(RecordsLoaded(shard, epoch, None))
+                self.inbox.put(RecordsLoaded(shard, epoch, now_s, None))
                 return
             records, unreadable = decode_records(found.entries)
-            self.inbox.put(RecordsLoaded(shard, epoch, records, unreadable))
+            self.inbox.put(RecordsLoaded(shard, epoch, now_s, records, unreadable))
 
         self.executor.submit(read)
 
@@ -295,10 +301,12 @@
             return
         if loaded.records is None:
             self.next_scan_s[loaded.shard] = self.clock.monotonic() + RESCAN_DELAY_S
-        elif jobs.is_loaded:
+            return
+        if jobs.is_loaded:
             self.accept_all(jobs, loaded.records)
         else:
             jobs.load(loaded.records)
+        jobs.read_s = max(jobs.read_s, loaded.begun_s)
 
     def accept_all(self, jobs: ShardJobs, records: Iterable[JobRecord]) -> None:
         """Accept the records for which the notification was lost."""
--- a/tests/daemon/test_jobs_http.py
+++ b/tests/daemon/test_jobs_http.py
@@ -266,6 +266,16 @@
         response = cell.call("DELETE", "/v1/queues/batch/jobs", query=query)
         assert read(response) == {"cancelled": cancelled}
 
+    # Guards against an accepted job that runs after all jobs of its queue have been
+    # cancelled: its owner wasn't notified of it.
+    def test_cancel_many_includes_jobs_that_the_owner_does_not_know(
+        self, cell: JobsCell, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(JobsHandler, "notify_owner", lambda *_: None)
+        cell.call("POST", "/v1/queues/batch/jobs", job(run_s=500.0))
+        response = cell.call("DELETE", "/v1/queues/batch/jobs")
+        assert read(response) == {"cancelled": 1}
+
 
 class TestRefusals:
     @pytest.mark.parametrize(
