Review waiting steps in turn without a gap at the end of the order

The review of waiting steps skipped a turn whenever it reached the end of the order: the last full batch left nothing, and the next turn was empty. It goes on at the front in the same turn now.

Found since test_every_step_is_reviewed_in_turn needs 20 turns for 200 steps and has 20 in its 3 s. It passed only because the in-memory workers' hour-long runs count as stalled, which makes all steps due: with a finer progress of these workers it fails on as well (10 steps left), and passes with this change. The test is as it was.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/serving.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/serving.py
@@ -168,7 +168,9 @@
     def review(self, now_s: float) -> None:
         """Try some steps again, and start copies of straggling runs."""
         order = self.waiting.after(self.last_reviewed, REVIEW_STEPS)
-        self.last_reviewed = order[-1] if len(order) == REVIEW_STEPS else None
+        if len(order) < REVIEW_STEPS:
+            order += self.waiting.after(None, REVIEW_STEPS - len(order))
+        self.last_reviewed = order[-1] if order else None
         for rank in order + self.waiting.after(None, REVIEW_URGENT_STEPS):
             self.waiting.due.add(rank[-1])
         self.limit_reservations.review(now_s)
