Leave runs alone whose percent takes longer than the stall time

Cause: progress is shown in whole percent, and a run without a new one for 2.5 s counted as stalled, which is each run of more than 250 s.

Fix: the time that a run may show no new percent follows from how long one is expected to take, by its siblings, the estimate or the run's own pace. A run that stands still looks like one that is longer than estimated, so the time doubles with each stall of a task, and only the first stall puts the worker in quarantine. The pace of runs that resume or were adopted is measured from their first report; the expected ends of a team's runs use it too.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/expected_ends.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/expected_ends.py
@@ -38,15 +38,15 @@
 
 def expected_left_s(run: Run, ledger: Ledger, now_s: float) -> float:
     """Return the remaining duration of a run, negative if it has outlasted that."""
-    elapsed_s = now_s - run.started_s
-    if run.progress >= MIN_PROGRESS_PERCENT and not run.skip_duration_sample:
-        observed_s = run.progress_changed_s - run.started_s
-        return observed_s * 100 / run.progress - elapsed_s
+    pace_s = run.seconds_per_percent
+    if pace_s is not None and run.measured_percent >= MIN_PROGRESS_PERCENT:
+        return pace_s * (100 - run.progress) - (now_s - run.progress_changed_s)
     step = run.task.step
     typical_s = step.durations.typical_s()
     if typical_s is None and ledger.durations.uses.moves:
         learned_s = learned_remaining_s(run, ledger, now_s)
         if learned_s is not None:
             return learned_s
-    left = 1 - min(run.progress, 100.0) / 100 if run.skip_duration_sample else 1.0
-    return (typical_s or step.spec.estimate_s) * left - elapsed_s
+    done = run.first_progress or 0.0
+    left_s = (typical_s or step.spec.estimate_s) * (1 - min(done, 100.0) / 100)
+    return left_s - (now_s - run.first_progress_s)
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/housekeeping.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/housekeeping.py
@@ -26,7 +26,17 @@
 """Extra wait after the computed expiry of all leases of an unreachable worker."""
 
 STALL_S = 2.5
-"""A run that reports no new progress for longer than this counts as stalled."""
+"""A run that reports no new progress for longer than this counts as stalled, unless its
+task is long or has stalled before."""
+
+MISSED_REPORTS = 3
+"""A run may miss this many steps of its progress, which is shown in whole percent."""
+
+MAX_STALL_DOUBLINGS = 5
+"""How often the time without new progress doubles for a task that stalls repeatedly."""
+
+ADOPTED_STALL_DOUBLINGS = 2
+"""The same for a predecessor's runs, whose pace so far isn't known."""
 
 
 class Housekeeper:
@@ -122,14 +132,22 @@
                 del self.ledger.workers[worker.id]
 
     def stop_stalled(self, now_s: float) -> None:
-        """Stop stalled runs, so that they restart on other workers."""
+        """Stop stalled runs, so that they restart on other workers.
+
+        A task that stalls again is probably longer than it was estimated. That is no
+        evidence against its worker.
+        """
         for worker in self.ledger.workers.values():
             if not worker.is_reachable:
                 continue
             for run in worker.runs.values():
-                if is_stalled(run, now_s):
-                    self.ends.request_stop(run, StopReason.STALLED)
+                is_own = self.ledger.run_numbers.is_own(run.number)
+                if not is_stalled(run, is_own, now_s):
+                    continue
+                self.ends.request_stop(run, StopReason.STALLED)
+                if not run.task.stalls:
                     self.ledger.health.quarantine(worker.id, now_s)
+                run.task.stalls += 1
 
     def evacuate(self, now_s: float) -> None:
         """Move runs off draining workers, requesting advice for those with no place."""
@@ -161,15 +179,29 @@
     )
 
 
-def is_stalled(run: Run, now_s: float) -> bool:
+def is_stalled(run: Run, is_own: bool, now_s: float) -> bool:
     """Return True if a run should have reported progress recently but hasn't.
 
     Best-effort runs and gang members are exempt, and so are long-running tasks that
-    report full progress.
+    report full progress. ``is_own`` is False for a run of a predecessor.
     """
-    if now_s - run.progress_changed_s <= STALL_S or run.state is not RunState.RUNNING:
+    silent_s = now_s - run.progress_changed_s
+    if silent_s <= STALL_S or run.state is not RunState.RUNNING:
         return False
     spec = run.task.step.spec
     if spec.uses_leftover or spec.is_gang:
         return False
-    return not (spec.is_standing and run.progress >= 100)
+    if spec.is_standing and run.progress >= 100:
+        return False
+    doublings = min(run.task.stalls, MAX_STALL_DOUBLINGS)
+    if not is_own:
+        doublings = max(doublings, ADOPTED_STALL_DOUBLINGS)
+    least_s = max(STALL_S, MISSED_REPORTS * percent_interval_s(run))
+    return silent_s > least_s * (1 << doublings)
+
+
+def percent_interval_s(run: Run) -> float:
+    """Return how long a run is expected to take for each percent of its task."""
+    step = run.task.step
+    expected_s = step.durations.typical_s() or step.spec.estimate_s
+    return max(expected_s / 100, run.seconds_per_percent or 0.0)
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/poll_replies.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/poll_replies.py
@@ -179,8 +179,7 @@
             if run.state in (RunState.STARTING, RunState.UNCERTAIN):
                 run.state = RunState.RUNNING
             if report.progress != run.progress:
-                run.progress = report.progress
-                run.progress_changed_s = now_s
+                run.report_progress(report.progress, now_s)
                 self.observe_slow_run(run, now_s)
             run.load = report.load
             run.checkpoint = report.checkpoint or run.checkpoint
@@ -218,6 +217,7 @@
             return None
         run = self.ledger.add_run(task, worker, report.run, now_s)
         run.state = RunState.RUNNING
+        run.first_progress = None
         run_adopted(self.ledger, run, now_s)
         job = task.step.job
         self.ledger.touch(job)
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
@@ -109,6 +109,8 @@
         "allocation",
         "checkpoint",
         "expectation",
+        "first_progress",
+        "first_progress_s",
         "has_unanswered_start",
         "load",
         "number",
@@ -153,6 +155,10 @@
         self.start_until_ms = 0
         self.progress = 0.0
         self.progress_changed_s = now_s
+        # From where its pace is measured; None until the first report of a run that
+        # resumes, or that a predecessor started.
+        self.first_progress: float | None = None if task.checkpoint else 0.0
+        self.first_progress_s = now_s
         self.load = 0.0
         self.speed_percent = 100
         # When its worker was last told the speed, if ever.
@@ -168,6 +174,28 @@
         # What was expected of its duration, if it was started here.
         self.expectation: Expectation | None = None
 
+    def report_progress(self, progress: float, now_s: float) -> None:
+        """Apply new progress in percent, as of monotonic time ``now_s``."""
+        if self.first_progress is None:
+            self.first_progress, self.first_progress_s = progress, now_s
+        self.progress = progress
+        self.progress_changed_s = now_s
+
+    @property
+    def measured_percent(self) -> float:
+        """The progress since which the pace is measured, in percent."""
+        return (
+            0.0 if self.first_progress is None else self.progress - self.first_progress
+        )
+
+    @property
+    def seconds_per_percent(self) -> float | None:
+        """The pace so far, or None if no progress shows it yet."""
+        percent = self.measured_percent
+        if percent <= 0:
+            return None
+        return (self.progress_changed_s - self.first_progress_s) / percent
+
 
 class Task:
     """One task of a step; only speculative tasks may have several runs at once."""
@@ -183,6 +211,7 @@
         "lost_run",
         "ref",
         "runs",
+        "stalls",
         "step",
     )
 
@@ -204,6 +233,8 @@
         # The last run that may have been on a worker, if its end was never listed.
         self.lost_run: LostRun | None = None
         self.checkpoint: str = ""
+        # How many of its runs were stopped since they showed no new progress.
+        self.stalls = 0
 
     @property
     def is_waiting(self) -> bool:
