Evaluate a job with many dependencies without going through all of them

Cause: whenever a run of such a job starts or ends, the critical path of each ready step was computed through all later steps and their dependencies, and each waiting step looked up its dependencies from the first one on.

Fix: the critical paths from all steps are found in one pass, once for each set of expected durations; a step remembers how many of its dependencies are met.

--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/start_permission.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/start_permission.py
@@ -73,11 +73,12 @@
         return StartObstacle.JOB_ENDED
     if job.has_unconfigured_queue:
         return StartObstacle.QUEUE_NOT_CONFIGURED
-    if step.spec.after:
-        ref = step.ref
-        for earlier in step.spec.after:
-            if not job.steps[StepRef(ref.job, ref.occurrence, earlier)].is_done:
-                return StartObstacle.DEPENDENCIES_OPEN
+    after, ref = step.spec.after, step.ref
+    while step.dependencies_met < len(after):
+        earlier = StepRef(ref.job, ref.occurrence, after[step.dependencies_met])
+        if not job.steps[earlier].is_done:
+            return StartObstacle.DEPENDENCIES_OPEN
+        step.dependencies_met += 1
     return None
 
 
--- a/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
+++ b/packages/gooseberrydeck-fleet/src/gooseberrydeck_fleet/state.py
@@ -263,6 +263,7 @@
     __slots__ = (
         "advice",
         "allocation",
+        "dependencies_met",
         "durations",
         "is_open",
         "is_safe_to_start",
@@ -288,6 +289,8 @@
         self.remaining_tasks = self.spec.count
         self.advice = AdviceCache()
         self.is_open = False
+        # How many of the steps that it waits for are known to be done, in their order.
+        self.dependencies_met = 0
         # True once a dependency has ended that no predecessor can have seen end.
         self.is_safe_to_start = False
         self.ready_s: float | None = None
@@ -311,6 +314,8 @@
     __slots__ = (
         "crashes_counted",
         "crashes_stored",
+        "critical_paths_of",
+        "critical_paths_s",
         "due_s",
         "durations",
         "estimated_s",
@@ -377,6 +382,9 @@
         self.estimated_s = [step.estimate_s for step in record.work.steps]
         self.expected_s = self.estimated_s
         self.has_learned = False
+        # The critical path from each step on, and the durations that it is of.
+        self.critical_paths_s: list[float] = []
+        self.critical_paths_of: list[float] | None = None
         self.expected_generation = -1
         if not self.refresh_expected():
             self.compute_due()
@@ -452,14 +460,21 @@
 
     def critical_path_s(self, step: Step) -> float:
         """Return the expected duration of the critical path from a step on."""
-        specs = self.record.work.steps
         seconds = self.step_durations_s(self.durations.uses.lateness)
-        longest: dict[int, float] = {step.ref.step: seconds[step.ref.step]}
-        for number in range(step.ref.step + 1, len(specs)):
-            before = [longest[each] for each in specs[number].after if each in longest]
-            if before:
-                longest[number] = max(before) + seconds[number]
-        return max(longest.values())
+        if self.critical_paths_of is not seconds:
+            self.critical_paths_of = seconds
+            self.critical_paths_s = self.find_critical_paths(seconds)
+        return self.critical_paths_s[step.ref.step]
+
+    def find_critical_paths(self, seconds: list[float]) -> list[float]:
+        """Return the duration of the critical path from each step on."""
+        specs = self.record.work.steps
+        after_s = [0.0] * len(specs)
+        for number in range(len(specs) - 1, -1, -1):
+            path_s = after_s[number] + seconds[number]
+            for earlier in specs[number].after:
+                after_s[earlier] = max(after_s[earlier], path_s)
+        return [after_s[number] + seconds[number] for number in range(len(specs))]
 
     def occurrence_due_s(self, occurrence: int) -> float:
         """Return the Unix time from which an occurrence may start."""
--- a/tests/fleet/test_decision_load.py
+++ b/tests/fleet/test_decision_load.py
@@ -5,6 +5,8 @@
 backlog, and a holder that falls behind would never catch up.
 """
 
+import random
+
 import pytest
 
 from fleet_support import (
@@ -20,6 +22,7 @@
 from gooseberrydeck_fleet.configuration import AdvicePolicy
 from gooseberrydeck_fleet.ids import StepRef
 from gooseberrydeck_fleet.serving import MAX_CHECKS
+from gooseberrydeck_fleet.state import Job, Step
 from gooseberrydeck_fleet.work import JobState, StepSpec
 from gooseberrydeck_fleet.worker_calls import EndKind
 
@@ -198,6 +201,78 @@
         assert self.fleet.running(waits)
 
 
+class CountingSteps(dict[StepRef, Step]):
+    """The steps of a job, counting how often one is looked up."""
+
+    lookups = 0
+
+    def __getitem__(self, ref: StepRef) -> Step:
+        self.lookups += 1
+        return super().__getitem__(ref)
+
+
+class TestLargeJob:
+    """A job with many ready steps, and many that wait for many of them."""
+
+    ready, joining, dependencies = 60, 50, 40
+
+    def setup_method(self) -> None:
+        self.fleet = Fleet(workers=1, capacity=Resources(8_000, 65_536, 0))
+        one = task_resources()
+        first = [StepSpec(1, one, estimate_s=1.0)] * self.ready
+        after = tuple(range(self.dependencies))
+        last = [StepSpec(1, one, estimate_s=1.0, after=after)] * self.joining
+        self.job = self.fleet.submit("large", *first, *last, seconds=1.0)
+
+    # Guards against work for each start and end that grows with the product of a job's
+    # steps and their dependencies, in the thread that also renews the leases.
+    def test_critical_paths_are_found_once(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        found = []
+        find = Job.find_critical_paths
+
+        def count(job: Job, seconds: list[float]) -> list[float]:
+            found.append(job.id)
+            return find(job, seconds)
+
+        monkeypatch.setattr(Job, "find_critical_paths", count)
+        self.fleet.run_for(20.0)
+        assert self.fleet.state(self.job) is JobState.COMPLETED
+        assert len(found) <= 1
+
+    def test_met_dependencies_are_not_looked_up_again(self) -> None:
+        job = self.fleet.scheduler.ledger.jobs[self.job]
+        job.steps = steps = CountingSteps(job.steps)
+        self.fleet.run_for(20.0)
+        assert self.fleet.state(self.job) is JobState.COMPLETED
+        # Each dependency once, and an open one for each step whenever a run ends.
+        ends = self.ready + self.joining
+        assert steps.lookups <= self.joining * (self.dependencies + ends)
+
+    @pytest.mark.parametrize("seed", range(20))
+    def test_critical_path_is_the_longest_chain(self, seed: int) -> None:
+        draw = random.Random(seed)
+        specs = []
+        for number in range(12):
+            earlier = draw.sample(range(number), draw.randint(0, min(3, number)))
+            specs.append(
+                StepSpec(1, task_resources(), draw.uniform(0.1, 9.0), tuple(earlier))
+            )
+        job_id = self.fleet.submit("drawn", *specs)
+        job = self.fleet.scheduler.ledger.jobs[job_id]
+
+        def longest_s(number: int) -> float:
+            following = [
+                longest_s(later) for later in range(12) if number in specs[later].after
+            ]
+            return specs[number].estimate_s + max(following, default=0.0)
+
+        for step in job.steps.values():
+            expected_s = longest_s(step.ref.step)
+            assert job.critical_path_s(step) == pytest.approx(expected_s)
+
+
 class TestAdviceBacklog:
     """More steps that need advice than requests that may be in flight."""
 
